--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# The tools and their versions. They are installed outside the repository, and later runs use them again.
+LINT_VERSION := v2.15.0
+TOOLS := $(HOME)/.cache/apricotway-tools/golangci-lint-$(LINT_VERSION)
+LINT := $(TOOLS)/golangci-lint
+MODULES := . ./cmd
+
+.PHONY: all build test lint format tools
+
+all: lint build test
+
+tools: $(LINT)
+
+$(LINT):
+	GOFLAGS= GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+
+build:
+	go build -o bin/ ./cmd/apricotway ./cmd/apricotctl
+
+test:
+	go test -race -count=1 ./... ./cmd/...
+
+lint: $(LINT)
+	@for module in $(MODULES); do (cd $$module && $(LINT) run ./...) || exit 1; done
+
+format: $(LINT)
+	@for module in $(MODULES); do (cd $$module && $(LINT) fmt ./...) || exit 1; done
--- /dev/null
+++ b/cmd/internal/ctl/ctl.go
@@ -0,0 +1,37 @@
+// Package ctl is the command line of the operators' tool.
+package ctl
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/apricotway/apricotway/cmd/internal/cli"
+)
+
+// Run runs the command line of the operators' tool and returns its exit code.
+func Run(arguments []string) int {
+	parser := flags.NewNamedParser("apricotctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Publishes configuration, reads the state of the system and runs stand-ins of the platform."
+
+	if err := addCommands(parser.Command); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return cli.ExitFailure
+	}
+
+	return cli.Run(parser, arguments)
+}
+
+// addCommands adds every command of the tool; each group of commands stands in a file of its own.
+func addCommands(root *flags.Command) error {
+	for _, add := range []func(*flags.Command) error{
+		addStandinCommands,
+	} {
+		if err := add(root); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
--- /dev/null
+++ b/cmd/internal/daemon/daemon.go
@@ -0,0 +1,212 @@
+// Package daemon assembles one process of the system from its settings.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/settings"
+	"github.com/apricotway/apricotway/coordination/configfeed"
+	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/protocol/call"
+	"github.com/apricotway/apricotway/protocol/completion"
+	"github.com/apricotway/apricotway/transport/api"
+	"github.com/apricotway/apricotway/transport/engine"
+	"github.com/apricotway/apricotway/transport/logservice"
+	"github.com/apricotway/apricotway/transport/operator"
+	"github.com/apricotway/apricotway/transport/platform"
+	"github.com/apricotway/apricotway/transport/service"
+)
+
+// headerTimeout bounds the time for reading a request's header.
+const headerTimeout = 10 * time.Second
+
+// Daemon is one running process of the system.
+type Daemon struct {
+	settings   settings.Settings
+	logger     logr.Logger
+	supervisor *suture.Supervisor
+	feed       *configfeed.Feed
+	inventory  *inventory.Inventory
+
+	callers  *listener
+	operator *listener
+
+	cancel  context.CancelFunc
+	stopped <-chan error
+}
+
+// listener is one HTTP server with its bound address.
+type listener struct {
+	address netip.AddrPort
+	net     net.Listener
+	server  *http.Server
+}
+
+// Option changes a daemon under construction.
+type Option func(*Daemon)
+
+// WithLogger sets the logger.
+func WithLogger(logger logr.Logger) Option {
+	return func(d *Daemon) { d.logger = logger }
+}
+
+// Start binds the addresses of the settings, assembles the process and starts it.
+func Start(ctx context.Context, s settings.Settings, options ...Option) (*Daemon, error) {
+	if s.Node == "" {
+		s.Node = apricotway.NodeID(uuid.NewString())
+	}
+
+	d := &Daemon{settings: s, logger: logr.Discard()}
+	for _, option := range options {
+		option(d)
+	}
+
+	d.logger = d.logger.WithValues("node", s.Node)
+	d.supervisor = suture.New("apricotway", suture.Spec{EventHook: func(event suture.Event) {
+		d.logger.Info("supervisor event", "event", 101, "detail", event.String())
+	}})
+
+	if err := d.assemble(ctx); err != nil {
+		return nil, err
+	}
+
+	ctx, d.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	d.stopped = d.supervisor.ServeBackground(ctx)
+	d.logger.Info("process started", "event", 102, "callers", d.callers.address, "operator", d.operator.address)
+
+	return d, nil
+}
+
+func (d *Daemon) assemble(ctx context.Context) error {
+	s := d.settings
+
+	var err error
+	if d.callers, err = bind(ctx, s.Listen.Callers); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+
+	if d.operator, err = bind(ctx, s.Listen.Operator); err != nil {
+		return errors.Wrap(err, "listen for operators")
+	}
+
+	log := logservice.New(s.Platform.Log)
+	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
+	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
+
+	completions := completion.New(engine.New(), d.inventory, completion.WithLogger(d.logger))
+	calls := call.New(service.New(), d.inventory, call.WithLogger(d.logger))
+
+	limits := api.DefaultLimits()
+	limits.BodyBytes = s.Limits.BodyBytes
+	limits.PromptBytes = s.Limits.PromptBytes
+	limits.DefaultTimeout = time.Duration(s.Limits.DefaultTimeout)
+	limits.MaxTimeout = time.Duration(s.Limits.MaxTimeout)
+
+	callersAPI := api.New(d.feed.Fold(), d.directory(), completions, calls,
+		api.WithLimits(limits), api.WithLogger(d.logger), api.WithReady(d.Ready))
+
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+
+	operatorAPI := operator.New(registry, d.Ready)
+	operatorAPI.Show("/v1/config", func() any { return d.feed.Fold().Objects() })
+	operatorAPI.Show("/v1/engines", func() any { return d.inventory.All() })
+
+	d.serve("callers", d.callers, callersAPI)
+	d.serve("operator", d.operator, operatorAPI)
+
+	return nil
+}
+
+func bind(ctx context.Context, address netip.AddrPort) (*listener, error) {
+	var config net.ListenConfig
+
+	listening, err := config.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "bind")
+	}
+
+	bound, err := netip.ParseAddrPort(listening.Addr().String())
+	if err != nil {
+		return nil, errors.Wrap(err, "parse own address")
+	}
+
+	return &listener{address: bound, net: listening}, nil
+}
+
+// serve adds an HTTP server to the supervisor. A stop waits for its requests in flight.
+func (d *Daemon) serve(name string, l *listener, handler http.Handler) {
+	l.server = &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
+	}
+
+	d.supervisor.Add(apricotway.ServiceFunc{Name: name, Func: func(context.Context) error {
+		if err := l.server.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve "+name)
+		}
+
+		return suture.ErrDoNotRestart
+	}})
+}
+
+// Callers returns the address at which callers connect.
+func (d *Daemon) Callers() netip.AddrPort { return d.callers.address }
+
+// Operator returns the address at which operators connect.
+func (d *Daemon) Operator() netip.AddrPort { return d.operator.address }
+
+// Ready returns nil once the process may serve: its configuration has caught up and it knows the backend servers.
+func (d *Daemon) Ready() error {
+	for _, part := range []struct {
+		ready  <-chan struct{}
+		reason string
+	}{
+		{d.feed.Ready(), "the configuration has not been read yet"},
+		{d.inventory.Ready(), "the host list has not been read yet"},
+	} {
+		select {
+		case <-part.ready:
+		default:
+			return &apricotway.Refusal{
+				Code:       apricotway.CodeNotReady,
+				Execution:  apricotway.ExecutionNotStarted,
+				Message:    part.reason,
+				RetryAfter: time.Second,
+			}
+		}
+	}
+
+	return nil
+}
+
+// Stop ends the process gracefully: it waits for the requests in flight until the context ends.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.logger.Info("process stopping", "event", 103)
+
+	err := d.callers.server.Shutdown(ctx)
+	_ = d.operator.server.Close()
+
+	d.cancel()
+	reason := <-d.stopped
+	d.logger.Info("process stopped", "event", 104, "reason", reason)
+
+	if err != nil {
+		return errors.Wrap(err, "wait for requests in flight")
+	}
+
+	return nil
+}
--- /dev/null
+++ b/cmd/internal/daemon/dev.go
@@ -0,0 +1,184 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/settings"
+	"github.com/apricotway/apricotway/cmd/internal/standin"
+	"github.com/apricotway/apricotway/state/config"
+)
+
+// DevToken is the bearer token of the workspace that Dev creates.
+const DevToken = "dev-token"
+
+const (
+	devRegion  = "dev"
+	devEngines = 3
+	devServers = 2
+	// devReady bounds the start; without stand-ins that hang it takes milliseconds.
+	devReady = 10 * time.Second
+)
+
+// Dev is the whole system in one process on embedded stand-ins.
+type Dev struct {
+	daemon   *Daemon
+	standins []*standin.Server
+}
+
+// StartDev starts the system with one model service, "shop-model", and one plain service, "booking-ledger".
+func StartDev(ctx context.Context, listen netip.AddrPort, logger logr.Logger) (*Dev, error) {
+	d := &Dev{}
+	log, hosts := standin.NewLog(), standin.NewHosts()
+
+	logServer, err := d.add(standin.Listen(ctx, loopback(), log.Handler()))
+	if err != nil {
+		return nil, err
+	}
+
+	hostServer, err := d.add(standin.Listen(ctx, loopback(), hosts.Handler()))
+	if err != nil {
+		return nil, err
+	}
+
+	if err := d.addBackendServers(ctx, hosts); err != nil {
+		return nil, err
+	}
+
+	if err := publishDevConfiguration(ctx, log); err != nil {
+		return nil, err
+	}
+
+	s := settings.Default()
+	s.Region, s.Zone = devRegion, "dev-a"
+	s.Listen = settings.Listen{Callers: listen, Peers: loopback(), Probes: loopback(), Operator: loopback()}
+	s.Platform = settings.Platform{Log: logServer.Address, Hosts: hostServer.Address}
+
+	d.daemon, err = Start(ctx, s, WithLogger(logger))
+	if err != nil {
+		return nil, err
+	}
+
+	return d, d.daemon.waitReady(ctx, devReady)
+}
+
+func loopback() netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
+
+func (d *Dev) add(server *standin.Server, err error) (*standin.Server, error) {
+	if err == nil {
+		d.standins = append(d.standins, server)
+	}
+
+	return server, err
+}
+
+func (d *Dev) addBackendServers(ctx context.Context, hosts *standin.Hosts) error {
+	zones := []apricotway.Zone{"dev-a", "dev-b", "dev-c"}
+	times := standin.EngineTimes{PrefillPerToken: 200 * time.Microsecond, DecodePerToken: 20 * time.Millisecond}
+
+	for i := range devEngines {
+		server, err := d.add(standin.Listen(ctx, loopback(), standin.NewEngine(standin.NewEngineModel(times)).Handler()))
+		if err != nil {
+			return err
+		}
+
+		hosts.Add(apricotway.BackendServer{
+			ID: apricotway.BackendServerID(fmt.Sprintf("engine-%d", i)), Service: "shop-model", Region: devRegion,
+			Zone: zones[i%len(zones)], Version: "1", Address: server.Address, State: apricotway.HostLive,
+		})
+	}
+
+	bookings := standin.NewBookings()
+
+	for i := range devServers {
+		server, err := d.add(standin.Listen(ctx, loopback(), bookings.Handler()))
+		if err != nil {
+			return err
+		}
+
+		hosts.Add(apricotway.BackendServer{
+			ID: apricotway.BackendServerID(fmt.Sprintf("ledger-%d", i)), Service: "booking-ledger", Region: devRegion,
+			Zone: zones[i%len(zones)], Address: server.Address, State: apricotway.HostLive,
+		})
+	}
+
+	return nil
+}
+
+func publishDevConfiguration(ctx context.Context, log apricotway.Log) error {
+	sum := sha256.Sum256([]byte(DevToken))
+
+	for _, object := range []struct {
+		kind config.Kind
+		name string
+		spec any
+	}{
+		{config.KindService, "shop-model", config.ServiceSpec{Type: config.ServiceModel}},
+		{config.KindService, "booking-ledger", config.ServiceSpec{Type: config.ServicePlain}},
+		{config.KindWorkspace, "dev", config.WorkspaceSpec{
+			Owner: "dev", Weight: 1, TokenHashes: []string{hex.EncodeToString(sum[:])},
+		}},
+	} {
+		spec, err := json.Marshal(object.spec)
+		if err != nil {
+			return errors.Wrap(err, "encode specification")
+		}
+
+		payload, err := json.Marshal(config.Change{Object: object.name, Spec: spec})
+		if err != nil {
+			return errors.Wrap(err, "encode change")
+		}
+
+		record := apricotway.Record{SchemaVersion: 1, Kind: string(object.kind), ID: uuid.NewString(), Payload: payload}
+		if _, err := log.Append(ctx, apricotway.StreamConfig, []apricotway.Record{record}); err != nil {
+			return errors.Wrap(err, "publish configuration")
+		}
+	}
+
+	return nil
+}
+
+// waitReady polls until the process is ready.
+func (d *Daemon) waitReady(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+
+	for {
+		err := d.Ready()
+		if err == nil {
+			return nil
+		}
+
+		select {
+		case <-ctx.Done():
+			return err
+		case <-ticker.C:
+		}
+	}
+}
+
+// Daemon returns the process.
+func (d *Dev) Daemon() *Daemon { return d.daemon }
+
+// Stop ends the process and its stand-ins.
+func (d *Dev) Stop(ctx context.Context) error {
+	err := d.daemon.Stop(ctx)
+	for _, server := range d.standins {
+		server.Close()
+	}
+
+	return err
+}
--- /dev/null
+++ b/cmd/internal/serve/serve.go
@@ -0,0 +1,147 @@
+// Package serve is the command line of the daemon.
+package serve
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"github.com/apricotway/apricotway/cmd/internal/cli"
+	"github.com/apricotway/apricotway/cmd/internal/daemon"
+	"github.com/apricotway/apricotway/cmd/internal/settings"
+)
+
+type serveCommand struct {
+	Settings string `long:"settings" value-name:"FILE" required:"yes" description:"settings file (JSON with comments)"`
+}
+
+type checkCommand struct {
+	Settings string `long:"settings" value-name:"FILE" required:"yes" description:"settings file (JSON with comments)"`
+}
+
+type devCommand struct {
+	Listen string `long:"listen" value-name:"ADDR" default:"127.0.0.1:8800" description:"address for callers"`
+}
+
+// Run runs the command line of the daemon and returns its exit code.
+func Run(arguments []string) int {
+	parser := flags.NewNamedParser("apricotway", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Serves language models and plain services on reclaimable hosts."
+
+	err := cli.Add(
+		parser.Command,
+		cli.Command{
+			Name: "serve", Short: "Run one process",
+			Long: "Runs one process of the system until SIGTERM or SIGINT, then stops it gracefully.\n\n" +
+				"Example: apricotway serve --settings /etc/apricotway/settings.jsonc",
+			Data: &serveCommand{},
+		},
+		cli.Command{
+			Name: "check", Short: "Check a settings file",
+			Long: "Names every fault of a settings file with its line.\n\n" +
+				"Example: apricotway check --settings docs/settings.example.jsonc",
+			Data: &checkCommand{},
+		},
+		cli.Command{
+			Name: "dev", Short: "Run the whole system on stand-ins",
+			Long: "Runs the whole system in one process on embedded stand-ins.\n\n" +
+				"Example: apricotway dev --listen 127.0.0.1:8800",
+			Data: &devCommand{},
+		},
+	)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return cli.ExitFailure
+	}
+
+	return cli.Run(parser, arguments)
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute([]string) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+
+	logger, err := newLogger()
+	if err != nil {
+		return err
+	}
+
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+
+	d, err := daemon.Start(ctx, s, daemon.WithLogger(logger))
+	if err != nil {
+		return err
+	}
+
+	// Scripts that listen on port 0 read the bound addresses from this line.
+	fmt.Printf("callers=%s operator=%s\n", d.Callers(), d.Operator())
+	<-ctx.Done()
+
+	stop, cancelStop := context.WithTimeout(context.Background(), time.Duration(s.Stop.AddressValidity+s.Stop.Drain))
+	defer cancelStop()
+
+	return d.Stop(stop)
+}
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	if _, err := settings.Load(c.Settings); err != nil {
+		return err
+	}
+
+	fmt.Println(c.Settings + ": ok")
+
+	return nil
+}
+
+// Execute implements flags.Commander.
+func (c *devCommand) Execute([]string) error {
+	listen, err := netip.ParseAddrPort(c.Listen)
+	if err != nil {
+		return errors.Wrap(err, "--listen")
+	}
+
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+
+	dev, err := daemon.StartDev(ctx, listen, logr.Discard())
+	if err != nil {
+		return err
+	}
+
+	address := dev.Daemon().Callers()
+	fmt.Printf("callers:  http://%s\noperator: http://%s\n\ntry:\n  curl -N http://%s/v1/chat/completions "+
+		"-H 'Authorization: Bearer %s' -d '{\"model\":\"shop-model\",\"stream\":true,\"max_tokens\":20,"+
+		"\"messages\":[{\"role\":\"user\",\"content\":\"Does this pan need tin?\"}]}'\n",
+		address, dev.Daemon().Operator(), address, daemon.DevToken)
+
+	<-ctx.Done()
+
+	stop, cancelStop := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancelStop()
+
+	return dev.Stop(stop)
+}
+
+func newLogger() (logr.Logger, error) {
+	base, err := zap.NewProduction()
+	if err != nil {
+		return logr.Logger{}, errors.Wrap(err, "create logger")
+	}
+
+	return zapr.NewLogger(base), nil
+}
--- /dev/null
+++ b/cmd/internal/settings/check.go
@@ -0,0 +1,237 @@
+package settings
+
+import (
+	"bytes"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/tailscale/hujson"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+//go:embed schema.json
+var schemaDocument string
+
+// Fault is one fault of a settings file.
+type Fault struct {
+	File string
+	// Line counts from 1.
+	Line   int
+	Reason string
+}
+
+// String returns the fault in the form that editors understand.
+func (f Fault) String() string { return fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Reason) }
+
+// FaultsError holds every fault of a settings file in the order of lines.
+type FaultsError struct {
+	Faults []Fault
+}
+
+// Error implements the error interface with one line a fault.
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = fault.String()
+	}
+
+	return strings.Join(lines, "\n")
+}
+
+// Parse checks the content of a settings file and returns the settings. The error is a FaultsError.
+func Parse(file string, content []byte) (Settings, error) {
+	tree, err := hujson.Parse(content)
+	if err != nil {
+		// The library's message names line and column.
+		return Settings{}, &FaultsError{Faults: []Fault{{File: file, Line: lineOf(err.Error()), Reason: err.Error()}}}
+	}
+
+	// Standardize blanks the comments out in place and keeps every offset.
+	plain := tree.Clone()
+	plain.Standardize()
+
+	c := &checker{file: file, content: content, tree: tree}
+	c.checkSchema(plain.Pack())
+
+	settings := Default()
+
+	if len(c.faults) == 0 {
+		if err := json.Unmarshal(plain.Pack(), &settings); err != nil {
+			c.add("", err.Error())
+		}
+	}
+
+	if len(c.faults) == 0 {
+		c.checkMeaning(settings)
+	}
+
+	if len(c.faults) > 0 {
+		slices.SortStableFunc(c.faults, func(a, b Fault) int { return a.Line - b.Line })
+		return Settings{}, &FaultsError{Faults: c.faults}
+	}
+
+	return settings, nil
+}
+
+func lineOf(text string) int {
+	line := 1
+	if _, rest, ok := strings.Cut(text, "line "); ok {
+		_, _ = fmt.Sscanf(rest, "%d", &line)
+	}
+
+	return line
+}
+
+type checker struct {
+	file    string
+	content []byte
+	tree    hujson.Value
+	faults  []Fault
+}
+
+// add records a fault at the place of a JSON pointer, or of its nearest existing parent.
+func (c *checker) add(pointer, reason string) {
+	line := 1
+
+	for place := pointer; ; {
+		if value := c.tree.Find(place); value != nil {
+			line = 1 + bytes.Count(c.content[:min(value.StartOffset, len(c.content))], []byte("\n"))
+			break
+		}
+
+		cut := strings.LastIndexByte(place, '/')
+		if cut < 0 {
+			break
+		}
+
+		place = place[:cut]
+	}
+
+	if pointer != "" {
+		reason = strings.TrimPrefix(pointer, "/") + ": " + reason
+	}
+
+	c.faults = append(c.faults, Fault{File: c.file, Line: line, Reason: reason})
+}
+
+func (c *checker) checkSchema(document []byte) {
+	schema, err := compileSchema()
+	if err != nil {
+		c.add("", err.Error())
+		return
+	}
+
+	instance, err := jsonschema.UnmarshalJSON(bytes.NewReader(document))
+	if err != nil {
+		c.add("", err.Error())
+		return
+	}
+
+	var invalid *jsonschema.ValidationError
+	if errors.As(schema.Validate(instance), &invalid) {
+		c.addCauses(invalid)
+	}
+}
+
+// addCauses records the leaves of a validation error, since only they say what is wrong.
+func (c *checker) addCauses(invalid *jsonschema.ValidationError) {
+	if len(invalid.Causes) > 0 {
+		for _, cause := range invalid.Causes {
+			c.addCauses(cause)
+		}
+
+		return
+	}
+
+	var pointer strings.Builder
+	for _, step := range invalid.InstanceLocation {
+		pointer.WriteString("/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(step))
+	}
+
+	c.add(pointer.String(), invalid.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
+}
+
+func compileSchema() (*jsonschema.Schema, error) {
+	document, err := jsonschema.UnmarshalJSON(strings.NewReader(schemaDocument))
+	if err != nil {
+		return nil, errors.Wrap(err, "parse schema")
+	}
+
+	compiler := jsonschema.NewCompiler()
+	compiler.AssertFormat()
+	compiler.RegisterFormat(&jsonschema.Format{Name: "address", Validate: validateAddress})
+	compiler.RegisterFormat(&jsonschema.Format{Name: "duration-go", Validate: validateDuration})
+
+	if err := compiler.AddResource("settings.json", document); err != nil {
+		return nil, errors.Wrap(err, "add schema")
+	}
+
+	schema, err := compiler.Compile("settings.json")
+	if err != nil {
+		return nil, errors.Wrap(err, "compile schema")
+	}
+
+	return schema, nil
+}
+
+func validateAddress(value any) error {
+	text, ok := value.(string)
+	if !ok {
+		return nil
+	}
+
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return errors.New("must be an IP address and a port, such as 10.0.0.1:8800")
+	}
+
+	return nil
+}
+
+func validateDuration(value any) error {
+	text, ok := value.(string)
+	if !ok {
+		return nil
+	}
+
+	if parsed, err := time.ParseDuration(text); err != nil || parsed <= 0 {
+		return errors.New("must be a duration above zero, such as 30s")
+	}
+
+	return nil
+}
+
+// checkMeaning finds values that contradict each other.
+func (c *checker) checkMeaning(s Settings) {
+	if s.Limits.DefaultTimeout > s.Limits.MaxTimeout {
+		c.add("/limits/defaultTimeout", "must not be above limits/maxTimeout")
+	}
+
+	if int64(s.Limits.PromptBytes) > s.Limits.BodyBytes {
+		c.add("/limits/promptBytes", "must not be above limits/bodyBytes, since a prompt is part of a body")
+	}
+
+	if len(s.Seeds) > 0 && s.ProbeKey == "" {
+		c.add("/seeds", "needs probeKey: several processes authenticate their probes with one key")
+	}
+
+	tcp := map[netip.AddrPort]string{}
+
+	for _, entry := range []struct {
+		name    string
+		address netip.AddrPort
+	}{{"callers", s.Listen.Callers}, {"peers", s.Listen.Peers}, {"operator", s.Listen.Operator}} {
+		if other, ok := tcp[entry.address]; ok && entry.address.Port() != 0 {
+			c.add("/listen/"+entry.name, "uses the address of listen/"+other)
+		}
+
+		tcp[entry.address] = entry.name
+	}
+}
--- /dev/null
+++ b/cmd/scenario/scenario_test.go
@@ -0,0 +1,246 @@
+// Package scenario runs the scripted scenarios: real processes of both binaries on loopback, steered by testscript.
+package scenario
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/apricotway/apricotway/cmd/internal/ctl"
+	"github.com/apricotway/apricotway/cmd/internal/serve"
+)
+
+// waitLimit bounds every wait for an event. It only ends a run that hangs; no verdict depends on it.
+const waitLimit = 60 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"apricotway": func() { os.Exit(serve.Run(os.Args[1:])) },
+		"apricotctl": func() { os.Exit(ctl.Run(os.Args[1:])) },
+	})
+}
+
+// TestScenarios guards the promises of the whole system, one script for each scenario.
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			env.Values[processesKey{}] = map[string]*process{}
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start":   cmdStart,
+			"signal":  cmdSignal,
+			"join":    cmdJoin,
+			"request": cmdRequest,
+			"await":   cmdAwait,
+			"fill":    cmdFill,
+		},
+	})
+}
+
+type processesKey struct{}
+
+// process is a program that a script started.
+type process struct {
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+func processes(ts *testscript.TestScript) map[string]*process {
+	return ts.Value(processesKey{}).(map[string]*process)
+}
+
+// cmdStart runs "start NAME PROGRAM ARG...": it starts a program in the background and reads the first line of its output.
+// The line's first field becomes the variable NAME, and each field KEY=VALUE becomes the variable NAME_KEY.
+func cmdStart(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: start NAME PROGRAM ARG...")
+	}
+
+	program, err := exec.LookPath(args[1])
+	ts.Check(err)
+
+	command := exec.Command(program, args[2:]...)
+	command.Dir = ts.MkAbs(".")
+	command.Env = append(os.Environ(), "HOME="+ts.Getenv("HOME"), "PATH="+ts.Getenv("PATH"))
+
+	logFile, err := os.Create(filepath.Join(ts.MkAbs("."), args[0]+".log"))
+	ts.Check(err)
+
+	command.Stderr = logFile
+	output, err := command.StdoutPipe()
+	ts.Check(err)
+	ts.Check(command.Start())
+
+	p := &process{command: command, done: make(chan struct{})}
+	processes(ts)[args[0]] = p
+
+	reader := bufio.NewReader(output)
+	line, err := reader.ReadString('\n')
+
+	go func() {
+		defer close(p.done)
+
+		_, _ = io.Copy(io.Discard, reader)
+		_ = command.Wait()
+		_ = logFile.Close()
+	}()
+
+	ts.Defer(func() {
+		// A frozen process has to be woken before it can be ended; the process may be gone already.
+		_ = command.Process.Signal(syscall.SIGCONT)
+		_ = command.Process.Kill()
+		<-p.done
+	})
+
+	if err != nil {
+		<-p.done
+		content, _ := os.ReadFile(logFile.Name())
+		ts.Fatalf("%s printed no line: %v\n%s", args[0], err, content)
+	}
+
+	for i, field := range strings.Fields(line) {
+		name, value, named := strings.Cut(field, "=")
+		if named {
+			ts.Setenv(args[0]+"_"+name, value)
+		} else {
+			value = field
+		}
+
+		if i == 0 {
+			ts.Setenv(args[0], value)
+		}
+	}
+}
+
+var signals = map[string]os.Signal{
+	"TERM": syscall.SIGTERM,
+	"KILL": syscall.SIGKILL,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
+
+// cmdSignal runs "signal NAME TERM|KILL|STOP|CONT".
+func cmdSignal(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 || processes(ts)[args[0]] == nil || signals[args[1]] == nil {
+		ts.Fatalf("usage: signal NAME TERM|KILL|STOP|CONT")
+	}
+
+	ts.Check(processes(ts)[args[0]].command.Process.Signal(signals[args[1]]))
+}
+
+// cmdJoin runs "join NAME": it waits until a program has ended; with "!" before it, the program must have failed.
+func cmdJoin(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) != 1 || processes(ts)[args[0]] == nil {
+		ts.Fatalf("usage: join NAME")
+	}
+
+	p := processes(ts)[args[0]]
+
+	select {
+	case <-p.done:
+	case <-time.After(waitLimit):
+		ts.Fatalf("%s has not ended", args[0])
+	}
+
+	if success := p.command.ProcessState.Success(); success == neg {
+		ts.Fatalf("%s ended with %s", args[0], p.command.ProcessState)
+	}
+}
+
+// cmdRequest runs "request METHOD URL [-token T] [-header K:V]... [-body FILE]" and puts the status line and the body of
+// the answer to standard output. With "!" before it, the status must be an error.
+func cmdRequest(ts *testscript.TestScript, neg bool, args []string) {
+	status, text, err := request(ts, args)
+	ts.Check(err)
+
+	_, _ = ts.Stdout().Write([]byte(text))
+
+	if failed := status >= http.StatusBadRequest; failed != neg {
+		ts.Fatalf("unexpected status %d", status)
+	}
+}
+
+// cmdAwait runs "await TEXT METHOD URL ..." until the answer contains the text, or with "!" until it does not.
+func cmdAwait(ts *testscript.TestScript, neg bool, args []string) {
+	if len(args) < 3 {
+		ts.Fatalf("usage: await TEXT METHOD URL ...")
+	}
+
+	var text string
+
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); {
+		var err error
+
+		_, text, err = request(ts, args[1:])
+		if err == nil && strings.Contains(text, args[0]) != neg {
+			return
+		}
+
+		<-time.After(10 * time.Millisecond)
+	}
+
+	ts.Fatalf("no such answer; the last one was: %s", text)
+}
+
+func request(ts *testscript.TestScript, args []string) (int, string, error) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: request METHOD URL [-token T] [-header K:V] [-body FILE]")
+	}
+
+	body := ""
+	header := http.Header{}
+
+	for i := 2; i+1 < len(args); i += 2 {
+		switch args[i] {
+		case "-token":
+			header.Set("Authorization", "Bearer "+args[i+1])
+		case "-header":
+			name, value, _ := strings.Cut(args[i+1], ":")
+			header.Set(name, value)
+		case "-body":
+			body = ts.ReadFile(args[i+1])
+		default:
+			ts.Fatalf("unknown option %s", args[i])
+		}
+	}
+
+	// A header with an idempotency key and a body that can be rewound would let the client itself send a call twice.
+	r, err := http.NewRequest(args[0], args[1], struct{ io.Reader }{strings.NewReader(body)})
+	if err != nil {
+		return 0, "", err
+	}
+
+	r.Header = header
+	r.ContentLength = int64(len(body))
+
+	answer, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Body.Close()
+
+	content, err := io.ReadAll(answer.Body)
+
+	return answer.StatusCode, answer.Status + "\n" + string(content), err
+}
+
+// cmdFill runs "fill FILE": it replaces $NAME in a file by the script's variables.
+func cmdFill(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 1 {
+		ts.Fatalf("usage: fill FILE")
+	}
+
+	content := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	ts.Check(os.WriteFile(ts.MkAbs(args[0]), []byte(content), 0o600))
+}
--- /dev/null
+++ b/platform.go
@@ -0,0 +1,69 @@
+package apricotway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// HostState is the state of a backend server's host as the platform's list gives it.
+type HostState string
+
+// The values of HostState.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// BackendServer is one entry of the platform's host list.
+type BackendServer struct {
+	ID           BackendServerID `json:"id"`
+	Service      Service         `json:"service"`
+	Region       Region          `json:"region"`
+	Zone         Zone            `json:"zone"`
+	MachineClass MachineClass    `json:"machineClass"`
+	Version      ModelVersion    `json:"version,omitempty"`
+	Address      netip.AddrPort  `json:"address"`
+	State        HostState       `json:"state"`
+	// Deadline is the time at which the host is taken away; zero unless the state is HostLeaving.
+	Deadline time.Time `json:"deadline,omitzero"`
+}
+
+// HostList is the platform's list of live and leaving hosts. It lags behind reality.
+type HostList interface {
+	Hosts(ctx context.Context) ([]BackendServer, error)
+}
+
+// HostOrder asks the cloud API for one host.
+type HostOrder struct {
+	// ClientToken makes the order idempotent: two orders with one token create one host.
+	ClientToken  string       `json:"clientToken"`
+	Service      Service      `json:"service"`
+	Zone         Zone         `json:"zone"`
+	MachineClass MachineClass `json:"machineClass"`
+	Reclaimable  bool         `json:"reclaimable"`
+}
+
+// Cloud is the platform's cloud API.
+type Cloud interface {
+	// Create orders a host and returns its identifier.
+	Create(ctx context.Context, order HostOrder) (BackendServerID, error)
+	// Release gives a host back. Releasing an unknown host is no error.
+	Release(ctx context.Context, id BackendServerID) error
+}
+
+// WeightStore is the platform's rate-limited store of model weights.
+type WeightStore interface {
+	// Reserve asks for the transfer of one version to one backend server. A wait above zero tells when to ask again.
+	Reserve(ctx context.Context, version ModelVersion, server BackendServerID) (wait time.Duration, err error)
+}
+
+// Errors of the platform clients.
+var (
+	// ErrPlatformUnavailable reports that a platform service did not answer.
+	ErrPlatformUnavailable = errors.New("platform service unavailable")
+	// ErrHostRefused reports that the cloud has no such host at present.
+	ErrHostRefused = errors.New("host refused")
+)
--- /dev/null
+++ b/state/config/spec.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+)
+
+// Kind is the kind of a configuration object.
+type Kind string
+
+// The kinds that this release understands.
+const (
+	KindService   Kind = "service"
+	KindWorkspace Kind = "workspace"
+)
+
+// ServiceType tells model services from plain ones.
+type ServiceType string
+
+// The values of ServiceType.
+const (
+	ServiceModel ServiceType = "model"
+	ServicePlain ServiceType = "plain"
+)
+
+// ServiceSpec is the payload of a service object, schema version 1.
+type ServiceSpec struct {
+	Type ServiceType `json:"type"`
+	// ChecksFencing tells whether the backend servers refuse an order that carries an old fencing number.
+	ChecksFencing bool `json:"checksFencing,omitempty"`
+	// MaxTokens bounds one answer; 0 stands for the default of the protocol layer.
+	MaxTokens int `json:"maxTokens,omitempty"`
+}
+
+// WorkspaceSpec is the payload of a workspace object, schema version 1.
+type WorkspaceSpec struct {
+	Owner apricotway.Owner `json:"owner"`
+	// Weight is the workspace's part of a contended service; at least 1.
+	Weight int `json:"weight"`
+	// TokenHashes are hexadecimal SHA-256 digests of the callers' tokens.
+	TokenHashes []string `json:"tokenHashes,omitempty"`
+}
+
+// ErrInvalidSpec reports a payload that breaks the rules of its schema version.
+var ErrInvalidSpec = errors.New("invalid specification")
+
+// ErrUnknownSchema reports a kind or schema version that this release does not know.
+var ErrUnknownSchema = errors.New("unknown schema")
+
+func decodeSpec(kind Kind, version int, payload json.RawMessage) (any, error) {
+	if version != 1 {
+		return nil, errors.Wrapf(ErrUnknownSchema, "%s version %d", kind, version)
+	}
+
+	switch kind {
+	case KindService:
+		var spec ServiceSpec
+		if err := json.Unmarshal(payload, &spec); err != nil {
+			return nil, errors.Wrap(ErrInvalidSpec, err.Error())
+		}
+
+		if spec.Type != ServiceModel && spec.Type != ServicePlain {
+			return nil, errors.Wrapf(ErrInvalidSpec, "service type %q", spec.Type)
+		}
+
+		return spec, nil
+	case KindWorkspace:
+		var spec WorkspaceSpec
+		if err := json.Unmarshal(payload, &spec); err != nil {
+			return nil, errors.Wrap(ErrInvalidSpec, err.Error())
+		}
+
+		if spec.Weight < 1 {
+			return nil, errors.Wrap(ErrInvalidSpec, "weight must be at least 1")
+		}
+
+		return spec, nil
+	default:
+		return nil, errors.Wrapf(ErrUnknownSchema, "kind %s", kind)
+	}
+}
--- /dev/null
+++ b/supervision.go
@@ -0,0 +1,18 @@
+package apricotway
+
+import "context"
+
+// ServiceFunc adapts a closure to the service interface of the supervisor library, so that a constructor can register its
+// goroutine with the supervisor that it is given.
+type ServiceFunc struct {
+	// Name is shown in the supervisor's reports.
+	Name string
+	// Func runs until its context ends; when it returns earlier, the supervisor starts it again.
+	Func func(ctx context.Context) error
+}
+
+// Serve runs the closure.
+func (s ServiceFunc) Serve(ctx context.Context) error { return s.Func(ctx) }
+
+// String returns the name.
+func (s ServiceFunc) String() string { return s.Name }
--- /dev/null
+++ b/transport/api/answer.go
@@ -0,0 +1,196 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/protocol/completion"
+	"github.com/apricotway/apricotway/transport/httpjson"
+)
+
+// answer builds the documents of one answer in the form of the OpenAI API.
+type answer struct {
+	id           string
+	model        string
+	created      time.Time
+	dialect      dialect
+	includeUsage bool
+	promptTokens int
+	tokens       int
+	finish       apricotway.FinishReason
+}
+
+func (a *answer) note(token apricotway.Token) {
+	a.tokens++
+	a.finish = token.Finish
+}
+
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type document struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Text         *string  `json:"text,omitempty"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *message `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+func (a *answer) document(object string, choices []choice) document {
+	return document{ID: a.id, Object: object, Created: a.created.Unix(), Model: a.model, Choices: choices}
+}
+
+func (a *answer) usage() *usage {
+	return &usage{
+		PromptTokens:     a.promptTokens,
+		CompletionTokens: a.tokens,
+		TotalTokens:      a.promptTokens + a.tokens,
+	}
+}
+
+func (a *answer) writeWhole(w http.ResponseWriter, text string) error {
+	reason := string(a.finish)
+	part := choice{FinishReason: &reason}
+	object := "text_completion"
+
+	if a.dialect == dialectChat {
+		object = "chat.completion"
+		part.Message = &message{Role: "assistant", Content: text}
+	} else {
+		part.Text = &text
+	}
+
+	whole := a.document(object, []choice{part})
+	whole.Usage = a.usage()
+	httpjson.Write(w, http.StatusOK, whole)
+
+	return nil
+}
+
+func (a *answer) chunk(token apricotway.Token) document {
+	part := choice{}
+
+	if token.Finish != "" {
+		reason := string(token.Finish)
+		part.FinishReason = &reason
+	}
+
+	if a.dialect == dialectText {
+		part.Text = &token.Text
+		return a.document("text_completion", []choice{part})
+	}
+
+	part.Delta = &message{Content: token.Text}
+	if token.Index == 0 {
+		part.Delta.Role = "assistant"
+	}
+
+	return a.document("chat.completion.chunk", []choice{part})
+}
+
+// streamAnswer sends the answer as server-sent events. Nothing is written before the first token, so that a refusal until
+// then still reaches the caller as a plain JSON error with its status.
+func (s *Server) streamAnswer(w http.ResponseWriter, r *http.Request, request completion.Request, a *answer) error {
+	events := newEventWriter(w)
+
+	err := s.completions.Run(r.Context(), request, func(token apricotway.Token) error {
+		a.note(token)
+		return events.send(eventID(request.ID, token.Index), a.chunk(token))
+	})
+	if err != nil {
+		if !events.begun {
+			return err
+		}
+
+		refusal := apricotway.AsRefusal(err)
+		s.logger.Info("stream ended early", "event", 402, "request", request.ID, "code", refusal.Code)
+
+		return events.send("", newRefusalBody(refusal, request.ID))
+	}
+
+	if a.includeUsage {
+		last := a.document("chat.completion.chunk", []choice{})
+		last.Usage = a.usage()
+
+		if err := events.send("", last); err != nil {
+			return err
+		}
+	}
+
+	return events.end()
+}
+
+// eventWriter writes server-sent events and flushes each of them.
+type eventWriter struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	begun      bool
+}
+
+func newEventWriter(w http.ResponseWriter) *eventWriter {
+	return &eventWriter{w: w, controller: http.NewResponseController(w)}
+}
+
+func (e *eventWriter) send(id string, document any) error {
+	data, err := json.Marshal(document)
+	if err != nil {
+		return errors.Wrap(err, "encode event")
+	}
+
+	if !e.begun {
+		e.begun = true
+		e.w.Header().Set("Content-Type", "text/event-stream")
+		e.w.Header().Set("Cache-Control", "no-store")
+		e.w.WriteHeader(http.StatusOK)
+	}
+
+	if id != "" {
+		if _, err := fmt.Fprintf(e.w, "id: %s\n", id); err != nil {
+			return errors.Wrap(err, "write event")
+		}
+	}
+
+	if _, err := fmt.Fprintf(e.w, "data: %s\n\n", data); err != nil {
+		return errors.Wrap(err, "write event")
+	}
+
+	return e.flush()
+}
+
+func (e *eventWriter) end() error {
+	if _, err := fmt.Fprint(e.w, "data: [DONE]\n\n"); err != nil {
+		return errors.Wrap(err, "write event")
+	}
+
+	return e.flush()
+}
+
+func (e *eventWriter) flush() error {
+	if err := e.controller.Flush(); err != nil {
+		return errors.Wrap(err, "flush event")
+	}
+
+	return nil
+}
--- /dev/null
+++ b/transport/api/completions.go
@@ -0,0 +1,276 @@
+package api
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/protocol/completion"
+	"github.com/apricotway/apricotway/state/config"
+)
+
+// defaultMaxTokens bounds an answer when neither the request nor the service does.
+const defaultMaxTokens = 4096
+
+// modelRequest holds the fields of the OpenAI API that both completion endpoints share. Sampling parameters pass through
+// to the engine.
+type modelRequest struct {
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       streamOptions   `json:"stream_options"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
+	Tools               json.RawMessage `json:"tools"`
+	Temperature         json.RawMessage `json:"temperature"`
+	TopP                json.RawMessage `json:"top_p"`
+	Seed                json.RawMessage `json:"seed"`
+	Stop                json.RawMessage `json:"stop"`
+	PresencePenalty     json.RawMessage `json:"presence_penalty"`
+	FrequencyPenalty    json.RawMessage `json:"frequency_penalty"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatRequest struct {
+	modelRequest
+
+	Messages []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string      `json:"role"`
+	Content chatContent `json:"content"`
+}
+
+// chatContent accepts both forms of the OpenAI API: a string, and a list of parts, of which only text is served.
+type chatContent string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (c *chatContent) UnmarshalJSON(data []byte) error {
+	var text string
+	if err := json.Unmarshal(data, &text); err == nil {
+		*c = chatContent(text)
+		return nil
+	}
+
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(data, &parts); err != nil {
+		return fmt.Errorf("content must be a string or a list of parts")
+	}
+
+	var joined strings.Builder
+
+	for _, part := range parts {
+		if part.Type != "text" {
+			return fmt.Errorf("content part type %q is not supported", part.Type)
+		}
+
+		joined.WriteString(part.Text)
+	}
+
+	*c = chatContent(joined.String())
+
+	return nil
+}
+
+type textRequest struct {
+	modelRequest
+
+	Prompt string `json:"prompt"`
+}
+
+// dialect is the difference between the two completion endpoints.
+type dialect string
+
+const (
+	dialectChat dialect = "chat"
+	dialectText dialect = "text"
+)
+
+func (s *Server) chatCompletions(w http.ResponseWriter, r *http.Request, caller caller) error {
+	var body chatRequest
+	if err := decode(r, &body); err != nil {
+		return err
+	}
+
+	if len(body.Messages) == 0 {
+		return invalid(apricotway.CodeInvalidRequest, "messages must not be empty")
+	}
+
+	return s.complete(w, r, caller, body.modelRequest, chatPrompt(body.Messages), dialectChat)
+}
+
+// chatPrompt joins the messages in a fixed form, so that equal conversations share their prefix byte by byte.
+func chatPrompt(messages []chatMessage) string {
+	var prompt strings.Builder
+	for _, message := range messages {
+		fmt.Fprintf(&prompt, "<|%s|>\n%s\n", message.Role, message.Content)
+	}
+
+	prompt.WriteString("<|assistant|>\n")
+
+	return prompt.String()
+}
+
+func (s *Server) plainCompletions(w http.ResponseWriter, r *http.Request, caller caller) error {
+	var body textRequest
+	if err := decode(r, &body); err != nil {
+		return err
+	}
+
+	return s.complete(w, r, caller, body.modelRequest, body.Prompt, dialectText)
+}
+
+func (s *Server) complete(
+	w http.ResponseWriter, r *http.Request, caller caller, body modelRequest, prompt string, dialect dialect,
+) error {
+	request, err := s.validate(r, caller, body, prompt)
+	if err != nil {
+		return err
+	}
+
+	a := &answer{
+		id:           string(caller.request),
+		model:        body.Model,
+		created:      time.Now(),
+		dialect:      dialect,
+		includeUsage: body.StreamOptions.IncludeUsage,
+		promptTokens: apricotway.EstimateTokens(prompt),
+	}
+
+	if body.Stream {
+		return s.streamAnswer(w, r, request, a)
+	}
+
+	var text strings.Builder
+
+	err = s.completions.Run(r.Context(), request, func(token apricotway.Token) error {
+		text.WriteString(token.Text)
+		a.note(token)
+
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+
+	return a.writeWhole(w, text.String())
+}
+
+func (s *Server) validate(
+	r *http.Request, caller caller, body modelRequest, prompt string,
+) (completion.Request, error) {
+	spec, ok := s.configuration.Service(apricotway.Service(body.Model))
+	if !ok || spec.Type != config.ServiceModel {
+		return completion.Request{}, invalid(apricotway.CodeServiceNotFound, fmt.Sprintf("there is no model %q", body.Model))
+	}
+
+	if prompt == "" {
+		return completion.Request{}, invalid(apricotway.CodeInvalidRequest, "the prompt must not be empty")
+	}
+
+	if len(prompt) > s.limits.PromptBytes {
+		message := fmt.Sprintf("the prompt is larger than %d bytes", s.limits.PromptBytes)
+		return completion.Request{}, invalid(apricotway.CodeRequestTooLarge, message)
+	}
+
+	if body.N != nil && *body.N != 1 {
+		return completion.Request{}, invalid(apricotway.CodeInvalidRequest, "n must be 1")
+	}
+
+	if len(body.Tools) > 0 {
+		return completion.Request{}, invalid(apricotway.CodeInvalidRequest, "tools are not supported")
+	}
+
+	maxTokens, err := maxTokens(body, spec)
+	if err != nil {
+		return completion.Request{}, err
+	}
+
+	priority, err := priority(r)
+	if err != nil {
+		return completion.Request{}, err
+	}
+
+	deadline, err := s.deadline(r)
+	if err != nil {
+		return completion.Request{}, err
+	}
+
+	return completion.Request{
+		ID:        caller.request,
+		Workspace: caller.workspace,
+		Service:   apricotway.Service(body.Model),
+		Prompt:    prompt,
+		MaxTokens: maxTokens,
+		Priority:  priority,
+		Deadline:  deadline,
+		Sampling:  sampling(body),
+	}, nil
+}
+
+func maxTokens(body modelRequest, spec config.ServiceSpec) (int, error) {
+	limit := spec.MaxTokens
+	if limit == 0 {
+		limit = defaultMaxTokens
+	}
+
+	for _, asked := range []*int{body.MaxCompletionTokens, body.MaxTokens} {
+		if asked == nil {
+			continue
+		}
+
+		if *asked < 1 {
+			return 0, invalid(apricotway.CodeInvalidRequest, "max_tokens must be at least 1")
+		}
+
+		return min(*asked, limit), nil
+	}
+
+	return limit, nil
+}
+
+func priority(r *http.Request) (apricotway.Priority, error) {
+	switch value := apricotway.Priority(r.Header.Get(headerPriority)); value {
+	case "":
+		return apricotway.PriorityNormal, nil
+	case apricotway.PriorityHigh, apricotway.PriorityNormal, apricotway.PriorityLow:
+		return value, nil
+	default:
+		return "", invalid(apricotway.CodeInvalidRequest, headerPriority+" must be high, normal or low")
+	}
+}
+
+func sampling(body modelRequest) map[string]json.RawMessage {
+	parameters := map[string]json.RawMessage{}
+
+	for name, value := range map[string]json.RawMessage{
+		"temperature":       body.Temperature,
+		"top_p":             body.TopP,
+		"seed":              body.Seed,
+		"stop":              body.Stop,
+		"presence_penalty":  body.PresencePenalty,
+		"frequency_penalty": body.FrequencyPenalty,
+	} {
+		if len(value) > 0 {
+			parameters[name] = value
+		}
+	}
+
+	return parameters
+}
+
+// eventID names one token of one request for Last-Event-ID.
+func eventID(id apricotway.RequestID, index int) string {
+	return string(id) + "/" + strconv.Itoa(index)
+}
--- /dev/null
+++ b/transport/api/server.go
@@ -0,0 +1,430 @@
+// Package api serves the callers' HTTP API: the OpenAI-compatible model endpoints, the plain services and the address
+// directory.
+package api
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/protocol/call"
+	"github.com/apricotway/apricotway/protocol/completion"
+	"github.com/apricotway/apricotway/state/config"
+	"github.com/apricotway/apricotway/transport/httpjson"
+)
+
+// The headers that callers use beside the standard ones.
+const (
+	headerKey       = "Idempotency-Key"
+	headerKeyTime   = "Idempotency-Key-Time"
+	headerTimeout   = "Apricotway-Timeout"
+	headerRequestID = "Apricotway-Request-Id"
+	headerPriority  = "Apricotway-Priority"
+	headerExecution = "Apricotway-Execution"
+)
+
+// Limits bounds what one caller can ask of a process.
+type Limits struct {
+	// BodyBytes bounds the body of one request.
+	BodyBytes int64
+	// PromptBytes bounds the prompt of a model request.
+	PromptBytes int
+	// KeyBytes bounds an idempotency key.
+	KeyBytes int
+	// DefaultTimeout holds for requests without Apricotway-Timeout, MaxTimeout for all.
+	DefaultTimeout time.Duration
+	MaxTimeout     time.Duration
+}
+
+// DefaultLimits returns the limits of a process without settings of its own.
+func DefaultLimits() Limits {
+	return Limits{
+		BodyBytes:      8 << 20,
+		PromptBytes:    4 << 20,
+		KeyBytes:       255,
+		DefaultTimeout: 10 * time.Minute,
+		MaxTimeout:     time.Hour,
+	}
+}
+
+// Configuration is what the API reads from the configuration in force.
+type Configuration interface {
+	Service(service apricotway.Service) (config.ServiceSpec, bool)
+	Workspace(workspace apricotway.Workspace) (config.WorkspaceSpec, bool)
+	Objects() []config.Status
+}
+
+// Server handles the callers' requests.
+type Server struct {
+	configuration Configuration
+	directory     apricotway.Directory
+	completions   *completion.Runner
+	calls         *call.Caller
+	limits        Limits
+	logger        logr.Logger
+	ready         func() error
+	mux           *http.ServeMux
+}
+
+// Option changes a server under construction.
+type Option func(*Server)
+
+// WithLimits sets the limits.
+func WithLimits(limits Limits) Option {
+	return func(s *Server) { s.limits = limits }
+}
+
+// WithLogger sets the logger.
+func WithLogger(logger logr.Logger) Option {
+	return func(s *Server) { s.logger = logger }
+}
+
+// WithReady sets the check that every request has to pass first.
+func WithReady(ready func() error) Option {
+	return func(s *Server) { s.ready = ready }
+}
+
+// New returns a server.
+func New(
+	configuration Configuration,
+	directory apricotway.Directory,
+	completions *completion.Runner,
+	calls *call.Caller,
+	options ...Option,
+) *Server {
+	s := &Server{
+		configuration: configuration,
+		directory:     directory,
+		completions:   completions,
+		calls:         calls,
+		limits:        DefaultLimits(),
+		logger:        logr.Discard(),
+		ready:         func() error { return nil },
+		mux:           http.NewServeMux(),
+	}
+	for _, option := range options {
+		option(s)
+	}
+
+	s.mux.HandleFunc("POST /v1/chat/completions", s.handle(s.chatCompletions))
+	s.mux.HandleFunc("POST /v1/completions", s.handle(s.plainCompletions))
+	s.mux.HandleFunc("GET /v1/models", s.handle(s.models))
+	s.mux.HandleFunc("GET /v1/addresses", s.addresses)
+	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.handle(s.serviceCall))
+
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// caller is an authorised caller of one request.
+type caller struct {
+	workspace apricotway.Workspace
+	request   apricotway.RequestID
+}
+
+// handle authorises a request and writes the refusal that its handler returns.
+func (s *Server) handle(handler func(http.ResponseWriter, *http.Request, caller) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		id := apricotway.RequestID(uuid.NewString())
+		w.Header().Set(headerRequestID, string(id))
+
+		err := s.ready()
+		if err == nil {
+			var workspace apricotway.Workspace
+
+			workspace, err = s.authorise(r)
+			if err == nil {
+				r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+				err = handler(w, r, caller{workspace: workspace, request: id})
+			}
+		}
+
+		if err != nil && r.Context().Err() == nil {
+			refusal := apricotway.AsRefusal(err)
+			s.logger.Info("request refused", "event", 401, "request", id, "code", refusal.Code,
+				"execution", refusal.Execution, "error", refusal.Message)
+			writeRefusal(w, refusal, id)
+		}
+	}
+}
+
+// authorise finds the workspace whose token the request carries. All digests are compared, in constant time, so that the
+// time taken tells nothing about them.
+func (s *Server) authorise(r *http.Request) (apricotway.Workspace, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return "", invalid(apricotway.CodeUnauthorized, "the request carries no bearer token")
+	}
+
+	sum := sha256.Sum256([]byte(token))
+	digest := []byte(hex.EncodeToString(sum[:]))
+
+	var found apricotway.Workspace
+
+	for _, object := range s.configuration.Objects() {
+		if object.Kind != config.KindWorkspace || object.Deleted {
+			continue
+		}
+
+		spec, ok := s.configuration.Workspace(apricotway.Workspace(object.Object))
+		if !ok {
+			continue
+		}
+
+		for _, hash := range spec.TokenHashes {
+			if subtle.ConstantTimeCompare([]byte(strings.ToLower(hash)), digest) == 1 {
+				found = apricotway.Workspace(object.Object)
+			}
+		}
+	}
+
+	if found == "" {
+		return "", invalid(apricotway.CodeUnauthorized, "the bearer token belongs to no workspace")
+	}
+
+	return found, nil
+}
+
+// deadline computes the time by which the whole answer has to be there.
+func (s *Server) deadline(r *http.Request) (time.Time, error) {
+	timeout := s.limits.DefaultTimeout
+
+	if text := r.Header.Get(headerTimeout); text != "" {
+		parsed, err := time.ParseDuration(text)
+		if err != nil || parsed <= 0 {
+			return time.Time{}, invalid(apricotway.CodeInvalidRequest, headerTimeout+" must be a duration such as 30s")
+		}
+
+		timeout = min(parsed, s.limits.MaxTimeout)
+	}
+
+	return time.Now().Add(timeout), nil
+}
+
+func (s *Server) models(w http.ResponseWriter, _ *http.Request, _ caller) error {
+	type model struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+
+	list := []model{}
+
+	for _, object := range s.configuration.Objects() {
+		if object.Kind != config.KindService || object.Deleted {
+			continue
+		}
+
+		if spec, ok := s.configuration.Service(apricotway.Service(object.Object)); ok && spec.Type == config.ServiceModel {
+			list = append(list, model{ID: object.Object, Object: "model", OwnedBy: "apricotway"})
+		}
+	}
+
+	httpjson.Write(w, http.StatusOK, map[string]any{"object": "list", "data": list})
+
+	return nil
+}
+
+// addresses answers without a token: a caller has to know where to go before it can present one, and the answer holds
+// nothing but addresses.
+func (s *Server) addresses(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	addresses, validity := s.directory.Addresses(
+		apricotway.Service(query.Get("service")), apricotway.Workspace(query.Get("workspace")))
+
+	w.Header().Set("Cache-Control", fmt.Sprintf("max-age=%d", int(validity.Seconds())))
+	httpjson.Write(w, http.StatusOK, struct {
+		Addresses       []apricotway.Address `json:"addresses"`
+		ValidForSeconds float64              `json:"validForSeconds"`
+	}{addresses, validity.Seconds()})
+}
+
+func (s *Server) serviceCall(w http.ResponseWriter, r *http.Request, caller caller) error {
+	service := apricotway.Service(r.PathValue("service"))
+	if spec, ok := s.configuration.Service(service); !ok || spec.Type != config.ServicePlain {
+		return invalid(apricotway.CodeServiceNotFound, fmt.Sprintf("there is no plain service %q", service))
+	}
+
+	deadline, err := s.deadline(r)
+	if err != nil {
+		return err
+	}
+
+	key, keyTime, err := s.idempotencyKey(r)
+	if err != nil {
+		return err
+	}
+
+	body, err := readBody(r)
+	if err != nil {
+		return err
+	}
+
+	path := "/" + r.PathValue("path")
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+
+	header := r.Header.Clone()
+	header.Del("Authorization")
+
+	answer, err := s.calls.Run(r.Context(), call.Request{
+		ID:        caller.request,
+		Workspace: caller.workspace,
+		Service:   service,
+		Key:       key,
+		KeyTime:   keyTime,
+		Call:      apricotway.ServiceCall{Method: r.Method, Path: path, Header: header, Body: body, Once: key != ""},
+		Deadline:  deadline,
+	})
+	if err != nil {
+		return err
+	}
+
+	for name, values := range answer.Header {
+		w.Header()[name] = values
+	}
+
+	w.WriteHeader(answer.Status)
+	// An error means that the caller is gone; nobody is left to be told.
+	_, _ = w.Write(answer.Body)
+
+	return nil
+}
+
+func (s *Server) idempotencyKey(r *http.Request) (string, time.Time, error) {
+	values, present := r.Header[headerKey]
+	if !present {
+		return "", time.Time{}, nil
+	}
+
+	if len(values) != 1 || values[0] == "" || len(values[0]) > s.limits.KeyBytes {
+		message := fmt.Sprintf("%s must be one value of 1 to %d bytes", headerKey, s.limits.KeyBytes)
+		return "", time.Time{}, invalid(apricotway.CodeInvalidRequest, message)
+	}
+
+	text := r.Header.Get(headerKeyTime)
+	if text == "" {
+		return values[0], time.Time{}, nil
+	}
+
+	first, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		return "", time.Time{}, invalid(apricotway.CodeInvalidRequest, headerKeyTime+" must be a time in RFC 3339 format")
+	}
+
+	return values[0], first, nil
+}
+
+func readBody(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(r.Body)
+
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		message := fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit)
+		return nil, invalid(apricotway.CodeRequestTooLarge, message)
+	}
+
+	if err != nil {
+		return nil, invalid(apricotway.CodeInvalidRequest, "the body cannot be read: "+err.Error())
+	}
+
+	return body, nil
+}
+
+// invalid returns a refusal for a request that was refused before anything was done with it.
+func invalid(code apricotway.Code, message string) *apricotway.Refusal {
+	return &apricotway.Refusal{Code: code, Execution: apricotway.ExecutionNotStarted, Message: message}
+}
+
+var statuses = map[apricotway.Code]int{
+	apricotway.CodeInvalidRequest:     http.StatusBadRequest,
+	apricotway.CodeUnauthorized:       http.StatusUnauthorized,
+	apricotway.CodeServiceNotFound:    http.StatusNotFound,
+	apricotway.CodeRequestNotFound:    http.StatusNotFound,
+	apricotway.CodeRequestTooLarge:    http.StatusRequestEntityTooLarge,
+	apricotway.CodeNoBackendServer:    http.StatusServiceUnavailable,
+	apricotway.CodeOverloaded:         http.StatusTooManyRequests,
+	apricotway.CodeDeadlineUnmeetable: http.StatusTooManyRequests,
+	apricotway.CodeNotReady:           http.StatusServiceUnavailable,
+	apricotway.CodeLeaving:            http.StatusServiceUnavailable,
+	apricotway.CodeQuarantined:        http.StatusUnprocessableEntity,
+	apricotway.CodeKeyConflict:        http.StatusUnprocessableEntity,
+	apricotway.CodeKeyExpired:         http.StatusUnprocessableEntity,
+	apricotway.CodeKeyInProgress:      http.StatusConflict,
+	apricotway.CodeLedgerUnavailable:  http.StatusServiceUnavailable,
+	apricotway.CodeOutcomeUnknown:     http.StatusBadGateway,
+	apricotway.CodeBackendFailed:      http.StatusBadGateway,
+	apricotway.CodeDeadlineExceeded:   http.StatusGatewayTimeout,
+	apricotway.CodeInternal:           http.StatusInternalServerError,
+}
+
+type refusalBody struct {
+	Error refusalDocument `json:"error"`
+}
+
+// refusalDocument carries message, type and code where OpenAI clients look for them.
+type refusalDocument struct {
+	Message           string               `json:"message"`
+	Type              string               `json:"type"`
+	Code              apricotway.Code      `json:"code"`
+	Execution         apricotway.Execution `json:"execution"`
+	RetryAfterSeconds float64              `json:"retryAfterSeconds,omitempty"`
+	RequestID         apricotway.RequestID `json:"requestId"`
+}
+
+func newRefusalBody(refusal *apricotway.Refusal, id apricotway.RequestID) refusalBody {
+	return refusalBody{Error: refusalDocument{
+		Message:           refusal.Message,
+		Type:              "apricotway_error",
+		Code:              refusal.Code,
+		Execution:         refusal.Execution,
+		RetryAfterSeconds: refusal.RetryAfter.Seconds(),
+		RequestID:         id,
+	}}
+}
+
+func writeRefusal(w http.ResponseWriter, refusal *apricotway.Refusal, id apricotway.RequestID) {
+	status, ok := statuses[refusal.Code]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+
+	w.Header().Set(headerExecution, string(refusal.Execution))
+
+	if refusal.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+
+	httpjson.Write(w, status, newRefusalBody(refusal, id))
+}
+
+// decode reads a JSON body strictly enough to name what is wrong with it.
+func decode(r *http.Request, target any) error {
+	body, err := readBody(r)
+	if err != nil {
+		return err
+	}
+
+	if err := json.Unmarshal(body, target); err != nil {
+		return invalid(apricotway.CodeInvalidRequest, "the body is not a valid request: "+err.Error())
+	}
+
+	return nil
+}
--- /dev/null
+++ b/transport/engine/client.go
@@ -0,0 +1,194 @@
+// Package engine is the client of the model engines.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"iter"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/transport/httpjson"
+)
+
+const (
+	// maxEvent bounds one event of a stream in bytes.
+	maxEvent = 1 << 20
+	// shortTimeout bounds the calls that do not stream.
+	shortTimeout = 5 * time.Second
+	streamEnd    = "[DONE]"
+)
+
+// Client implements apricotway.EngineClient over the engines' HTTP API.
+type Client struct {
+	transport http.RoundTripper
+}
+
+var _ apricotway.EngineClient = (*Client)(nil)
+
+// New returns a client.
+func New() *Client { return &Client{transport: httpjson.NewTransport()} }
+
+// Generate implements apricotway.EngineClient.
+func (c *Client) Generate(
+	ctx context.Context, server apricotway.BackendServer, request apricotway.GenerateRequest,
+) (apricotway.TokenStream, error) {
+	body, err := json.Marshal(Request{
+		Model:        string(server.Service),
+		Prompt:       request.Prompt,
+		MaxTokens:    request.MaxTokens,
+		Stream:       true,
+		RequestID:    string(request.Attempt),
+		Priority:     string(request.Priority),
+		ResumeText:   request.DeliveredText,
+		ResumeTokens: request.DeliveredTokens,
+		KVHandle:     request.KVHandle,
+		Sampling:     request.Sampling,
+	})
+	if err != nil {
+		return nil, errors.Wrap(apricotway.ErrNotSent, err.Error())
+	}
+
+	ctx, cancel := context.WithCancel(ctx)
+
+	url := httpjson.URL(server.Address, "/v1/completions")
+
+	call, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, errors.Wrap(apricotway.ErrNotSent, err.Error())
+	}
+
+	call.Header.Set("Content-Type", "application/json")
+
+	response, err := httpjson.Send(c.transport, call)
+	if err != nil {
+		cancel()
+
+		if errors.Is(err, httpjson.ErrNotSent) {
+			return nil, errors.Wrap(apricotway.ErrNotSent, err.Error())
+		}
+
+		return nil, errors.Wrap(apricotway.ErrStreamBroken, err.Error())
+	}
+
+	if response.StatusCode != http.StatusOK {
+		defer cancel()
+		defer response.Body.Close()
+
+		reason, _ := io.ReadAll(io.LimitReader(response.Body, maxEvent))
+
+		return nil, errors.Wrapf(statusError(response.StatusCode), "status %d: %s", response.StatusCode, reason)
+	}
+
+	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEvent})))
+
+	return &stream{body: response.Body, next: next, stop: stop, cancel: cancel}, nil
+}
+
+// statusError tells the answers by which an engine declares that it did not start from those that leave it open.
+func statusError(status int) error {
+	switch status {
+	case http.StatusBadRequest, http.StatusConflict, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return apricotway.ErrBackendRefused
+	default:
+		return apricotway.ErrStreamBroken
+	}
+}
+
+// Load implements apricotway.EngineClient.
+func (c *Client) Load(ctx context.Context, server apricotway.BackendServer) (apricotway.LoadReport, error) {
+	var report apricotway.LoadReport
+
+	err := c.short(ctx, http.MethodGet, httpjson.URL(server.Address, "/load"), nil, &report)
+
+	return report, err
+}
+
+// CacheEvents implements apricotway.EngineClient.
+func (c *Client) CacheEvents(
+	ctx context.Context, server apricotway.BackendServer, after uint64,
+) ([]apricotway.CacheEvent, error) {
+	var events []apricotway.CacheEvent
+
+	url := httpjson.URL(server.Address, "/cache/events?after="+strconv.FormatUint(after, 10))
+	err := c.short(ctx, http.MethodGet, url, nil, &events)
+
+	return events, err
+}
+
+// ExportKV implements apricotway.EngineClient.
+func (c *Client) ExportKV(
+	ctx context.Context, server apricotway.BackendServer, attempt apricotway.AttemptID, target apricotway.BackendServer,
+) (string, error) {
+	var answer ExportAnswer
+
+	request := ExportRequest{RequestID: string(attempt), Target: target.Address.String()}
+	err := c.short(ctx, http.MethodPost, httpjson.URL(server.Address, "/kv/export"), request, &answer)
+
+	return answer.KVHandle, err
+}
+
+func (c *Client) short(ctx context.Context, method, url string, body, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, shortTimeout)
+	defer cancel()
+
+	if err := httpjson.Do(ctx, c.transport, method, url, body, result); err != nil {
+		return errors.Wrap(err, "call engine")
+	}
+
+	return nil
+}
+
+type stream struct {
+	body   io.Closer
+	next   func() (sse.Event, error, bool)
+	stop   func()
+	cancel context.CancelFunc
+	close  sync.Once
+}
+
+// Next implements apricotway.TokenStream.
+func (s *stream) Next() (apricotway.Token, error) {
+	event, err, ok := s.next()
+
+	switch {
+	case err != nil:
+		return apricotway.Token{}, errors.Wrap(apricotway.ErrStreamBroken, err.Error())
+	case !ok:
+		return apricotway.Token{}, errors.Wrap(apricotway.ErrStreamBroken, "connection closed before the end marker")
+	case event.Data == streamEnd:
+		return apricotway.Token{}, io.EOF
+	}
+
+	var chunk Chunk
+	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil || len(chunk.Choices) != 1 {
+		return apricotway.Token{}, errors.Wrap(apricotway.ErrStreamBroken, "malformed event")
+	}
+
+	return apricotway.Token{
+		Attempt: apricotway.AttemptID(chunk.ID),
+		Index:   chunk.TokenIndex,
+		Text:    chunk.Choices[0].Text,
+		Finish:  apricotway.FinishReason(chunk.Choices[0].FinishReason),
+	}, nil
+}
+
+// Close implements apricotway.TokenStream. The engine sees the closed connection as a cancellation.
+func (s *stream) Close() error {
+	s.close.Do(func() {
+		s.cancel()
+		_ = s.body.Close()
+		s.stop()
+	})
+
+	return nil
+}
--- /dev/null
+++ b/transport/httpjson/httpjson.go
@@ -0,0 +1,127 @@
+// Package httpjson holds what the HTTP clients and servers of the transport layer share: bounded JSON bodies and the
+// knowledge whether a request reached a connection.
+package httpjson
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// maxBody bounds every JSON body that a client reads.
+const maxBody = 16 << 20
+
+// ErrNotSent reports that the request got no connection, so that the server cannot have seen it.
+var ErrNotSent = errors.New("request not sent")
+
+// ErrStatus reports an answer with an unexpected status.
+var ErrStatus = errors.New("unexpected status")
+
+// StatusError carries the status of an unexpected answer.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string { return http.StatusText(e.Status) + ": " + e.Body }
+
+// Unwrap makes the error match ErrStatus.
+func (e *StatusError) Unwrap() error { return ErrStatus }
+
+// NewTransport returns an HTTP transport for many short requests to few servers.
+func NewTransport() *http.Transport {
+	return &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     90 * time.Second,
+		// Compression would delay the tokens of a stream.
+		DisableCompression: true,
+	}
+}
+
+// URL returns the HTTP URL of a path on an address.
+func URL(address netip.AddrPort, path string) string {
+	return "http://" + address.String() + path
+}
+
+// Send performs the request and marks its error with ErrNotSent when the request got no connection.
+func Send(transport http.RoundTripper, request *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
+
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		return response, nil
+	}
+
+	if !connected.Load() {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+
+	return nil, err
+}
+
+// Do sends a JSON request and decodes the JSON answer into result unless that is nil. Any status but 2xx is a
+// StatusError.
+func Do(ctx context.Context, transport http.RoundTripper, method, url string, body, result any) error {
+	var reader io.Reader
+
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+
+		reader = bytes.NewReader(encoded)
+	}
+
+	request, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return errors.Wrap(err, "create request")
+	}
+
+	request.Header.Set("Content-Type", "application/json")
+
+	response, err := Send(transport, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	if err != nil {
+		return errors.Wrap(err, "read answer")
+	}
+
+	if response.StatusCode/100 != 2 {
+		return &StatusError{Status: response.StatusCode, Body: string(bytes.TrimSpace(content))}
+	}
+
+	if result == nil {
+		return nil
+	}
+
+	if err := json.Unmarshal(content, result); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+
+	return nil
+}
+
+// Write answers with a JSON document.
+func Write(w http.ResponseWriter, status int, document any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// An error means that the caller is gone; nobody is left to be told.
+	_ = json.NewEncoder(w).Encode(document)
+}
