Add typed calls between processes over net/rpc

Cause: net/rpc has no deadline, size limit, cancellation or backpressure.

One net/rpc method carries an envelope with method, remaining time, hybrid logical clock stamp and payload.

Ruled out: reporting rpc.ErrShutdown as not sent, since calls in flight get it too when another call's error closes the connection.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -21,10 +21,12 @@
 	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
+	"github.com/apricotway/apricotway/state/timeline"
 	"github.com/apricotway/apricotway/transport/api"
 	"github.com/apricotway/apricotway/transport/engine"
 	"github.com/apricotway/apricotway/transport/logservice"
 	"github.com/apricotway/apricotway/transport/operator"
+	"github.com/apricotway/apricotway/transport/peer"
 	"github.com/apricotway/apricotway/transport/platform"
 	"github.com/apricotway/apricotway/transport/service"
 )
@@ -40,8 +42,14 @@
 	feed       *configfeed.Feed
 	inventory  *inventory.Inventory
 
-	callers  *listener
-	operator *listener
+	clock      *timeline.Clock
+	ring       *timeline.Ring
+	peerServer *peer.Server
+	peers      *peer.Client
+
+	callers      *listener
+	operator     *listener
+	peerListener net.Listener
 
 	cancel  context.CancelFunc
 	stopped <-chan error
@@ -74,6 +82,8 @@
 	}
 
 	d.logger = d.logger.WithValues("node", s.Node)
+	d.clock = timeline.NewClock(time.Now)
+	d.ring = timeline.NewRing(s.Node, d.clock, timeline.DefaultCapacity)
 	d.supervisor = suture.New("apricotway", suture.Spec{EventHook: func(event suture.Event) {
 		d.logger.Info("supervisor event", "event", 101, "detail", event.String())
 	}})
@@ -101,6 +111,13 @@
 		return errors.Wrap(err, "listen for operators")
 	}
 
+	if d.peerListener, err = listen(ctx, s.Listen.Peers); err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+
+	d.peerServer = peer.NewServer(d.supervisor, d.peerListener, d.clock, peer.WithServerLogger(d.logger))
+	d.peers = peer.NewClient(d.clock)
+
 	log := logservice.New(s.Platform.Log)
 	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
@@ -130,10 +147,14 @@
 	return nil
 }
 
-func bind(ctx context.Context, address netip.AddrPort) (*listener, error) {
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
 	var config net.ListenConfig
 
-	listening, err := config.Listen(ctx, "tcp", address.String())
+	return config.Listen(ctx, "tcp", address.String())
+}
+
+func bind(ctx context.Context, address netip.AddrPort) (*listener, error) {
+	listening, err := listen(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(err, "bind")
 	}
@@ -169,6 +190,9 @@
 // Operator returns the address at which operators connect.
 func (d *Daemon) Operator() netip.AddrPort { return d.operator.address }
 
+// Peers returns the address at which other processes connect.
+func (d *Daemon) Peers() netip.AddrPort { return d.peerListener.Addr().(*net.TCPAddr).AddrPort() }
+
 // Ready returns nil once the process may serve: its configuration has caught up and it knows the backend servers.
 func (d *Daemon) Ready() error {
 	for _, part := range []struct {
@@ -200,6 +224,7 @@
 	err := d.callers.server.Shutdown(ctx)
 	_ = d.operator.server.Close()
 
+	d.peers.Close()
 	d.cancel()
 	reason := <-d.stopped
 	d.logger.Info("process stopped", "event", 104, "reason", reason)
--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -88,7 +88,7 @@
 	}
 
 	// Scripts that listen on port 0 read the bound addresses from this line.
-	fmt.Printf("callers=%s operator=%s\n", d.Callers(), d.Operator())
+	fmt.Printf("callers=%s operator=%s peers=%s\n", d.Callers(), d.Operator(), d.Peers())
 	<-ctx.Done()
 
 	stop, cancelStop := context.WithTimeout(context.Background(), time.Duration(s.Stop.AddressValidity+s.Stop.Drain))
--- /dev/null
+++ b/transport/peer/client.go
@@ -0,0 +1,189 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+)
+
+const (
+	// dialTimeout bounds the time for a new connection.
+	dialTimeout = 2 * time.Second
+	// defaultTimeout holds for calls whose context has no deadline.
+	defaultTimeout = 10 * time.Second
+)
+
+// Client calls other processes. It keeps one connection to each address in use.
+type Client struct {
+	clock      apricotway.Clock
+	tls        *tls.Config
+	maxMessage int
+
+	mu sync.Mutex
+	// connections holds the open connections; a broken one is replaced by the next call.
+	connections map[netip.AddrPort]*connection
+}
+
+// connection is dialled by the first caller; the others wait for ready.
+type connection struct {
+	ready  chan struct{}
+	client *rpc.Client
+	err    error
+}
+
+var _ apricotway.Peers = (*Client)(nil)
+
+// ClientOption changes a client under construction.
+type ClientOption func(*Client)
+
+// WithClientTLS makes the client present a certificate and verify that of the peer.
+func WithClientTLS(config *tls.Config) ClientOption {
+	return func(c *Client) { c.tls = config }
+}
+
+// NewClient returns a client.
+func NewClient(clock apricotway.Clock, options ...ClientOption) *Client {
+	c := &Client{clock: clock, maxMessage: DefaultMaxMessage, connections: map[netip.AddrPort]*connection{}}
+	for _, option := range options {
+		option(c)
+	}
+
+	return c
+}
+
+// Call implements apricotway.Peers.
+func (c *Client) Call(
+	ctx context.Context, address netip.AddrPort, method apricotway.Method, payload []byte,
+) ([]byte, error) {
+	if len(payload) > c.maxMessage {
+		return nil, errors.Wrap(apricotway.ErrNotSent, ErrMessageTooLarge.Error())
+	}
+
+	remaining := defaultTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		remaining = time.Until(deadline)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+
+	connection, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, errors.Wrap(apricotway.ErrNotSent, err.Error())
+	}
+
+	request := Request{Method: method, Remaining: remaining, Stamp: c.clock.Now(), Payload: payload}
+	call := connection.client.Go(methodCall, request, &Answer{}, make(chan *rpc.Call, 1))
+
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "wait for peer")
+	}
+
+	if call.Error != nil {
+		c.forget(address, connection)
+
+		// rpc.ErrShutdown is no proof that the call was not sent: calls in flight get it as well when another call's error
+		// closes the connection.
+		return nil, errors.Wrap(call.Error, "call peer")
+	}
+
+	return c.result(call.Reply.(*Answer))
+}
+
+func (c *Client) result(answer *Answer) ([]byte, error) {
+	c.clock.Observe(answer.Stamp)
+
+	switch {
+	case answer.Refusal != nil:
+		return nil, answer.Refusal
+	case answer.NotStarted:
+		return nil, errors.Wrap(apricotway.ErrNotSent, answer.Failure)
+	case answer.Failure != "":
+		return nil, errors.Wrap(ErrPeerFailed, answer.Failure)
+	default:
+		return answer.Payload, nil
+	}
+}
+
+func (c *Client) connect(ctx context.Context, address netip.AddrPort) (*connection, error) {
+	c.mu.Lock()
+
+	current := c.connections[address]
+	if current == nil {
+		current = &connection{ready: make(chan struct{})}
+		c.connections[address] = current
+
+		go c.dial(address, current) //nolint:contextcheck // the connection outlives the call that opens it
+	}
+
+	c.mu.Unlock()
+
+	select {
+	case <-current.ready:
+		return current, current.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dial runs apart from the callers' contexts, since the connection serves all of them.
+func (c *Client) dial(address netip.AddrPort, target *connection) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+
+	var dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	} = &net.Dialer{}
+
+	if c.tls != nil {
+		dialer = &tls.Dialer{Config: c.tls}
+	}
+
+	raw, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		target.err = err
+		c.forget(address, target)
+	} else {
+		target.client = rpc.NewClient(raw)
+	}
+
+	close(target.ready)
+}
+
+// forget drops a connection, so that the next call opens a new one.
+func (c *Client) forget(address netip.AddrPort, broken *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.connections[address] == broken {
+		delete(c.connections, address)
+	}
+
+	if broken.client != nil {
+		_ = broken.client.Close()
+	}
+}
+
+// Close closes every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	for address, current := range c.connections {
+		delete(c.connections, address)
+
+		if current.client != nil {
+			_ = current.client.Close()
+		}
+	}
+}
