Define membership as other parts see it

Cause: configuration, ledger and request copies need the list of processes before the membership protocol is in place.

The root package gets Member and Membership; the daemon answers from its settings until the protocol lands.

--- a/addresses.go
+++ b/addresses.go
@@ -18,3 +18,37 @@
 	// a caller may keep the answer.
 	Addresses(service Service, workspace Workspace) ([]Address, time.Duration)
 }
+
+// MemberState is what a process believes of another one.
+type MemberState string
+
+// The values of MemberState.
+const (
+	MemberAlive   MemberState = "alive"
+	MemberSuspect MemberState = "suspect"
+	// MemberLeaving processes finish their work and take no new one.
+	MemberLeaving MemberState = "leaving"
+	MemberDead    MemberState = "dead"
+)
+
+// Member is one process of the system as others see it.
+type Member struct {
+	Node   NodeID      `json:"node"`
+	Region Region      `json:"region"`
+	Zone   Zone        `json:"zone"`
+	State  MemberState `json:"state"`
+	// Incarnation grows whenever the member refutes a suspicion; the highest one known decides.
+	Incarnation uint64         `json:"incarnation"`
+	Callers     netip.AddrPort `json:"callers"`
+	Peers       netip.AddrPort `json:"peers"`
+	Probes      netip.AddrPort `json:"probes"`
+	Operator    netip.AddrPort `json:"operator"`
+}
+
+// Membership knows the processes of the system.
+type Membership interface {
+	// Members returns all known members but this process, in the order of their nodes.
+	Members() []Member
+	// Self returns this process.
+	Self() Member
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -46,6 +46,10 @@
 	ring       *timeline.Ring
 	peerServer *peer.Server
 	peers      *peer.Client
+	membership interface {
+		apricotway.Membership
+		apricotway.Directory
+	}
 
 	callers      *listener
 	operator     *listener
@@ -117,6 +121,7 @@
 
 	d.peerServer = peer.NewServer(d.supervisor, d.peerListener, d.clock, peer.WithServerLogger(d.logger))
 	d.peers = peer.NewClient(d.clock)
+	d.membership = d.staticMembership()
 
 	log := logservice.New(s.Platform.Log)
 	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
@@ -131,7 +136,7 @@
 	limits.DefaultTimeout = time.Duration(s.Limits.DefaultTimeout)
 	limits.MaxTimeout = time.Duration(s.Limits.MaxTimeout)
 
-	callersAPI := api.New(d.feed.Fold(), d.directory(), completions, calls,
+	callersAPI := api.New(d.feed.Fold(), d.membership, completions, calls,
 		api.WithLimits(limits), api.WithLogger(d.logger), api.WithReady(d.Ready))
 
 	registry := prometheus.NewRegistry()
--- a/cmd/internal/daemon/directory.go
+++ b/cmd/internal/daemon/directory.go
@@ -6,29 +6,46 @@
 	"github.com/apricotway/apricotway"
 )
 
-// staticDirectory answers with this process and the seeds of the settings.
-type staticDirectory struct {
-	addresses []apricotway.Address
-	validity  time.Duration
+// staticMembership knows this process and the seeds of the settings. It stands in until membership is in place.
+type staticMembership struct {
+	self     apricotway.Member
+	members  []apricotway.Member
+	validity time.Duration
 }
 
-func (d *Daemon) directory() apricotway.Directory {
-	own := d.callers.address
-	if d.settings.Advertise.Callers.IsValid() {
-		own = d.settings.Advertise.Callers
+func (d *Daemon) staticMembership() *staticMembership {
+	s := d.settings
+	m := &staticMembership{
+		self: apricotway.Member{
+			Node: s.Node, Region: s.Region, Zone: s.Zone, State: apricotway.MemberAlive,
+			Callers: d.callers.address, Peers: d.Peers(), Operator: d.operator.address,
+		},
+		validity: time.Duration(s.Stop.AddressValidity),
 	}
 
-	addresses := []apricotway.Address{{Node: d.settings.Node, Zone: d.settings.Zone, Address: own}}
-	for _, seed := range d.settings.Seeds {
-		addresses = append(addresses, apricotway.Address{Address: seed})
+	if s.Advertise.Callers.IsValid() {
+		m.self.Callers = s.Advertise.Callers
 	}
 
-	return &staticDirectory{addresses: addresses, validity: time.Duration(d.settings.Stop.AddressValidity)}
+	for _, seed := range s.Seeds {
+		m.members = append(m.members, apricotway.Member{
+			Node: apricotway.NodeID(seed.String()), State: apricotway.MemberAlive, Peers: seed,
+		})
+	}
+
+	return m
 }
 
+// Members implements apricotway.Membership.
+func (s *staticMembership) Members() []apricotway.Member { return s.members }
+
+// Self implements apricotway.Membership.
+func (s *staticMembership) Self() apricotway.Member { return s.self }
+
 // Addresses implements apricotway.Directory.
-func (s *staticDirectory) Addresses(
+func (s *staticMembership) Addresses(
 	apricotway.Service, apricotway.Workspace,
 ) ([]apricotway.Address, time.Duration) {
-	return s.addresses, s.validity
+	own := apricotway.Address{Node: s.self.Node, Zone: s.self.Zone, Address: s.self.Callers}
+	return []apricotway.Address{own}, s.validity
 }
