--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -136,16 +136,19 @@
 	limits.DefaultTimeout = time.Duration(s.Limits.DefaultTimeout)
 	limits.MaxTimeout = time.Duration(s.Limits.MaxTimeout)
 
-	callersAPI := api.New(d.feed.Fold(), d.membership, completions, calls,
-		api.WithLimits(limits), api.WithLogger(d.logger), api.WithReady(d.Ready))
-
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 
+	callersAPI := api.New(d.feed.Fold(), d.membership, completions, calls,
+		api.WithLimits(limits), api.WithLogger(d.logger), api.WithReady(d.Ready),
+		api.WithTimeline(d.ring), api.WithMetrics(registry))
+
 	operatorAPI := operator.New(registry, d.Ready)
 	operatorAPI.Show("/v1/config", func() any { return d.feed.Fold().Objects() })
 	operatorAPI.Show("/v1/engines", func() any { return d.inventory.All() })
 
+	d.showTimeline(operatorAPI)
+
 	d.serve("callers", d.callers, callersAPI)
 	d.serve("operator", d.operator, operatorAPI)
 
--- /dev/null
+++ b/cmd/internal/daemon/timeline.go
@@ -0,0 +1,80 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/timeline"
+	"github.com/apricotway/apricotway/transport/httpjson"
+	"github.com/apricotway/apricotway/transport/operator"
+)
+
+const (
+	methodTimeline apricotway.Method = "timeline"
+	// timelineTimeout bounds the wait for the events of one peer.
+	timelineTimeout = 3 * time.Second
+)
+
+// Timeline is the answer of the operators' API: the events of all reachable processes in causal order.
+type Timeline struct {
+	Events []timeline.Event `json:"events"`
+	// Missing names the processes that did not answer.
+	Missing []apricotway.NodeID `json:"missing,omitempty"`
+}
+
+// showTimeline serves the events of all processes to operators, and those of this one to its peers.
+func (d *Daemon) showTimeline(server *operator.Server) {
+	apricotway.HandlePeer(d.peerServer, methodTimeline,
+		func(_ context.Context, filter timeline.Filter) ([]timeline.Event, error) {
+			return d.ring.Events(filter), nil
+		})
+
+	server.Handle("GET /v1/timeline", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		filter := timeline.Filter{Request: apricotway.RequestID(r.URL.Query().Get("request"))}
+
+		if text := r.URL.Query().Get("since"); text != "" {
+			since, err := strconv.ParseUint(text, 10, 64)
+			if err != nil {
+				http.Error(w, "since must be a stamp", http.StatusBadRequest)
+				return
+			}
+
+			filter.Since = apricotway.Stamp(since)
+		}
+
+		httpjson.Write(w, http.StatusOK, d.collectTimeline(r.Context(), filter))
+	}))
+}
+
+func (d *Daemon) collectTimeline(ctx context.Context, filter timeline.Filter) Timeline {
+	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
+	defer cancel()
+
+	members := d.membership.Members()
+	lists := make([][]timeline.Event, len(members))
+	failures := make([]error, len(members))
+
+	var group sync.WaitGroup
+
+	for i, member := range members {
+		group.Go(func() {
+			lists[i], failures[i] = apricotway.CallPeer[[]timeline.Event](ctx, d.peers, member.Peers, methodTimeline, filter)
+		})
+	}
+
+	group.Wait()
+
+	result := Timeline{Events: timeline.Merge(append(lists, d.ring.Events(filter))...)}
+
+	for i, failure := range failures {
+		if failure != nil {
+			result.Missing = append(result.Missing, members[i].Node)
+		}
+	}
+
+	return result
+}
--- a/refusal.go
+++ b/refusal.go
@@ -27,6 +27,7 @@
 const (
 	CodeInvalidRequest     Code = "invalidRequest"
 	CodeUnauthorized       Code = "unauthorized"
+	CodePathNotFound       Code = "pathNotFound"
 	CodeServiceNotFound    Code = "serviceNotFound"
 	CodeRequestNotFound    Code = "requestNotFound"
 	CodeRequestTooLarge    Code = "requestTooLarge"
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -18,11 +18,13 @@
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/config"
+	"github.com/apricotway/apricotway/state/timeline"
 	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
@@ -76,6 +78,8 @@
 	limits        Limits
 	logger        logr.Logger
 	ready         func() error
+	ring          *timeline.Ring
+	metrics       *metrics
 	mux           *http.ServeMux
 }
 
@@ -97,6 +101,16 @@
 	return func(s *Server) { s.ready = ready }
 }
 
+// WithTimeline records the start and the end of every request.
+func WithTimeline(ring *timeline.Ring) Option {
+	return func(s *Server) { s.ring = ring }
+}
+
+// WithMetrics registers the metrics of the callers' API.
+func WithMetrics(registry prometheus.Registerer) Option {
+	return func(s *Server) { s.metrics.register(registry) }
+}
+
 // New returns a server.
 func New(
 	configuration Configuration,
@@ -113,17 +127,19 @@
 		limits:        DefaultLimits(),
 		logger:        logr.Discard(),
 		ready:         func() error { return nil },
+		metrics:       newMetrics(),
 		mux:           http.NewServeMux(),
 	}
 	for _, option := range options {
 		option(s)
 	}
 
-	s.mux.HandleFunc("POST /v1/chat/completions", s.handle(s.chatCompletions))
-	s.mux.HandleFunc("POST /v1/completions", s.handle(s.plainCompletions))
-	s.mux.HandleFunc("GET /v1/models", s.handle(s.models))
+	s.mux.HandleFunc("POST /v1/chat/completions", s.handle("chatCompletions", s.chatCompletions))
+	s.mux.HandleFunc("POST /v1/completions", s.handle("completions", s.plainCompletions))
+	s.mux.HandleFunc("GET /v1/models", s.handle("models", s.models))
 	s.mux.HandleFunc("GET /v1/addresses", s.addresses)
-	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.handle(s.serviceCall))
+	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.handle("services", s.serviceCall))
+	s.mux.HandleFunc("/", s.handle("unknown", s.unknownPath))
 
 	return s
 }
@@ -137,32 +153,65 @@
 	request   apricotway.RequestID
 }
 
+// The events of the time line.
+const (
+	eventReceived timeline.Kind = "requestReceived"
+	eventFinished timeline.Kind = "requestFinished"
+	eventRefused  timeline.Kind = "requestRefused"
+)
+
 // handle authorises a request and writes the refusal that its handler returns.
-func (s *Server) handle(handler func(http.ResponseWriter, *http.Request, caller) error) http.HandlerFunc {
+func (s *Server) handle(
+	endpoint string, handler func(http.ResponseWriter, *http.Request, caller) error,
+) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		begin := time.Now()
 		id := apricotway.RequestID(uuid.NewString())
 		w.Header().Set(headerRequestID, string(id))
+		s.ring.Add(eventReceived, id, endpoint)
 
-		err := s.ready()
+		err := s.authorised(w, r, id, handler)
 		if err == nil {
-			var workspace apricotway.Workspace
+			s.ring.Add(eventFinished, id, endpoint)
+			s.metrics.observe(endpoint, codeNone, time.Since(begin))
 
-			workspace, err = s.authorise(r)
-			if err == nil {
-				r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
-				err = handler(w, r, caller{workspace: workspace, request: id})
-			}
+			return
 		}
 
-		if err != nil && r.Context().Err() == nil {
-			refusal := apricotway.AsRefusal(err)
-			s.logger.Info("request refused", "event", 401, "request", id, "code", refusal.Code,
-				"execution", refusal.Execution, "error", refusal.Message)
+		refusal := apricotway.AsRefusal(err)
+		s.ring.Add(eventRefused, id, string(refusal.Code))
+		s.metrics.observe(endpoint, refusal.Code, time.Since(begin))
+		s.logger.Info("request refused", "event", 401, "request", id, "code", refusal.Code,
+			"execution", refusal.Execution, "error", refusal.Message)
+
+		if r.Context().Err() == nil {
 			writeRefusal(w, refusal, id)
 		}
 	}
 }
 
+func (s *Server) authorised(
+	w http.ResponseWriter, r *http.Request, id apricotway.RequestID,
+	handler func(http.ResponseWriter, *http.Request, caller) error,
+) error {
+	if err := s.ready(); err != nil {
+		return err
+	}
+
+	workspace, err := s.authorise(r)
+	if err != nil {
+		return err
+	}
+
+	r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+
+	return handler(w, r, caller{workspace: workspace, request: id})
+}
+
+func (s *Server) unknownPath(_ http.ResponseWriter, r *http.Request, _ caller) error {
+	return invalid(apricotway.CodePathNotFound, fmt.Sprintf("there is nothing at %s %s", r.Method, r.URL.Path))
+}
+
 // authorise finds the workspace whose token the request carries. All digests are compared, in constant time, so that the
 // time taken tells nothing about them.
 func (s *Server) authorise(r *http.Request) (apricotway.Workspace, error) {
@@ -356,6 +405,7 @@
 var statuses = map[apricotway.Code]int{
 	apricotway.CodeInvalidRequest:     http.StatusBadRequest,
 	apricotway.CodeUnauthorized:       http.StatusUnauthorized,
+	apricotway.CodePathNotFound:       http.StatusNotFound,
 	apricotway.CodeServiceNotFound:    http.StatusNotFound,
 	apricotway.CodeRequestNotFound:    http.StatusNotFound,
 	apricotway.CodeRequestTooLarge:    http.StatusRequestEntityTooLarge,
