--- a/transport/api/completions.go
+++ b/transport/api/completions.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -107,9 +108,20 @@
 		return invalid(apricotway.CodeInvalidRequest, "messages must not be empty")
 	}
 
+	for i, message := range body.Messages {
+		if !slices.Contains(chatRoles, message.Role) {
+			reason := fmt.Sprintf("messages[%d].role must be one of %s", i, strings.Join(chatRoles, ", "))
+			return invalid(apricotway.CodeInvalidRequest, reason)
+		}
+	}
+
 	return s.complete(w, r, caller, body.modelRequest, chatPrompt(body.Messages), dialectChat)
 }
 
+// chatRoles are the roles of the OpenAI API that text messages have. A fixed set also keeps a role from ending the line
+// that holds it in the prompt.
+var chatRoles = []string{"system", "developer", "user", "assistant"}
+
 // chatPrompt joins the messages in a fixed form, so that equal conversations share their prefix byte by byte.
 func chatPrompt(messages []chatMessage) string {
 	var prompt strings.Builder
