Add operators' tokens, TLS to callers and mutual TLS between processes

Cause: the operators' API was open to everyone who reached it, and calls between processes were neither encrypted nor authenticated.

Certificate files are read again when they change; a faulty file leaves the last one in force.

--- a/cmd/internal/ctl/operator.go
+++ b/cmd/internal/ctl/operator.go
@@ -24,6 +24,7 @@
 // operatorOptions are common to the commands that ask a running process.
 type operatorOptions struct {
 	Operator string `long:"operator" value-name:"ADDR" default:"127.0.0.1:8802" description:"operator address of a process"`
+	Token    string `long:"token" env:"APRICOTWAY_OPERATOR_TOKEN" description:"operator's token"`
 	JSON     bool   `long:"json" description:"print JSON for programs"`
 }
 
@@ -37,7 +38,25 @@
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
 
-	return httpjson.Do(ctx, httpjson.NewTransport(), http.MethodGet, httpjson.URL(address, path), nil, result)
+	transport := &tokenTransport{token: o.Token, next: httpjson.NewTransport()}
+
+	return httpjson.Do(ctx, transport, http.MethodGet, httpjson.URL(address, path), nil, result)
+}
+
+// tokenTransport adds the operator's token to every request.
+type tokenTransport struct {
+	token string
+	next  http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *tokenTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	if t.token != "" {
+		request = request.Clone(request.Context())
+		request.Header.Set("Authorization", "Bearer "+t.token)
+	}
+
+	return t.next.RoundTrip(request)
 }
 
 // printJSON prints a document for programs.
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -119,8 +119,10 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 
-	d.peerServer = peer.NewServer(d.supervisor, d.peerListener, d.clock, peer.WithServerLogger(d.logger))
-	d.peers = peer.NewClient(d.clock)
+	if err := d.connectPeers(); err != nil {
+		return err
+	}
+
 	d.membership = d.staticMembership()
 
 	log := logservice.New(s.Platform.Log)
@@ -149,8 +151,12 @@
 
 	d.showTimeline(operatorAPI)
 
+	if err := d.encryptCallers(); err != nil {
+		return err
+	}
+
 	d.serve("callers", d.callers, callersAPI)
-	d.serve("operator", d.operator, operatorAPI)
+	d.serve("operator", d.operator, operator.Authorise(operatorAPI, operatorDigests(s.Operators)))
 
 	return nil
 }
--- /dev/null
+++ b/cmd/internal/daemon/security.go
@@ -0,0 +1,59 @@
+package daemon
+
+import (
+	"crypto/tls"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway/cmd/internal/settings"
+	"github.com/apricotway/apricotway/transport/certificate"
+	"github.com/apricotway/apricotway/transport/peer"
+)
+
+// connectPeers sets up the calls between processes, with mutual TLS when the settings name certificates.
+func (d *Daemon) connectPeers() error {
+	serverOptions := []peer.ServerOption{peer.WithServerLogger(d.logger)}
+
+	var clientOptions []peer.ClientOption
+
+	if files := d.settings.TLS.Peers; files != nil {
+		source, err := certificate.New(d.supervisor, *files, certificate.WithLogger(d.logger))
+		if err != nil {
+			return errors.Wrap(err, "certificate for peers")
+		}
+
+		serverOptions = append(serverOptions, peer.WithServerTLS(source.ServerConfig()))
+		clientOptions = append(clientOptions, peer.WithClientTLS(source.ClientConfig))
+	}
+
+	d.peerServer = peer.NewServer(d.supervisor, d.peerListener, d.clock, serverOptions...)
+	d.peers = peer.NewClient(d.clock, clientOptions...)
+
+	return nil
+}
+
+// encryptCallers makes the callers' listener speak TLS when the settings name a certificate.
+func (d *Daemon) encryptCallers() error {
+	files := d.settings.TLS.Callers
+	if files == nil {
+		return nil
+	}
+
+	source, err := certificate.New(d.supervisor, *files, certificate.WithLogger(d.logger))
+	if err != nil {
+		return errors.Wrap(err, "certificate for callers")
+	}
+
+	d.callers.net = tls.NewListener(d.callers.net, source.ServerConfig())
+
+	return nil
+}
+
+func operatorDigests(operators []settings.Operator) []string {
+	digests := make([]string, len(operators))
+	for i, entry := range operators {
+		digests[i] = entry.TokenHash
+	}
+
+	return digests
+}
--- a/cmd/internal/settings/settings.go
+++ b/cmd/internal/settings/settings.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/transport/certificate"
 )
 
 // Settings are the settings of one process.
@@ -24,6 +25,9 @@
 	Platform  Platform         `json:"platform"`
 	Limits    Limits           `json:"limits"`
 	Stop      Stop             `json:"stop"`
+	// Operators lists who may use the operators' API; without entries everyone who reaches it may.
+	Operators []Operator `json:"operators"`
+	TLS       TLS        `json:"tls"`
 	// ProbeKey is the hexadecimal key that authenticates membership probes.
 	ProbeKey string `json:"probeKey"`
 }
@@ -48,6 +52,21 @@
 	Weights netip.AddrPort `json:"weights,omitzero"`
 }
 
+// Operator is one operator of an owner.
+type Operator struct {
+	Owner apricotway.Owner `json:"owner"`
+	// TokenHash is the hexadecimal SHA-256 digest of the operator's token.
+	TokenHash string `json:"tokenHash"`
+}
+
+// TLS holds the certificate files; each part is optional.
+type TLS struct {
+	// Callers makes the callers' API HTTPS.
+	Callers *certificate.Files `json:"callers,omitempty"`
+	// Peers makes the processes verify each other.
+	Peers *certificate.Files `json:"peers,omitempty"`
+}
+
 // Limits bounds what one caller can ask for.
 type Limits struct {
 	BodyBytes      int64    `json:"bodyBytes"`
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -24,7 +24,7 @@
 // Client calls other processes. It keeps one connection to each address in use.
 type Client struct {
 	clock      apricotway.Clock
-	tls        *tls.Config
+	tls        func() *tls.Config
 	maxMessage int
 
 	mu sync.Mutex
@@ -44,8 +44,9 @@
 // ClientOption changes a client under construction.
 type ClientOption func(*Client)
 
-// WithClientTLS makes the client present a certificate and verify that of the peer.
-func WithClientTLS(config *tls.Config) ClientOption {
+// WithClientTLS makes the client present a certificate and verify that of the peer. The function gives the configuration of
+// each new connection.
+func WithClientTLS(config func() *tls.Config) ClientOption {
 	return func(c *Client) { c.tls = config }
 }
 
@@ -146,7 +147,7 @@
 	} = &net.Dialer{}
 
 	if c.tls != nil {
-		dialer = &tls.Dialer{Config: c.tls}
+		dialer = &tls.Dialer{Config: c.tls()}
 	}
 
 	raw, err := dialer.DialContext(ctx, "tcp", address.String())
