--- /dev/null
+++ b/coordination/usage/usage_test.go
@@ -0,0 +1,99 @@
+package usage_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/usage"
+	"github.com/apricotway/apricotway/state/account"
+)
+
+// stream is a usage stream whose appends fail as the test says.
+type stream struct {
+	mu      sync.Mutex
+	records []apricotway.StoredRecord
+	// effect and err are those of the next appends.
+	effect bool
+	err    error
+}
+
+func (s *stream) set(effect bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.effect, s.err = effect, err
+}
+
+func (s *stream) Append(
+	_ context.Context, _ apricotway.Stream, record apricotway.Record,
+) (apricotway.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.effect {
+		s.records = append(s.records, apricotway.StoredRecord{Record: record, Offset: apricotway.Offset(len(s.records) + 1)})
+	}
+
+	return apricotway.Offset(len(s.records)), s.err
+}
+
+// TestOutage guards the account over a lost answer and an outage of the log service: no token is lost and none counts twice.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		supervisor := suture.NewSimple("test")
+		log := &stream{effect: true}
+		recorder := usage.New(supervisor, "n", log)
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := supervisor.ServeBackground(ctx)
+
+		add := func() {
+			recorder.Add(account.Key{Workspace: "w"}, account.Usage{GeneratedTokens: 1})
+			<-time.After(usage.DefaultInterval)
+			synctest.Wait()
+		}
+
+		add()
+
+		// The append takes effect and its answer is lost.
+		log.set(true, apricotway.ErrAppendUnknown)
+		add()
+
+		// The log service is down.
+		log.set(false, apricotway.ErrLogUnavailable)
+		add()
+		add()
+
+		log.set(true, nil)
+		add()
+
+		if err := recorder.Close(ctx); err != nil {
+			t.Fatal(err)
+		}
+
+		cancel()
+
+		if err := <-stopped; err == nil {
+			t.Error("supervisor stopped without a reason")
+		}
+
+		fold := account.New()
+		for _, record := range log.records {
+			fold.Apply(record)
+		}
+
+		got := fold.Statement()
+		if len(got.Faults) > 0 || got.Repeats != 1 || got.Open != 0 {
+			t.Errorf("got faults %v, %d repeats, %d open; want none, 1, 0", got.Faults, got.Repeats, got.Open)
+		}
+
+		if got, want := got.Totals[0].GeneratedTokens, int64(5); got != want {
+			t.Errorf("got %d tokens, want %d", got, want)
+		}
+	})
+}
