--- /dev/null
+++ b/cmd/internal/ctl/account.go
@@ -0,0 +1,215 @@
+package ctl
+
+import (
+	"context"
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/cli"
+	"github.com/apricotway/apricotway/state/account"
+	"github.com/apricotway/apricotway/state/config"
+	"github.com/apricotway/apricotway/transport/logservice"
+)
+
+const (
+	// accountTimeout bounds the reading of the whole usage stream.
+	accountTimeout = 5 * time.Minute
+	readLimit      = 1000
+)
+
+// errAccountFaults makes verify fail when the stream has faults.
+var errAccountFaults = errors.New("the usage stream has faults")
+
+// accountOptions are common to the account commands. They read nothing but the log service, so that each owner computes
+// the account alone.
+type accountOptions struct {
+	Log   string `long:"log" value-name:"ADDR" required:"yes" description:"address of the log service"`
+	Owner string `long:"owner" value-name:"OWNER" description:"show the workspaces of one owner only"`
+	JSON  bool   `long:"json" description:"print JSON for programs"`
+}
+
+// statement folds the whole usage stream.
+func (o *accountOptions) statement() (account.Statement, error) {
+	address, err := netip.ParseAddrPort(o.Log)
+	if err != nil {
+		return account.Statement{}, errors.Wrap(err, "--log")
+	}
+
+	ctx, cancel := context.WithTimeout(context.Background(), accountTimeout)
+	defer cancel()
+
+	log := logservice.New(address)
+	objects := config.New()
+
+	err = readStream(ctx, log, apricotway.StreamConfig, func(record apricotway.StoredRecord) { objects.Apply(record) })
+	if err != nil {
+		return account.Statement{}, err
+	}
+
+	signers, err := signersOf(objects.Objects())
+	if err != nil {
+		return account.Statement{}, err
+	}
+
+	fold := account.New(account.WithSigners(signers))
+	if err := readStream(ctx, log, apricotway.StreamUsage, fold.Apply); err != nil {
+		return account.Statement{}, err
+	}
+
+	statement := fold.Statement()
+	if o.Owner != "" {
+		statement.Totals = slices.DeleteFunc(statement.Totals, func(entry account.Entry) bool {
+			workspace, ok := objects.Workspace(entry.Workspace)
+			return !ok || workspace.Owner != apricotway.Owner(o.Owner)
+		})
+	}
+
+	return statement, nil
+}
+
+// readStream reads a stream from its oldest kept record to its end.
+func readStream(
+	ctx context.Context, log apricotway.Log, stream apricotway.Stream, apply func(apricotway.StoredRecord),
+) error {
+	for next := apricotway.Offset(1); ; {
+		batch, err := log.Read(ctx, stream, next, readLimit, 0)
+		if err != nil {
+			return errors.Wrapf(err, "read stream %s", stream)
+		}
+
+		for _, record := range batch.Records {
+			apply(record)
+		}
+
+		if len(batch.Records) == 0 {
+			return nil
+		}
+
+		next = batch.Next
+	}
+}
+
+// kindSigner is the kind of the configuration objects that announce keys.
+const kindSigner config.Kind = "signer"
+
+// signerSpec is the payload of a signer object, schema version 1.
+type signerSpec struct {
+	Owner apricotway.Owner `json:"owner"`
+	// PublicKey is an Ed25519 public key in base64.
+	PublicKey string `json:"publicKey"`
+}
+
+// signersOf returns the announced keys, or nil when the configuration announces none.
+func signersOf(objects []config.Status) (map[string]ed25519.PublicKey, error) {
+	var signers map[string]ed25519.PublicKey
+
+	for _, object := range objects {
+		if object.Kind != kindSigner || object.Deleted {
+			continue
+		}
+
+		var spec signerSpec
+		if err := json.Unmarshal(object.Spec, &spec); err != nil {
+			return nil, errors.Wrapf(err, "signer %s", object.Object)
+		}
+
+		key, err := base64.StdEncoding.DecodeString(spec.PublicKey)
+		if err != nil || len(key) != ed25519.PublicKeySize {
+			return nil, errors.Errorf("signer %s: publicKey is no Ed25519 key in base64", object.Object)
+		}
+
+		if signers == nil {
+			signers = map[string]ed25519.PublicKey{}
+		}
+
+		signers[object.Object] = key
+	}
+
+	return signers, nil
+}
+
+type accountShow struct{ accountOptions }
+
+// Execute implements flags.Commander.
+func (c *accountShow) Execute([]string) error {
+	statement, err := c.statement()
+	if err != nil {
+		return err
+	}
+
+	if c.JSON {
+		return printJSON(statement)
+	}
+
+	rows := [][]string{{
+		"WORKSPACE", "SERVICE", "ZONE", "CLASS", "REQUESTS", "PROMPT", "GENERATED", "RECOMPUTED", "HEDGED", "ENGINE TIME",
+	}}
+
+	for _, entry := range statement.Totals {
+		rows = append(rows, []string{
+			string(entry.Workspace), string(entry.Service), string(entry.Zone), string(entry.MachineClass),
+			format(entry.Requests), format(entry.PromptTokens), format(entry.GeneratedTokens),
+			format(entry.RecomputedTokens), format(entry.HedgedTokens),
+			(time.Duration(entry.EngineMicroseconds) * time.Microsecond).String(),
+		})
+	}
+
+	return printTable(rows)
+}
+
+func format(number int64) string { return strconv.FormatInt(number, 10) }
+
+type accountVerify struct{ accountOptions }
+
+// Execute implements flags.Commander.
+func (c *accountVerify) Execute([]string) error {
+	statement, err := c.statement()
+	if err != nil {
+		return err
+	}
+
+	if c.JSON {
+		if err := printJSON(statement); err != nil {
+			return err
+		}
+	} else {
+		fmt.Printf("%d batches counted, %d repeats dropped, %d processes without a last batch\n",
+			statement.Batches, statement.Repeats, statement.Open)
+
+		for _, fault := range statement.Faults {
+			fmt.Printf("offset %d, node %s, batch %d: %s: %s\n",
+				fault.Offset, fault.Node, fault.Sequence, fault.Kind, fault.Detail)
+		}
+	}
+
+	if len(statement.Faults) > 0 {
+		return errAccountFaults
+	}
+
+	return nil
+}
+
+func addAccountCommands(root *flags.Command) error {
+	return cli.AddGroup(
+		root,
+		cli.Command{
+			Name: "account", Short: "Show and verify the usage account",
+			Long: "Computes the usage account from the usage stream alone.\n\n" +
+				"Example: apricotctl account verify --log 10.0.0.9:9000",
+		},
+		cli.Command{Name: "show", Short: "Show the totals", Data: &accountShow{}},
+		cli.Command{
+			Name: "verify", Short: "Check every batch; fails and names the faults when there are any", Data: &accountVerify{},
+		},
+	)
+}
