--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/configfeed"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/coordination/usage"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/timeline"
@@ -41,6 +42,7 @@
 	supervisor *suture.Supervisor
 	feed       *configfeed.Feed
 	inventory  *inventory.Inventory
+	usage      *usage.Recorder
 
 	clock      *timeline.Clock
 	ring       *timeline.Ring
@@ -76,9 +78,7 @@
 
 // Start binds the addresses of the settings, assembles the process and starts it.
 func Start(ctx context.Context, s settings.Settings, options ...Option) (*Daemon, error) {
-	if s.Node == "" {
-		s.Node = apricotway.NodeID(uuid.NewString())
-	}
+	s.Node = newNodeID(s.Node)
 
 	d := &Daemon{settings: s, logger: logr.Discard()}
 	for _, option := range options {
@@ -103,6 +103,15 @@
 	return d, nil
 }
 
+// newNodeID adds a random part to the name of the settings: a restarted process is a new node to its peers and in the account.
+func newNodeID(name apricotway.NodeID) apricotway.NodeID {
+	if name == "" {
+		name = "node"
+	}
+
+	return name + apricotway.NodeID("-"+uuid.NewString()[:8])
+}
+
 func (d *Daemon) assemble(ctx context.Context) error {
 	s := d.settings
 
@@ -129,6 +138,10 @@
 	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
+	if err := d.startAccount(log); err != nil {
+		return err
+	}
+
 	completions := completion.New(engine.New(), d.inventory, completion.WithLogger(d.logger))
 	calls := call.New(service.New(), d.inventory, call.WithLogger(d.logger))
 
@@ -238,6 +251,10 @@
 	err := d.callers.server.Shutdown(ctx)
 	_ = d.operator.server.Close()
 
+	if closeErr := d.usage.Close(ctx); closeErr != nil {
+		d.logger.Info("last usage batch not written", "event", 502, "error", closeErr.Error())
+	}
+
 	d.peers.Close()
 	d.cancel()
 	reason := <-d.stopped
--- a/cmd/internal/settings/settings.go
+++ b/cmd/internal/settings/settings.go
@@ -14,7 +14,7 @@
 
 // Settings are the settings of one process.
 type Settings struct {
-	// Node names the process in logs; a random name is chosen when it is empty.
+	// Node names the process in logs. A random part is added to it at every start, since a restarted process is a new node.
 	Node   apricotway.NodeID `json:"node"`
 	Region apricotway.Region `json:"region"`
 	Zone   apricotway.Zone   `json:"zone"`
@@ -28,6 +28,8 @@
 	// Operators lists who may use the operators' API; without entries everyone who reaches it may.
 	Operators []Operator `json:"operators"`
 	TLS       TLS        `json:"tls"`
+	// Signing names the key that signs usage batches; without it they are not signed.
+	Signing *Signing `json:"signing,omitempty"`
 	// ProbeKey is the hexadecimal key that authenticates membership probes.
 	ProbeKey string `json:"probeKey"`
 }
@@ -59,6 +61,14 @@
 	TokenHash string `json:"tokenHash"`
 }
 
+// Signing holds the key of usage batches.
+type Signing struct {
+	// Signer is the name of the configuration object that announces the public key.
+	Signer string `json:"signer"`
+	// Key is a file with an Ed25519 private key (PKCS #8 in PEM form).
+	Key string `json:"key"`
+}
+
 // TLS holds the certificate files; each part is optional.
 type TLS struct {
 	// Callers makes the callers' API HTTPS.
