Compute the capacity page from measured slopes

Cause: the size of two years from now has to be checked against measured needs, and a new measurement has to update the page.

--- /dev/null
+++ b/cmd/internal/capacity/page.go
@@ -0,0 +1,276 @@
+package capacity
+
+import (
+	_ "embed"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/template"
+
+	"github.com/go-faster/errors"
+)
+
+// Target is the size for which the page is computed.
+type Target struct {
+	Nodes             float64
+	Engines           float64
+	RequestsPerSecond float64
+	TokensPerSecond   float64
+	ConfigPerDay      float64
+	ConfigObjects     float64
+	Workspaces        float64
+	// Subset is the number of nodes that know an engine closely.
+	Subset float64
+	// RequestSeconds is the mean duration of a request; with the rate it gives the open streams.
+	RequestSeconds float64
+	PromptBytes    float64
+	UsageInterval  float64
+	FailuresPerDay float64
+	RestartsPerDay float64
+	LedgerShards   float64
+	LiveKeys       float64
+}
+
+// DefaultTarget returns the size that the users expect in two years, with the means that follow from it: 5.8 million tokens
+// over 16,000 requests a second are 362 tokens a request, at 56 ms between tokens 20 s.
+func DefaultTarget() Target {
+	return Target{
+		Nodes: 390, Engines: 7600, RequestsPerSecond: 16000, TokensPerSecond: 5.8e6, ConfigPerDay: 4400,
+		ConfigObjects: 2000, Workspaces: 400, Subset: 6, RequestSeconds: 20, PromptBytes: 8000, UsageInterval: 10,
+		FailuresPerDay: 95, RestartsPerDay: 1100, LedgerShards: 64, LiveKeys: 100000,
+	}
+}
+
+// Budget is what a node may spend on control.
+type Budget struct {
+	CorePercent    float64
+	MemoryMB       float64
+	BytesPerSecond float64
+}
+
+// DefaultBudget returns the users' bound.
+func DefaultBudget() Budget { return Budget{CorePercent: 1.1, MemoryMB: 64, BytesPerSecond: 7000} }
+
+const (
+	bytesPerMB    = 1 << 20
+	secondsPerDay = 86400.0
+	microPerSec   = 1e6
+	percent       = 100
+)
+
+// Row is one line of the page's tables.
+type Row struct {
+	Part      string
+	State     string
+	Messages  string
+	CPU       string
+	Memory    string
+	Mechanism string
+}
+
+// Page holds the computed values.
+type Page struct {
+	Target    Target
+	Budget    Budget
+	Relations []Relation
+	Control   []Row
+	Data      []Row
+	// The sums of the control rows.
+	ControlCPU, ControlMemory, ControlBytes float64
+	EnginesPerNode                          float64
+	Missing                                 []Name
+}
+
+// Compute computes the page. A relation that was not measured is named as missing, and its rows say so.
+func Compute(relations map[Name]Relation, target Target, budget Budget) (Page, error) {
+	c := &computation{relations: relations, page: Page{Target: target, Budget: budget}}
+	c.page.EnginesPerNode = target.Engines * target.Subset / target.Nodes
+
+	c.membership()
+	c.configuration()
+	c.inventory()
+	c.account()
+	c.ledger()
+	c.requests()
+
+	if c.err != nil {
+		return Page{}, c.err
+	}
+
+	for _, relation := range relations {
+		c.page.Relations = append(c.page.Relations, relation)
+	}
+
+	slices.SortFunc(c.page.Relations, func(a, b Relation) int { return strings.Compare(string(a.Name), string(b.Name)) })
+
+	return c.page, nil
+}
+
+type computation struct {
+	relations map[Name]Relation
+	page      Page
+	err       error
+}
+
+// line returns the fitted line of a relation; false when it was not measured.
+func (c *computation) line(name Name) (Line, bool) {
+	relation, ok := c.relations[name]
+	if !ok {
+		if !slices.Contains(c.page.Missing, name) {
+			c.page.Missing = append(c.page.Missing, name)
+		}
+
+		return Line{}, false
+	}
+
+	line, err := relation.Fit()
+	if err != nil {
+		c.err = errors.Wrap(err, "fit")
+		return Line{}, false
+	}
+
+	return line, true
+}
+
+const notMeasured = "not measured"
+
+// value formats what a relation gives, and adds it to a sum of the control budget.
+func (c *computation) value(name Name, at float64, scale float64, unit string, sum *float64) string {
+	line, ok := c.line(name)
+	if !ok {
+		return notMeasured
+	}
+
+	value := max(line.At(at)*scale, 0)
+	if sum != nil {
+		*sum += value
+	}
+
+	return fmt.Sprintf("%.3g %s", value, unit)
+}
+
+func (c *computation) membership() {
+	nodes := c.page.Target.Nodes
+	c.page.Control = append(c.page.Control, Row{
+		Part:     "membership",
+		State:    fmt.Sprintf("%.0f members", nodes),
+		Messages: c.value(MemberBytes, nodes, 1, "B/s", &c.page.ControlBytes),
+		CPU:      c.value(MemberCPU, nodes, 1, "% of a core", &c.page.ControlCPU),
+		Memory:   c.value(MemberMemory, nodes, 1, "MB", &c.page.ControlMemory),
+		Mechanism: "one random probe a period, state piggybacked on probes with a bounded number of entries " +
+			"(`state/member`); " + fmt.Sprintf("%.0f joins and %.0f failures a day are %.2g changes a second",
+			c.page.Target.RestartsPerDay, c.page.Target.FailuresPerDay,
+			(2*c.page.Target.RestartsPerDay+c.page.Target.FailuresPerDay)/secondsPerDay),
+	})
+}
+
+func (c *computation) configuration() {
+	target := c.page.Target
+	rate := target.ConfigPerDay / secondsPerDay
+	// Every node reads every record once; a record of the usual size has about 600 bytes on the wire.
+	const recordBytes = 600
+
+	c.page.ControlBytes += rate * recordBytes
+	c.page.Control = append(c.page.Control, Row{
+		Part:      "configuration",
+		State:     fmt.Sprintf("%.0f objects", target.ConfigObjects),
+		Messages:  fmt.Sprintf("%.3g records/s, %.3g B/s", rate, rate*recordBytes),
+		CPU:       c.value(ConfigApply, target.ConfigObjects, rate*percent/microPerSec, "% of a core", &c.page.ControlCPU),
+		Memory:    c.value(ConfigMemory, target.ConfigObjects, 1.0/bytesPerMB, "MB", &c.page.ControlMemory),
+		Mechanism: "every node follows the `config` stream with a long poll (`coordination/configfeed`); peers while the log is down",
+	})
+}
+
+func (c *computation) inventory() {
+	c.page.Control = append(c.page.Control, Row{
+		Part:      "engines in the subset",
+		State:     fmt.Sprintf("%.0f of %.0f engines", c.page.EnginesPerNode, c.page.Target.Engines),
+		Messages:  "one load report an engine and period",
+		CPU:       "in the data path",
+		Memory:    c.value(EngineMemory, c.page.EnginesPerNode, 1.0/bytesPerMB, "MB", &c.page.ControlMemory),
+		Mechanism: fmt.Sprintf("overlapping subsets by rendezvous hashing, %.0f nodes an engine (`state/placement`)", c.page.Target.Subset),
+	})
+}
+
+func (c *computation) account() {
+	target := c.page.Target
+	// A node serves the workspaces of its shuffle shards; two fifths of all is a high estimate.
+	keys := target.Workspaces * 0.4
+
+	c.page.Control = append(c.page.Control, Row{
+		Part:     "usage batches",
+		State:    fmt.Sprintf("%.0f keys", keys),
+		Messages: c.value(UsageBytes, keys, 1/target.UsageInterval, "B/s", &c.page.ControlBytes) + fmt.Sprintf(", %.0f appends/s over all nodes", target.Nodes/target.UsageInterval),
+		CPU:      c.value(UsageCPU, keys, percent/microPerSec/target.UsageInterval, "% of a core", &c.page.ControlCPU),
+		Memory:   fmt.Sprintf("%.3g MB", keys*300/bytesPerMB),
+		Mechanism: fmt.Sprintf("amounts of equal keys add up; one append a node and %.0f s (`coordination/usage`)",
+			target.UsageInterval),
+	})
+}
+
+func (c *computation) ledger() {
+	target := c.page.Target
+	c.page.Control = append(c.page.Control, Row{
+		Part:     "ledger shards",
+		State:    fmt.Sprintf("%.0f live keys in %.0f shards", target.LiveKeys, target.LedgerShards),
+		Messages: "2 records a non-idempotent call, grouped",
+		CPU:      "with the calls",
+		Memory:   "with the calls",
+		Mechanism: "log order decides the owner; recovery of one shard takes " +
+			c.value(LedgerRecovery, target.LiveKeys/target.LedgerShards, 1, "ms", nil) + " (`coordination/shard`)",
+	})
+}
+
+func (c *computation) requests() {
+	target := c.page.Target
+	requests := target.RequestsPerSecond / target.Nodes
+	tokens := target.TokensPerSecond / target.Nodes
+	streams := requests * target.RequestSeconds
+
+	c.page.Data = append(
+		c.page.Data,
+		Row{
+			Part: "requests", State: fmt.Sprintf("%.0f open", streams), Messages: fmt.Sprintf("%.3g requests/s", requests),
+			CPU:       c.value(RequestCPU, requests, percent/microPerSec, "% of a core", nil),
+			Memory:    c.value(StreamMemory, streams, 1.0/bytesPerMB, "MB", nil),
+			Mechanism: "one goroutine an attempt; the delivered text is kept until the end (`protocol/completion`)",
+		},
+		Row{
+			Part: "tokens", State: "-", Messages: fmt.Sprintf("%.3g tokens/s", tokens),
+			CPU:       c.value(TokenCPU, tokens, percent/microPerSec, "% of a core", nil),
+			Memory:    "-",
+			Mechanism: "one event a token, flushed at once",
+		},
+		Row{
+			Part: "request copies", State: fmt.Sprintf("%.0f copies", streams),
+			Messages:  fmt.Sprintf("%.3g kB/s each way", requests*target.PromptBytes/1000),
+			CPU:       "with the requests",
+			Memory:    fmt.Sprintf("%.3g MB", streams*target.PromptBytes/bytesPerMB),
+			Mechanism: "one copy in another zone before the first byte, progress in batches (`protocol/completion`)",
+		},
+		Row{
+			Part: "engine choice", State: fmt.Sprintf("%.0f engines", c.page.EnginesPerNode),
+			Messages: fmt.Sprintf("%.3g decisions/s", requests),
+			CPU: c.value(DecisionTime, min(c.page.EnginesPerNode, c.page.Target.Engines), requests*percent/microPerSec,
+				"% of a core", nil),
+			Memory:    "with the engines in the subset",
+			Mechanism: "one pass over the candidates of the service (`state/routing`)",
+		},
+	)
+}
+
+//go:embed page.md.tmpl
+var pageTemplate string
+
+// Write writes the page as Markdown.
+func (p Page) Write(w io.Writer) error {
+	parsed, err := template.New("page").Funcs(template.FuncMap{
+		"fit": func(r Relation) (Line, error) { return r.Fit() },
+	}).Parse(pageTemplate)
+	if err != nil {
+		return errors.Wrap(err, "parse page")
+	}
+
+	return parsed.Execute(w, p)
+}
