Fold the stream of a ledger shard

Cause: calls with an idempotency key were refused, since nothing decided from a stream which of them may have run.

state/ledger folds claims, intents, outcomes and checkpoints. A claim names the claim that it replaces. An intent counts only under the claim in force and for a free key. An abandoned outcome frees the key, also when it precedes its intent. Keys age by the times in the records, not by a reader's clock.

Ruled out: ageing by the reader's clock, which lets two readers disagree on an intent; dropping outcomes of former owners, which loses true ones; storing a call's body, of which the digest is enough.

Before: no state machine. Faults seeded one at a time made the tests fail: epoch not checked, abandoned ids not kept, live key not checked, old intents counted, claim order ignored, workspaces joined, checkpoint without abandoned ids, with parts missing, below the oldest offset or without the records after it, path left out of the digest.

Conclusion: all readers of a stream agree on which intents count.

--- /dev/null
+++ b/state/ledger/fold.go
@@ -0,0 +1,227 @@
+package ledger
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/apricotway/apricotway"
+)
+
+// Verdict tells what a record did to the state.
+type Verdict string
+
+// The values of Verdict.
+const (
+	VerdictApplied Verdict = "applied"
+	// VerdictVoid marks a record that lost against an earlier one and has no effect.
+	VerdictVoid Verdict = "void"
+	// VerdictUnreadable marks a record that this release does not understand.
+	VerdictUnreadable Verdict = "unreadable"
+	// VerdictHeld marks a record that waits for a complete checkpoint.
+	VerdictHeld Verdict = "held"
+)
+
+// Holder is the claim in force.
+type Holder struct {
+	// Offset is the fencing number of the shard, 0 when nobody has claimed it.
+	Offset apricotway.Offset `json:"offset"`
+	// Record is the id of the claim's record.
+	Record string            `json:"record"`
+	Owner  apricotway.NodeID `json:"owner"`
+}
+
+// Entry is a live key.
+type Entry struct {
+	Key    Key       `json:"key"`
+	Intent string    `json:"intent"`
+	Digest string    `json:"digest"`
+	At     time.Time `json:"at"`
+	// Outcome is nil while the outcome has not been recorded; it is never an abandoned one.
+	Outcome *Outcome `json:"outcome,omitempty"`
+}
+
+// Fold is the state of one shard. It is not safe for concurrent use.
+type Fold struct {
+	// retention is the age at which a key is forgotten. All readers of a stream use the same value.
+	retention time.Duration
+	next      apricotway.Offset
+	holder    Holder
+	// latest is the greatest time of an intent that counted. Ages are measured against it and not against a reader's
+	// clock, so that all readers forget a key at the same record.
+	latest  time.Time
+	entries map[Key]*Entry
+	// queue holds the entries in the order of their intents; expired ones are released from its front.
+	queue []*Entry
+	// abandoned holds the ids of abandoned intents with their times: a delayed copy of such an intent must not count.
+	abandoned map[string]time.Time
+	restore   *restore
+}
+
+// New returns the state before the first record of a stream.
+func New(retention time.Duration) *Fold {
+	return &Fold{retention: retention, next: 1, entries: map[Key]*Entry{}, abandoned: map[string]time.Time{}}
+}
+
+// Next returns the offset to read from next.
+func (f *Fold) Next() apricotway.Offset { return f.next }
+
+// Ready tells whether the state is complete. It is not between a trim and the next complete checkpoint.
+func (f *Fold) Ready() bool { return f.restore == nil }
+
+// Holder returns the claim in force.
+func (f *Fold) Holder() Holder { return f.holder }
+
+// Len returns the number of keys held.
+func (f *Fold) Len() int { return len(f.entries) }
+
+// Lookup returns the entry of a key that is live at the given time.
+func (f *Fold) Lookup(key Key, at time.Time) (Entry, bool) {
+	entry := f.entries[key]
+	if entry == nil || f.expired(entry.At, at) {
+		return Entry{}, false
+	}
+
+	return *entry, true
+}
+
+// Counts tells whether the intent with the record id counts and has no outcome.
+func (f *Fold) Counts(key Key, intent string) bool {
+	entry := f.entries[key]
+	return entry != nil && entry.Intent == intent && entry.Outcome == nil
+}
+
+// expired tells whether a time is beyond the retention, seen from the later of the given time and the stream's own.
+func (f *Fold) expired(at, now time.Time) bool {
+	if now.Before(f.latest) {
+		now = f.latest
+	}
+
+	return now.Sub(at) > f.retention
+}
+
+// Apply folds the record at the next offset.
+func (f *Fold) Apply(record apricotway.StoredRecord) Verdict {
+	if record.Offset < f.next {
+		return VerdictVoid
+	}
+
+	f.next = record.Offset + 1
+
+	if f.restore != nil {
+		return f.hold(record)
+	}
+
+	return f.apply(record)
+}
+
+func (f *Fold) apply(record apricotway.StoredRecord) Verdict {
+	if record.SchemaVersion != schemaVersion {
+		return VerdictUnreadable
+	}
+
+	switch record.Kind {
+	case KindClaim:
+		return applyPayload(record, f.applyClaim)
+	case KindIntent:
+		return applyPayload(record, f.applyIntent)
+	case KindOutcome:
+		return applyPayload(record, f.applyOutcome)
+	case KindCheckpoint:
+		return VerdictVoid
+	default:
+		return VerdictUnreadable
+	}
+}
+
+func applyPayload[Payload any](
+	record apricotway.StoredRecord, apply func(apricotway.StoredRecord, Payload) bool,
+) Verdict {
+	var payload Payload
+	if err := json.Unmarshal(record.Payload, &payload); err != nil {
+		return VerdictUnreadable
+	}
+
+	if apply(record, payload) {
+		return VerdictApplied
+	}
+
+	return VerdictVoid
+}
+
+func (f *Fold) applyClaim(record apricotway.StoredRecord, claim Claim) bool {
+	if claim.Replaces != f.holder.Offset {
+		return false
+	}
+
+	f.holder = Holder{Offset: record.Offset, Record: record.ID, Owner: claim.Owner}
+
+	return true
+}
+
+// applyIntent counts an intent only if no newer claim precedes it and the key is free at this place of the stream.
+func (f *Fold) applyIntent(record apricotway.StoredRecord, intent Intent) bool {
+	if record.Epoch == 0 || record.Epoch != f.holder.Offset || f.expired(intent.At, f.latest) {
+		return false
+	}
+
+	if _, abandoned := f.abandoned[record.ID]; abandoned {
+		return false
+	}
+
+	if _, live := f.Lookup(intent.Key, intent.At); live {
+		return false
+	}
+
+	f.insert(&Entry{Key: intent.Key, Intent: record.ID, Digest: intent.Digest, At: intent.At})
+
+	return true
+}
+
+func (f *Fold) insert(entry *Entry) {
+	if f.latest.Before(entry.At) {
+		f.latest = entry.At
+	}
+
+	f.entries[entry.Key] = entry
+	f.queue = append(f.queue, entry)
+
+	for len(f.queue) > 0 && f.expired(f.queue[0].At, f.latest) {
+		old := f.queue[0]
+		f.queue = f.queue[1:]
+
+		if f.entries[old.Key] == old {
+			delete(f.entries, old.Key)
+		}
+	}
+}
+
+func (f *Fold) applyOutcome(_ apricotway.StoredRecord, outcome Outcome) bool {
+	entry := f.entries[outcome.Key]
+	own := entry != nil && entry.Intent == outcome.Intent
+
+	if own && entry.Outcome != nil {
+		return false
+	}
+
+	if outcome.Result != ResultAbandoned {
+		if own {
+			entry.Outcome = &outcome
+		}
+
+		return own
+	}
+
+	if own {
+		delete(f.entries, outcome.Key)
+	}
+
+	for id, at := range f.abandoned {
+		if f.expired(at, f.latest) {
+			delete(f.abandoned, id)
+		}
+	}
+
+	f.abandoned[outcome.Intent] = outcome.At
+
+	return true
+}
