Run calls with an idempotency key at most once

Cause: bookings and release orders must not run twice, whatever ends, stalls or loses its answer.

Ruled out: sending under a newer claim that follows the intent, which the ledger allows, but the successor has answered unknown by then; claiming without a call that needs the shard, which would make partitioned processes claim from each other all the time; telling an own claim by the node's name, which a restarted process may share.

Before: every such call was refused.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -128,7 +128,8 @@
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
 	completions := completion.New(engine.New(), d.inventory, completion.WithLogger(d.logger))
-	calls := call.New(service.New(), d.inventory, call.WithLogger(d.logger))
+	services := service.New()
+	calls := call.New(services, d.inventory, call.WithLogger(d.logger), call.WithOnce(d.once(log, services)))
 
 	limits := api.DefaultLimits()
 	limits.BodyBytes = s.Limits.BodyBytes
--- /dev/null
+++ b/cmd/internal/daemon/ledger.go
@@ -0,0 +1,15 @@
+package daemon
+
+import (
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/protocol/call"
+)
+
+// once assembles what runs calls with an idempotency key.
+func (d *Daemon) once(log apricotway.Log, services apricotway.ServiceClient) call.Once {
+	shards := shard.New(d.supervisor, d.membership, log, call.NewSender(services, d.inventory),
+		shard.WithLogger(d.logger))
+
+	return call.NewLedger(shards, d.membership, d.peers, d.peerServer)
+}
--- /dev/null
+++ b/protocol/call/ledger.go
@@ -0,0 +1,186 @@
+package call
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/state/ledger"
+	"github.com/apricotway/apricotway/state/routing"
+)
+
+// methodCallOnce asks the owner of a shard to run a call with an idempotency key.
+const methodCallOnce apricotway.Method = "callOnce"
+
+// maxHops bounds the processes that one call asks for the owner: the process that hashing names, the owner that it names,
+// and one more when the shard changes hands meanwhile.
+const maxHops = 3
+
+// onceMessage is the message of methodCallOnce. The deadline travels in the envelope.
+type onceMessage struct {
+	Workspace apricotway.Workspace
+	Key       string
+	KeyTime   time.Time
+	Service   apricotway.Service
+	Call      apricotway.ServiceCall
+}
+
+// onceAnswer is the answer to methodCallOnce.
+type onceAnswer struct {
+	Answer apricotway.ServiceAnswer
+	// NotOwner tells that the process does not own the shard and has not run the call; Owner is whom to ask instead.
+	NotOwner bool
+	Owner    apricotway.NodeID
+}
+
+// Ledger implements Once: it takes each call to the owner of the key's shard.
+type Ledger struct {
+	shards     *shard.Manager
+	membership apricotway.Membership
+	peers      apricotway.Peers
+}
+
+var _ Once = (*Ledger)(nil)
+
+// NewLedger returns a ledger and registers its handler for the calls of other processes.
+func NewLedger(
+	shards *shard.Manager, membership apricotway.Membership, peers apricotway.Peers, registry apricotway.PeerRegistry,
+) *Ledger {
+	l := &Ledger{shards: shards, membership: membership, peers: peers}
+	apricotway.HandlePeer(registry, methodCallOnce, l.runHere)
+
+	return l
+}
+
+// Run implements Once.
+func (l *Ledger) Run(ctx context.Context, request Request) (apricotway.ServiceAnswer, error) {
+	message := onceMessage{
+		Workspace: request.Workspace, Key: request.Key, KeyTime: request.KeyTime,
+		Service: request.Service, Call: request.Call,
+	}
+	message.Call.Once = true
+
+	owner := l.shards.Candidate(ledger.Key{Workspace: request.Workspace, Key: request.Key})
+
+	for range maxHops {
+		answer, err := l.ask(ctx, owner, message)
+		if err != nil || !answer.NotOwner {
+			return answer.Answer, err
+		}
+
+		owner = answer.Owner
+	}
+
+	return apricotway.ServiceAnswer{}, noOwner("it changes hands")
+}
+
+func (l *Ledger) ask(ctx context.Context, owner apricotway.NodeID, message onceMessage) (onceAnswer, error) {
+	if owner == l.membership.Self().Node {
+		return l.runHere(ctx, message)
+	}
+
+	address, ok := l.address(owner)
+	if !ok {
+		return onceAnswer{}, noOwner("its owner is not known here")
+	}
+
+	answer, err := apricotway.CallPeer[onceAnswer](ctx, l.peers, address, methodCallOnce, message)
+	if err == nil {
+		return answer, nil
+	}
+
+	var refusal *apricotway.Refusal
+
+	switch {
+	case errors.As(err, &refusal):
+		return onceAnswer{}, refusal
+	case errors.Is(err, apricotway.ErrNotSent):
+		return onceAnswer{}, noOwner("its owner cannot be reached")
+	default:
+		return onceAnswer{}, &apricotway.Refusal{
+			Code:      apricotway.CodeOutcomeUnknown,
+			Execution: apricotway.ExecutionUnknown,
+			Message:   "the owner of the ledger shard did not answer; a repeat with the same key gets the outcome",
+			// A repeat is safe and finds the outcome once a successor owns the shard.
+			RetryAfter: retryAfter,
+		}
+	}
+}
+
+// runHere runs the call if this process owns the shard.
+func (l *Ledger) runHere(ctx context.Context, message onceMessage) (onceAnswer, error) {
+	answer, err := l.shards.Run(ctx, shard.Request{
+		Key:     ledger.Key{Workspace: message.Workspace, Key: message.Key},
+		KeyTime: message.KeyTime,
+		Service: message.Service,
+		Call:    message.Call,
+	})
+
+	var notOwner *shard.NotOwnerError
+	if errors.As(err, &notOwner) {
+		return onceAnswer{NotOwner: true, Owner: notOwner.Owner}, nil
+	}
+
+	return onceAnswer{Answer: answer}, err
+}
+
+func (l *Ledger) address(node apricotway.NodeID) (netip.AddrPort, bool) {
+	for _, member := range l.membership.Members() {
+		if member.Node == node {
+			return member.Peers, member.Peers.IsValid()
+		}
+	}
+
+	return netip.AddrPort{}, false
+}
+
+func noOwner(reason string) *apricotway.Refusal {
+	return &apricotway.Refusal{
+		Code:       apricotway.CodeLedgerUnavailable,
+		Execution:  apricotway.ExecutionNotStarted,
+		Message:    "the key's ledger shard cannot be used at present: " + reason,
+		RetryAfter: retryAfter,
+	}
+}
+
+// NewSender returns the sender of calls that run at most once. It tries another backend server only when no byte of the
+// call was sent.
+func NewSender(services apricotway.ServiceClient, inventory *inventory.Inventory) shard.Sender {
+	policy := routing.NewRoundRobin()
+
+	return func(
+		ctx context.Context, service apricotway.Service, call apricotway.ServiceCall,
+	) (apricotway.ServiceAnswer, error) {
+		call.Once = true
+
+		var excluded []apricotway.BackendServerID
+
+		last := errors.Wrap(apricotway.ErrNotSent, "no backend server can take the call at present")
+
+		for range maxAttempts {
+			candidates := inventory.Usable(service)
+
+			index := policy.Choose(time.Now(), routing.Work{Excluded: excluded}, candidates)
+			if index < 0 {
+				break
+			}
+
+			answer, err := services.Call(ctx, candidates[index], call)
+			if err == nil || ctx.Err() != nil || !errors.Is(err, apricotway.ErrNotSent) {
+				return answer, err
+			}
+
+			last = err
+			excluded = append(excluded, candidates[index].ID)
+
+			inventory.MarkLost(candidates[index].ID, time.Now())
+		}
+
+		return apricotway.ServiceAnswer{}, last
+	}
+}
