Recover a shard with large checkpoints

Cause: the recovery benchmark failed with 50,000 keys: 1000 parts of a checkpoint exceed the 16 MiB that the log service's client reads.

A failed read is repeated once with 20 records. Parts of checkpoints count the headers of recorded answers as well.

Ruled out: reading 20 records at a time always, which costs round trips for ordinary records.

--- a/cmd/scenario/ledger_test.go
+++ b/cmd/scenario/ledger_test.go
@@ -113,7 +113,10 @@
 	stopped := supervisor.ServeBackground(ctx)
 	n.stop = sync.OnceFunc(func() {
 		cancel()
-		_ = <-stopped
+
+		if err := <-stopped; !errors.Is(err, context.Canceled) {
+			c.t.Errorf("supervisor stopped with %v", err)
+		}
 	})
 
 	c.t.Cleanup(func() {
--- a/coordination/shard/shard.go
+++ b/coordination/shard/shard.go
@@ -13,7 +13,12 @@
 	"github.com/apricotway/apricotway/state/ledger"
 )
 
-const readLimit = 1000
+const (
+	readLimit = 1000
+	// smallReadLimit keeps a batch of the largest records, the parts of checkpoints, under the size limit of one answer of
+	// the log service's client. A read of readLimit such records fails.
+	smallReadLimit = 20
+)
 
 // shard is one stream of the ledger.
 type shard struct {
@@ -59,6 +64,8 @@
 	s.reading.Lock()
 	defer s.reading.Unlock()
 
+	limit := readLimit
+
 	for {
 		s.mu.Lock()
 		next, ready := s.fold.Next(), s.fold.Ready()
@@ -68,7 +75,7 @@
 			return nil
 		}
 
-		batch, err := s.manager.log.Read(ctx, s.stream, next, readLimit, 0)
+		batch, err := s.manager.log.Read(ctx, s.stream, next, limit, 0)
 		if errors.Is(err, apricotway.ErrTrimmed) {
 			if err := s.restart(ctx); err != nil {
 				return err
@@ -78,7 +85,13 @@
 		}
 
 		if err != nil {
-			return errors.Wrap(err, "read ledger stream")
+			if limit == smallReadLimit {
+				return errors.Wrap(err, "read ledger stream")
+			}
+
+			limit = smallReadLimit
+
+			continue
 		}
 
 		s.mu.Lock()
@@ -89,7 +102,7 @@
 		ready = s.fold.Ready()
 		s.mu.Unlock()
 
-		if len(batch.Records) < readLimit {
+		if len(batch.Records) < limit {
 			if !ready {
 				return errNoCheckpoint
 			}
@@ -418,7 +431,7 @@
 func (s *shard) record(ctx context.Context, current *running, outcome ledger.Outcome) error {
 	m := s.manager
 
-	if size(outcome) > m.maxBody {
+	if outcome.Size() > m.maxBody {
 		outcome.Header, outcome.Body, outcome.Omitted = nil, nil, true
 	}
 
@@ -447,17 +460,6 @@
 	return m.hook(StepAfterOutcome)
 }
 
-func size(outcome ledger.Outcome) int {
-	total := len(outcome.Body)
-	for name, values := range outcome.Header {
-		for _, value := range values {
-			total += len(name) + len(value)
-		}
-	}
-
-	return total
-}
-
 // abandon queues the abandoned outcome of an intent that may be in the stream.
 func (s *shard) abandon(current *running, outcome ledger.Outcome) {
 	record, err := ledger.NewRecord(ledger.KindOutcome, 0, outcome)
--- a/state/ledger/checkpoint.go
+++ b/state/ledger/checkpoint.go
@@ -10,7 +10,7 @@
 	"github.com/apricotway/apricotway"
 )
 
-// checkpointPartBytes bounds the recorded bodies in one record of a checkpoint.
+// checkpointPartBytes bounds the recorded answers in one record of a checkpoint.
 const checkpointPartBytes = 256 << 10
 
 // entryBytes is the size assumed for an entry without its recorded answer.
@@ -45,7 +45,7 @@
 
 		size += entryBytes
 		if entry.Outcome != nil {
-			size += len(entry.Outcome.Body)
+			size += entry.Outcome.Size()
 		}
 
 		if size > checkpointPartBytes && len(parts[len(parts)-1].Entries) > 0 {
--- a/state/ledger/record.go
+++ b/state/ledger/record.go
@@ -85,6 +85,18 @@
 	Omitted bool `json:"omitted,omitempty"`
 }
 
+// Size returns the bytes of the recorded answer.
+func (o Outcome) Size() int {
+	total := len(o.Body)
+	for name, values := range o.Header {
+		for _, value := range values {
+			total += len(name) + len(value)
+		}
+	}
+
+	return total
+}
+
 // NewRecord wraps a payload into an envelope with a new id.
 func NewRecord(kind string, epoch apricotway.Offset, payload any) (apricotway.Record, error) {
 	encoded, err := json.Marshal(payload)
