Claim and renew leases by log order

Cause: orders to backend servers and hosts need one holder, and a holder that was frozen must not have the last word.

Ruled out: leaving out the order when the condition holds already, for backend servers that check the number: an earlier holder's late order would still be taken. Counting validity from the read of the record.

Before: no leases.

Conclusion: order of records decides; no part of the daemon uses leases yet.

--- /dev/null
+++ b/state/lease/lease.go
@@ -0,0 +1,124 @@
+// Package lease folds the lease records of a stream and holds the rules for the validity of a lease. The order of the
+// records decides who holds the lease; times only decide when a holder stops and a challenger begins.
+package lease
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/apricotway/apricotway"
+)
+
+// Kind is the kind of a lease record in the stream that the lease guards.
+const Kind = "lease"
+
+const schemaVersion = 1
+
+// Terms are the times of a lease. All processes that contend for a lease use the same values.
+type Terms struct {
+	// TTL is the time for which a claim or renewal holds.
+	TTL time.Duration
+	// Margin covers the drift of monotonic clocks within one TTL.
+	Margin time.Duration
+	// MaxOrder bounds the time from giving an order to its effect at a backend server.
+	MaxOrder time.Duration
+}
+
+// Record is the payload of a claim or renewal.
+type Record struct {
+	// Replaces is the offset of the lease record that this one replaces, 0 for the first one of a stream.
+	Replaces apricotway.Offset `json:"replaces"`
+	Holder   apricotway.NodeID `json:"holder"`
+}
+
+// NewRecord returns a claim or renewal with a new id.
+func NewRecord(replaces apricotway.Offset, holder apricotway.NodeID) (apricotway.Record, error) {
+	payload, err := json.Marshal(Record{Replaces: replaces, Holder: holder})
+	if err != nil {
+		return apricotway.Record{}, errors.Wrap(err, "encode lease")
+	}
+
+	return apricotway.Record{SchemaVersion: schemaVersion, Kind: Kind, ID: uuid.NewString(), Payload: payload}, nil
+}
+
+// Current is the lease record in force.
+type Current struct {
+	// Number is the offset of the record and the fencing number of the lease; 0 when nobody holds the lease.
+	Number apricotway.Offset
+	// Record is the record's id.
+	Record string
+	Holder apricotway.NodeID
+	// Read is the reader's time at which it folded the record.
+	Read time.Time
+}
+
+// Fold is the state of one lease. It is not safe for concurrent use.
+type Fold struct {
+	next    apricotway.Offset
+	current Current
+}
+
+// New returns the state before the first record of a stream.
+func New() *Fold { return &Fold{next: 1} }
+
+// Next returns the offset to read from next.
+func (f *Fold) Next() apricotway.Offset { return f.next }
+
+// Current returns the lease record in force.
+func (f *Fold) Current() Current { return f.current }
+
+// Apply folds a record that was read at the given time. It returns whether the record is now the one in force.
+func (f *Fold) Apply(record apricotway.StoredRecord, read time.Time) bool {
+	if record.Offset < f.next {
+		return false
+	}
+
+	f.next = record.Offset + 1
+
+	var payload Record
+	if record.Kind != Kind || record.SchemaVersion != schemaVersion ||
+		json.Unmarshal(record.Payload, &payload) != nil || payload.Replaces != f.current.Number {
+		return false
+	}
+
+	f.current = Current{Number: record.Offset, Record: record.ID, Holder: payload.Holder, Read: read}
+
+	return true
+}
+
+// ChallengeAt returns the time from which another process may claim the lease.
+func (t Terms) ChallengeAt(current Current) time.Time {
+	if current.Number == 0 {
+		return time.Time{}
+	}
+
+	return current.Read.Add(t.TTL + t.Margin)
+}
+
+// ValidUntil returns the time at which a holder stops: sent is the monotonic time before the append of its winning record.
+func (t Terms) ValidUntil(sent time.Time) time.Time { return sent.Add(t.TTL - t.Margin) }
+
+// Order accompanies a desired condition that a holder gives to a backend server.
+type Order struct {
+	// Number is the fencing number. A backend server that checks it refuses a lower one than it has seen.
+	Number apricotway.Offset `json:"number"`
+	// NotAfter is the time after which the order must not be carried out.
+	NotAfter time.Time `json:"notAfter"`
+}
+
+// NewOrder returns an order that ends with the lease or with its longest lifetime, and false when the lease is not valid.
+func (t Terms) NewOrder(number apricotway.Offset, validUntil, now time.Time) (Order, bool) {
+	if number == 0 || !now.Before(validUntil) {
+		return Order{}, false
+	}
+
+	notAfter := now.Add(t.MaxOrder)
+	if validUntil.Before(notAfter) {
+		notAfter = validUntil
+	}
+
+	return Order{Number: number, NotAfter: notAfter}, true
+}
