Log an outcome that cannot be encoded in one place

Ruled out: a second event number for the same condition.

Before: TestEventCatalogue red. After: it passes, and eight runs each of the tests of root, ledger, lease, service client and scenarios with the race detector (go test -race -count=8).

Conclusion: one condition, one event, one place.

--- a/coordination/shard/shard.go
+++ b/coordination/shard/shard.go
@@ -435,10 +435,8 @@
 		outcome.Header, outcome.Body, outcome.Omitted = nil, nil, true
 	}
 
-	record, err := ledger.NewRecord(ledger.KindOutcome, 0, outcome)
-	if err != nil {
-		// The outcome stays in memory; a successor answers unknown, as for a lost outcome.
-		m.logger.Error(err, "outcome not encoded", "event", 223)
+	record, ok := s.outcomeRecord(outcome)
+	if !ok {
 		return nil
 	}
 
@@ -462,13 +460,21 @@
 
 // abandon queues the abandoned outcome of an intent that may be in the stream.
 func (s *shard) abandon(current *running, outcome ledger.Outcome) {
+	if record, ok := s.outcomeRecord(outcome); ok {
+		s.manager.later(s, record, current, outcome.Key)
+	}
+}
+
+// outcomeRecord wraps an outcome. When that fails the outcome stays in memory; a successor answers unknown, as for an
+// outcome that was lost.
+func (s *shard) outcomeRecord(outcome ledger.Outcome) (apricotway.Record, bool) {
 	record, err := ledger.NewRecord(ledger.KindOutcome, 0, outcome)
 	if err != nil {
 		s.manager.logger.Error(err, "outcome not encoded", "event", 223)
-		return
+		return apricotway.Record{}, false
 	}
 
-	s.manager.later(s, record, current, outcome.Key)
+	return record, true
 }
 
 // recorded notes that the outcome of a call is in the stream.
