Share failed reads of a ledger stream

Cause: calls of one shard waited for the stream's lock regardless of their deadline, and each then waited for the time-out of a log service that hangs.

A wait for the lock ends with the context, and a read that fails for another reason than its caller's context fails for all that waited for it.

Ruled out: a read for each call, which multiplies the reads of a busy shard.

After: after 10 s, one read and its repetition with a smaller limit.

Conclusion: a hanging log service delays a refusal by two time-outs at most for each read that a call needs.

--- a/cmd/scenario/lease_test.go
+++ b/cmd/scenario/lease_test.go
@@ -457,3 +457,40 @@
 		t.Errorf("got %d executions, want %d", sent, calls)
 	}
 }
+
+// hangingLog answers no read before its time-out.
+type hangingLog struct{ apricotway.Log }
+
+func (hangingLog) Read(
+	context.Context, apricotway.Stream, apricotway.Offset, int, time.Duration,
+) (apricotway.Batch, error) {
+	<-time.After(5 * time.Second)
+	return apricotway.Batch{}, apricotway.ErrLogUnavailable
+}
+
+// TestHangingLog guards against calls that wait in turn for the time-out of a log service that hangs, past their deadlines.
+func TestHangingLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := shard.New(suture.NewSimple("test"), &pair{self: apricotway.Member{Node: "a"}}, hangingLog{standin.NewLog()}, nil,
+			shard.WithShards(1))
+		start := time.Now()
+
+		var group sync.WaitGroup
+
+		for i := range 50 {
+			group.Go(func() {
+				_, err := m.Run(t.Context(), shard.Request{Key: ledger.Key{Key: fmt.Sprint(i)}})
+				if err == nil || apricotway.AsRefusal(err).Execution != apricotway.ExecutionNotStarted {
+					t.Errorf("got %v, want notStarted", err)
+				}
+			})
+		}
+
+		group.Wait()
+
+		// Time stands still in the test but for the time-outs of one read and its repetition.
+		if got, want := time.Since(start), 10*time.Second; got != want {
+			t.Errorf("got %s until the last answer, want %s", got, want)
+		}
+	})
+}
--- a/coordination/shard/shard.go
+++ b/coordination/shard/shard.go
@@ -26,8 +26,8 @@
 	number  int
 	stream  apricotway.Stream
 
-	// reading is held while the stream is read, so that concurrent calls share one read.
-	reading sync.Mutex
+	// reading holds an element while the stream is read, so that concurrent calls share one read.
+	reading chan struct{}
 
 	mu   sync.Mutex
 	fold *ledger.Fold
@@ -36,6 +36,9 @@
 	claims map[string]bool
 	// running holds the calls of this process whose outcome the fold does not show yet.
 	running map[ledger.Key]*running
+	// failures counts the failed reads, and failure is the error of the last one.
+	failures int
+	failure  error
 	// sinceCheckpoint counts the records folded since the last checkpoint, and checkpointed is its time.
 	sinceCheckpoint int
 	checkpointed    time.Time
@@ -54,16 +57,49 @@
 func (m *Manager) newShard(number int) *shard {
 	return &shard{
 		manager: m, number: number, stream: apricotway.Stream(fmt.Sprintf("ledger-%d", number)),
-		fold: ledger.New(m.retention()), claims: map[string]bool{}, running: map[ledger.Key]*running{},
+		reading: make(chan struct{}, 1), fold: ledger.New(m.retention()), claims: map[string]bool{}, running: map[ledger.Key]*running{},
 		checkpointed: time.Now(),
 	}
 }
 
 // readPast folds the stream until the record at the offset has been folded, or with 0 to the end of the stream.
+//
+// A read that fails while others wait for it fails for them too. Otherwise each would wait for the log service's time-out in
+// its turn, long past its deadline.
 func (s *shard) readPast(ctx context.Context, offset apricotway.Offset) error {
-	s.reading.Lock()
-	defer s.reading.Unlock()
+	s.mu.Lock()
+	failures := s.failures
+	s.mu.Unlock()
+
+	select {
+	case s.reading <- struct{}{}:
+		defer func() { <-s.reading }()
+	case <-ctx.Done():
+		return errors.Wrap(apricotway.ErrLogUnavailable, ctx.Err().Error())
+	}
+
+	s.mu.Lock()
+	failed, failure := s.failures > failures, s.failure
+	s.mu.Unlock()
+
+	if failed {
+		return failure
+	}
+
+	err := s.readLocked(ctx, offset)
+	// An end of this caller's own context says nothing about the log service.
+	if err != nil && ctx.Err() == nil {
+		s.mu.Lock()
+		s.failures++
+		s.failure = err
+		s.mu.Unlock()
+	}
+
+	return err
+}
 
+// readLocked is readPast for the caller that holds s.reading.
+func (s *shard) readLocked(ctx context.Context, offset apricotway.Offset) error {
 	limit := readLimit
 
 	for {
