Plan the fleet of a region as a pure function and a fold

Cause: hosts are reclaimed by whole zones and priced by zone and class, and a planner that loses an answer or its lease must create each host once.

Ruled out: solving the allocation as a linear programme. For a fixed limit on a zone the cheapest hosts come first, and without blocked markets the best limit is the demand over k-1 zones, so a few fills suffice.

Before: no fleet state. After: state/fleet allocates, plans, folds the stream and compares it with the host list. BackendServer gains clientToken, so that the list shows which order created a host; without it a host whose order took effect after it had been given up cannot be told from a foreign one.

Conclusion: what to create and release depends on the stream, the list and the time alone.

--- a/platform.go
+++ b/platform.go
@@ -29,6 +29,8 @@
 	State        HostState       `json:"state"`
 	// Deadline is the time at which the host is taken away; zero unless the state is HostLeaving.
 	Deadline time.Time `json:"deadline,omitzero"`
+	// ClientToken is the token of the order that created the host; empty for hosts that were not ordered through Cloud.
+	ClientToken string `json:"clientToken,omitempty"`
 }
 
 // HostList is the platform's list of live and leaving hosts. It lags behind reality.
--- /dev/null
+++ b/state/fleet/allocate.go
@@ -0,0 +1,206 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/apricotway/apricotway"
+)
+
+// limitSteps is the number of evenly spaced zone limits that are tried besides the exact ones. They matter where blocked
+// markets or hosts of other origin make the zones unequal.
+const limitSteps = 12
+
+// Allocation is the number of hosts wanted on each market.
+type Allocation struct {
+	Hosts map[Market]int
+	// Capacity is the total in tokens a second, and Surviving what is left of it without its largest zone.
+	Capacity  float64
+	Surviving float64
+	// cost is the price at which hosts that exist already are favoured by the hysteresis.
+	cost float64
+}
+
+// segment is a number of hosts of one market at one price: those that exist, or those that can be created.
+type segment struct {
+	Offer
+
+	price float64
+	unit  float64
+	count int
+}
+
+// allocator holds what all zone limits share.
+type allocator struct {
+	terms    Terms
+	demand   float64
+	segments []segment
+	// foreign is the capacity of each zone that is there in any case.
+	foreign      map[apricotway.Zone]float64
+	foreignHosts int
+}
+
+// Allocate returns the cheapest allocation that meets the demand without its largest zone and keeps the floor of on-demand
+// hosts. If there is none, it returns the one that comes closest.
+//
+// For a given limit on the capacity of a zone the cheapest allocation takes the cheapest hosts first. Without blocked markets
+// the best limit is the demand divided by k-1 for some number k of zones, since the cost is linear in between.
+func Allocate(terms Terms, observation Observation) Allocation {
+	a := newAllocator(terms, observation)
+
+	var best Allocation
+
+	for i, limit := range a.limits(observation.Offers) {
+		current := a.fill(limit)
+		if i == 0 || a.better(current, best) {
+			best = current
+		}
+	}
+
+	return best
+}
+
+func newAllocator(terms Terms, observation Observation) *allocator {
+	a := &allocator{terms: terms, demand: observation.Demand, foreign: map[apricotway.Zone]float64{}}
+	have := map[Market]int{}
+	speed := map[apricotway.MachineClass]float64{}
+
+	for _, offer := range observation.Offers {
+		speed[offer.MachineClass] = offer.TokensPerSecond
+	}
+
+	for _, host := range observation.Hosts {
+		switch {
+		case host.State == HostLeaving:
+		case host.Foreign:
+			a.foreign[host.Zone] += speed[host.MachineClass]
+			a.foreignHosts++
+		default:
+			have[host.Market]++
+		}
+	}
+
+	for _, offer := range observation.Offers {
+		if offer.TokensPerSecond <= 0 {
+			continue
+		}
+
+		unit := offer.unitPrice(terms.Start)
+		if n := have[offer.Market]; n > 0 {
+			keep := 1 - terms.Hysteresis
+			a.segments = append(a.segments, segment{Offer: offer, price: offer.Price * keep, unit: unit * keep, count: n})
+		}
+
+		if !observation.Blocked[offer.Market] {
+			a.segments = append(a.segments, segment{Offer: offer, price: offer.Price, unit: unit, count: math.MaxInt32})
+		}
+	}
+
+	slices.SortStableFunc(a.segments, func(x, y segment) int { return cmp.Compare(x.unit, y.unit) })
+
+	return a
+}
+
+// limits returns the capacities of a zone that are worth trying.
+func (a *allocator) limits(offers []Offer) []float64 {
+	zones, speeds := map[apricotway.Zone]bool{}, map[float64]bool{}
+	for _, offer := range offers {
+		zones[offer.Zone] = true
+		speeds[offer.TokensPerSecond] = true
+	}
+
+	var limits []float64
+
+	for k := 1; k < max(len(zones), 2); k++ {
+		for speed := range speeds {
+			if speed > 0 {
+				limits = append(limits, math.Ceil(a.demand/float64(k)/speed)*speed)
+			}
+		}
+	}
+
+	for i := 1; i <= limitSteps; i++ {
+		limits = append(limits, a.demand*float64(i)/limitSteps)
+	}
+
+	slices.Sort(limits)
+
+	return slices.Compact(limits)
+}
+
+// fill takes the cheapest hosts, first those of the floor, with no zone above the limit.
+func (a *allocator) fill(limit float64) Allocation {
+	result := Allocation{Hosts: map[Market]int{}}
+	zones := map[apricotway.Zone]float64{}
+	hosts := a.foreignHosts
+
+	for zone, capacity := range a.foreign {
+		zones[zone] = capacity
+		result.Capacity += capacity
+	}
+
+	left := make([]int, len(a.segments))
+	for i, s := range a.segments {
+		left[i] = s.count
+	}
+
+	take := func(i, wanted int) int {
+		s := a.segments[i]
+		// The small part makes up for the rounding of a limit that is a multiple of the speed.
+		room := int((limit-zones[s.Zone])/s.TokensPerSecond + 1e-9)
+		n := max(0, min(wanted, left[i], room))
+
+		if a.terms.MaxHosts > 0 {
+			n = min(n, max(0, a.terms.MaxHosts-hosts))
+		}
+
+		left[i] -= n
+		hosts += n
+		result.Hosts[s.Market] += n
+		result.Capacity += float64(n) * s.TokensPerSecond
+		result.cost += float64(n) * s.price
+		zones[s.Zone] += float64(n) * s.TokensPerSecond
+
+		return n
+	}
+
+	floor := a.terms.OnDemandFloor
+
+	for i, s := range a.segments {
+		if !s.Reclaimable && floor > 0 {
+			floor -= take(i, floor)
+		}
+	}
+
+	for i, s := range a.segments {
+		if missing := a.demand + limit - result.Capacity; missing > 0 {
+			take(i, int(math.Ceil(missing/s.TokensPerSecond-1e-9)))
+		}
+	}
+
+	largest := 0.0
+	for _, capacity := range zones {
+		largest = max(largest, capacity)
+	}
+
+	result.Surviving = result.Capacity - largest
+
+	return result
+}
+
+// better compares allocations by the demand that they meet without the largest zone, then with it, then by cost.
+func (a *allocator) better(x, y Allocation) bool {
+	const tolerance = 1e-6
+
+	for _, pair := range [][2]float64{
+		{min(x.Surviving, a.demand), min(y.Surviving, a.demand)},
+		{min(x.Capacity, a.demand), min(y.Capacity, a.demand)},
+	} {
+		if math.Abs(pair[0]-pair[1]) > tolerance*a.demand {
+			return pair[0] > pair[1]
+		}
+	}
+
+	return x.cost < y.cost
+}
--- /dev/null
+++ b/state/fleet/tracker.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/apricotway/apricotway"
+)
+
+// Lags are the times after which a difference between the stream and the host list is no longer put down to the list's lag.
+type Lags struct {
+	// Start is the time that a created host may take to appear on the list.
+	Start time.Duration
+	// List is the time for which the list may miss a host that it showed before, or show one that was released.
+	List time.Duration
+}
+
+// Tracker compares the stream with the host list. It is not safe for concurrent use.
+type Tracker struct {
+	lags Lags
+	// seen holds the time at which the list last showed a host.
+	seen map[apricotway.BackendServerID]time.Time
+	// strange holds the time from which the list shows a host that was ordered through the stream and does not belong to the
+	// fleet: its release is not visible yet, or its order took effect after it had been given up.
+	strange map[apricotway.BackendServerID]time.Time
+}
+
+// NewTracker returns a tracker.
+func NewTracker(lags Lags) *Tracker {
+	return &Tracker{
+		lags: lags, seen: map[apricotway.BackendServerID]time.Time{}, strange: map[apricotway.BackendServerID]time.Time{},
+	}
+}
+
+// Track returns the hosts of the region, and releases for the hosts that are gone and for those that nobody wants. The list
+// must have been read before the stream was, so that the fold knows the order of every host on the list.
+func (t *Tracker) Track(
+	now time.Time, fold *Fold, service apricotway.Service, list []apricotway.BackendServer,
+) ([]Host, []Intent) {
+	var (
+		hosts       []Host
+		corrections []Intent
+	)
+
+	listed := map[apricotway.BackendServerID]apricotway.BackendServer{}
+	for _, server := range list {
+		listed[server.ID] = server
+	}
+
+	open := fold.Open()
+	releasing := map[apricotway.BackendServerID]bool{}
+	tokens := map[string]bool{}
+
+	for _, o := range open {
+		if o.Action == ActionCreate {
+			tokens[o.Token] = true
+
+			hosts = append(hosts, Host{Market: o.Market, State: HostPending})
+		} else {
+			releasing[o.Host] = true
+		}
+	}
+
+	for id, owned := range fold.Owned() {
+		server, shown := listed[id]
+
+		switch {
+		case releasing[id]:
+			hosts = append(hosts, Host{ID: id, Market: owned.Market, State: HostLeaving})
+		case shown && server.State == apricotway.HostLive:
+			t.seen[id] = now
+			hosts = append(hosts, Host{ID: id, Market: owned.Market, State: HostLive})
+		case shown:
+			t.seen[id] = now
+			hosts = append(hosts, Host{ID: id, Market: owned.Market, State: HostLeaving})
+		case t.gone(now, id, owned):
+			corrections = append(corrections, Intent{Action: ActionRelease, Market: owned.Market, Host: id})
+		default:
+			hosts = append(hosts, Host{ID: id, Market: owned.Market, State: HostPending})
+		}
+	}
+
+	others, unwanted := t.trackOthers(now, fold, service, list, tokens, releasing)
+	hosts, corrections = append(hosts, others...), append(corrections, unwanted...)
+
+	for id := range t.seen {
+		if _, owned := fold.Owned()[id]; !owned {
+			delete(t.seen, id)
+		}
+	}
+
+	slices.SortFunc(corrections, func(a, b Intent) int { return strings.Compare(string(a.Host), string(b.Host)) })
+
+	return hosts, corrections
+}
+
+// trackOthers returns the foreign hosts of the list, and releases for those that were ordered through the stream and belong to
+// no open order and not to the fleet.
+func (t *Tracker) trackOthers(
+	now time.Time, fold *Fold, service apricotway.Service, list []apricotway.BackendServer,
+	tokens map[string]bool, releasing map[apricotway.BackendServerID]bool,
+) ([]Host, []Intent) {
+	var (
+		hosts   []Host
+		intents []Intent
+	)
+
+	strange := map[apricotway.BackendServerID]time.Time{}
+
+	for _, server := range list {
+		_, owned := fold.Owned()[server.ID]
+
+		switch {
+		case owned || tokens[server.ClientToken] || releasing[server.ID]:
+		case fold.Owns(server.ClientToken):
+			since, known := t.strange[server.ID]
+			if !known {
+				since = now
+			}
+
+			strange[server.ID] = since
+
+			if server.State == apricotway.HostLive && now.Sub(since) >= t.lags.List {
+				intents = append(intents, Intent{Action: ActionRelease, Host: server.ID})
+			}
+		case server.Service == service:
+			state := HostLive
+			if server.State != apricotway.HostLive {
+				state = HostLeaving
+			}
+
+			market := Market{Zone: server.Zone, MachineClass: server.MachineClass}
+			hosts = append(hosts, Host{ID: server.ID, Market: market, State: state, Foreign: true})
+		}
+	}
+
+	t.strange = strange
+
+	return hosts, intents
+}
+
+// gone tells whether a host that the list does not show has to be given up.
+func (t *Tracker) gone(now time.Time, id apricotway.BackendServerID, owned Owned) bool {
+	if seen, ok := t.seen[id]; ok {
+		return now.Sub(seen) >= t.lags.List
+	}
+
+	return now.Sub(owned.Read) >= t.lags.Start
+}
