Drive the fleet planner under the lease of the region's stream

Cause: a holder may die, freeze or lose an answer at any step between the wish for a host and the record of its creation.

Ruled out: waiting for the orders of an earlier holder to end before the first order. The client token of the intent makes a late copy harmless, and the host list shows the token of a host whose order had been given up. Also ruled out: counting an order without an answer as refused on its market alone; with two markets a zone that stayed silent took 27 s twice before the next was asked.

Before: nothing read the cloud API. After: coordination/planning records an intent, reads it back, checks the lease, calls, and records the outcome; the configuration kind fleet and a cloud address switch it on. Stand-ins of cloud and weight store serve as apricotctl standin cloud and weights.

Seen failing first, each by a change of the code taken back afterwards: a new token per order, no epoch check, no sequence check, no lease check before the call, no release of unwanted hosts, no back-off, no replacement on the notice, a missing host given up at once or never, open creations not counted, an order without an answer never given up, release before the replacement lives, the floor not kept, no hysteresis.

Conclusion: killed at every step of a creation and a release, the wanted hosts exist once and the stream knows each of them.

--- a/cmd/internal/ctl/standin.go
+++ b/cmd/internal/ctl/standin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -99,6 +100,48 @@
 // Execute implements flags.Commander.
 func (c *standinHosts) Execute([]string) error { return c.run(standin.NewHosts().Handler(), nil) }
 
+type standinCloud struct {
+	standinOptions
+
+	Region string        `long:"region" default:"local" description:"region of the hosts that are created"`
+	Hosts  string        `long:"hosts" value-name:"ADDR" required:"yes" description:"address of the host list"`
+	Lag    time.Duration `long:"lag" default:"0s" description:"lag of the host list"`
+}
+
+// Execute implements flags.Commander.
+func (c *standinCloud) Execute([]string) error {
+	hosts, err := netip.ParseAddrPort(c.Hosts)
+	if err != nil {
+		return errors.Wrap(err, "--hosts")
+	}
+
+	cloud := standin.NewCloud(apricotway.Region(c.Region), func(server apricotway.BackendServer, present bool) {
+		method, path := http.MethodPut, "/hosts"
+		if !present {
+			method, path = http.MethodDelete, "/hosts/"+string(server.ID)
+		}
+
+		url := httpjson.URL(hosts, path)
+		if err := httpjson.Do(context.Background(), httpjson.NewTransport(), method, url, server, nil); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	})
+	cloud.SetFaults(standin.CloudFaults{Lag: c.Lag})
+
+	return c.run(cloud.Handler(), nil)
+}
+
+type standinWeights struct {
+	standinOptions
+
+	Interval time.Duration `long:"interval" default:"1s" description:"time between two transfers"`
+}
+
+// Execute implements flags.Commander.
+func (c *standinWeights) Execute([]string) error {
+	return c.run(standin.NewWeights(c.Interval).Handler(), nil)
+}
+
 type standinEngine struct {
 	backendOptions
 
@@ -129,6 +172,8 @@
 		},
 		cli.Command{Name: "log", Short: "Append-only log service", Data: &standinLog{}},
 		cli.Command{Name: "hosts", Short: "List of live and leaving hosts", Data: &standinHosts{}},
+		cli.Command{Name: "cloud", Short: "Cloud API that creates and releases hosts", Data: &standinCloud{}},
+		cli.Command{Name: "weights", Short: "Rate-limited store of model weights", Data: &standinWeights{}},
 		cli.Command{Name: "engine", Short: "Model engine", Data: &standinEngine{}},
 		cli.Command{Name: "service", Short: "Plain service that keeps a ledger of bookings", Data: &standinService{}},
 	)
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -142,6 +142,8 @@
 		return err
 	}
 
+	d.startPlanner(log)
+
 	completions := completion.New(engine.New(), d.inventory, completion.WithLogger(d.logger))
 	services := service.New()
 	calls := call.New(services, d.inventory, call.WithLogger(d.logger), call.WithOnce(d.once(log, services)))
--- /dev/null
+++ b/cmd/internal/daemon/fleet.go
@@ -0,0 +1,56 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/leasing"
+	"github.com/apricotway/apricotway/coordination/planning"
+	"github.com/apricotway/apricotway/state/config"
+	"github.com/apricotway/apricotway/state/fleet"
+	"github.com/apricotway/apricotway/state/lease"
+	"github.com/apricotway/apricotway/transport/platform"
+)
+
+// planTerms are the parameters of a planner that operators do not set.
+var planTerms = fleet.Terms{MaxChanges: 256, Hysteresis: 0.1, Hold: 5 * time.Minute, Start: 3 * time.Minute}
+
+// fleetLease allows a successor to plan 10 s after the holder's last renewal.
+var fleetLease = lease.Terms{TTL: 9 * time.Second, Margin: time.Second, MaxOrder: 5 * time.Second}
+
+// startPlanner contends for the planning of this process's region. It needs the address of a cloud API; it changes nothing as
+// long as no fleet object of the region is in force.
+func (d *Daemon) startPlanner(log apricotway.Log) {
+	s := d.settings
+	if !s.Platform.Cloud.IsValid() {
+		return
+	}
+
+	held := leasing.New(d.supervisor, log, singleAppender{log}, fleet.StreamOf(s.Region), s.Node, fleetLease,
+		leasing.WithLogger(d.logger))
+
+	planning.New(d.supervisor, s.Region, s.Node, log, held, platform.NewHosts(s.Platform.Hosts),
+		platform.NewCloud(s.Platform.Cloud), func() (planning.Target, bool) {
+			spec, ok := d.feed.Fold().Fleet(s.Region)
+			if !ok {
+				return planning.Target{}, false
+			}
+
+			return fleetTarget(spec), true
+		}, planning.WithLogger(d.logger))
+}
+
+func fleetTarget(spec config.FleetSpec) planning.Target {
+	target := planning.Target{Service: spec.Service, Demand: spec.Demand, Terms: planTerms}
+	target.Terms.OnDemandFloor, target.Terms.MaxHosts = spec.OnDemandFloor, spec.MaxHosts
+
+	for _, price := range spec.Prices {
+		target.Offers = append(target.Offers, fleet.Offer{
+			Market: fleet.Market{Zone: price.Zone, MachineClass: price.MachineClass, Reclaimable: price.Reclaimable},
+			Price:  price.Price, ReclaimsPerHour: price.ReclaimsPerHour,
+			TokensPerSecond: spec.TokensPerSecond[price.MachineClass],
+		})
+	}
+
+	return target
+}
--- /dev/null
+++ b/cmd/scenario/fleet_test.go
@@ -0,0 +1,402 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/standin"
+	"github.com/apricotway/apricotway/coordination/leasing"
+	"github.com/apricotway/apricotway/coordination/planning"
+	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/state/fleet"
+)
+
+const fleetRegion = "prairie-west"
+
+// region is a region with its platform and the processes that contend for its planning.
+type region struct {
+	t     *testing.T
+	log   *standin.Log
+	hosts *standin.Hosts
+	cloud *standin.Cloud
+
+	mu     sync.Mutex
+	target planning.Target
+	// silent is a zone whose orders take no effect and get no answer.
+	silent apricotway.Zone
+}
+
+// Create implements apricotway.Cloud.
+func (r *region) Create(ctx context.Context, order apricotway.HostOrder) (apricotway.BackendServerID, error) {
+	if order.Zone == r.silent {
+		<-ctx.Done()
+		return "", apricotway.ErrPlatformUnavailable
+	}
+
+	return r.cloud.Create(ctx, order)
+}
+
+// Release implements apricotway.Cloud.
+func (r *region) Release(ctx context.Context, id apricotway.BackendServerID) error {
+	return r.cloud.Release(ctx, id)
+}
+
+func newRegion(t *testing.T) *region {
+	r := &region{t: t, log: standin.NewLog(), hosts: standin.NewHosts(), target: planning.Target{
+		Service: "shop-model", Demand: 400,
+		Terms: fleet.Terms{
+			OnDemandFloor: 2, MaxChanges: 64, Hysteresis: 0.1, Hold: 10 * time.Second, Start: time.Minute,
+		},
+	}}
+	r.cloud = standin.NewCloud(fleetRegion, func(server apricotway.BackendServer, present bool) {
+		if present {
+			r.hosts.Add(server)
+		} else {
+			r.hosts.Remove(server.ID)
+		}
+	})
+
+	for i, zone := range []apricotway.Zone{"a", "b", "c"} {
+		for _, reclaimable := range []bool{false, true} {
+			price := 1 + float64(i)/10
+			if reclaimable {
+				price *= 0.35
+			}
+
+			r.target.Offers = append(r.target.Offers, fleet.Offer{
+				Market: fleet.Market{Zone: zone, MachineClass: "standard", Reclaimable: reclaimable},
+				Price:  price, TokensPerSecond: 100,
+			})
+		}
+	}
+
+	return r
+}
+
+func (r *region) change(change func(*planning.Target)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	change(&r.target)
+}
+
+// candidate is one process that contends for the planning.
+type candidate struct {
+	log *freezableLog
+	// steps holds the steps passed, kill the one at which the process ends, and freeze the one at which it freezes.
+	mu    sync.Mutex
+	steps []string
+	kill  string
+
+	freeze planning.Step
+}
+
+func (p *candidate) killAt(step string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.kill = step
+}
+
+func (p *candidate) killed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return p.kill == "done"
+}
+
+func (r *region) start(ctx context.Context, name apricotway.NodeID) *candidate {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &candidate{log: &freezableLog{Log: r.log}}
+	supervisor := suture.NewSimple("test")
+	held := leasing.New(supervisor, p.log, shard.LogWriter{Log: p.log}, fleet.StreamOf(fleetRegion), name, leaseTerms)
+	planning.New(supervisor, fleetRegion, name, p.log, held, r.hosts, r, func() (planning.Target, bool) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+
+		target := r.target
+		target.Offers = slices.Clone(target.Offers)
+
+		return target, true
+	}, planning.WithLags(fleet.Lags{Start: time.Minute, List: 20 * time.Second}),
+		planning.WithHook(func(step planning.Step, intent fleet.Intent) error {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+
+			if p.freeze == step {
+				p.freeze = ""
+				p.log.freeze()
+				p.mu.Unlock()
+				p.log.wait()
+				p.mu.Lock()
+			}
+
+			current := string(step) + " " + string(intent.Action)
+			p.steps = append(p.steps, current)
+
+			if p.kill == current || p.kill == "done" {
+				p.kill = "done"
+				cancel()
+
+				return errors.New("killed")
+			}
+
+			return nil
+		}))
+	_ = supervisor.ServeBackground(ctx)
+	synctest.Wait()
+
+	return p
+}
+
+func (r *region) count() map[apricotway.Zone]int {
+	counts := map[apricotway.Zone]int{}
+	for _, order := range r.cloud.Alive() {
+		counts[order.Zone]++
+	}
+
+	return counts
+}
+
+// check compares the hosts that exist with the wanted number in each zone, and the stream with the cloud.
+// It returns the number of intents.
+func (r *region) check(ctx context.Context, when string, want map[apricotway.Zone]int) uint64 {
+	r.t.Helper()
+
+	got := r.count()
+	onDemand := 0
+
+	for _, order := range r.cloud.Alive() {
+		if !order.Reclaimable {
+			onDemand++
+		}
+	}
+
+	if !maps.Equal(got, want) {
+		r.t.Errorf("%s: got hosts %v, want %v", when, got, want)
+	}
+
+	if onDemand < 2 {
+		r.t.Errorf("%s: got %d on-demand hosts, want the floor of 2", when, onDemand)
+	}
+
+	fold := fleet.New(fleet.StreamOf(fleetRegion))
+
+	batch, err := r.log.Read(ctx, fleet.StreamOf(fleetRegion), 1, 100000, 0)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+
+	for _, record := range batch.Records {
+		fold.Apply(record, time.Now())
+	}
+
+	alive := slices.Sorted(maps.Keys(r.cloud.Alive()))
+	if owned := slices.Sorted(maps.Keys(fold.Owned())); !slices.Equal(owned, alive) || len(fold.Open()) > 0 {
+		r.t.Errorf("%s: the stream knows hosts %v and %d open intents, want %v and 0", when, owned, len(fold.Open()), alive)
+	}
+
+	return fold.Sequence()
+}
+
+// The cheapest allocations of 400 tokens a second without the largest of three zones, and of 200.
+var (
+	wantFull = map[apricotway.Zone]int{"a": 2, "b": 2, "c": 2}
+	wantHalf = map[apricotway.Zone]int{"a": 1, "b": 1, "c": 1}
+)
+
+// inRegion runs the test in a bubble and ends all processes.
+func inRegion(t *testing.T, test func(ctx context.Context, r *region)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		test(ctx, newRegion(t))
+		cancel()
+		sleep(2 * time.Minute)
+	})
+}
+
+// TestFleetHolderKilled guards against hosts that are ordered twice, forgotten or released by mistake when the holder dies at
+// any step of a creation or a release; the cloud's answers may be lost as well.
+func TestFleetHolderKilled(t *testing.T) {
+	for _, action := range []fleet.Action{fleet.ActionCreate, fleet.ActionRelease} {
+		for _, step := range []planning.Step{
+			planning.StepBeforeIntent, planning.StepAfterIntent, planning.StepBeforeCheck, planning.StepBeforeCall,
+			planning.StepAfterCall, planning.StepBeforeOutcome, planning.StepAfterOutcome,
+		} {
+			for _, faults := range []standin.CloudFaults{{}, {Lag: 10 * time.Second}, {After: 4 * time.Second}} {
+				t.Run(fmt.Sprintf("%s/%s/lag=%s,after=%s", action, step, faults.Lag, faults.After), func(t *testing.T) {
+					inRegion(t, func(ctx context.Context, r *region) {
+						r.cloud.SetFaults(faults)
+
+						first := r.start(ctx, "first")
+						first.killAt(string(step) + " " + string(action))
+						r.start(ctx, "second")
+						sleep(2 * time.Minute)
+						r.check(ctx, "after the creation", wantFull)
+						r.change(func(target *planning.Target) { target.Demand = 200 })
+						sleep(3 * time.Minute)
+
+						if got, want := r.check(ctx, "after the release", wantHalf), uint64(11); got != want {
+							t.Errorf("got %d intents, want %d: 6 hosts, one more as the floor spreads, 4 releases", got, want)
+						}
+
+						if !first.killed() {
+							t.Error("the holder did not reach the step")
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestFleetFrozenHolder guards against a holder that goes on with its plan after it was frozen past the end of its lease,
+// before or after its intents took effect in the log or after it has read them back.
+func TestFleetFrozenHolder(t *testing.T) {
+	for _, at := range []string{"before append", "after append", "before check"} {
+		inRegion(t, func(ctx context.Context, r *region) {
+			first := r.start(ctx, "first")
+			sleep(30 * time.Second)
+			r.check(ctx, "before the freeze", wantFull)
+
+			r.change(func(target *planning.Target) { target.Demand = 800 })
+			first.log.mu.Lock()
+			first.log.freezeBefore, first.log.freezeAfter = at == "before append", at == "after append"
+			first.log.mu.Unlock()
+			first.mu.Lock()
+
+			if at == "before check" {
+				first.freeze = planning.StepBeforeCheck
+			}
+
+			first.mu.Unlock()
+
+			r.start(ctx, "second")
+			sleep(time.Minute)
+			r.check(ctx, "while frozen "+at, map[apricotway.Zone]int{"a": 4, "b": 4, "c": 4})
+
+			first.mu.Lock()
+			passed := len(first.steps)
+			first.mu.Unlock()
+			first.log.wake()
+			sleep(time.Minute)
+			r.check(ctx, "after waking", map[apricotway.Zone]int{"a": 4, "b": 4, "c": 4})
+
+			first.mu.Lock()
+			defer first.mu.Unlock()
+
+			for _, step := range first.steps[passed:] {
+				if strings.HasPrefix(step, string(planning.StepBeforeCall)) {
+					t.Errorf("frozen %s: got a call of the deposed holder: %s", at, step)
+				}
+			}
+		})
+	}
+}
+
+// TestFleetFaults guards against missing and surplus hosts under faults of the cloud API, the host list and the log service.
+func TestFleetFaults(t *testing.T) {
+	tests := map[string]struct {
+		faults standin.CloudFaults
+		log    standin.LogFault
+		// during is the state at the end of the faults; nil where nothing is required of it.
+		during map[apricotway.Zone]int
+	}{
+		"zone refused":           {faults: standin.CloudFaults{RefuseZones: []apricotway.Zone{"a"}}, during: map[apricotway.Zone]int{"b": 4, "c": 4}},
+		"all refused":            {faults: standin.CloudFaults{RefuseAll: true}},
+		"slow":                   {faults: standin.CloudFaults{Before: 4 * time.Second}, during: wantFull},
+		"late after success":     {faults: standin.CloudFaults{After: time.Minute}, during: wantFull},
+		"taking effect too late": {faults: standin.CloudFaults{Before: 50 * time.Second}},
+		"answers lost":           {faults: standin.CloudFaults{LoseAnswer: true}, during: wantFull},
+		"answers lost and lag":   {faults: standin.CloudFaults{LoseAnswer: true, Lag: 15 * time.Second}},
+		"list lagging":           {faults: standin.CloudFaults{Lag: 15 * time.Second}, during: wantFull},
+		"log down":               {log: standin.LogDown, during: map[apricotway.Zone]int{}},
+		"log answers lost":       {log: standin.LogLoseAnswer},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			inRegion(t, func(ctx context.Context, r *region) {
+				r.cloud.SetFaults(test.faults)
+				r.start(ctx, "first")
+				r.start(ctx, "second")
+				r.log.SetFault(test.log)
+				sleep(2 * time.Minute)
+
+				if test.during != nil && test.log == standin.LogHealthy {
+					r.check(ctx, "during the faults", test.during)
+				}
+
+				r.log.SetFault(standin.LogHealthy)
+				r.cloud.SetFaults(standin.CloudFaults{})
+				sleep(10 * time.Minute)
+				r.check(ctx, "after the faults", wantFull)
+			})
+		})
+	}
+}
+
+// TestFleetSilentZone guards against capacity that waits for a zone whose orders never get an answer.
+func TestFleetSilentZone(t *testing.T) {
+	inRegion(t, func(ctx context.Context, r *region) {
+		r.silent = "a"
+		r.start(ctx, "first")
+		sleep(time.Minute)
+
+		if got, want := r.count(), (map[apricotway.Zone]int{"b": 4, "c": 4}); !maps.Equal(got, want) {
+			t.Errorf("got hosts %v, want %v", got, want)
+		}
+	})
+}
+
+// TestFleetZoneReclaimed guards against replacement that waits for the loss instead of the notice, and against replacements
+// that are given up when the next zone refuses them or the log service is down in between.
+func TestFleetZoneReclaimed(t *testing.T) {
+	inRegion(t, func(ctx context.Context, r *region) {
+		r.start(ctx, "first")
+		sleep(30 * time.Second)
+		r.check(ctx, "at first", wantFull)
+
+		// Zone a goes on notice, and all zones refuse at first.
+		r.cloud.SetFaults(standin.CloudFaults{RefuseAll: true})
+		r.hosts.ReclaimZone("a", time.Now().Add(30*time.Second))
+		sleep(5 * time.Second)
+		r.cloud.SetFaults(standin.CloudFaults{RefuseZones: []apricotway.Zone{"a"}})
+		sleep(20 * time.Second)
+
+		if got, want := r.count(), (map[apricotway.Zone]int{"a": 2, "b": 4, "c": 4}); !maps.Equal(got, want) {
+			t.Errorf("before the loss: got hosts %v, want %v", got, want)
+		}
+
+		r.log.SetFault(standin.LogDown)
+
+		for id, order := range r.cloud.Alive() {
+			if order.Zone == "a" {
+				if err := r.cloud.Release(ctx, id); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+
+		sleep(30 * time.Second)
+		r.log.SetFault(standin.LogHealthy)
+		r.cloud.SetFaults(standin.CloudFaults{RefuseZones: []apricotway.Zone{"a"}})
+		sleep(5 * time.Minute)
+		r.check(ctx, "without zone a", map[apricotway.Zone]int{"b": 4, "c": 4})
+
+		r.cloud.SetFaults(standin.CloudFaults{})
+		sleep(15 * time.Minute)
+		r.check(ctx, "with zone a again", wantFull)
+	})
+}
--- a/state/fleet/allocate.go
+++ b/state/fleet/allocate.go
@@ -36,6 +36,9 @@
 	terms    Terms
 	demand   float64
 	segments []segment
+	// floors are the orders in which the on-demand segments are tried for the floor: the cheapest first, and those first that
+	// cost least above what else their zone has to offer.
+	floors [2][]int
 	// foreign is the capacity of each zone that is there in any case.
 	foreign      map[apricotway.Zone]float64
 	foreignHosts int
@@ -52,9 +55,11 @@
 	var best Allocation
 
 	for i, limit := range a.limits(observation.Offers) {
-		current := a.fill(limit)
-		if i == 0 || a.better(current, best) {
-			best = current
+		for j, floor := range a.floors {
+			current := a.fill(limit, floor)
+			if i+j == 0 || a.better(current, best) {
+				best = current
+			}
 		}
 	}
 
@@ -92,16 +97,37 @@
 			a.segments = append(a.segments, segment{Offer: offer, price: offer.Price * keep, unit: unit * keep, count: n})
 		}
 
-		if !observation.Blocked[offer.Market] {
+		if !observation.Blocked[offer.Market] && !observation.Blocked[wholeZone(offer.Market)] {
 			a.segments = append(a.segments, segment{Offer: offer, price: offer.Price, unit: unit, count: math.MaxInt32})
 		}
 	}
 
 	slices.SortStableFunc(a.segments, func(x, y segment) int { return cmp.Compare(x.unit, y.unit) })
 
+	a.orderFloors()
+
 	return a
 }
 
+func (a *allocator) orderFloors() {
+	cheapest := map[apricotway.Zone]float64{}
+
+	// The segments are in the order of their prices.
+	for i, s := range a.segments {
+		if _, ok := cheapest[s.Zone]; !ok {
+			cheapest[s.Zone] = s.unit
+		}
+
+		if !s.Reclaimable {
+			a.floors[0] = append(a.floors[0], i)
+		}
+	}
+
+	extra := func(i int) float64 { return a.segments[i].unit - cheapest[a.segments[i].Zone] }
+	a.floors[1] = slices.Clone(a.floors[0])
+	slices.SortStableFunc(a.floors[1], func(i, j int) int { return cmp.Compare(extra(i), extra(j)) })
+}
+
 // limits returns the capacities of a zone that are worth trying.
 func (a *allocator) limits(offers []Offer) []float64 {
 	zones, speeds := map[apricotway.Zone]bool{}, map[float64]bool{}
@@ -129,8 +155,8 @@
 	return slices.Compact(limits)
 }
 
-// fill takes the cheapest hosts, first those of the floor, with no zone above the limit.
-func (a *allocator) fill(limit float64) Allocation {
+// fill takes the cheapest hosts, first those of the floor in its order, with no zone above the limit.
+func (a *allocator) fill(limit float64, order []int) Allocation {
 	result := Allocation{Hosts: map[Market]int{}}
 	zones := map[apricotway.Zone]float64{}
 	hosts := a.foreignHosts
@@ -167,10 +193,8 @@
 
 	floor := a.terms.OnDemandFloor
 
-	for i, s := range a.segments {
-		if !s.Reclaimable && floor > 0 {
-			floor -= take(i, floor)
-		}
+	for _, i := range order {
+		floor -= take(i, floor)
 	}
 
 	for i, s := range a.segments {
--- a/state/fleet/fold.go
+++ b/state/fleet/fold.go
@@ -42,6 +42,8 @@
 	ResultCreated  Result = "created"
 	ResultRefused  Result = "refused"
 	ResultReleased Result = "released"
+	// ResultUnanswered ends a creation that is given up because its orders got no answer.
+	ResultUnanswered Result = "unanswered"
 )
 
 // Outcome is the payload of an outcome record.
@@ -115,7 +117,8 @@
 	return open
 }
 
-// Blocked returns the markets that refused a host so recently that they are not asked again.
+// Blocked returns the markets that refused a host so recently that they are not asked again. A market without a class stands for
+// all markets of its zone.
 func (f *Fold) Blocked(now time.Time) map[Market]bool {
 	blocked := map[Market]bool{}
 
@@ -191,18 +194,26 @@
 	case ResultCreated:
 		f.hosts[outcome.Host] = Owned{Market: open.Market, Read: read}
 		delete(f.refusals, open.Market)
+		delete(f.refusals, wholeZone(open.Market))
 	case ResultReleased:
 		delete(f.hosts, open.Host)
 	case ResultRefused:
-		r := f.refusals[open.Market]
-		// Several orders that were refused together are one refusal.
-		if !read.Before(r.until) {
-			r.until = read.Add(min(firstBackoff<<min(r.count, 16), maxBackoff))
-			r.count++
-		}
+		f.refuse(open.Market, read)
+	case ResultUnanswered:
+		// The other markets of the zone would take the time of as many orders again.
+		f.refuse(wholeZone(open.Market), read)
+	}
+}
 
-		f.refusals[open.Market] = r
+func (f *Fold) refuse(market Market, read time.Time) {
+	r := f.refusals[market]
+	// Several orders that were refused together are one refusal.
+	if !read.Before(r.until) {
+		r.until = read.Add(min(firstBackoff<<min(r.count, 16), maxBackoff))
+		r.count++
 	}
+
+	f.refusals[market] = r
 }
 
 // NewRecord returns a record of an intent or an outcome under the lease with the given number.
--- a/state/fleet/market.go
+++ b/state/fleet/market.go
@@ -15,6 +15,9 @@
 	Reclaimable  bool                    `json:"reclaimable"`
 }
 
+// wholeZone returns what stands for all markets of the market's zone.
+func wholeZone(market Market) Market { return Market{Zone: market.Zone} }
+
 // Offer is a market with its current price.
 type Offer struct {
 	Market
@@ -60,7 +63,7 @@
 	Demand float64
 	Offers []Offer
 	Hosts  []Host
-	// Blocked holds markets that take no new hosts at present.
+	// Blocked holds markets that take no new hosts at present. A market without a class stands for all markets of its zone.
 	Blocked map[Market]bool
 }
 
