Measure the cost of the fleet planner

Cause: whether the planner saves its price is a question of figures.

Ruled out: a flat search over limits alone; with the floor filled cheapest first it took on-demand hosts where the zone's reclaimable ones were far cheaper.

Before: no measurement. After: apricotctl fleet-cost runs planner, all on-demand, cheapest zone first and a planner that knows the future over seeded prices and reclaims.

Conclusion: one command gives cost and unserved demand.

--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -28,6 +28,7 @@
 	for _, add := range []func(*flags.Command) error{
 		addAccountCommands,
 		addCapacityCommand,
+		addFleetCommand,
 		addLoadCommand,
 		addOperatorCommands,
 		addStandinCommands,
