Give the stand-in engine faults and KV cache transfer

Cause: resumption could be tested neither against engines that misbehave nor with KV caches that move.

PUT /fault switches a wrong echoed id, tokens of ended attempts, repeated and missing tokens, cuts in a stream or in a character, a crash on prompts with a marker, refused export and import, a cache lost after its import, no KV memory, and a freeze. Exports carry the computed part of a request to another engine, and GET /counters tells what had to be computed again. The client reports calls that got no connection as ErrNotSent, which tells a dead engine from a slow one, and takes a transport for tests in memory.

--- a/cmd/internal/ctl/standin.go
+++ b/cmd/internal/ctl/standin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -109,7 +110,9 @@
 // Execute implements flags.Commander.
 func (c *standinEngine) Execute([]string) error {
 	model := standin.NewEngineModel(standin.EngineTimes{PrefillPerToken: c.Prefill, DecodePerToken: c.Decode})
-	return c.run(standin.NewEngine(model).Handler(), c.register)
+	crash := standin.WithCrash(func() { os.Exit(cli.ExitFailure) })
+
+	return c.run(standin.NewEngine(model, crash).Handler(), c.register)
 }
 
 type standinService struct{ backendOptions }
--- a/cmd/internal/standin/engine.go
+++ b/cmd/internal/standin/engine.go
@@ -1,34 +1,118 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/transport/engine"
 	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
-// Engine serves the engines' HTTP API on top of an EngineModel.
+// kvPerToken is the time to transfer the KV cache of one token to another engine.
+const kvPerToken = 10 * time.Microsecond
+
+// errCut ends a stream without its end marker.
+var errCut = errors.New("stream cut")
+
+// Counters count an engine's work.
+type Counters struct {
+	Started int `json:"started"`
+	// Generated counts the tokens that were sent.
+	Generated int `json:"generated"`
+	// Recomputed counts the tokens of prompts and answers that resumed requests did not find in an imported KV cache.
+	Recomputed int `json:"recomputed"`
+	Exported   int `json:"exported"`
+	Imported   int `json:"imported"`
+	// Crashes counts the crashes of an engine whose process survives them.
+	Crashes int `json:"crashes"`
+}
+
+// Engine serves the engines' HTTP API on top of an EngineModel, with faults that are switched over HTTP.
 type Engine struct {
-	model *EngineModel
+	model     *EngineModel
+	transport http.RoundTripper
+	crash     func()
+	// crashed is closed when the engine crashes.
+	crashed chan struct{}
+
+	mu       sync.Mutex
+	fault    Fault
+	counters Counters
+	running  map[string]*kvCache
+	imported map[string]kvCache
+}
+
+// kvCache tells what part of a request an engine has computed.
+type kvCache struct {
+	Prompt string `json:"prompt"`
+	// Tokens are those of the answer.
+	Tokens int `json:"tokens"`
+}
+
+// EngineOption changes an engine under construction.
+type EngineOption func(*Engine)
+
+// WithCrash sets what a crash does beyond ending the engine's connections, such as the end of the process.
+func WithCrash(crash func()) EngineOption {
+	return func(e *Engine) { e.crash = crash }
+}
+
+// WithTransport sets the transport to other engines.
+func WithTransport(transport http.RoundTripper) EngineOption {
+	return func(e *Engine) { e.transport = transport }
 }
 
 // NewEngine returns an engine.
-func NewEngine(model *EngineModel) *Engine { return &Engine{model: model} }
+func NewEngine(model *EngineModel, options ...EngineOption) *Engine {
+	e := &Engine{
+		model: model, transport: httpjson.NewTransport(), crash: func() {}, crashed: make(chan struct{}),
+		running: map[string]*kvCache{}, imported: map[string]kvCache{},
+	}
+	for _, option := range options {
+		option(e)
+	}
+
+	return e
+}
+
+// Counters returns the engine's counters.
+func (e *Engine) Counters() Counters {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.counters
+}
 
-// Handler serves the engine over HTTP.
+// Handler serves the engine over HTTP. PUT /fault and GET /counters are for tests.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
-	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, r *http.Request) {
+		if e.current().Kind == FaultFreeze {
+			<-r.Context().Done()
+			return
+		}
+
 		httpjson.Write(w, http.StatusOK, e.model.Load(time.Now()))
 	})
 	mux.HandleFunc("GET /cache/events", func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, []apricotway.CacheEvent{})
 	})
+	mux.HandleFunc("POST /kv/export", e.serveExport)
+	mux.HandleFunc("POST /kv/import", e.serveImport)
+	mux.HandleFunc("PUT /fault", e.serveFault)
+	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
+		httpjson.Write(w, http.StatusOK, e.Counters())
+	})
 
 	return mux
 }
@@ -40,28 +124,54 @@
 		return
 	}
 
-	controller := http.NewResponseController(w)
+	fault := e.take(request)
+
+	if fault.Kind == FaultOutOfMemory {
+		http.Error(w, "no KV memory", http.StatusServiceUnavailable)
+		return
+	}
+
+	cache, err := e.begin(request)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+
+	defer e.end(request.RequestID)
+
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+
+	go func() {
+		select {
+		case <-e.crashed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+
+	s := &engineStream{w: w, controller: http.NewResponseController(w), id: request.RequestID}
 
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	// The caller learns at once that the engine took the request.
-	_ = controller.Flush()
+	_ = s.controller.Flush()
 
-	err := e.model.Generate(r.Context(), request, func(token apricotway.Token) error {
-		chunk := engine.Chunk{ID: request.RequestID, TokenIndex: token.Index, Choices: []engine.Choice{
-			{Text: token.Text, FinishReason: string(token.Finish)},
-		}}
+	sent := 0
 
-		data, err := json.Marshal(chunk)
-		if err != nil {
+	err = e.model.Generate(ctx, request, func(token apricotway.Token) error {
+		if err := e.disturb(ctx, s, fault, token, sent); err != nil {
 			return err
 		}
 
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", data); err != nil {
-			return err
-		}
+		sent++
+
+		e.mu.Lock()
+		e.counters.Generated++
+		cache.Tokens = token.Index + 1
+		e.mu.Unlock()
 
-		return controller.Flush()
+		return s.send(token)
 	})
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -70,3 +180,140 @@
 	// An error means that the caller is gone.
 	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
 }
+
+// begin notes a request and what it has to compute again.
+func (e *Engine) begin(request engine.Request) (*kvCache, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	present := apricotway.EstimateTokens(request.Prompt) + request.ResumeTokens
+
+	if request.KVHandle != "" {
+		imported, ok := e.imported[request.KVHandle]
+		if !ok || imported.Prompt != request.Prompt {
+			return nil, errors.New("unknown KV handle")
+		}
+
+		delete(e.imported, request.KVHandle)
+
+		e.counters.Recomputed += max(0, request.ResumeTokens-imported.Tokens)
+	} else if request.ResumeTokens > 0 {
+		e.counters.Recomputed += present
+	}
+
+	e.counters.Started++
+
+	cache := &kvCache{Prompt: request.Prompt, Tokens: request.ResumeTokens}
+	e.running[request.RequestID] = cache
+
+	return cache, nil
+}
+
+func (e *Engine) end(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	delete(e.running, id)
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var request engine.ExportRequest
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+
+	target, err := netip.ParseAddrPort(request.Target)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+
+	e.mu.Lock()
+	running, ok := e.running[request.RequestID]
+
+	var cache kvCache
+	if ok {
+		cache = *running
+	}
+	e.mu.Unlock()
+
+	if !ok || e.current().Kind == FaultRefuseExport {
+		http.Error(w, "no such request", http.StatusConflict)
+		return
+	}
+
+	transfer := time.Duration(apricotway.EstimateTokens(cache.Prompt)+cache.Tokens) * kvPerToken
+	if err := wait(r.Context(), transfer); err != nil {
+		return
+	}
+
+	var answer engine.ExportAnswer
+
+	err = httpjson.Do(r.Context(), e.transport, http.MethodPost, httpjson.URL(target, "/kv/import"), cache, &answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+
+	e.mu.Lock()
+	e.counters.Exported++
+	e.mu.Unlock()
+
+	httpjson.Write(w, http.StatusOK, answer)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var cache kvCache
+	if err := json.NewDecoder(r.Body).Decode(&cache); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+
+	handle := uuid.NewString()
+
+	e.mu.Lock()
+	e.counters.Imported++
+
+	// An engine that loses the cache after the import refuses the handle later.
+	if e.fault.Kind != FaultLoseImport {
+		e.imported[handle] = cache
+	}
+
+	refused := e.fault.Kind == FaultRefuseImport
+	e.mu.Unlock()
+
+	if refused {
+		http.Error(w, "no KV memory", http.StatusServiceUnavailable)
+		return
+	}
+
+	httpjson.Write(w, http.StatusOK, engine.ExportAnswer{KVHandle: handle})
+}
+
+// engineStream writes the events of one generation.
+type engineStream struct {
+	w          http.ResponseWriter
+	controller *http.ResponseController
+	id         string
+}
+
+func (s *engineStream) send(token apricotway.Token) error {
+	id := s.id
+	if token.Attempt != "" {
+		id = string(token.Attempt)
+	}
+
+	data, err := json.Marshal(engine.Chunk{ID: id, TokenIndex: token.Index, Choices: []engine.Choice{
+		{Text: token.Text, FinishReason: string(token.Finish)},
+	}})
+	if err != nil {
+		return err
+	}
+
+	if _, err := fmt.Fprintf(s.w, "data: %s\n\n", data); err != nil {
+		return err
+	}
+
+	return s.controller.Flush()
+}
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -34,8 +34,23 @@
 
 var _ apricotway.EngineClient = (*Client)(nil)
 
+// Option changes a client under construction.
+type Option func(*Client)
+
+// WithTransport sets the HTTP transport to the engines.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(c *Client) { c.transport = transport }
+}
+
 // New returns a client.
-func New() *Client { return &Client{transport: httpjson.NewTransport()} }
+func New(options ...Option) *Client {
+	c := &Client{transport: httpjson.NewTransport()}
+	for _, option := range options {
+		option(c)
+	}
+
+	return c
+}
 
 // Generate implements apricotway.EngineClient.
 func (c *Client) Generate(
@@ -141,11 +156,16 @@
 	ctx, cancel := context.WithTimeout(ctx, shortTimeout)
 	defer cancel()
 
-	if err := httpjson.Do(ctx, c.transport, method, url, body, result); err != nil {
+	err := httpjson.Do(ctx, c.transport, method, url, body, result)
+
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, httpjson.ErrNotSent) && ctx.Err() == nil:
+		return errors.Wrap(apricotway.ErrNotSent, err.Error())
+	default:
 		return errors.Wrap(err, "call engine")
 	}
-
-	return nil
 }
 
 type stream struct {
