--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -23,7 +23,6 @@
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/timeline"
 	"github.com/apricotway/apricotway/transport/api"
-	"github.com/apricotway/apricotway/transport/engine"
 	"github.com/apricotway/apricotway/transport/logservice"
 	"github.com/apricotway/apricotway/transport/operator"
 	"github.com/apricotway/apricotway/transport/peer"
@@ -51,6 +50,8 @@
 		apricotway.Directory
 	}
 
+	completions *completion.Requests
+
 	callers      *listener
 	operator     *listener
 	peerListener net.Listener
@@ -127,7 +128,7 @@
 	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
-	completions := completion.New(engine.New(), d.inventory, completion.WithLogger(d.logger))
+	d.completions = d.newCompletions()
 	calls := call.New(service.New(), d.inventory, call.WithLogger(d.logger))
 
 	limits := api.DefaultLimits()
@@ -136,7 +137,7 @@
 	limits.DefaultTimeout = time.Duration(s.Limits.DefaultTimeout)
 	limits.MaxTimeout = time.Duration(s.Limits.MaxTimeout)
 
-	callersAPI := api.New(d.feed.Fold(), d.membership, completions, calls,
+	callersAPI := api.New(d.feed.Fold(), d.membership, d.completions, calls,
 		api.WithLimits(limits), api.WithLogger(d.logger), api.WithReady(d.Ready))
 
 	registry := prometheus.NewRegistry()
@@ -229,6 +230,7 @@
 	err := d.callers.server.Shutdown(ctx)
 	_ = d.operator.server.Close()
 
+	d.handOver(ctx)
 	d.peers.Close()
 	d.cancel()
 	reason := <-d.stopped
--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -44,6 +44,10 @@
 			"request": cmdRequest,
 			"await":   cmdAwait,
 			"fill":    cmdFill,
+			"stream":  cmdStream,
+			"expect":  cmdExpect,
+			"load":    cmdLoad,
+			"loaded":  cmdLoaded,
 		},
 	})
 }
--- a/coordination/inventory/inventory.go
+++ b/coordination/inventory/inventory.go
@@ -24,6 +24,10 @@
 	logger logr.Logger
 	period time.Duration
 
+	// reading is held while the host list is read. begun is the time at which the last reading began.
+	reading sync.Mutex
+	begun   time.Time
+
 	mu sync.RWMutex
 	// servers is replaced as a whole and never changed in place.
 	servers []apricotway.BackendServer
@@ -68,7 +72,7 @@
 		defer ticker.Stop()
 
 		for {
-			i.refresh(ctx)
+			i.Refresh(ctx)
 
 			select {
 			case <-ctx.Done():
@@ -81,6 +85,22 @@
 	return i
 }
 
+// Refresh reads the host list now. Callers that wait for each other share one reading that began after they asked.
+func (i *Inventory) Refresh(ctx context.Context) {
+	asked := time.Now()
+
+	i.reading.Lock()
+	defer i.reading.Unlock()
+
+	if i.begun.After(asked) {
+		return
+	}
+
+	i.begun = time.Now()
+	i.refresh(ctx)
+}
+
+// refresh reads the host list. The caller holds reading.
 func (i *Inventory) refresh(ctx context.Context) {
 	servers, err := i.hosts.Hosts(ctx)
 	if err != nil {
--- /dev/null
+++ b/protocol/completion/copies.go
@@ -0,0 +1,492 @@
+package completion
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/apricotway/apricotway"
+)
+
+// The calls between processes.
+const (
+	methodCopyRequest  apricotway.Method = "copyRequest"
+	methodCopyProgress apricotway.Method = "copyProgress"
+	methodDropCopy     apricotway.Method = "dropCopy"
+	methodTakeOver     apricotway.Method = "takeOver"
+)
+
+const (
+	// copyTries is the number of members that are asked to hold a copy before the answer begins without one.
+	copyTries = 2
+	// copyPause is the time before another try when no member took the copy.
+	copyPause = time.Second
+	// searchWidth is the number of members asked at a time for a copy, searchLimit that of all members asked.
+	searchWidth = 4
+	searchLimit = 16
+)
+
+// requestCopy is a request together with the part of its answer that exists.
+type requestCopy struct {
+	Request Request
+	// Remaining is the time to the request's deadline; a duration needs no common clock.
+	Remaining time.Duration
+	// Origin is the process that runs the request.
+	Origin      apricotway.NodeID
+	OriginPeers netip.AddrPort
+	Tokens      []string
+	// Finish is set when Tokens is the whole answer.
+	Finish  apricotway.FinishReason
+	Version apricotway.ModelVersion
+}
+
+// replica is a copy that this process holds.
+type replica struct {
+	requestCopy
+
+	expires time.Time
+}
+
+type copyAnswer struct {
+	// Taken tells that another process runs the request in the place of the sender.
+	Taken bool
+}
+
+type progressEntry struct {
+	ID apricotway.RequestID
+	// From is the index of the first token.
+	From    int
+	Tokens  []string
+	Finish  apricotway.FinishReason
+	Version apricotway.ModelVersion
+}
+
+type progressMessage struct {
+	Origin  apricotway.NodeID
+	Entries []progressEntry
+}
+
+type progressAnswer struct {
+	// Missing requests have no copy at the peer that the entry continues.
+	Missing []apricotway.RequestID
+	// Taken requests are run by another process in the place of the sender.
+	Taken []apricotway.RequestID
+}
+
+type dropMessage struct {
+	Origin apricotway.NodeID
+	IDs    []apricotway.RequestID
+}
+
+type takeOverMessage struct {
+	ID        apricotway.RequestID
+	Workspace apricotway.Workspace
+	// By is the process that goes on with the request.
+	By      apricotway.NodeID
+	ByPeers netip.AddrPort
+	// Start asks the receiver itself to go on, since the sender is leaving.
+	Start bool
+}
+
+type takeOverAnswer struct {
+	Found bool
+	// Live tells that the answer comes from the process that ran the request and not from a copy.
+	Live    bool
+	Copy    requestCopy
+	Refusal *apricotway.Refusal
+}
+
+func (s *Requests) handle(registry apricotway.PeerRegistry) {
+	apricotway.HandlePeer(registry, methodCopyRequest, s.handleCopy)
+	apricotway.HandlePeer(registry, methodCopyProgress, s.handleProgress)
+	apricotway.HandlePeer(registry, methodDropCopy, s.handleDrop)
+	apricotway.HandlePeer(registry, methodTakeOver, s.handleTakeOver)
+}
+
+func (s *Requests) handleCopy(_ context.Context, message requestCopy) (copyAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.runs(message.Request.ID) {
+		return copyAnswer{Taken: true}, nil
+	}
+
+	message.Request.Deadline = time.Now().Add(message.Remaining)
+	s.copies[message.Request.ID] = &replica{message, message.Request.Deadline.Add(s.times.Retention)}
+
+	return copyAnswer{}, nil
+}
+
+// runs reports whether this process runs or ran the request itself. The caller holds the lock.
+func (s *Requests) runs(id apricotway.RequestID) bool {
+	a, ok := s.live[id]
+	if !ok {
+		return false
+	}
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return !a.moved
+}
+
+func (s *Requests) handleProgress(_ context.Context, message progressMessage) (progressAnswer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var answer progressAnswer
+
+	for _, entry := range message.Entries {
+		held, ok := s.copies[entry.ID]
+
+		switch {
+		case !ok && s.runs(entry.ID) || ok && held.Origin != message.Origin:
+			answer.Taken = append(answer.Taken, entry.ID)
+		case !ok || entry.From > len(held.Tokens):
+			answer.Missing = append(answer.Missing, entry.ID)
+		default:
+			if entry.From < len(held.Tokens) {
+				// A takeover may still encode the old slice.
+				held.Tokens = slices.Clone(held.Tokens[:entry.From])
+			}
+
+			held.Tokens = append(held.Tokens, entry.Tokens...)
+			held.Finish, held.Version = entry.Finish, entry.Version
+		}
+	}
+
+	return answer, nil
+}
+
+func (s *Requests) handleDrop(_ context.Context, message dropMessage) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, id := range message.IDs {
+		if held, ok := s.copies[id]; ok && held.Origin == message.Origin {
+			delete(s.copies, id)
+		}
+	}
+
+	return true, nil
+}
+
+// copyLocked returns a copy of the request and its tokens. The caller holds the answer's lock.
+func (a *Answer) copyLocked() requestCopy {
+	self := a.requests.self()
+
+	return requestCopy{
+		Request: a.request, Remaining: time.Until(a.request.Deadline), Origin: self.Node, OriginPeers: self.Peers,
+		Tokens: texts(a.tokens), Finish: finish(a.tokens), Version: a.version,
+	}
+}
+
+func (s *Requests) self() apricotway.Member {
+	if s.membership == nil {
+		return apricotway.Member{}
+	}
+
+	return s.membership.Self()
+}
+
+func texts(tokens []apricotway.Token) []string {
+	list := make([]string, len(tokens))
+	for i, token := range tokens {
+		list[i] = token.Text
+	}
+
+	return list
+}
+
+func finish(tokens []apricotway.Token) apricotway.FinishReason {
+	if len(tokens) == 0 {
+		return ""
+	}
+
+	return tokens[len(tokens)-1].Finish
+}
+
+// others returns the members that can be called, ordered by rendezvous hashing of the request's id, so that every process
+// looks for a copy first where it is likely to be.
+func (s *Requests) others(id apricotway.RequestID) []apricotway.Member {
+	if s.peers == nil {
+		return nil
+	}
+
+	self := s.membership.Self()
+	members := slices.DeleteFunc(slices.Clone(s.membership.Members()), func(m apricotway.Member) bool {
+		return m.State == apricotway.MemberDead || m.Peers == self.Peers
+	})
+
+	score := func(m apricotway.Member) uint64 { return xxhash.Sum64String(string(id) + "@" + m.Peers.String()) }
+	slices.SortStableFunc(members, func(a, b apricotway.Member) int { return cmp.Compare(score(b), score(a)) })
+
+	return members
+}
+
+// copyTo copies the request to the first member in another zone that takes it, or to one in the own zone when there is no
+// other zone.
+func (s *Requests) copyTo(a *Answer) {
+	self := s.self()
+
+	members := slices.DeleteFunc(s.others(a.request.ID), func(m apricotway.Member) bool {
+		return m.State == apricotway.MemberLeaving
+	})
+	slices.SortStableFunc(members, func(a, b apricotway.Member) int {
+		return compareBool(a.Zone == self.Zone, b.Zone == self.Zone)
+	})
+
+	tries := 0
+
+	for _, member := range members {
+		a.mu.Lock()
+		skip := slices.Contains(a.failed, member.Node)
+		message := a.copyLocked()
+		a.mu.Unlock()
+
+		if skip {
+			continue
+		}
+
+		ctx, cancel := context.WithTimeout(s.base, s.times.Copy)
+		answer, err := apricotway.CallPeer[copyAnswer](ctx, s.peers, member.Peers, methodCopyRequest, message)
+
+		cancel()
+
+		if err == nil {
+			if answer.Taken {
+				a.move()
+				return
+			}
+
+			a.mu.Lock()
+			a.holder, a.copiedTokens = member, len(message.Tokens)
+			a.mu.Unlock()
+
+			return
+		}
+
+		s.logger.Info("request not copied", "event", 314, "request", a.request.ID, "member", member.Node,
+			"error", err.Error())
+
+		a.mu.Lock()
+		a.failed = append(a.failed, member.Node)
+		a.mu.Unlock()
+
+		if tries++; tries == copyTries {
+			return
+		}
+	}
+
+	a.mu.Lock()
+	a.failed, a.nextCopy = nil, time.Now().Add(copyPause)
+	a.mu.Unlock()
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+func (s *Requests) flushInBackground(ctx context.Context) {
+	if s.peers == nil {
+		return
+	}
+
+	s.mu.Lock()
+	busy := s.flushing
+	s.flushing = true
+	s.mu.Unlock()
+
+	if busy {
+		return
+	}
+
+	go func() {
+		s.flush(ctx)
+
+		s.mu.Lock()
+		s.flushing = false
+		s.mu.Unlock()
+	}()
+}
+
+// batch is what one peer is told at a time.
+type batch struct {
+	holder   apricotway.Member
+	progress progressMessage
+	drop     dropMessage
+	answers  map[apricotway.RequestID]*Answer
+}
+
+// flush tells each peer the progress of the requests whose copies it holds, drops the copies that are no longer needed,
+// and copies requests whose peer is lost.
+func (s *Requests) flush(ctx context.Context) {
+	var calls sync.WaitGroup
+
+	batches, uncopied := s.collect(time.Now())
+
+	for _, a := range uncopied {
+		calls.Go(func() { s.copyTo(a) }) //nolint:contextcheck // the request outlives this call
+	}
+
+	for _, b := range batches {
+		calls.Go(func() { s.send(ctx, b) })
+	}
+
+	calls.Wait()
+}
+
+func (s *Requests) collect(now time.Time) (map[netip.AddrPort]*batch, []*Answer) {
+	self := s.self()
+	dead := map[apricotway.NodeID]bool{}
+
+	for _, member := range s.membership.Members() {
+		dead[member.Node] = member.State == apricotway.MemberDead
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	batches := map[netip.AddrPort]*batch{}
+
+	var uncopied []*Answer
+
+	for id, a := range s.live {
+		select {
+		case <-a.copied:
+		default:
+			continue
+		}
+
+		a.mu.Lock()
+
+		if dead[a.holder.Node] {
+			a.holder = apricotway.Member{}
+		}
+
+		running, held := a.ended.IsZero(), a.holder.Peers.IsValid()
+		needless := !running && (a.received || a.moved || a.err != nil || now.Sub(a.ended) >= s.times.Retention-2*s.times.Batch)
+
+		if running && !held && now.After(a.nextCopy) {
+			uncopied = append(uncopied, a)
+		}
+
+		if held && (needless || len(a.tokens) > a.copiedTokens) {
+			b := batches[a.holder.Peers]
+			if b == nil {
+				b = &batch{holder: a.holder, answers: map[apricotway.RequestID]*Answer{}}
+				b.progress.Origin, b.drop.Origin = self.Node, self.Node
+				batches[a.holder.Peers] = b
+			}
+
+			b.answers[id] = a
+
+			if needless {
+				b.drop.IDs = append(b.drop.IDs, id)
+				a.holder = apricotway.Member{}
+			} else {
+				tokens := a.tokens[a.copiedTokens:]
+				b.progress.Entries = append(b.progress.Entries, progressEntry{
+					ID: id, From: a.copiedTokens, Tokens: texts(tokens), Finish: finish(tokens), Version: a.version,
+				})
+			}
+		}
+
+		a.mu.Unlock()
+	}
+
+	return batches, uncopied
+}
+
+func (s *Requests) send(ctx context.Context, b *batch) {
+	ctx, cancel := context.WithTimeout(ctx, s.times.Copy)
+	defer cancel()
+
+	if len(b.drop.IDs) > 0 {
+		// A copy that is not dropped expires.
+		_, _ = apricotway.CallPeer[bool](ctx, s.peers, b.holder.Peers, methodDropCopy, b.drop)
+	}
+
+	if len(b.progress.Entries) == 0 {
+		return
+	}
+
+	answer, err := apricotway.CallPeer[progressAnswer](ctx, s.peers, b.holder.Peers, methodCopyProgress, b.progress)
+	if err != nil {
+		s.logger.Info("progress not copied", "event", 315, "member", b.holder.Node, "error", err.Error())
+	}
+
+	for _, entry := range b.progress.Entries {
+		a := b.answers[entry.ID]
+
+		if err == nil && slices.Contains(answer.Taken, entry.ID) {
+			a.move()
+			continue
+		}
+
+		a.mu.Lock()
+
+		switch {
+		case err != nil:
+			a.holder = apricotway.Member{}
+			a.failed = append(a.failed, b.holder.Node)
+		case slices.Contains(answer.Missing, entry.ID):
+			a.holder = apricotway.Member{}
+		default:
+			a.copiedTokens = entry.From + len(entry.Tokens)
+		}
+
+		a.mu.Unlock()
+	}
+}
+
+// orphans removes and returns the copies whose process is dead, and drops expired ones. The caller holds the lock.
+func (s *Requests) orphans(now time.Time) []requestCopy {
+	if s.membership == nil || len(s.copies) == 0 {
+		return nil
+	}
+
+	dead := map[apricotway.NodeID]bool{}
+
+	for _, member := range s.membership.Members() {
+		dead[member.Node] = member.State == apricotway.MemberDead
+	}
+
+	var orphans []requestCopy
+
+	for id, held := range s.copies {
+		switch {
+		case now.After(held.expires):
+			delete(s.copies, id)
+		case dead[held.Origin]:
+			orphans = append(orphans, held.requestCopy)
+		}
+	}
+
+	slices.SortFunc(orphans, func(a, b requestCopy) int {
+		return strings.Compare(string(a.Request.ID), string(b.Request.ID))
+	})
+
+	return orphans
+}
+
+// Copies returns the number of requests of other processes that this process keeps copies of.
+func (s *Requests) Copies() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return len(s.copies)
+}
--- /dev/null
+++ b/protocol/completion/moves.go
@@ -0,0 +1,184 @@
+package completion
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/resume"
+)
+
+// replanPeriod is the time between two plans while generations are left on leaving hosts: their pace changes, and places
+// become free.
+const replanPeriod = 250 * time.Millisecond
+
+func (r *Runner) register(a *attempt) {
+	r.mu.Lock()
+	r.running[a.id] = a
+	r.mu.Unlock()
+
+	// The list may have announced the host since it was chosen.
+	if r.announced(a.server.ID) {
+		r.plan()
+	}
+}
+
+func (r *Runner) unregister(a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	delete(r.running, a.id)
+}
+
+// unproven counts this process's attempts by engine without those that passed a trial there.
+func (r *Runner) unproven() map[apricotway.BackendServerID]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	counts := map[apricotway.BackendServerID]int{}
+
+	for _, a := range r.running {
+		if !a.proven.Load() {
+			counts[a.server.ID]++
+		}
+	}
+
+	return counts
+}
+
+// proven counts this process's attempts that passed a trial on the engine.
+func (r *Runner) proven(server apricotway.BackendServerID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	count := 0
+
+	for _, a := range r.running {
+		if a.server.ID == server && a.proven.Load() {
+			count++
+		}
+	}
+
+	return count
+}
+
+// used counts this process's attempts by engine, with those that are about to move there. The caller holds the lock.
+func (r *Runner) used() map[apricotway.BackendServerID]int {
+	used := map[apricotway.BackendServerID]int{}
+
+	for _, a := range r.running {
+		used[a.server.ID]++
+
+		if a.target != "" {
+			used[a.target]++
+		}
+	}
+
+	return used
+}
+
+// plan moves generations off leaving hosts. It does not block.
+func (r *Runner) plan() {
+	now := time.Now()
+	leaving := map[apricotway.BackendServerID]time.Time{}
+
+	for _, server := range r.inventory.All() {
+		if server.State == apricotway.HostLeaving {
+			leaving[server.ID] = server.Deadline
+		}
+	}
+
+	if len(leaving) == 0 {
+		return
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	running := map[apricotway.Service][]resume.Running{}
+
+	for _, a := range r.running {
+		deadline, ok := leaving[a.server.ID]
+		if !ok || a.target != "" || a.trial {
+			continue
+		}
+
+		tokens := int(a.tokens.Load())
+		running[a.request.Service] = append(running[a.request.Service], resume.Running{
+			Attempt:   a.id,
+			Version:   a.server.Version,
+			Deadline:  a.request.Deadline,
+			Leaves:    deadline,
+			Context:   apricotway.EstimateTokens(a.request.Prompt) + tokens,
+			Remaining: a.request.MaxTokens - tokens,
+			Pace:      time.Duration(a.pace.Load()),
+		})
+	}
+
+	left := 0
+
+	for service, generations := range running {
+		moves := resume.Plan(now, generations, r.targets(now, service), r.costs)
+		left += len(generations) - len(moves)
+
+		for _, move := range moves {
+			a := r.running[move.Attempt]
+			a.target = move.Target
+			a.moves <- move
+
+			r.moved.Add(1)
+			r.logger.V(1).Info("generation moves", "event", 303, "request", a.request.ID, "server", a.server.ID,
+				"target", move.Target, "choice", move.Choice)
+		}
+	}
+
+	if left == 0 {
+		return
+	}
+
+	if r.replan == nil {
+		r.replan = time.AfterFunc(replanPeriod, r.plan)
+	} else {
+		r.replan.Reset(replanPeriod)
+	}
+}
+
+// targets returns the engines of a service with their free places. The caller holds the lock.
+func (r *Runner) targets(now time.Time, service apricotway.Service) []resume.Target {
+	used := r.used()
+
+	var targets []resume.Target
+
+	for _, server := range r.inventory.Usable(service) {
+		if !r.suspects.set.Reserved(now, server.ID) {
+			targets = append(targets, resume.Target{
+				Server: server.ID, Version: server.Version, Free: r.engineLimit - used[server.ID],
+			})
+		}
+	}
+
+	return targets
+}
+
+// errTargetGone reports that the target of a move is no longer known.
+var errTargetGone = errors.New("target engine gone")
+
+// export moves the KV cache of a running attempt to another engine and returns its handle there.
+func (r *Runner) export(ctx context.Context, a *attempt, id apricotway.BackendServerID) (string, error) {
+	servers := r.inventory.All()
+
+	index := slices.IndexFunc(servers, func(s apricotway.BackendServer) bool { return s.ID == id })
+	if index < 0 {
+		return "", errTargetGone
+	}
+
+	handle, err := r.engines.ExportKV(ctx, a.server, a.id, servers[index])
+	if err != nil {
+		return "", errors.Wrap(err, "export the KV cache")
+	}
+
+	return handle, nil
+}
--- a/protocol/completion/request.go
+++ b/protocol/completion/request.go
@@ -1,12 +1,15 @@
-// Package completion runs model requests: it chooses engines, follows their streams and resumes a request on another
-// engine when one fails.
+// Package completion runs model requests: it chooses engines, follows their streams, resumes a request on another engine
+// when one fails, and keeps accepted requests alive over the loss of callers' connections and of processes.
 package completion
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/quarantine"
 )
 
 // Request is an accepted model request.
@@ -21,7 +24,34 @@
 	// Deadline is the time by which the whole answer has to be there.
 	Deadline time.Time
 	Sampling map[string]json.RawMessage
+	Form     Form
 }
 
-// Sink takes the answer's tokens in order, each index exactly once. An error ends the request.
+// Form is the form in which the caller wants the answer. It travels with the request, so that every process continues the
+// answer alike.
+type Form struct {
+	Chat         bool
+	Stream       bool
+	IncludeUsage bool
+	Created      time.Time
+}
+
+// Sink takes the answer's tokens in order, each index exactly once. An error ends the delivery.
 type Sink func(token apricotway.Token) error
+
+// VersionedSink takes tokens like a Sink, together with the model version that generated them.
+type VersionedSink func(token apricotway.Token, version apricotway.ModelVersion) error
+
+// Delivered is the part of an answer that exists already.
+type Delivered struct {
+	Text   string
+	Tokens int
+	// Version is the model version that generated the text; empty before the first token.
+	Version apricotway.ModelVersion
+}
+
+// digest identifies a request's content over workspaces, callers and attempts.
+func digest(request Request) quarantine.Digest {
+	sum := sha256.Sum256([]byte(string(request.Service) + "\x00" + request.Prompt))
+	return quarantine.Digest(hex.EncodeToString(sum[:]))
+}
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -2,35 +2,63 @@
 
 import (
 	"context"
-	"io"
+	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
-	"github.com/google/uuid"
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/state/quarantine"
+	"github.com/apricotway/apricotway/state/resume"
 	"github.com/apricotway/apricotway/state/routing"
 )
 
 const (
-	// maxAttempts bounds the engines that one request may use before it is given up.
-	maxAttempts = 4
+	// maxFailures bounds the failed attempts of one request before it is given up. Moves off leaving hosts are no failures.
+	maxFailures = 4
 	// retryAfter is proposed when no engine can take the request at present.
 	retryAfter = time.Second
+	// pollPeriod is the time between two looks for an engine, at its load, or at one that refused.
+	pollPeriod = 50 * time.Millisecond
+	// placeLimit bounds the wait of an accepted request for an engine; a replacement host takes about that long.
+	placeLimit = 30 * time.Second
+	// probeTimeout bounds the question whether an engine is alive.
+	probeTimeout = time.Second
 )
 
 // errSink marks an error of the caller's side, which ends the request without another attempt.
 var errSink = errors.New("caller gone")
 
-// Runner runs model requests.
+// Runner runs model requests on engines.
 type Runner struct {
 	engines   apricotway.EngineClient
 	inventory *inventory.Inventory
 	policy    routing.Policy
 	logger    logr.Logger
+	suspects  *Suspects
+	costs     resume.Costs
+	// engineLimit bounds the generations of this process on an engine that receives moved ones.
+	engineLimit int
+	// firstToken and nextToken bound the silence of an engine before and after the first token of an attempt.
+	firstToken time.Duration
+	nextToken  time.Duration
+
+	dropped    atomic.Int64
+	moved      atomic.Int64
+	resumed    atomic.Int64
+	recomputed atomic.Int64
+	crashes    atomic.Int64
+
+	mu sync.Mutex
+	// running holds the attempts that have a stream.
+	running map[apricotway.AttemptID]*attempt
+	// replan is armed while generations are left on leaving hosts.
+	replan *time.Timer
 }
 
 // Option changes a runner under construction.
@@ -46,46 +74,133 @@
 	return func(r *Runner) { r.policy = policy }
 }
 
+// WithSuspects sets the keeper of suspect requests; without it the runner knows only its own.
+func WithSuspects(suspects *Suspects) Option {
+	return func(r *Runner) { r.suspects = suspects }
+}
+
+// WithCosts sets the estimates for moves off leaving hosts.
+func WithCosts(costs resume.Costs) Option {
+	return func(r *Runner) { r.costs = costs }
+}
+
+// WithEngineLimit bounds the generations of this process on an engine that receives moved ones.
+func WithEngineLimit(limit int) Option {
+	return func(r *Runner) { r.engineLimit = limit }
+}
+
+// WithSilence bounds the silence of an engine before and after the first token of an attempt.
+func WithSilence(firstToken, nextToken time.Duration) Option {
+	return func(r *Runner) { r.firstToken, r.nextToken = firstToken, nextToken }
+}
+
 // New returns a runner.
 func New(engines apricotway.EngineClient, inventory *inventory.Inventory, options ...Option) *Runner {
-	r := &Runner{engines: engines, inventory: inventory, policy: routing.NewRoundRobin(), logger: logr.Discard()}
+	r := &Runner{
+		engines:     engines,
+		inventory:   inventory,
+		policy:      routing.NewRoundRobin(),
+		logger:      logr.Discard(),
+		costs:       resume.DefaultCosts(),
+		engineLimit: 64,
+		// The prefill of the longest prompts takes tens of seconds; engines slowed down by a factor of 4 still send a token
+		// within a second.
+		firstToken: time.Minute,
+		nextToken:  5 * time.Second,
+		running:    map[apricotway.AttemptID]*attempt{},
+	}
 	for _, option := range options {
 		option(r)
 	}
 
+	if r.suspects == nil {
+		r.suspects = NewSuspects()
+	}
+
+	inventory.Notify(func([]apricotway.BackendServer) { r.plan() })
+
 	return r
 }
 
-// progress is what exists of an answer.
+// Stats are the counters of a runner.
+type Stats struct {
+	// Dropped counts tokens that matched no live attempt or repeated an index.
+	Dropped int64 `json:"dropped"`
+	// Moved counts generations that left a host before its deadline.
+	Moved int64 `json:"moved"`
+	// Resumed counts the tokens of prompts and answers of resumed generations, which a restart would compute again.
+	Resumed int64 `json:"resumed"`
+	// Recomputed counts those of them that were prefilled again.
+	Recomputed int64 `json:"recomputed"`
+	// Crashes counts attempts that ended with an unannounced death of their engine.
+	Crashes int64 `json:"crashes"`
+}
+
+// Stats returns the counters.
+func (r *Runner) Stats() Stats {
+	return Stats{
+		Dropped: r.dropped.Load(), Moved: r.moved.Load(), Resumed: r.resumed.Load(), Recomputed: r.recomputed.Load(),
+		Crashes: r.crashes.Load(),
+	}
+}
+
+// progress is what exists of an answer. It belongs to the goroutine that runs the request.
 type progress struct {
 	text   strings.Builder
 	tokens int
 	// version is the model version that generated the text so far; empty before the first token.
 	version apricotway.ModelVersion
 	// started is set once an engine may have begun to run the request.
-	started  bool
-	excluded []apricotway.BackendServerID
-	finished bool
+	started bool
+	// prefilled is set once an engine has begun to work on the prompt; from then on a new attempt recomputes.
+	prefilled bool
+	excluded  []apricotway.BackendServerID
+	finished  bool
+	// next is the engine to which the generation moves.
+	next target
 }
 
-// Run runs the request and hands its tokens to the sink. It returns nil once the whole answer was delivered, and a
-// Refusal otherwise.
+// target is an engine that was chosen for the next attempt.
+type target struct {
+	server apricotway.BackendServerID
+	// handle names the KV cache that the engine holds for the request, covered the answer's tokens that it includes.
+	handle  string
+	covered int
+}
+
+// Run runs the request and hands its tokens to the sink. It returns nil once the whole answer was delivered, and a Refusal
+// otherwise.
 func (r *Runner) Run(ctx context.Context, request Request, sink Sink) error {
+	return r.Continue(ctx, request, Delivered{}, func(token apricotway.Token, _ apricotway.ModelVersion) error {
+		return sink(token)
+	})
+}
+
+// Continue runs the rest of a request behind the delivered part.
+func (r *Runner) Continue(ctx context.Context, request Request, delivered Delivered, sink VersionedSink) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 
-	var (
-		done progress
-		last error
-	)
+	done := &progress{tokens: delivered.Tokens, version: delivered.Version, prefilled: delivered.Tokens > 0}
+	done.started = delivered.Tokens > 0
+	done.text.WriteString(delivered.Text)
+
+	var last error
+
+	for failures := 0; failures < maxFailures; {
+		place, err := r.place(ctx, request, done)
+		if err != nil {
+			last = errors.Wrap(err, "find an engine")
+
+			var refusal *apricotway.Refusal
+			if errors.As(err, &refusal) {
+				return refusal
+			}
 
-	for range maxAttempts {
-		server, ok := r.choose(request, &done)
-		if !ok {
 			break
 		}
 
-		last = r.attempt(ctx, request, server, &done, sink)
+		last = r.attempt(ctx, request, place, done, sink)
 		if done.finished {
 			return nil
 		}
@@ -94,127 +209,151 @@
 			break
 		}
 
-		r.logger.Info("attempt failed", "event", 301, "request", request.ID, "server", server.ID,
-			"tokens", done.tokens, "error", last.Error())
+		if r.moving(done, place, last) {
+			continue
+		}
 
-		done.excluded = append(done.excluded, server.ID)
-	}
+		failures++
 
-	return refuse(ctx, &done, last)
-}
+		r.logger.Info("attempt failed", "event", 301, "request", request.ID, "server", place.server.ID,
+			"tokens", done.tokens, "error", last.Error())
 
-func (r *Runner) choose(request Request, done *progress) (apricotway.BackendServer, bool) {
-	candidates := r.inventory.Usable(request.Service)
-	if done.tokens > 0 {
-		candidates = sameVersion(candidates, done.version)
-	}
+		done.excluded = append(done.excluded, place.server.ID)
 
-	index := r.policy.Choose(time.Now(), work(request, done), candidates)
-	if index < 0 {
-		return apricotway.BackendServer{}, false
+		if errors.Is(last, apricotway.ErrBackendRefused) {
+			pause(ctx)
+		}
 	}
 
-	return candidates[index], true
+	return refuse(ctx, done, last)
 }
 
-func work(request Request, done *progress) routing.Work {
-	return routing.Work{
-		Prompt:       request.Prompt,
-		PromptTokens: apricotway.EstimateTokens(request.Prompt) + done.tokens,
-		MaxTokens:    request.MaxTokens - done.tokens,
-		Excluded:     done.excluded,
+// moving reports whether an attempt ended because its generation goes on elsewhere: it was moved, its host was taken away
+// after a notice, or the target did not import the KV cache, in which case the target prefills.
+func (r *Runner) moving(done *progress, place placement, last error) bool {
+	switch {
+	case errors.Is(last, errMoved):
+		return true
+	case place.handle != "" && errors.Is(last, apricotway.ErrBackendRefused):
+		r.logger.Info("import refused", "event", 305, "server", place.server.ID, "error", last.Error())
+		done.next = target{server: place.server.ID}
+
+		return true
+	case r.announced(place.server.ID) && !errors.Is(last, apricotway.ErrBackendRefused):
+		done.excluded = append(done.excluded, place.server.ID)
+		return true
+	default:
+		return false
 	}
 }
 
-func sameVersion(servers []apricotway.BackendServer, version apricotway.ModelVersion) []apricotway.BackendServer {
-	var same []apricotway.BackendServer
+// attempt runs one attempt and judges its end.
+func (r *Runner) attempt(ctx context.Context, request Request, place placement, done *progress, sink VersionedSink) error {
+	a := newAttempt(r, request, place.server, done, sink)
+	a.trial = place.trial
+	done.next = target{}
+
+	if done.prefilled {
+		recomputed := apricotway.EstimateTokens(request.Prompt) + done.tokens
+		r.resumed.Add(int64(recomputed))
 
-	for _, server := range servers {
-		if server.Version == version {
-			same = append(same, server)
+		if place.handle != "" {
+			recomputed = done.tokens - place.covered
 		}
+
+		r.recomputed.Add(int64(recomputed))
 	}
 
-	return same
-}
+	done.prefilled = true
+	err := a.run(ctx, place.handle)
 
-// attempt runs the request on one engine until the answer is complete or the stream breaks.
-func (r *Runner) attempt(
-	ctx context.Context, request Request, server apricotway.BackendServer, done *progress, sink Sink,
-) error {
-	id := apricotway.AttemptID(uuid.NewString())
+	switch {
+	case errors.Is(err, apricotway.ErrNotSent):
+		r.inventory.MarkLost(place.server.ID, time.Now())
 
-	r.policy.Started(time.Now(), server.ID, id, work(request, done))
-	defer func() { r.policy.Ended(time.Now(), server.ID, id) }()
+		done.prefilled = done.tokens > 0
+	case errors.Is(err, apricotway.ErrBackendRefused):
+		done.prefilled = done.tokens > 0
+	case errors.Is(err, apricotway.ErrStreamBroken):
+		done.started = true
 
-	stream, err := r.engines.Generate(ctx, server, apricotway.GenerateRequest{
-		Attempt:         id,
-		Version:         server.Version,
-		Prompt:          request.Prompt,
-		MaxTokens:       request.MaxTokens,
-		Priority:        request.Priority,
-		DeliveredText:   done.text.String(),
-		DeliveredTokens: done.tokens,
-		Sampling:        request.Sampling,
-	})
-	if err != nil {
-		if errors.Is(err, apricotway.ErrNotSent) {
-			r.inventory.MarkLost(server.ID, time.Now())
-		} else if !errors.Is(err, apricotway.ErrBackendRefused) {
-			done.started = true
+		if ctx.Err() == nil && r.crashed(ctx, place.server) {
+			r.crashes.Add(1)
+			r.inventory.MarkLost(place.server.ID, time.Now())
+			r.suspects.crashed(ctx, digest(request), place.server.ID, done.tokens, a.trial)
+
+			a.trial = false
 		}
+	}
 
-		return errors.Wrap(err, "start attempt")
+	if a.trial {
+		r.suspects.end(ctx, digest(request), done.finished)
 	}
-	defer stream.Close()
 
-	done.started = true
+	return err
+}
+
+// passTrial clears a suspect that has gone past the position of the crash. The digest's other requests and the engine are
+// free from then on.
+func (r *Runner) passTrial(a *attempt) {
+	entry := r.suspects.set.Entry(time.Now(), digest(a.request))
+	if a.done.tokens < entry.Position+trialMargin {
+		return
+	}
 
-	return r.follow(server, id, stream, done, sink)
+	a.trial = false
+	a.proven.Store(true)
+	// The entry spreads apart from the stream, which does not wait for other processes.
+	go r.suspects.end(context.Background(), digest(a.request), true)
 }
 
-// follow hands a stream's tokens to the sink. A token of another attempt is dropped; a repeated index is dropped; a
-// missing index breaks the stream.
-func (r *Runner) follow(
-	server apricotway.BackendServer, id apricotway.AttemptID, stream apricotway.TokenStream, done *progress, sink Sink,
-) error {
+// crashed reports whether an engine died without a notice. An engine that still answers only lost a stream, and one that
+// is silent is slow or frozen. The host list is read again, since the notice may be newer than the last reading.
+func (r *Runner) crashed(ctx context.Context, server apricotway.BackendServer) bool {
+	if r.announced(server.ID) {
+		return false
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+
+	// A question over a connection from before the death fails without a proof; later ones need a new connection.
 	for {
-		token, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return errors.Wrap(apricotway.ErrStreamBroken, "end marker before the last token")
+		_, err := r.engines.Load(ctx, server)
+		if errors.Is(err, apricotway.ErrNotSent) {
+			break
 		}
 
-		if err != nil {
-			return errors.Wrap(err, "follow stream")
+		if err == nil {
+			return false
 		}
 
-		if token.Attempt != id {
-			r.logger.Info("token of another attempt dropped", "event", 302, "server", server.ID, "attempt", token.Attempt)
-			continue
+		if pause(ctx); ctx.Err() != nil {
+			return false
 		}
+	}
 
-		if token.Index < done.tokens {
-			continue
-		}
+	r.inventory.Refresh(ctx)
 
-		if token.Index > done.tokens {
-			return errors.Wrapf(apricotway.ErrStreamBroken, "token %d in place of %d", token.Index, done.tokens)
-		}
+	return !r.announced(server.ID)
+}
 
-		r.policy.Token(time.Now(), server.ID, id, 1)
+// announced reports whether the end of a server was announced.
+func (r *Runner) announced(id apricotway.BackendServerID) bool {
+	servers := r.inventory.All()
+	index := slices.IndexFunc(servers, func(s apricotway.BackendServer) bool { return s.ID == id })
 
-		if err := sink(token); err != nil {
-			return errors.Wrap(errSink, err.Error())
-		}
+	return index < 0 || servers[index].State == apricotway.HostLeaving
+}
 
-		done.version = server.Version
-		done.tokens++
-		done.text.WriteString(token.Text)
+// pause waits until it is time for another look.
+func pause(ctx context.Context) {
+	timer := time.NewTimer(pollPeriod)
+	defer timer.Stop()
 
-		if token.Finish != "" {
-			done.finished = true
-			return nil
-		}
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -244,3 +383,17 @@
 
 	return refusal
 }
+
+func quarantined(entry quarantine.Entry, started bool) *apricotway.Refusal {
+	refusal := &apricotway.Refusal{
+		Code:       apricotway.CodeQuarantined,
+		Execution:  apricotway.ExecutionNotStarted,
+		Message:    "the request crashed the engines that ran it",
+		RetryAfter: time.Until(entry.Until),
+	}
+	if started {
+		refusal.Execution = apricotway.ExecutionUnknown
+	}
+
+	return refusal
+}
--- /dev/null
+++ b/protocol/completion/takeover.go
@@ -0,0 +1,297 @@
+package completion
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+)
+
+// handleTakeOver gives a request to the process that goes on with it. A copy is kept for that process.
+func (s *Requests) handleTakeOver(_ context.Context, message takeOverMessage) (takeOverAnswer, error) {
+	s.mu.Lock()
+	a, live := s.live[message.ID]
+	held, copied := s.copies[message.ID]
+
+	if copied && held.Request.Workspace == message.Workspace && !message.Start {
+		answer := takeOverAnswer{Found: true, Copy: held.requestCopy}
+		answer.Copy.Remaining = time.Until(held.Request.Deadline)
+		held.Origin, held.OriginPeers = message.By, message.ByPeers
+		s.mu.Unlock()
+
+		return answer, nil
+	}
+
+	s.mu.Unlock()
+
+	switch {
+	case live && a.request.Workspace == message.Workspace:
+		return a.handOver(), nil
+	case copied && held.Request.Workspace == message.Workspace:
+		s.adopt(held.requestCopy, apricotway.Member{}, 0) //nolint:contextcheck // the request outlives this call
+		return takeOverAnswer{Found: true}, nil
+	default:
+		return takeOverAnswer{}, nil
+	}
+}
+
+// handOver ends a running request in this process and returns what the next one needs. An ended request stays where it is.
+func (a *Answer) handOver() takeOverAnswer {
+	a.mu.Lock()
+	moved, running := a.moved, a.ended.IsZero()
+	a.mu.Unlock()
+
+	if moved {
+		return takeOverAnswer{}
+	}
+
+	if running {
+		a.requests.logger.Info("request handed over", "event", 313, "request", a.request.ID)
+		a.move()
+	}
+
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	answer := takeOverAnswer{Found: true, Live: true, Copy: a.copyLocked()}
+	if !a.moved {
+		answer.Refusal = a.err
+	}
+
+	return answer
+}
+
+// adopt makes this process the one that runs the request. The holder keeps a copy with the given number of tokens already;
+// without a holder the request is copied anew.
+func (s *Requests) adopt(from requestCopy, holder apricotway.Member, copied int) *Answer {
+	a := s.newAnswer(from.Request)
+	a.version, a.holder, a.copiedTokens = from.Version, holder, min(copied, len(from.Tokens))
+	// A reader of the process that is gone knows the request's id.
+	a.known = true
+
+	for i, text := range from.Tokens {
+		a.tokens = append(a.tokens, apricotway.Token{Index: i, Text: text})
+	}
+
+	s.mu.Lock()
+
+	if current, ok := s.live[from.Request.ID]; ok && s.runs(from.Request.ID) {
+		s.mu.Unlock()
+		return current
+	}
+
+	delete(s.copies, from.Request.ID)
+
+	if from.Finish != "" {
+		a.tokens[len(a.tokens)-1].Finish = from.Finish
+		a.ended = time.Now()
+		a.cancel = func() {}
+	}
+
+	s.live[from.Request.ID] = a
+
+	if a.ended.IsZero() {
+		s.run(a)
+	}
+
+	s.mu.Unlock()
+
+	if holder.Peers.IsValid() || !a.ended.IsZero() {
+		close(a.copied)
+		return a
+	}
+
+	go func() {
+		defer close(a.copied)
+
+		s.copyTo(a)
+	}()
+
+	return a
+}
+
+// find is a request that a member, or this process when the member is empty, gave for a takeover.
+type find struct {
+	takeOverAnswer
+
+	member apricotway.Member
+}
+
+// search finds a request that another process accepted and takes it over. The process that ran the request is asked as
+// well when it is not known to be dead: it has newer progress and has to stop.
+func (s *Requests) search(
+	ctx context.Context, workspace apricotway.Workspace, id apricotway.RequestID,
+) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.times.Search)
+	defer cancel()
+
+	self := s.self()
+	message := takeOverMessage{ID: id, Workspace: workspace, By: self.Node, ByPeers: self.Peers}
+
+	finds, err := s.ask(ctx, message)
+	if err != nil {
+		return nil, err
+	}
+
+	best := finds[0]
+	for _, other := range finds[1:] {
+		if other.Live || !best.Live && len(other.Copy.Tokens) > len(best.Copy.Tokens) {
+			best = other
+		}
+	}
+
+	if origin := best.Copy.OriginPeers; !best.Live && origin.IsValid() && origin != self.Peers {
+		ctx, cancel := context.WithTimeout(ctx, s.times.Copy)
+		answer, err := apricotway.CallPeer[takeOverAnswer](ctx, s.peers, origin, methodTakeOver, message)
+
+		cancel()
+
+		if err == nil && answer.Found && answer.Live {
+			best = find{takeOverAnswer: answer}
+		}
+	}
+
+	holder, copied := s.keepOne(ctx, id, finds, best.Refusal != nil)
+	if best.Refusal != nil {
+		return nil, best.Refusal
+	}
+
+	best.Copy.Request.Deadline = time.Now().Add(best.Copy.Remaining)
+
+	s.logger.Info("request taken over", "event", 316, "request", id, "origin", best.Copy.Origin,
+		"tokens", len(best.Copy.Tokens))
+
+	return s.adopt(best.Copy, holder, copied), nil //nolint:contextcheck // the request outlives this call
+}
+
+// ask looks for the request in this process's copies and then at the members, the likely holder first. It returns at least
+// one find.
+func (s *Requests) ask(ctx context.Context, message takeOverMessage) ([]find, error) {
+	s.mu.Lock()
+	held, ok := s.copies[message.ID]
+
+	if ok && held.Request.Workspace == message.Workspace {
+		local := find{takeOverAnswer: takeOverAnswer{Found: true, Copy: held.requestCopy}}
+		local.Copy.Remaining = time.Until(held.Request.Deadline)
+		s.mu.Unlock()
+
+		return []find{local}, nil
+	}
+
+	s.mu.Unlock()
+
+	members := s.others(message.ID)
+	refusal := notFound()
+
+	if len(members) > searchLimit {
+		members = members[:searchLimit]
+		refusal.RetryAfter = retryAfter
+	}
+
+	for group := range slices.Chunk(members, searchWidth) {
+		answers := make([]find, len(group))
+		failures := make([]error, len(group))
+
+		var calls sync.WaitGroup
+
+		for i, member := range group {
+			calls.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, s.times.Copy)
+				defer cancel()
+
+				answers[i].member = member
+				answers[i].takeOverAnswer, failures[i] = apricotway.CallPeer[takeOverAnswer](
+					ctx, s.peers, member.Peers, methodTakeOver, message)
+			})
+		}
+
+		calls.Wait()
+
+		if slices.ContainsFunc(failures, func(err error) bool { return err != nil }) {
+			// The request may be at a member that did not answer.
+			refusal.RetryAfter = retryAfter
+		}
+
+		finds := slices.DeleteFunc(answers, func(f find) bool { return !f.Found })
+		if len(finds) > 0 {
+			return finds, nil
+		}
+	}
+
+	return nil, refusal
+}
+
+// keepOne returns the member in another zone whose copy goes on, with the number of tokens that it has, and drops the
+// other copies, so that an old one is not taken for the newest later.
+func (s *Requests) keepOne(
+	ctx context.Context, id apricotway.RequestID, finds []find, ended bool,
+) (holder apricotway.Member, copied int) {
+	self := s.self()
+
+	for _, f := range finds {
+		if f.Live || !f.member.Peers.IsValid() {
+			continue
+		}
+
+		drop := f.member
+
+		if !ended && f.member.Zone != self.Zone && len(f.Copy.Tokens) >= copied {
+			drop, holder, copied = holder, f.member, len(f.Copy.Tokens)
+		}
+
+		if drop.Peers.IsValid() {
+			// The drop must not overtake a new copy at the same member.
+			s.send(ctx, &batch{
+				holder: drop, drop: dropMessage{Origin: self.Node, IDs: []apricotway.RequestID{id}},
+			})
+		}
+	}
+
+	return holder, copied
+}
+
+// errNoHolder reports a request without a copy.
+var errNoHolder = errors.New("no peer holds a copy")
+
+// HandOver gives the requests that have not ended to the peers that hold their copies. A process calls it last when it
+// leaves; its callers reconnect elsewhere.
+func (s *Requests) HandOver(ctx context.Context) error {
+	var failed error
+
+	if s.peers == nil {
+		return nil
+	}
+
+	s.flush(ctx)
+
+	for _, a := range s.unended() {
+		a.mu.Lock()
+		holder := a.holder
+		a.mu.Unlock()
+
+		if !holder.Peers.IsValid() {
+			failed = errors.Wrapf(errNoHolder, "hand over request %s", a.request.ID)
+			continue
+		}
+
+		// The holder may copy the request back to this process, which has to take it as that of another by then.
+		a.move()
+
+		message := takeOverMessage{ID: a.request.ID, Workspace: a.request.Workspace, Start: true}
+
+		answer, err := apricotway.CallPeer[takeOverAnswer](ctx, s.peers, holder.Peers, methodTakeOver, message)
+		if err == nil && !answer.Found {
+			err = errNoHolder
+		}
+
+		if err != nil {
+			failed = errors.Wrapf(err, "hand over request %s", a.request.ID)
+		}
+	}
+
+	return failed
+}
--- a/transport/api/answer.go
+++ b/transport/api/answer.go
@@ -25,8 +25,24 @@
 	finish       apricotway.FinishReason
 }
 
+func newAnswer(request completion.Request) *answer {
+	a := &answer{
+		id:           string(request.ID),
+		model:        string(request.Service),
+		created:      request.Form.Created,
+		dialect:      dialectText,
+		includeUsage: request.Form.IncludeUsage,
+		promptTokens: apricotway.EstimateTokens(request.Prompt),
+	}
+	if request.Form.Chat {
+		a.dialect = dialectChat
+	}
+
+	return a
+}
+
 func (a *answer) note(token apricotway.Token) {
-	a.tokens++
+	a.tokens = token.Index + 1
 	a.finish = token.Finish
 }
 
@@ -110,12 +126,15 @@
 	return a.document("chat.completion.chunk", []choice{part})
 }
 
-// streamAnswer sends the answer as server-sent events. Nothing is written before the first token, so that a refusal until
-// then still reaches the caller as a plain JSON error with its status.
-func (s *Server) streamAnswer(w http.ResponseWriter, r *http.Request, request completion.Request, a *answer) error {
+// streamAnswer sends the answer from the given token on as server-sent events. Nothing is written before the first token,
+// so that a refusal until then still reaches the caller as a plain JSON error with its status.
+func (s *Server) streamAnswer(w http.ResponseWriter, r *http.Request, running *completion.Answer, from int) error {
+	request := running.Request()
+	a := newAnswer(request)
+	a.tokens = from
 	events := newEventWriter(w)
 
-	err := s.completions.Run(r.Context(), request, func(token apricotway.Token) error {
+	err := running.Read(r.Context(), from, func(token apricotway.Token) error {
 		a.note(token)
 		return events.send(eventID(request.ID, token.Index), a.chunk(token))
 	})
@@ -153,18 +172,24 @@
 	return &eventWriter{w: w, controller: http.NewResponseController(w)}
 }
 
+func (e *eventWriter) begin() {
+	if e.begun {
+		return
+	}
+
+	e.begun = true
+	e.w.Header().Set("Content-Type", "text/event-stream")
+	e.w.Header().Set("Cache-Control", "no-store")
+	e.w.WriteHeader(http.StatusOK)
+}
+
 func (e *eventWriter) send(id string, document any) error {
 	data, err := json.Marshal(document)
 	if err != nil {
 		return errors.Wrap(err, "encode event")
 	}
 
-	if !e.begun {
-		e.begun = true
-		e.w.Header().Set("Content-Type", "text/event-stream")
-		e.w.Header().Set("Cache-Control", "no-store")
-		e.w.WriteHeader(http.StatusOK)
-	}
+	e.begin()
 
 	if id != "" {
 		if _, err := fmt.Fprintf(e.w, "id: %s\n", id); err != nil {
@@ -180,6 +205,8 @@
 }
 
 func (e *eventWriter) end() error {
+	e.begin()
+
 	if _, err := fmt.Fprint(e.w, "data: [DONE]\n\n"); err != nil {
 		return errors.Wrap(err, "write event")
 	}
--- a/transport/api/completions.go
+++ b/transport/api/completions.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -139,22 +138,20 @@
 		return err
 	}
 
-	a := &answer{
-		id:           string(caller.request),
-		model:        body.Model,
-		created:      time.Now(),
-		dialect:      dialect,
-		includeUsage: body.StreamOptions.IncludeUsage,
-		promptTokens: apricotway.EstimateTokens(prompt),
+	request.Form = completion.Form{
+		Chat: dialect == dialectChat, Stream: body.Stream, IncludeUsage: body.StreamOptions.IncludeUsage, Created: time.Now(),
 	}
+	running := s.completions.Start(request)
 
 	if body.Stream {
-		return s.streamAnswer(w, r, request, a)
+		return s.streamAnswer(w, r, running, 0)
 	}
 
+	a := newAnswer(request)
+
 	var text strings.Builder
 
-	err = s.completions.Run(r.Context(), request, func(token apricotway.Token) error {
+	err = running.Read(r.Context(), 0, func(token apricotway.Token) error {
 		text.WriteString(token.Text)
 		a.note(token)
 
@@ -269,8 +266,3 @@
 
 	return parameters
 }
-
-// eventID names one token of one request for Last-Event-ID.
-func eventID(id apricotway.RequestID, index int) string {
-	return string(id) + "/" + strconv.Itoa(index)
-}
--- /dev/null
+++ b/transport/api/resume.go
@@ -0,0 +1,78 @@
+package api
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/apricotway/apricotway"
+)
+
+// eventID names one token of one request for Last-Event-ID.
+func eventID(id apricotway.RequestID, index int) string {
+	return string(id) + "/" + strconv.Itoa(index)
+}
+
+// parseEventID returns the request and the token that an event's id names.
+func parseEventID(text string) (apricotway.RequestID, int, error) {
+	id, last, ok := strings.Cut(text, "/")
+
+	index, err := strconv.Atoi(last)
+	if !ok || id == "" || err != nil || index < 0 {
+		return "", 0, invalid(apricotway.CodeInvalidRequest, headerLastEvent+" must be the id of an event of this system")
+	}
+
+	return apricotway.RequestID(id), index, nil
+}
+
+// resumable goes on with an earlier request when the caller presents Last-Event-ID. The body is then ignored.
+func (s *Server) resumable(
+	begin func(http.ResponseWriter, *http.Request, caller) error,
+) func(http.ResponseWriter, *http.Request, caller) error {
+	return func(w http.ResponseWriter, r *http.Request, caller caller) error {
+		last := r.Header.Get(headerLastEvent)
+		if last == "" {
+			return begin(w, r, caller)
+		}
+
+		id, index, err := parseEventID(last)
+		if err != nil {
+			return err
+		}
+
+		return s.resume(w, r, caller, id, index+1)
+	}
+}
+
+// requestEvents streams the answer of an earlier request, from its beginning without Last-Event-ID.
+func (s *Server) requestEvents(w http.ResponseWriter, r *http.Request, caller caller) error {
+	id, from := apricotway.RequestID(r.PathValue("id")), 0
+
+	if last := r.Header.Get(headerLastEvent); last != "" {
+		named, index, err := parseEventID(last)
+		if err != nil {
+			return err
+		}
+
+		if named != id {
+			return invalid(apricotway.CodeInvalidRequest, headerLastEvent+" names another request than the path")
+		}
+
+		from = index + 1
+	}
+
+	return s.resume(w, r, caller, id, from)
+}
+
+func (s *Server) resume(
+	w http.ResponseWriter, r *http.Request, caller caller, id apricotway.RequestID, from int,
+) error {
+	running, err := s.completions.Resume(r.Context(), caller.workspace, id)
+	if err != nil {
+		return err
+	}
+
+	w.Header().Set(headerRequestID, string(id))
+
+	return s.streamAnswer(w, r, running, from)
+}
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -34,6 +34,7 @@
 	headerRequestID = "Apricotway-Request-Id"
 	headerPriority  = "Apricotway-Priority"
 	headerExecution = "Apricotway-Execution"
+	headerLastEvent = "Last-Event-ID"
 )
 
 // Limits bounds what one caller can ask of a process.
@@ -71,7 +72,7 @@
 type Server struct {
 	configuration Configuration
 	directory     apricotway.Directory
-	completions   *completion.Runner
+	completions   *completion.Requests
 	calls         *call.Caller
 	limits        Limits
 	logger        logr.Logger
@@ -101,7 +102,7 @@
 func New(
 	configuration Configuration,
 	directory apricotway.Directory,
-	completions *completion.Runner,
+	completions *completion.Requests,
 	calls *call.Caller,
 	options ...Option,
 ) *Server {
@@ -119,8 +120,9 @@
 		option(s)
 	}
 
-	s.mux.HandleFunc("POST /v1/chat/completions", s.handle(s.chatCompletions))
-	s.mux.HandleFunc("POST /v1/completions", s.handle(s.plainCompletions))
+	s.mux.HandleFunc("POST /v1/chat/completions", s.handle(s.resumable(s.chatCompletions)))
+	s.mux.HandleFunc("POST /v1/completions", s.handle(s.resumable(s.plainCompletions)))
+	s.mux.HandleFunc("GET /v1/requests/{id}/events", s.handle(s.requestEvents))
 	s.mux.HandleFunc("GET /v1/models", s.handle(s.models))
 	s.mux.HandleFunc("GET /v1/addresses", s.addresses)
 	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.handle(s.serviceCall))
