--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -143,7 +143,8 @@
 		return err
 	}
 
-	calls := call.New(service.New(), d.inventory, call.WithLogger(d.logger))
+	services := service.New()
+	calls := call.New(services, d.inventory, call.WithLogger(d.logger), call.WithOnce(d.once(log, services)))
 
 	limits := api.DefaultLimits()
 	limits.BodyBytes = s.Limits.BodyBytes
