Fold configuration without a memory of record identifiers

Cause: the fold kept the verdict of every record identifier for ever, could not be written to a checkpoint, and was scanned for each request.

An accepted change names the current revision, and revisions only grow, so a second copy of an accepted record is void by the chain itself. One identifier per object is kept to report the repeat. A checkpoint holds, for each object, the last four accepted changes of each schema version as the log has them, with unknown fields. Its bytes depend on nothing but the records below its offset, whichever release writes it, and need no lease.

Requests read an immutable view that is built on the first read after a change. Token digests are indexed by their first eight bytes and compared in constant time.

Ruled out: a window of identifiers in the checkpoint, which adds state that decides nothing; keeping only the change in force, which loses what other releases understand; checking the form of token digests, since the payload rules of a schema version never change.

A trimmed read now tells the oldest offset, from which a reader starts again.

--- a/cmd/internal/standin/log.go
+++ b/cmd/internal/standin/log.go
@@ -218,7 +218,7 @@
 	case err == nil:
 		httpjson.Write(w, http.StatusOK, batch)
 	case errors.Is(err, apricotway.ErrTrimmed):
-		http.Error(w, err.Error(), http.StatusGone)
+		httpjson.Write(w, http.StatusGone, batch)
 	default:
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	}
--- a/log.go
+++ b/log.go
@@ -18,6 +18,9 @@
 	StreamUsage   Stream = "usage"
 )
 
+// KindCheckpoint is the kind of a record that carries a part of a checkpoint of its stream.
+const KindCheckpoint = "checkpoint"
+
 // Offset is the position of a record in its stream. The first record has offset 1; 0 means "no record".
 type Offset uint64
 
@@ -61,7 +64,8 @@
 	// ErrAppendUnknown means that the append may have taken effect; every other error means that it did not.
 	Append(ctx context.Context, stream Stream, records []Record) (Offset, error)
 	// Read returns up to limit records from the given offset on. It waits up to the given time for a first record and
-	// returns an empty batch when none arrives. It fails with ErrTrimmed when from is older than the retention.
+	// returns an empty batch when none arrives. It fails with ErrTrimmed when from is older than the retention; the
+	// batch then holds no records but tells the oldest offset.
 	Read(ctx context.Context, stream Stream, from Offset, limit int, wait time.Duration) (Batch, error)
 }
 
--- a/state/config/fold.go
+++ b/state/config/fold.go
@@ -3,13 +3,18 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
-
-	"github.com/go-faster/errors"
+	"sync/atomic"
 
 	"github.com/apricotway/apricotway"
 )
 
+// keptPerVersion is the number of accepted changes that are kept of each schema version of an object. A process falls back
+// on an older change when the newest is invalid, and a process that does not know a version cannot tell which of its changes
+// are valid, so that it has to keep several.
+const keptPerVersion = 4
+
 // Name identifies one configuration object.
 type Name struct {
 	Kind   Kind   `json:"kind"`
@@ -35,35 +40,71 @@
 	VerdictConflict  Verdict = "conflict"
 	VerdictRepeat    Verdict = "repeat"
 	VerdictMalformed Verdict = "malformed"
+	// VerdictCheckpoint is given to checkpoint records, which change nothing.
+	VerdictCheckpoint Verdict = "checkpoint"
 )
 
 type object struct {
 	// revision is the offset of the newest accepted change; it never falls.
 	revision apricotway.Offset
-	deleted  bool
+	// created is the revision of the change that created the object after its last deletion. Changes below it never come
+	// into force again.
+	created apricotway.Offset
+	// id is the record identifier of the newest accepted change.
+	id      string
+	deleted bool
+	// kept holds the newest accepted changes of each schema version since created, in the order of their revisions. It does
+	// not depend on which versions this release knows, so that a checkpoint is the same whoever writes it.
+	kept []keptChange
+
 	// spec is the newest understood payload; it stays in force while a newer one is not understood.
 	spec any
 	// specRevision is the revision of spec, at most revision.
 	specRevision apricotway.Offset
-	raw          json.RawMessage
-	version      int
 	problem      string
 }
 
+// keptChange is one accepted change as the log holds it, with the fields that this release does not know.
+type keptChange struct {
+	Revision      apricotway.Offset `json:"revision"`
+	SchemaVersion int               `json:"schemaVersion"`
+	Payload       json.RawMessage   `json:"payload"`
+}
+
+func (c keptChange) spec() json.RawMessage {
+	var change Change
+	// The payload was decoded before it was accepted.
+	_ = json.Unmarshal(c.Payload, &change)
+
+	return change.Spec
+}
+
 // Fold is the state that results from the records applied so far. It is safe for concurrent use.
+//
+// It keeps no record identifiers but one for each object. A second copy of an accepted record names a revision that is no
+// longer the current one, and a second copy of a void record that named a past revision stays void, since revisions only
+// grow. The memory is therefore bounded by the number of objects, and every reader folds the same chain, whether or not it
+// has seen the first copy.
 type Fold struct {
-	mu sync.RWMutex
+	// decode is the part that differs between releases.
+	decode decoder
+
+	mu sync.Mutex
 	// objects holds deleted objects as well, since their revisions must not be used again.
 	objects map[Name]*object
-	// seen holds the verdict of every record identifier, so that a repeated append gets the same one.
-	seen map[string]Verdict
 	// next is the offset behind the last applied record; records below it are ignored.
 	next apricotway.Offset
+	// revision is the highest revision of an object.
+	revision apricotway.Offset
+
+	// view is what requests read. It is nil after a change and built by the next reader, so that a long replay does not
+	// build it for each record.
+	view atomic.Pointer[view]
 }
 
 // New returns an empty fold.
 func New() *Fold {
-	return &Fold{objects: map[Name]*object{}, seen: map[string]Verdict{}, next: 1}
+	return &Fold{decode: decodeSpec, objects: map[Name]*object{}, next: 1}
 }
 
 // Apply folds one record and returns its verdict. Records have to come in offset order; one that was applied before is a
@@ -78,14 +119,11 @@
 
 	f.next = record.Offset + 1
 
-	if _, ok := f.seen[record.ID]; ok {
-		return VerdictRepeat
+	if record.Kind == apricotway.KindCheckpoint {
+		return VerdictCheckpoint
 	}
 
-	verdict := f.applyChange(record)
-	f.seen[record.ID] = verdict
-
-	return verdict
+	return f.applyChange(record)
 }
 
 func (f *Fold) applyChange(record apricotway.StoredRecord) Verdict {
@@ -98,111 +136,101 @@
 
 	current := f.objects[name]
 	if current == nil {
-		current = &object{}
+		current = &object{deleted: true}
 	}
 
 	if change.Replaces != current.revision {
+		if current.id == record.ID && record.ID != "" {
+			return VerdictRepeat
+		}
+
 		return VerdictConflict
 	}
 
+	if current.deleted {
+		current.created = record.Offset
+	}
+
 	f.objects[name] = current
-	current.revision = record.Offset
-	current.deleted = change.Deleted
-	current.raw = change.Spec
-	current.version = record.SchemaVersion
+	f.revision = record.Offset
+	current.revision, current.id, current.deleted = record.Offset, record.ID, change.Deleted
 
 	if change.Deleted {
-		current.spec, current.problem = nil, ""
-		return VerdictAccepted
-	}
-
-	spec, err := decodeSpec(name.Kind, record.SchemaVersion, change.Spec)
-	if err != nil {
-		current.problem = err.Error()
-		return VerdictAccepted
+		current.kept, current.spec, current.specRevision, current.problem = nil, nil, 0, ""
+	} else {
+		current.keep(keptChange{Revision: record.Offset, SchemaVersion: record.SchemaVersion, Payload: record.Payload})
+		current.choose(name.Kind, f.decode)
 	}
 
-	current.spec, current.specRevision, current.problem = spec, record.Offset, ""
+	f.view.Store(nil)
 
 	return VerdictAccepted
 }
 
-// Next returns the offset from which reading has to go on.
-func (f *Fold) Next() apricotway.Offset {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-
-	return f.next
-}
+// keep adds a change and drops the oldest of its schema version above the limit.
+func (o *object) keep(change keptChange) {
+	o.kept = append(o.kept, change)
 
-// Verdict returns what became of the record with the given identifier.
-func (f *Fold) Verdict(id string) (Verdict, bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+	first, count := 0, 0
 
-	verdict, ok := f.seen[id]
+	for i := len(o.kept) - 1; i >= 0; i-- {
+		if o.kept[i].SchemaVersion == change.SchemaVersion {
+			first = i
+			count++
+		}
+	}
 
-	return verdict, ok
+	if count > keptPerVersion {
+		o.kept = slices.Delete(o.kept, first, first+1)
+	}
 }
 
-// Service returns the specification in force.
-func (f *Fold) Service(service apricotway.Service) (ServiceSpec, bool) {
-	return lookup[ServiceSpec](f, Name{Kind: KindService, Object: string(service)})
-}
+// choose puts the newest change in force that this release understands. The specification in force stays when no newer one
+// is understood.
+func (o *object) choose(kind Kind, decode decoder) {
+	o.problem = ""
 
-// Workspace returns the specification in force.
-func (f *Fold) Workspace(workspace apricotway.Workspace) (WorkspaceSpec, bool) {
-	return lookup[WorkspaceSpec](f, Name{Kind: KindWorkspace, Object: string(workspace)})
-}
+	for _, change := range slices.Backward(o.kept) {
+		if change.Revision <= o.specRevision {
+			return
+		}
 
-func lookup[S any](f *Fold, name Name) (S, bool) {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
+		spec, err := decode(kind, change.SchemaVersion, change.spec())
+		if err == nil {
+			o.spec, o.specRevision = spec, change.Revision
+			return
+		}
 
-	if current := f.objects[name]; current != nil {
-		if spec, ok := current.spec.(S); ok {
-			return spec, true
+		if o.problem == "" {
+			o.problem = err.Error()
 		}
 	}
+}
 
-	var none S
+// Next returns the offset from which reading has to go on.
+func (f *Fold) Next() apricotway.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 
-	return none, false
+	return f.next
 }
 
-// Status describes one object for operators.
-type Status struct {
-	Name
+// Revision returns the highest revision of an object, 0 when there is none.
+func (f *Fold) Revision() apricotway.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 
-	Revision      apricotway.Offset `json:"revision"`
-	InForce       apricotway.Offset `json:"inForce"`
-	SchemaVersion int               `json:"schemaVersion"`
-	Deleted       bool              `json:"deleted,omitempty"`
-	// Problem tells why the newest revision is not in force; empty when it is.
-	Problem string          `json:"problem,omitempty"`
-	Spec    json.RawMessage `json:"spec,omitempty"`
+	return f.revision
 }
 
-// Objects returns the status of every object in no particular order.
-func (f *Fold) Objects() []Status {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-
-	list := make([]Status, 0, len(f.objects))
-	for name, current := range f.objects {
-		list = append(list, Status{
-			Name:          name,
-			Revision:      current.revision,
-			InForce:       current.specRevision,
-			SchemaVersion: current.version,
-			Deleted:       current.deleted,
-			Problem:       current.problem,
-			Spec:          current.raw,
-		})
+// Current returns the revision that a change of the object has to name, 0 when the object never existed.
+func (f *Fold) Current(name Name) apricotway.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if current := f.objects[name]; current != nil {
+		return current.revision
 	}
 
-	return list
+	return 0
 }
-
-// ErrNotFound reports an object that does not exist.
-var ErrNotFound = errors.New("object not found")
--- a/state/config/spec.go
+++ b/state/config/spec.go
@@ -50,6 +50,9 @@
 // ErrUnknownSchema reports a kind or schema version that this release does not know.
 var ErrUnknownSchema = errors.New("unknown schema")
 
+// decoder decodes the payload of one kind and schema version, or tells why this release cannot use it.
+type decoder func(kind Kind, version int, payload json.RawMessage) (any, error)
+
 func decodeSpec(kind Kind, version int, payload json.RawMessage) (any, error) {
 	if version != 1 {
 		return nil, errors.Wrapf(ErrUnknownSchema, "%s version %d", kind, version)
@@ -82,3 +85,9 @@
 		return nil, errors.Wrapf(ErrUnknownSchema, "kind %s", kind)
 	}
 }
+
+// Check reports why this release would not put a specification in force.
+func Check(kind Kind, version int, payload json.RawMessage) error {
+	_, err := decodeSpec(kind, version, payload)
+	return err
+}
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -4,8 +4,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -64,6 +62,7 @@
 type Configuration interface {
 	Service(service apricotway.Service) (config.ServiceSpec, bool)
 	Workspace(workspace apricotway.Workspace) (config.WorkspaceSpec, bool)
+	WorkspaceOf(digest config.TokenDigest) (apricotway.Workspace, bool)
 	Objects() []config.Status
 }
 
@@ -163,41 +162,19 @@
 	}
 }
 
-// authorise finds the workspace whose token the request carries. All digests are compared, in constant time, so that the
-// time taken tells nothing about them.
+// authorise finds the workspace whose token the request carries.
 func (s *Server) authorise(r *http.Request) (apricotway.Workspace, error) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || token == "" {
 		return "", invalid(apricotway.CodeUnauthorized, "the request carries no bearer token")
 	}
 
-	sum := sha256.Sum256([]byte(token))
-	digest := []byte(hex.EncodeToString(sum[:]))
-
-	var found apricotway.Workspace
-
-	for _, object := range s.configuration.Objects() {
-		if object.Kind != config.KindWorkspace || object.Deleted {
-			continue
-		}
-
-		spec, ok := s.configuration.Workspace(apricotway.Workspace(object.Object))
-		if !ok {
-			continue
-		}
-
-		for _, hash := range spec.TokenHashes {
-			if subtle.ConstantTimeCompare([]byte(strings.ToLower(hash)), digest) == 1 {
-				found = apricotway.Workspace(object.Object)
-			}
-		}
-	}
-
-	if found == "" {
+	workspace, ok := s.configuration.WorkspaceOf(sha256.Sum256([]byte(token)))
+	if !ok {
 		return "", invalid(apricotway.CodeUnauthorized, "the bearer token belongs to no workspace")
 	}
 
-	return found, nil
+	return workspace, nil
 }
 
 // deadline computes the time by which the whole answer has to be there.
--- a/transport/logservice/client.go
+++ b/transport/logservice/client.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -99,7 +100,13 @@
 
 	var status *httpjson.StatusError
 	if errors.As(err, &status) && status.Status == http.StatusGone {
-		return apricotway.Batch{}, errors.Wrap(apricotway.ErrTrimmed, status.Body)
+		// The body of this answer is a batch without records. Without it the caller has to look for the oldest offset from
+		// the first one on, which the service trims as well, so an unreadable body counts as an outage.
+		if err := json.Unmarshal([]byte(status.Body), &batch); err != nil {
+			return apricotway.Batch{}, errors.Wrap(apricotway.ErrLogUnavailable, "unreadable answer to a trimmed offset")
+		}
+
+		return apricotway.Batch{Oldest: batch.Oldest}, apricotway.ErrTrimmed
 	}
 
 	return apricotway.Batch{}, errors.Wrap(apricotway.ErrLogUnavailable, err.Error())
