--- /dev/null
+++ b/coordination/journal/writer.go
@@ -0,0 +1,373 @@
+// Package journal appends to and follows the streams of the log service: group commit within an append budget, re-sending
+// after a lost answer, and reading on from a checkpoint after a trim.
+package journal
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/thejerf/suture/v4"
+	"golang.org/x/time/rate"
+
+	"github.com/apricotway/apricotway"
+)
+
+const (
+	// DefaultBudget is the number of appends a second of the whole system. It leaves room within the several hundred appends
+	// a second that the log service provides.
+	DefaultBudget = 100
+	// DefaultResendLimit bounds the time for finding out what became of an append whose answer was lost. Readers remember
+	// record identifiers for longer.
+	DefaultResendLimit = 30 * time.Second
+	// maxGroup and maxGroupBytes bound one append.
+	maxGroup      = 256
+	maxGroupBytes = 1 << 20
+	// resendPause lies between two tries to find out what became of an append.
+	resendPause = 250 * time.Millisecond
+	readLimit   = 500
+)
+
+// Writer appends records. Records that wait for the same stream are appended together. It is safe for concurrent use.
+type Writer struct {
+	log         apricotway.Log
+	supervisor  *suture.Supervisor
+	logger      logr.Logger
+	budget      float64
+	members     func() int
+	resendLimit time.Duration
+	limiter     *rate.Limiter
+
+	mu      sync.Mutex
+	streams map[apricotway.Stream]*queue
+}
+
+// WriterOption changes a writer under construction.
+type WriterOption func(*Writer)
+
+// WithLogger sets the logger.
+func WithLogger(logger logr.Logger) WriterOption {
+	return func(w *Writer) { w.logger = logger }
+}
+
+// WithBudget sets the appends a second of the whole system and the function that counts the live members, this process
+// included. Each member gets an equal share.
+func WithBudget(perSecond float64, members func() int) WriterOption {
+	return func(w *Writer) { w.budget, w.members = perSecond, members }
+}
+
+// WithResendLimit bounds the time for finding out what became of an append whose answer was lost.
+func WithResendLimit(limit time.Duration) WriterOption {
+	return func(w *Writer) { w.resendLimit = limit }
+}
+
+// NewWriter returns a writer. It adds one goroutine for each stream in use to the supervisor.
+func NewWriter(supervisor *suture.Supervisor, log apricotway.Log, options ...WriterOption) *Writer {
+	w := &Writer{
+		log:         log,
+		supervisor:  supervisor,
+		logger:      logr.Discard(),
+		budget:      DefaultBudget,
+		members:     func() int { return 1 },
+		resendLimit: DefaultResendLimit,
+		streams:     map[apricotway.Stream]*queue{},
+	}
+	for _, option := range options {
+		option(w)
+	}
+
+	w.limiter = rate.NewLimiter(w.share(), 1)
+
+	return w
+}
+
+func (w *Writer) share() rate.Limit { return rate.Limit(w.budget / float64(max(w.members(), 1))) }
+
+// queue holds the records that wait for one stream.
+type queue struct {
+	stream apricotway.Stream
+	// news has room for one element and tells that pending is not empty.
+	news chan struct{}
+
+	mu      sync.Mutex
+	pending []*entry
+	// closed tells that the writer has stopped.
+	closed bool
+
+	// known is an offset at or below that of every record in question: it is read from when an answer was lost. Only the
+	// goroutine of the queue uses it.
+	known apricotway.Offset
+}
+
+// entry is one record on its way. Its fields but done are guarded by the queue's lock until done is closed.
+type entry struct {
+	record apricotway.Record
+	// sent tells that the record may be in the log.
+	sent bool
+	done chan struct{}
+
+	offset apricotway.Offset
+	err    error
+}
+
+// Append appends one record and returns the offset of its first copy. The record's ID must be unique. An error that wraps
+// ErrLogUnavailable means that the record is not in the log and never will be; one that wraps ErrAppendUnknown means that it
+// may be or may still get there.
+func (w *Writer) Append(
+	ctx context.Context, stream apricotway.Stream, record apricotway.Record,
+) (apricotway.Offset, error) {
+	if record.ID == "" {
+		return 0, errors.Wrap(apricotway.ErrLogUnavailable, "the record has no identifier")
+	}
+
+	q := w.queue(stream)
+	e := &entry{record: record, done: make(chan struct{})}
+
+	if !q.add(e) {
+		return 0, errors.Wrap(apricotway.ErrLogUnavailable, "the writer has stopped")
+	}
+
+	select {
+	case <-e.done:
+		return e.offset, e.err
+	case <-ctx.Done():
+		return q.abandon(e, ctx.Err())
+	}
+}
+
+func (w *Writer) queue(stream apricotway.Stream) *queue {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	q := w.streams[stream]
+	if q == nil {
+		q = &queue{stream: stream, news: make(chan struct{}, 1), known: 1}
+		w.streams[stream] = q
+
+		w.supervisor.Add(apricotway.ServiceFunc{Name: "journal writer " + string(stream), Func: func(ctx context.Context) error {
+			return w.run(ctx, q)
+		}})
+	}
+
+	return q
+}
+
+func (q *queue) add(e *entry) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	if q.closed {
+		return false
+	}
+
+	q.pending = append(q.pending, e)
+	q.notify()
+
+	return true
+}
+
+// close ends the wait of all entries that were not sent.
+func (q *queue) close() {
+	q.mu.Lock()
+	q.closed = true
+	rest := q.pending
+	q.pending = nil
+	q.mu.Unlock()
+
+	q.finish(rest, nil, errors.Wrap(apricotway.ErrLogUnavailable, "the writer has stopped"))
+}
+
+func (q *queue) notify() {
+	select {
+	case q.news <- struct{}{}:
+	default:
+	}
+}
+
+// abandon ends the wait for an entry. One that was not sent yet is taken out of the queue.
+func (q *queue) abandon(e *entry, reason error) (apricotway.Offset, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	select {
+	case <-e.done:
+		return e.offset, e.err
+	default:
+	}
+
+	if e.sent {
+		return 0, errors.Wrap(apricotway.ErrAppendUnknown, reason.Error())
+	}
+
+	for i, other := range q.pending {
+		if other == e {
+			q.pending = append(q.pending[:i], q.pending[i+1:]...)
+			break
+		}
+	}
+
+	return 0, errors.Wrap(apricotway.ErrLogUnavailable, reason.Error())
+}
+
+// take marks the next group as sent.
+func (q *queue) take() []*entry {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	count, size := 0, 0
+	for count < len(q.pending) && count < maxGroup {
+		size += len(q.pending[count].record.Payload)
+		if count > 0 && size > maxGroupBytes {
+			break
+		}
+
+		q.pending[count].sent = true
+		count++
+	}
+
+	group := q.pending[:count:count]
+	q.pending = q.pending[count:]
+
+	if len(q.pending) > 0 {
+		q.notify()
+	}
+
+	return group
+}
+
+func (q *queue) finish(group []*entry, offset func(i int) apricotway.Offset, err error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+
+	for i, e := range group {
+		if e.err = err; err == nil {
+			e.offset = offset(i)
+		}
+
+		close(e.done)
+	}
+}
+
+func (w *Writer) run(ctx context.Context, q *queue) error {
+	for {
+		select {
+		case <-ctx.Done():
+			q.close()
+			return ctx.Err()
+		case <-q.news:
+		}
+
+		// The group is taken after the wait for the budget, so that it holds all records that arrived meanwhile.
+		w.limiter.SetLimit(w.share())
+
+		if err := w.limiter.Wait(ctx); err != nil {
+			q.close()
+			return errors.Wrap(err, "wait for the append budget")
+		}
+
+		if group := q.take(); len(group) > 0 {
+			w.send(ctx, q, group)
+		}
+	}
+}
+
+func (w *Writer) send(ctx context.Context, q *queue, group []*entry) {
+	records := make([]apricotway.Record, len(group))
+	for i, e := range group {
+		records[i] = e.record
+	}
+
+	first, err := w.log.Append(ctx, q.stream, records)
+
+	switch {
+	case err == nil:
+		q.known = first
+		q.finish(group, func(i int) apricotway.Offset { return first + apricotway.Offset(i) }, nil)
+	case errors.Is(err, apricotway.ErrAppendUnknown):
+		w.logger.Info("append outcome unknown", "event", 221, "stream", q.stream, "records", len(group), "error", err.Error())
+
+		offsets, err := w.settle(ctx, q, records)
+		q.finish(group, func(i int) apricotway.Offset { return offsets[records[i].ID] }, err)
+	default:
+		if !errors.Is(err, apricotway.ErrLogUnavailable) {
+			err = errors.Wrap(apricotway.ErrLogUnavailable, err.Error())
+		}
+
+		q.finish(group, nil, err)
+	}
+}
+
+// settle finds out what became of an append whose answer was lost. When the log does not show the records it sends them
+// again under their identifiers; the first append may still arrive later, but readers drop the second copy.
+func (w *Writer) settle(
+	ctx context.Context, q *queue, records []apricotway.Record,
+) (map[string]apricotway.Offset, error) {
+	ctx, cancel := context.WithTimeout(ctx, w.resendLimit)
+	defer cancel()
+
+	for {
+		offsets, err := w.find(ctx, q, records)
+		if err == nil && len(offsets) == len(records) {
+			q.known = offsets[records[0].ID]
+			return offsets, nil
+		}
+
+		// A send without a read before it would add a copy at each try.
+		if err == nil {
+			if err := w.limiter.Wait(ctx); err == nil {
+				// The answer decides nothing: the next read finds the first copy, be it of this append or of the one before.
+				_, err = w.log.Append(ctx, q.stream, records)
+				if err == nil {
+					continue
+				}
+			}
+		}
+
+		timer := time.NewTimer(resendPause)
+
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, errors.Wrap(apricotway.ErrAppendUnknown, "the log service does not show the records")
+		case <-timer.C:
+		}
+	}
+}
+
+// find reads the stream to its end and returns the offsets of the first copies of the records.
+func (w *Writer) find(
+	ctx context.Context, q *queue, records []apricotway.Record,
+) (map[string]apricotway.Offset, error) {
+	wanted := make(map[string]bool, len(records))
+	for _, record := range records {
+		wanted[record.ID] = true
+	}
+
+	offsets := map[string]apricotway.Offset{}
+
+	for from := q.known; ; {
+		batch, err := w.log.Read(ctx, q.stream, from, readLimit, 0)
+		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest > from {
+			from = batch.Oldest
+			continue
+		}
+
+		if err != nil {
+			return nil, errors.Wrap(err, "read back")
+		}
+
+		for _, stored := range batch.Records {
+			if _, found := offsets[stored.ID]; wanted[stored.ID] && !found {
+				offsets[stored.ID] = stored.Offset
+			}
+		}
+
+		if len(batch.Records) == 0 || len(offsets) == len(records) {
+			return offsets, nil
+		}
+
+		from = batch.Next
+	}
+}
