Keep the configuration current through outages and show where it is in force

Cause: a process followed the log alone. During an outage a change that one process had read stayed there, a process that restarted could not become ready, and one below a trim could not go on. Operators had no tool.

All objects stand in one stream, so the position replaces a vector of revisions. A process is ready at the end of the log, or during an outage when a majority of the reachable peers is ready and shows nothing newer.

apricotctl config apply, get, history and status publish changes and tell what became of them and which members do not report them.

Ruled out: counting peers that are not ready, with which processes that all restart during an outage vouch for each other's empty state; exchanging records while the log answers, which costs connections to random members; a lease for checkpoints, which are the same whoever writes them.

Before: a trim or an outage at the start left a process not ready for good.

--- /dev/null
+++ b/cmd/internal/ctl/config.go
@@ -0,0 +1,499 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+	"github.com/jessevdk/go-flags"
+	"github.com/tailscale/hujson"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/cli"
+	"github.com/apricotway/apricotway/coordination/configfeed"
+	"github.com/apricotway/apricotway/coordination/journal"
+	"github.com/apricotway/apricotway/state/config"
+	"github.com/apricotway/apricotway/transport/httpjson"
+	"github.com/apricotway/apricotway/transport/logservice"
+)
+
+// pollPause lies between two questions to the operator address while a change spreads.
+const pollPause = 100 * time.Millisecond
+
+// configOptions are common to the commands on the configuration.
+type configOptions struct {
+	Log      string        `long:"log" value-name:"ADDR" description:"address of the log service"`
+	Operator string        `long:"operator" value-name:"ADDR" description:"operator address of any process"`
+	JSON     bool          `long:"json" description:"print JSON"`
+	Timeout  time.Duration `long:"timeout" default:"30s" description:"longest time for the whole command"`
+}
+
+func (o *configOptions) context() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+
+	return ctx, func() { cancel(); stop() }
+}
+
+func (o *configOptions) logClient() (*logservice.Client, error) {
+	address, err := netip.ParseAddrPort(o.Log)
+	if err != nil {
+		return nil, errors.Wrap(err, "--log")
+	}
+
+	return logservice.New(address), nil
+}
+
+// ask gets a document from the operator address.
+func (o *configOptions) ask(ctx context.Context, path string, result any) error {
+	address, err := netip.ParseAddrPort(o.Operator)
+	if err != nil {
+		return errors.Wrap(err, "--operator")
+	}
+
+	return httpjson.Do(ctx, httpjson.NewTransport(), http.MethodGet, httpjson.URL(address, path), nil, result)
+}
+
+// print writes a document as JSON, or a table. The columns of its lines are separated by tabs.
+func (o *configOptions) print(document any, table ...string) error {
+	if o.JSON {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+
+		return encoder.Encode(document)
+	}
+
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	for _, line := range table {
+		if _, err := fmt.Fprintln(w, line); err != nil {
+			return errors.Wrap(err, "print table")
+		}
+	}
+
+	return w.Flush()
+}
+
+// entry is one record of the stream with its verdict.
+type entry struct {
+	apricotway.StoredRecord
+
+	Object   string            `json:"object"`
+	Replaces apricotway.Offset `json:"replaces"`
+	Verdict  config.Verdict    `json:"verdict"`
+}
+
+// history folds the stream and keeps what became of each record.
+type history struct {
+	fold    *config.Fold
+	entries []entry
+}
+
+// Next implements journal.State.
+func (h *history) Next() apricotway.Offset { return h.fold.Next() }
+
+// Restore implements journal.State.
+func (h *history) Restore(state []byte) error { return h.fold.Restore(state) }
+
+// Fold implements journal.State.
+func (h *history) Fold(records []apricotway.StoredRecord) {
+	for _, record := range records {
+		var change config.Change
+		// What cannot be decoded gets the verdict malformed.
+		_ = json.Unmarshal(record.Payload, &change)
+
+		e := entry{StoredRecord: record, Object: change.Object, Replaces: change.Replaces, Verdict: h.fold.Apply(record)}
+		if e.Verdict != config.VerdictCheckpoint {
+			h.entries = append(h.entries, e)
+		}
+	}
+}
+
+func (h *history) find(id string) *entry {
+	for i := range h.entries {
+		if h.entries[i].ID == id {
+			return &h.entries[i]
+		}
+	}
+
+	return nil
+}
+
+// read follows the stream until the condition holds at its end.
+func (h *history) read(ctx context.Context, log apricotway.Log, done func() bool) error {
+	follower := journal.NewFollower(log, apricotway.StreamConfig, h, journal.WithSeen(0))
+
+	for {
+		end, err := follower.Step(ctx, 0)
+		if err != nil {
+			return err
+		}
+
+		if end && done() {
+			return nil
+		}
+	}
+}
+
+func readHistory(ctx context.Context, log apricotway.Log) (*history, error) {
+	h := &history{fold: config.New()}
+	err := h.read(ctx, log, func() bool { return true })
+
+	return h, err
+}
+
+// document is one object in a file for apply.
+type document struct {
+	Kind          config.Kind `json:"kind"`
+	Object        string      `json:"object"`
+	SchemaVersion int         `json:"schemaVersion"`
+	// Replaces is filled in with the current revision unless the file names one.
+	Replaces *apricotway.Offset `json:"replaces"`
+	Deleted  bool               `json:"deleted"`
+	Spec     json.RawMessage    `json:"spec"`
+}
+
+func readDocuments(path string) ([]document, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read records")
+	}
+
+	if content, err = hujson.Standardize(content); err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+
+	var documents []document
+	if err := json.Unmarshal(content, &documents); err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+
+	for i := range documents {
+		d := &documents[i]
+		if d.SchemaVersion == 0 {
+			d.SchemaVersion = 1
+		}
+
+		if d.Object == "" {
+			return nil, errors.Errorf("%s: record %d names no object", path, i+1)
+		}
+
+		if err := config.Check(d.Kind, d.SchemaVersion, d.Spec); err != nil && !d.Deleted && !errors.Is(err, config.ErrUnknownSchema) {
+			return nil, errors.Wrapf(err, "%s: %s %s", path, d.Kind, d.Object)
+		}
+	}
+
+	return documents, nil
+}
+
+type configApply struct {
+	configOptions
+
+	Positional struct {
+		File string `positional-arg-name:"FILE" description:"JSON list of records, comments allowed"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// outcome is what apply reports.
+type outcome struct {
+	Changes []entry `json:"changes"`
+	// Missing are the live members that do not report the revision.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (c *configApply) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+
+	documents, err := readDocuments(c.Positional.File)
+	if err != nil {
+		return err
+	}
+
+	log, err := c.logClient()
+	if err != nil {
+		return err
+	}
+
+	seen, err := readHistory(ctx, log)
+	if err != nil {
+		return err
+	}
+
+	result, err := c.publish(ctx, log, seen, documents)
+	if err == nil {
+		result.Missing, err = c.awaitMembers(ctx, seen)
+	}
+
+	if printErr := c.print(result, entryTable(result.Changes)...); printErr != nil {
+		return printErr
+	}
+
+	return err
+}
+
+// publish appends the records one after the other, so that each names the revision that the one before left.
+func (c *configApply) publish(
+	ctx context.Context, log apricotway.Log, seen *history, documents []document,
+) (outcome, error) {
+	var result outcome
+
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+
+	supervisor := suture.NewSimple("apply")
+	supervisor.ServeBackground(ctx)
+	writer := journal.NewWriter(supervisor, log)
+
+	for _, d := range documents {
+		change := config.Change{Object: d.Object, Deleted: d.Deleted, Spec: d.Spec}
+		if change.Replaces = seen.fold.Current(config.Name{Kind: d.Kind, Object: d.Object}); d.Replaces != nil {
+			change.Replaces = *d.Replaces
+		}
+
+		payload, err := json.Marshal(change)
+		if err != nil {
+			return result, errors.Wrap(err, "encode change")
+		}
+
+		id := uuid.NewString()
+		record := apricotway.Record{SchemaVersion: d.SchemaVersion, Kind: string(d.Kind), ID: id, Payload: payload}
+
+		if _, err := writer.Append(ctx, apricotway.StreamConfig, record); err != nil {
+			return result, errors.Wrapf(err, "append %s %s", d.Kind, d.Object)
+		}
+
+		if err := seen.read(ctx, log, func() bool { return seen.find(id) != nil }); err != nil {
+			return result, errors.Wrap(err, "read back")
+		}
+
+		e := seen.find(id)
+		result.Changes = append(result.Changes, *e)
+
+		if e.Verdict != config.VerdictAccepted {
+			return result, errors.Errorf("%s %s: %s: revision %d was replaced by another change; the revision is now %d",
+				d.Kind, d.Object, e.Verdict, change.Replaces, seen.fold.Current(config.Name{Kind: d.Kind, Object: d.Object}))
+		}
+	}
+
+	return result, nil
+}
+
+// awaitMembers waits until every live member reports the position behind the changes.
+func (c *configApply) awaitMembers(ctx context.Context, seen *history) ([]string, error) {
+	if c.Operator == "" {
+		return nil, nil
+	}
+
+	want := seen.Next()
+
+	// missing keeps the last answer, since the time for the whole command may end within a question.
+	var missing []string
+
+	for {
+		var members []configfeed.Revisions
+
+		err := c.ask(ctx, "/v1/config/revisions", &members)
+		if err == nil {
+			if missing = behind(members, want); len(missing) == 0 {
+				return nil, nil
+			}
+		}
+
+		select {
+		case <-time.After(pollPause):
+			continue
+		case <-ctx.Done():
+		}
+
+		if err != nil && len(missing) == 0 {
+			return nil, errors.Wrap(err, "the changes are accepted, but no process tells where they are in force")
+		}
+
+		return missing, errors.Errorf("the changes are accepted, but not in force on: %s", strings.Join(missing, ", "))
+	}
+}
+
+func behind(members []configfeed.Revisions, want apricotway.Offset) []string {
+	var names []string
+
+	for _, member := range members {
+		if member.Failure != "" || member.Next < want {
+			names = append(names, string(member.Node))
+		}
+	}
+
+	return names
+}
+
+func entryTable(entries []entry) []string {
+	table := []string{"REVISION\tKIND\tOBJECT\tREPLACES\tSCHEMA\tVERDICT"}
+	for _, e := range entries {
+		table = append(table, fmt.Sprintf("%d\t%s\t%s\t%d\t%d\t%s",
+			e.Offset, e.Kind, e.Object, e.Replaces, e.SchemaVersion, e.Verdict))
+	}
+
+	return table
+}
+
+// selection chooses objects by kind and name.
+type selection struct {
+	Positional struct {
+		Kind   string `positional-arg-name:"KIND" description:"kind of the objects"`
+		Object string `positional-arg-name:"OBJECT" description:"name of the object"`
+	} `positional-args:"yes"`
+}
+
+func (s *selection) matches(kind, object string) bool {
+	return (s.Positional.Kind == "" || s.Positional.Kind == kind) &&
+		(s.Positional.Object == "" || s.Positional.Object == object)
+}
+
+type configGet struct {
+	configOptions
+	selection
+}
+
+// Execute implements flags.Commander.
+func (c *configGet) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+
+	var all []config.Status
+
+	if c.Operator != "" {
+		if err := c.ask(ctx, "/v1/config", &all); err != nil {
+			return err
+		}
+	} else {
+		log, err := c.logClient()
+		if err != nil {
+			return err
+		}
+
+		seen, err := readHistory(ctx, log)
+		if err != nil {
+			return err
+		}
+
+		all = seen.fold.Objects()
+	}
+
+	chosen := []config.Status{}
+
+	for _, status := range all {
+		if c.matches(string(status.Kind), status.Object) {
+			chosen = append(chosen, status)
+		}
+	}
+
+	table := []string{"KIND\tOBJECT\tREVISION\tIN FORCE\tSCHEMA\tDELETED\tPROBLEM\tSPEC"}
+	for _, s := range chosen {
+		table = append(table, fmt.Sprintf("%s\t%s\t%d\t%d\t%d\t%t\t%s\t%s",
+			s.Kind, s.Object, s.Revision, s.InForce, s.SchemaVersion, s.Deleted, s.Problem, s.Spec))
+	}
+
+	return c.print(chosen, table...)
+}
+
+type configHistory struct {
+	configOptions
+	selection
+}
+
+// Execute implements flags.Commander.
+func (c *configHistory) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+
+	log, err := c.logClient()
+	if err != nil {
+		return err
+	}
+
+	seen, err := readHistory(ctx, log)
+	if err != nil {
+		return err
+	}
+
+	chosen := []entry{}
+
+	for _, e := range seen.entries {
+		if c.matches(e.Kind, e.Object) {
+			chosen = append(chosen, e)
+		}
+	}
+
+	return c.print(chosen, entryTable(chosen)...)
+}
+
+type configStatus struct{ configOptions }
+
+// Execute implements flags.Commander.
+func (c *configStatus) Execute([]string) error {
+	ctx, cancel := c.context()
+	defer cancel()
+
+	var members []configfeed.Revisions
+	if err := c.ask(ctx, "/v1/config/revisions", &members); err != nil {
+		return err
+	}
+
+	table := []string{"MEMBER\tZONE\tREVISION\tREADY\tNOT IN FORCE"}
+
+	for _, m := range members {
+		problems := []string{}
+		if m.Failure != "" {
+			problems = append(problems, "no answer: "+m.Failure)
+		}
+
+		for _, o := range m.Objects {
+			problems = append(problems, fmt.Sprintf("%s %s at %d, not %d: %s", o.Kind, o.Object, o.InForce, o.Revision, o.Problem))
+		}
+
+		table = append(table, fmt.Sprintf("%s\t%s\t%d\t%t\t%s",
+			m.Node, m.Zone, max(m.Next, 1)-1, m.Ready, strings.Join(problems, "; ")))
+	}
+
+	return c.print(members, table...)
+}
+
+func addConfigCommands(root *flags.Command) error {
+	return cli.AddGroup(
+		root,
+		cli.Command{
+			Name: "config", Short: "Publish and read the configuration",
+			Long: "Publishes configuration records and tells which revisions are in force. The exit code is 0 on success, 1 when " +
+				"a change was not accepted or did not reach every live member, and 2 for a wrong command line.",
+		},
+		cli.Command{
+			Name: "apply", Short: "Publish records", Data: &configApply{},
+			Long: "Appends the records of a file, each with the revision that it replaces, and waits until every live member " +
+				"reports them.\n\nExample: apricotctl config apply --log 127.0.0.1:9000 --operator 127.0.0.1:8802 shop.jsonc",
+		},
+		cli.Command{
+			Name: "get", Short: "Show objects", Data: &configGet{},
+			Long: "Shows the objects as a process (--operator) or the log (--log) has them.\n\n" +
+				"Example: apricotctl config get --operator 127.0.0.1:8802 service",
+		},
+		cli.Command{
+			Name: "history", Short: "Show records and what became of them", Data: &configHistory{},
+			Long: "Shows the records that the log keeps.\n\nExample: apricotctl config history --log 127.0.0.1:9000 service shop-model",
+		},
+		cli.Command{
+			Name: "status", Short: "Show where each revision is in force", Data: &configStatus{},
+			Long: "Asks every live member.\n\nExample: apricotctl config status --operator 127.0.0.1:8802",
+		},
+	)
+}
--- /dev/null
+++ b/cmd/internal/daemon/config.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/configfeed"
+	"github.com/apricotway/apricotway/coordination/journal"
+	"github.com/apricotway/apricotway/transport/httpjson"
+	"github.com/apricotway/apricotway/transport/operator"
+)
+
+const (
+	// checkpointInterval has to stay below a third of the log's retention, which is days.
+	checkpointInterval = time.Hour
+	// revisionsTimeout bounds the questions to all members for one answer to an operator.
+	revisionsTimeout = 3 * time.Second
+)
+
+// startConfig starts the writer to the log and the configuration feed.
+func (d *Daemon) startConfig(log apricotway.Log) {
+	d.writer = journal.NewWriter(d.supervisor, log, journal.WithLogger(d.logger),
+		journal.WithBudget(journal.DefaultBudget, func() int { return len(d.membership.Members()) + 1 }))
+	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger),
+		configfeed.WithPeers(d.membership, d.peers, d.peerServer),
+		configfeed.WithCheckpoints(d.writer, checkpointInterval))
+}
+
+// showConfig adds the operators' view of the configuration.
+func (d *Daemon) showConfig(server *operator.Server) {
+	server.Show("/v1/config", func() any { return d.feed.Fold().Objects() })
+	server.Handle("GET /v1/config/revisions", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), revisionsTimeout)
+		defer cancel()
+
+		httpjson.Write(w, http.StatusOK, d.feed.Everywhere(ctx))
+	}))
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/configfeed"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/coordination/journal"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/timeline"
@@ -39,6 +40,7 @@
 	settings   settings.Settings
 	logger     logr.Logger
 	supervisor *suture.Supervisor
+	writer     *journal.Writer
 	feed       *configfeed.Feed
 	inventory  *inventory.Inventory
 
@@ -124,7 +126,7 @@
 	d.membership = d.staticMembership()
 
 	log := logservice.New(s.Platform.Log)
-	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
+	d.startConfig(log)
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
 	completions := completion.New(engine.New(), d.inventory, completion.WithLogger(d.logger))
@@ -143,7 +145,7 @@
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 
 	operatorAPI := operator.New(registry, d.Ready)
-	operatorAPI.Show("/v1/config", func() any { return d.feed.Fold().Objects() })
+	d.showConfig(operatorAPI)
 	operatorAPI.Show("/v1/engines", func() any { return d.inventory.All() })
 
 	d.serve("callers", d.callers, callersAPI)
--- a/coordination/journal/journal_test.go
+++ b/coordination/journal/journal_test.go
@@ -123,7 +123,10 @@
 
 		test(t, supervisor)
 		cancel()
-		_ = <-stopped // the reason is the cancellation
+
+		if err := <-stopped; !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v from the supervisor", err)
+		}
 	})
 }
 
@@ -258,7 +261,9 @@
 			}
 		}
 
-		_ = <-stopped // the reason is the cancellation
+		if err := <-stopped; !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v from the supervisor", err)
+		}
 	})
 }
 
