--- a/coordination/journal/writer.go
+++ b/coordination/journal/writer.go
@@ -286,7 +286,7 @@
 		q.known = first
 		q.finish(group, func(i int) apricotway.Offset { return first + apricotway.Offset(i) }, nil)
 	case errors.Is(err, apricotway.ErrAppendUnknown):
-		w.logger.Info("append outcome unknown", "event", 221, "stream", q.stream, "records", len(group), "error", err.Error())
+		w.logger.Info("append outcome unknown", "event", 207, "stream", q.stream, "records", len(group), "error", err.Error())
 
 		offsets, err := w.settle(ctx, q, records)
 		q.finish(group, func(i int) apricotway.Offset { return offsets[records[i].ID] }, err)
