--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/configfeed"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/coordination/journal"
 	"github.com/apricotway/apricotway/coordination/usage"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
@@ -39,6 +40,7 @@
 	settings   settings.Settings
 	logger     logr.Logger
 	supervisor *suture.Supervisor
+	writer     *journal.Writer
 	feed       *configfeed.Feed
 	inventory  *inventory.Inventory
 	usage      *usage.Recorder
@@ -136,7 +138,7 @@
 	d.membership = d.staticMembership()
 
 	log := logservice.New(s.Platform.Log)
-	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
+	d.startConfig(log)
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
 	if err := d.startAccount(log); err != nil {
@@ -161,7 +163,7 @@
 		api.WithTimeline(d.ring), api.WithMetrics(registry))
 
 	operatorAPI := operator.New(registry, d.Ready)
-	operatorAPI.Show("/v1/config", func() any { return d.feed.Fold().Objects() })
+	d.showConfig(operatorAPI)
 	operatorAPI.Show("/v1/engines", func() any { return d.inventory.All() })
 
 	d.showTimeline(operatorAPI)
