--- a/cmd/internal/ctl/account.go
+++ b/cmd/internal/ctl/account.go
@@ -49,20 +49,21 @@
 	defer cancel()
 
 	log := logservice.New(address)
-	objects := config.New()
 
-	err = readStream(ctx, log, apricotway.StreamConfig, func(record apricotway.StoredRecord) { objects.Apply(record) })
+	history, err := readHistory(ctx, log)
 	if err != nil {
-		return account.Statement{}, err
+		return account.Statement{}, errors.Wrap(err, "read configuration")
 	}
 
+	objects := history.fold
+
 	signers, err := signersOf(objects.Objects())
 	if err != nil {
 		return account.Statement{}, err
 	}
 
 	fold := account.New(account.WithSigners(signers))
-	if err := readStream(ctx, log, apricotway.StreamUsage, fold.Apply); err != nil {
+	if err := readUsage(ctx, log, fold); err != nil {
 		return account.Statement{}, err
 	}
 
@@ -77,18 +78,24 @@
 	return statement, nil
 }
 
-// readStream reads a stream from its oldest kept record to its end.
-func readStream(
-	ctx context.Context, log apricotway.Log, stream apricotway.Stream, apply func(apricotway.StoredRecord),
-) error {
+// readUsage folds the usage stream from its oldest kept record to its end.
+func readUsage(ctx context.Context, log apricotway.Log, fold *account.Fold) error {
 	for next := apricotway.Offset(1); ; {
-		batch, err := log.Read(ctx, stream, next, readLimit, 0)
+		batch, err := log.Read(ctx, apricotway.StreamUsage, next, readLimit, 0)
+		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest > next {
+			fold.Trimmed()
+
+			next = batch.Oldest
+
+			continue
+		}
+
 		if err != nil {
-			return errors.Wrapf(err, "read stream %s", stream)
+			return errors.Wrap(err, "read usage stream")
 		}
 
 		for _, record := range batch.Records {
-			apply(record)
+			fold.Apply(record)
 		}
 
 		if len(batch.Records) == 0 {
@@ -183,8 +190,8 @@
 			return err
 		}
 	} else {
-		fmt.Printf("%d batches counted, %d repeats dropped, %d processes without a last batch\n",
-			statement.Batches, statement.Repeats, statement.Open)
+		fmt.Printf("%d batches counted, %d repeats dropped, %d processes without a last batch, %d chains with a trimmed start\n",
+			statement.Batches, statement.Repeats, statement.Open, statement.TrimmedChains)
 
 		for _, fault := range statement.Faults {
 			fmt.Printf("offset %d, node %s, batch %d: %s: %s\n",
--- a/cmd/internal/daemon/account.go
+++ b/cmd/internal/daemon/account.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"crypto/ed25519"
 	"crypto/x509"
 	"encoding/pem"
@@ -9,12 +8,11 @@
 
 	"github.com/go-faster/errors"
 
-	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/usage"
 )
 
 // startAccount sets up the recording of usage, with signatures when the settings name a key.
-func (d *Daemon) startAccount(log apricotway.Log) error {
+func (d *Daemon) startAccount() error {
 	options := []usage.Option{usage.WithLogger(d.logger)}
 
 	if signing := d.settings.Signing; signing != nil {
@@ -26,21 +24,11 @@
 		options = append(options, usage.WithKey(signing.Signer, key))
 	}
 
-	d.usage = usage.New(d.supervisor, d.settings.Node, singleAppender{log}, options...)
+	d.usage = usage.New(d.supervisor, d.settings.Node, d.writer, options...)
 
 	return nil
 }
 
-// singleAppender appends records one by one.
-type singleAppender struct{ log apricotway.Log }
-
-// Append implements usage.Appender.
-func (s singleAppender) Append(
-	ctx context.Context, stream apricotway.Stream, record apricotway.Record,
-) (apricotway.Offset, error) {
-	return s.log.Append(ctx, stream, []apricotway.Record{record})
-}
-
 func readSigningKey(path string) (ed25519.PrivateKey, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -140,7 +140,7 @@
 	d.startConfig(log)
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
-	if err := d.startAccount(log); err != nil {
+	if err := d.startAccount(); err != nil {
 		return err
 	}
 
--- a/state/account/account_test.go
+++ b/state/account/account_test.go
@@ -190,3 +190,28 @@
 		}
 	})
 }
+
+// TestTrimmedStream guards against gaps that are reported only because the log service no longer keeps a stream's start, and
+// against real gaps that pass as such.
+func TestTrimmedStream(t *testing.T) {
+	c := chainOf(t, "n", 5)
+	f := account.New()
+	f.Trimmed()
+
+	for i, batch := range []account.Batch{c[1], c[2], c[4]} {
+		payload, err := json.Marshal(batch)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		f.Apply(apricotway.StoredRecord{
+			Record: apricotway.Record{SchemaVersion: account.SchemaVersion, Kind: account.KindBatch, Payload: payload},
+			Offset: apricotway.Offset(i + 7),
+		})
+	}
+
+	got := f.Statement()
+	if got.TrimmedChains != 1 || len(got.Faults) != 1 || got.Faults[0].Kind != account.FaultGap {
+		t.Errorf("got %d trimmed chains and faults %v, want 1 and the gap before batch 5", got.TrimmedChains, got.Faults)
+	}
+}
--- a/state/account/fold.go
+++ b/state/account/fold.go
@@ -53,6 +53,9 @@
 	// repeats counts the dropped second copies of batches.
 	repeats int
 	batches int
+	// trimmed is set when the stream's start is no longer kept; trimmedChains counts the chains that begin behind it.
+	trimmed       bool
+	trimmedChains int
 }
 
 // Option changes a fold under construction.
@@ -73,6 +76,9 @@
 	return f
 }
 
+// Trimmed tells the fold that the stream's start is no longer kept, so that chains may begin with any number.
+func (f *Fold) Trimmed() { f.trimmed = true }
+
 // Apply folds one record. A batch with a fault in its chain or signature is not counted; one behind a gap is, since the
 // fault is the missing batch.
 func (f *Fold) Apply(record apricotway.StoredRecord) {
@@ -132,6 +138,8 @@
 	case batch.Sequence == 0 || batch.Node == "":
 		f.fault(record, batch, FaultMalformed, "node and sequence are required")
 		return false
+	case f.trimmed && current.sequence == 0 && batch.Sequence > 1:
+		f.trimmedChains++
 	case batch.Sequence == current.sequence && hash == current.hash:
 		f.repeats++
 		return false
@@ -183,11 +191,14 @@
 	// Open counts the processes without a last batch: they still run, or they were killed with at most one interval of
 	// usage unwritten.
 	Open int `json:"open"`
+	// TrimmedChains counts the processes whose first batches are no longer kept; the totals lack these.
+	TrimmedChains int `json:"trimmedChains"`
 }
 
 // Statement returns the account so far, in a fixed order.
 func (f *Fold) Statement() Statement {
 	statement := Statement{Totals: []Entry{}, Faults: slices.Clone(f.faults), Batches: f.batches, Repeats: f.repeats}
+	statement.TrimmedChains = f.trimmedChains
 
 	for key, usage := range f.totals {
 		statement.Totals = append(statement.Totals, Entry{Key: key, Usage: usage})
