Count the usage of model requests

Cause: the account was written but nothing filled it.

Each attempt counts its engine time and recomputed tokens where it ran; the process that ends a request counts its tokens, so that a request taken over by a peer is counted once.

--- a/cmd/internal/daemon/completions.go
+++ b/cmd/internal/daemon/completions.go
@@ -20,7 +20,7 @@
 		completion.WithSuspectsPeers(d.peers, d.peerServer, d.membership),
 	)
 	runner := completion.New(engine.New(), d.inventory,
-		completion.WithLogger(d.logger), completion.WithSuspects(suspects))
+		completion.WithLogger(d.logger), completion.WithSuspects(suspects), completion.WithUsage(d.usage.Add))
 
 	registerCompletionMetrics(registry, runner)
 
--- a/protocol/completion/requests.go
+++ b/protocol/completion/requests.go
@@ -196,7 +196,9 @@
 	go func() {
 		defer cancel()
 
-		err := s.runner.Continue(ctx, a.request, delivered, a.append)
+		server, err := s.runner.Continue(ctx, a.request, delivered, a.append)
+		a.countUsage(server, err)
+
 		if err != nil && s.base.Err() != nil {
 			err = leaving()
 		}
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/state/account"
 	"github.com/apricotway/apricotway/state/quarantine"
 	"github.com/apricotway/apricotway/state/resume"
 	"github.com/apricotway/apricotway/state/routing"
@@ -48,6 +49,8 @@
 	firstToken time.Duration
 	nextToken  time.Duration
 
+	usage UsageFunc
+
 	dropped    atomic.Int64
 	moved      atomic.Int64
 	resumed    atomic.Int64
@@ -94,6 +97,11 @@
 	return func(r *Runner) { r.firstToken, r.nextToken = firstToken, nextToken }
 }
 
+// WithUsage sets what takes the usage of attempts and of requests.
+func WithUsage(usage UsageFunc) Option {
+	return func(r *Runner) { r.usage = usage }
+}
+
 // New returns a runner.
 func New(engines apricotway.EngineClient, inventory *inventory.Inventory, options ...Option) *Runner {
 	r := &Runner{
@@ -108,6 +116,7 @@
 		firstToken: time.Minute,
 		nextToken:  5 * time.Second,
 		running:    map[apricotway.AttemptID]*attempt{},
+		usage:      func(account.Key, account.Usage) {},
 	}
 	for _, option := range options {
 		option(r)
@@ -156,6 +165,8 @@
 	prefilled bool
 	excluded  []apricotway.BackendServerID
 	finished  bool
+	// server ran the last attempt that was sent.
+	server apricotway.BackendServer
 	// next is the engine to which the generation moves.
 	next target
 }
@@ -171,13 +182,17 @@
 // Run runs the request and hands its tokens to the sink. It returns nil once the whole answer was delivered, and a Refusal
 // otherwise.
 func (r *Runner) Run(ctx context.Context, request Request, sink Sink) error {
-	return r.Continue(ctx, request, Delivered{}, func(token apricotway.Token, _ apricotway.ModelVersion) error {
+	_, err := r.Continue(ctx, request, Delivered{}, func(token apricotway.Token, _ apricotway.ModelVersion) error {
 		return sink(token)
 	})
+
+	return err
 }
 
-// Continue runs the rest of a request behind the delivered part.
-func (r *Runner) Continue(ctx context.Context, request Request, delivered Delivered, sink VersionedSink) error {
+// Continue runs the rest of a request behind the delivered part. It returns the engine of the last attempt that was sent.
+func (r *Runner) Continue(
+	ctx context.Context, request Request, delivered Delivered, sink VersionedSink,
+) (apricotway.BackendServer, error) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 
@@ -194,7 +209,7 @@
 
 			var refusal *apricotway.Refusal
 			if errors.As(err, &refusal) {
-				return refusal
+				return done.server, refusal
 			}
 
 			break
@@ -202,7 +217,7 @@
 
 		last = r.attempt(ctx, request, place, done, sink)
 		if done.finished {
-			return nil
+			return done.server, nil
 		}
 
 		if ctx.Err() != nil || errors.Is(last, errSink) {
@@ -225,7 +240,7 @@
 		}
 	}
 
-	return refuse(ctx, done, last)
+	return done.server, refuse(ctx, done, last)
 }
 
 // moving reports whether an attempt ended because its generation goes on elsewhere: it was moved, its host was taken away
@@ -253,20 +268,30 @@
 	a.trial = place.trial
 	done.next = target{}
 
+	var recomputed int64
+
 	if done.prefilled {
-		recomputed := apricotway.EstimateTokens(request.Prompt) + done.tokens
-		r.resumed.Add(int64(recomputed))
+		recomputed = int64(apricotway.EstimateTokens(request.Prompt) + done.tokens)
+		r.resumed.Add(recomputed)
 
 		if place.handle != "" {
-			recomputed = done.tokens - place.covered
+			recomputed = int64(done.tokens - place.covered)
 		}
 
-		r.recomputed.Add(int64(recomputed))
+		r.recomputed.Add(recomputed)
 	}
 
 	done.prefilled = true
+	begin := time.Now()
 	err := a.run(ctx, place.handle)
 
+	if !errors.Is(err, apricotway.ErrNotSent) {
+		done.server = place.server
+		r.usage(usageKey(request, place.server), account.Usage{
+			RecomputedTokens: recomputed, EngineMicroseconds: time.Since(begin).Microseconds(),
+		})
+	}
+
 	switch {
 	case errors.Is(err, apricotway.ErrNotSent):
 		r.inventory.MarkLost(place.server.ID, time.Now())
