--- a/addresses.go
+++ b/addresses.go
@@ -37,6 +37,8 @@
 	Region Region      `json:"region"`
 	Zone   Zone        `json:"zone"`
 	State  MemberState `json:"state"`
+	// Ready tells that the member has read its configuration and may be handed out to callers.
+	Ready bool `json:"ready"`
 	// Incarnation grows whenever the member refutes a suspicion; the highest one known decides.
 	Incarnation uint64         `json:"incarnation"`
 	Callers     netip.AddrPort `json:"callers"`
