Run membership in the daemon, with a planned stop that cuts off nothing

Cause: the daemon used a static list of seeds, and a stop closed the listeners at once although callers still held valid addresses.

Ruled out: closing idle connections when the process begins to leave, since that cuts off requests that are on their way; the process answers with Connection: close instead. A process without a probe key stays alone, because it could not tell probes of other processes from forged ones.

Before: staticMembership. After: first peers from join records or seeds, /v1/members and apricotctl members, metrics, and a stop that withdraws from the addresses, serves until they have expired, finishes requests in flight and says that it ended.

Conclusion: the views agree after one-way cuts, flapping, mass replacement, a region cut and a pause (synctest). The settings now refuse unspecified listen addresses without an advertised one.

--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -26,6 +26,7 @@
 // addCommands adds every command of the tool; each group of commands stands in a file of its own.
 func addCommands(root *flags.Command) error {
 	for _, add := range []func(*flags.Command) error{
+		addMembersCommand,
 		addOperatorCommands,
 		addStandinCommands,
 	} {
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +20,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/configfeed"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/coordination/membership"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/timeline"
@@ -46,10 +48,9 @@
 	ring       *timeline.Ring
 	peerServer *peer.Server
 	peers      *peer.Client
-	membership interface {
-		apricotway.Membership
-		apricotway.Directory
-	}
+	membership *membership.Driver
+	probes     netip.AddrPort
+	leaving    atomic.Bool
 
 	callers      *listener
 	operator     *listener
@@ -121,9 +122,15 @@
 
 	d.peerServer = peer.NewServer(d.supervisor, d.peerListener, d.clock, peer.WithServerLogger(d.logger))
 	d.peers = peer.NewClient(d.clock)
-	d.membership = d.staticMembership()
+
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 
 	log := logservice.New(s.Platform.Log)
+	if d.membership, err = d.startMembership(ctx, log, registry); err != nil {
+		return err
+	}
+
 	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
@@ -136,9 +143,6 @@
 	limits.DefaultTimeout = time.Duration(s.Limits.DefaultTimeout)
 	limits.MaxTimeout = time.Duration(s.Limits.MaxTimeout)
 
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-
 	callersAPI := api.New(d.feed.Fold(), d.membership, completions, calls,
 		api.WithLimits(limits), api.WithLogger(d.logger), api.WithReady(d.Ready),
 		api.WithTimeline(d.ring), api.WithMetrics(registry))
@@ -148,8 +152,9 @@
 	operatorAPI.Show("/v1/engines", func() any { return d.inventory.All() })
 
 	d.showTimeline(operatorAPI)
+	d.showMembers(operatorAPI)
 
-	d.serve("callers", d.callers, callersAPI)
+	d.serve("callers", d.callers, d.closeWhenLeaving(callersAPI))
 	d.serve("operator", d.operator, operatorAPI)
 
 	return nil
@@ -225,11 +230,17 @@
 	return nil
 }
 
-// Stop ends the process gracefully: it waits for the requests in flight until the context ends.
+// Stop ends the process gracefully: it serves until the addresses handed out have expired, and waits for the requests in
+// flight until the context ends.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.logger.Info("process stopping", "event", 103)
 
+	d.withdraw(ctx)
+
 	err := d.callers.server.Shutdown(ctx)
+
+	d.membership.Stopped()
+
 	_ = d.operator.server.Close()
 
 	d.peers.Close()
--- a/cmd/internal/daemon/dev.go
+++ b/cmd/internal/daemon/dev.go
@@ -62,6 +62,8 @@
 	s := settings.Default()
 	s.Region, s.Zone = devRegion, "dev-a"
 	s.Listen = settings.Listen{Callers: listen, Peers: loopback(), Probes: loopback(), Operator: loopback()}
+	// Nobody else hands out the address, so that a stop need not wait for long.
+	s.Stop.AddressValidity = settings.Duration(time.Second)
 	s.Platform = settings.Platform{Log: logServer.Address, Hosts: hostServer.Address}
 
 	d.daemon, err = Start(ctx, s, WithLogger(logger))
--- /dev/null
+++ b/cmd/internal/daemon/membership.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/membership"
+	"github.com/apricotway/apricotway/transport/operator"
+	"github.com/apricotway/apricotway/transport/probe"
+)
+
+// WithdrawMargin is the time for a leave notice to reach every process: until then another process may still hand out the
+// address of the leaving one. It is above the 2 s within which notices are known everywhere.
+const WithdrawMargin = 3 * time.Second
+
+// probeKeySize is the size in bytes of the key of a process that has no other ones to talk to.
+const probeKeySize = 32
+
+// startMembership binds the probe socket and starts the membership. Without a probe key the process stays alone: it could
+// not tell probes of other processes from forged ones.
+func (d *Daemon) startMembership(
+	ctx context.Context, log apricotway.Log, registry prometheus.Registerer,
+) (*membership.Driver, error) {
+	s := d.settings
+
+	key, err := hex.DecodeString(s.ProbeKey)
+	if err != nil {
+		return nil, errors.Wrap(err, "decode probe key")
+	}
+
+	if len(key) == 0 {
+		key = make([]byte, probeKeySize)
+		_, _ = rand.Read(key) // never returns an error
+		log = nil
+	}
+
+	socket, err := probe.Listen(ctx, s.Listen.Probes, key, registry)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for probes")
+	}
+
+	d.probes = socket.Address()
+	self := apricotway.Member{
+		Node: s.Node, Region: s.Region, Zone: s.Zone,
+		Callers:  advertised(s.Advertise.Callers, d.callers.address),
+		Peers:    advertised(s.Advertise.Peers, d.Peers()),
+		Probes:   advertised(s.Advertise.Probes, d.probes),
+		Operator: advertised(s.Advertise.Operator, d.operator.address),
+	}
+
+	driver := membership.New(d.supervisor, self, socket, d.peers, d.peerServer, log,
+		membership.WithLogger(d.logger), membership.WithSeeds(s.Seeds),
+		membership.WithValidity(time.Duration(s.Stop.AddressValidity)),
+		membership.WithReady(func() bool { return d.Ready() == nil }))
+	driver.Register(registry)
+	socket.Receive(d.supervisor, driver.Receive)
+
+	return driver, nil
+}
+
+func advertised(address, bound netip.AddrPort) netip.AddrPort {
+	if address.IsValid() {
+		return address
+	}
+
+	return bound
+}
+
+// showMembers serves this process and all members that it knows to operators, in the order of their nodes.
+func (d *Daemon) showMembers(server *operator.Server) {
+	server.Show("/v1/members", func() any {
+		members := append(d.membership.Members(), d.membership.Self())
+		slices.SortFunc(members, func(a, b apricotway.Member) int {
+			if a.Node < b.Node {
+				return -1
+			}
+
+			return 1
+		})
+
+		return members
+	})
+}
+
+// Probes returns the address at which other processes send membership probes.
+func (d *Daemon) Probes() netip.AddrPort { return d.probes }
+
+// closeWhenLeaving asks callers to open no further request on a connection to a leaving process. Closing idle connections
+// instead would cut off requests that are on their way.
+func (d *Daemon) closeWhenLeaving(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// withdraw takes the process out of the addresses and serves until no caller can hold a valid answer that names it.
+func (d *Daemon) withdraw(ctx context.Context) {
+	d.membership.Leave()
+	d.leaving.Store(true)
+
+	wait := time.Duration(d.settings.Stop.AddressValidity)
+	if slices.ContainsFunc(d.membership.Members(), func(m apricotway.Member) bool {
+		return m.State != apricotway.MemberDead
+	}) {
+		wait += WithdrawMargin
+	}
+
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/cmd/internal/daemon/timeline.go
+++ b/cmd/internal/daemon/timeline.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -54,7 +55,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
 	defer cancel()
 
-	members := d.membership.Members()
+	members := slices.DeleteFunc(d.membership.Members(), func(m apricotway.Member) bool {
+		return m.State == apricotway.MemberDead
+	})
 	lists := make([][]timeline.Event, len(members))
 	failures := make([]error, len(members))
 
--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -88,10 +88,12 @@
 	}
 
 	// Scripts that listen on port 0 read the bound addresses from this line.
-	fmt.Printf("callers=%s operator=%s peers=%s\n", d.Callers(), d.Operator(), d.Peers())
+	fmt.Printf("callers=%s operator=%s peers=%s probes=%s\n", d.Callers(), d.Operator(), d.Peers(), d.Probes())
 	<-ctx.Done()
 
-	stop, cancelStop := context.WithTimeout(context.Background(), time.Duration(s.Stop.AddressValidity+s.Stop.Drain))
+	limit := time.Duration(s.Stop.AddressValidity+s.Stop.Drain) + daemon.WithdrawMargin
+
+	stop, cancelStop := context.WithTimeout(context.Background(), limit)
 	defer cancelStop()
 
 	return d.Stop(stop)
--- a/cmd/internal/settings/check.go
+++ b/cmd/internal/settings/check.go
@@ -222,6 +222,20 @@
 		c.add("/seeds", "needs probeKey: several processes authenticate their probes with one key")
 	}
 
+	for _, entry := range []struct {
+		name              string
+		listen, advertise netip.AddrPort
+	}{
+		{"callers", s.Listen.Callers, s.Advertise.Callers},
+		{"peers", s.Listen.Peers, s.Advertise.Peers},
+		{"probes", s.Listen.Probes, s.Advertise.Probes},
+		{"operator", s.Listen.Operator, s.Advertise.Operator},
+	} {
+		if entry.listen.Addr().IsUnspecified() && !entry.advertise.IsValid() {
+			c.add("/listen/"+entry.name, "needs advertise/"+entry.name+": others cannot connect to an unspecified address")
+		}
+	}
+
 	tcp := map[netip.AddrPort]string{}
 
 	for _, entry := range []struct {
--- a/cmd/internal/settings/settings_test.go
+++ b/cmd/internal/settings/settings_test.go
@@ -45,6 +45,11 @@
 			strings.Replace(valid, "127.0.0.1:3", "127.0.0.1:1", 1),
 			[]string{"f:3: listen/operator: uses the address of listen/callers"},
 		},
+		{
+			"unspecified address without advertise",
+			strings.Replace(valid, "127.0.0.1:3", "0.0.0.0:3", 1),
+			[]string{"f:3: listen/operator: needs advertise/operator"},
+		},
 		{
 			"seeds without key",
 			strings.Replace(valid, `"platform"`, `"seeds": ["127.0.0.1:9"], "platform"`, 1),
--- /dev/null
+++ b/coordination/membership/membership_test.go
@@ -0,0 +1,556 @@
+package membership_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/membership"
+	"github.com/apricotway/apricotway/state/member"
+)
+
+// latency is the one-way time of the in-memory network.
+const latency = 5 * time.Millisecond
+
+// network carries packets and calls between drivers inside a synctest bubble.
+type network struct {
+	mu    sync.Mutex
+	nodes map[netip.AddrPort]*node
+	// cut tells whether packets from one node to another are lost; calls need both directions.
+	cut func(from, to *node) bool
+	log *memoryLog
+	// seeds are given to every node.
+	seeds []netip.AddrPort
+	next  int
+}
+
+type node struct {
+	network  *network
+	index    int
+	region   apricotway.Region
+	address  netip.AddrPort
+	driver   *membership.Driver
+	handlers map[apricotway.Method]apricotway.PeerHandler
+	cancel   context.CancelFunc
+	done     <-chan error
+	// running holds a token except while the driver's timers are paused. A mutex would keep the bubble's time from passing.
+	running chan struct{}
+	frozen  bool
+}
+
+func newNetwork() *network {
+	return &network{
+		nodes: map[netip.AddrPort]*node{}, cut: func(_, _ *node) bool { return false }, log: &memoryLog{},
+	}
+}
+
+func (n *network) setCut(cut func(from, to *node) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.cut = cut
+}
+
+func (n *network) reach(from *node, to netip.AddrPort) *node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	target := n.nodes[to]
+	if target == nil || target.frozen || from.frozen || n.cut(from, target) {
+		return nil
+	}
+
+	return target
+}
+
+func (n *network) start(region apricotway.Region) *node {
+	n.next++
+	address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(n.next))
+	added := &node{
+		network: n, index: n.next, region: region, address: address,
+		handlers: map[apricotway.Method]apricotway.PeerHandler{}, running: make(chan struct{}, 1),
+	}
+	added.running <- struct{}{}
+	self := apricotway.Member{
+		Node: apricotway.NodeID(fmt.Sprintf("node-%03d", n.next)), Region: region, Zone: "z",
+		Callers: address, Peers: address, Probes: address,
+	}
+	supervisor := suture.NewSimple("test")
+	added.driver = membership.New(supervisor, self, added, added, added, n.log,
+		membership.WithSeeds(n.seeds), membership.WithRandom(rand.New(rand.NewPCG(1, uint64(n.next)))),
+		membership.WithReady(func() bool {
+			added.running <- <-added.running
+			return true
+		}))
+
+	n.mu.Lock()
+	n.nodes[address] = added
+	n.mu.Unlock()
+
+	var ctx context.Context
+
+	ctx, added.cancel = context.WithCancel(context.Background())
+	added.done = supervisor.ServeBackground(ctx)
+
+	return added
+}
+
+func (n *network) startMany(t *testing.T, count int, region apricotway.Region) []*node {
+	t.Helper()
+
+	var list []*node
+
+	for range count {
+		list = append(list, n.start(region))
+		<-time.After(100 * time.Millisecond)
+	}
+
+	return list
+}
+
+// kill ends a node without notice.
+func (k *node) kill() {
+	k.network.mu.Lock()
+	delete(k.network.nodes, k.address)
+	k.network.mu.Unlock()
+	k.cancel()
+
+	if err := <-k.done; !errors.Is(err, context.Canceled) {
+		panic(err)
+	}
+}
+
+func (n *network) stop() {
+	for _, k := range n.all() {
+		k.kill()
+	}
+}
+
+func (n *network) all() []*node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	var list []*node
+	for _, k := range n.nodes {
+		list = append(list, k)
+	}
+
+	slices.SortFunc(list, func(a, b *node) int { return a.index - b.index })
+
+	return list
+}
+
+// Send implements membership.Sender.
+func (k *node) Send(to netip.AddrPort, message member.Message) error {
+	time.AfterFunc(latency, func() {
+		if target := k.network.reach(k, to); target != nil {
+			target.driver.Receive(k.address, message)
+		}
+	})
+
+	return nil
+}
+
+// Call implements apricotway.Peers.
+func (k *node) Call(
+	ctx context.Context, address netip.AddrPort, method apricotway.Method, payload []byte,
+) ([]byte, error) {
+	target := k.network.reach(k, address)
+	if target == nil || k.network.reach(target, k.address) == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+
+	<-time.After(2 * latency)
+
+	return target.handlers[method](ctx, payload)
+}
+
+// Register implements apricotway.PeerRegistry.
+func (k *node) Register(method apricotway.Method, handler apricotway.PeerHandler) {
+	k.handlers[method] = handler
+}
+
+// memoryLog keeps the records of one stream.
+type memoryLog struct {
+	mu      sync.Mutex
+	down    bool
+	records []apricotway.StoredRecord
+}
+
+func (l *memoryLog) Append(
+	_ context.Context, _ apricotway.Stream, records []apricotway.Record,
+) (apricotway.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.down {
+		return 0, apricotway.ErrLogUnavailable
+	}
+
+	for _, record := range records {
+		l.records = append(l.records, apricotway.StoredRecord{Record: record, Offset: apricotway.Offset(len(l.records) + 1)})
+	}
+
+	return apricotway.Offset(len(l.records)), nil
+}
+
+func (l *memoryLog) Read(
+	_ context.Context, _ apricotway.Stream, from apricotway.Offset, limit int, _ time.Duration,
+) (apricotway.Batch, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	rest := l.records[min(int(from)-1, len(l.records)):]
+
+	return apricotway.Batch{Records: slices.Clone(rest[:min(limit, len(rest))])}, nil
+}
+
+func (k *node) states() map[apricotway.NodeID]apricotway.MemberState {
+	states := map[apricotway.NodeID]apricotway.MemberState{}
+	for _, m := range k.driver.Members() {
+		states[m.Node] = m.State
+	}
+
+	return states
+}
+
+func (k *node) name() apricotway.NodeID { return k.driver.Self().Node }
+
+// wantAlive checks that every running node sees every other one in the state alive, and nothing else that is not dead.
+func (n *network) wantAlive(t *testing.T, when string) {
+	t.Helper()
+
+	all := n.all()
+	for _, viewer := range all {
+		live := 0
+
+		for _, state := range viewer.states() {
+			if state != apricotway.MemberDead {
+				live++
+			}
+		}
+
+		if got, want := live, len(all)-1; got != want {
+			t.Errorf("%s: got %d live members at %s, want %d", when, got, viewer.name(), want)
+		}
+
+		for _, other := range all {
+			if got := viewer.states()[other.name()]; other != viewer && got != apricotway.MemberAlive {
+				t.Errorf("%s: got %s as %q at %s, want alive", when, other.name(), got, viewer.name())
+			}
+		}
+	}
+}
+
+// TestJoin guards the two ways to first peers: join records on the log, and seeds while the log is down.
+func TestJoin(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		t.Run(fmt.Sprintf("log down %v", down), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				defer n.stop()
+
+				n.log.down = down
+				if down {
+					n.seeds = []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1")}
+				}
+
+				for range 4 {
+					n.start("r")
+				}
+
+				<-time.After(10 * time.Second)
+				n.wantAlive(t, "after the start")
+			})
+		})
+	}
+}
+
+// TestOneWayCut guards against the death of a member that hears nothing, or is not heard, by one other process only, and
+// against a member that stays dead after a cut from all others has healed.
+func TestOneWayCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		nodes := n.startMany(t, 6, "r")
+		<-time.After(10 * time.Second)
+
+		n.setCut(func(from, to *node) bool { return from == nodes[0] && to == nodes[1] })
+		<-time.After(time.Minute)
+		n.wantAlive(t, "with one direction of one link cut")
+
+		n.setCut(func(from, _ *node) bool { return from == nodes[2] })
+		<-time.After(time.Minute)
+
+		if got := nodes[0].states()[nodes[2].name()]; got != apricotway.MemberDead {
+			t.Errorf("got the unheard member as %q, want dead", got)
+		}
+
+		n.setCut(func(_, _ *node) bool { return false })
+		<-time.After(time.Minute)
+		n.wantAlive(t, "after the cut")
+	})
+}
+
+// TestFlapping guards against a member that stays suspected, or floods the others, after its link was lost again and again.
+func TestFlapping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		nodes := n.startMany(t, 6, "r")
+		for range 10 {
+			n.setCut(func(from, to *node) bool { return from == nodes[0] || to == nodes[0] })
+			<-time.After(7 * time.Second)
+			n.setCut(func(_, _ *node) bool { return false })
+			<-time.After(7 * time.Second)
+		}
+
+		<-time.After(30 * time.Second)
+		n.wantAlive(t, "after the flapping")
+	})
+}
+
+// TestReplacement guards against views that lose new members or keep old ones when half of the members are replaced within
+// a minute.
+func TestReplacement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		nodes := n.startMany(t, 20, "r")
+		<-time.After(10 * time.Second)
+
+		for i, old := range nodes[:10] {
+			n.start("r")
+
+			if i%2 == 0 {
+				old.driver.Leave()
+				<-time.After(2 * time.Second)
+				old.driver.Stopped()
+			}
+
+			<-time.After(2 * time.Second)
+			old.kill()
+			<-time.After(2 * time.Second)
+		}
+
+		<-time.After(30 * time.Second)
+		n.wantAlive(t, "after the replacement")
+	})
+}
+
+// TestRegionCut guards the views on both sides of a network cut between regions: each side keeps its own members through
+// the cut and through its healing, and afterwards the sides find each other again.
+func TestRegionCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		n.startMany(t, 6, "east")
+		n.startMany(t, 6, "west")
+		<-time.After(10 * time.Second)
+
+		sameSide := func(when string) {
+			for _, viewer := range n.all() {
+				for _, other := range n.all() {
+					if got := viewer.states()[other.name()]; other.region == viewer.region && got == apricotway.MemberDead {
+						t.Errorf("%s: got %s of the same region dead at %s", when, other.name(), viewer.name())
+					}
+				}
+			}
+		}
+
+		n.setCut(func(from, to *node) bool { return from.region != to.region })
+		<-time.After(5 * time.Minute)
+		sameSide("during the cut")
+
+		n.setCut(func(_, _ *node) bool { return false })
+
+		for range 300 {
+			<-time.After(100 * time.Millisecond)
+			sameSide("while healing")
+		}
+
+		n.wantAlive(t, "after the cut")
+	})
+}
+
+// TestPausedProcess guards the return of a process that was paused until the others took it for dead, and the views of the
+// others when it wakes with old timers.
+func TestPausedProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		nodes := n.startMany(t, 5, "r")
+		<-time.After(10 * time.Second)
+
+		freeze := func(frozen bool) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+
+			nodes[0].frozen = frozen
+		}
+
+		<-nodes[0].running
+		freeze(true)
+		<-time.After(time.Minute)
+
+		if got := nodes[1].states()[nodes[0].name()]; got != apricotway.MemberDead {
+			t.Errorf("got the paused process as %q, want dead", got)
+		}
+
+		freeze(false)
+		nodes[0].running <- struct{}{}
+		<-time.After(20 * time.Second)
+		n.wantAlive(t, "after the pause")
+	})
+}
+
+// TestAddresses guards the addresses given to callers: no member that is leaving, dead or not ready, from the moment at which
+// the notice is known, also when the leaving member is suspected.
+func TestAddresses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		nodes := n.startMany(t, 4, "r")
+		<-time.After(10 * time.Second)
+
+		given := func(viewer *node) []apricotway.NodeID {
+			var list []apricotway.NodeID
+
+			addresses, _ := viewer.driver.Addresses("s", "w")
+			for _, address := range addresses {
+				list = append(list, address.Node)
+			}
+
+			return list
+		}
+
+		if got, want := len(given(nodes[0])), 4; got != want {
+			t.Errorf("got %d addresses, want %d", got, want)
+		}
+
+		n.setCut(func(from, to *node) bool { return from == nodes[2] || to == nodes[2] })
+
+		for nodes[0].states()[nodes[2].name()] != apricotway.MemberSuspect {
+			<-time.After(10 * time.Millisecond)
+		}
+
+		if got := given(nodes[0]); slices.Contains(got, nodes[2].name()) {
+			t.Errorf("got the only suspect in %v", got)
+		}
+
+		n.setCut(func(_, _ *node) bool { return false })
+		<-time.After(time.Minute)
+
+		nodes[3].driver.Leave()
+		<-time.After(time.Second)
+		// With every other process suspected, suspects are given as well.
+		n.setCut(func(_, _ *node) bool { return true })
+
+		for range 40 {
+			<-time.After(500 * time.Millisecond)
+
+			for _, viewer := range nodes {
+				if got := given(viewer); slices.Contains(got, nodes[3].name()) {
+					t.Fatalf("got the leaving member in %v at %s", got, viewer.name())
+				}
+			}
+		}
+	})
+}
+
+// TestLeaveNotice guards the target of 2 s for a leave notice to be known everywhere.
+func TestLeaveNotice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		nodes := n.startMany(t, 60, "r")
+		<-time.After(30 * time.Second)
+
+		nodes[7].driver.Leave()
+		<-time.After(2 * time.Second)
+
+		for _, viewer := range nodes {
+			if got, want := viewer.states()[nodes[7].name()], apricotway.MemberLeaving; viewer != nodes[7] && got != want {
+				t.Errorf("got the leaving member as %q at %s, want %q", got, viewer.name(), want)
+			}
+		}
+	})
+}
+
+// TestNews guards the typed channel: every process gets the newest version of an entry, also one that joins later.
+func TestNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		nodes := n.startMany(t, 5, "r")
+		<-time.After(10 * time.Second)
+
+		var mu sync.Mutex
+
+		got := map[apricotway.NodeID]int{}
+
+		for _, k := range nodes {
+			apricotway.SubscribeValue(k.driver, apricotway.TopicRevision, func(_ string, _ uint64, value int) {
+				mu.Lock()
+				defer mu.Unlock()
+
+				got[k.name()] = value
+			})
+		}
+
+		for version := range 3 {
+			err := apricotway.PublishValue(nodes[0].driver, apricotway.TopicRevision, "k", uint64(version+1), time.Hour, version+10)
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+
+		<-time.After(5 * time.Second)
+
+		mu.Lock()
+		for _, k := range nodes[1:] {
+			if got, want := got[k.name()], 12; got != want {
+				t.Errorf("got value %d at %s, want %d", got, k.name(), want)
+			}
+		}
+		mu.Unlock()
+
+		late := n.start("r")
+		<-time.After(2 * time.Second)
+
+		if latest := late.driver.Latest(apricotway.TopicRevision); len(latest) != 1 || string(latest[0].Payload) != mustJSON(t, 12) {
+			t.Errorf("got %v at the process that joined later, want the newest version", latest)
+		}
+	})
+}
+
+func mustJSON(t *testing.T, value any) string {
+	t.Helper()
+
+	content, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	return string(content)
+}
