Add the fault proxy and scenarios for membership and stops

Cause: no test put real processes behind a network that fails in one direction, and none replaced processes under load.

Ruled out: closing TCP connections on a cut, since a network cut holds bytes up and lets them pass when it heals.

Before: one scenario. After: a proxy steered over HTTP (cut in each direction, delay, slow, lost answer, half-close) and scenarios that replace every process under load, start with the log down through seeds, and cut incoming probes. Without the wait for the addresses to expire, replace-all fails; without the seeds or the advertised address, the others fail.

Conclusion: with the wait, no request of callers that keep to the addresses is cut off.

--- a/cmd/internal/ctl/standin.go
+++ b/cmd/internal/ctl/standin.go
@@ -131,5 +131,6 @@
 		cli.Command{Name: "hosts", Short: "List of live and leaving hosts", Data: &standinHosts{}},
 		cli.Command{Name: "engine", Short: "Model engine", Data: &standinEngine{}},
 		cli.Command{Name: "service", Short: "Plain service that keeps a ledger of bookings", Data: &standinService{}},
+		cli.Command{Name: "proxy", Short: "Fault-injecting TCP and UDP proxy", Data: &standinProxy{}},
 	)
 }
--- /dev/null
+++ b/cmd/scenario/load_test.go
@@ -0,0 +1,164 @@
+package scenario
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// load sends requests as callers are told to: to the addresses of an answer of /v1/addresses while it is valid.
+type load struct {
+	client    *http.Client
+	body      string
+	token     string
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
+	mu        sync.Mutex
+	addresses []string
+	expires   time.Time
+	served    int
+	failures  []string
+}
+
+type loadKey struct{}
+
+const (
+	loadCallers = 8
+	// loadTokens is the length of each answer; a shorter one was cut off.
+	loadTokens = `"completion_tokens":40`
+)
+
+// cmdLoad runs "load start URL TOKEN BODY", "load progress", which waits until further requests were served, or "load stop",
+// which fails if a request was refused, cut off or answered in part.
+func cmdLoad(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 4 && (len(args) != 1 || args[0] == "start") {
+		ts.Fatalf("usage: load start ADDRESS TOKEN BODY | load progress | load stop")
+	}
+
+	if args[0] == "start" {
+		l := ts.Value(loadKey{}).(*load)
+		l.client = &http.Client{Transport: &http.Transport{}}
+		l.addresses, l.token, l.body = []string{args[1]}, args[2], ts.ReadFile(args[3])
+
+		var ctx context.Context
+
+		ctx, l.cancel = context.WithCancel(context.Background())
+		for i := range loadCallers {
+			l.group.Go(func() { l.run(ctx, i) })
+		}
+
+		ts.Defer(l.cancel)
+
+		return
+	}
+
+	l := ts.Value(loadKey{}).(*load)
+	before := l.count()
+
+	for end := time.Now().Add(waitLimit); l.count() < before+2*loadCallers; {
+		if time.Now().After(end) {
+			ts.Fatalf("no progress after %d requests: %v", l.count(), l.failures)
+		}
+
+		<-time.After(10 * time.Millisecond)
+	}
+
+	if args[0] == "stop" {
+		l.cancel()
+		l.group.Wait()
+		ts.Logf("%d requests served", l.served)
+
+		if len(l.failures) > 0 {
+			ts.Fatalf("%d of %d requests failed, the first: %s", len(l.failures), l.served+len(l.failures), l.failures[0])
+		}
+	}
+}
+
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.served + len(l.failures)
+}
+
+func (l *load) run(ctx context.Context, caller int) {
+	for i := caller; ctx.Err() == nil; i++ {
+		address := l.address(i)
+		status, text, err := l.send(http.MethodPost, "http://"+address+"/v1/completions", l.body)
+
+		l.mu.Lock()
+
+		if err != nil || status != http.StatusOK || !strings.Contains(text, loadTokens) {
+			message := address + ": " + text
+			if err != nil {
+				message += err.Error()
+			}
+
+			l.failures = append(l.failures, message)
+		} else {
+			l.served++
+		}
+
+		l.mu.Unlock()
+	}
+}
+
+// address returns an address that is valid now, and asks for new ones when the answer has expired.
+func (l *load) address(i int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	asked := time.Now()
+	if asked.After(l.expires) {
+		for _, known := range l.addresses {
+			status, text, err := l.send(http.MethodGet, "http://"+known+"/v1/addresses?service=belt-assistant&workspace=w", "")
+
+			var answer struct {
+				Addresses       []struct{ Address string }
+				ValidForSeconds float64
+			}
+
+			if err != nil || status != http.StatusOK || json.Unmarshal([]byte(text), &answer) != nil || len(answer.Addresses) == 0 {
+				continue
+			}
+
+			l.addresses = nil
+			for _, given := range answer.Addresses {
+				l.addresses = append(l.addresses, given.Address)
+			}
+
+			l.expires = asked.Add(time.Duration(answer.ValidForSeconds * float64(time.Second)))
+
+			break
+		}
+	}
+
+	return l.addresses[i%len(l.addresses)]
+}
+
+func (l *load) send(method, url, body string) (int, string, error) {
+	r, err := http.NewRequest(method, url, struct{ io.Reader }{strings.NewReader(body)})
+	if err != nil {
+		return 0, "", err
+	}
+
+	// The body cannot be rewound, so that the client does not hide a cut by sending the request again.
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Authorization", "Bearer "+l.token)
+
+	answer, err := l.client.Do(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Body.Close()
+
+	content, err := io.ReadAll(answer.Body)
+
+	return answer.StatusCode, string(content), err
+}
--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -35,6 +35,8 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Values[processesKey{}] = map[string]*process{}
+			env.Values[loadKey{}] = &load{}
+
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -44,6 +46,7 @@
 			"request": cmdRequest,
 			"await":   cmdAwait,
 			"fill":    cmdFill,
+			"load":    cmdLoad,
 		},
 	})
 }
