--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -27,6 +27,9 @@
 func addCommands(root *flags.Command) error {
 	for _, add := range []func(*flags.Command) error{
 		addMembersCommand,
+		addAccountCommands,
+		addCapacityCommand,
+		addLoadCommand,
 		addOperatorCommands,
 		addStandinCommands,
 	} {
--- a/cmd/internal/settings/settings.go
+++ b/cmd/internal/settings/settings.go
@@ -9,11 +9,12 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/transport/certificate"
 )
 
 // Settings are the settings of one process.
 type Settings struct {
-	// Node names the process in logs; a random name is chosen when it is empty.
+	// Node names the process in logs. A random part is added to it at every start, since a restarted process is a new node.
 	Node   apricotway.NodeID `json:"node"`
 	Region apricotway.Region `json:"region"`
 	Zone   apricotway.Zone   `json:"zone"`
@@ -24,6 +25,11 @@
 	Platform  Platform         `json:"platform"`
 	Limits    Limits           `json:"limits"`
 	Stop      Stop             `json:"stop"`
+	// Operators lists who may use the operators' API; without entries everyone who reaches it may.
+	Operators []Operator `json:"operators"`
+	TLS       TLS        `json:"tls"`
+	// Signing names the key that signs usage batches; without it they are not signed.
+	Signing *Signing `json:"signing,omitempty"`
 	// ProbeKey is the hexadecimal key that authenticates membership probes.
 	ProbeKey string `json:"probeKey"`
 }
@@ -48,6 +54,29 @@
 	Weights netip.AddrPort `json:"weights,omitzero"`
 }
 
+// Operator is one operator of an owner.
+type Operator struct {
+	Owner apricotway.Owner `json:"owner"`
+	// TokenHash is the hexadecimal SHA-256 digest of the operator's token.
+	TokenHash string `json:"tokenHash"`
+}
+
+// Signing holds the key of usage batches.
+type Signing struct {
+	// Signer is the name of the configuration object that announces the public key.
+	Signer string `json:"signer"`
+	// Key is a file with an Ed25519 private key (PKCS #8 in PEM form).
+	Key string `json:"key"`
+}
+
+// TLS holds the certificate files; each part is optional.
+type TLS struct {
+	// Callers makes the callers' API HTTPS.
+	Callers *certificate.Files `json:"callers,omitempty"`
+	// Peers makes the processes verify each other.
+	Peers *certificate.Files `json:"peers,omitempty"`
+}
+
 // Limits bounds what one caller can ask for.
 type Limits struct {
 	BodyBytes      int64    `json:"bodyBytes"`
--- a/state/member/message.go
+++ b/state/member/message.go
@@ -114,10 +114,10 @@
 }
 
 const (
-	// maxName bounds names in entries in bytes; the settings use the same bound for nodes.
-	maxName = 64
+	// maxName bounds names in entries in bytes: 64 from the settings and the random part that the daemon adds.
+	maxName = 80
 	// payloadBudget bounds the entries and broadcasts of one message in bytes. A packet of 1,200 bytes leaves at least 300
-	// for the fixed fields, since two names of 64 bytes take 140.
+	// for the fixed fields, since two names of 80 bytes take 170.
 	payloadBudget = 900
 	// tokenBudget bounds the part for token deltas, which are frequent and would fill every packet.
 	tokenBudget = 400
