--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -29,6 +29,7 @@
 		addMembersCommand,
 		addAccountCommands,
 		addCapacityCommand,
+		addConfigCommands,
 		addLoadCommand,
 		addOperatorCommands,
 		addStandinCommands,
--- a/cmd/internal/ctl/members.go
+++ b/cmd/internal/ctl/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/jessevdk/go-flags"
 
@@ -22,7 +23,7 @@
 		return printJSON(members)
 	}
 
-	rows := [][]string{{"NODE", "REGION", "ZONE", "STATE", "READY", "INCARNATION", "CALLERS", "PEERS", "PROBES", "OPERATOR"}}
+	rows := [][]string{strings.Fields("NODE REGION ZONE STATE READY INCARNATION CALLERS PEERS PROBES OPERATOR")}
 
 	for _, m := range members {
 		rows = append(rows, []string{
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/configfeed"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/coordination/journal"
 	"github.com/apricotway/apricotway/coordination/membership"
 	"github.com/apricotway/apricotway/coordination/usage"
 	"github.com/apricotway/apricotway/protocol/call"
@@ -42,6 +43,7 @@
 	settings   settings.Settings
 	logger     logr.Logger
 	supervisor *suture.Supervisor
+	writer     *journal.Writer
 	feed       *configfeed.Feed
 	inventory  *inventory.Inventory
 	usage      *usage.Recorder
@@ -141,7 +143,7 @@
 		return err
 	}
 
-	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
+	d.startConfig(log)
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
 	if err := d.startAccount(log); err != nil {
@@ -149,7 +151,8 @@
 	}
 
 	completions := completion.New(engine.New(), d.inventory, completion.WithLogger(d.logger))
-	calls := call.New(service.New(), d.inventory, call.WithLogger(d.logger))
+	services := service.New()
+	calls := call.New(services, d.inventory, call.WithLogger(d.logger), call.WithOnce(d.once(log, services)))
 
 	limits := api.DefaultLimits()
 	limits.BodyBytes = s.Limits.BodyBytes
@@ -162,7 +165,7 @@
 		api.WithTimeline(d.ring), api.WithMetrics(registry))
 
 	operatorAPI := operator.New(registry, d.Ready)
-	operatorAPI.Show("/v1/config", func() any { return d.feed.Fold().Objects() })
+	d.showConfig(operatorAPI)
 	operatorAPI.Show("/v1/engines", func() any { return d.inventory.All() })
 
 	d.showTimeline(operatorAPI)
--- a/coordination/membership/join.go
+++ b/coordination/membership/join.go
@@ -75,7 +75,7 @@
 	if j.record.ID == "" {
 		payload, err := json.Marshal(d.Self())
 		if err != nil {
-			d.logger.Error(err, "join record not encoded", "event", 234)
+			d.logger.Error(err, "join record not encoded", "event", 244)
 			return
 		}
 
@@ -85,13 +85,13 @@
 	// An append whose answer was lost is repeated with the same identifier.
 	own, err := d.log.Append(ctx, apricotway.StreamControl, []apricotway.Record{j.record})
 	if err != nil {
-		d.logger.V(1).Info("join record not appended", "event", 235, "error", err.Error())
+		d.logger.V(1).Info("join record not appended", "event", 245, "error", err.Error())
 		return
 	}
 
 	batch, err := d.readBefore(ctx, own)
 	if err != nil {
-		d.logger.V(1).Info("join records not read", "event", 236, "error", err.Error())
+		d.logger.V(1).Info("join records not read", "event", 246, "error", err.Error())
 		return
 	}
 
@@ -158,6 +158,6 @@
 			return
 		}
 
-		d.logger.V(1).Info("member exchange at join failed", "event", 237, "peer", address, "error", err.Error())
+		d.logger.V(1).Info("member exchange at join failed", "event", 247, "peer", address, "error", err.Error())
 	}
 }
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -147,13 +147,13 @@
 	}
 
 	for _, entry := range out.Changes {
-		d.logger.V(1).Info("member changed", "event", 231, "member", entry.Node, "state", entry.State,
+		d.logger.V(1).Info("member changed", "event", 241, "member", entry.Node, "state", entry.State,
 			"incarnation", entry.Incarnation)
 	}
 
 	for _, packet := range out.Packets {
 		if err := d.sender.Send(packet.To, packet.Message); err != nil {
-			d.logger.V(1).Info("membership message not sent", "event", 232, "to", packet.To, "error", err.Error())
+			d.logger.V(1).Info("membership message not sent", "event", 242, "to", packet.To, "error", err.Error())
 		}
 	}
 
@@ -243,7 +243,7 @@
 			return ctx.Err()
 		case address := <-d.exchanges:
 			if err := d.exchange(ctx, address); err != nil {
-				d.logger.V(1).Info("member exchange failed", "event", 233, "peer", address, "error", err.Error())
+				d.logger.V(1).Info("member exchange failed", "event", 243, "peer", address, "error", err.Error())
 			}
 		}
 
