--- a/cmd/internal/daemon/completions.go
+++ b/cmd/internal/daemon/completions.go
@@ -18,6 +18,7 @@
 	suspects := completion.NewSuspects(
 		completion.WithSuspectsLogger(d.logger),
 		completion.WithSuspectsPeers(d.peers, d.peerServer, d.membership),
+		completion.WithBroadcasts(d.membership),
 	)
 	runner := completion.New(engine.New(), d.inventory,
 		completion.WithLogger(d.logger), completion.WithSuspects(suspects), completion.WithUsage(d.usage.Add))
--- a/cmd/internal/daemon/config.go
+++ b/cmd/internal/daemon/config.go
@@ -22,12 +22,25 @@
 // startConfig starts the writer to the log and the configuration feed.
 func (d *Daemon) startConfig(log apricotway.Log) {
 	d.writer = journal.NewWriter(d.supervisor, log, journal.WithLogger(d.logger),
-		journal.WithBudget(journal.DefaultBudget, func() int { return len(d.membership.Members()) + 1 }))
+		journal.WithBudget(journal.DefaultBudget, d.liveMembers))
 	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger),
 		configfeed.WithPeers(d.membership, d.peers, d.peerServer),
 		configfeed.WithCheckpoints(d.writer, checkpointInterval))
 }
 
+// liveMembers counts the members that share the append budget, with this process.
+func (d *Daemon) liveMembers() int {
+	live := 1
+
+	for _, member := range d.membership.Members() {
+		if member.State != apricotway.MemberDead {
+			live++
+		}
+	}
+
+	return live
+}
+
 // showConfig adds the operators' view of the configuration.
 func (d *Daemon) showConfig(server *operator.Server) {
 	server.Show("/v1/config", func() any { return d.feed.Fold().Objects() })
--- a/cmd/resumption/harness_test.go
+++ b/cmd/resumption/harness_test.go
@@ -229,7 +229,7 @@
 	list := inventory.New(supervisor, w.hosts)
 	exchange := completion.WithSuspectsPeers(n, n, n)
 	if w.broadcast {
-		exchange = completion.WithBroadcast(n)
+		exchange = completion.WithBroadcasts(n)
 	}
 
 	suspects := completion.NewSuspects(exchange)
@@ -277,14 +277,18 @@
 	n.receive = receive
 }
 
-func (n *node) Offer(_ apricotway.Topic, key string, version uint64, payload []byte) {
+func (n *node) Publish(entry apricotway.BroadcastEntry) error {
 	for _, other := range n.world.nodes {
 		if other != n {
-			other.receive(key, version, payload)
+			other.receive(entry.Key, entry.Version, entry.Payload)
 		}
 	}
+
+	return nil
 }
 
+func (n *node) Latest(apricotway.Topic) []apricotway.BroadcastEntry { return nil }
+
 func (n *node) Self() apricotway.Member { return n.member }
 
 func (n *node) Members() []apricotway.Member {
--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -35,6 +35,8 @@
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
 			env.Values[processesKey{}] = map[string]*process{}
+			env.Values[callsKey{}] = &load{}
+
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
@@ -48,6 +50,7 @@
 			"expect":  cmdExpect,
 			"load":    cmdLoad,
 			"loaded":  cmdLoaded,
+			"calls":   cmdCalls,
 		},
 	})
 }
--- a/protocol/completion/suspects.go
+++ b/protocol/completion/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -26,7 +25,6 @@
 	// shareConcurrency bounds these calls at a time.
 	shareConcurrency = 16
 
-	topicQuarantine apricotway.Topic = "quarantine"
 	// methodQuarantine carries an entry directly to another process.
 	methodQuarantine apricotway.Method = "quarantine"
 )
@@ -37,7 +35,7 @@
 type Suspects struct {
 	set        *quarantine.Set
 	logger     logr.Logger
-	broadcast  apricotway.Broadcast
+	broadcasts apricotway.Broadcasts
 	peers      apricotway.Peers
 	membership apricotway.Membership
 }
@@ -50,16 +48,12 @@
 	return func(s *Suspects) { s.logger = logger }
 }
 
-// WithBroadcast exchanges entries over the broadcast.
-func WithBroadcast(broadcast apricotway.Broadcast) SuspectsOption {
+// WithBroadcasts exchanges entries over broadcasts.
+func WithBroadcasts(broadcasts apricotway.Broadcasts) SuspectsOption {
 	return func(s *Suspects) {
-		s.broadcast = broadcast
-		broadcast.Subscribe(topicQuarantine, func(_ string, _ uint64, payload []byte) {
-			var entry quarantine.Entry
-			if json.Unmarshal(payload, &entry) == nil {
-				s.set.Merge(time.Now(), entry)
-			}
-		})
+		s.broadcasts = broadcasts
+		apricotway.SubscribeValue(broadcasts, apricotway.TopicQuarantine,
+			func(_ string, _ uint64, entry quarantine.Entry) { s.set.Merge(time.Now(), entry) })
 	}
 }
 
@@ -121,10 +115,12 @@
 
 // share tells the other processes of a change. It returns once those that answer know it.
 func (s *Suspects) share(ctx context.Context, entry quarantine.Entry) {
-	if s.broadcast != nil {
-		// The entry consists of strings, numbers and times, which always encode.
-		payload, _ := json.Marshal(entry)
-		s.broadcast.Offer(topicQuarantine, string(entry.Digest), entry.Version, payload)
+	if s.broadcasts != nil {
+		err := apricotway.PublishValue(s.broadcasts, apricotway.TopicQuarantine, string(entry.Digest), entry.Version,
+			time.Until(entry.Until), entry)
+		if err != nil {
+			s.logger.V(1).Info("quarantine entry not published", "event", 309, "digest", entry.Digest, "error", err.Error())
+		}
 	}
 
 	if s.peers == nil {
