Say notStarted for a key only where it is known

Cause: a process that could not read the ledger answered notStarted to a repeat although the owner, gone meanwhile, had run the call. A caller that believes it uses a new key and books twice.

After: only the owner of the shard says it, for a key that its fold does not hold and if no other process can have claimed the shard unseen; everyone else answers unknown with Retry-After. Expired keys are unknown too.

Ruled out: asking all members, which proves nothing about members that are gone; a time limit alone, which would end notStarted 2 s into every outage.

Tests that expected notStarted without that knowledge (lost answer of a claim, hanging log, trimmed stream, expired key) now expect unknown, which is the stricter reading of the guarantee.

--- a/cmd/scenario/lease_test.go
+++ b/cmd/scenario/lease_test.go
@@ -480,8 +480,9 @@
 		for i := range 50 {
 			group.Go(func() {
 				_, err := m.Run(t.Context(), shard.Request{Key: ledger.Key{Key: fmt.Sprint(i)}})
-				if err == nil || apricotway.AsRefusal(err).Execution != apricotway.ExecutionNotStarted {
-					t.Errorf("got %v, want notStarted", err)
+				// A process that has never read the shard's stream cannot know whether the key was used before.
+				if err == nil || apricotway.AsRefusal(err).Execution != apricotway.ExecutionUnknown {
+					t.Errorf("got %v, want unknown", err)
 				}
 			})
 		}
--- a/cmd/scenario/ledger_test.go
+++ b/cmd/scenario/ledger_test.go
@@ -257,7 +257,7 @@
 func (n *node) runUntil(r call.Request) string {
 	for {
 		got := n.run(r)
-		if got != unavailable {
+		if got != unavailable && got != uncertain {
 			return got
 		}
 
@@ -286,6 +286,7 @@
 	bookedAgain = "{\"booking\":2}\n"
 	unknown     = "outcomeUnknown/unknown"
 	unavailable = "ledgerUnavailable/notStarted"
+	uncertain   = "ledgerUnavailable/unknown"
 )
 
 // TestOwnerStopped guards against a second execution and against a wrong answer after the owner of a shard has ended at any
@@ -460,7 +461,7 @@
 		key := c.keys(c.nodes[0], 1)[0]
 
 		c.log.SetFault(standin.LogLoseAnswer)
-		c.want("first call", c.nodes[1].run(booking(key, "lot 7")), unavailable, 0)
+		c.want("first call", c.nodes[1].run(booking(key, "lot 7")), uncertain, 0)
 		c.log.SetFault(standin.LogHealthy)
 		c.want("log back", c.nodes[1].run(booking(key, "lot 7")), booked, 1)
 	})
@@ -532,7 +533,7 @@
 	keys := c.keys(owner, 2)
 
 	c.log.SetFault(standin.LogDown)
-	c.want("log down", c.nodes[1].run(booking(keys[0], "lot 7")), unavailable, 0)
+	c.want("log down, shard never read", c.nodes[1].run(booking(keys[0], "lot 7")), uncertain, 0)
 	c.log.SetFault(standin.LogHealthy)
 
 	owner.at(shard.StepAfterCall, func() error {
@@ -557,6 +558,27 @@
 	c.want("repeat at the successor", c.nodes[1].run(booking(keys[0], "lot 7")), booked, 2)
 }
 
+// TestRepeatWithoutLedger guards against a repeat that is told that the call did not run, at a process that cannot know: the
+// owner has run the call and is gone, and the log service is down.
+func TestRepeatWithoutLedger(t *testing.T) {
+	c := newCluster(t, 3)
+	owner := c.nodes[0]
+	key := c.keys(owner, 1)[0]
+
+	c.want("call", owner.run(booking(key, "lot 7")), booked, 1)
+
+	_ = owner.kill()
+	owner.stop()
+	c.log.SetFault(standin.LogDown)
+	c.want("owner not reachable", c.nodes[1].run(booking(key, "lot 7")), uncertain, 1)
+	c.declareDead(owner)
+	c.want("owner dead", c.nodes[1].run(booking(key, "lot 7")), uncertain, 1)
+	c.want("owner dead, other address", c.nodes[2].run(booking(key, "lot 7")), uncertain, 1)
+
+	c.log.SetFault(standin.LogHealthy)
+	c.want("log back", c.nodes[1].runUntil(booking(key, "lot 7")), booked, 1)
+}
+
 func kinds(t *testing.T, log apricotway.Log, stream apricotway.Stream) map[string]int {
 	t.Helper()
 
@@ -610,7 +632,7 @@
 
 	old := booking("old", "lot 9")
 	old.KeyTime = time.Now().Add(-keyWindow - time.Second)
-	c.want("old key", c.nodes[1].run(old), "keyExpired/notStarted", 2)
+	c.want("old key", c.nodes[1].run(old), "keyExpired/unknown", 2)
 
 	old.KeyTime = time.Now().Add(keyMargin + time.Minute)
 	c.want("key from the future", c.nodes[1].run(old), "invalidRequest/notStarted", 2)
@@ -636,7 +658,7 @@
 
 			c.want("call", owner.run(booking(key, "lot 7")), booked, 1)
 
-			want := unavailable
+			want := uncertain
 			if records == 3 {
 				want = booked
 
--- a/coordination/shard/manager.go
+++ b/coordination/shard/manager.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -116,6 +117,8 @@
 	checkpointAge     time.Duration
 	shards            []*shard
 
+	pulse pulse
+
 	mu sync.Mutex
 	// pending holds the records whose append failed; they keep their ids, so that a second copy has no effect.
 	pending []pendingRecord
@@ -168,7 +171,8 @@
 	return func(m *Manager) { m.hook = hook }
 }
 
-// New returns a manager and adds the goroutine that repeats failed appends and writes checkpoints to the supervisor.
+// New returns a manager and adds its goroutines to the supervisor: one repeats failed appends and writes checkpoints, one
+// notices pauses of the process.
 func New(
 	supervisor *suture.Supervisor, membership apricotway.Membership, log apricotway.Log, send Sender, options ...Option,
 ) *Manager {
@@ -187,6 +191,20 @@
 		m.shards[i] = m.newShard(i)
 	}
 
+	m.pulse.beat(time.Now())
+	supervisor.Add(apricotway.ServiceFunc{Name: "ledger pulse", Func: func(ctx context.Context) error {
+		ticker := time.NewTicker(pulsePeriod)
+		defer ticker.Stop()
+
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case now := <-ticker.C:
+				m.pulse.beat(now)
+			}
+		}
+	}})
 	supervisor.Add(apricotway.ServiceFunc{Name: "ledger shards", Func: func(ctx context.Context) error {
 		ticker := time.NewTicker(flushPeriod)
 		defer ticker.Stop()
@@ -243,6 +261,15 @@
 	return state == apricotway.MemberDead || state == apricotway.MemberLeaving
 }
 
+// isolated tells whether this process reaches none of the others that it knows. They may have declared it dead.
+func (m *Manager) isolated() bool {
+	members := m.membership.Members()
+
+	return len(members) > 0 && !slices.ContainsFunc(members, func(member apricotway.Member) bool {
+		return member.State == apricotway.MemberAlive
+	})
+}
+
 // alive tells whether membership knows another process that may own shards.
 func (m *Manager) alive(node apricotway.NodeID) bool {
 	for _, member := range m.membership.Members() {
@@ -260,8 +287,10 @@
 	now := time.Now()
 
 	if !request.KeyTime.IsZero() && now.Sub(request.KeyTime) > m.window {
-		return apricotway.ServiceAnswer{}, notStarted(apricotway.CodeKeyExpired, 0,
-			"the idempotency key is older than the deduplication window")
+		return apricotway.ServiceAnswer{}, &apricotway.Refusal{
+			Code: apricotway.CodeKeyExpired, Execution: apricotway.ExecutionUnknown,
+			Message: "the idempotency key is older than the deduplication window; an earlier call with it may have run",
+		}
 	}
 
 	if request.KeyTime.Sub(now) > m.margin {
@@ -279,7 +308,7 @@
 	m.mu.Unlock()
 
 	if full {
-		return apricotway.ServiceAnswer{}, unavailable(errors.New("too many records wait for the log service"))
+		return apricotway.ServiceAnswer{}, Uncertain("too many records wait for the log service")
 	}
 
 	return m.shards[request.Key.Shard(len(m.shards))].run(ctx, request, digest)
@@ -322,9 +351,20 @@
 	}
 }
 
+// unavailable refuses a call of which this process knows that no earlier attempt with the key has run either.
 func unavailable(err error) *apricotway.Refusal {
 	return notStarted(apricotway.CodeLedgerUnavailable, retryAfter, "the call cannot be recorded at present: "+err.Error())
 }
 
+// Uncertain refuses a call that has not been sent, by a process that cannot tell whether an earlier attempt with the key
+// has run: it may be a repeat of a call that another process has sent.
+func Uncertain(reason string) *apricotway.Refusal {
+	return &apricotway.Refusal{
+		Code: apricotway.CodeLedgerUnavailable, Execution: apricotway.ExecutionUnknown,
+		Message:    "the ledger cannot be read at present, and an earlier call with the key may have run: " + reason,
+		RetryAfter: retryAfter,
+	}
+}
+
 // errNoCheckpoint reports a stream that was trimmed and holds no complete checkpoint.
 var errNoCheckpoint = errors.New("the stream was trimmed and holds no complete checkpoint")
--- a/coordination/shard/shard.go
+++ b/coordination/shard/shard.go
@@ -39,6 +39,8 @@
 	// failures counts the failed reads, and failure is the error of the last one.
 	failures int
 	failure  error
+	// lastRead is the time before the newest read that reached the end of the stream.
+	lastRead time.Time
 	// sinceCheckpoint counts the records folded since the last checkpoint, and checkpointed is its time.
 	sinceCheckpoint int
 	checkpointed    time.Time
@@ -86,7 +88,15 @@
 		return failure
 	}
 
+	begin := time.Now()
 	err := s.readLocked(ctx, offset)
+
+	if err == nil {
+		s.mu.Lock()
+		s.lastRead = begin
+		s.mu.Unlock()
+	}
+
 	// An end of this caller's own context says nothing about the log service.
 	if err != nil && ctx.Err() == nil {
 		s.mu.Lock()
@@ -198,7 +208,7 @@
 	}
 
 	if err := s.readPast(ctx, 0); err != nil {
-		return 0, unavailable(err)
+		return 0, Uncertain(err.Error())
 	}
 
 	if epoch := s.epoch(); epoch != 0 {
@@ -220,7 +230,7 @@
 
 	record, err := ledger.NewRecord(ledger.KindClaim, 0, ledger.Claim{Replaces: holder.Offset, Owner: self})
 	if err != nil {
-		return 0, unavailable(err)
+		return 0, Uncertain(err.Error())
 	}
 
 	// The claim counts as this process's own before its append: it may win although the answer is lost.
@@ -230,18 +240,18 @@
 
 	offset, err := s.manager.writer.Append(ctx, s.stream, record)
 	if err != nil {
-		return 0, unavailable(err)
+		return 0, Uncertain(err.Error())
 	}
 
 	if err := s.readPast(ctx, offset); err != nil {
-		return 0, unavailable(err)
+		return 0, Uncertain(err.Error())
 	}
 
 	if epoch := s.epoch(); epoch != 0 {
 		return epoch, nil
 	}
 
-	return 0, unavailable(errors.New("another process claimed the shard first"))
+	return 0, Uncertain("another process claimed the shard first")
 }
 
 // run runs one call. The work goes on when the caller is gone, so that the outcome is recorded; the deadline holds.
@@ -310,7 +320,7 @@
 		s.finish(current, outcome)
 		s.forget(request.Key)
 
-		return apricotway.ServiceAnswer{}, unavailable(err)
+		return apricotway.ServiceAnswer{}, s.refuse(err)
 	}
 
 	outcome.Intent = record.ID
@@ -324,7 +334,7 @@
 		s.finish(current, outcome)
 		s.forget(request.Key)
 
-		return apricotway.ServiceAnswer{}, unavailable(err)
+		return apricotway.ServiceAnswer{}, s.refuse(err)
 	}
 
 	if err == nil {
@@ -348,6 +358,25 @@
 	return s.complete(ctx, current, outcome, answer, err)
 }
 
+// refuse refuses a call that this process has not sent and will not send. The owner of the shard has looked the key up and
+// knows that no earlier attempt has run, unless another process may have claimed the shard since: while this one was paused
+// or while all others think that it is gone.
+func (s *shard) refuse(err error) *apricotway.Refusal {
+	s.mu.Lock()
+	read := s.lastRead
+	s.mu.Unlock()
+
+	if errors.Is(err, errDeposed) {
+		return unavailable(err)
+	}
+
+	if s.epoch() != 0 && s.manager.pulse.steadySince(read, time.Now()) && !s.manager.isolated() {
+		return unavailable(err)
+	}
+
+	return Uncertain(err.Error())
+}
+
 // giveUp ends a call that was not sent after its append was tried.
 func (s *shard) giveUp(current *running, outcome ledger.Outcome, err error) error {
 	var (
@@ -371,7 +400,7 @@
 	// be in the stream, or may still arrive there.
 	s.abandon(current, outcome)
 
-	return unavailable(err)
+	return s.refuse(err)
 }
 
 // complete records what came of a call that was handed to the sender, and returns it.
@@ -405,6 +434,9 @@
 // Error implements the error interface.
 func (e *stoppedError) Error() string { return e.cause.Error() }
 
+// errDeposed reports a claim behind an intent that counts. No process ever sends the call of that intent.
+var errDeposed = errors.New("another process has claimed the shard")
+
 // permit reads the stream past the intent and returns nil when the call may be sent: the intent counts, and the claim under
 // which it was written is still in force as far as the stream can be read.
 func (s *shard) permit(
@@ -427,7 +459,7 @@
 
 		// The claim follows the intent, so the intent counts and the new owner answers unknown.
 		if holder.Offset != epoch {
-			return errors.New("another process has claimed the shard")
+			return errDeposed
 		}
 
 		if err := s.manager.hook(StepBeforeSend); err != nil {
--- a/protocol/call/ledger.go
+++ b/protocol/call/ledger.go
@@ -76,7 +76,7 @@
 		owner = answer.Owner
 	}
 
-	return apricotway.ServiceAnswer{}, noOwner("it changes hands")
+	return apricotway.ServiceAnswer{}, shard.Uncertain("the shard changes hands")
 }
 
 func (l *Ledger) ask(ctx context.Context, owner apricotway.NodeID, message onceMessage) (onceAnswer, error) {
@@ -86,7 +86,7 @@
 
 	address, ok := l.address(owner)
 	if !ok {
-		return onceAnswer{}, noOwner("its owner is not known here")
+		return onceAnswer{}, shard.Uncertain("the shard's owner is not known here")
 	}
 
 	answer, err := apricotway.CallPeer[onceAnswer](ctx, l.peers, address, methodCallOnce, message)
@@ -100,7 +100,7 @@
 	case errors.As(err, &refusal):
 		return onceAnswer{}, refusal
 	case errors.Is(err, apricotway.ErrNotSent):
-		return onceAnswer{}, noOwner("its owner cannot be reached")
+		return onceAnswer{}, shard.Uncertain("the shard's owner cannot be reached")
 	default:
 		return onceAnswer{}, &apricotway.Refusal{
 			Code:      apricotway.CodeOutcomeUnknown,
@@ -139,15 +139,6 @@
 	return netip.AddrPort{}, false
 }
 
-func noOwner(reason string) *apricotway.Refusal {
-	return &apricotway.Refusal{
-		Code:       apricotway.CodeLedgerUnavailable,
-		Execution:  apricotway.ExecutionNotStarted,
-		Message:    "the key's ledger shard cannot be used at present: " + reason,
-		RetryAfter: retryAfter,
-	}
-}
-
 // NewSender returns the sender of calls that run at most once. It tries another backend server only when no byte of the
 // call was sent.
 func NewSender(services apricotway.ServiceClient, inventory *inventory.Inventory) shard.Sender {
