--- a/cmd/internal/ctl/standin.go
+++ b/cmd/internal/ctl/standin.go
@@ -152,7 +152,9 @@
 // Execute implements flags.Commander.
 func (c *standinEngine) Execute([]string) error {
 	model := standin.NewEngineModel(standin.EngineTimes{PrefillPerToken: c.Prefill, DecodePerToken: c.Decode})
-	return c.run(standin.NewEngine(model).Handler(), c.register)
+	crash := standin.WithCrash(func() { os.Exit(cli.ExitFailure) })
+
+	return c.run(standin.NewEngine(model, crash).Handler(), c.register)
 }
 
 type standinService struct{ backendOptions }
@@ -176,5 +178,6 @@
 		cli.Command{Name: "weights", Short: "Rate-limited store of model weights", Data: &standinWeights{}},
 		cli.Command{Name: "engine", Short: "Model engine", Data: &standinEngine{}},
 		cli.Command{Name: "service", Short: "Plain service that keeps a ledger of bookings", Data: &standinService{}},
+		cli.Command{Name: "proxy", Short: "Fault-injecting TCP and UDP proxy", Data: &standinProxy{}},
 	)
 }
--- a/cmd/internal/daemon/fleet.go
+++ b/cmd/internal/daemon/fleet.go
@@ -26,7 +26,7 @@
 		return
 	}
 
-	held := leasing.New(d.supervisor, log, singleAppender{log}, fleet.StreamOf(s.Region), s.Node, fleetLease,
+	held := leasing.New(d.supervisor, log, d.writer, fleet.StreamOf(s.Region), s.Node, fleetLease,
 		leasing.WithLogger(d.logger))
 
 	planning.New(d.supervisor, s.Region, s.Node, log, held, platform.NewHosts(s.Platform.Hosts),
--- a/state/config/fleet.go
+++ b/state/config/fleet.go
@@ -67,6 +67,6 @@
 
 // Fleet returns the specification in force.
 func (f *Fold) Fleet(region apricotway.Region) (FleetSpec, bool) {
-	spec, ok := lookup[FleetSpec](f, Name{Kind: KindFleet, Object: string(region)})
+	spec, ok := f.current().fleets[region]
 	return spec, ok && spec.Region == region
 }
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -4,8 +4,6 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -36,6 +34,7 @@
 	headerRequestID = "Apricotway-Request-Id"
 	headerPriority  = "Apricotway-Priority"
 	headerExecution = "Apricotway-Execution"
+	headerLastEvent = "Last-Event-ID"
 )
 
 // Limits bounds what one caller can ask of a process.
@@ -66,6 +65,7 @@
 type Configuration interface {
 	Service(service apricotway.Service) (config.ServiceSpec, bool)
 	Workspace(workspace apricotway.Workspace) (config.WorkspaceSpec, bool)
+	WorkspaceOf(digest config.TokenDigest) (apricotway.Workspace, bool)
 	Objects() []config.Status
 }
 
@@ -73,7 +73,7 @@
 type Server struct {
 	configuration Configuration
 	directory     apricotway.Directory
-	completions   *completion.Runner
+	completions   *completion.Requests
 	calls         *call.Caller
 	limits        Limits
 	logger        logr.Logger
@@ -115,7 +115,7 @@
 func New(
 	configuration Configuration,
 	directory apricotway.Directory,
-	completions *completion.Runner,
+	completions *completion.Requests,
 	calls *call.Caller,
 	options ...Option,
 ) *Server {
@@ -134,8 +134,9 @@
 		option(s)
 	}
 
-	s.mux.HandleFunc("POST /v1/chat/completions", s.handle("chatCompletions", s.chatCompletions))
-	s.mux.HandleFunc("POST /v1/completions", s.handle("completions", s.plainCompletions))
+	s.mux.HandleFunc("POST /v1/chat/completions", s.handle("chatCompletions", s.resumable(s.chatCompletions)))
+	s.mux.HandleFunc("POST /v1/completions", s.handle("completions", s.resumable(s.plainCompletions)))
+	s.mux.HandleFunc("GET /v1/requests/{id}/events", s.handle("requestEvents", s.requestEvents))
 	s.mux.HandleFunc("GET /v1/models", s.handle("models", s.models))
 	s.mux.HandleFunc("GET /v1/addresses", s.addresses)
 	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.handle("services", s.serviceCall))
@@ -212,41 +213,19 @@
 	return invalid(apricotway.CodePathNotFound, fmt.Sprintf("there is nothing at %s %s", r.Method, r.URL.Path))
 }
 
-// authorise finds the workspace whose token the request carries. All digests are compared, in constant time, so that the
-// time taken tells nothing about them.
+// authorise finds the workspace whose token the request carries.
 func (s *Server) authorise(r *http.Request) (apricotway.Workspace, error) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 	if !ok || token == "" {
 		return "", invalid(apricotway.CodeUnauthorized, "the request carries no bearer token")
 	}
 
-	sum := sha256.Sum256([]byte(token))
-	digest := []byte(hex.EncodeToString(sum[:]))
-
-	var found apricotway.Workspace
-
-	for _, object := range s.configuration.Objects() {
-		if object.Kind != config.KindWorkspace || object.Deleted {
-			continue
-		}
-
-		spec, ok := s.configuration.Workspace(apricotway.Workspace(object.Object))
-		if !ok {
-			continue
-		}
-
-		for _, hash := range spec.TokenHashes {
-			if subtle.ConstantTimeCompare([]byte(strings.ToLower(hash)), digest) == 1 {
-				found = apricotway.Workspace(object.Object)
-			}
-		}
-	}
-
-	if found == "" {
+	workspace, ok := s.configuration.WorkspaceOf(sha256.Sum256([]byte(token)))
+	if !ok {
 		return "", invalid(apricotway.CodeUnauthorized, "the bearer token belongs to no workspace")
 	}
 
-	return found, nil
+	return workspace, nil
 }
 
 // deadline computes the time by which the whole answer has to be there.
