Let hosts move for a fifth of their price and test the platform clients

Before: the meaning of the platform's statuses on the wire had no test. After: a refusal taken for another status fails TestPlatformClients, seen by mapping 503 instead of 409.

Conclusion: hysteresis 0.2.

--- a/cmd/internal/ctl/fleet.go
+++ b/cmd/internal/ctl/fleet.go
@@ -19,7 +19,7 @@
 	Days    int    `long:"days" default:"14" description:"length of the history"`
 	Engines int    `long:"engines" default:"100" description:"standard hosts that serve the peak"`
 
-	Hysteresis float64 `long:"hysteresis" default:"0.1" description:"part by which another market has to be cheaper"`
+	Hysteresis float64 `long:"hysteresis" default:"0.2" description:"part by which another market has to be cheaper"`
 
 	JSON bool `long:"json" description:"print JSON"`
 }
--- a/cmd/scenario/fleet_test.go
+++ b/cmd/scenario/fleet_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"maps"
+	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +22,7 @@
 	"github.com/apricotway/apricotway/coordination/planning"
 	"github.com/apricotway/apricotway/coordination/shard"
 	"github.com/apricotway/apricotway/state/fleet"
+	"github.com/apricotway/apricotway/transport/platform"
 )
 
 const fleetRegion = "prairie-west"
@@ -400,3 +403,48 @@
 		r.check(ctx, "with zone a again", wantFull)
 	})
 }
+
+// TestPlatformClients guards the meaning of the platform's answers on the wire: a refusal must not look like an outage, nor an
+// outage like a refusal, and a wait of the weight store must not look like a grant.
+func TestPlatformClients(t *testing.T) {
+	hosts := standin.NewHosts()
+	cloud := standin.NewCloud(fleetRegion, func(server apricotway.BackendServer, _ bool) { hosts.Add(server) })
+	cloudServer := httptest.NewServer(cloud.Handler())
+	weightServer := httptest.NewServer(standin.NewWeights(time.Hour).Handler())
+	client := platform.NewCloud(netip.MustParseAddrPort(cloudServer.Listener.Addr().String()))
+	weights := platform.NewWeights(netip.MustParseAddrPort(weightServer.Listener.Addr().String()))
+
+	for _, test := range []struct {
+		faults standin.CloudFaults
+		want   error
+	}{
+		{standin.CloudFaults{RefuseAll: true}, apricotway.ErrHostRefused},
+		{standin.CloudFaults{LoseAnswer: true}, apricotway.ErrPlatformUnavailable},
+		{standin.CloudFaults{}, nil},
+	} {
+		cloud.SetFaults(test.faults)
+
+		if _, err := client.Create(t.Context(), apricotway.HostOrder{ClientToken: "t"}); !errors.Is(err, test.want) {
+			t.Errorf("got error %v, want %v", err, test.want)
+		}
+	}
+
+	if got, want := len(cloud.Alive()), 1; got != want {
+		t.Errorf("got %d hosts from a repeated token, want %d", got, want)
+	}
+
+	cloudServer.Close()
+
+	if err := client.Release(t.Context(), "host-00001"); !errors.Is(err, apricotway.ErrPlatformUnavailable) {
+		t.Errorf("got error %v, want %v", err, apricotway.ErrPlatformUnavailable)
+	}
+
+	for _, granted := range []bool{true, false} {
+		wait, err := weights.Reserve(t.Context(), "1", "s")
+		if err != nil || (wait == 0) != granted {
+			t.Errorf("got wait %s and error %v, want granted %t", wait, err, granted)
+		}
+	}
+
+	weightServer.Close()
+}
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -253,7 +254,49 @@
 	}
 }
 
-// BenchmarkPlan measures one plan, and the fold of a stream, for fleets of different sizes.
+// BenchmarkFold measures the fold of a stream that created a fleet, and the memory that it keeps.
+func BenchmarkFold(b *testing.B) {
+	for _, size := range []int{100, 800, 7600} {
+		claim, err := lease.NewRecord(0, "n")
+		records := []apricotway.Record{claim}
+
+		for i := 1; i <= size && err == nil; i++ {
+			var intent, outcome apricotway.Record
+
+			intent, err = fleet.NewRecord(fleet.KindIntent, 1, fleet.Intent{Sequence: uint64(i), Action: fleet.ActionCreate})
+			outcome, _ = fleet.NewRecord(fleet.KindOutcome, 1, fleet.Outcome{
+				Sequence: uint64(i), Result: fleet.ResultCreated, Host: apricotway.BackendServerID(fmt.Sprintf("host-%d", i)),
+			})
+			records = append(records, intent, outcome)
+		}
+
+		if err != nil {
+			b.Fatal(err)
+		}
+
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var before, after runtime.MemStats
+
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+
+				fold := fleet.New("fleet-r")
+				for i, record := range records {
+					fold.Apply(apricotway.StoredRecord{Record: record, Offset: apricotway.Offset(i + 1)}, time.Time{})
+				}
+
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(fold)
+			}
+
+			b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "kept-B")
+		})
+	}
+}
+
+// BenchmarkPlan measures one plan for fleets of different sizes.
 func BenchmarkPlan(b *testing.B) {
 	for _, size := range []int{100, 800, 7600} {
 		observation := fleet.Observation{Demand: float64(size) * 75}
