--- a/cmd/internal/daemon/membership.go
+++ b/cmd/internal/daemon/membership.go
@@ -14,6 +14,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/membership"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/transport/operator"
 	"github.com/apricotway/apricotway/transport/probe"
 )
@@ -118,11 +119,5 @@
 		wait += WithdrawMargin
 	}
 
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pause.For(ctx, wait)
 }
--- a/coordination/configfeed/checkpoint.go
+++ b/coordination/configfeed/checkpoint.go
@@ -8,6 +8,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/journal"
+	"github.com/apricotway/apricotway/internal/pause"
 )
 
 const (
@@ -33,7 +34,7 @@
 	supervisor.Add(apricotway.ServiceFunc{Name: "configfeed checkpoints", Func: func(ctx context.Context) error {
 		waited := time.Duration(0)
 
-		for sleep(ctx, checkpointTurn) {
+		for pause.For(ctx, checkpointTurn) {
 			if !f.checkpointDue() {
 				waited = 0
 				continue
--- a/coordination/configfeed/configfeed.go
+++ b/coordination/configfeed/configfeed.go
@@ -14,6 +14,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/journal"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/config"
 )
 
@@ -97,7 +98,7 @@
 
 			f.logger.V(1).Info("config stream not readable", "event", 201, "error", err.Error())
 
-			if !sleep(ctx, retryPause) {
+			if !pause.For(ctx, retryPause) {
 				return ctx.Err()
 			}
 		}
@@ -195,15 +196,3 @@
 
 // Ready is closed once the process has caught up with the log or, while that is unavailable, with its peers.
 func (f *Feed) Ready() <-chan struct{} { return f.ready }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/coordination/configfeed/peers.go
+++ b/coordination/configfeed/peers.go
@@ -10,6 +10,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 )
 
 const (
@@ -87,7 +88,7 @@
 		func(context.Context, RevisionsRequest) (Revisions, error) { return f.revisions(), nil })
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "configfeed peers", Func: func(ctx context.Context) error {
-		for sleep(ctx, spreadPeriod) {
+		for pause.For(ctx, spreadPeriod) {
 			if f.logDown() {
 				f.spread(ctx)
 			}
--- a/coordination/journal/writer.go
+++ b/coordination/journal/writer.go
@@ -13,6 +13,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 )
 
 const (
@@ -325,13 +326,8 @@
 			}
 		}
 
-		timer := time.NewTimer(resendPause)
-
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, resendPause) {
 			return nil, errors.Wrap(apricotway.ErrAppendUnknown, "the log service does not show the records")
-		case <-timer.C:
 		}
 	}
 }
--- a/coordination/leasing/lease.go
+++ b/coordination/leasing/lease.go
@@ -11,6 +11,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/lease"
 )
 
@@ -88,7 +89,7 @@
 
 			if err != nil {
 				l.logger.V(1).Info("lease stream not usable", "event", 231, "stream", stream, "error", err.Error())
-				pause(ctx, retryPause)
+				pause.For(ctx, retryPause)
 			}
 		}
 	}})
@@ -260,18 +261,8 @@
 	l.mu.Unlock()
 
 	if wait > 0 {
-		pause(ctx, wait)
+		pause.For(ctx, wait)
 	}
 
 	return ctx.Err()
 }
-
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/coordination/membership/join.go
+++ b/coordination/membership/join.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 )
 
 const (
@@ -40,7 +41,7 @@
 
 func (d *Driver) runJoin(ctx context.Context) error {
 	j := &joiner{}
-	pause := firstJoinPause
+	wait := firstJoinPause
 
 	// The seeds come first: an append to a log service that hangs would hold up the join.
 	d.joinOne(ctx, j)
@@ -50,7 +51,7 @@
 
 		d.joinOne(ctx, j)
 
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, wait) {
 			return ctx.Err()
 		}
 
@@ -61,7 +62,7 @@
 			longest = lastJoinPause
 		}
 
-		pause = min(2*pause, longest)
+		wait = min(2*wait, longest)
 	}
 }
 
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/member"
 	"github.com/apricotway/apricotway/state/placement"
 )
@@ -247,7 +248,7 @@
 			}
 		}
 
-		if !sleep(ctx, exchangeGap) {
+		if !pause.For(ctx, exchangeGap) {
 			return ctx.Err()
 		}
 	}
@@ -443,15 +444,3 @@
 
 	return count
 }
-
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/protocol/completion/placement.go
+++ b/protocol/completion/placement.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/quarantine"
 )
 
@@ -55,7 +56,7 @@
 			return placement{}, errNoEngine
 		}
 
-		if pause(ctx); ctx.Err() != nil {
+		if !pause.For(ctx, pollPeriod) {
 			return placement{}, ctx.Err()
 		}
 	}
@@ -155,7 +156,7 @@
 			idle = 0
 		}
 
-		pause(ctx)
+		pause.For(ctx, pollPeriod)
 
 		if ctx.Err() != nil || !r.suspects.set.Holds(time.Now(), digest(request), server.ID) {
 			return false
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/account"
 	"github.com/apricotway/apricotway/state/quarantine"
 	"github.com/apricotway/apricotway/state/resume"
@@ -236,7 +237,7 @@
 		done.excluded = append(done.excluded, place.server.ID)
 
 		if errors.Is(last, apricotway.ErrBackendRefused) {
-			pause(ctx)
+			pause.For(ctx, pollPeriod)
 		}
 	}
 
@@ -353,7 +354,7 @@
 			return false
 		}
 
-		if pause(ctx); ctx.Err() != nil {
+		if !pause.For(ctx, pollPeriod) {
 			return false
 		}
 	}
@@ -371,17 +372,6 @@
 	return index < 0 || servers[index].State == apricotway.HostLeaving
 }
 
-// pause waits until it is time for another look.
-func pause(ctx context.Context) {
-	timer := time.NewTimer(pollPeriod)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // refuse turns the state of an unfinished request into the answer for its caller.
 func refuse(ctx context.Context, done *progress, last error) *apricotway.Refusal {
 	refusal := &apricotway.Refusal{
