Record every numbered log event on the time line

Cause: the time line showed only the start and the end of requests, and each further event would have needed a second call beside its log line.

A log sink passes lines on and records those with an event number. Events of single requests and calls are logged at debug level, which the time line keeps and the log does not.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -92,9 +92,9 @@
 		option(d)
 	}
 
-	d.logger = d.logger.WithValues("node", s.Node)
 	d.clock = timeline.NewClock(time.Now)
 	d.ring = timeline.NewRing(s.Node, d.clock, timeline.DefaultCapacity)
+	d.logger = recording(d.logger.WithValues("node", s.Node), d.ring)
 	d.supervisor = suture.New("apricotway", suture.Spec{EventHook: func(event suture.Event) {
 		d.logger.Info("supervisor event", "event", 101, "detail", event.String())
 	}})
@@ -166,7 +166,7 @@
 	d.completions = d.newCompletions(registry)
 	callersAPI := api.New(d.feed.Fold(), d.membership, d.completions, calls,
 		api.WithLimits(limits), api.WithLogger(d.logger), api.WithReady(d.Ready),
-		api.WithTimeline(d.ring), api.WithMetrics(registry))
+		api.WithMetrics(registry))
 
 	operatorAPI := operator.New(registry, d.Ready)
 	d.showConfig(operatorAPI)
--- a/coordination/shard/shard.go
+++ b/coordination/shard/shard.go
@@ -349,6 +349,8 @@
 		return apricotway.ServiceAnswer{}, s.giveUp(current, outcome, err)
 	}
 
+	m.logger.V(1).Info("call sent", "event", 227, "stream", s.stream, "intent", record.ID, "offset", offset)
+
 	answer, err := m.send(ctx, request.Service, request.Call)
 
 	if err := m.hook(StepAfterCall); err != nil {
@@ -416,6 +418,7 @@
 	}
 
 	s.finish(current, outcome)
+	s.manager.logger.V(1).Info("call ended", "event", 228, "stream", s.stream, "intent", outcome.Intent, "result", outcome.Result)
 
 	if err := s.record(ctx, current, outcome); err != nil {
 		return apricotway.ServiceAnswer{}, err
--- a/protocol/completion/copies.go
+++ b/protocol/completion/copies.go
@@ -272,6 +272,8 @@
 			a.holder, a.copiedTokens = member, len(message.Tokens)
 			a.mu.Unlock()
 
+			s.logger.V(1).Info("request copied", "event", 323, "request", a.request.ID, "member", member.Node)
+
 			return
 		}
 
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -216,8 +216,14 @@
 			break
 		}
 
+		r.logger.V(1).Info("attempt started", "event", 321, "request", request.ID, "server", place.server.ID,
+			"tokens", done.tokens)
+
 		last = r.attempt(ctx, request, place, done, sink)
 		if done.finished {
+			r.logger.V(1).Info("answer complete", "event", 322, "request", request.ID, "server", place.server.ID,
+				"tokens", done.tokens)
+
 			return done.server, nil
 		}
 
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -22,7 +22,6 @@
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/config"
-	"github.com/apricotway/apricotway/state/timeline"
 	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
@@ -78,7 +77,6 @@
 	limits        Limits
 	logger        logr.Logger
 	ready         func() error
-	ring          *timeline.Ring
 	metrics       *metrics
 	mux           *http.ServeMux
 }
@@ -101,11 +99,6 @@
 	return func(s *Server) { s.ready = ready }
 }
 
-// WithTimeline records the start and the end of every request.
-func WithTimeline(ring *timeline.Ring) Option {
-	return func(s *Server) { s.ring = ring }
-}
-
 // WithMetrics registers the metrics of the callers' API.
 func WithMetrics(registry prometheus.Registerer) Option {
 	return func(s *Server) { s.metrics.register(registry) }
@@ -154,13 +147,6 @@
 	request   apricotway.RequestID
 }
 
-// The events of the time line.
-const (
-	eventReceived timeline.Kind = "requestReceived"
-	eventFinished timeline.Kind = "requestFinished"
-	eventRefused  timeline.Kind = "requestRefused"
-)
-
 // handle authorises a request and writes the refusal that its handler returns.
 func (s *Server) handle(
 	endpoint string, handler func(http.ResponseWriter, *http.Request, caller) error,
@@ -169,18 +155,17 @@
 		begin := time.Now()
 		id := apricotway.RequestID(uuid.NewString())
 		w.Header().Set(headerRequestID, string(id))
-		s.ring.Add(eventReceived, id, endpoint)
+		s.logger.V(1).Info("request received", "event", 403, "request", id, "endpoint", endpoint)
 
 		err := s.authorised(w, r, id, handler)
 		if err == nil {
-			s.ring.Add(eventFinished, id, endpoint)
+			s.logger.V(1).Info("request finished", "event", 404, "request", id, "endpoint", endpoint)
 			s.metrics.observe(endpoint, codeNone, time.Since(begin))
 
 			return
 		}
 
 		refusal := apricotway.AsRefusal(err)
-		s.ring.Add(eventRefused, id, string(refusal.Code))
 		s.metrics.observe(endpoint, refusal.Code, time.Since(begin))
 		s.logger.Info("request refused", "event", 401, "request", id, "code", refusal.Code,
 			"execution", refusal.Execution, "error", refusal.Message)
