Make a plan depend on the observations alone

Cause: releases went through the markets in the order of a map.

Ruled out: an order of prices, which changes with their noise.

Before: two planners with the same terms and observations differ, as the new comparison in TestPlanKeepsCapacity showed. After: markets go in a fixed order, reclaimable hosts first.

Conclusion: the same observations give the same plan.

--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -88,11 +88,11 @@
 }
 
 // TestPlanKeepsCapacity guards against a move that releases before its replacement lives, and against hosts that move to and fro
-// with the noise of prices below the hysteresis.
+// with the noise of prices below the hysteresis, and against plans that depend on more than the observations.
 func TestPlanKeepsCapacity(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		terms := fleet.Terms{OnDemandFloor: 2, MaxChanges: 8, Hysteresis: 0.2, Hold: time.Minute, Start: time.Minute}
-		planner := fleet.NewPlanner(terms)
+		planner, twin := fleet.NewPlanner(terms), fleet.NewPlanner(terms)
 		list := offers(t)
 		hosts := map[apricotway.BackendServerID]fleet.Host{}
 		ordered := map[apricotway.BackendServerID]time.Time{}
@@ -121,7 +121,12 @@
 
 				released := false
 
-				for _, intent := range planner.Plan(now, observation) {
+				intents := planner.Plan(now, observation)
+				if other := twin.Plan(now, observation); !slices.Equal(intents, other) {
+					t.Fatalf("got %v and %v from one observation", intents, other)
+				}
+
+				for _, intent := range intents {
 					if intent.Action == fleet.ActionRelease {
 						released = true
 
--- a/state/fleet/market.go
+++ b/state/fleet/market.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/apricotway/apricotway"
@@ -15,6 +16,19 @@
 	Reclaimable  bool                    `json:"reclaimable"`
 }
 
+// compare puts the reclaimable markets of a class first: what may be lost is released before what is the floor.
+func (m Market) compare(other Market) int {
+	reclaimable := 0
+	if m.Reclaimable != other.Reclaimable {
+		reclaimable = 1
+		if m.Reclaimable {
+			reclaimable = -1
+		}
+	}
+
+	return cmp.Or(cmp.Compare(m.Zone, other.Zone), cmp.Compare(m.MachineClass, other.MachineClass), reclaimable)
+}
+
 // wholeZone returns what stands for all markets of the market's zone.
 func wholeZone(market Market) Market { return Market{Zone: market.Zone} }
 
--- a/state/fleet/planner.go
+++ b/state/fleet/planner.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -62,7 +63,10 @@
 
 	var intents []Intent
 
-	for market, hosts := range have {
+	// The order decides which hosts may go where the live capacity does not allow all releases.
+	for _, market := range slices.SortedFunc(maps.Keys(have), Market.compare) {
+		hosts := have[market]
+
 		extra := len(hosts) - target.Hosts[market]
 		if extra <= 0 {
 			continue
