Order the owners of a request by the number of takeovers

Cause: a copy sent by a process just before it handed a request over could arrive after that of the next owner. It replaced the newer copy, the owner's progress was refused as taken, and the former owner's drop deleted the last copy: the request was lost with the next process.

Each takeover raises a term; a copy, progress or run of a lower term gives way to the higher one.

--- a/protocol/completion/copies.go
+++ b/protocol/completion/copies.go
@@ -43,7 +43,10 @@
 	// Origin is the process that runs the request.
 	Origin      apricotway.NodeID
 	OriginPeers netip.AddrPort
-	Tokens      []string
+	// Term counts the takeovers of the request. Of two processes that run or copy it, the one with the higher term is
+	// right, and with equal terms the one with the higher node.
+	Term   uint64
+	Tokens []string
 	// Finish is set when Tokens is the whole answer.
 	Finish  apricotway.FinishReason
 	Version apricotway.ModelVersion
@@ -62,7 +65,8 @@
 }
 
 type progressEntry struct {
-	ID apricotway.RequestID
+	ID   apricotway.RequestID
+	Term uint64
 	// From is the index of the first token.
 	From    int
 	Tokens  []string
@@ -116,7 +120,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if s.runs(message.Request.ID) {
+	if s.running(message.Request.ID, message.Term, message.Origin) {
+		return copyAnswer{Taken: true}, nil
+	}
+
+	held, ok := s.copies[message.Request.ID]
+	if ok && newer(held.Term, held.Origin, message.Term, message.Origin) {
 		return copyAnswer{Taken: true}, nil
 	}
 
@@ -126,6 +135,31 @@
 	return copyAnswer{}, nil
 }
 
+// newer reports whether the first of two processes is the one that runs a request now.
+func newer(term uint64, origin apricotway.NodeID, otherTerm uint64, otherOrigin apricotway.NodeID) bool {
+	if term != otherTerm {
+		return term > otherTerm
+	}
+
+	return origin > otherOrigin
+}
+
+// running reports whether this process runs or ran the request itself and is not replaced by the given one. A process that
+// is replaced ends its run. The caller holds the lock.
+func (s *Requests) running(id apricotway.RequestID, term uint64, origin apricotway.NodeID) bool {
+	a, ok := s.live[id]
+	if !ok || !s.runs(id) {
+		return false
+	}
+
+	if newer(term, origin, a.term, s.self().Node) {
+		a.move()
+		return false
+	}
+
+	return true
+}
+
 // runs reports whether this process runs or ran the request itself. The caller holds the lock.
 func (s *Requests) runs(id apricotway.RequestID) bool {
 	a, ok := s.live[id]
@@ -149,9 +183,10 @@
 		held, ok := s.copies[entry.ID]
 
 		switch {
-		case !ok && s.runs(entry.ID) || ok && held.Origin != message.Origin:
+		case !ok && s.running(entry.ID, entry.Term, message.Origin),
+			ok && newer(held.Term, held.Origin, entry.Term, message.Origin):
 			answer.Taken = append(answer.Taken, entry.ID)
-		case !ok || entry.From > len(held.Tokens):
+		case !ok || held.Origin != message.Origin || entry.From > len(held.Tokens):
 			answer.Missing = append(answer.Missing, entry.ID)
 		default:
 			if entry.From < len(held.Tokens) {
@@ -160,7 +195,7 @@
 			}
 
 			held.Tokens = append(held.Tokens, entry.Tokens...)
-			held.Finish, held.Version = entry.Finish, entry.Version
+			held.Finish, held.Version, held.Term = entry.Finish, entry.Version, entry.Term
 		}
 	}
 
@@ -186,6 +221,7 @@
 
 	return requestCopy{
 		Request: a.request, Remaining: time.Until(a.request.Deadline), Origin: self.Node, OriginPeers: self.Peers,
+		Term:   a.term,
 		Tokens: texts(a.tokens), Finish: finish(a.tokens), Version: a.version,
 	}
 }
@@ -407,7 +443,7 @@
 			} else {
 				tokens := a.tokens[a.copiedTokens:]
 				b.progress.Entries = append(b.progress.Entries, progressEntry{
-					ID: id, From: a.copiedTokens, Tokens: texts(tokens), Finish: finish(tokens), Version: a.version,
+					ID: id, Term: a.term, From: a.copiedTokens, Tokens: texts(tokens), Finish: finish(tokens), Version: a.version,
 				})
 			}
 		}
--- a/protocol/completion/requests.go
+++ b/protocol/completion/requests.go
@@ -121,7 +121,9 @@
 type Answer struct {
 	requests *Requests
 	request  Request
-	cancel   context.CancelFunc
+	// term counts the takeovers that led to this run of the request.
+	term   uint64
+	cancel context.CancelFunc
 	// copied is closed once the request is copied or has turned out to have no peer to copy it to.
 	copied chan struct{}
 
--- a/protocol/completion/takeover.go
+++ b/protocol/completion/takeover.go
@@ -21,6 +21,7 @@
 		answer := takeOverAnswer{Found: true, Copy: held.requestCopy}
 		answer.Copy.Remaining = time.Until(held.Request.Deadline)
 		held.Origin, held.OriginPeers = message.By, message.ByPeers
+		held.Term++
 		s.mu.Unlock()
 
 		return answer, nil
@@ -70,6 +71,7 @@
 func (s *Requests) adopt(from requestCopy, holder apricotway.Member, copied int) *Answer {
 	a := s.newAnswer(from.Request)
 	a.version, a.holder, a.copiedTokens = from.Version, holder, min(copied, len(from.Tokens))
+	a.term = from.Term + 1
 	// A reader of the process that is gone knows the request's id.
 	a.known = true
 
@@ -137,8 +139,10 @@
 		return nil, err
 	}
 
-	best := finds[0]
+	best, term := finds[0], finds[0].Copy.Term
 	for _, other := range finds[1:] {
+		term = max(term, other.Copy.Term)
+
 		if other.Live || !best.Live && len(other.Copy.Tokens) > len(best.Copy.Tokens) {
 			best = other
 		}
@@ -155,6 +159,9 @@
 		}
 	}
 
+	// The new run replaces every earlier one, also that of a copy which is not used.
+	best.Copy.Term = max(term, best.Copy.Term)
+
 	holder, copied := s.keepOne(ctx, id, finds, best.Refusal != nil)
 	if best.Refusal != nil {
 		return nil, best.Refusal
