Choose engines by expected time and admit by fair shares

Cause: requests went to engines in turn, without regard to load, caches or slow engines, and nothing bounded the queues.

The stand-in engine now batches, caches prefixes, orders by priority and reports late. state/routing holds the project's policy, the baselines, the hedger and the retry budget; state/admission the fair queue and the division of places; coordination/gate blocks requests; cmd/internal/bench measures all of it.

Ruled out: more frequent announcements between peers, whose traffic would not fit the budget of 7 KB/s at full size.

--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -27,6 +27,7 @@
 func addCommands(root *flags.Command) error {
 	for _, add := range []func(*flags.Command) error{
 		addStandinCommands,
+		addBenchCommand,
 	} {
 		if err := add(root); err != nil {
 			return err
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -127,7 +127,10 @@
 	d.feed = configfeed.New(d.supervisor, log, configfeed.WithLogger(d.logger))
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
-	completions := completion.New(engine.New(), d.inventory, completion.WithLogger(d.logger))
+	engines := engine.New()
+	routing := newEngineRouting(d.supervisor, engines, d.inventory, d.feed.Fold())
+	completions := completion.New(engines, d.inventory, completion.WithLogger(d.logger),
+		completion.WithPolicy(routing.policy), completion.WithAdmission(routing))
 	calls := call.New(service.New(), d.inventory, call.WithLogger(d.logger))
 
 	limits := api.DefaultLimits()
--- a/cmd/internal/standin/engine.go
+++ b/cmd/internal/standin/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/apricotway/apricotway"
@@ -26,8 +27,10 @@
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, e.model.Load(time.Now()))
 	})
-	mux.HandleFunc("GET /cache/events", func(w http.ResponseWriter, _ *http.Request) {
-		httpjson.Write(w, http.StatusOK, []apricotway.CacheEvent{})
+	mux.HandleFunc("GET /cache/events", func(w http.ResponseWriter, r *http.Request) {
+		// A missing or malformed number stands for all events.
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		httpjson.Write(w, http.StatusOK, e.model.CacheEvents(time.Now(), after))
 	})
 
 	return mux
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -30,9 +30,17 @@
 	engines   apricotway.EngineClient
 	inventory *inventory.Inventory
 	policy    routing.Policy
+	admission Admission
 	logger    logr.Logger
 }
 
+// Admission decides when a request may start.
+type Admission interface {
+	// Admit returns once the request may start, with the priority for its engine set, and the function that ends it with
+	// the number of generated tokens. It returns a Refusal for a request that will not start.
+	Admit(ctx context.Context, request Request) (Request, func(tokens int), error)
+}
+
 // Option changes a runner under construction.
 type Option func(*Runner)
 
@@ -46,6 +54,11 @@
 	return func(r *Runner) { r.policy = policy }
 }
 
+// WithAdmission sets what admits requests; without it every request starts at once.
+func WithAdmission(admission Admission) Option {
+	return func(r *Runner) { r.admission = admission }
+}
+
 // New returns a runner.
 func New(engines apricotway.EngineClient, inventory *inventory.Inventory, options ...Option) *Runner {
 	r := &Runner{engines: engines, inventory: inventory, policy: routing.NewRoundRobin(), logger: logr.Discard()}
@@ -79,6 +92,16 @@
 		last error
 	)
 
+	if r.admission != nil {
+		admitted, release, err := r.admission.Admit(ctx, request)
+		if err != nil {
+			return err
+		}
+		defer func() { release(done.tokens) }()
+
+		request = admitted
+	}
+
 	for range maxAttempts {
 		server, ok := r.choose(request, &done)
 		if !ok {
@@ -117,8 +140,21 @@
 	return candidates[index], true
 }
 
+func outcome(ctx context.Context, done *progress) routing.Outcome {
+	switch {
+	case done.finished:
+		return routing.OutcomeFinished
+	case ctx.Err() != nil:
+		return routing.OutcomeCancelled
+	default:
+		return routing.OutcomeFailed
+	}
+}
+
 func work(request Request, done *progress) routing.Work {
 	return routing.Work{
+		Service:      request.Service,
+		Blocks:       apricotway.PrefixBlocks(nil, request.Prompt),
 		Prompt:       request.Prompt,
 		PromptTokens: apricotway.EstimateTokens(request.Prompt) + done.tokens,
 		MaxTokens:    request.MaxTokens - done.tokens,
@@ -145,7 +181,7 @@
 	id := apricotway.AttemptID(uuid.NewString())
 
 	r.policy.Started(time.Now(), server.ID, id, work(request, done))
-	defer func() { r.policy.Ended(time.Now(), server.ID, id) }()
+	defer func() { r.policy.Ended(time.Now(), server.ID, id, outcome(ctx, done)) }()
 
 	stream, err := r.engines.Generate(ctx, server, apricotway.GenerateRequest{
 		Attempt:         id,
--- /dev/null
+++ b/state/routing/hotcold.go
@@ -0,0 +1,220 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apricotway/apricotway"
+)
+
+// The parameters of hot-cold choice, as published for Prequal (NSDI 2024).
+const (
+	// hotColdPool bounds the probe answers that are kept.
+	hotColdPool = 16
+	// hotColdAge is the age at which a probe answer is dropped.
+	hotColdAge = time.Second
+	// hotColdQuantile of the requests in flight separates cold engines from hot ones.
+	hotColdQuantile = 0.84
+	// hotColdUses bounds the choices that one probe answer serves.
+	hotColdUses = 3
+	// hotColdProbes is the number of engines to probe with each request.
+	hotColdProbes = 3
+	// hotColdWeight is the weight of a new latency in an engine's average.
+	hotColdWeight = 0.2
+)
+
+// HotCold keeps a pool of probe answers. It chooses the engine with the lowest latency among the cold ones, and the one
+// with the fewest requests in flight when all are hot. It is a baseline. Each call of Reported counts as the answer to a
+// probe.
+type HotCold struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	pool     []probeAnswer
+	latency  map[apricotway.BackendServerID]float64
+	attempts map[apricotway.AttemptID]time.Time
+	removals int
+	sorted   []int
+}
+
+type probeAnswer struct {
+	server   apricotway.BackendServerID
+	inFlight int
+	uses     int
+	time     time.Time
+}
+
+// NewHotCold returns a policy that draws with the given seed.
+func NewHotCold(seed uint64) *HotCold {
+	return &HotCold{
+		random:   newRandom(seed),
+		latency:  map[apricotway.BackendServerID]float64{},
+		attempts: map[apricotway.AttemptID]time.Time{},
+	}
+}
+
+// Choose implements Policy.
+func (h *HotCold) Choose(now time.Time, work Work, candidates []apricotway.BackendServer) int {
+	if len(candidates) == 0 {
+		return -1
+	}
+
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.pool = slices.DeleteFunc(h.pool, func(p probeAnswer) bool { return now.Sub(p.time) > hotColdAge })
+	threshold := h.threshold()
+	best, bestIndex := -1, -1
+
+	for i, answer := range h.pool {
+		index := slices.IndexFunc(candidates, func(s apricotway.BackendServer) bool { return s.ID == answer.server })
+		if index < 0 || slices.Contains(work.Excluded, answer.server) {
+			continue
+		}
+
+		if best < 0 || h.better(answer, h.pool[best], threshold) {
+			best, bestIndex = i, index
+		}
+	}
+
+	if best < 0 {
+		first := h.random.IntN(len(candidates))
+
+		return least(work, candidates, func(server apricotway.BackendServerID) float64 {
+			if server == candidates[first].ID {
+				return 0
+			}
+
+			return 1
+		})
+	}
+
+	// The request raises the load that the answer describes, until a new probe sees it.
+	h.pool[best].inFlight++
+	h.pool[best].uses++
+
+	if h.pool[best].uses >= hotColdUses {
+		h.pool = slices.Delete(h.pool, best, best+1)
+	}
+
+	h.removeOne(threshold)
+
+	return bestIndex
+}
+
+// ProbeTargets returns the engines to probe with a request.
+func (h *HotCold) ProbeTargets(candidates []apricotway.BackendServer) []apricotway.BackendServerID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	targets := make([]apricotway.BackendServerID, 0, hotColdProbes)
+	for _, index := range h.random.Perm(len(candidates))[:min(hotColdProbes, len(candidates))] {
+		targets = append(targets, candidates[index].ID)
+	}
+
+	return targets
+}
+
+func (h *HotCold) threshold() int {
+	h.sorted = h.sorted[:0]
+	for _, answer := range h.pool {
+		h.sorted = append(h.sorted, answer.inFlight)
+	}
+
+	if len(h.sorted) == 0 {
+		return 0
+	}
+
+	slices.Sort(h.sorted)
+
+	return h.sorted[int(hotColdQuantile*float64(len(h.sorted)-1))]
+}
+
+func (h *HotCold) better(a, b probeAnswer, threshold int) bool {
+	hotA, hotB := a.inFlight > threshold, b.inFlight > threshold
+
+	switch {
+	case hotA != hotB:
+		return hotB
+	case hotA:
+		return a.inFlight < b.inFlight
+	default:
+		return h.latency[a.server] < h.latency[b.server]
+	}
+}
+
+// removeOne removes the worst answer and the oldest one in turn, so that the pool does not collect bad answers.
+func (h *HotCold) removeOne(threshold int) {
+	if len(h.pool) < hotColdPool/2 {
+		return
+	}
+
+	h.removals++
+
+	chosen := 0
+	if h.removals%2 == 0 {
+		for i := range h.pool {
+			if h.better(h.pool[chosen], h.pool[i], threshold) {
+				chosen = i
+			}
+		}
+	}
+
+	h.pool = slices.Delete(h.pool, chosen, chosen+1)
+}
+
+// Started implements Policy.
+func (h *HotCold) Started(
+	now time.Time, _ apricotway.BackendServerID, attempt apricotway.AttemptID, _ Work,
+) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.attempts[attempt] = now
+}
+
+// Token implements Policy. The first token gives the engine's latency.
+func (h *HotCold) Token(now time.Time, server apricotway.BackendServerID, attempt apricotway.AttemptID, _ int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	started, ok := h.attempts[attempt]
+	if !ok {
+		return
+	}
+
+	delete(h.attempts, attempt)
+
+	latency, known := h.latency[server]
+	if !known {
+		latency = now.Sub(started).Seconds()
+	}
+
+	h.latency[server] = latency + hotColdWeight*(now.Sub(started).Seconds()-latency)
+}
+
+// Ended implements Policy.
+func (h *HotCold) Ended(
+	_ time.Time, _ apricotway.BackendServerID, attempt apricotway.AttemptID, _ Outcome,
+) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	delete(h.attempts, attempt)
+}
+
+// Reported implements Policy.
+func (h *HotCold) Reported(now time.Time, server apricotway.BackendServerID, report apricotway.LoadReport) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	if len(h.pool) >= hotColdPool {
+		h.pool = slices.Delete(h.pool, 0, 1)
+	}
+
+	h.pool = append(h.pool, probeAnswer{server: server, inFlight: report.Running + report.Waiting, time: now})
+}
+
+// Cached implements Policy.
+func (h *HotCold) Cached(time.Time, apricotway.BackendServerID, []apricotway.CacheEvent) {}
--- a/state/routing/roundrobin.go
+++ b/state/routing/roundrobin.go
@@ -10,6 +10,8 @@
 
 // RoundRobin chooses the candidates in turn. It is a baseline.
 type RoundRobin struct {
+	silent
+
 	turn atomic.Uint64
 }
 
@@ -22,7 +24,7 @@
 		return -1
 	}
 
-	first := int(r.turn.Add(1)-1) % len(candidates)
+	first := int((r.turn.Add(1) - 1) % uint64(len(candidates)))
 	for step := range candidates {
 		index := (first + step) % len(candidates)
 		if !slices.Contains(work.Excluded, candidates[index].ID) {
@@ -32,15 +34,3 @@
 
 	return first
 }
-
-// Started implements Policy.
-func (r *RoundRobin) Started(time.Time, apricotway.BackendServerID, apricotway.AttemptID, Work) {}
-
-// Token implements Policy.
-func (r *RoundRobin) Token(time.Time, apricotway.BackendServerID, apricotway.AttemptID, int) {}
-
-// Ended implements Policy.
-func (r *RoundRobin) Ended(time.Time, apricotway.BackendServerID, apricotway.AttemptID) {}
-
-// Reported implements Policy.
-func (r *RoundRobin) Reported(time.Time, apricotway.BackendServerID, apricotway.LoadReport) {}
