--- a/state/admission/queue.go
+++ b/state/admission/queue.go
@@ -89,6 +89,9 @@
 	rate     float64
 	finished float64
 	rateFrom time.Time
+
+	// expiry is a time before which no waiting request becomes hopeless.
+	expiry time.Time
 }
 
 type workspaceQueue struct {
@@ -148,6 +151,10 @@
 
 	w.insert(request)
 
+	if last := request.Deadline.Add(-request.Duration); last.Before(q.expiry) || q.expiry.IsZero() {
+		q.expiry = last
+	}
+
 	decisions := q.dispatch(now)
 	if !slices.ContainsFunc(decisions, func(d Decision) bool { return d.ID == request.ID }) {
 		decisions = append([]Decision{{ID: request.ID, Verdict: Queued}}, decisions...)
@@ -277,14 +284,23 @@
 }
 
 func (q *Queue) expire(now time.Time) []Decision {
+	if !now.After(q.expiry) {
+		return nil
+	}
+
 	var decisions []Decision
 
+	q.expiry = time.Time{}
+
 	for _, w := range q.workspaces {
 		for i := len(w.waiting) - 1; i >= 0; i-- {
-			if request := w.waiting[i]; request.Deadline.Sub(now) < request.Duration {
+			request := w.waiting[i]
+			if last := request.Deadline.Add(-request.Duration); last.Before(now) {
 				w.remove(i)
 
 				decisions = append(decisions, refuse(request, apricotway.CodeDeadlineUnmeetable, q.predictedWait(w, request)))
+			} else if last.Before(q.expiry) || q.expiry.IsZero() {
+				q.expiry = last
 			}
 		}
 	}
