Count goodput only within the measured time

Cause: requests that were accepted before the end of the measurement and finished after it counted as goodput.

--- a/cmd/internal/bench/bench_test.go
+++ b/cmd/internal/bench/bench_test.go
@@ -54,7 +54,7 @@
 			rows = append(rows, newRow(&workload, scenario, policy.name, []*Result{result}))
 
 			// The engine models end with their last step.
-			time.Sleep(time.Minute)
+			<-time.After(time.Minute)
 		})
 	}
 
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -68,6 +68,7 @@
 	routers  []*router
 	warmup   time.Duration
 	start    time.Time
+	end      time.Time
 
 	mu     sync.Mutex
 	result Result
@@ -91,7 +92,8 @@
 	Wait, Whole, First, LongWhole *hdrhistogram.Histogram
 	Requests, Refused, Late       int
 	Hedged                        int
-	// Good is the work, in engine seconds, of requests that were finished by their deadline, by workspace.
+	// Good is the work, in engine seconds, of requests that were finished by their deadline within the measured time, by
+	// workspace.
 	Good map[apricotway.Workspace]float64
 	// Hits is the part of the ideal prefix hits that were hits; Imbalance is the highest load of an engine over the mean.
 	Hits, Imbalance float64
@@ -146,6 +148,7 @@
 	rate := r.scenario.Load * r.workload.Capacity(r.scenario.Long)
 	load := r.workload.arrivals(seed, rate, r.warmup+duration, r.scenario.Long, routers)
 	r.start = time.Now()
+	r.end = r.start.Add(r.warmup + duration)
 	r.slowDown(r.warmup + duration)
 
 	background, cancel := context.WithCancel(ctx)
@@ -364,6 +367,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	// Goodput counts what is finished within the measured time, whenever it arrived.
+	if whole && now.After(r.start.Add(r.warmup)) && now.Before(r.end) {
+		prefill := float64(a.tokens - a.ideal)
+		r.result.Good[a.workspace] += r.workload.cost(prefill, float64(a.answer))
+	}
+
 	if a.at < r.warmup {
 		return
 	}
@@ -377,9 +386,6 @@
 		return
 	case !whole:
 		r.result.Late++
-	default:
-		prefill := float64(a.tokens - a.ideal)
-		r.result.Good[a.workspace] += r.workload.cost(prefill, float64(a.answer))
 	}
 
 	if first.IsZero() {
--- a/cmd/internal/standin/enginemodel_test.go
+++ b/cmd/internal/standin/enginemodel_test.go
@@ -69,7 +69,7 @@
 			t.Errorf("slowed: got first token after %v, want 44 ms", first)
 		}
 
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 
 		if got := m.Work(); got != (EngineWork{Generated: 15, Prefilled: 258, Cached: 510}) {
 			t.Errorf("got work %+v, want 15 generated, 258 prefilled and 510 cached tokens", got)
@@ -104,7 +104,7 @@
 			t.Errorf("got load %+v, want the idle state of 50 ms ago", got)
 		}
 
-		time.Sleep(60 * time.Millisecond)
+		<-time.After(60 * time.Millisecond)
 
 		if got := m.Load(time.Now()); got.Running != 1 || got.Waiting != 2 {
 			t.Errorf("got load %+v, want 1 running and 2 waiting", got)
@@ -116,7 +116,7 @@
 			t.Errorf("got order %q, want %q", got, want)
 		}
 
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 	})
 }
 
@@ -145,6 +145,6 @@
 			t.Errorf("got events %v, want %q", got, want)
 		}
 
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 	})
 }
