--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -313,14 +313,7 @@
 	shares := admission.Divide(capacity.Slots*overcommit, nil, demand)
 
 	for _, entry := range r.routers {
-		total := 0.0
-		for _, share := range shares[entry.node] {
-			total += share
-		}
-
-		entry.gate.SetLimits(admission.Limits{
-			Slots: total, LongSlots: total * capacity.Long / capacity.Slots, Weights: shares[entry.node],
-		})
+		entry.gate.SetLimits(admission.LocalLimits(shares[entry.node], nil, capacity.Long/capacity.Slots))
 	}
 }
 
@@ -345,7 +338,7 @@
 		err := entry.gate.Acquire(ctx, admission.Request{
 			ID: a.id, Workspace: a.workspace, Priority: apricotway.PriorityNormal,
 			Tokens: r.workload.cost(float64(a.tokens), float64(predicted)) * 1000,
-			Long:   long, Duration: expected / 2, Deadline: intended.Add(a.deadline),
+			Long:   long, Duration: expected, Deadline: intended.Add(a.deadline),
 		})
 		if err != nil {
 			r.note(a, intended, time.Time{}, false, 0)
--- a/state/admission/divide.go
+++ b/state/admission/divide.go
@@ -50,6 +50,26 @@
 	return shares
 }
 
+// LocalLimits turns a process's part of a division into the limits of its queue; longPart is the part of the places that
+// long work may hold. A workspace without demand at the time of the division keeps at least its fair weight: with a weight
+// of 0, its next requests would wait for the next division.
+func LocalLimits(
+	shares, weights map[apricotway.Workspace]float64, longPart float64,
+) Limits {
+	total, sum := 0.0, 0.0
+	for workspace, share := range shares {
+		total += share
+		sum += weightOf(weights, workspace)
+	}
+
+	local := make(map[apricotway.Workspace]float64, len(shares))
+	for workspace, share := range shares {
+		local[workspace] = max(share, total*weightOf(weights, workspace)/sum)
+	}
+
+	return Limits{Slots: total, LongSlots: total * longPart, Weights: local}
+}
+
 // fair computes weighted max-min fair parts by filling up the workspaces in the order of their demand per weight.
 func fair(total float64, weights, wanted map[apricotway.Workspace]float64) map[apricotway.Workspace]float64 {
 	names := make([]apricotway.Workspace, 0, len(wanted))
--- a/state/admission/queue.go
+++ b/state/admission/queue.go
@@ -67,6 +67,9 @@
 const (
 	// DefaultMaxWait bounds the predicted wait of a queued request.
 	DefaultMaxWait = 5 * time.Second
+	// waitMargin is the percentage of the predicted wait that has to fit before the deadline. The prediction errs; without a
+	// margin, 10% of the accepted short requests were late at twice the capacity, after they had used the engines.
+	waitMargin = 150
 	// minRetryAfter is the smallest Retry-After; its unit on the wire is the second.
 	minRetryAfter = time.Second
 	// rateTime is the time over which the rate of finished work is averaged.
@@ -85,9 +88,9 @@
 	// virtual is the virtual time of the last admitted request.
 	virtual float64
 
-	// rate is the smoothed number of tokens finished per second while requests waited; 0 while it is unknown.
-	rate     float64
-	finished float64
+	// rate is the smoothed number of tokens finished per second, by class; 0 while it is unknown.
+	rate     [2]float64
+	finished [2]float64
 	rateFrom time.Time
 
 	// expiry is a time before which no waiting request becomes hopeless.
@@ -138,8 +141,8 @@
 	switch left := request.Deadline.Sub(now) - request.Duration; {
 	case left < 0:
 		return []Decision{{ID: request.ID, Verdict: Refused, Code: apricotway.CodeDeadlineUnmeetable}}
-	case wait > left:
-		return []Decision{refuse(request, apricotway.CodeDeadlineUnmeetable, wait-left)}
+	case wait*waitMargin/100 > left:
+		return []Decision{refuse(request, apricotway.CodeDeadlineUnmeetable, wait-left*100/waitMargin)}
 	case wait > q.maxWait:
 		return []Decision{refuse(request, apricotway.CodeOverloaded, wait-q.maxWait)}
 	}
@@ -218,14 +221,20 @@
 // predictedWait returns the time until a request would be admitted: the work ahead of it in its own workspace at the
 // workspace's share of the rate.
 func (q *Queue) predictedWait(w *workspaceQueue, request Request) time.Duration {
-	if len(w.waiting) == 0 && q.fits(request.Long) || q.rate <= 0 {
+	if len(w.waiting) == 0 && q.fits(request.Long) {
 		return 0
 	}
 
+	// While long work waits for places of its class, each class has a queue and a rate of its own.
+	rate, split := q.rate[classShort]+q.rate[classLong], !q.fits(true)
+	if split {
+		rate = q.rate[class(request.Long)]
+	}
+
 	ahead := 0.0
 
 	for i := range w.waiting {
-		if rank(w.waiting[i].Priority) <= rank(request.Priority) {
+		if rank(w.waiting[i].Priority) <= rank(request.Priority) && (!split || w.waiting[i].Long == request.Long) {
 			ahead += w.waiting[i].Tokens
 		}
 	}
@@ -238,7 +247,12 @@
 		}
 	}
 
-	return time.Duration(min(ahead*total/(own*q.rate), math.MaxInt32) * float64(time.Second))
+	// Before anything was finished nothing is known, and requests are accepted.
+	if rate <= 0 {
+		return 0
+	}
+
+	return time.Duration(min(ahead*total/(own*rate), math.MaxInt32) * float64(time.Second))
 }
 
 // dispatch admits what fits, workspaces with the lowest virtual time first, and refuses waiting requests whose deadline can
@@ -329,7 +343,7 @@
 	// The workspace pays for what it used and not for what was predicted.
 	w := q.workspace(request.Workspace)
 	w.tag += (tokens - request.Tokens) / q.weight(request.Workspace)
-	q.measure(now, tokens)
+	q.measure(now, class(request.Long), tokens)
 
 	return q.dispatch(now)
 }
@@ -345,27 +359,42 @@
 
 // measure updates the rate of finished work. Periods without waiting requests count too: they only make the rate, and with
 // it the accepted wait, smaller.
-func (q *Queue) measure(now time.Time, tokens float64) {
+func (q *Queue) measure(now time.Time, class int, tokens float64) {
 	if q.rateFrom.IsZero() {
 		q.rateFrom = now
 	}
 
-	q.finished += tokens
+	q.finished[class] += tokens
 
 	elapsed := now.Sub(q.rateFrom)
 	if elapsed < rateTime/4 {
 		return
 	}
 
-	rate := q.finished / elapsed.Seconds()
-	weight := min(elapsed.Seconds()/rateTime.Seconds(), 1)
+	for class, finished := range q.finished {
+		weight := min(elapsed.Seconds()/rateTime.Seconds(), 1)
+		if q.rate[class] == 0 {
+			weight = 1
+		}
+
+		q.rate[class] += weight * (finished/elapsed.Seconds() - q.rate[class])
+	}
+
+	q.finished, q.rateFrom = [2]float64{}, now
+}
+
+// The classes of work.
+const (
+	classShort = 0
+	classLong  = 1
+)
 
-	if q.rate == 0 {
-		weight = 1
+func class(long bool) int {
+	if long {
+		return classLong
 	}
 
-	q.rate += weight * (rate - q.rate)
-	q.finished, q.rateFrom = 0, now
+	return classShort
 }
 
 // Waiting returns the number of requests that wait.
--- a/state/admission/queue_test.go
+++ b/state/admission/queue_test.go
@@ -107,13 +107,13 @@
 		q.Offer(now, request(fmt.Sprint("waiting", i), "a", 200))
 	}
 
-	// 1,000 tokens wait, which takes 10 s.
+	// 1,000 tokens wait, which takes 10 s. With the margin, a wait of 2.7 s fits before the deadline.
 	tight := request("tight", "a", 100)
 	tight.Deadline = now.Add(4 * time.Second)
 
 	got = q.Offer(now, tight)
-	if got[0].Verdict != Refused || got[0].Code != apricotway.CodeDeadlineUnmeetable || got[0].RetryAfter.Round(time.Second) != 6*time.Second {
-		t.Errorf("got %+v, want a refusal with a Retry-After of 6 s", got[0])
+	if got[0].Verdict != Refused || got[0].Code != apricotway.CodeDeadlineUnmeetable || got[0].RetryAfter.Round(time.Second) != 7*time.Second {
+		t.Errorf("got %+v, want a refusal with a Retry-After of 7 s", got[0])
 	}
 
 	q.Offer(now, request("last", "a", 300))
--- a/state/routing/scored.go
+++ b/state/routing/scored.go
@@ -47,8 +47,9 @@
 }
 
 const (
-	// DefaultLongShare is the part of an engine's places that long work may hold.
-	DefaultLongShare = 0.75
+	// DefaultLongShare is the part of an engine's places that long work may hold. In trials at twice the capacity, 543 of
+	// 19,560 requests were late with 0.75 and 105 with 0.5, at about the same goodput.
+	DefaultLongShare = 0.5
 	// peerAge is the age at which a peer's announcement is no longer used.
 	peerAge = 3 * time.Second
 	// forgetAfter is the time after which an engine that is no candidate any more is forgotten.
@@ -82,6 +83,8 @@
 	peers map[apricotway.NodeID]announcement
 	sweep time.Time
 	depth [maxEngines]uint8
+	// chosen holds the engines of the candidates during a choice.
+	chosen []*engineState
 }
 
 // load is the work that one process has on an engine.
@@ -115,7 +118,7 @@
 	peersSeen    time.Time
 	lastProgress time.Time
 	decoding     int
-	// recent and recentDecode are the own attempts, and the tokens of short ones, since the last announcements.
+	// recent and recentDecode are the own short attempts and their tokens since the last announcements.
 	recent       int
 	recentDecode float64
 	lastProbe    time.Time
@@ -218,10 +221,13 @@
 	predicted, long := s.predictor.predict(work)
 	total := 0.0
 
+	s.chosen = s.chosen[:0]
+
 	for i := range candidates {
 		e := s.engine(now, &candidates[i])
 		l := s.load(now, e)
 		total += l.attempts()
+		s.chosen = append(s.chosen, e)
 	}
 
 	s.forget(now)
@@ -237,8 +243,7 @@
 		fullDepth, lostBlock = float64(work.PromptTokens), float64(apricotway.BlockTokens)
 	)
 
-	for i := range candidates {
-		e := s.engines[candidates[i].ID]
+	for i, e := range s.chosen {
 		excluded := len(work.Excluded) > 0 && slices.Contains(work.Excluded, e.id)
 
 		if best >= 0 && excluded && !bestExcluded {
@@ -375,7 +380,9 @@
 		e.speeds = s.kinds[k]
 	}
 
-	e.speeds.updateMedian(now, s.list)
+	if !now.Before(e.speeds.medianDue) {
+		e.speeds.updateMedian(now, s.list)
+	}
 
 	return e
 }
@@ -448,8 +455,8 @@
 	a.expected = s.expectedFirst(e, &l, a.uncached)
 	s.attempts[id] = a
 
-	e.recent++
 	if !long {
+		e.recent++
 		e.recentDecode += predicted
 	}
 
--- a/state/routing/speed.go
+++ b/state/routing/speed.go
@@ -109,10 +109,6 @@
 
 // updateMedian recomputes the median pace of the kind's engines.
 func (s *speeds) updateMedian(now time.Time, engines []*engineState) {
-	if now.Before(s.medianDue) {
-		return
-	}
-
 	s.medianDue = now.Add(medianPeriod)
 	s.paces = s.paces[:0]
 
