Give hot-cold choice the latency that engines observe

Cause: the baseline averaged the first-token times that one process saw, which grew old on engines that it no longer chose, and kept several answers of one engine in its pool.

The property tests use the fixed seed of the repository and draw from sorted lists, because the order of a map is not part of the seed.

--- a/cmd/internal/bench/flight.go
+++ b/cmd/internal/bench/flight.go
@@ -1,8 +1,10 @@
 package bench
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -104,6 +106,7 @@
 
 	policy.Started(now, server, id, work)
 
+	sent, inFlight := time.Now(), f.run.inFlight(server, now)
 	outcome := routing.OutcomeCancelled
 
 	err := f.run.models[server].Generate(ctx, engine.Request{
@@ -111,6 +114,11 @@
 		Priority: string(f.enginePriority()),
 	}, func(token apricotway.Token) error {
 		policy.Token(time.Now(), server, id, 1)
+
+		if token.Index == next {
+			f.run.latencies[server].add(inFlight, time.Since(sent))
+		}
+
 		f.deliver(token)
 
 		return nil
@@ -139,9 +147,56 @@
 	}
 
 	for _, server := range hotCold.ProbeTargets(f.run.servers) {
-		report := f.run.models[server].Now(now)
-		hotCold.Reported(now, server, report)
+		inFlight := f.run.inFlight(server, now)
+		hotCold.Probed(now, server, inFlight, f.run.latencies[server].estimate(inFlight))
+	}
+}
+
+// latencies are the first-token times that an engine has observed lately, as its answers to the probes of hot-cold choice
+// need them.
+type latencies struct {
+	mu   sync.Mutex
+	past [16]observation
+	next int
+}
+
+type observation struct {
+	inFlight int
+	latency  time.Duration
+}
+
+func (l *latencies) add(inFlight int, latency time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.past[l.next%len(l.past)] = observation{inFlight, latency}
+	l.next++
+}
+
+// estimate returns the median of the five observations at the nearest numbers of requests in flight.
+func (l *latencies) estimate(inFlight int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	near := slices.Clone(l.past[:min(l.next, len(l.past))])
+	slices.SortFunc(near, func(a, b observation) int {
+		return cmp.Compare(max(a.inFlight-inFlight, inFlight-a.inFlight), max(b.inFlight-inFlight, inFlight-b.inFlight))
+	})
+
+	near = near[:min(len(near), 5)]
+	if len(near) == 0 {
+		return 0
 	}
+
+	slices.SortFunc(near, func(a, b observation) int { return cmp.Compare(a.latency, b.latency) })
+
+	return near[len(near)/2].latency
+}
+
+func (r *run) inFlight(server apricotway.BackendServerID, now time.Time) int {
+	report := r.models[server].Now(now)
+
+	return report.Running + report.Waiting
 }
 
 func (f *flight) deliver(token apricotway.Token) {
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -65,10 +65,12 @@
 	setup    setup
 	servers  []apricotway.BackendServer
 	models   map[apricotway.BackendServerID]*standin.EngineModel
-	routers  []*router
-	warmup   time.Duration
-	start    time.Time
-	end      time.Time
+	// latencies are what the engines know about their own first-token times.
+	latencies map[apricotway.BackendServerID]*latencies
+	routers   []*router
+	warmup    time.Duration
+	start     time.Time
+	end       time.Time
 
 	mu     sync.Mutex
 	result Result
@@ -109,7 +111,8 @@
 func newRun(workload *Workload, scenario Scenario, setup setup, seed uint64, warmup time.Duration) *run {
 	r := &run{
 		workload: workload, scenario: scenario, setup: setup, warmup: warmup,
-		models: map[apricotway.BackendServerID]*standin.EngineModel{},
+		models:    map[apricotway.BackendServerID]*standin.EngineModel{},
+		latencies: map[apricotway.BackendServerID]*latencies{},
 		result: Result{
 			Wait: newHistogram(), Whole: newHistogram(), First: newHistogram(), LongWhole: newHistogram(),
 			Good: map[apricotway.Workspace]float64{},
@@ -121,6 +124,7 @@
 		r.servers = append(r.servers, apricotway.BackendServer{
 			ID: id, Service: workload.Service, Version: "1", State: apricotway.HostLive,
 		})
+		r.latencies[id] = &latencies{}
 		r.models[id] = standin.NewEngineModel(workload.Times, standin.WithEngineLimits(workload.Limits),
 			standin.WithEngineReports(standin.EngineReports{LoadLag: reportLag, EventLag: eventLag, EventGap: eventGap}))
 	}
--- a/state/admission/queue_test.go
+++ b/state/admission/queue_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/apricotway/apricotway"
+	_ "github.com/apricotway/apricotway/internal/fixedseed"
 )
 
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -225,11 +228,10 @@
 			},
 			"release": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
-				for id := range running {
+				if len(running) > 0 {
+					id := rapid.SampledFrom(slices.Sorted(maps.Keys(running))).Draw(t, "id")
 					delete(running, id)
 					apply(q.Released(now, id, 10))
-
-					break
 				}
 			},
 		})
--- a/state/routing/hotcold.go
+++ b/state/routing/hotcold.go
@@ -21,19 +21,16 @@
 	hotColdUses = 3
 	// hotColdProbes is the number of engines to probe with each request.
 	hotColdProbes = 3
-	// hotColdWeight is the weight of a new latency in an engine's average.
-	hotColdWeight = 0.2
 )
 
 // HotCold keeps a pool of probe answers. It chooses the engine with the lowest latency among the cold ones, and the one
-// with the fewest requests in flight when all are hot. It is a baseline. Each call of Reported counts as the answer to a
-// probe.
+// with the fewest requests in flight when all are hot. It is a baseline. It learns from probes alone.
 type HotCold struct {
+	silent
+
 	mu       sync.Mutex
 	random   *rand.Rand
 	pool     []probeAnswer
-	latency  map[apricotway.BackendServerID]float64
-	attempts map[apricotway.AttemptID]time.Time
 	removals int
 	sorted   []int
 }
@@ -41,17 +38,14 @@
 type probeAnswer struct {
 	server   apricotway.BackendServerID
 	inFlight int
+	latency  time.Duration
 	uses     int
 	time     time.Time
 }
 
 // NewHotCold returns a policy that draws with the given seed.
 func NewHotCold(seed uint64) *HotCold {
-	return &HotCold{
-		random:   newRandom(seed),
-		latency:  map[apricotway.BackendServerID]float64{},
-		attempts: map[apricotway.AttemptID]time.Time{},
-	}
+	return &HotCold{random: newRandom(seed)}
 }
 
 // Choose implements Policy.
@@ -140,7 +134,7 @@
 	case hotA:
 		return a.inFlight < b.inFlight
 	default:
-		return h.latency[a.server] < h.latency[b.server]
+		return a.latency < b.latency
 	}
 }
 
@@ -164,57 +158,19 @@
 	h.pool = slices.Delete(h.pool, chosen, chosen+1)
 }
 
-// Started implements Policy.
-func (h *HotCold) Started(
-	now time.Time, _ apricotway.BackendServerID, attempt apricotway.AttemptID, _ Work,
-) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	h.attempts[attempt] = now
-}
-
-// Token implements Policy. The first token gives the engine's latency.
-func (h *HotCold) Token(now time.Time, server apricotway.BackendServerID, attempt apricotway.AttemptID, _ int) {
+// Probed takes the answer to a probe: the engine's requests in flight and the latency that it observes at about this number
+// of them.
+func (h *HotCold) Probed(now time.Time, server apricotway.BackendServerID, inFlight int, latency time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
-	started, ok := h.attempts[attempt]
-	if !ok {
-		return
-	}
-
-	delete(h.attempts, attempt)
-
-	latency, known := h.latency[server]
-	if !known {
-		latency = now.Sub(started).Seconds()
-	}
-
-	h.latency[server] = latency + hotColdWeight*(now.Sub(started).Seconds()-latency)
-}
-
-// Ended implements Policy.
-func (h *HotCold) Ended(
-	_ time.Time, _ apricotway.BackendServerID, attempt apricotway.AttemptID, _ Outcome,
-) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-
-	delete(h.attempts, attempt)
-}
-
-// Reported implements Policy.
-func (h *HotCold) Reported(now time.Time, server apricotway.BackendServerID, report apricotway.LoadReport) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	// With fewer engines than places in the pool, two answers of one engine would meet in it, and the older one would lead
+	// requests to an engine that is busy by now.
+	h.pool = slices.DeleteFunc(h.pool, func(p probeAnswer) bool { return p.server == server })
 
 	if len(h.pool) >= hotColdPool {
 		h.pool = slices.Delete(h.pool, 0, 1)
 	}
 
-	h.pool = append(h.pool, probeAnswer{server: server, inFlight: report.Running + report.Waiting, time: now})
+	h.pool = append(h.pool, probeAnswer{server: server, inFlight: inFlight, latency: latency, time: now})
 }
-
-// Cached implements Policy.
-func (h *HotCold) Cached(time.Time, apricotway.BackendServerID, []apricotway.CacheEvent) {}
--- a/state/routing/scored_test.go
+++ b/state/routing/scored_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -10,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/apricotway/apricotway"
+	_ "github.com/apricotway/apricotway/internal/fixedseed"
 )
 
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -276,17 +279,14 @@
 			},
 			"token": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
-				for id, server := range running {
-					s.Token(now, server, id, rapid.IntRange(1, 200).Draw(t, "count"))
-					break
+				if id, ok := pick(t, running); ok {
+					s.Token(now, running[id], id, rapid.IntRange(1, 200).Draw(t, "count"))
 				}
 			},
 			"end": func(t *rapid.T) {
-				for id, server := range running {
-					s.Ended(now, server, id, rapid.SampledFrom([]Outcome{OutcomeFinished, OutcomeFailed}).Draw(t, "outcome"))
+				if id, ok := pick(t, running); ok {
+					s.Ended(now, running[id], id, rapid.SampledFrom([]Outcome{OutcomeFinished, OutcomeFailed}).Draw(t, "outcome"))
 					delete(running, id)
-
-					break
 				}
 			},
 		})
@@ -304,6 +304,15 @@
 	})
 }
 
+// pick draws one of the running attempts in a way that depends on the seed alone.
+func pick(t *rapid.T, running map[apricotway.AttemptID]apricotway.BackendServerID) (apricotway.AttemptID, bool) {
+	if len(running) == 0 {
+		return "", false
+	}
+
+	return rapid.SampledFrom(slices.Sorted(maps.Keys(running))).Draw(t, "attempt"), true
+}
+
 // A decision must not allocate: the garbage of thousands of decisions a second would delay requests.
 func TestChooseDoesNotAllocate(t *testing.T) {
 	s, now, work, servers := decision()
