--- a/state/admission/queue_test.go
+++ b/state/admission/queue_test.go
@@ -264,6 +264,19 @@
 	}
 }
 
+// A workspace that was idle at the division must not be starved until the next one.
+func TestLocalLimits(t *testing.T) {
+	limits := LocalLimits(map[apricotway.Workspace]float64{"busy": 8, "idle": 0}, nil, 0.5)
+
+	if limits.Slots != 8 || limits.LongSlots != 4 {
+		t.Errorf("got %v places and %v for long work, want 8 and 4", limits.Slots, limits.LongSlots)
+	}
+
+	if got, want := limits.Weights["idle"], 4.0; got != want {
+		t.Errorf("got weight %v for the idle workspace, want its fair part %v", got, want)
+	}
+}
+
 // No place may be lost or invented by the division, whatever the demand is.
 func TestDivideConserves(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
