--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,12 +21,12 @@
 	"github.com/apricotway/apricotway/coordination/configfeed"
 	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/coordination/journal"
+	"github.com/apricotway/apricotway/coordination/membership"
 	"github.com/apricotway/apricotway/coordination/usage"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/timeline"
 	"github.com/apricotway/apricotway/transport/api"
-	"github.com/apricotway/apricotway/transport/engine"
 	"github.com/apricotway/apricotway/transport/logservice"
 	"github.com/apricotway/apricotway/transport/operator"
 	"github.com/apricotway/apricotway/transport/peer"
@@ -33,6 +34,9 @@
 	"github.com/apricotway/apricotway/transport/service"
 )
 
+// closeLimit bounds the write of the last usage batch at a stop.
+const closeLimit = 5 * time.Second
+
 // headerTimeout bounds the time for reading a request's header.
 const headerTimeout = 10 * time.Second
 
@@ -50,10 +54,11 @@
 	ring       *timeline.Ring
 	peerServer *peer.Server
 	peers      *peer.Client
-	membership interface {
-		apricotway.Membership
-		apricotway.Directory
-	}
+	membership *membership.Driver
+	probes     netip.AddrPort
+	leaving    atomic.Bool
+
+	completions *completion.Requests
 
 	callers      *listener
 	operator     *listener
@@ -134,9 +139,14 @@
 		return err
 	}
 
-	d.membership = d.staticMembership()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 
 	log := logservice.New(s.Platform.Log)
+	if d.membership, err = d.startMembership(ctx, log, registry); err != nil {
+		return err
+	}
+
 	d.startConfig(log)
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
 
@@ -144,10 +154,6 @@
 		return err
 	}
 
-	engines := engine.New()
-	routing := newEngineRouting(d.supervisor, engines, d.inventory, d.feed.Fold())
-	completions := completion.New(engines, d.inventory, completion.WithLogger(d.logger),
-		completion.WithPolicy(routing.policy), completion.WithAdmission(routing))
 	services := service.New()
 	calls := call.New(services, d.inventory, call.WithLogger(d.logger), call.WithOnce(d.once(log, services)))
 
@@ -157,10 +163,8 @@
 	limits.DefaultTimeout = time.Duration(s.Limits.DefaultTimeout)
 	limits.MaxTimeout = time.Duration(s.Limits.MaxTimeout)
 
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-
-	callersAPI := api.New(d.feed.Fold(), d.membership, completions, calls,
+	d.completions = d.newCompletions(registry)
+	callersAPI := api.New(d.feed.Fold(), d.membership, d.completions, calls,
 		api.WithLimits(limits), api.WithLogger(d.logger), api.WithReady(d.Ready),
 		api.WithTimeline(d.ring), api.WithMetrics(registry))
 
@@ -169,12 +173,13 @@
 	operatorAPI.Show("/v1/engines", func() any { return d.inventory.All() })
 
 	d.showTimeline(operatorAPI)
+	d.showMembers(operatorAPI)
 
 	if err := d.encryptCallers(); err != nil {
 		return err
 	}
 
-	d.serve("callers", d.callers, callersAPI)
+	d.serve("callers", d.callers, d.closeWhenLeaving(callersAPI))
 	d.serve("operator", d.operator, operator.Authorise(operatorAPI, operatorDigests(s.Operators)))
 
 	return nil
@@ -250,14 +255,26 @@
 	return nil
 }
 
-// Stop ends the process gracefully: it waits for the requests in flight until the context ends.
+// Stop ends the process gracefully: it serves until the addresses handed out have expired, and waits for the requests in
+// flight until the context ends.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.logger.Info("process stopping", "event", 103)
 
+	d.withdraw(ctx)
+
 	err := d.callers.server.Shutdown(ctx)
+
+	// Peers take over the requests of a stopped member by themselves, so the hand-over comes first.
+	d.handOver(ctx)
+	d.membership.Stopped()
+
 	_ = d.operator.server.Close()
 
-	if closeErr := d.usage.Close(ctx); closeErr != nil {
+	// The time for the requests in flight may be used up; the last usage batch has its own.
+	closing, cancelClosing := context.WithTimeout(context.WithoutCancel(ctx), closeLimit)
+	defer cancelClosing()
+
+	if closeErr := d.usage.Close(closing); closeErr != nil {
 		d.logger.Info("last usage batch not written", "event", 502, "error", closeErr.Error())
 	}
 
--- a/state/routing/scored_test.go
+++ b/state/routing/scored_test.go
@@ -61,6 +61,24 @@
 	return s, now.Add(400 * time.Millisecond)
 }
 
+// A process that knows nothing yet must spread its requests; the first engine must not get all of them.
+func TestScoredSpreadsFromTheStart(t *testing.T) {
+	servers, s := engines(4), NewScored()
+	started := make([]int, len(servers))
+
+	for i := range 12 {
+		index := s.Choose(epoch, promptWork("x"), servers)
+		started[index]++
+		s.Started(epoch, servers[index].ID, apricotway.AttemptID(strconv.Itoa(i)), promptWork("x"))
+	}
+
+	for i, got := range started {
+		if got != 3 {
+			t.Errorf("engine %d: got %d requests, want 3", i, got)
+		}
+	}
+}
+
 // A prefix that is known on an engine must lead there, or every engine prefills it again.
 func TestScoredFollowsPrefix(t *testing.T) {
 	servers := engines(10)
--- a/state/routing/speed.go
+++ b/state/routing/speed.go
@@ -21,6 +21,11 @@
 	slowRatio = 1.6
 	// medianPeriod is the time between two computations of the median pace.
 	medianPeriod = 50 * time.Millisecond
+	// priorInterval is the expected time per token in seconds before any observation.
+	priorInterval = 0.02
+	// leastSlope is the least relative growth of the time per token with each request. Without it all engines are equal
+	// while the fit knows no slope, and the first one gets every request.
+	leastSlope = 0.02
 	// prefillPrior is the expected ratio of the time per generated token to that per prompt token before any observation.
 	prefillPrior = 200
 )
@@ -49,7 +54,7 @@
 	medianDue time.Time
 }
 
-func newSpeeds() *speeds { return &speeds{median: 1} }
+func newSpeeds() *speeds { return &speeds{median: 1, base: priorInterval} }
 
 // interval returns the expected time per token in seconds with n requests on the engine.
 func (s *speeds) interval(n float64) float64 {
@@ -57,7 +62,7 @@
 		n = min(n, float64(s.slots))
 	}
 
-	return s.base + s.slope*n
+	return s.base + max(s.slope, leastSlope*s.base)*n
 }
 
 func (s *speeds) prefillPerToken() float64 {
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -34,6 +34,7 @@
 	headerRequestID = "Apricotway-Request-Id"
 	headerPriority  = "Apricotway-Priority"
 	headerExecution = "Apricotway-Execution"
+	headerLastEvent = "Last-Event-ID"
 )
 
 // Limits bounds what one caller can ask of a process.
@@ -72,7 +73,7 @@
 type Server struct {
 	configuration Configuration
 	directory     apricotway.Directory
-	completions   *completion.Runner
+	completions   *completion.Requests
 	calls         *call.Caller
 	limits        Limits
 	logger        logr.Logger
@@ -114,7 +115,7 @@
 func New(
 	configuration Configuration,
 	directory apricotway.Directory,
-	completions *completion.Runner,
+	completions *completion.Requests,
 	calls *call.Caller,
 	options ...Option,
 ) *Server {
@@ -133,8 +134,9 @@
 		option(s)
 	}
 
-	s.mux.HandleFunc("POST /v1/chat/completions", s.handle("chatCompletions", s.chatCompletions))
-	s.mux.HandleFunc("POST /v1/completions", s.handle("completions", s.plainCompletions))
+	s.mux.HandleFunc("POST /v1/chat/completions", s.handle("chatCompletions", s.resumable(s.chatCompletions)))
+	s.mux.HandleFunc("POST /v1/completions", s.handle("completions", s.resumable(s.plainCompletions)))
+	s.mux.HandleFunc("GET /v1/requests/{id}/events", s.handle("requestEvents", s.requestEvents))
 	s.mux.HandleFunc("GET /v1/models", s.handle("models", s.models))
 	s.mux.HandleFunc("GET /v1/addresses", s.addresses)
 	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.handle("services", s.serviceCall))
