End the steps of an idle engine model with its last request

Cause: the goroutine that runs the steps slept until the end of its step after the last request was cancelled. It now ends at once. Ruled out: a sleep at the end of the tests, which the next test would lack.

--- a/cmd/internal/standin/enginemodel.go
+++ b/cmd/internal/standin/enginemodel.go
@@ -77,6 +77,8 @@
 	// stepping is set while the goroutine that runs the steps lives. It ends when the engine is idle.
 	stepping bool
 	stepEnd  time.Time
+	// idle tells the goroutine that the last request was cancelled, so that it does not outlive the requests.
+	idle     chan struct{}
 	slow     []slowWindow
 	arrivals uint64
 	cache    blockCache
@@ -112,7 +114,7 @@
 
 // NewEngineModel returns a model with the given speeds.
 func NewEngineModel(times EngineTimes, options ...ModelOption) *EngineModel {
-	m := &EngineModel{times: times}
+	m := &EngineModel{times: times, idle: make(chan struct{}, 1)}
 	for _, option := range options {
 		option(m)
 	}
@@ -255,8 +257,17 @@
 	}
 
 	m.record(time.Now())
+
+	if m.empty() {
+		select {
+		case m.idle <- struct{}{}:
+		default:
+		}
+	}
 }
 
+func (m *EngineModel) empty() bool { return len(m.batch)+len(m.waiting) == 0 }
+
 // run executes steps until no request is left. Each step begins when the previous one was due to end, so that late timers
 // do not slow the engine.
 func (m *EngineModel) run() {
@@ -279,7 +290,10 @@
 		m.mu.Unlock()
 
 		timer.Reset(time.Until(m.stepEnd))
-		<-timer.C
+
+		if m.cancelled(timer.C) {
+			return
+		}
 
 		m.mu.Lock()
 		m.finish(decoding)
@@ -344,6 +358,26 @@
 	return time.Duration(float64(duration) * m.factor(m.stepEnd)), decoding
 }
 
+// cancelled waits for the end of a step and returns true when all requests have left before it.
+func (m *EngineModel) cancelled(end <-chan time.Time) bool {
+	for {
+		select {
+		case <-end:
+			return false
+		case <-m.idle:
+		}
+
+		m.mu.Lock()
+		if m.empty() {
+			m.stepping = false
+			m.mu.Unlock()
+
+			return true
+		}
+		m.mu.Unlock()
+	}
+}
+
 func (m *EngineModel) factor(now time.Time) float64 {
 	factor := 1.0
 
