--- a/cmd/internal/daemon/completions.go
+++ b/cmd/internal/daemon/completions.go
@@ -20,8 +20,10 @@
 		completion.WithSuspectsPeers(d.peers, d.peerServer, d.membership),
 		completion.WithBroadcasts(d.membership),
 	)
-	runner := completion.New(engine.New(), d.inventory,
-		completion.WithLogger(d.logger), completion.WithSuspects(suspects), completion.WithUsage(d.usage.Add))
+	engines := engine.New()
+	routing := newEngineRouting(d.supervisor, engines, d.inventory, d.feed.Fold())
+	runner := completion.New(engines, d.inventory,
+		completion.WithPolicy(routing.policy), completion.WithAdmission(routing), completion.WithLogger(d.logger), completion.WithSuspects(suspects), completion.WithUsage(d.usage.Add))
 
 	registerCompletionMetrics(registry, runner)
 
--- a/protocol/completion/requests.go
+++ b/protocol/completion/requests.go
@@ -126,6 +126,8 @@
 	cancel context.CancelFunc
 	// copied is closed once the request is copied or has turned out to have no peer to copy it to.
 	copied chan struct{}
+	// fresh is set for a request that came from its caller. One taken over was admitted before and is not refused again.
+	fresh bool
 
 	mu sync.Mutex
 	// tokens are those that exist in this process, from index 0.
@@ -162,6 +164,7 @@
 // Start accepts a request and begins to run it. A refusal arrives through Read.
 func (s *Requests) Start(request Request) *Answer {
 	a := s.newAnswer(request)
+	a.fresh = true
 	s.run(a)
 
 	s.mu.Lock()
@@ -193,7 +196,7 @@
 		text.WriteString(token.Text)
 	}
 
-	delivered := Delivered{Text: text.String(), Tokens: len(a.tokens), Version: a.version}
+	delivered := Delivered{Text: text.String(), Tokens: len(a.tokens), Version: a.version, Admitted: !a.fresh}
 
 	go func() {
 		defer cancel()
