--- a/cmd/internal/standin/engine.go
+++ b/cmd/internal/standin/engine.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -104,8 +105,10 @@
 
 		httpjson.Write(w, http.StatusOK, e.model.Load(time.Now()))
 	})
-	mux.HandleFunc("GET /cache/events", func(w http.ResponseWriter, _ *http.Request) {
-		httpjson.Write(w, http.StatusOK, []apricotway.CacheEvent{})
+	mux.HandleFunc("GET /cache/events", func(w http.ResponseWriter, r *http.Request) {
+		// A missing or malformed number stands for all events.
+		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+		httpjson.Write(w, http.StatusOK, e.model.CacheEvents(time.Now(), after))
 	})
 	mux.HandleFunc("POST /kv/export", e.serveExport)
 	mux.HandleFunc("POST /kv/import", e.serveImport)
