Tell other processes which backend servers leave or died

Cause: each process learned of leaving servers from its own reading of the host list only, and of deaths from its own refused connections only. A process whose list was out of reach sent new work to leaving servers until they were gone, and a death that was observed once took a server out until the list dropped it.

state/inventory merges list, own observations and notices in a pure function. The order is: a leave from list or notice; own observation; notice of a death; list. A leave holds until 15 s after its deadline and beyond that until a newer reading of the list; a death holds for 1 minute or until a later call succeeds, whose process publishes a correction. Versions count in their high bits and hold the rank of the state in the low ones, so that concurrent notices have one winner everywhere. The inventory publishes and takes over notices, and gives a process the engines of placement.Engines when a service has more than 120.

Ruled out: versions from clocks (equal notices of many processes would each spread); a correction of leaves by a list that shows the server live again (a lagging list would do the same); a notice for servers that vanish from the list (an empty list would take out the fleet).

The tests failed with each of these removed: the publication of leaves, deaths and corrections, the limit of deaths, the life of a leave without a newer list, later calls against a notice and an own death, the rank in the version, the rule that no death hides a leave, and the parts of the subset.

Conclusion: a process without a list follows the others.

--- a/broadcasts.go
+++ b/broadcasts.go
@@ -72,3 +72,13 @@
 		}
 	})
 }
+
+// DecodeValue returns the typed payload of an entry.
+func DecodeValue[T any](entry BroadcastEntry) (T, error) {
+	var value T
+	if err := json.Unmarshal(entry.Payload, &value); err != nil {
+		return value, errors.Wrap(err, "decode broadcast")
+	}
+
+	return value, nil
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -148,7 +148,8 @@
 	}
 
 	d.startConfig(log)
-	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger))
+	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger),
+		inventory.WithBroadcasts(d.membership), inventory.WithMembership(d.membership))
 
 	if err := d.startAccount(); err != nil {
 		return err
--- a/coordination/inventory/inventory.go
+++ b/coordination/inventory/inventory.go
@@ -1,4 +1,5 @@
-// Package inventory keeps the known backend servers current from the platform's host list and from own observations.
+// Package inventory keeps the known backend servers current from the platform's host list, from own observations and from
+// the notices of other processes.
 package inventory
 
 import (
@@ -12,31 +13,45 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/inventory"
 )
 
 // DefaultPeriod is the time between two readings of the host list. Together with the list's own lag it has to stay below
 // the 2 s after which a leaving backend server must receive no new work.
 const DefaultPeriod = 500 * time.Millisecond
 
-// Inventory is the set of known backend servers.
+// Inventory is the set of known backend servers. The decisions are those of the package state/inventory.
 type Inventory struct {
-	hosts  apricotway.HostList
-	logger logr.Logger
-	period time.Duration
+	hosts      apricotway.HostList
+	broadcasts apricotway.Broadcasts
+	membership apricotway.Membership
+	logger     logr.Logger
+	period     time.Duration
 
 	// reading is held while the host list is read. begun is the time at which the last reading began.
 	reading sync.Mutex
 	begun   time.Time
 
 	mu sync.RWMutex
-	// servers is replaced as a whole and never changed in place.
-	servers []apricotway.BackendServer
-	// lost holds servers that this process saw dying, with the time of the observation. They stay out of use although
-	// the lagging list still shows them.
-	lost map[apricotway.BackendServerID]time.Time
+	// listing is the last successful reading; its servers are in the order of their ids. An unreachable list says nothing
+	// about the servers, so the last one stays in use.
+	listing inventory.Listing
+	// observations and notices hold what takes servers out of use although the lagging list still shows them. Both are
+	// forgotten once they no longer count.
+	observations map[apricotway.BackendServerID]inventory.Observation
+	notices      map[apricotway.BackendServerID]inventory.Known
+	// subset holds the servers that this process uses; nil stands for all. It was computed for the members in users and
+	// the servers in divided, and is computed again when one of them changes.
+	subset  map[apricotway.BackendServerID]bool
+	users   []apricotway.Member
+	divided []apricotway.BackendServerID
+	// view is replaced as a whole and never changed in place.
+	view inventory.View
 	// listeners are called with every change of the set.
 	listeners []func([]apricotway.BackendServer)
 
+	// arrived wakes the goroutine that takes over notices. A burst of them, such as the reclaim of a zone, costs few merges.
+	arrived   chan struct{}
 	ready     chan struct{}
 	readyOnce sync.Once
 }
@@ -54,19 +69,35 @@
 	return func(i *Inventory) { i.period = period }
 }
 
-// New returns an inventory and adds its poller to the supervisor.
+// WithBroadcasts exchanges notices with the other processes.
+func WithBroadcasts(broadcasts apricotway.Broadcasts) Option {
+	return func(i *Inventory) { i.broadcasts = broadcasts }
+}
+
+// WithMembership divides the servers of large services over the members.
+func WithMembership(membership apricotway.Membership) Option {
+	return func(i *Inventory) { i.membership = membership }
+}
+
+// New returns an inventory and adds its goroutines to the supervisor.
 func New(supervisor *suture.Supervisor, hosts apricotway.HostList, options ...Option) *Inventory {
 	i := &Inventory{
-		hosts:  hosts,
-		logger: logr.Discard(),
-		period: DefaultPeriod,
-		lost:   map[apricotway.BackendServerID]time.Time{},
-		ready:  make(chan struct{}),
+		hosts:        hosts,
+		logger:       logr.Discard(),
+		period:       DefaultPeriod,
+		observations: map[apricotway.BackendServerID]inventory.Observation{},
+		notices:      map[apricotway.BackendServerID]inventory.Known{},
+		arrived:      make(chan struct{}, 1),
+		ready:        make(chan struct{}),
 	}
 	for _, option := range options {
 		option(i)
 	}
 
+	if i.broadcasts != nil {
+		i.subscribe()
+	}
+
 	supervisor.Add(apricotway.ServiceFunc{Name: "inventory", Func: func(ctx context.Context) error {
 		ticker := time.NewTicker(i.period)
 		defer ticker.Stop()
@@ -82,6 +113,23 @@
 		}
 	}})
 
+	// Notices do not wait for the host list, whose reading takes seconds while it is out of reach.
+	supervisor.Add(apricotway.ServiceFunc{Name: "inventory notices", Func: func(ctx context.Context) error {
+		ticker := time.NewTicker(i.period)
+		defer ticker.Stop()
+
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-i.arrived:
+			case <-ticker.C: // lifetimes end
+			}
+
+			i.merge(nil)
+		}
+	}})
+
 	return i
 }
 
@@ -104,7 +152,6 @@
 func (i *Inventory) refresh(ctx context.Context) {
 	servers, err := i.hosts.Hosts(ctx)
 	if err != nil {
-		// The last list stays in use: an unreachable list says nothing about the servers.
 		i.logger.V(1).Info("host list not readable", "event", 211, "error", err.Error())
 		return
 	}
@@ -113,15 +160,30 @@
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
 
+	i.merge(&inventory.Listing{Servers: servers, Begun: i.begun})
+	i.readyOnce.Do(func() { close(i.ready) })
+	i.publishLeaves(servers)
+}
+
+// merge decides anew on all servers, with a new listing if there is one, and tells the listeners of a change.
+func (i *Inventory) merge(listing *inventory.Listing) {
+	now := time.Now()
+
 	i.mu.Lock()
-	i.forgetLost(servers)
 
-	changed := !slices.Equal(servers, i.servers)
-	i.servers = servers
-	listeners := i.listeners
-	i.mu.Unlock()
+	if listing != nil {
+		i.listing = *listing
+	}
 
-	i.readyOnce.Do(func() { close(i.ready) })
+	inventory.Forget(now, i.listing, i.observations, i.notices)
+	i.divide()
+
+	before := i.view.Servers
+	i.view = inventory.Merge(now, i.listing, i.observations, i.notices, i.subset)
+	servers, listeners := i.view.Servers, i.listeners
+	changed := !slices.Equal(servers, before)
+
+	i.mu.Unlock()
 
 	if changed {
 		for _, listener := range listeners {
@@ -130,45 +192,56 @@
 	}
 }
 
-// forgetLost drops observations on servers that the list no longer shows. The caller holds the lock.
-func (i *Inventory) forgetLost(servers []apricotway.BackendServer) {
-	for id := range i.lost {
-		if !slices.ContainsFunc(servers, func(s apricotway.BackendServer) bool { return s.ID == id }) {
-			delete(i.lost, id)
-		}
+// divide computes the subset when the members or the servers have changed. The caller holds the lock.
+func (i *Inventory) divide() {
+	if i.membership == nil {
+		return
 	}
+
+	self := i.membership.Self()
+	users := inventory.Users(i.membership.Members(), self)
+	sameUser := func(a, b apricotway.Member) bool { return a.Node == b.Node && a.Zone == b.Zone }
+	sameServer := func(a apricotway.BackendServer, b apricotway.BackendServerID) bool { return a.ID == b }
+
+	if slices.EqualFunc(users, i.users, sameUser) && slices.EqualFunc(i.listing.Servers, i.divided, sameServer) {
+		return
+	}
+
+	i.users = users
+	i.divided = make([]apricotway.BackendServerID, len(i.listing.Servers))
+
+	for n, server := range i.listing.Servers {
+		i.divided[n] = server.ID
+	}
+
+	i.subset = inventory.Subset(i.listing.Servers, users[1:], self)
 }
 
-// Usable returns the servers of a service that may receive new work: live ones that this process did not see dying.
+// Usable returns the servers of a service that may receive new work: live ones of the own subset that were not seen dying.
+// The caller may change the result.
 func (i *Inventory) Usable(service apricotway.Service) []apricotway.BackendServer {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
 
-	var usable []apricotway.BackendServer
-
-	for _, server := range i.servers {
-		if _, lost := i.lost[server.ID]; !lost && server.Service == service && server.State == apricotway.HostLive {
-			usable = append(usable, server)
-		}
-	}
-
-	return usable
+	return slices.Clone(i.view.Usable[service])
 }
 
-// All returns every server of the last list. The result must not be changed.
+// All returns every server of the last list, with the leaves known from notices. The result must not be changed.
 func (i *Inventory) All() []apricotway.BackendServer {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
 
-	return i.servers
+	return i.view.Servers
 }
 
-// MarkLost takes a server out of use that was seen dying.
-func (i *Inventory) MarkLost(id apricotway.BackendServerID, now time.Time) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+// Tracked returns the servers of the own subset, whether usable or not.
+func (i *Inventory) Tracked() []apricotway.BackendServer {
+	i.mu.RLock()
+	defer i.mu.RUnlock()
 
-	i.lost[id] = now
+	return slices.DeleteFunc(slices.Clone(i.view.Servers), func(s apricotway.BackendServer) bool {
+		return i.subset != nil && !i.subset[s.ID]
+	})
 }
 
 // Notify registers a function that is called with every change of the set. It must not block.
--- /dev/null
+++ b/coordination/inventory/inventory_test.go
@@ -0,0 +1,207 @@
+package inventory_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/inventory"
+	state "github.com/apricotway/apricotway/state/inventory"
+)
+
+// world joins processes and engines. It orders broadcasts as the membership does and delivers them at once.
+type world struct {
+	apricotway.EngineClient
+
+	mu        sync.Mutex
+	versions  map[string]uint64
+	receivers []func(string, uint64, []byte)
+	published int
+
+	// reads and tokens count by engine; the engines in hang do not answer.
+	hang          map[apricotway.BackendServerID]bool
+	reads, tokens map[apricotway.BackendServerID]int
+	running, top  int
+}
+
+func (w *world) Publish(entry apricotway.BroadcastEntry) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if entry.Version <= w.versions[entry.Key] || entry.Lifetime <= 0 {
+		return apricotway.ErrBroadcastRefused
+	}
+
+	w.versions[entry.Key] = entry.Version
+	w.published++
+
+	for _, receive := range w.receivers {
+		go receive(entry.Key, entry.Version, entry.Payload)
+	}
+
+	return nil
+}
+
+func (w *world) Subscribe(_ apricotway.Topic, receive func(string, uint64, []byte)) {
+	w.receivers = append(w.receivers, receive)
+}
+
+func (w *world) Latest(apricotway.Topic) []apricotway.BroadcastEntry { return nil }
+
+func (w *world) Load(ctx context.Context, server apricotway.BackendServer) (apricotway.LoadReport, error) {
+	w.mu.Lock()
+	w.running++
+	w.top = max(w.top, w.running)
+	hang := w.hang[server.ID]
+	w.mu.Unlock()
+
+	if hang {
+		<-ctx.Done()
+	}
+
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.running--
+
+	return apricotway.LoadReport{}, ctx.Err()
+}
+
+func (w *world) PeerTokens(_ time.Time, server apricotway.BackendServerID, _ apricotway.NodeID, tokens int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.tokens[server] = tokens
+}
+
+// list is a host list; an empty one is out of reach.
+type list struct {
+	servers atomic.Pointer[[]apricotway.BackendServer]
+}
+
+func (l *list) set(servers []apricotway.BackendServer) { l.servers.Store(&servers) }
+
+func (l *list) Hosts(ctx context.Context) ([]apricotway.BackendServer, error) {
+	servers := *l.servers.Load()
+	if len(servers) == 0 {
+		<-ctx.Done()
+		return nil, apricotway.ErrPlatformUnavailable
+	}
+
+	return slices.Clone(servers), nil
+}
+
+func servers(ids ...apricotway.BackendServerID) []apricotway.BackendServer {
+	var list []apricotway.BackendServer
+	for _, id := range ids {
+		list = append(list, apricotway.BackendServer{ID: id, Version: "1", State: apricotway.HostLive})
+	}
+
+	return list
+}
+
+// bubble runs a test with two processes, of which the second loses its host list after the first reading.
+func bubble(t *testing.T, first []apricotway.BackendServer, run func(*world, *suture.Supervisor, *list, [2]*inventory.Inventory)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{
+			versions: map[string]uint64{}, hang: map[apricotway.BackendServerID]bool{},
+			reads: map[apricotway.BackendServerID]int{}, tokens: map[apricotway.BackendServerID]int{},
+		}
+		supervisor := suture.NewSimple("test")
+		seeing, blind := &list{}, &list{}
+		seeing.set(first)
+		blind.set(first)
+
+		known := [2]*inventory.Inventory{
+			inventory.New(supervisor, seeing, inventory.WithBroadcasts(w)),
+			inventory.New(supervisor, blind, inventory.WithBroadcasts(w)),
+		}
+
+		supervisor.ServeBackground(t.Context())
+		synctest.Wait()
+
+		blind.set(nil)
+
+		run(w, supervisor, seeing, known)
+	})
+}
+
+// after lets the bubble's time pass.
+func after(period time.Duration) {
+	<-time.After(period)
+	synctest.Wait()
+}
+
+func check(t *testing.T, when string, known *inventory.Inventory, want ...apricotway.BackendServerID) {
+	t.Helper()
+	synctest.Wait()
+
+	var got []apricotway.BackendServerID
+	for _, s := range known.Usable("") {
+		got = append(got, s.ID)
+	}
+
+	if !slices.Equal(got, want) {
+		t.Errorf("%s: got %v usable, want %v", when, got, want)
+	}
+}
+
+// TestLeaveNotice guards a process without a host list against sending work to servers that leave: it must know of them
+// within 2 s and not go back to them after the notice has expired. A server that was restarted under a new id is used.
+func TestLeaveNotice(t *testing.T) {
+	bubble(t, servers("a", "b"), func(_ *world, _ *suture.Supervisor, seeing *list, known [2]*inventory.Inventory) {
+		leaving := servers("a", "b")
+		leaving[0].State, leaving[0].Deadline = apricotway.HostLeaving, time.Now().Add(5*time.Second)
+		seeing.set(leaving)
+
+		after(2 * time.Second)
+		check(t, "with the list", known[0], "b")
+		check(t, "without a list", known[1], "b")
+
+		if got, want := known[1].All()[0], leaving[0]; got.State != want.State || !got.Deadline.Equal(want.Deadline) {
+			t.Errorf("got %v until %v, want %v until %v", got.State, got.Deadline, want.State, want.Deadline)
+		}
+
+		seeing.set(servers("a2", "b"))
+
+		after(time.Hour)
+		check(t, "an hour later with the list", known[0], "a2", "b")
+		check(t, "an hour later without a list", known[1], "b")
+	})
+}
+
+// TestDeathNotice guards both sides of a death: one process's proof must reach the other at once, and a false one must end
+// by a call that succeeds or by its lifetime.
+func TestDeathNotice(t *testing.T) {
+	bubble(t, servers("a", "b"), func(w *world, _ *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
+		known[1].MarkLost("a", time.Now())
+		check(t, "after the proof", known[1], "b")
+		check(t, "after the notice", known[0], "b")
+		after(time.Second)
+		known[0].MarkReached("a", time.Now())
+		check(t, "after a call elsewhere", known[0], "a", "b")
+		check(t, "after the correction", known[1], "b")
+		known[1].MarkLost("a", time.Now())
+		check(t, "after a further proof", known[0], "a", "b")
+		after(time.Second)
+		known[1].MarkReached("a", time.Now())
+		check(t, "after an own call", known[1], "a", "b")
+
+		if got, want := w.published, 2; got != want {
+			t.Errorf("got %d notices published, want %d", got, want)
+		}
+
+		known[1].MarkLost("b", time.Now())
+		check(t, "after a death", known[0], "a")
+		after(state.DeathLifetime + inventory.DefaultPeriod)
+		check(t, "after its lifetime", known[0], "a", "b")
+	})
+}
--- /dev/null
+++ b/state/inventory/subset.go
@@ -0,0 +1,56 @@
+package inventory
+
+import (
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/placement"
+)
+
+// SubsetThreshold is the number of servers of one service up to which every process uses all of them. It is above the 10
+// engines of today's regions and at the size for which one routing decision has to take less than 20 µs.
+const SubsetThreshold = 120
+
+// Subset returns the servers that self uses: those that placement.Engines gives it of each service with more than
+// SubsetThreshold servers, and all of the others. It returns nil when these are all servers. Dead and leaving members have
+// no part. Leaving servers keep theirs, so that a leave moves nothing else.
+func Subset(
+	servers []apricotway.BackendServer, members []apricotway.Member, self apricotway.Member,
+) map[apricotway.BackendServerID]bool {
+	services := map[apricotway.Service][]apricotway.BackendServer{}
+	large := false
+
+	for _, server := range servers {
+		services[server.Service] = append(services[server.Service], server)
+		large = large || len(services[server.Service]) > SubsetThreshold
+	}
+
+	if !large {
+		return nil
+	}
+
+	subset := map[apricotway.BackendServerID]bool{}
+
+	for _, list := range services {
+		if len(list) > SubsetThreshold {
+			list = placement.Engines(list, Users(members, self), self.Node)
+		}
+
+		for _, server := range list {
+			subset[server.ID] = true
+		}
+	}
+
+	return subset
+}
+
+// Users returns self and the members among which the servers are divided.
+func Users(members []apricotway.Member, self apricotway.Member) []apricotway.Member {
+	users := []apricotway.Member{self}
+
+	for _, member := range members {
+		if member.State == apricotway.MemberAlive || member.State == apricotway.MemberSuspect {
+			users = append(users, member)
+		}
+	}
+
+	return users
+}
