Read load reports and exchange the tokens in flight

Cause: no process read load reports, and none knew the load that the others put on a shared engine. A falsely observed death could end by its lifetime only.

The poller reads each engine of the own subset once a second, spread evenly over the second. At most 32 reads run at a time. Engines that did not answer last time share 8 further slots, so that a zone that hangs does not hold up the others. A successful read corrects a death, and a refused connection is one. Each process publishes one entry of its tokens in flight a second, at most, with as many engines as fit, those with the most tokens first, and hands the entries of others to a policy that implements PeerTokens.

Before: no reports. After: in the test, engines that answer are read in every period but the one in which the others begin to hang. The tests failed with each of these removed: spread, bound and retry slots of the poller; expiry, zero counts and limit of repetitions of the exchange; size and order of an entry.

Conclusion: round robin ignores reports and tokens; a policy that uses them only has to implement the methods. Cache events wait for a policy that takes them.

--- a/broadcasts.go
+++ b/broadcasts.go
@@ -18,7 +18,7 @@
 	TopicRevision Topic = "revision"
 	// TopicQuarantine carries quarantined digests; the key is the digest.
 	TopicQuarantine Topic = "quarantine"
-	// TopicTokens carries the in-flight tokens of shared engines; the key is the process and the engine.
+	// TopicTokens carries the in-flight tokens of a process at shared engines; the key is the process.
 	TopicTokens Topic = "tokens"
 )
 
--- a/cmd/internal/daemon/completions.go
+++ b/cmd/internal/daemon/completions.go
@@ -6,7 +6,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/protocol/completion"
+	"github.com/apricotway/apricotway/state/routing"
 	"github.com/apricotway/apricotway/transport/engine"
 )
 
@@ -20,9 +22,14 @@
 		completion.WithSuspectsPeers(d.peers, d.peerServer, d.membership),
 		completion.WithBroadcasts(d.membership),
 	)
-	runner := completion.New(engine.New(), d.inventory,
+	engines := engine.New()
+	policy := routing.NewRoundRobin()
+	runner := completion.New(engines, d.inventory, completion.WithPolicy(policy),
 		completion.WithLogger(d.logger), completion.WithSuspects(suspects), completion.WithUsage(d.usage.Add))
 
+	inventory.NewPoller(d.supervisor, d.inventory, engines, policy.Reported, inventory.WithPollerLogger(d.logger))
+	inventory.NewTokenExchange(d.supervisor, d.inventory, d.membership, d.settings.Node, runner.TokensInFlight, policy,
+		inventory.WithTokenLogger(d.logger))
 	registerCompletionMetrics(registry, runner)
 
 	return completion.NewRequests(d.supervisor, runner,
--- /dev/null
+++ b/coordination/inventory/poller_test.go
@@ -0,0 +1,57 @@
+package inventory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/inventory"
+)
+
+// TestPoller guards the load reports: the reads must be spread over the period and bounded at a time, and a zone of engines
+// that hang must not delay the reports of the others.
+func TestPoller(t *testing.T) {
+	var ids []apricotway.BackendServerID
+	for i := range 100 {
+		ids = append(ids, apricotway.BackendServerID(fmt.Sprintf("engine-%02d", i)))
+	}
+
+	bubble(t, servers(ids...), func(w *world, supervisor *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
+		inventory.NewPoller(supervisor, known[0], w, func(_ time.Time, id apricotway.BackendServerID, _ apricotway.LoadReport) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+
+			w.reads[id]++
+		})
+		after(inventory.DefaultReportPeriod/2 - time.Millisecond)
+		w.mu.Lock()
+
+		if got, want := len(w.reads), 50; got != want {
+			t.Errorf("got %d engines read after half of the period, want %d", got, want)
+		}
+
+		for i := 0; i < len(ids); i += 2 {
+			w.hang[ids[i]] = true
+		}
+
+		w.mu.Unlock()
+
+		after(20 * inventory.DefaultReportPeriod)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		for i, id := range ids {
+			// In one period the engines that begin to hang hold the slots of all.
+			if got, want := w.reads[id], 19; i%2 == 1 && got < want {
+				t.Errorf("got %d reports of %s, want at least %d", got, id, want)
+			}
+		}
+
+		if got, want := w.top, 40; got > want {
+			t.Errorf("got %d reads at a time, want at most %d", got, want)
+		}
+	})
+}
