Measure the inventory, leave notices and token entries

Cause: the cost at 7,600 engines and the time of a notice were not known.

Entries now stay 40 bytes below MaxBroadcast.

--- /dev/null
+++ b/cmd/internal/daemon/inventory_bench_test.go
@@ -0,0 +1,236 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/inventory"
+)
+
+// benchList is a host list whose readings cost what decoding an answer of the platform costs. It is down without a body.
+type benchList struct{ body atomic.Pointer[[]byte] }
+
+func (l *benchList) Hosts(ctx context.Context) ([]apricotway.BackendServer, error) {
+	body := l.body.Load()
+	if body == nil {
+		<-ctx.Done()
+		return nil, apricotway.ErrPlatformUnavailable
+	}
+
+	var servers []apricotway.BackendServer
+
+	err := json.Unmarshal(*body, &servers)
+
+	return servers, err
+}
+
+func (l *benchList) set(servers []apricotway.BackendServer) {
+	body, _ := json.Marshal(servers)
+	l.body.Store(&body)
+}
+
+func benchServers(count int) []apricotway.BackendServer {
+	servers := make([]apricotway.BackendServer, count)
+	for i := range servers {
+		servers[i] = apricotway.BackendServer{
+			ID: apricotway.BackendServerID(fmt.Sprintf("7c1f2f3e-0000-4000-8000-%012d", i)), Service: "shop-model",
+			Region: "prairie-west", Zone: apricotway.Zone(fmt.Sprintf("prairie-west-%d", i%4)), MachineClass: "a100x2",
+			Version: "shop-model-7", Address: netip.MustParseAddrPort("127.0.0.1:1"), State: apricotway.HostLive,
+		}
+	}
+
+	return servers
+}
+
+// benchMembership has 390 members, this one included.
+type benchMembership struct{}
+
+func (benchMembership) Self() apricotway.Member {
+	return apricotway.Member{Node: "node-0", Zone: "prairie-west-0", State: apricotway.MemberAlive}
+}
+
+func (benchMembership) Members() []apricotway.Member {
+	members := make([]apricotway.Member, 389)
+	for i := range members {
+		members[i] = apricotway.Member{
+			Node: apricotway.NodeID(fmt.Sprintf("node-%d", i+1)), Zone: apricotway.Zone(fmt.Sprintf("prairie-west-%d", (i+1)%4)),
+			State: apricotway.MemberAlive,
+		}
+	}
+
+	return members
+}
+
+// BenchmarkInventory measures the inventory of one of 390 processes that reads the host list twice a second.
+func BenchmarkInventory(b *testing.B) {
+	for _, size := range []int{120, 1200, 7600} {
+		b.Run(fmt.Sprintf("engines=%d", size), func(b *testing.B) {
+			const window = 10 * time.Second
+
+			for b.Loop() {
+				var before, after runtime.MemStats
+
+				list := &benchList{}
+				list.set(benchServers(size))
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+
+				supervisor := suture.NewSimple("bench")
+				known := inventory.New(supervisor, list, inventory.WithMembership(benchMembership{}))
+				ctx, cancel := context.WithCancel(b.Context())
+				done := supervisor.ServeBackground(ctx)
+				<-known.Ready()
+
+				cpu := cpuTime()
+				<-time.After(window)
+				cpu = cpuTime() - cpu
+
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(100*cpu.Seconds()/window.Seconds(), "%core")
+				b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/1024, "KiB")
+				b.ReportMetric(float64(len(known.Usable("shop-model"))), "engines-used")
+				b.ReportMetric(float64(len(*list.body.Load())), "B/list")
+				cancel()
+				<-done //nolint:errcheck // the context's error
+			}
+		})
+	}
+}
+
+// benchSystem starts members with an inventory each, of which only the first one reads the host list again.
+func benchSystem(b *testing.B, count, engines int) (*benchList, []*benchMember, []*inventory.Inventory, *suture.Supervisor) {
+	b.Helper()
+
+	var (
+		members []*benchMember
+		seeds   []netip.AddrPort
+		known   []*inventory.Inventory
+	)
+
+	supervisor := suture.NewSimple("bench")
+	lists := make([]*benchList, count)
+
+	for i := range count {
+		m, address := startBenchMember(b, i, seeds)
+		members = append(members, m)
+		seeds = append(seeds[:0:0], address)
+		lists[i] = &benchList{}
+		lists[i].set(benchServers(engines))
+		known = append(known, inventory.New(supervisor, lists[i], inventory.WithBroadcasts(m.driver)))
+	}
+
+	supervisor.ServeBackground(b.Context())
+
+	for i, m := range members {
+		for m.knows(func(m apricotway.Member) bool { return m.State == apricotway.MemberAlive }) < count-1 {
+			<-time.After(time.Millisecond)
+		}
+
+		if <-known[i].Ready(); i > 0 {
+			lists[i].body.Store(nil)
+		}
+	}
+
+	<-time.After(15 * time.Second) // the joins are repeated for a while
+
+	return lists[0], members, known, supervisor
+}
+
+// BenchmarkLeaveNotice measures the time from a change of the host list, which one process reads, until no process offers a
+// leaving server for new work.
+func BenchmarkLeaveNotice(b *testing.B) {
+	for _, size := range []int{8, 32} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			list, members, known, _ := benchSystem(b, size, 40)
+			servers := benchServers(40)
+			sum, worst, rounds := 0.0, 0.0, 0
+
+			for b.Loop() {
+				// A quarter of the engines, one zone of four, leaves in turn.
+				for zone := range 4 {
+					for i := zone; i < len(servers); i += 4 {
+						servers[i].State, servers[i].Deadline = apricotway.HostLeaving, time.Now().Add(time.Minute)
+					}
+
+					begin := time.Now()
+					list.set(servers)
+
+					for _, i := range known {
+						for len(i.Usable("shop-model")) > 30-10*zone {
+							<-time.After(time.Millisecond)
+						}
+					}
+
+					took := time.Since(begin).Seconds()
+					sum, worst, rounds = sum+took, max(worst, took), rounds+1
+
+					<-time.After(3*time.Second + time.Duration(zone)*130*time.Millisecond)
+				}
+			}
+
+			b.ReportMetric(sum/float64(rounds), "s-mean")
+			b.ReportMetric(worst, "s-worst")
+
+			for _, m := range members {
+				m.cancel()
+			}
+		})
+	}
+}
+
+// BenchmarkTokens measures the bytes of packets for each member without and with tokens in flight that change every second.
+func BenchmarkTokens(b *testing.B) {
+	for _, size := range []int{8, 32} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			const window = 10 * time.Second
+
+			_, members, known, supervisor := benchSystem(b, size, 120)
+			measure := func() float64 {
+				bytes := 0.0
+				for _, m := range members {
+					bytes -= probeBytes(b, m)
+				}
+
+				<-time.After(window)
+
+				for _, m := range members {
+					bytes += probeBytes(b, m)
+				}
+
+				return bytes / float64(size) / window.Seconds()
+			}
+
+			for b.Loop() {
+				b.ReportMetric(measure(), "B/s/member-without")
+
+				for i, m := range members {
+					inventory.NewTokenExchange(supervisor, known[i], m.driver, m.driver.Self().Node,
+						func() map[apricotway.BackendServerID]int {
+							tokens := map[apricotway.BackendServerID]int{}
+							for n, server := range known[i].All() {
+								tokens[server.ID] = 1000 + (n*7919+int(time.Now().Unix())*104729)%50000
+							}
+
+							return tokens
+						}, nil)
+				}
+
+				b.ReportMetric(measure(), "B/s/member-with")
+			}
+
+			for _, m := range members {
+				m.cancel()
+			}
+		})
+	}
+}
--- a/coordination/inventory/tokens.go
+++ b/coordination/inventory/tokens.go
@@ -19,6 +19,9 @@
 	// tokenLifetime is the time after which the last entry of a process no longer counts. A process whose tokens do not
 	// change publishes again before.
 	tokenLifetime = 5 * time.Second
+	// entryMargin is kept free below apricotway.MaxBroadcast. The membership leaves tokens out of a packet that take more
+	// than 400 bytes with their envelope of 40 bytes; a larger entry would never be sent.
+	entryMargin = 40
 )
 
 // PeerTokens is implemented by policies that take the tokens in flight of other processes. A count replaces the last one of
@@ -103,7 +106,7 @@
 // publish sends one entry, unless it would repeat the last one that the others still keep.
 func (x *TokenExchange) publish() {
 	now := time.Now()
-	size := apricotway.MaxBroadcast - len(apricotway.TopicTokens) - len(x.self)
+	size := apricotway.MaxBroadcast - entryMargin - len(apricotway.TopicTokens) - len(x.self)
 	entry := inventory.EncodeTokens(x.own(), size)
 
 	if bytes.Equal(entry, x.last) && (len(entry) == 0 || now.Sub(x.sent) < tokenLifetime/2) {
