--- a/cmd/internal/daemon/completions.go
+++ b/cmd/internal/daemon/completions.go
@@ -8,7 +8,6 @@
 
 	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/protocol/completion"
-	"github.com/apricotway/apricotway/state/routing"
 	"github.com/apricotway/apricotway/transport/engine"
 )
 
@@ -23,13 +22,16 @@
 		completion.WithBroadcasts(d.membership),
 	)
 	engines := engine.New()
-	policy := routing.NewRoundRobin()
-	runner := completion.New(engines, d.inventory, completion.WithPolicy(policy),
-		completion.WithLogger(d.logger), completion.WithSuspects(suspects), completion.WithUsage(d.usage.Add))
+	routing := newEngineRouting(d.supervisor, engines, d.inventory, d.feed.Fold(), d.logger)
+	runner := completion.New(engines, d.inventory,
+		completion.WithPolicy(routing.policy), completion.WithAdmission(routing), completion.WithLogger(d.logger), completion.WithSuspects(suspects), completion.WithUsage(d.usage.Add))
+
+	// Entries that no policy takes would only cost bytes.
+	if _, ok := any(routing.policy).(inventory.PeerTokens); ok {
+		inventory.NewTokenExchange(d.supervisor, d.inventory, d.membership, d.settings.Node, runner.TokensInFlight,
+			routing.policy, inventory.WithTokenLogger(d.logger))
+	}
 
-	inventory.NewPoller(d.supervisor, d.inventory, engines, policy.Reported, inventory.WithPollerLogger(d.logger))
-	inventory.NewTokenExchange(d.supervisor, d.inventory, d.membership, d.settings.Node, runner.TokensInFlight, policy,
-		inventory.WithTokenLogger(d.logger))
 	registerCompletionMetrics(registry, runner)
 
 	return completion.NewRequests(d.supervisor, runner,
--- a/coordination/inventory/inventory_test.go
+++ b/coordination/inventory/inventory_test.go
@@ -24,6 +24,7 @@
 	versions  map[string]uint64
 	receivers []func(string, uint64, []byte)
 	published int
+	largest   int
 
 	// reads and tokens count by engine; the engines in hang do not answer.
 	hang          map[apricotway.BackendServerID]bool
@@ -41,6 +42,7 @@
 
 	w.versions[entry.Key] = entry.Version
 	w.published++
+	w.largest = max(w.largest, len(entry.Topic)+len(entry.Key)+len(entry.Payload))
 
 	for _, receive := range w.receivers {
 		go receive(entry.Key, entry.Version, entry.Payload)
--- a/coordination/inventory/poller.go
+++ b/coordination/inventory/poller.go
@@ -26,14 +26,20 @@
 // ReportedFunc takes a load report, as the method Reported of routing.Policy does.
 type ReportedFunc func(now time.Time, server apricotway.BackendServerID, report apricotway.LoadReport)
 
+// CachedFunc takes cache events, as the method Cached of routing.Policy does.
+type CachedFunc func(now time.Time, server apricotway.BackendServerID, events []apricotway.CacheEvent)
+
 // Poller reads the load reports of the engines that this process uses.
 type Poller struct {
 	inventory *Inventory
 	engines   apricotway.EngineClient
 	reported  ReportedFunc
 	accept    func(apricotway.BackendServer) bool
-	logger    logr.Logger
-	period    time.Duration
+	// sequence and cached are nil when cache events are not read.
+	sequence func(apricotway.BackendServerID) uint64
+	cached   CachedFunc
+	logger   logr.Logger
+	period   time.Duration
 
 	slots, retries chan struct{}
 
@@ -62,6 +68,11 @@
 	return func(p *Poller) { p.accept = accept }
 }
 
+// WithCacheEvents reads the cache events behind a sequence number after each load report.
+func WithCacheEvents(sequence func(apricotway.BackendServerID) uint64, cached CachedFunc) PollerOption {
+	return func(p *Poller) { p.sequence, p.cached = sequence, cached }
+}
+
 // NewPoller returns a poller and adds its goroutine to the supervisor.
 func NewPoller(
 	supervisor *suture.Supervisor, inventory *Inventory, engines apricotway.EngineClient, reported ReportedFunc,
@@ -204,7 +215,17 @@
 		p.inventory.MarkReached(server.ID, begun)
 		p.reported(time.Now(), server.ID, report)
 
-		return nil
+		if p.cached == nil {
+			return nil
+		}
+
+		events, err := p.engines.CacheEvents(ctx, server, p.sequence(server.ID))
+		if err == nil {
+			p.cached(time.Now(), server.ID, events)
+		}
+
+		// An engine that has no cache events still answers.
+		return ctx.Err()
 	case errors.Is(err, apricotway.ErrNotSent) && ctx.Err() == nil:
 		p.inventory.MarkLost(server.ID, time.Now())
 	}
--- a/coordination/inventory/tokens_test.go
+++ b/coordination/inventory/tokens_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -18,6 +19,11 @@
 	bubble(t, servers("a", "b"), func(w *world, supervisor *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
 		w.receivers = nil
 
+		many := map[apricotway.BackendServerID]int{"a": 3200}
+		for i := range 200 {
+			many[apricotway.BackendServerID(fmt.Sprint(i))] = 1600
+		}
+
 		var tokens atomic.Pointer[map[apricotway.BackendServerID]int]
 
 		own := func() map[apricotway.BackendServerID]int { return *tokens.Load() }
@@ -35,7 +41,7 @@
 			a, b, atMost int
 		}{
 			{map[apricotway.BackendServerID]int{"a": 1600, "b": 160}, 10 * time.Second, 1600, 160, 4},
-			{map[apricotway.BackendServerID]int{"a": 3200}, 1100 * time.Millisecond, 3200, 0, 6},
+			{many, 1100 * time.Millisecond, 3200, 0, 6},
 			{nil, 7 * time.Second, 0, 0, 6},
 		} {
 			if tokens.Store(&step.tokens); step.tokens == nil {
@@ -53,5 +59,13 @@
 
 			w.mu.Unlock()
 		}
+
+		// The membership never sends tokens that take more than 400 bytes with 40 bytes of envelope.
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		if got, want := w.largest, 360; got > want || got < want-16 {
+			t.Errorf("got an entry of %d bytes for more engines than fit, want up to %d", got, want)
+		}
 	})
 }
--- a/protocol/completion/requests.go
+++ b/protocol/completion/requests.go
@@ -121,9 +121,13 @@
 type Answer struct {
 	requests *Requests
 	request  Request
-	cancel   context.CancelFunc
+	// term counts the takeovers that led to this run of the request.
+	term   uint64
+	cancel context.CancelFunc
 	// copied is closed once the request is copied or has turned out to have no peer to copy it to.
 	copied chan struct{}
+	// fresh is set for a request that came from its caller. One taken over was admitted before and is not refused again.
+	fresh bool
 
 	mu sync.Mutex
 	// tokens are those that exist in this process, from index 0.
@@ -160,6 +164,7 @@
 // Start accepts a request and begins to run it. A refusal arrives through Read.
 func (s *Requests) Start(request Request) *Answer {
 	a := s.newAnswer(request)
+	a.fresh = true
 	s.run(a)
 
 	s.mu.Lock()
@@ -191,7 +196,7 @@
 		text.WriteString(token.Text)
 	}
 
-	delivered := Delivered{Text: text.String(), Tokens: len(a.tokens), Version: a.version}
+	delivered := Delivered{Text: text.String(), Tokens: len(a.tokens), Version: a.version, Admitted: !a.fresh}
 
 	go func() {
 		defer cancel()
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -41,6 +41,7 @@
 	engines   apricotway.EngineClient
 	inventory *inventory.Inventory
 	policy    routing.Policy
+	admission Admission
 	logger    logr.Logger
 	suspects  *Suspects
 	costs     resume.Costs
@@ -65,6 +66,13 @@
 	replan *time.Timer
 }
 
+// Admission decides when a request may start.
+type Admission interface {
+	// Admit returns once the request may start, with the priority for its engine set, and the function that ends it with
+	// the number of generated tokens. It returns a Refusal for a request that will not start.
+	Admit(ctx context.Context, request Request) (Request, func(tokens int), error)
+}
+
 // Option changes a runner under construction.
 type Option func(*Runner)
 
@@ -78,6 +86,11 @@
 	return func(r *Runner) { r.policy = policy }
 }
 
+// WithAdmission sets what admits requests; without it every request starts at once.
+func WithAdmission(admission Admission) Option {
+	return func(r *Runner) { r.admission = admission }
+}
+
 // WithSuspects sets the keeper of suspect requests; without it the runner knows only its own.
 func WithSuspects(suspects *Suspects) Option {
 	return func(r *Runner) { r.suspects = suspects }
@@ -201,6 +214,16 @@
 	done.started = delivered.Tokens > 0
 	done.text.WriteString(delivered.Text)
 
+	if r.admission != nil && !delivered.Admitted {
+		admitted, release, err := r.admission.Admit(ctx, request)
+		if err != nil {
+			return done.server, err
+		}
+		defer func() { release(done.tokens) }()
+
+		request = admitted
+	}
+
 	var last error
 
 	for failures := 0; failures < maxFailures; {
@@ -216,8 +239,14 @@
 			break
 		}
 
+		r.logger.V(1).Info("attempt started", "event", 321, "request", request.ID, "server", place.server.ID,
+			"tokens", done.tokens)
+
 		last = r.attempt(ctx, request, place, done, sink)
 		if done.finished {
+			r.logger.V(1).Info("answer complete", "event", 322, "request", request.ID, "server", place.server.ID,
+				"tokens", done.tokens)
+
 			return done.server, nil
 		}
 
