--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -29,6 +29,7 @@
 		addMembersCommand,
 		addAccountCommands,
 		addCapacityCommand,
+		addFleetCommand,
 		addConfigCommands,
 		addLoadCommand,
 		addOperatorCommands,
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -155,6 +155,8 @@
 		return err
 	}
 
+	d.startPlanner(log)
+
 	services := service.New()
 	calls := call.New(services, d.inventory, call.WithLogger(d.logger), call.WithOnce(d.once(log, services)))
 
