--- a/broadcasts.go
+++ b/broadcasts.go
@@ -18,7 +18,7 @@
 	TopicRevision Topic = "revision"
 	// TopicQuarantine carries quarantined digests; the key is the digest.
 	TopicQuarantine Topic = "quarantine"
-	// TopicTokens carries the in-flight tokens of shared engines; the key is the process and the engine.
+	// TopicTokens carries the in-flight tokens of a process at shared engines; the key is the process.
 	TopicTokens Topic = "tokens"
 )
 
@@ -72,3 +72,13 @@
 		}
 	})
 }
+
+// DecodeValue returns the typed payload of an entry.
+func DecodeValue[T any](entry BroadcastEntry) (T, error) {
+	var value T
+	if err := json.Unmarshal(entry.Payload, &value); err != nil {
+		return value, errors.Wrap(err, "decode broadcast")
+	}
+
+	return value, nil
+}
--- a/cmd/internal/daemon/routing.go
+++ b/cmd/internal/daemon/routing.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/google/uuid"
 	"github.com/thejerf/suture/v4"
 
@@ -47,10 +48,11 @@
 
 // newEngineRouting returns the routing of one process and adds its loops to the supervisor.
 func newEngineRouting(
-	supervisor *suture.Supervisor, engines apricotway.EngineClient, inventory *inventory.Inventory, fold *config.Fold,
+	supervisor *suture.Supervisor, engines apricotway.EngineClient, known *inventory.Inventory, fold *config.Fold,
+	logger logr.Logger,
 ) *engineRouting {
 	r := &engineRouting{
-		policy: routing.NewScored(), engines: engines, inventory: inventory, fold: fold,
+		policy: routing.NewScored(), engines: engines, inventory: known, fold: fold,
 		gates: map[apricotway.Service]*gate.Gate{},
 	}
 
@@ -59,7 +61,6 @@
 		period time.Duration
 		do     func(context.Context)
 	}{
-		{"engine reports", reportPeriod, r.readReports},
 		{"engine probes", probePeriod, r.probeSlow},
 		{"admission limits", limitPeriod, func(context.Context) { r.setLimits() }},
 	} {
@@ -78,16 +79,26 @@
 		}})
 	}
 
+	inventory.NewPoller(supervisor, known, engines, r.policy.Reported, inventory.WithReportPeriod(reportPeriod),
+		inventory.WithAccept(r.model), inventory.WithCacheEvents(r.policy.CacheSequence, r.policy.Cached),
+		inventory.WithPollerLogger(logger))
+
 	return r
 }
 
+// model reports whether a server is a live one of a model service.
+func (r *engineRouting) model(server apricotway.BackendServer) bool {
+	spec, ok := r.fold.Service(server.Service)
+
+	return ok && spec.Type == config.ServiceModel && server.State == apricotway.HostLive
+}
+
 // models returns the usable servers of the model services.
 func (r *engineRouting) models() []apricotway.BackendServer {
 	var models []apricotway.BackendServer
 
 	for _, server := range r.inventory.All() {
-		spec, ok := r.fold.Service(server.Service)
-		if ok && spec.Type == config.ServiceModel && server.State == apricotway.HostLive {
+		if r.model(server) {
 			models = append(models, server)
 		}
 	}
@@ -95,29 +106,6 @@
 	return models
 }
 
-// readReports reads all engines at once. An engine that does not answer keeps its last report.
-func (r *engineRouting) readReports(ctx context.Context) {
-	// An engine that hangs must not hold back the reports of the others for long.
-	ctx, cancel := context.WithTimeout(ctx, 2*reportPeriod)
-	defer cancel()
-
-	var group sync.WaitGroup
-
-	for _, server := range r.models() {
-		group.Go(func() {
-			if report, err := r.engines.Load(ctx, server); err == nil {
-				r.policy.Reported(time.Now(), server.ID, report)
-			}
-
-			if events, err := r.engines.CacheEvents(ctx, server, r.policy.CacheSequence(server.ID)); err == nil {
-				r.policy.Cached(time.Now(), server.ID, events)
-			}
-		})
-	}
-
-	group.Wait()
-}
-
 // probeSlow sends a short request to each slow engine from which nothing is heard.
 func (r *engineRouting) probeSlow(ctx context.Context) {
 	due := r.policy.Probes(time.Now())
