--- /dev/null
+++ b/cmd/scenario/records_test.go
@@ -0,0 +1,222 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/apricotway/apricotway/cmd/internal/standin"
+)
+
+// sentCall is a call with an idempotency key and its answer; without an answer the status is 0.
+type sentCall struct {
+	key, body, execution string
+	status               int
+}
+
+// sentStream is a request of a text and the text that arrived.
+type sentStream struct {
+	prompt, got string
+	tokens      int
+}
+
+// seenRevision is a configuration revision that a process reported; the entries are in the order in which they were seen.
+type seenRevision struct {
+	process  string
+	revision int64
+}
+
+// records is what is known of a run after its end.
+type records struct {
+	calls      []sentCall
+	executions []standin.Execution
+	streams    []sentStream
+	revisions  []seenRevision
+}
+
+// violations returns what contradicts the guarantees. Timing plays no part.
+func (r *records) violations() []string {
+	var found []string
+
+	report := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+	ran, refusedOnly, recorded := map[string]int{}, map[string]bool{}, map[string]string{}
+
+	for _, execution := range r.executions {
+		if ran[execution.Key]++; ran[execution.Key] == 2 {
+			report("G4: key %s ran more than once", execution.Key)
+		}
+	}
+
+	for _, call := range r.calls {
+		refused, known := refusedOnly[call.key]
+		refusedOnly[call.key] = (refused || !known) && call.execution == "notStarted"
+
+		if call.status != http.StatusCreated {
+			continue
+		}
+
+		if before, ok := recorded[call.key]; ok && before != call.body {
+			report("G2: key %s was answered with %q and %q", call.key, before, call.body)
+		}
+
+		if recorded[call.key] = call.body; ran[call.key] == 0 {
+			report("G1: key %s was answered and did not run", call.key)
+		}
+	}
+
+	for key, refused := range refusedOnly {
+		if refused && ran[key] > 0 {
+			report("G3: key %s ran and was only refused as notStarted", key)
+		}
+	}
+
+	for _, stream := range r.streams {
+		if want := expected(stream.prompt, stream.tokens); stream.got != want {
+			report("G2: the answer to %q is not that of an undisturbed run: got %q", stream.prompt, stream.got)
+		}
+	}
+
+	highest := map[string]int64{}
+	for _, seen := range r.revisions {
+		if seen.revision < highest[seen.process] {
+			report("G7: %s returned from revision %d to %d", seen.process, highest[seen.process], seen.revision)
+		}
+
+		highest[seen.process] = max(highest[seen.process], seen.revision)
+	}
+
+	return found
+}
+
+// TestViolations guards against a checker that reports nothing: one violation for each invariant, and a run without any.
+func TestViolations(t *testing.T) {
+	once := []standin.Execution{{Key: "k"}}
+	created := sentCall{key: "k", status: http.StatusCreated, body: "1"}
+	refused := sentCall{key: "k", status: http.StatusServiceUnavailable, execution: "notStarted"}
+
+	for want, r := range map[string]records{
+		"": {
+			calls: []sentCall{refused, created, created, {key: "u", execution: "unknown"}}, executions: once,
+			streams: []sentStream{{"p", expected("p", 3), 3}}, revisions: []seenRevision{{"a", 2}, {"b", 1}, {"a", 2}},
+		},
+		"G4: key k ran more than once":         {executions: append(once, once...)},
+		"G3: key k ran and was only refused":   {calls: []sentCall{refused, refused}, executions: once},
+		"G1: key k was answered and did not":   {calls: []sentCall{created}},
+		"G2: key k was answered with":          {calls: []sentCall{created, {key: "k", status: 201, body: "2"}}, executions: once},
+		`G2: the answer to "p" is not that of`: {streams: []sentStream{{"p", expected("p", 2), 3}}},
+		"G7: a returned from revision 2 to 1":  {revisions: []seenRevision{{"a", 2}, {"a", 1}}},
+	} {
+		got := r.violations()
+		if want == "" && len(got) == 0 {
+			continue
+		}
+
+		if len(got) != 1 || want == "" || !strings.HasPrefix(got[0], want) {
+			t.Errorf("got %q, want one violation that starts with %q", got, want)
+		}
+	}
+}
+
+// callClient ends a call that is never answered; the verdict does not depend on when.
+var callClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitLimit}
+
+// callOnce sends one call with an idempotency key.
+func callOnce(address, token, key, body string) sentCall {
+	c := sentCall{key: key}
+
+	// The body cannot be rewound, so that the client does not send the call twice.
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/lot-ledger/release", struct{ io.Reader }{strings.NewReader(body)})
+	if err != nil {
+		return c
+	}
+
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("Idempotency-Key", key)
+
+	answer, err := callClient.Do(r)
+	if err != nil {
+		return c
+	}
+	defer answer.Body.Close()
+
+	content, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return c
+	}
+
+	var refusal struct{ Error struct{ Execution string } }
+
+	_ = json.Unmarshal(content, &refusal)
+	c.status, c.body, c.execution = answer.StatusCode, string(content), refusal.Error.Execution
+
+	return c
+}
+
+func executions(address string) (list []standin.Execution, err error) {
+	answer, err := callClient.Get("http://" + address + "/executions")
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+
+	return list, json.NewDecoder(answer.Body).Decode(&list)
+}
+
+// keyedCalls holds the calls of each script by its name and their key.
+var keyedCalls sync.Map
+
+type keyed struct {
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	records records
+}
+
+// cmdKeyed runs "keyed KEY BODY ADDRESS...": it sends one call with the key to each address in the background.
+func cmdKeyed(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, args, 3, "keyed KEY BODY ADDRESS...")
+
+	value, _ := keyedCalls.LoadOrStore(ts.Name()+"/"+args[0], &keyed{})
+	k, body := value.(*keyed), ts.ReadFile(args[1])
+
+	for _, address := range args[2:] {
+		k.group.Go(func() {
+			call := callOnce(address, "secret", args[0], body)
+
+			k.mu.Lock()
+			defer k.mu.Unlock()
+
+			k.records.calls = append(k.records.calls, call)
+		})
+	}
+}
+
+// cmdChecked runs "checked KEY BACKEND": it waits for the answers to all calls with the key and checks them against the
+// executions that the backend server counted.
+func cmdChecked(ts *testscript.TestScript, neg bool, args []string) {
+	usage(ts, neg, args, 2, "checked KEY BACKEND")
+
+	value, ok := keyedCalls.Load(ts.Name() + "/" + args[0])
+	if !ok {
+		ts.Fatalf("no calls with the key %s", args[0])
+	}
+
+	k := value.(*keyed)
+	k.group.Wait()
+
+	var err error
+
+	k.records.executions, err = executions(args[1])
+	ts.Check(err)
+	ts.Logf("calls: %+v", k.records.calls)
+
+	if found := k.records.violations(); len(found) > 0 {
+		ts.Fatalf("%s", strings.Join(found, "\n"))
+	}
+}
--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -51,6 +51,8 @@
 			"load":    cmdLoad,
 			"loaded":  cmdLoaded,
 			"calls":   cmdCalls,
+			"keyed":   cmdKeyed,
+			"checked": cmdChecked,
 		},
 	})
 }
