--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -33,6 +33,7 @@
 		addLoadCommand,
 		addOperatorCommands,
 		addStandinCommands,
+		addBenchCommand,
 	} {
 		if err := add(root); err != nil {
 			return err
--- a/protocol/completion/attempt.go
+++ b/protocol/completion/attempt.go
@@ -58,8 +58,10 @@
 	r := a.runner
 	work := work(a.request, a.done)
 
+	parent := ctx
+
 	r.policy.Started(time.Now(), a.server.ID, a.id, work)
-	defer func() { r.policy.Ended(time.Now(), a.server.ID, a.id) }()
+	defer func() { r.policy.Ended(time.Now(), a.server.ID, a.id, outcome(parent, a.done)) }()
 
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -319,8 +321,22 @@
 	return a
 }
 
+// outcome tells the policy how an attempt ended.
+func outcome(ctx context.Context, done *progress) routing.Outcome {
+	switch {
+	case done.finished:
+		return routing.OutcomeFinished
+	case ctx.Err() != nil:
+		return routing.OutcomeCancelled
+	default:
+		return routing.OutcomeFailed
+	}
+}
+
 func work(request Request, done *progress) routing.Work {
 	return routing.Work{
+		Service:      request.Service,
+		Blocks:       apricotway.PrefixBlocks(nil, request.Prompt),
 		Prompt:       request.Prompt,
 		PromptTokens: apricotway.EstimateTokens(request.Prompt) + done.tokens,
 		MaxTokens:    request.MaxTokens - done.tokens,
--- a/protocol/completion/request.go
+++ b/protocol/completion/request.go
@@ -48,6 +48,8 @@
 	Tokens int
 	// Version is the model version that generated the text; empty before the first token.
 	Version apricotway.ModelVersion
+	// Admitted is set when the request has passed admission before.
+	Admitted bool
 }
 
 // digest identifies a request's content over workspaces, callers and attempts.
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/account"
 	"github.com/apricotway/apricotway/state/quarantine"
 	"github.com/apricotway/apricotway/state/resume"
@@ -40,6 +41,7 @@
 	engines   apricotway.EngineClient
 	inventory *inventory.Inventory
 	policy    routing.Policy
+	admission Admission
 	logger    logr.Logger
 	suspects  *Suspects
 	costs     resume.Costs
@@ -64,6 +66,13 @@
 	replan *time.Timer
 }
 
+// Admission decides when a request may start.
+type Admission interface {
+	// Admit returns once the request may start, with the priority for its engine set, and the function that ends it with
+	// the number of generated tokens. It returns a Refusal for a request that will not start.
+	Admit(ctx context.Context, request Request) (Request, func(tokens int), error)
+}
+
 // Option changes a runner under construction.
 type Option func(*Runner)
 
@@ -77,6 +86,11 @@
 	return func(r *Runner) { r.policy = policy }
 }
 
+// WithAdmission sets what admits requests; without it every request starts at once.
+func WithAdmission(admission Admission) Option {
+	return func(r *Runner) { r.admission = admission }
+}
+
 // WithSuspects sets the keeper of suspect requests; without it the runner knows only its own.
 func WithSuspects(suspects *Suspects) Option {
 	return func(r *Runner) { r.suspects = suspects }
@@ -200,6 +214,16 @@
 	done.started = delivered.Tokens > 0
 	done.text.WriteString(delivered.Text)
 
+	if r.admission != nil && !delivered.Admitted {
+		admitted, release, err := r.admission.Admit(ctx, request)
+		if err != nil {
+			return done.server, err
+		}
+		defer func() { release(done.tokens) }()
+
+		request = admitted
+	}
+
 	var last error
 
 	for failures := 0; failures < maxFailures; {
@@ -215,8 +239,14 @@
 			break
 		}
 
+		r.logger.V(1).Info("attempt started", "event", 321, "request", request.ID, "server", place.server.ID,
+			"tokens", done.tokens)
+
 		last = r.attempt(ctx, request, place, done, sink)
 		if done.finished {
+			r.logger.V(1).Info("answer complete", "event", 322, "request", request.ID, "server", place.server.ID,
+				"tokens", done.tokens)
+
 			return done.server, nil
 		}
 
@@ -236,7 +266,7 @@
 		done.excluded = append(done.excluded, place.server.ID)
 
 		if errors.Is(last, apricotway.ErrBackendRefused) {
-			pause(ctx)
+			pause.For(ctx, pollPeriod)
 		}
 	}
 
@@ -353,7 +383,7 @@
 			return false
 		}
 
-		if pause(ctx); ctx.Err() != nil {
+		if !pause.For(ctx, pollPeriod) {
 			return false
 		}
 	}
@@ -371,17 +401,6 @@
 	return index < 0 || servers[index].State == apricotway.HostLeaving
 }
 
-// pause waits until it is time for another look.
-func pause(ctx context.Context) {
-	timer := time.NewTimer(pollPeriod)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // refuse turns the state of an unfinished request into the answer for its caller.
 func refuse(ctx context.Context, done *progress, last error) *apricotway.Refusal {
 	refusal := &apricotway.Refusal{
