--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,11 @@
 
 format: $(LINT)
 	@for module in $(MODULES); do (cd $$module && $(LINT) fmt ./...) || exit 1; done
+
+# Runs random schedules of failures against real processes; the name of a failing subtest is its seed.
+SEEDS ?= 10
+DURATION ?= 1m
+FIRST ?= 1000
+.PHONY: soak
+soak:
+	go test -race -count=1 -timeout 0 -run 'TestRandomFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
--- a/cmd/scenario/records_test.go
+++ b/cmd/scenario/records_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -18,6 +19,10 @@
 type sentCall struct {
 	key, body, execution string
 	status               int
+	// ran tells that the backend server had run the key before the call was sent.
+	ran bool
+	// final tells that no later repeat can get another answer.
+	final bool
 }
 
 // sentStream is a request of a text and the text that arrived.
@@ -57,6 +62,10 @@
 		refused, known := refusedOnly[call.key]
 		refusedOnly[call.key] = (refused || !known) && call.execution == "notStarted"
 
+		if call.ran && call.execution == "notStarted" {
+			report("G3: key %s had run and was refused as notStarted", call.key)
+		}
+
 		if call.status != http.StatusCreated {
 			continue
 		}
@@ -105,8 +114,11 @@
 			calls: []sentCall{refused, created, created, {key: "u", execution: "unknown"}}, executions: once,
 			streams: []sentStream{{"p", expected("p", 3), 3}}, revisions: []seenRevision{{"a", 2}, {"b", 1}, {"a", 2}},
 		},
-		"G4: key k ran more than once":         {executions: append(once, once...)},
-		"G3: key k ran and was only refused":   {calls: []sentCall{refused, refused}, executions: once},
+		"G4: key k ran more than once":       {executions: append(once, once...)},
+		"G3: key k ran and was only refused": {calls: []sentCall{refused, refused}, executions: once},
+		"G3: key k had run and was refused": {
+			calls: []sentCall{created, {key: "k", execution: "notStarted", ran: true}}, executions: once,
+		},
 		"G1: key k was answered and did not":   {calls: []sentCall{created}},
 		"G2: key k was answered with":          {calls: []sentCall{created, {key: "k", status: 201, body: "2"}}, executions: once},
 		`G2: the answer to "p" is not that of`: {streams: []sentStream{{"p", expected("p", 2), 3}}},
@@ -126,9 +138,10 @@
 // callClient ends a call that is never answered; the verdict does not depend on when.
 var callClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitLimit}
 
-// callOnce sends one call with an idempotency key.
-func callOnce(address, token, key, body string) sentCall {
-	c := sentCall{key: key}
+// callOnce sends one call with an idempotency key, after it has asked the backend server whether the key has run.
+func callOnce(backend, address, key, body string) sentCall {
+	before, err := executions(backend)
+	c := sentCall{key: key, ran: err == nil && slices.ContainsFunc(before, func(e standin.Execution) bool { return e.Key == key })}
 
 	// The body cannot be rewound, so that the client does not send the call twice.
 	r, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/services/lot-ledger/release", struct{ io.Reader }{strings.NewReader(body)})
@@ -137,7 +150,7 @@
 	}
 
 	r.ContentLength = int64(len(body))
-	r.Header.Set("Authorization", "Bearer "+token)
+	r.Header.Set("Authorization", "Bearer secret")
 	r.Header.Set("Idempotency-Key", key)
 
 	answer, err := callClient.Do(r)
@@ -151,10 +164,16 @@
 		return c
 	}
 
-	var refusal struct{ Error struct{ Execution string } }
+	var refusal struct {
+		Error struct {
+			Execution         string
+			RetryAfterSeconds float64
+		}
+	}
 
 	_ = json.Unmarshal(content, &refusal)
 	c.status, c.body, c.execution = answer.StatusCode, string(content), refusal.Error.Execution
+	c.final = c.status == http.StatusCreated || c.execution == "unknown" && refusal.Error.RetryAfterSeconds == 0
 
 	return c
 }
@@ -178,16 +197,16 @@
 	records records
 }
 
-// cmdKeyed runs "keyed KEY BODY ADDRESS...": it sends one call with the key to each address in the background.
+// cmdKeyed runs "keyed KEY BODY BACKEND ADDRESS...": it sends one call with the key to each address in the background.
 func cmdKeyed(ts *testscript.TestScript, neg bool, args []string) {
-	usage(ts, neg, args, 3, "keyed KEY BODY ADDRESS...")
+	usage(ts, neg, args, 4, "keyed KEY BODY BACKEND ADDRESS...")
 
 	value, _ := keyedCalls.LoadOrStore(ts.Name()+"/"+args[0], &keyed{})
 	k, body := value.(*keyed), ts.ReadFile(args[1])
 
-	for _, address := range args[2:] {
+	for _, address := range args[3:] {
 		k.group.Go(func() {
-			call := callOnce(address, "secret", args[0], body)
+			call := callOnce(args[2], address, args[0], body)
 
 			k.mu.Lock()
 			defer k.mu.Unlock()
--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/apricotway/apricotway/cmd/internal/ctl"
@@ -76,26 +77,49 @@
 		ts.Fatalf("usage: start NAME PROGRAM ARG...")
 	}
 
-	program, err := exec.LookPath(args[1])
+	p, fields, err := launch(ts.MkAbs("."), args[0], append(os.Environ(), "HOME="+ts.Getenv("HOME"), "PATH="+ts.Getenv("PATH")), args[1:])
+	if p != nil {
+		processes(ts)[args[0]] = p
+		ts.Defer(p.kill)
+	}
+
 	ts.Check(err)
 
-	command := exec.Command(program, args[2:]...)
-	command.Dir = ts.MkAbs(".")
-	command.Env = append(os.Environ(), "HOME="+ts.Getenv("HOME"), "PATH="+ts.Getenv("PATH"))
+	for key, value := range fields {
+		ts.Setenv(strings.TrimSuffix(args[0]+"_"+key, "_"), value)
+	}
+}
 
-	logFile, err := os.Create(filepath.Join(ts.MkAbs("."), args[0]+".log"))
-	ts.Check(err)
+// launch starts a program whose errors go to the file NAME.log, and returns the fields of the first line of its output: each
+// field KEY=VALUE by its key, and the value of the first one also by the empty key.
+func launch(directory, name string, environment, line []string) (*process, map[string]string, error) {
+	program, err := exec.LookPath(line[0])
+	if err != nil {
+		return nil, nil, err
+	}
+
+	command := exec.Command(program, line[1:]...)
+	command.Dir, command.Env = directory, environment
+
+	logFile, err := os.Create(filepath.Join(directory, name+".log"))
+	if err != nil {
+		return nil, nil, err
+	}
 
 	command.Stderr = logFile
+
 	output, err := command.StdoutPipe()
-	ts.Check(err)
-	ts.Check(command.Start())
+	if err != nil {
+		return nil, nil, err
+	}
 
-	p := &process{command: command, done: make(chan struct{})}
-	processes(ts)[args[0]] = p
+	if err := command.Start(); err != nil {
+		return nil, nil, err
+	}
 
+	p := &process{command: command, done: make(chan struct{})}
 	reader := bufio.NewReader(output)
-	line, err := reader.ReadString('\n')
+	first, err := reader.ReadString('\n')
 
 	go func() {
 		defer close(p.done)
@@ -105,31 +129,37 @@
 		_ = logFile.Close()
 	}()
 
-	ts.Defer(func() {
-		// A frozen process has to be woken before it can be ended; the process may be gone already.
-		_ = command.Process.Signal(syscall.SIGCONT)
-		_ = command.Process.Kill()
-		<-p.done
-	})
-
 	if err != nil {
 		<-p.done
+
 		content, _ := os.ReadFile(logFile.Name())
-		ts.Fatalf("%s printed no line: %v\n%s", args[0], err, content)
+
+		return p, nil, errors.Wrapf(err, "%s printed no line: %s", name, content)
 	}
 
-	for i, field := range strings.Fields(line) {
-		name, value, named := strings.Cut(field, "=")
+	fields := map[string]string{}
+
+	for i, field := range strings.Fields(first) {
+		key, value, named := strings.Cut(field, "=")
 		if named {
-			ts.Setenv(args[0]+"_"+name, value)
+			fields[key] = value
 		} else {
 			value = field
 		}
 
 		if i == 0 {
-			ts.Setenv(args[0], value)
+			fields[""] = value
 		}
 	}
+
+	return p, fields, nil
+}
+
+// kill ends the process. A frozen process has to be woken before it can be ended; the process may be gone already.
+func (p *process) kill() {
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	_ = p.command.Process.Kill()
+	<-p.done
 }
 
 var signals = map[string]os.Signal{
