--- a/state/config/view.go
+++ b/state/config/view.go
@@ -19,6 +19,7 @@
 type view struct {
 	services   map[apricotway.Service]ServiceSpec
 	workspaces map[apricotway.Workspace]WorkspaceSpec
+	fleets     map[apricotway.Region]FleetSpec
 	// tokens holds the callers' token digests by their first eight bytes; the digests that share them are compared in
 	// constant time.
 	tokens  map[uint64][]token
@@ -92,6 +93,7 @@
 	v := &view{
 		services:   map[apricotway.Service]ServiceSpec{},
 		workspaces: map[apricotway.Workspace]WorkspaceSpec{},
+		fleets:     map[apricotway.Region]FleetSpec{},
 		tokens:     map[uint64][]token{},
 		objects:    make([]Status, 0, len(f.objects)),
 	}
@@ -115,6 +117,8 @@
 			v.services[apricotway.Service(name.Object)] = spec
 		case WorkspaceSpec:
 			v.workspaces[apricotway.Workspace(name.Object)] = spec
+		case FleetSpec:
+			v.fleets[apricotway.Region(name.Object)] = spec
 		}
 	}
 
