Split the shard's file by concept

Cause: one file of 670 lines held reading, calls, outcomes and checkpoints. No line of code changed but the imports.

--- /dev/null
+++ b/coordination/shard/call.go
@@ -0,0 +1,292 @@
+package shard
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/ledger"
+)
+
+// run runs one call. The work goes on when the caller is gone, so that the outcome is recorded; the deadline holds.
+func (s *shard) run(ctx context.Context, request Request, digest string) (apricotway.ServiceAnswer, error) {
+	work := context.WithoutCancel(ctx)
+
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+
+		work, cancel = context.WithDeadline(work, deadline)
+		defer cancel()
+	}
+
+	epoch, err := s.own(work)
+	if err != nil {
+		return apricotway.ServiceAnswer{}, err
+	}
+
+	s.refresh(work, request.Key)
+
+	s.mu.Lock()
+
+	current := s.running[request.Key]
+	if current == nil {
+		if entry, live := s.fold.Lookup(request.Key, time.Now()); live {
+			s.mu.Unlock()
+			return answerEntry(entry, digest)
+		}
+
+		current = &running{digest: digest, done: make(chan struct{})}
+		s.running[request.Key] = current
+		s.mu.Unlock()
+
+		return s.execute(work, epoch, request, current)
+	}
+
+	s.mu.Unlock()
+
+	if current.digest != digest {
+		return apricotway.ServiceAnswer{}, conflict()
+	}
+
+	select {
+	case <-current.done:
+		return answerOutcome(current.outcome)
+	case <-ctx.Done():
+		return apricotway.ServiceAnswer{}, &apricotway.Refusal{
+			Code: apricotway.CodeKeyInProgress, Execution: apricotway.ExecutionUnknown,
+			Message: "the first call with the idempotency key is still running", RetryAfter: retryAfter,
+		}
+	}
+}
+
+// execute takes a call from the intent to the outcome. The call is in s.running until its outcome can be read from the
+// stream, so that a repeat in between gets the same answer.
+func (s *shard) execute(
+	ctx context.Context, epoch apricotway.Offset, request Request, current *running,
+) (apricotway.ServiceAnswer, error) {
+	m := s.manager
+
+	intent := ledger.Intent{Key: request.Key, Digest: current.digest, At: time.Now().UTC()}
+	outcome := ledger.Outcome{Key: request.Key, At: intent.At, Result: ledger.ResultAbandoned}
+
+	record, err := ledger.NewRecord(ledger.KindIntent, epoch, intent)
+	if err != nil {
+		s.finish(current, outcome)
+		s.forget(request.Key)
+
+		return apricotway.ServiceAnswer{}, s.refuse(err)
+	}
+
+	outcome.Intent = record.ID
+
+	if err := m.hook(StepBeforeIntent); err != nil {
+		return apricotway.ServiceAnswer{}, err
+	}
+
+	offset, err := m.writer.Append(ctx, s.stream, record)
+	if err != nil && errors.Is(err, apricotway.ErrLogUnavailable) && !errors.Is(err, apricotway.ErrAppendUnknown) {
+		s.finish(current, outcome)
+		s.forget(request.Key)
+
+		return apricotway.ServiceAnswer{}, s.refuse(err)
+	}
+
+	if err == nil {
+		if err := m.hook(StepAfterIntent); err != nil {
+			return apricotway.ServiceAnswer{}, err
+		}
+
+		err = s.permit(ctx, epoch, offset, request.Key, record.ID)
+	}
+
+	if err != nil {
+		return apricotway.ServiceAnswer{}, s.giveUp(current, outcome, err)
+	}
+
+	m.logger.V(1).Info("call sent", "event", 227, "stream", s.stream, "intent", record.ID, "offset", offset)
+
+	answer, err := m.send(ctx, request.Service, request.Call)
+
+	if err := m.hook(StepAfterCall); err != nil {
+		return apricotway.ServiceAnswer{}, err
+	}
+
+	return s.complete(ctx, current, outcome, answer, err)
+}
+
+// refuse refuses a call that this process has not sent and will not send. The owner of the shard has looked the key up and
+// knows that no earlier attempt has run, unless another process may have claimed the shard since: while this one was paused
+// or while all others think that it is gone.
+func (s *shard) refuse(err error) *apricotway.Refusal {
+	s.mu.Lock()
+	read := s.lastRead
+	s.mu.Unlock()
+
+	if errors.Is(err, errDeposed) {
+		return unavailable(err)
+	}
+
+	if s.epoch() != 0 && s.manager.pulse.steadySince(read, time.Now()) && !s.manager.isolated() {
+		return unavailable(err)
+	}
+
+	return Uncertain(err.Error())
+}
+
+// giveUp ends a call that was not sent after its append was tried.
+func (s *shard) giveUp(current *running, outcome ledger.Outcome, err error) error {
+	var (
+		stopped  *stoppedError
+		notOwner *NotOwnerError
+	)
+
+	if errors.As(err, &stopped) {
+		return stopped.cause
+	}
+
+	s.finish(current, outcome)
+
+	if errors.As(err, &notOwner) {
+		// The intent is void and needs no outcome.
+		s.forget(outcome.Key)
+		return notOwner
+	}
+
+	// Only this process may send the call of this intent, and it does not: the call has certainly not run. The intent may
+	// be in the stream, or may still arrive there.
+	s.abandon(current, outcome)
+
+	return s.refuse(err)
+}
+
+// complete records what came of a call that was handed to the sender, and returns it.
+func (s *shard) complete(
+	ctx context.Context, current *running, outcome ledger.Outcome, answer apricotway.ServiceAnswer, err error,
+) (apricotway.ServiceAnswer, error) {
+	switch {
+	case err == nil:
+		outcome.Result, outcome.Status, outcome.Header, outcome.Body = ledger.ResultCompleted,
+			answer.Status, answer.Header, answer.Body
+	case !errors.Is(err, apricotway.ErrNotSent):
+		outcome.Result = ledger.ResultUnknown
+	}
+
+	s.finish(current, outcome)
+	s.manager.logger.V(1).Info("call ended", "event", 228, "stream", s.stream, "intent", outcome.Intent, "result", outcome.Result)
+
+	if err := s.record(ctx, current, outcome); err != nil {
+		return apricotway.ServiceAnswer{}, err
+	}
+
+	if outcome.Result == ledger.ResultAbandoned {
+		return apricotway.ServiceAnswer{}, notStarted(apricotway.CodeNoBackendServer, retryAfter, err.Error())
+	}
+
+	return answerOutcome(outcome)
+}
+
+// stoppedError carries the error of a hook.
+type stoppedError struct{ cause error }
+
+// Error implements the error interface.
+func (e *stoppedError) Error() string { return e.cause.Error() }
+
+// errDeposed reports a claim behind an intent that counts. No process ever sends the call of that intent.
+var errDeposed = errors.New("another process has claimed the shard")
+
+// permit reads the stream past the intent and returns nil when the call may be sent: the intent counts, and the claim under
+// which it was written is still in force as far as the stream can be read.
+func (s *shard) permit(
+	ctx context.Context, epoch, offset apricotway.Offset, key ledger.Key, intent string,
+) error {
+	for range maxReads {
+		read := time.Now()
+
+		if err := s.readPast(ctx, offset); err != nil {
+			return err
+		}
+
+		s.mu.Lock()
+		counts, holder := s.fold.Counts(key, intent), s.fold.Holder()
+		s.mu.Unlock()
+
+		if !counts {
+			return &NotOwnerError{Owner: holder.Owner}
+		}
+
+		// The claim follows the intent, so the intent counts and the new owner answers unknown.
+		if holder.Offset != epoch {
+			return errDeposed
+		}
+
+		if err := s.manager.hook(StepBeforeSend); err != nil {
+			return &stoppedError{cause: err}
+		}
+
+		if err := ctx.Err(); err != nil {
+			return errors.Wrap(err, "call ended before it was sent")
+		}
+
+		if time.Since(read) <= maxReadAge {
+			return nil
+		}
+
+		// The process was paused or the read was slow. The next round reads to the end of the stream.
+		offset = 0
+	}
+
+	return errors.Wrap(apricotway.ErrLogUnavailable, "the stream is read too slowly")
+}
+
+// finish makes the outcome known to repeats in this process.
+func (s *shard) finish(current *running, outcome ledger.Outcome) {
+	current.outcome = outcome
+	close(current.done)
+}
+
+func (s *shard) forget(key ledger.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	delete(s.running, key)
+}
+
+func conflict() *apricotway.Refusal {
+	return notStarted(apricotway.CodeKeyConflict, 0, "the idempotency key was used for a different call")
+}
+
+// answerEntry answers a repeat from the stream. An intent without outcome may belong to an owner that is gone; it is never
+// sent again.
+func answerEntry(entry ledger.Entry, digest string) (apricotway.ServiceAnswer, error) {
+	if entry.Digest != digest {
+		return apricotway.ServiceAnswer{}, conflict()
+	}
+
+	if entry.Outcome == nil {
+		return answerOutcome(ledger.Outcome{Result: ledger.ResultUnknown})
+	}
+
+	return answerOutcome(*entry.Outcome)
+}
+
+func answerOutcome(outcome ledger.Outcome) (apricotway.ServiceAnswer, error) {
+	switch {
+	case outcome.Result == ledger.ResultAbandoned:
+		return apricotway.ServiceAnswer{}, unavailable(errors.New("the call was not sent"))
+	case outcome.Result == ledger.ResultUnknown:
+		return apricotway.ServiceAnswer{}, &apricotway.Refusal{
+			Code: apricotway.CodeOutcomeUnknown, Execution: apricotway.ExecutionUnknown,
+			Message: "the call was recorded and may have run; it is not sent again",
+		}
+	case outcome.Omitted:
+		return apricotway.ServiceAnswer{}, &apricotway.Refusal{
+			Code: apricotway.CodeOutcomeUnknown, Execution: apricotway.ExecutionCompleted,
+			Message: fmt.Sprintf("the call has run with status %d; its answer was too large to be recorded", outcome.Status),
+		}
+	default:
+		return apricotway.ServiceAnswer{Status: outcome.Status, Header: outcome.Header, Body: outcome.Body}, nil
+	}
+}
