--- a/cmd/internal/capacity/page.go
+++ b/cmd/internal/capacity/page.go
@@ -182,14 +182,22 @@
 	})
 }
 
+// The time between two readings of the host list, in the measurement and at full size (coordination/inventory).
+const (
+	measuredReadSeconds = 0.5
+	readSeconds         = 10
+)
+
 func (c *computation) inventory() {
+	engines := c.page.Target.Engines
 	c.page.Control = append(c.page.Control, Row{
-		Part:      "engines in the subset",
-		State:     fmt.Sprintf("%.0f of %.0f engines", c.page.EnginesPerNode, c.page.Target.Engines),
-		Messages:  "one load report an engine and period",
-		CPU:       "in the data path",
-		Memory:    c.value(EngineMemory, c.page.EnginesPerNode, 1.0/bytesPerMB, "MB", &c.page.ControlMemory),
-		Mechanism: fmt.Sprintf("overlapping subsets by rendezvous hashing, %.0f nodes an engine (`state/placement`)", c.page.Target.Subset),
+		Part:     "host list",
+		State:    fmt.Sprintf("%.0f engines, %.0f in the subset", engines, c.page.EnginesPerNode),
+		Messages: c.value(InventoryBytes, engines, 1.0/readSeconds, "B/s", &c.page.ControlBytes),
+		CPU:      c.value(InventoryCPU, engines, measuredReadSeconds/readSeconds, "% of a core", &c.page.ControlCPU),
+		Memory:   c.value(EngineMemory, engines, 1.0/1024, "MB", &c.page.ControlMemory),
+		Mechanism: fmt.Sprintf("the list is read every %d s, since processes share notices (`coordination/inventory`); overlapping subsets "+
+			"by rendezvous hashing, %.0f nodes an engine (`state/placement`)", readSeconds, c.page.Target.Subset),
 	})
 }
 
@@ -254,7 +262,7 @@
 			Messages: fmt.Sprintf("%.3g decisions/s", requests),
 			CPU: c.value(DecisionTime, min(c.page.EnginesPerNode, c.page.Target.Engines), requests*percent/microPerSec,
 				"% of a core", nil),
-			Memory:    "with the engines in the subset",
+			Memory:    "with the host list",
 			Mechanism: "one pass over the candidates of the service (`state/routing`)",
 		},
 	)
--- a/cmd/internal/capacity/slopes.go
+++ b/cmd/internal/capacity/slopes.go
@@ -19,6 +19,8 @@
 	ConfigMemory   Name = "configMemory"
 	ConfigApply    Name = "configApply"
 	DecisionTime   Name = "decisionTime"
+	InventoryCPU   Name = "inventoryCPU"
+	InventoryBytes Name = "inventoryBytes"
 	EngineMemory   Name = "engineMemory"
 	UsageBytes     Name = "usageBytes"
 	UsageCPU       Name = "usageCPU"
--- a/cmd/resumption/harness_test.go
+++ b/cmd/resumption/harness_test.go
@@ -245,7 +245,7 @@
 	return n
 }
 
-// kill ends the process without a word to the others.
+// kill ends the process without telling the others.
 func (n *node) kill() {
 	n.world.mu.Lock()
 	down := n.down
--- a/coordination/configfeed/configfeed.go
+++ b/coordination/configfeed/configfeed.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// readWait is how long one read waits for news; it bounds how long a stop takes when the log hangs.
+	// readWait is how long one read waits for records; it bounds how long a stop takes when the log hangs.
 	readWait = 5 * time.Second
 	// retryPause keeps a follower from spinning while the log service is down.
 	retryPause = 500 * time.Millisecond
--- a/coordination/journal/writer.go
+++ b/coordination/journal/writer.go
@@ -89,8 +89,8 @@
 // queue holds the records that wait for one stream.
 type queue struct {
 	stream apricotway.Stream
-	// news has room for one element and tells that pending is not empty.
-	news chan struct{}
+	// wake has room for one element and tells that pending is not empty.
+	wake chan struct{}
 
 	mu      sync.Mutex
 	pending []*entry
@@ -144,7 +144,7 @@
 
 	q := w.streams[stream]
 	if q == nil {
-		q = &queue{stream: stream, news: make(chan struct{}, 1), known: 1}
+		q = &queue{stream: stream, wake: make(chan struct{}, 1), known: 1}
 		w.streams[stream] = q
 
 		w.supervisor.Add(apricotway.ServiceFunc{Name: "journal writer " + string(stream), Func: func(ctx context.Context) error {
@@ -182,7 +182,7 @@
 
 func (q *queue) notify() {
 	select {
-	case q.news <- struct{}{}:
+	case q.wake <- struct{}{}:
 	default:
 	}
 }
@@ -257,7 +257,7 @@
 		case <-ctx.Done():
 			q.close()
 			return ctx.Err()
-		case <-q.news:
+		case <-q.wake:
 		}
 
 		// The group is taken after the wait for the budget, so that it holds all records that arrived meanwhile.
--- a/coordination/leasing/lease.go
+++ b/coordination/leasing/lease.go
@@ -97,7 +97,7 @@
 	return l
 }
 
-// step reads the stream, waits for news until the lease is due, and claims or renews it then.
+// step reads the stream, waits for records until the lease is due, and claims or renews it then.
 func (l *Lease) step(ctx context.Context) error {
 	if err := l.read(ctx, 0); err != nil {
 		return err
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -57,8 +57,8 @@
 
 	mu      sync.Mutex
 	machine *member.Machine
-	// news holds the broadcasts that no handler has seen yet.
-	news     []apricotway.BroadcastEntry
+	// received holds the broadcasts that no handler has seen yet.
+	received []apricotway.BroadcastEntry
 	handlers map[apricotway.Topic][]receiver
 	// ended is set once the end of this process has been announced.
 	ended bool
@@ -114,7 +114,7 @@
 
 	for name, run := range map[string]func(context.Context) error{
 		"membership timers": d.runTimers, "membership exchange": d.runExchanges,
-		"membership join": d.runJoin, "membership news": d.runNews,
+		"membership join": d.runJoin, "membership broadcasts": d.runBroadcasts,
 	} {
 		supervisor.Add(apricotway.ServiceFunc{Name: name, Func: run})
 	}
@@ -133,9 +133,9 @@
 
 	out := step(time.Now())
 
-	for _, entry := range out.News {
+	for _, entry := range out.Broadcasts {
 		if len(d.handlers[entry.Topic]) > 0 {
-			d.news = append(d.news, entry)
+			d.received = append(d.received, entry)
 		}
 	}
 
@@ -143,7 +143,7 @@
 
 	signal(d.wake)
 
-	if len(out.News) > 0 {
+	if len(out.Broadcasts) > 0 {
 		signal(d.arrived)
 	}
 
@@ -212,7 +212,7 @@
 	}
 }
 
-func (d *Driver) runNews(ctx context.Context) error {
+func (d *Driver) runBroadcasts(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -221,11 +221,11 @@
 		}
 
 		d.mu.Lock()
-		news := d.news
-		d.news = nil
+		entries := d.received
+		d.received = nil
 		d.mu.Unlock()
 
-		for _, entry := range news {
+		for _, entry := range entries {
 			d.mu.Lock()
 			handlers := d.handlers[entry.Topic]
 			d.mu.Unlock()
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -91,7 +91,7 @@
 	return func(r *Runner) { r.admission = admission }
 }
 
-// WithSuspects sets the keeper of suspect requests; without it the runner knows only its own.
+// WithSuspects sets the suspect requests shared with other processes; without it the runner knows only its own.
 func WithSuspects(suspects *Suspects) Option {
 	return func(r *Runner) { r.suspects = suspects }
 }
--- a/protocol/completion/suspects.go
+++ b/protocol/completion/suspects.go
@@ -40,7 +40,7 @@
 	membership apricotway.Membership
 }
 
-// SuspectsOption changes the keeper of suspects under construction.
+// SuspectsOption changes the suspects under construction.
 type SuspectsOption func(*Suspects)
 
 // WithSuspectsLogger sets the logger.
@@ -70,7 +70,7 @@
 	}
 }
 
-// NewSuspects returns a keeper of suspects.
+// NewSuspects returns a set of suspects.
 func NewSuspects(options ...SuspectsOption) *Suspects {
 	s := &Suspects{set: quarantine.New(quarantineTime), logger: logr.Discard()}
 	for _, option := range options {
--- a/state/member/broadcast.go
+++ b/state/member/broadcast.go
@@ -156,7 +156,7 @@
 
 func (m *Machine) keep(now time.Time, entry apricotway.BroadcastEntry) {
 	if m.store.put(now, entry) {
-		m.out.News = append(m.out.News, entry)
+		m.out.Broadcasts = append(m.out.Broadcasts, entry)
 		m.spread(now, entry)
 	}
 }
--- a/state/member/message.go
+++ b/state/member/message.go
@@ -99,8 +99,8 @@
 	Packets []Packet
 	// Exchange names the processes, by their address for calls, whose full state has to be merged.
 	Exchange []netip.AddrPort
-	// News holds the broadcasts that were not known before.
-	News []apricotway.BroadcastEntry
+	// Broadcasts holds the entries that were not known before.
+	Broadcasts []apricotway.BroadcastEntry
 	// Changes holds the entries of other members that changed.
 	Changes []Entry
 }
--- a/transport/logservice/client.go
+++ b/transport/logservice/client.go
@@ -16,7 +16,7 @@
 	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
-// DefaultTimeout bounds one call, in addition to the time that a read may wait for news.
+// DefaultTimeout bounds one call, in addition to the time that a read may wait for records.
 const DefaultTimeout = 5 * time.Second
 
 // Client implements apricotway.Log over the service's HTTP API.
