Fill the capacity page with measured slopes

Load reports are not measured at three sizes.

A falling line is not followed beyond the measured sizes, since membership's CPU would otherwise come out below every measured value.

--- a/cmd/internal/capacity/page.go
+++ b/cmd/internal/capacity/page.go
@@ -90,6 +90,7 @@
 	c.membership()
 	c.configuration()
 	c.inventory()
+	c.reports()
 	c.account()
 	c.ledger()
 	c.requests()
@@ -113,36 +114,36 @@
 	err       error
 }
 
-// line returns the fitted line of a relation; false when it was not measured.
-func (c *computation) line(name Name) (Line, bool) {
+// estimate returns the need at a size; false when the relation was not measured.
+func (c *computation) estimate(name Name, size float64) (float64, bool) {
 	relation, ok := c.relations[name]
 	if !ok {
 		if !slices.Contains(c.page.Missing, name) {
 			c.page.Missing = append(c.page.Missing, name)
 		}
 
-		return Line{}, false
+		return 0, false
 	}
 
-	line, err := relation.Fit()
+	value, err := relation.Estimate(size)
 	if err != nil {
-		c.err = errors.Wrap(err, "fit")
-		return Line{}, false
+		c.err = errors.Wrap(err, "estimate")
+		return 0, false
 	}
 
-	return line, true
+	return value, true
 }
 
 const notMeasured = "not measured"
 
 // value formats what a relation gives, and adds it to a sum of the control budget.
 func (c *computation) value(name Name, at float64, scale float64, unit string, sum *float64) string {
-	line, ok := c.line(name)
+	value, ok := c.estimate(name, at)
 	if !ok {
 		return notMeasured
 	}
 
-	value := max(line.At(at)*scale, 0)
+	value = max(value*scale, 0)
 	if sum != nil {
 		*sum += value
 	}
@@ -201,6 +202,20 @@
 	})
 }
 
+// reportsPerSecond is the number of readings of an engine's load report and of its cache events in a second.
+const reportsPerSecond = 4
+
+func (c *computation) reports() {
+	c.page.Control = append(c.page.Control, Row{
+		Part:      "load reports and cache events",
+		State:     fmt.Sprintf("%.0f engines", c.page.EnginesPerNode),
+		Messages:  fmt.Sprintf("%.0f requests/s, bytes %s", 2*reportsPerSecond*c.page.EnginesPerNode, notMeasured),
+		CPU:       notMeasured,
+		Memory:    "with the host list",
+		Mechanism: "own subset only, spread over the period, bounded concurrency (`coordination/inventory`)",
+	})
+}
+
 func (c *computation) account() {
 	target := c.page.Target
 	// A node serves the workspaces of its shuffle shards; two fifths of all is a high estimate.
--- a/cmd/internal/capacity/slopes.go
+++ b/cmd/internal/capacity/slopes.go
@@ -43,8 +43,9 @@
 	Size string `json:"size"`
 	Unit string `json:"unit"`
 	// Command makes the points.
-	Command string  `json:"command"`
-	Points  []Point `json:"points"`
+	Command string `json:"command"`
+	// Points are in the order of their sizes.
+	Points []Point `json:"points"`
 }
 
 // minPoints is the least number of sizes from which a slope is computed.
@@ -59,6 +60,22 @@
 // At returns the line's value.
 func (l Line) At(size float64) float64 { return l.Intercept + l.Slope*size }
 
+// Estimate returns the need at a size. A line that falls is not followed beyond the measured sizes: the value at the largest one
+// holds from there on.
+func (r Relation) Estimate(size float64) (float64, error) {
+	line, err := r.Fit()
+	if err != nil {
+		return 0, err
+	}
+
+	largest := r.Points[len(r.Points)-1]
+	if line.Slope < 0 && size > largest.Size {
+		return largest.Value, nil
+	}
+
+	return line.At(size), nil
+}
+
 // Fit returns the line of least squares.
 func (r Relation) Fit() (Line, error) {
 	if len(r.Points) < minPoints {
--- a/state/routing/scored_test.go
+++ b/state/routing/scored_test.go
@@ -333,19 +333,19 @@
 
 // A decision must not allocate: the garbage of thousands of decisions a second would delay requests.
 func TestChooseDoesNotAllocate(t *testing.T) {
-	s, now, work, servers := decision()
+	s, now, work, servers := decision(120)
 
 	if got := testing.AllocsPerRun(100, func() { s.Choose(now, work, servers) }); got != 0 {
 		t.Errorf("got %v allocations for a decision, want 0", got)
 	}
 }
 
-func decision() (*Scored, time.Time, Work, []apricotway.BackendServer) {
-	servers := engines(120)
+func decision(count int) (*Scored, time.Time, Work, []apricotway.BackendServer) {
+	servers := engines(count)
 	s, now := taught(servers)
 	work := promptWork(strings.Repeat("shared prefix of a workspace ", 300))
 
-	for i := range 40 {
+	for i := range count / 3 {
 		s.Started(now, servers[3*i].ID, apricotway.AttemptID("a"+strconv.Itoa(i)), work)
 	}
 
@@ -355,10 +355,14 @@
 }
 
 func BenchmarkChoose(b *testing.B) {
-	s, now, work, servers := decision()
-	b.ReportAllocs()
+	for _, count := range []int{12, 40, 120} {
+		b.Run(strconv.Itoa(count), func(b *testing.B) {
+			s, now, work, servers := decision(count)
+			b.ReportAllocs()
 
-	for b.Loop() {
-		s.Choose(now, work, servers)
+			for b.Loop() {
+				s.Choose(now, work, servers)
+			}
+		})
 	}
 }
