Bound the time in which a request's body has to arrive

Cause: only the header had a time limit, so a caller could hold a connection and a handler with a body that never ends.

Before: no limit. After: a refusal as notStarted once the limit has passed.

Ruled out: a read timeout of the whole server, which would end the streams of long answers.

--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -3,6 +3,7 @@
 package api
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -40,6 +41,8 @@
 type Limits struct {
 	// BodyBytes bounds the body of one request.
 	BodyBytes int64
+	// BodyTimeout bounds the time in which the body has to arrive.
+	BodyTimeout time.Duration
 	// PromptBytes bounds the prompt of a model request.
 	PromptBytes int
 	// KeyBytes bounds an idempotency key.
@@ -53,6 +56,7 @@
 func DefaultLimits() Limits {
 	return Limits{
 		BodyBytes:      8 << 20,
+		BodyTimeout:    time.Minute,
 		PromptBytes:    4 << 20,
 		KeyBytes:       255,
 		DefaultTimeout: 10 * time.Minute,
@@ -170,9 +174,9 @@
 		s.logger.Info("request refused", "event", 401, "request", id, "code", refusal.Code,
 			"execution", refusal.Execution, "error", refusal.Message)
 
-		if r.Context().Err() == nil {
-			writeRefusal(w, refusal, id)
-		}
+		// The request's context has ended as well when only its body did not arrive in time, so it does not tell whether the
+		// caller is gone. Writing to one that is changes nothing.
+		writeRefusal(w, refusal, id)
 	}
 }
 
@@ -189,11 +193,31 @@
 		return err
 	}
 
-	r.Body = http.MaxBytesReader(w, r.Body, s.limits.BodyBytes)
+	if err := s.receiveBody(w, r); err != nil {
+		return err
+	}
 
 	return handler(w, r, caller{workspace: workspace, request: id})
 }
 
+// receiveBody reads the body within the limits of size and time and puts it in the place of the connection's. A deadline for
+// the whole connection would also end the streams of long answers.
+func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request) error {
+	controller := http.NewResponseController(w)
+	// Writers that know no deadline are those of tests.
+	_ = controller.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))
+
+	body, err := readBody(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes))
+	if err != nil {
+		return err
+	}
+
+	_ = controller.SetReadDeadline(time.Time{})
+	r.Body = io.NopCloser(bytes.NewReader(body))
+
+	return nil
+}
+
 func (s *Server) unknownPath(_ http.ResponseWriter, r *http.Request, _ caller) error {
 	return invalid(apricotway.CodePathNotFound, fmt.Sprintf("there is nothing at %s %s", r.Method, r.URL.Path))
 }
@@ -284,7 +308,7 @@
 		return err
 	}
 
-	body, err := readBody(r)
+	body, err := readBody(r.Body)
 	if err != nil {
 		return err
 	}
@@ -345,8 +369,8 @@
 	return values[0], first, nil
 }
 
-func readBody(r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(r.Body)
+func readBody(reader io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(reader)
 
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -431,7 +455,7 @@
 
 // decode reads a JSON body strictly enough to name what is wrong with it.
 func decode(r *http.Request, target any) error {
-	body, err := readBody(r)
+	body, err := readBody(r.Body)
 	if err != nil {
 		return err
 	}
