--- a/cmd/internal/load/load.go
+++ b/cmd/internal/load/load.go
@@ -11,6 +11,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway/internal/pause"
 )
 
 // The bounds of the histograms in microseconds, and their precision.
@@ -66,7 +68,7 @@
 
 	for i := range count {
 		intended := begin.Add(time.Duration(i) * time.Second / time.Duration(plan.Rate))
-		if !waitUntil(ctx, intended) {
+		if !pause.For(ctx, time.Until(intended)) {
 			break
 		}
 
@@ -109,23 +111,6 @@
 	return result
 }
 
-func waitUntil(ctx context.Context, moment time.Time) bool {
-	pause := time.Until(moment)
-	if pause <= 0 {
-		return ctx.Err() == nil
-	}
-
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // one sends one request and returns the time of the first byte of the answer's body and the size of the body.
 func one(ctx context.Context, transport http.RoundTripper, plan Plan) (time.Time, int64, error) {
 	request, err := http.NewRequestWithContext(ctx, plan.Method, plan.URL, strings.NewReader(plan.Body))
