Run bubbles of virtual time on one processor

Cause: the fault is inside the race detector, in the function that stores call stacks, reached from time.goFunc with a stack size of -1.

Ruled out: a fault of the project's own code.

Conclusion: tests in virtual time use internal/bubble, which sets GOMAXPROCS to 1 while they run. The detector follows happens-before relations, so races are still reported.

--- a/cmd/internal/bench/bench_test.go
+++ b/cmd/internal/bench/bench_test.go
@@ -6,10 +6,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/bubble"
 )
 
 // Policies can only be compared under the same load, and the load must have the shape that the design page names.
@@ -49,7 +49,7 @@
 	var rows []Row
 
 	for _, policy := range setups() {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			result := newRun(&workload, scenario, policy, 1, time.Second).execute(t.Context(), 1, 2*time.Second)
 			rows = append(rows, newRow(&workload, scenario, policy.name, []*Result{result}))
 
--- a/cmd/internal/standin/enginemodel_test.go
+++ b/cmd/internal/standin/enginemodel_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/transport/engine"
 )
 
@@ -42,7 +43,7 @@
 	prompt := strings.Repeat("abcd", 256)
 	request := engine.Request{Prompt: prompt, MaxTokens: 5}
 
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := NewEngineModel(times, WithEngineLimits(EngineLimits{Batch: 2, CacheBlocks: 8}))
 
 		text, first, last := generate(t, m, request)
@@ -79,7 +80,7 @@
 
 // The batch limit must make requests wait, by priority; without it a measurement would never see a queue.
 func TestEngineModelBatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := NewEngineModel(times, WithEngineLimits(EngineLimits{Batch: 1}),
 			WithEngineReports(EngineReports{LoadLag: 50 * time.Millisecond}))
 
@@ -123,7 +124,7 @@
 // Cache events must be late, have gaps and tell of evictions; a policy that is only tested on perfect events would fail
 // in practice.
 func TestEngineModelCacheEvents(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := NewEngineModel(times, WithEngineLimits(EngineLimits{CacheBlocks: 2}),
 			WithEngineReports(EngineReports{EventLag: time.Second, EventGap: 3}))
 
--- a/cmd/resumption/harness_test.go
+++ b/cmd/resumption/harness_test.go
@@ -12,7 +12,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,6 +20,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/cmd/internal/standin"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/transport/engine"
 )
@@ -49,7 +49,7 @@
 // run runs a test on the fake clock.
 func run(t *testing.T, test func(w *world)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.end()
 
--- a/cmd/scenario/fleet_test.go
+++ b/cmd/scenario/fleet_test.go
@@ -21,6 +21,7 @@
 	"github.com/apricotway/apricotway/coordination/leasing"
 	"github.com/apricotway/apricotway/coordination/planning"
 	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/fleet"
 	"github.com/apricotway/apricotway/transport/platform"
 )
@@ -222,7 +223,7 @@
 // inRegion runs the test in a bubble and ends all processes.
 func inRegion(t *testing.T, test func(ctx context.Context, r *region)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		test(ctx, newRegion(t))
 		cancel()
--- a/cmd/scenario/lease_test.go
+++ b/cmd/scenario/lease_test.go
@@ -19,6 +19,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/standin"
 	"github.com/apricotway/apricotway/coordination/leasing"
 	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/lease"
 	"github.com/apricotway/apricotway/state/ledger"
 )
@@ -172,7 +173,7 @@
 func TestFrozenHolder(t *testing.T) {
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks fencing %v", checks), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 
@@ -229,7 +230,7 @@
 // TestHolderFrozenInRenewal guards against a lease that counts from the time at which its holder reads it: the holder wakes
 // after the renewal that it had appended has run out, and reads it back.
 func TestHolderFrozenInRenewal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 
@@ -262,7 +263,7 @@
 // TestAnswersOfRenewalsLost guards against a holder that loses its lease when every append takes effect and its answer is
 // lost, or when a record arrives twice.
 func TestAnswersOfRenewalsLost(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 
@@ -296,7 +297,7 @@
 // TestOneHolder guards against two processes that hold a lease at the same time, and against a lease that nobody takes over,
 // under frozen holders, an unavailable log service and lost answers.
 func TestOneHolder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 
@@ -363,7 +364,7 @@
 func TestOwnerPausedBeforeSend(t *testing.T) {
 	for _, pause := range []time.Duration{0, time.Minute} {
 		t.Run(pause.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				log, bookings := standin.NewLog(), standin.NewBookings()
 				handler := bookings.Handler()
 				send := func(
@@ -470,7 +471,7 @@
 
 // TestHangingLog guards against calls that wait in turn for the time-out of a log service that hangs, past their deadlines.
 func TestHangingLog(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		m := shard.New(suture.NewSimple("test"), &pair{self: apricotway.Member{Node: "a"}}, hangingLog{standin.NewLog()}, nil,
 			shard.WithShards(1))
 		start := time.Now()
--- a/coordination/configfeed/configfeed_test.go
+++ b/coordination/configfeed/configfeed_test.go
@@ -17,6 +17,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/configfeed"
 	"github.com/apricotway/apricotway/coordination/journal"
+	"github.com/apricotway/apricotway/internal/bubble"
 )
 
 // fakeLog holds the configuration stream in memory.
@@ -195,7 +196,7 @@
 }
 
 func inSystem(t *testing.T, test func(s *system)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		s := &system{
 			t: t, log: &fakeLog{first: 1}, supervisor: suture.NewSimple("test"),
 			network: network{
--- a/coordination/gate/gate_test.go
+++ b/coordination/gate/gate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/admission"
 )
 
@@ -19,7 +20,7 @@
 
 // A waiting request must start when a place becomes free, and the place of a request that left must not be lost.
 func TestGate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		g := New()
 		g.SetLimits(admission.Limits{Slots: 1})
 
@@ -57,7 +58,7 @@
 
 // A request must not wait behind a queue that does not move until its caller has given up: its deadline ends the wait.
 func TestGateDeadline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		g := New()
 		g.SetLimits(admission.Limits{Slots: 1})
 
--- a/coordination/inventory/inventory_test.go
+++ b/coordination/inventory/inventory_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/internal/bubble"
 	state "github.com/apricotway/apricotway/state/inventory"
 )
 
@@ -109,10 +110,10 @@
 	return list
 }
 
-// bubble runs a test with two processes, of which the second loses its host list after the first reading.
-func bubble(t *testing.T, first []apricotway.BackendServer, run func(*world, *suture.Supervisor, *list, [2]*inventory.Inventory)) {
+// simulate runs a test with two processes, of which the second loses its host list after the first reading.
+func simulate(t *testing.T, first []apricotway.BackendServer, run func(*world, *suture.Supervisor, *list, [2]*inventory.Inventory)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		w := &world{
 			versions: map[string]uint64{}, hang: map[apricotway.BackendServerID]bool{},
 			reads: map[apricotway.BackendServerID]int{}, tokens: map[apricotway.BackendServerID]int{},
@@ -159,7 +160,7 @@
 // TestLeaveNotice guards a process without a host list against sending work to servers that leave: it must know of them
 // within 2 s and not go back to them after the notice has expired. A server that was restarted under a new id is used.
 func TestLeaveNotice(t *testing.T) {
-	bubble(t, servers("a", "b"), func(_ *world, _ *suture.Supervisor, seeing *list, known [2]*inventory.Inventory) {
+	simulate(t, servers("a", "b"), func(_ *world, _ *suture.Supervisor, seeing *list, known [2]*inventory.Inventory) {
 		leaving := servers("a", "b")
 		leaving[0].State, leaving[0].Deadline = apricotway.HostLeaving, time.Now().Add(5*time.Second)
 		seeing.set(leaving)
@@ -183,7 +184,7 @@
 // TestDeathNotice guards both sides of a death: one process's proof must reach the other at once, and a false one must end
 // by a call that succeeds or by its lifetime.
 func TestDeathNotice(t *testing.T) {
-	bubble(t, servers("a", "b"), func(w *world, _ *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
+	simulate(t, servers("a", "b"), func(w *world, _ *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
 		known[1].MarkLost("a", time.Now())
 		check(t, "after the proof", known[1], "b")
 		check(t, "after the notice", known[0], "b")
@@ -226,7 +227,7 @@
 		{"full size", slices.Repeat([]apricotway.Member{alive}, 389), 10 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				hosts := &countedHosts{}
 				supervisor := suture.NewSimple("test")
 				inventory.New(supervisor, hosts, inventory.WithBroadcasts(silence{}), inventory.WithMembership(fixed(test.members)))
--- a/coordination/inventory/poller_test.go
+++ b/coordination/inventory/poller_test.go
@@ -19,7 +19,7 @@
 		ids = append(ids, apricotway.BackendServerID(fmt.Sprintf("engine-%02d", i)))
 	}
 
-	bubble(t, servers(ids...), func(w *world, supervisor *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
+	simulate(t, servers(ids...), func(w *world, supervisor *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
 		inventory.NewPoller(supervisor, known[0], w, func(_ time.Time, id apricotway.BackendServerID, _ apricotway.LoadReport) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/coordination/inventory/tokens_test.go
+++ b/coordination/inventory/tokens_test.go
@@ -16,7 +16,7 @@
 // TestTokenExchange guards against counts that outlive the work or the process that they belong to, and against more than
 // one entry a second or entries without news.
 func TestTokenExchange(t *testing.T) {
-	bubble(t, servers("a", "b"), func(w *world, supervisor *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
+	simulate(t, servers("a", "b"), func(w *world, supervisor *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
 		w.receivers = nil
 
 		many := map[apricotway.BackendServerID]int{"a": 3200}
--- a/coordination/journal/journal_test.go
+++ b/coordination/journal/journal_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/journal"
+	"github.com/apricotway/apricotway/internal/bubble"
 )
 
 const stream apricotway.Stream = "test"
@@ -116,7 +117,7 @@
 
 // inBubble runs a test with a supervisor that ends with it.
 func inBubble(t *testing.T, test func(t *testing.T, supervisor *suture.Supervisor)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		supervisor := suture.NewSimple("test")
 		ctx, cancel := context.WithCancel(t.Context())
 		stopped := supervisor.ServeBackground(ctx)
@@ -243,7 +244,7 @@
 
 // TestWriterStop guards against a caller that waits for ever when its process stops.
 func TestWriterStop(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		supervisor := suture.NewSimple("test")
 		ctx, cancel := context.WithCancel(t.Context())
 		stopped := supervisor.ServeBackground(ctx)
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -9,7 +9,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,6 +16,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/membership"
+	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/member"
 )
 
@@ -258,7 +258,7 @@
 func TestJoin(t *testing.T) {
 	for _, down := range []bool{false, true} {
 		t.Run(fmt.Sprintf("log down %v", down), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				n := newNetwork()
 				defer n.stop()
 
@@ -281,7 +281,7 @@
 // TestOneWayCut guards against the death of a member that hears nothing, or is not heard, by one other process only, and
 // against a member that stays dead after a cut from all others has healed.
 func TestOneWayCut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		defer n.stop()
 
@@ -307,7 +307,7 @@
 
 // TestFlapping guards against a member that stays suspected, or floods the others, after its link was lost again and again.
 func TestFlapping(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		defer n.stop()
 
@@ -327,7 +327,7 @@
 // TestReplacement guards against views that lose new members or keep old ones when half of the members are replaced within
 // a minute.
 func TestReplacement(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		defer n.stop()
 
@@ -356,7 +356,7 @@
 // TestRegionCut guards the views on both sides of a network cut between regions: each side keeps its own members through
 // the cut and through its healing, and afterwards the sides find each other again.
 func TestRegionCut(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		defer n.stop()
 
@@ -392,7 +392,7 @@
 // TestPausedProcess guards the return of a process that was paused until the others took it for dead, and the views of the
 // others when it wakes with old timers.
 func TestPausedProcess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		defer n.stop()
 
@@ -424,7 +424,7 @@
 // TestAddresses guards the addresses given to callers: no member that is leaving, dead or not ready, from the moment at which
 // the notice is known, also when the leaving member is suspected.
 func TestAddresses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		defer n.stop()
 
@@ -478,7 +478,7 @@
 
 // TestNews guards the typed channel: every process gets the newest version of an entry, also one that joins later.
 func TestNews(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		n := newNetwork()
 		defer n.stop()
 
--- a/coordination/usage/usage_test.go
+++ b/coordination/usage/usage_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/usage"
+	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/account"
 )
 
@@ -45,7 +46,7 @@
 
 // TestOutage guards the account over a lost answer and an outage of the log service: no token is lost and none counts twice.
 func TestOutage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		supervisor := suture.NewSimple("test")
 		log := &stream{effect: true}
 		recorder := usage.New(supervisor, "n", log)
