Read bodies once and at their announced length

Profile of a node at 5,000 short calls a second on one core: 18% of the time in malloc and 9% in the garbage collector. Of 10.9 KB a call 14% were copies of headers and 13% buffers of io.ReadAll, which takes 512 bytes for each empty body; the body of a call was read twice.

Ruled out: the copy that net/http makes in WriteHeader, which a handler cannot avoid.

Times were not compared, since other work ran on the machine.

The new test failed first on HEAD, whose answer announces a length without a body.

--- a/transport/api/completions.go
+++ b/transport/api/completions.go
@@ -99,7 +99,7 @@
 
 func (s *Server) chatCompletions(w http.ResponseWriter, r *http.Request, caller caller) error {
 	var body chatRequest
-	if err := decode(r, &body); err != nil {
+	if err := decode(caller.body, &body); err != nil {
 		return err
 	}
 
@@ -135,7 +135,7 @@
 
 func (s *Server) plainCompletions(w http.ResponseWriter, r *http.Request, caller caller) error {
 	var body textRequest
-	if err := decode(r, &body); err != nil {
+	if err := decode(caller.body, &body); err != nil {
 		return err
 	}
 
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -3,7 +3,6 @@
 package api
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
@@ -149,6 +148,8 @@
 type caller struct {
 	workspace apricotway.Workspace
 	request   apricotway.RequestID
+	// body is the whole body of the request; the one of the http.Request is used up.
+	body []byte
 }
 
 // handle authorises a request and writes the refusal that its handler returns.
@@ -193,29 +194,33 @@
 		return err
 	}
 
-	if err := s.receiveBody(w, r); err != nil {
+	body, err := s.receiveBody(w, r)
+	if err != nil {
 		return err
 	}
 
-	return handler(w, r, caller{workspace: workspace, request: id})
+	return handler(w, r, caller{workspace: workspace, request: id, body: body})
 }
 
-// receiveBody reads the body within the limits of size and time and puts it in the place of the connection's. A deadline for
-// the whole connection would also end the streams of long answers.
-func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request) error {
+// receiveBody reads the body within the limits of size and time. A deadline for the whole connection would also end the
+// streams of long answers.
+func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+
 	controller := http.NewResponseController(w)
 	// Writers that know no deadline are those of tests.
 	_ = controller.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))
 
-	body, err := readBody(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes))
+	body, err := readBody(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes), r.ContentLength)
 	if err != nil {
-		return err
+		return nil, err
 	}
 
 	_ = controller.SetReadDeadline(time.Time{})
-	r.Body = io.NopCloser(bytes.NewReader(body))
 
-	return nil
+	return body, nil
 }
 
 func (s *Server) unknownPath(_ http.ResponseWriter, r *http.Request, _ caller) error {
@@ -308,18 +313,13 @@
 		return err
 	}
 
-	body, err := readBody(r.Body)
-	if err != nil {
-		return err
-	}
-
 	path := "/" + r.PathValue("path")
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
 
-	header := r.Header.Clone()
-	header.Del("Authorization")
+	// The token is for this process and not for the backend server.
+	r.Header.Del("Authorization")
 
 	answer, err := s.calls.Run(r.Context(), call.Request{
 		ID:        caller.request,
@@ -327,8 +327,10 @@
 		Service:   service,
 		Key:       key,
 		KeyTime:   keyTime,
-		Call:      apricotway.ServiceCall{Method: r.Method, Path: path, Header: header, Body: body, Once: key != ""},
-		Deadline:  deadline,
+		Call: apricotway.ServiceCall{
+			Method: r.Method, Path: path, Header: r.Header, Body: caller.body, Once: key != "",
+		},
+		Deadline: deadline,
 	})
 	if err != nil {
 		return err
@@ -369,8 +371,8 @@
 	return values[0], first, nil
 }
 
-func readBody(reader io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(reader)
+func readBody(reader io.Reader, length int64) ([]byte, error) {
+	body, err := httpjson.ReadBody(reader, length)
 
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -454,12 +456,7 @@
 }
 
 // decode reads a JSON body strictly enough to name what is wrong with it.
-func decode(r *http.Request, target any) error {
-	body, err := readBody(r.Body)
-	if err != nil {
-		return err
-	}
-
+func decode(body []byte, target any) error {
 	if err := json.Unmarshal(body, target); err != nil {
 		return invalid(apricotway.CodeInvalidRequest, "the body is not a valid request: "+err.Error())
 	}
--- a/transport/httpjson/httpjson.go
+++ b/transport/httpjson/httpjson.go
@@ -19,6 +19,9 @@
 // maxBody bounds every JSON body that a client reads.
 const maxBody = 16 << 20
 
+// maxAnnounced is the largest announced length for which memory is taken before any of the body has arrived.
+const maxAnnounced = 64 << 10
+
 // ErrNotSent reports that the request got no connection, so that the server cannot have seen it.
 var ErrNotSent = errors.New("request not sent")
 
@@ -71,6 +74,23 @@
 	return nil, err
 }
 
+// ReadBody reads a body of which the sender announced the length; a negative length is an unknown one. It takes no more memory
+// than the body needs, which io.ReadAll does, and none for an empty body.
+func ReadBody(reader io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > maxAnnounced {
+		return io.ReadAll(reader)
+	}
+
+	if length == 0 {
+		return nil, nil
+	}
+
+	body := make([]byte, length)
+	_, err := io.ReadFull(reader, body)
+
+	return body, err
+}
+
 // Do sends a JSON request and decodes the JSON answer into result unless that is nil. Any status but 2xx is a
 // StatusError.
 func Do(ctx context.Context, transport http.RoundTripper, method, url string, body, result any) error {
@@ -98,7 +118,7 @@
 	}
 	defer response.Body.Close()
 
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxBody))
+	content, err := ReadBody(io.LimitReader(response.Body, maxBody), response.ContentLength)
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -60,7 +60,13 @@
 		return apricotway.ServiceAnswer{}, errors.Wrap(apricotway.ErrNotSent, err.Error())
 	}
 
-	request.Header = endToEnd(call.Header)
+	// The call's own header stays as it is for the next try.
+	request.Header = call.Header.Clone()
+	if request.Header == nil {
+		request.Header = http.Header{}
+	}
+
+	removeHopByHop(request.Header)
 	request.ContentLength = int64(len(call.Body))
 
 	response, err := httpjson.Send(transport, request)
@@ -73,43 +79,48 @@
 	}
 	defer response.Body.Close()
 
-	content, err := io.ReadAll(io.LimitReader(response.Body, c.maxAnswer+1))
+	content, err := c.readAnswer(response)
 	if err != nil {
-		return apricotway.ServiceAnswer{}, errors.Wrap(err, "read answer")
+		return apricotway.ServiceAnswer{}, err
+	}
+
+	removeHopByHop(response.Header)
+
+	return apricotway.ServiceAnswer{Status: response.StatusCode, Header: response.Header, Body: content}, nil
+}
+
+func (c *Client) readAnswer(response *http.Response) ([]byte, error) {
+	// The answer to HEAD has the length of a body that it does not carry.
+	if response.Request.Method == http.MethodHead {
+		return nil, nil
+	}
+
+	content, err := httpjson.ReadBody(io.LimitReader(response.Body, c.maxAnswer+1), response.ContentLength)
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
 	}
 
 	if int64(len(content)) > c.maxAnswer {
-		return apricotway.ServiceAnswer{}, ErrAnswerTooLarge
+		return nil, ErrAnswerTooLarge
 	}
 
-	return apricotway.ServiceAnswer{
-		Status: response.StatusCode,
-		Header: endToEnd(response.Header),
-		Body:   content,
-	}, nil
+	return content, nil
 }
 
-// hopByHop lists the headers that belong to one connection (RFC 9110, section 7.6.1).
+// hopByHop lists the headers that belong to one connection (RFC 9110, section 7.6.1), in the canonical form of net/http.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
 }
 
-// endToEnd returns a copy of the header without what belongs to one connection.
-func endToEnd(header http.Header) http.Header {
-	result := header.Clone()
-	if result == nil {
-		return http.Header{}
-	}
-
-	for _, list := range header.Values("Connection") {
+// removeHopByHop removes from a header what belongs to one connection.
+func removeHopByHop(header http.Header) {
+	for _, list := range header["Connection"] {
 		for name := range strings.SplitSeq(list, ",") {
-			result.Del(strings.TrimSpace(name))
+			header.Del(strings.TrimSpace(name))
 		}
 	}
 
 	for _, name := range hopByHop {
-		result.Del(name)
+		delete(header, name)
 	}
-
-	return result
 }
--- a/transport/service/client_test.go
+++ b/transport/service/client_test.go
@@ -60,3 +60,68 @@
 		}
 	}
 }
+
+// TestAnswerBody guards against answers that are cut short or refused because of the length that the backend server announces:
+// an answer to HEAD announces one and carries no body, and a body that ends early must be an error.
+func TestAnswerBody(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/chunked":
+			_ = http.NewResponseController(w).Flush()
+		case "/short":
+			w.Header().Set("Content-Length", "9")
+		case "/empty":
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case "/large":
+			_, _ = w.Write(make([]byte, 100_000))
+			return
+		}
+
+		_, _ = w.Write([]byte("lot 7"))
+	}))
+	defer server.Close()
+
+	client := service.New()
+	backend := apricotway.BackendServer{Address: server.Listener.Addr().(*net.TCPAddr).AddrPort()}
+
+	for _, test := range []struct {
+		method, path string
+		want         int
+		failure      bool
+	}{
+		{method: http.MethodGet, path: "/known", want: 5},
+		{method: http.MethodGet, path: "/chunked", want: 5},
+		{method: http.MethodGet, path: "/large", want: 100_000},
+		{method: http.MethodGet, path: "/empty"},
+		{method: http.MethodHead, path: "/known"},
+		{method: http.MethodGet, path: "/short", failure: true},
+	} {
+		answer, err := client.Call(t.Context(), backend, apricotway.ServiceCall{Method: test.method, Path: test.path})
+		if got := err != nil; got != test.failure {
+			t.Errorf("%s %s: got error %v, want an error %v", test.method, test.path, err, test.failure)
+		}
+
+		if got := len(answer.Body); got != test.want {
+			t.Errorf("%s %s: got %d bytes, want %d", test.method, test.path, got, test.want)
+		}
+	}
+}
+
+// BenchmarkCall measures one call without its server's part, but for what the same process spends on it.
+func BenchmarkCall(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("lot 7")) }))
+	defer server.Close()
+
+	client := service.New()
+	backend := apricotway.BackendServer{Address: server.Listener.Addr().(*net.TCPAddr).AddrPort()}
+	call := apricotway.ServiceCall{Method: http.MethodGet, Path: "/", Header: http.Header{"Accept": {"*/*"}, "User-Agent": {"b"}}}
+
+	for b.Loop() {
+		if _, err := client.Call(b.Context(), backend, call); err != nil {
+			b.Fatal(err)
+		}
+	}
+
+	b.ReportAllocs()
+}
