Refuse progress of a request that begins below its first token

Such an entry now counts as missing, and the sender copies the request anew.

Ruled out: recovering from panics in the peer server, since a handler may hold a lock and the process would hang later.

--- a/protocol/completion/copies.go
+++ b/protocol/completion/copies.go
@@ -186,7 +186,7 @@
 		case !ok && s.running(entry.ID, entry.Term, message.Origin),
 			ok && newer(held.Term, held.Origin, entry.Term, message.Origin):
 			answer.Taken = append(answer.Taken, entry.ID)
-		case !ok || held.Origin != message.Origin || entry.From > len(held.Tokens):
+		case !ok || held.Origin != message.Origin || entry.From < 0 || entry.From > len(held.Tokens):
 			answer.Missing = append(answer.Missing, entry.ID)
 		default:
 			if entry.From < len(held.Tokens) {
