--- a/cmd/internal/daemon/membership_bench_test.go
+++ b/cmd/internal/daemon/membership_bench_test.go
@@ -110,7 +110,7 @@
 // BenchmarkMembership measures the membership of many members in one operating system process over loopback sockets: bytes
 // of packets sent and received, CPU time and heap for each member, and the time until a leaving member is known everywhere.
 func BenchmarkMembership(b *testing.B) {
-	for _, size := range []int{3, 8, 32, 128} {
+	for _, size := range []int{3, 8, 32, 128, 390} {
 		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
 			for b.Loop() {
 				measureMembership(b, size)
--- /dev/null
+++ b/coordination/shard/example_test.go
@@ -0,0 +1,55 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/memorylog"
+	"github.com/apricotway/apricotway/state/ledger"
+)
+
+// alone is the membership of a process that knows no other.
+type alone apricotway.NodeID
+
+func (a alone) Members() []apricotway.Member { return nil }
+func (a alone) Self() apricotway.Member      { return apricotway.Member{Node: apricotway.NodeID(a)} }
+
+// A call with a key runs once. The successor of a process that ended answers a repeat with the recorded outcome.
+func Example() {
+	executions := 0
+	send := func(context.Context, apricotway.Service, apricotway.ServiceCall) (apricotway.ServiceAnswer, error) {
+		executions++
+		return apricotway.ServiceAnswer{Status: http.StatusCreated, Body: fmt.Appendf(nil, "booking %d", executions)}, nil
+	}
+
+	log := memorylog.New()
+	request := shard.Request{
+		Key:     ledger.Key{Workspace: "mill-1", Key: "order 77"},
+		Service: "bookings",
+		Call:    apricotway.ServiceCall{Method: http.MethodPost, Path: "/bookings", Body: []byte("lot 7")},
+	}
+
+	for _, node := range []alone{"first", "successor"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		supervisor := suture.NewSimple(string(node))
+		manager := shard.New(supervisor, node, log, send)
+		done := supervisor.ServeBackground(ctx)
+
+		answer, err := manager.Run(ctx, request)
+		fmt.Println(node, answer.Status, string(answer.Body), err)
+
+		cancel()
+		<-done //nolint:errcheck // The end of a cancelled supervisor is no failure.
+	}
+
+	fmt.Println("executions:", executions)
+	// Output:
+	// first 201 booking 1 <nil>
+	// successor 201 booking 1 <nil>
+	// executions: 1
+}
