--- a/cmd/internal/ctl/timeline.go
+++ b/cmd/internal/ctl/timeline.go
@@ -75,10 +75,13 @@
 const (
 	pageWidth   = 1200
 	labelWidth  = 260
-	laneHeight  = 36
+	laneHeight  = 60
 	headHeight  = 40
 	markRadius  = 5
 	pageMargins = 20
+	// The numbers of marks that lie close together stand on different rows.
+	labelRows   = 3
+	labelHeight = 11
 )
 
 // lane is one process on the page.
@@ -89,9 +92,11 @@
 
 // mark is one event on the page.
 type mark struct {
-	X, Y  int
-	Color string
-	Title string
+	X, Y, LabelY int
+	// Number is that of the event in the table.
+	Number int
+	Color  string
+	Title  string
 }
 
 type page struct {
@@ -103,7 +108,9 @@
 }
 
 func writeTimelinePage(path string, events []timeline.Event) error {
-	parsed, err := template.New("timeline").Funcs(template.FuncMap{"stamp": formatStamp}).Parse(timelinePage)
+	parsed, err := template.New("timeline").Funcs(template.FuncMap{
+		"stamp": formatStamp, "number": func(index int) int { return index + 1 },
+	}).Parse(timelinePage)
 	if err != nil {
 		return errors.Wrap(err, "parse page")
 	}
@@ -132,7 +139,7 @@
 	span := max(last.Sub(first), time.Microsecond)
 	p.From, p.To = formatStamp(events[0].Stamp), formatStamp(events[len(events)-1].Stamp)
 
-	for _, event := range events {
+	for i, event := range events {
 		index := slices.IndexFunc(p.Lanes, func(l lane) bool { return l.Node == event.Node })
 		if index < 0 {
 			index = len(p.Lanes)
@@ -141,10 +148,12 @@
 
 		offset := float64(timeline.Time(event.Stamp).Sub(first)) / float64(span)
 		p.Marks = append(p.Marks, mark{
-			X:     labelWidth + int(offset*(pageWidth-labelWidth-pageMargins)),
-			Y:     p.Lanes[index].Y,
-			Color: colorOf(event.Kind),
-			Title: fmt.Sprintf("%s %s %s %s", formatStamp(event.Stamp), event.Kind, event.Request, event.Detail),
+			X:      labelWidth + int(offset*(pageWidth-labelWidth-pageMargins)),
+			Y:      p.Lanes[index].Y,
+			LabelY: p.Lanes[index].Y - 2*markRadius - i%labelRows*labelHeight,
+			Number: i + 1,
+			Color:  colorOf(event.Kind),
+			Title:  fmt.Sprintf("%s %s %s %s", formatStamp(event.Stamp), event.Kind, event.Request, event.Detail),
 		})
 	}
 
--- a/transport/api/answer.go
+++ b/transport/api/answer.go
@@ -139,7 +139,8 @@
 		return events.send(eventID(request.ID, token.Index), a.chunk(token))
 	})
 	if err != nil {
-		if !events.begun {
+		err = unlessGone(r, err)
+		if !events.begun || errors.Is(err, errCallerGone) {
 			return err
 		}
 
@@ -161,6 +162,21 @@
 	return events.end()
 }
 
+// errCallerGone reports that the caller's connection broke while its answer was written.
+var errCallerGone = errors.New("caller gone")
+
+// unlessGone returns the failure of a request whose body has arrived, or that its caller is gone. Until the body has arrived, the
+// request's context ends for other reasons as well.
+func unlessGone(r *http.Request, err error) error {
+	if r.Context().Err() != nil && !errors.Is(err, errCallerGone) {
+		return callerGone(err)
+	}
+
+	return err
+}
+
+func callerGone(err error) error { return errors.Wrap(errCallerGone, err.Error()) }
+
 // eventWriter writes server-sent events and flushes each of them.
 type eventWriter struct {
 	w          http.ResponseWriter
@@ -193,12 +209,12 @@
 
 	if id != "" {
 		if _, err := fmt.Fprintf(e.w, "id: %s\n", id); err != nil {
-			return errors.Wrap(err, "write event")
+			return callerGone(err)
 		}
 	}
 
 	if _, err := fmt.Fprintf(e.w, "data: %s\n\n", data); err != nil {
-		return errors.Wrap(err, "write event")
+		return callerGone(err)
 	}
 
 	return e.flush()
@@ -208,7 +224,7 @@
 	e.begin()
 
 	if _, err := fmt.Fprint(e.w, "data: [DONE]\n\n"); err != nil {
-		return errors.Wrap(err, "write event")
+		return callerGone(err)
 	}
 
 	return e.flush()
@@ -216,7 +232,7 @@
 
 func (e *eventWriter) flush() error {
 	if err := e.controller.Flush(); err != nil {
-		return errors.Wrap(err, "flush event")
+		return callerGone(err)
 	}
 
 	return nil
--- a/transport/api/completions.go
+++ b/transport/api/completions.go
@@ -170,7 +170,7 @@
 		return nil
 	})
 	if err != nil {
-		return err
+		return unlessGone(r, err)
 	}
 
 	return a.writeWhole(w, text.String())
--- /dev/null
+++ b/transport/api/disconnect_test.go
@@ -0,0 +1,39 @@
+package api
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr/funcr"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+)
+
+// brokenWriter is the connection of a caller that is gone.
+type brokenWriter struct{ *httptest.ResponseRecorder }
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+// TestCallerGone guards against callers that leave during an answer and are counted and logged as internal errors of the system,
+// on which operators raise alarms.
+func TestCallerGone(t *testing.T) {
+	var lines []string
+
+	logger := funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	s := New(nil, nil, nil, nil, WithLogger(logger))
+
+	s.respond(brokenWriter{httptest.NewRecorder()}, "completions", "r", func(w http.ResponseWriter) error {
+		return newEventWriter(w).send("r-0", struct{}{})
+	})
+
+	if len(lines) != 0 {
+		t.Errorf("got log lines %q, want none above debug level", lines)
+	}
+
+	for code, want := range map[string]float64{"callerGone": 1, "internal": 0} {
+		if got := testutil.ToFloat64(s.metrics.requests.WithLabelValues("completions", code)); got != want {
+			t.Errorf("requests with code %s: got %v, want %v", code, got, want)
+		}
+	}
+}
--- a/transport/api/metrics.go
+++ b/transport/api/metrics.go
@@ -8,8 +8,13 @@
 	"github.com/apricotway/apricotway"
 )
 
-// codeNone is the label of requests that were not refused.
-const codeNone apricotway.Code = "none"
+// The labels of requests that were not refused.
+const (
+	// codeNone stands for a whole answer.
+	codeNone apricotway.Code = "none"
+	// codeCallerGone stands for a connection that broke while the answer was written.
+	codeCallerGone apricotway.Code = "callerGone"
+)
 
 type metrics struct {
 	requests *prometheus.CounterVec
@@ -20,7 +25,7 @@
 	return &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "apricotway_requests_total",
-			Help: "Requests of callers by endpoint and refusal code.",
+			Help: "Requests of callers by endpoint and refusal code; none is a whole answer, callerGone a connection that broke during the answer.",
 		}, []string{"endpoint", "code"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "apricotway_request_duration_seconds",
--- a/transport/api/resume.go
+++ b/transport/api/resume.go
@@ -73,6 +73,8 @@
 	}
 
 	w.Header().Set(headerRequestID, string(id))
+	// The event joins the resumed request to the one that asks for the rest of its answer.
+	s.logger.Info("answer resumed", "event", 405, "request", id, "reader", caller.request, "token", from)
 
 	return s.streamAnswer(w, r, running, from)
 }
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -152,33 +152,49 @@
 	body []byte
 }
 
-// handle authorises a request and writes the refusal that its handler returns.
+// handle returns the handler of an endpoint, which takes authorised requests only.
 func (s *Server) handle(
 	endpoint string, handler func(http.ResponseWriter, *http.Request, caller) error,
 ) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		begin := time.Now()
 		id := apricotway.RequestID(uuid.NewString())
-		w.Header().Set(headerRequestID, string(id))
-		s.logger.V(1).Info("request received", "event", 403, "request", id, "endpoint", endpoint)
 
-		err := s.authorised(w, r, id, handler)
-		if err == nil {
-			s.logger.V(1).Info("request finished", "event", 404, "request", id, "endpoint", endpoint)
-			s.metrics.observe(endpoint, codeNone, time.Since(begin))
+		s.respond(w, endpoint, id, func(w http.ResponseWriter) error { return s.authorised(w, r, id, handler) })
+	}
+}
 
-			return
-		}
+// respond runs the handler of a request and writes the refusal that it returns.
+func (s *Server) respond(
+	w http.ResponseWriter, endpoint string, id apricotway.RequestID, handler func(http.ResponseWriter) error,
+) {
+	begin := time.Now()
+
+	w.Header().Set(headerRequestID, string(id))
+	s.logger.V(1).Info("request received", "event", 403, "request", id, "endpoint", endpoint)
+
+	err := handler(w)
 
-		refusal := apricotway.AsRefusal(err)
-		s.metrics.observe(endpoint, refusal.Code, time.Since(begin))
-		s.logger.Info("request refused", "event", 401, "request", id, "code", refusal.Code,
-			"execution", refusal.Execution, "error", refusal.Message)
+	switch {
+	case err == nil:
+		s.logger.V(1).Info("request finished", "event", 404, "request", id, "endpoint", endpoint)
+		s.metrics.observe(endpoint, codeNone, time.Since(begin))
 
-		// The request's context has ended as well when only its body did not arrive in time, so it does not tell whether the
-		// caller is gone. Writing to one that is changes nothing.
-		writeRefusal(w, refusal, id)
+		return
+	case errors.Is(err, errCallerGone):
+		s.logger.V(1).Info("caller gone", "event", 406, "request", id, "error", err.Error())
+		s.metrics.observe(endpoint, codeCallerGone, time.Since(begin))
+
+		return
 	}
+
+	refusal := apricotway.AsRefusal(err)
+	s.metrics.observe(endpoint, refusal.Code, time.Since(begin))
+	s.logger.Info("request refused", "event", 401, "request", id, "code", refusal.Code,
+		"execution", refusal.Execution, "error", refusal.Message)
+
+	// The request's context has ended as well when only its body did not arrive in time, so it does not tell whether the
+	// caller is gone. Writing to one that is changes nothing.
+	writeRefusal(w, refusal, id)
 }
 
 func (s *Server) authorised(
@@ -333,7 +349,7 @@
 		Deadline: deadline,
 	})
 	if err != nil {
-		return err
+		return unlessGone(r, err)
 	}
 
 	for name, values := range answer.Header {
