Divide new requests between versions by release rules

The configuration had no release rules: every version of a model could get every new request. The kind release, named after the service, gives the relative shares of its versions. All processes choose by weighted rendezvous hashing, by request or by workspace, so that no message is needed, a change of shares moves only the requests that it has to, and a version without engines leaves its requests to the others. A step is one revision of the object, which the configuration's order by log accepts once.

Ruled out: a fixed table of hash ranges, which moves requests between versions that a step does not concern.

Steps by time or error rate are not built.

--- a/protocol/completion/placement.go
+++ b/protocol/completion/placement.go
@@ -38,7 +38,7 @@
 			return placement{}, quarantined(entry, done.started)
 		}
 
-		candidates := r.candidates(request.Service, done)
+		candidates := r.candidates(request, done)
 
 		if entry.State == quarantine.StateSuspect {
 			if server, ok := r.reserve(ctx, request, done, candidates); ok {
@@ -62,13 +62,27 @@
 	}
 }
 
-// candidates returns the engines that can run the request.
-func (r *Runner) candidates(service apricotway.Service, done *progress) []apricotway.BackendServer {
-	candidates := r.inventory.Usable(service)
+// candidates returns the engines that can run the request: those of its version once a token is delivered, and until then
+// those of the version that the release rule gives it.
+func (r *Runner) candidates(request Request, done *progress) []apricotway.BackendServer {
+	candidates := r.inventory.Usable(request.Service)
+	version := done.version
 
-	return slices.DeleteFunc(candidates, func(s apricotway.BackendServer) bool {
-		return done.tokens > 0 && s.Version != done.version
-	})
+	if done.tokens == 0 {
+		rule, ok := r.release(request.Service)
+		if !ok {
+			return candidates
+		}
+
+		version, ok = rule.Version(request.ID, request.Workspace, func(version apricotway.ModelVersion) bool {
+			return slices.ContainsFunc(candidates, func(s apricotway.BackendServer) bool { return s.Version == version })
+		})
+		if !ok {
+			return nil
+		}
+	}
+
+	return slices.DeleteFunc(candidates, func(s apricotway.BackendServer) bool { return s.Version != version })
 }
 
 // choose returns the engine to which the generation moves, or else the policy's choice. Engines on trial are left out.
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -15,6 +15,7 @@
 	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/account"
+	"github.com/apricotway/apricotway/state/config"
 	"github.com/apricotway/apricotway/state/quarantine"
 	"github.com/apricotway/apricotway/state/resume"
 	"github.com/apricotway/apricotway/state/routing"
@@ -52,6 +53,8 @@
 	nextToken  time.Duration
 
 	usage UsageFunc
+	// release returns the rule that divides the requests of a service between versions, if there is one.
+	release func(service apricotway.Service) (config.ReleaseSpec, bool)
 
 	dropped    atomic.Int64
 	moved      atomic.Int64
@@ -116,6 +119,11 @@
 	return func(r *Runner) { r.usage = usage }
 }
 
+// WithReleases sets what returns the release rules; without it every version may run every request.
+func WithReleases(release func(service apricotway.Service) (config.ReleaseSpec, bool)) Option {
+	return func(r *Runner) { r.release = release }
+}
+
 // New returns a runner.
 func New(engines apricotway.EngineClient, inventory *inventory.Inventory, options ...Option) *Runner {
 	r := &Runner{
@@ -131,6 +139,7 @@
 		nextToken:  5 * time.Second,
 		running:    map[apricotway.AttemptID]*attempt{},
 		usage:      func(account.Key, account.Usage) {},
+		release:    func(apricotway.Service) (config.ReleaseSpec, bool) { return config.ReleaseSpec{}, false },
 	}
 	for _, option := range options {
 		option(r)
--- a/state/config/spec.go
+++ b/state/config/spec.go
@@ -83,6 +83,8 @@
 		return spec, nil
 	case KindFleet:
 		return decodeFleet(payload)
+	case KindRelease:
+		return decodeRelease(payload)
 	default:
 		return nil, errors.Wrapf(ErrUnknownSchema, "kind %s", kind)
 	}
--- a/state/config/view.go
+++ b/state/config/view.go
@@ -20,6 +20,7 @@
 	services   map[apricotway.Service]ServiceSpec
 	workspaces map[apricotway.Workspace]WorkspaceSpec
 	fleets     map[apricotway.Region]FleetSpec
+	releases   map[apricotway.Service]ReleaseSpec
 	// tokens holds the callers' token digests by their first eight bytes; the digests that share them are compared in
 	// constant time.
 	tokens  map[uint64][]token
@@ -94,6 +95,7 @@
 		services:   map[apricotway.Service]ServiceSpec{},
 		workspaces: map[apricotway.Workspace]WorkspaceSpec{},
 		fleets:     map[apricotway.Region]FleetSpec{},
+		releases:   map[apricotway.Service]ReleaseSpec{},
 		tokens:     map[uint64][]token{},
 		objects:    make([]Status, 0, len(f.objects)),
 	}
@@ -119,6 +121,8 @@
 			v.workspaces[apricotway.Workspace(name.Object)] = spec
 		case FleetSpec:
 			v.fleets[apricotway.Region(name.Object)] = spec
+		case ReleaseSpec:
+			v.releases[apricotway.Service(name.Object)] = spec
 		}
 	}
 
