Hold calls of plain services to a bound, and spread them by running calls

Calls of plain services had no limit: a slow backend server received its turn of the calls however many it still ran, and a workspace could take all of it.

A call with a key that is not admitted is refused with the execution unknown: it may be the repeat of one that ran, which only the ledger knows.

--- a/protocol/call/caller.go
+++ b/protocol/call/caller.go
@@ -38,12 +38,19 @@
 	Run(ctx context.Context, request Request) (apricotway.ServiceAnswer, error)
 }
 
+// Admission decides when a call may start.
+type Admission interface {
+	// Admit returns once the call may start, and the function that ends it. It returns a Refusal for a call that will not start.
+	Admit(ctx context.Context, request Request) (release func(), err error)
+}
+
 // Caller runs calls of plain services.
 type Caller struct {
 	services  apricotway.ServiceClient
 	inventory *inventory.Inventory
-	policy    routing.Policy
+	policy    *routing.LeastInFlight
 	once      Once
+	admission Admission
 	logger    logr.Logger
 }
 
@@ -60,9 +67,14 @@
 	return func(c *Caller) { c.once = once }
 }
 
+// WithAdmission sets what admits calls; without it every call starts at once.
+func WithAdmission(admission Admission) Option {
+	return func(c *Caller) { c.admission = admission }
+}
+
 // New returns a caller.
 func New(services apricotway.ServiceClient, inventory *inventory.Inventory, options ...Option) *Caller {
-	c := &Caller{services: services, inventory: inventory, policy: routing.NewRoundRobin(), logger: logr.Discard()}
+	c := &Caller{services: services, inventory: inventory, policy: routing.NewLeastInFlight(), logger: logr.Discard()}
 	for _, option := range options {
 		option(c)
 	}
@@ -75,6 +87,14 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 
+	if c.admission != nil {
+		release, err := c.admission.Admit(ctx, request)
+		if err != nil {
+			return apricotway.ServiceAnswer{}, notAdmitted(request, err)
+		}
+		defer release()
+	}
+
 	if request.Key != "" {
 		return c.runOnce(ctx, request)
 	}
@@ -82,6 +102,17 @@
 	return c.runRepeatable(ctx, request)
 }
 
+// notAdmitted returns the refusal of a call that was not admitted. A call with a key may be the repeat of one that ran, which only
+// the ledger knows.
+func notAdmitted(request Request, err error) error {
+	refusal := *apricotway.AsRefusal(err)
+	if request.Key != "" {
+		refusal.Execution = apricotway.ExecutionUnknown
+	}
+
+	return &refusal
+}
+
 func (c *Caller) runOnce(ctx context.Context, request Request) (apricotway.ServiceAnswer, error) {
 	if c.once == nil {
 		return apricotway.ServiceAnswer{}, &apricotway.Refusal{
@@ -107,12 +138,14 @@
 	for range maxAttempts {
 		candidates := c.inventory.Usable(request.Service)
 
-		index := c.policy.Choose(time.Now(), routing.Work{Excluded: excluded}, candidates)
+		index := c.policy.Acquire(candidates, excluded)
 		if index < 0 {
 			break
 		}
 
 		answer, err := c.services.Call(ctx, candidates[index], request.Call)
+		c.policy.Release(candidates[index].ID)
+
 		if err == nil {
 			return answer, nil
 		}
--- a/protocol/call/ledger.go
+++ b/protocol/call/ledger.go
@@ -142,7 +142,7 @@
 // NewSender returns the sender of calls that run at most once. It tries another backend server only when no byte of the
 // call was sent.
 func NewSender(services apricotway.ServiceClient, inventory *inventory.Inventory) shard.Sender {
-	policy := routing.NewRoundRobin()
+	policy := routing.NewLeastInFlight()
 
 	return func(
 		ctx context.Context, service apricotway.Service, call apricotway.ServiceCall,
@@ -156,12 +156,14 @@
 		for range maxAttempts {
 			candidates := inventory.Usable(service)
 
-			index := policy.Choose(time.Now(), routing.Work{Excluded: excluded}, candidates)
+			index := policy.Acquire(candidates, excluded)
 			if index < 0 {
 				break
 			}
 
 			answer, err := services.Call(ctx, candidates[index], call)
+			policy.Release(candidates[index].ID)
+
 			if err == nil || ctx.Err() != nil || !errors.Is(err, apricotway.ErrNotSent) {
 				return answer, err
 			}
--- a/state/config/spec.go
+++ b/state/config/spec.go
@@ -33,6 +33,9 @@
 	ChecksFencing bool `json:"checksFencing,omitempty"`
 	// MaxTokens bounds one answer; 0 stands for the default of the protocol layer.
 	MaxTokens int `json:"maxTokens,omitempty"`
+	// CallsPerServer bounds the calls of a plain service that run at a time on each of its backend servers; 0 stands for no
+	// bound.
+	CallsPerServer int `json:"callsPerServer,omitempty"`
 }
 
 // WorkspaceSpec is the payload of a workspace object, schema version 1.
@@ -69,6 +72,10 @@
 			return nil, errors.Wrapf(ErrInvalidSpec, "service type %q", spec.Type)
 		}
 
+		if spec.CallsPerServer < 0 {
+			return nil, errors.Wrap(ErrInvalidSpec, "callsPerServer must not be negative")
+		}
+
 		return spec, nil
 	case KindWorkspace:
 		var spec WorkspaceSpec
