Ask each process until a change is in force there

Cause: the answers of all members come together, and a frozen one holds them up for 2 s; those of the others were then older than the change, and the time for a second question was over.

Ruled out: the change itself came late. A question now says which offset it waits for, and each process answers when it has reached it, or after 1.5 s; config apply also remembers who has reached it.

The new test failed first (position 1 in place of 6).

--- a/cmd/internal/ctl/config.go
+++ b/cmd/internal/ctl/config.go
@@ -291,15 +291,18 @@
 
 	want := seen.Next()
 
-	// missing keeps the last answer, since the time for the whole command may end within a question.
+	// missing keeps the last answer, since the time for the whole command may end within a question. A position never falls, so
+	// that a process which has reached it once needs no second answer.
 	var missing []string
 
+	reached := map[apricotway.NodeID]bool{}
+
 	for {
 		var members []configfeed.Revisions
 
-		err := c.ask(ctx, "/v1/config/revisions", &members)
+		err := c.ask(ctx, "/v1/config/revisions?next="+formatOffset(want), &members)
 		if err == nil {
-			if missing = behind(members, want); len(missing) == 0 {
+			if missing = behind(members, want, reached); len(missing) == 0 {
 				return nil, nil
 			}
 		}
@@ -318,11 +321,16 @@
 	}
 }
 
-func behind(members []configfeed.Revisions, want apricotway.Offset) []string {
+// behind returns the members that are not known to have reached a position, and adds those that have to reached.
+func behind(members []configfeed.Revisions, want apricotway.Offset, reached map[apricotway.NodeID]bool) []string {
 	var names []string
 
 	for _, member := range members {
-		if member.Failure != "" || member.Next < want {
+		if member.Failure == "" && member.Next >= want {
+			reached[member.Node] = true
+		}
+
+		if !reached[member.Node] {
 			names = append(names, string(member.Node))
 		}
 	}
--- a/cmd/internal/daemon/config.go
+++ b/cmd/internal/daemon/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/apricotway/apricotway"
@@ -48,6 +49,16 @@
 		ctx, cancel := context.WithTimeout(r.Context(), revisionsTimeout)
 		defer cancel()
 
-		httpjson.Write(w, http.StatusOK, d.feed.Everywhere(ctx))
+		var next uint64
+
+		if text := r.URL.Query().Get("next"); text != "" {
+			var err error
+			if next, err = strconv.ParseUint(text, 10, 64); err != nil {
+				http.Error(w, "next must be an offset", http.StatusBadRequest)
+				return
+			}
+		}
+
+		httpjson.Write(w, http.StatusOK, d.feed.Everywhere(ctx, apricotway.Offset(next)))
 	}))
 }
--- a/coordination/configfeed/configfeed_test.go
+++ b/coordination/configfeed/configfeed_test.go
@@ -307,3 +307,35 @@
 		s.settle(time.Minute, s.start(4, s.log), 1, false)
 	})
 }
+
+// TestEverywhereWithFrozenMember guards against an operator who is told that a change is not in force at processes that have it:
+// the answers of all came 2 s late, with that of a frozen member, and were older than the change.
+func TestEverywhereWithFrozenMember(t *testing.T) {
+	inSystem(t, func(s *system) {
+		one := s.start(1, s.log)
+		s.start(2, s.log)
+
+		frozen := s.network
+		frozen.self = 3
+		frozen.Register(configfeed.MethodRevisions, func(ctx context.Context, _ []byte) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+
+		s.settle(time.Second, one, 1, true)
+		s.publish(5)
+
+		const want = apricotway.Offset(6)
+
+		all := one.Everywhere(s.t.Context(), want)
+		if len(all) != 3 {
+			s.t.Fatalf("got %d processes, want 3", len(all))
+		}
+
+		for _, revisions := range all {
+			if failed := revisions.Node == "3"; (revisions.Failure != "") != failed || !failed && revisions.Next != want {
+				s.t.Errorf("process %s: got position %d, failure %q, want %d", revisions.Node, revisions.Next, revisions.Failure, want)
+			}
+		}
+	})
+}
--- a/coordination/configfeed/peers.go
+++ b/coordination/configfeed/peers.go
@@ -24,6 +24,9 @@
 	spreadPeriod = 500 * time.Millisecond
 	spreadFanOut = 2
 	peerTimeout  = 2 * time.Second
+	// revisionsWait bounds the wait of an answer for a position; it leaves room for the answer within peerTimeout.
+	revisionsWait  = 1500 * time.Millisecond
+	revisionsPause = 10 * time.Millisecond
 )
 
 // RecordsRequest is the message of MethodRecords.
@@ -44,7 +47,10 @@
 }
 
 // RevisionsRequest is the message of MethodRevisions.
-type RevisionsRequest struct{}
+type RevisionsRequest struct {
+	// Next asks the peer to answer once it has seen every record below this offset, or after revisionsWait.
+	Next apricotway.Offset
+}
 
 // Revisions tells what is in force at one process. All objects stand in one stream, so that the position in it replaces a
 // vector of their revisions.
@@ -85,7 +91,9 @@
 	apricotway.HandlePeer(f.peers.registry, MethodRecords,
 		func(_ context.Context, request RecordsRequest) (RecordsAnswer, error) { return f.answer(request.From) })
 	apricotway.HandlePeer(f.peers.registry, MethodRevisions,
-		func(context.Context, RevisionsRequest) (Revisions, error) { return f.revisions(), nil })
+		func(ctx context.Context, request RevisionsRequest) (Revisions, error) {
+			return f.revisions(ctx, request.Next), nil
+		})
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "configfeed peers", Func: func(ctx context.Context) error {
 		for pause.For(ctx, spreadPeriod) {
@@ -180,7 +188,14 @@
 	state.Fold(answer.Records)
 }
 
-func (f *Feed) revisions() Revisions {
+// revisions waits for a position and tells what is in force then, or after revisionsWait.
+func (f *Feed) revisions(ctx context.Context, next apricotway.Offset) Revisions {
+	ctx, cancel := context.WithTimeout(ctx, revisionsWait)
+	defer cancel()
+
+	for f.fold.Next() < next && pause.For(ctx, revisionsPause) {
+	}
+
 	self := f.peers.membership.Self()
 	answer := Revisions{Node: self.Node, Zone: self.Zone, Next: f.fold.Next(), Ready: f.isReady()}
 
@@ -197,14 +212,16 @@
 }
 
 // Everywhere returns the revisions of this process and of every live member. A member that does not answer is listed with
-// the reason.
-func (f *Feed) Everywhere(ctx context.Context) []Revisions {
+// the reason. Each process answers once it has seen every record below the given offset, or after 1.5 s; a member that does
+// not answer would otherwise hold up the answers of the others until they are old.
+func (f *Feed) Everywhere(ctx context.Context, next apricotway.Offset) []Revisions {
 	members := f.liveMembers()
-	all := []Revisions{f.revisions()}
+	answers := gather(ctx, members, func(ctx context.Context, member apricotway.Member) (Revisions, error) {
+		return apricotway.CallPeer[Revisions](ctx, f.peers.peers, member.Peers, MethodRevisions, RevisionsRequest{Next: next})
+	})
+	all := []Revisions{f.revisions(ctx, next)}
 
-	for i, answer := range gather(ctx, members, func(ctx context.Context, member apricotway.Member) (Revisions, error) {
-		return apricotway.CallPeer[Revisions](ctx, f.peers.peers, member.Peers, MethodRevisions, RevisionsRequest{})
-	}) {
+	for i, answer := range answers {
 		if answer.err != nil {
 			answer.value = Revisions{Node: members[i].Node, Zone: members[i].Zone, Failure: answer.err.Error()}
 		}
