Close unused connections between processes, and go on after a failed accept

A run of the membership benchmark with 390 members in one operating system process ended at its 20,000 file descriptors: a client kept the connection to every process that it ever called, two for each pair. And each failed accept ended the peer server; after five the supervisor paused it, so that a process short of descriptors stayed deaf after the shortage.

A connection without calls is now closed after 30 s, and a failed accept is logged (event 122) and tried again after 100 ms.

Before: TestAcceptFailure fails with the server ended five times. After: one server, and the call is answered.

--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -19,6 +19,11 @@
 	dialTimeout = 2 * time.Second
 	// defaultTimeout holds for calls whose context has no deadline.
 	defaultTimeout = 10 * time.Second
+	// idleTimeout is the time after which an unused connection is closed. A process calls every other one now and then, and
+	// would keep two connections for each; a thousand file descriptors are a common limit.
+	idleTimeout = 30 * time.Second
+	// idlePeriod is the least time between two searches for unused connections.
+	idlePeriod = 5 * time.Second
 )
 
 // Client calls other processes. It keeps one connection to each address in use.
@@ -30,6 +35,8 @@
 	mu sync.Mutex
 	// connections holds the open connections; a broken one is replaced by the next call.
 	connections map[netip.AddrPort]*connection
+	// swept is the time of the last search for unused connections.
+	swept time.Time
 }
 
 // connection is dialled by the first caller; the others wait for ready.
@@ -37,6 +44,11 @@
 	ready  chan struct{}
 	client *rpc.Client
 	err    error
+
+	// calls counts the calls under way, and used is the time at which the last one began or ended. The client's lock guards
+	// both.
+	calls int
+	used  time.Time
 }
 
 var _ apricotway.Peers = (*Client)(nil)
@@ -76,8 +88,10 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 
-	connection, err := c.connect(ctx, address)
-	if err != nil {
+	connection := c.acquire(address) //nolint:contextcheck // The connection outlives the call that opens it.
+	defer c.release(connection)
+
+	if err := connection.await(ctx); err != nil {
 		return nil, errors.Wrap(apricotway.ErrNotSent, err.Error())
 	}
 
@@ -116,24 +130,71 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context, address netip.AddrPort) (*connection, error) {
+// acquire returns the connection to an address, which stays open at least until release.
+func (c *Client) acquire(address netip.AddrPort) *connection {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	now := time.Now()
+	if now.Sub(c.swept) >= idlePeriod {
+		c.closeIdle(now)
+	}
 
 	current := c.connections[address]
 	if current == nil {
 		current = &connection{ready: make(chan struct{})}
 		c.connections[address] = current
 
-		go c.dial(address, current) //nolint:contextcheck // the connection outlives the call that opens it
+		go c.dial(address, current)
+	}
+
+	current.calls++
+	current.used = now
+
+	return current
+}
+
+func (c *Client) release(connection *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	connection.calls--
+	connection.used = time.Now()
+}
+
+// closeIdle closes the connections that have been unused for idleTimeout. The caller holds the lock.
+func (c *Client) closeIdle(now time.Time) {
+	c.swept = now
+
+	for address, current := range c.connections {
+		if current.calls > 0 || now.Sub(current.used) < idleTimeout {
+			continue
+		}
+
+		delete(c.connections, address)
+
+		current.close()
 	}
+}
 
-	c.mu.Unlock()
+// close closes the connection if it is open.
+func (c *connection) close() {
+	select {
+	case <-c.ready:
+		if c.client != nil {
+			_ = c.client.Close()
+		}
+	default:
+	}
+}
 
+// await returns once the connection is open.
+func (c *connection) await(ctx context.Context) error {
 	select {
-	case <-current.ready:
-		return current, current.err
+	case <-c.ready:
+		return c.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 }
 
@@ -170,9 +231,7 @@
 		delete(c.connections, address)
 	}
 
-	if broken.client != nil {
-		_ = broken.client.Close()
-	}
+	broken.close()
 }
 
 // Close closes every connection.
@@ -183,8 +242,6 @@
 	for address, current := range c.connections {
 		delete(c.connections, address)
 
-		if current.client != nil {
-			_ = current.client.Close()
-		}
+		current.close()
 	}
 }
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -9,14 +9,19 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 )
 
+// acceptPause lies between two tries to accept a connection after one that failed.
+const acceptPause = 100 * time.Millisecond
+
 // Server answers calls of other processes.
 type Server struct {
 	logger     logr.Logger
@@ -88,10 +93,18 @@
 				return ctx.Err()
 			}
 
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return errors.Wrap(err, "accept")
 			}
 
+			if err != nil {
+				// The process may be out of file descriptors; the peers try again.
+				s.logger.Error(err, "peer connection not accepted", "event", 122)
+				pause.For(ctx, acceptPause)
+
+				continue
+			}
+
 			go s.serveConnection(ctx, connection)
 		}
 	}})
