Restore leases and fleets from checkpoints of trimmed streams

Cause: leases and the planner read their stream from its beginning. Once the log service had trimmed it, a new process could not claim the lease, and with the last old process the planning of the region ended.

The state at one offset is the same bytes whoever writes it, so parts of different writers fit together; refusals depend on the reader's clock and are left out. Processes without the lease read the stream once a minute and keep the state in memory.

Without a complete checkpoint a process refuses and logs event 234 or 235. Ruled out: a claim that names 0 or the newest lease record kept, since a reader that saw the trimmed part and one that did not would disagree on the holder; and an empty state, since the planner would release the hosts of the region as orders that had been given up.

TestOneHolder runs with and without trims; region.check folds the stream with the follower, because a trimmed stream cannot be read from offset 1.

Conclusion: a region is planned on after a trim. A holder whose lease is read further than its fleet state when the records between both are trimmed, within a second, keeps the lease without planning; event 235 says so.

--- a/cmd/internal/daemon/fleet.go
+++ b/cmd/internal/daemon/fleet.go
@@ -30,7 +30,7 @@
 	held := leasing.New(d.supervisor, log, d.writer, fleet.StreamOf(s.Region), s.Node, fleetLease,
 		leasing.WithLogger(d.logger))
 
-	planning.New(d.supervisor, s.Region, s.Node, log, held, platform.NewHosts(s.Platform.Hosts),
+	planning.New(d.supervisor, s.Region, s.Node, log, d.writer, held, platform.NewHosts(s.Platform.Hosts),
 		platform.NewCloud(s.Platform.Cloud), func() (planning.Target, bool) {
 			spec, ok := d.feed.Fold().Fleet(s.Region)
 			if !ok {
@@ -38,7 +38,7 @@
 			}
 
 			return fleetTarget(spec), true
-		}, planning.WithLogger(d.logger))
+		}, planning.WithLogger(d.logger), planning.WithCheckpointInterval(checkpointInterval))
 }
 
 func fleetTarget(spec config.FleetSpec) planning.Target {
--- a/cmd/scenario/fleet_test.go
+++ b/cmd/scenario/fleet_test.go
@@ -18,9 +18,9 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/cmd/internal/standin"
+	"github.com/apricotway/apricotway/coordination/journal"
 	"github.com/apricotway/apricotway/coordination/leasing"
 	"github.com/apricotway/apricotway/coordination/planning"
-	"github.com/apricotway/apricotway/coordination/shard"
 	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/fleet"
 	"github.com/apricotway/apricotway/transport/platform"
@@ -37,6 +37,10 @@
 
 	mu     sync.Mutex
 	target planning.Target
+	// unplanned tells that no target is in force.
+	unplanned bool
+	// budget is the number of appends a second of each process, 0 for the default.
+	budget float64
 	// silent is a zone whose orders take no effect and get no answer.
 	silent apricotway.Zone
 }
@@ -124,16 +128,22 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p := &candidate{log: &freezableLog{Log: r.log}}
 	supervisor := suture.NewSimple("test")
-	held := leasing.New(supervisor, p.log, shard.LogWriter{Log: p.log}, fleet.StreamOf(fleetRegion), name, leaseTerms)
-	planning.New(supervisor, fleetRegion, name, p.log, held, r.hosts, r, func() (planning.Target, bool) {
+	writer := journal.NewWriter(supervisor, p.log)
+
+	if r.budget > 0 {
+		writer = journal.NewWriter(supervisor, p.log, journal.WithBudget(r.budget, func() int { return 1 }))
+	}
+
+	held := leasing.New(supervisor, p.log, writer, fleet.StreamOf(fleetRegion), name, leaseTerms)
+	planning.New(supervisor, fleetRegion, name, p.log, writer, held, r.hosts, r, func() (planning.Target, bool) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 
 		target := r.target
 		target.Offers = slices.Clone(target.Offers)
 
-		return target, true
-	}, planning.WithLags(fleet.Lags{Start: time.Minute, List: 20 * time.Second}),
+		return target, !r.unplanned
+	}, planning.WithCheckpointInterval(checkpointInterval), planning.WithLags(fleet.Lags{Start: time.Minute, List: 20 * time.Second}),
 		planning.WithHook(func(step planning.Step, intent fleet.Intent) error {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -195,16 +205,7 @@
 		r.t.Errorf("%s: got %d on-demand hosts, want the floor of 2", when, onDemand)
 	}
 
-	fold := fleet.New(fleet.StreamOf(fleetRegion))
-
-	batch, err := r.log.Read(ctx, fleet.StreamOf(fleetRegion), 1, 100000, 0)
-	if err != nil {
-		r.t.Fatal(err)
-	}
-
-	for _, record := range batch.Records {
-		fold.Apply(record, time.Now())
-	}
+	fold := r.fold(ctx)
 
 	alive := slices.Sorted(maps.Keys(r.cloud.Alive()))
 	if owned := slices.Sorted(maps.Keys(fold.Owned())); !slices.Equal(owned, alive) || len(fold.Open()) > 0 {
@@ -214,6 +215,38 @@
 	return fold.Sequence()
 }
 
+// fleetState is the fold of the fleet stream as a follower sees it.
+type fleetState struct{ fold *fleet.Fold }
+
+func (s fleetState) Next() apricotway.Offset { return s.fold.Next() }
+
+func (s fleetState) Restore(state []byte) error { return s.fold.Restore(state, time.Now()) }
+
+func (s fleetState) Fold(records []apricotway.StoredRecord) {
+	for _, record := range records {
+		s.fold.Apply(record, time.Now())
+	}
+}
+
+// fold returns the state of the fleet stream.
+func (r *region) fold(ctx context.Context) *fleet.Fold {
+	r.t.Helper()
+
+	state := fleetState{fleet.New(fleet.StreamOf(fleetRegion))}
+	follower := journal.NewFollower(r.log, fleet.StreamOf(fleetRegion), state, journal.WithSeen(0))
+
+	for {
+		end, err := follower.Step(ctx, 0)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+
+		if end {
+			return state.fold
+		}
+	}
+}
+
 // The cheapest allocations of 400 tokens a second without the largest of three zones, and of 200.
 var (
 	wantFull = map[apricotway.Zone]int{"a": 2, "b": 2, "c": 2}
--- a/cmd/scenario/lease_test.go
+++ b/cmd/scenario/lease_test.go
@@ -20,6 +20,7 @@
 	"github.com/apricotway/apricotway/coordination/leasing"
 	"github.com/apricotway/apricotway/coordination/shard"
 	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/state/fleet"
 	"github.com/apricotway/apricotway/state/lease"
 	"github.com/apricotway/apricotway/state/ledger"
 )
@@ -33,6 +34,8 @@
 	frozen chan struct{}
 	// freezeBefore and freezeAfter freeze the process at its next append.
 	freezeBefore, freezeAfter bool
+	// appends holds the times of the process's appends.
+	appends []time.Time
 }
 
 func (l *freezableLog) freeze() {
@@ -81,6 +84,11 @@
 ) (apricotway.Offset, error) {
 	l.freezeIf(&l.freezeBefore)
 	l.wait()
+
+	l.mu.Lock()
+	l.appends = append(l.appends, time.Now())
+	l.mu.Unlock()
+
 	offset, err := l.Log.Append(ctx, stream, records)
 	l.freezeIf(&l.freezeAfter)
 	l.wait()
@@ -295,8 +303,14 @@
 }
 
 // TestOneHolder guards against two processes that hold a lease at the same time, and against a lease that nobody takes over,
-// under frozen holders, an unavailable log service and lost answers.
+// under frozen holders, an unavailable log service and lost answers, with and without a stream that is trimmed meanwhile.
 func TestOneHolder(t *testing.T) {
+	for _, trimmed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("trimmed %v", trimmed), func(t *testing.T) { testOneHolder(t, trimmed) })
+	}
+}
+
+func testOneHolder(t *testing.T, trimmed bool) {
 	bubble.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -306,10 +320,14 @@
 		random := rand.New(rand.NewPCG(1, 2))
 		faults := []standin.LogFault{standin.LogHealthy, standin.LogHealthy, standin.LogDown, standin.LogLoseAnswer}
 		taken := map[int]bool{}
+		r := &region{t: t, log: log}
+		whole := fleet.New(fleet.StreamOf(fleetRegion))
+		number, fault := whole.Lease().Number, standin.LogHealthy
 
 		for i := range 3000 {
 			if i%40 == 0 {
-				log.SetFault(faults[random.IntN(len(faults))])
+				fault = faults[random.IntN(len(faults))]
+				log.SetFault(fault)
 
 				c := all[random.IntN(len(all))]
 				if random.IntN(2) == 0 {
@@ -319,6 +337,18 @@
 				}
 			}
 
+			if trimmed && i%15 == 0 {
+				log.SetFault(standin.LogHealthy)
+				r.trimBehindCheckpoint(ctx, whole, random.IntN(3))
+				log.SetFault(fault)
+
+				if whole.Lease().Number < number {
+					t.Fatalf("got number %d after %d", whole.Lease().Number, number)
+				}
+
+				number = whole.Lease().Number
+			}
+
 			holders := 0
 
 			for number, c := range all {
--- /dev/null
+++ b/cmd/scenario/trim_test.go
@@ -0,0 +1,232 @@
+package scenario
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/standin"
+	"github.com/apricotway/apricotway/coordination/journal"
+	"github.com/apricotway/apricotway/coordination/planning"
+	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/state/fleet"
+)
+
+const (
+	checkpointInterval = 20 * time.Minute
+	// retention is the time for which the log service keeps records in these tests.
+	retention = 3 * checkpointInterval
+)
+
+// kept returns the records of the region's stream that the log service keeps.
+func (r *region) kept(ctx context.Context) []apricotway.StoredRecord {
+	stream := fleet.StreamOf(fleetRegion)
+	batch, _ := r.log.Read(ctx, stream, 1, 1, 0)
+
+	batch, err := r.log.Read(ctx, stream, batch.Oldest, 1<<20, 0)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+
+	return batch.Records
+}
+
+// live lets time pass under the log service's retention.
+func (r *region) live(ctx context.Context, duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		sleep(time.Minute)
+
+		for _, record := range r.kept(ctx) {
+			if time.Since(record.Time) > retention {
+				r.log.Trim(fleet.StreamOf(fleetRegion), record.Offset+1)
+			}
+		}
+	}
+}
+
+// plan sets or takes away the target of the region.
+func (r *region) plan(planned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.unplanned = !planned
+}
+
+// killNext ends a holder at the release of hosts that are no longer needed.
+func (r *region) killNext(p *candidate) {
+	p.killAt(string(planning.StepBeforeIntent) + " " + string(fleet.ActionRelease))
+	r.change(func(target *planning.Target) { target.Demand = 200 })
+	sleep(3 * time.Minute)
+
+	if !p.killed() {
+		r.t.Fatal("the holder was not killed")
+	}
+}
+
+// TestFleetStreamTrimmed guards against a region that nobody plans any more once the log service has trimmed the beginning of
+// its stream, whether or not a target was set meanwhile, and against a fencing number that goes back.
+func TestFleetStreamTrimmed(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		inRegion(t, func(ctx context.Context, r *region) {
+			first := r.start(ctx, "first")
+			sleep(30 * time.Second)
+			r.plan(planned)
+			r.live(ctx, 2*retention)
+
+			if r.kept(ctx)[0].Offset == 1 {
+				t.Fatal("the stream was not trimmed")
+			}
+
+			before := r.fold(ctx)
+			r.start(ctx, "second")
+			sleep(time.Minute)
+			r.plan(true)
+			r.killNext(first)
+			r.check(ctx, "after the change of the holder", wantHalf)
+
+			after := r.fold(ctx)
+			if after.Lease().Holder != "second" || after.Lease().Number <= before.Lease().Number {
+				t.Errorf("got lease %v after %v, want a higher number of the second holder", after.Lease(), before.Lease())
+			}
+
+			if got, want := after.Sequence(), before.Sequence()+4; got < want {
+				t.Errorf("got sequence number %d, want at least %d", got, want)
+			}
+		})
+	}
+}
+
+// TestFleetStreamWithoutCheckpoint guards against a process that claims the lease of a stream whose trimmed part it does not
+// know, and against one that orders or releases hosts then. The stream is usable again once a process that has the state in
+// memory has written a checkpoint.
+func TestFleetStreamWithoutCheckpoint(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		inRegion(t, func(ctx context.Context, r *region) {
+			first := r.start(ctx, "first")
+			sleep(30 * time.Second)
+			r.check(ctx, "at first", wantFull)
+
+			// The last record may not have been read by the holder yet.
+			records := r.kept(ctx)
+			r.log.Trim(fleet.StreamOf(fleetRegion), records[len(records)-1].Offset)
+
+			second := r.start(ctx, "second")
+
+			sleep(time.Minute)
+
+			if !lost {
+				sleep(checkpointInterval)
+			}
+
+			r.killNext(first)
+
+			if !lost {
+				r.check(ctx, "after the checkpoint", wantHalf)
+			}
+
+			claimed := slices.ContainsFunc(r.kept(ctx), func(record apricotway.StoredRecord) bool {
+				return strings.Contains(string(record.Payload), `"holder":"second"`)
+			})
+			if claimed == lost || (len(second.steps) > 0) == lost {
+				t.Errorf("lost %v: got claimed %v with steps %v", lost, claimed, second.steps)
+			}
+		})
+	}
+}
+
+// trimBehindCheckpoint appends a checkpoint of the state, which has read every record, and drops what it covers but for the
+// last records.
+func (r *region) trimBehindCheckpoint(ctx context.Context, whole *fleet.Fold, last int) {
+	stream := fleet.StreamOf(fleetRegion)
+
+	batch, err := r.log.Read(ctx, stream, whole.Next(), 1<<20, 0)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+
+	for _, record := range batch.Records {
+		whole.Apply(record, time.Now())
+	}
+
+	supervisor := suture.NewSimple("checkpoint")
+	ctx, cancel := context.WithCancel(ctx)
+	stopped := supervisor.ServeBackground(ctx)
+	state, next, err := whole.Checkpoint()
+
+	if err == nil {
+		err = journal.NewWriter(supervisor, r.log).AppendCheckpoint(ctx, stream, whole.Lease().Number, next, state)
+	}
+
+	if err != nil {
+		r.t.Fatal(err)
+	}
+
+	cancel()
+
+	if err := <-stopped; !errors.Is(err, context.Canceled) {
+		r.t.Fatal(err)
+	}
+
+	r.log.Trim(stream, next-min(next-1, apricotway.Offset(last)))
+}
+
+// TestFleetAppendBudget guards against a planner whose records exceed its process's share of the append budget, and against one
+// that cannot plan within a small share.
+func TestFleetAppendBudget(t *testing.T) {
+	inRegion(t, func(ctx context.Context, r *region) {
+		// The share of one of 390 members, less its usage batches.
+		r.budget = 0.15
+		first := r.start(ctx, "first")
+		sleep(30 * time.Second)
+		r.change(func(target *planning.Target) { target.Demand = 200 })
+		sleep(3 * time.Minute)
+		r.check(ctx, "within the budget", wantHalf)
+
+		for i, at := range first.log.appends[1:] {
+			// The limiter rounds to nanoseconds.
+			if got, want := at.Sub(first.log.appends[i]).Seconds(), 1/r.budget-1e-6; got < want {
+				t.Errorf("got append %d after %v s, want at least %v s", i+1, got, want)
+			}
+		}
+	})
+}
+
+// TestRestoredHolderWaits guards against a holder that learns from a checkpoint that its claim has won, and gives an order to a
+// backend server without fencing while an order of the earlier holder may still be underway.
+func TestRestoredHolderWaits(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+
+		r := &region{t: t, log: standin.NewLog()}
+		both := contend(ctx, r.log, 2)
+		both[0].log.freeze()
+
+		second := both[1]
+		second.log.mu.Lock()
+		second.log.freezeAfter = true
+		second.log.mu.Unlock()
+		sleep(leaseTerms.TTL + 2*leaseTerms.Margin)
+		r.trimBehindCheckpoint(ctx, fleet.New(fleet.StreamOf(fleetRegion)), 0)
+		second.log.wake()
+		synctest.Wait()
+
+		start := time.Now()
+		if err := second.Enforce(ctx, &version{&versions{loaded: 7}, 8, 0}, false); err != nil {
+			t.Error(err)
+		}
+
+		if got, want := time.Since(start), leaseTerms.MaxOrder+leaseTerms.Margin; got != want {
+			t.Errorf("got an order after %s, want %s", got, want)
+		}
+
+		both[0].log.wake()
+	})
+}
--- a/coordination/leasing/lease.go
+++ b/coordination/leasing/lease.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -11,12 +12,14 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/journal"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/lease"
 )
 
 const (
-	readLimit = 500
+	// noCheckpointPause lies between two searches for a checkpoint, each of which reads all that is kept of the stream.
+	noCheckpointPause = 30 * time.Second
 	// retryPause keeps a holder or challenger from spinning while the log service is down.
 	retryPause = 200 * time.Millisecond
 	// renewals is the number of renewals within one TTL; a lease survives the loss of all but one.
@@ -41,12 +44,13 @@
 
 // Lease contends for the lease of one stream for as long as its supervisor runs.
 type Lease struct {
-	log    apricotway.Log
 	writer Writer
 	stream apricotway.Stream
 	node   apricotway.NodeID
 	terms  lease.Terms
 	logger logr.Logger
+	// follower belongs to the goroutine of the lease.
+	follower *journal.Follower
 
 	mu   sync.Mutex
 	fold *lease.Fold
@@ -67,19 +71,24 @@
 	return func(l *Lease) { l.logger = logger }
 }
 
-// New returns a contender and adds its goroutine to the supervisor.
+// New returns a contender and adds its goroutine to the supervisor. Once the beginning of the stream is trimmed, the lease
+// comes from the newest complete checkpoint, whose state has the fields of lease.Checkpoint. Without one this process does not
+// claim: it could not tell a claim in force from a void one, and what the lease guards is unknown as well.
 func New(
 	supervisor *suture.Supervisor, log apricotway.Log, writer Writer, stream apricotway.Stream, node apricotway.NodeID,
 	terms lease.Terms, options ...Option,
 ) *Lease {
 	l := &Lease{
-		log: log, writer: writer, stream: stream, node: node, terms: terms, logger: logr.Discard(),
+		writer: writer, stream: stream, node: node, terms: terms, logger: logr.Discard(),
 		fold: lease.New(), sent: map[string]time.Time{},
 	}
 	for _, option := range options {
 		option(l)
 	}
 
+	// A second copy of a lease record is void by the number that it replaces.
+	l.follower = journal.NewFollower(log, stream, (*leaseState)(l), journal.WithSeen(0))
+
 	supervisor.Add(apricotway.ServiceFunc{Name: "lease of " + string(stream), Func: func(ctx context.Context) error {
 		for {
 			err := l.step(ctx)
@@ -87,7 +96,10 @@
 				return ctx.Err()
 			}
 
-			if err != nil {
+			if errors.Is(err, journal.ErrNoCheckpoint) {
+				l.logger.Info("lease not claimed: stream trimmed without a checkpoint", "event", 234, "stream", stream)
+				pause.For(ctx, noCheckpointPause)
+			} else if err != nil {
 				l.logger.V(1).Info("lease stream not usable", "event", 231, "stream", stream, "error", err.Error())
 				pause.For(ctx, retryPause)
 			}
@@ -99,12 +111,16 @@
 
 // step reads the stream, waits for records until the lease is due, and claims or renews it then.
 func (l *Lease) step(ctx context.Context) error {
-	if err := l.read(ctx, 0); err != nil {
+	if err := l.read(ctx); err != nil {
 		return err
 	}
 
 	if wait := time.Until(l.due()); wait > 0 {
-		return l.read(ctx, wait)
+		if _, err := l.follower.Step(ctx, wait); err != nil {
+			return errors.Wrap(err, "wait for lease records")
+		}
+
+		return nil
 	}
 
 	l.mu.Lock()
@@ -124,7 +140,7 @@
 		return errors.Wrap(err, "append lease")
 	}
 
-	return l.read(ctx, 0)
+	return l.read(ctx)
 }
 
 // due returns the time of this process's next claim or renewal.
@@ -140,32 +156,72 @@
 	return l.terms.ChallengeAt(current)
 }
 
-// read folds the stream to its end and waits up to the given time for a first record.
-func (l *Lease) read(ctx context.Context, wait time.Duration) error {
+// read folds the stream to its end.
+func (l *Lease) read(ctx context.Context) error {
 	for {
-		l.mu.Lock()
-		next := l.fold.Next()
-		l.mu.Unlock()
-
-		batch, err := l.log.Read(ctx, l.stream, next, readLimit, wait)
+		end, err := l.follower.Step(ctx, 0)
 		if err != nil {
 			return errors.Wrap(err, "read lease stream")
 		}
 
-		l.apply(batch.Records, time.Now())
-
-		if len(batch.Records) < readLimit {
+		if end {
 			return nil
 		}
+	}
+}
 
-		wait = 0
+// leaseState is the lease as its follower sees it.
+type leaseState Lease
+
+// Next implements journal.State.
+func (l *leaseState) Next() apricotway.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.fold.Next()
+}
+
+// Restore implements journal.State.
+func (l *leaseState) Restore(state []byte) error {
+	var checkpoint lease.Checkpoint
+	if err := json.Unmarshal(state, &checkpoint); err != nil {
+		return errors.Wrap(err, "decode lease")
 	}
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	now, before := time.Now(), l.fold.Current()
+	if err := l.fold.Restore(checkpoint, now); err != nil {
+		return err
+	}
+
+	current := l.fold.Current()
+	if current.Number != before.Number {
+		// An own record that won within the gap may follow another holder's.
+		l.since, l.predecessor = now, true
+	}
+
+	// Records within the gap are never read. One that is older than the lease's time gives no lease when it is read later.
+	for record, sent := range l.sent {
+		if record != current.Record && now.Sub(sent) >= l.terms.TTL {
+			delete(l.sent, record)
+		}
+	}
+
+	l.logger.Info("lease restored from a checkpoint", "event", 238, "stream", l.stream, "number", current.Number,
+		"next", l.fold.Next())
+
+	return nil
 }
 
-func (l *Lease) apply(records []apricotway.StoredRecord, now time.Time) {
+// Fold implements journal.State.
+func (l *leaseState) Fold(records []apricotway.StoredRecord) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	now := time.Now()
+
 	for _, record := range records {
 		before := l.fold.Current()
 		if !l.fold.Apply(record, now) {
--- a/coordination/planning/planning.go
+++ b/coordination/planning/planning.go
@@ -11,7 +11,9 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/journal"
 	"github.com/apricotway/apricotway/coordination/leasing"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/fleet"
 	"github.com/apricotway/apricotway/state/lease"
 )
@@ -29,9 +31,14 @@
 	// tried. A host that is created later all the same is found on the host list by its token.
 	maxAttempts = 4
 
-	readLimit = 500
-	// logTimeout bounds one call of the log service.
-	logTimeout = 5 * time.Second
+	// appendTimeout bounds one append, with its wait for the append budget.
+	appendTimeout = 15 * time.Second
+	// readTimeout bounds the reading of the stream to its end. A restore reads all that is kept in one go: three days of
+	// renewals are 173 reads.
+	readTimeout = time.Minute
+	// followPeriod is the time between two readings by a process that does not hold the lease. It keeps what a new holder has
+	// to read short, and keeps the state in memory should all checkpoints be trimmed.
+	followPeriod = time.Minute
 )
 
 // DefaultLags are the default times for which the host list may be behind.
@@ -62,9 +69,17 @@
 // errStopped reports that the hook ended the driver.
 var errStopped = errors.New("stopped by the hook")
 
+// Writer appends to the log service within the append budget of the system.
+type Writer interface {
+	// AppendAll appends records in their order.
+	AppendAll(ctx context.Context, stream apricotway.Stream, records []apricotway.Record) error
+	// AppendCheckpoint appends a state that includes all records below next.
+	AppendCheckpoint(ctx context.Context, stream apricotway.Stream, epoch, next apricotway.Offset, state []byte) error
+}
+
 // Driver plans the fleet of one region while its process holds the lease.
 type Driver struct {
-	log    apricotway.Log
+	writer Writer
 	hosts  apricotway.HostList
 	cloud  apricotway.Cloud
 	lease  *leasing.Lease
@@ -75,6 +90,11 @@
 	hook   func(Step, fleet.Intent) error
 	period time.Duration
 
+	follower *journal.Follower
+	// followed is the time of the newest reading without the lease.
+	followed    time.Time
+	checkpoints checkpoints
+
 	fold    *fleet.Fold
 	planner *fleet.Planner
 	tracker *fleet.Tracker
@@ -118,21 +138,24 @@
 // New returns a driver and adds its goroutine to the supervisor. The lease must be that of the region's stream, and node the
 // name under which it is claimed. Without a target the driver changes nothing.
 func New(
-	supervisor *suture.Supervisor, region apricotway.Region, node apricotway.NodeID, log apricotway.Log,
+	supervisor *suture.Supervisor, region apricotway.Region, node apricotway.NodeID, log apricotway.Log, writer Writer,
 	lease *leasing.Lease, hosts apricotway.HostList, cloud apricotway.Cloud, target func() (Target, bool), options ...Option,
 ) *Driver {
 	stream := fleet.StreamOf(region)
 	d := &Driver{
-		log: log, hosts: hosts, cloud: cloud, lease: lease, node: node, stream: stream, target: target,
+		writer: writer, hosts: hosts, cloud: cloud, lease: lease, node: node, stream: stream, target: target,
 		logger: logr.Discard(), hook: func(Step, fleet.Intent) error { return nil },
 		period: DefaultPeriod, lags: DefaultLags(), fold: fleet.New(stream),
 		planner: fleet.NewPlanner(fleet.Terms{}), retries: map[uint64]retry{},
+		checkpoints: checkpoints{interval: DefaultCheckpointInterval},
 	}
 	for _, option := range options {
 		option(d)
 	}
 
 	d.tracker = fleet.NewTracker(d.lags)
+	// A second copy of a record is void by its sequence number or by the lease record that it replaces.
+	d.follower = journal.NewFollower(log, stream, (*driverState)(d), journal.WithSeen(0))
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "planner of " + string(stream), Func: func(ctx context.Context) error {
 		ticker := time.NewTicker(d.period)
@@ -152,6 +175,10 @@
 				return ctx.Err()
 			case errors.Is(err, errStopped):
 				return suture.ErrDoNotRestart
+			case errors.Is(err, journal.ErrNoCheckpoint):
+				d.logger.Info("fleet state lost: stream trimmed without a checkpoint", "event", 235, "stream", stream,
+					"held", d.lease.Held())
+				pause.For(ctx, noCheckpointPause)
 			case err != nil:
 				d.logger.Info("fleet not planned", "event", 241, "stream", stream, "error", err.Error())
 			}
@@ -163,8 +190,19 @@
 
 // pass finishes the open intents, then plans and carries out what is new.
 func (d *Driver) pass(ctx context.Context) error {
+	if !d.lease.Held() {
+		return d.follow(ctx)
+	}
+
 	target, ok := d.target()
-	if !ok || !d.lease.Held() {
+	if !ok {
+		// The renewals of the lease go on in this case, so checkpoints have to as well.
+		if err := d.read(ctx); err != nil {
+			return err
+		}
+
+		d.writeCheckpoint(ctx)
+
 		return nil
 	}
 
@@ -188,6 +226,8 @@
 		return nil
 	}
 
+	d.writeCheckpoint(ctx)
+
 	if err := d.finish(ctx); err != nil {
 		return err
 	}
@@ -441,33 +481,39 @@
 }
 
 func (d *Driver) append(ctx context.Context, records []apricotway.Record) error {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 
-	if _, err := d.log.Append(ctx, d.stream, records); err != nil {
+	if err := d.writer.AppendAll(ctx, d.stream, records); err != nil {
 		return errors.Wrap(err, "append to the fleet stream")
 	}
 
 	return nil
 }
 
+// follow reads the stream now and then while another process holds the lease.
+func (d *Driver) follow(ctx context.Context) error {
+	if time.Since(d.followed) < followPeriod {
+		return nil
+	}
+
+	d.followed = time.Now()
+
+	return d.read(ctx)
+}
+
 // read folds the stream to its end.
 func (d *Driver) read(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 
 	for {
-		batch, err := d.log.Read(ctx, d.stream, d.fold.Next(), readLimit, 0)
+		end, err := d.follower.Step(ctx, 0)
 		if err != nil {
 			return errors.Wrap(err, "read the fleet stream")
 		}
 
-		now := time.Now()
-		for _, record := range batch.Records {
-			d.fold.Apply(record, now)
-		}
-
-		if len(batch.Records) < readLimit {
+		if end {
 			return nil
 		}
 	}
--- /dev/null
+++ b/state/fleet/checkpoint.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/lease"
+)
+
+// checkpoint is the state of a fleet stream. It holds nothing that depends on the reader's clock: readers that have reached
+// the same offset write the same bytes, so the parts of their checkpoints fit together. Refusals depend on it and are left
+// out; a market that refused a host is asked once more after a restore.
+type checkpoint struct {
+	lease.Checkpoint
+
+	SchemaVersion int                                   `json:"schemaVersion"`
+	Term          apricotway.Offset                     `json:"term"`
+	Sequence      uint64                                `json:"sequence"`
+	Open          []Open                                `json:"open,omitempty"`
+	Hosts         map[apricotway.BackendServerID]Market `json:"hosts,omitempty"`
+}
+
+// Checkpoint returns the state of all records below Next.
+func (f *Fold) Checkpoint() (state []byte, next apricotway.Offset, err error) {
+	c := checkpoint{
+		Checkpoint: f.lease.Checkpoint(), SchemaVersion: schemaVersion, Term: f.term, Sequence: f.sequence, Open: f.Open(),
+		Hosts: make(map[apricotway.BackendServerID]Market, len(f.hosts)),
+	}
+	for id, owned := range f.hosts {
+		c.Hosts[id] = owned.Market
+	}
+
+	if state, err = json.Marshal(c); err != nil {
+		return nil, 0, errors.Wrap(err, "encode fleet checkpoint")
+	}
+
+	return state, f.next, nil
+}
+
+// Restore replaces the state by that of a checkpoint which was read at the given time, unless it is beyond it already.
+func (f *Fold) Restore(state []byte, read time.Time) error {
+	var c checkpoint
+	if err := json.Unmarshal(state, &c); err != nil {
+		return errors.Wrap(err, "decode fleet checkpoint")
+	}
+
+	if c.SchemaVersion != schemaVersion {
+		return errors.Errorf("fleet checkpoint of schema version %d", c.SchemaVersion)
+	}
+
+	if c.Next <= f.next {
+		return nil
+	}
+
+	if err := f.lease.Restore(c.Checkpoint, read); err != nil {
+		return err
+	}
+
+	f.next, f.term, f.sequence = c.Next, c.Term, c.Sequence
+	f.open = make(map[uint64]Open, len(c.Open))
+
+	for _, open := range c.Open {
+		f.open[open.Sequence] = open
+	}
+
+	hosts := make(map[apricotway.BackendServerID]Owned, len(c.Hosts))
+
+	for id, market := range c.Hosts {
+		hosts[id] = Owned{Market: market, Read: read}
+		if known, ok := f.hosts[id]; ok && known.Market == market {
+			hosts[id] = known
+		}
+	}
+
+	f.hosts = hosts
+	// What the fold knows of refusals may have ended within the gap.
+	clear(f.refusals)
+
+	return nil
+}
--- a/state/lease/lease.go
+++ b/state/lease/lease.go
@@ -70,6 +70,47 @@
 // Current returns the lease record in force.
 func (f *Fold) Current() Current { return f.current }
 
+// Checkpoint is the part of a stream's checkpoint that carries the lease. The checkpoint of a stream that a lease guards has
+// these fields among its own, so that a contender needs to know nothing else of it.
+type Checkpoint struct {
+	// Next is the first offset that the checkpoint does not include.
+	Next  apricotway.Offset `json:"next"`
+	Lease struct {
+		Number apricotway.Offset `json:"number"`
+		Record string            `json:"record"`
+		Holder apricotway.NodeID `json:"holder"`
+	} `json:"lease"`
+}
+
+// Checkpoint returns the lease as of Next. Every reader that has reached the same offset returns the same.
+func (f *Fold) Checkpoint() Checkpoint {
+	c := Checkpoint{Next: f.next}
+	c.Lease.Number, c.Lease.Record, c.Lease.Holder = f.current.Number, f.current.Record, f.current.Holder
+
+	return c
+}
+
+// Restore replaces the lease by that of a checkpoint which was read at the given time, unless it is beyond it already. The
+// record in force counts as read now. It cannot have been read earlier by this reader, so a challenge only comes later.
+func (f *Fold) Restore(c Checkpoint, read time.Time) error {
+	if c.Next <= f.next {
+		return nil
+	}
+
+	if c.Lease.Number < f.current.Number || c.Lease.Number >= c.Next {
+		return errors.Errorf("checkpoint at %d with number %d after number %d", c.Next, c.Lease.Number, f.current.Number)
+	}
+
+	// A record that was in force before keeps its time.
+	if c.Lease.Number != f.current.Number {
+		f.current = Current{Number: c.Lease.Number, Record: c.Lease.Record, Holder: c.Lease.Holder, Read: read}
+	}
+
+	f.next = c.Next
+
+	return nil
+}
+
 // Apply folds a record that was read at the given time. It returns whether the record is now the one in force.
 func (f *Fold) Apply(record apricotway.StoredRecord, read time.Time) bool {
 	if record.Offset < f.next {
