Write the checkpoints of ledger shards that have no owner

Cause: a shard that no call reached kept no checkpoint. The owner writes one only after new records, and a shard whose owner is gone is claimed by the next call. Once the log service had trimmed the stream, the shard refused for ever, although a process with its state may still have been up.

Ruled out: reading all shards in every process, because each would hold all recorded answers; and starting empty without a checkpoint, because a repeated key could then run again.

Before: TestIdleShardTrimmed fails, the successor refuses the repeat and the new key. After: it answers the repeat from the record, runs the new key once, and still refuses with unknown where nobody has the state. The property test of the fold also checks that a stream that counts as restorable can be restored; with TestCheckpointParts it fails when an incomplete checkpoint, one that begins below the oldest offset, or one that does not reach it counts.

--- a/cmd/scenario/trim_test.go
+++ b/cmd/scenario/trim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -15,8 +16,10 @@
 	"github.com/apricotway/apricotway/cmd/internal/standin"
 	"github.com/apricotway/apricotway/coordination/journal"
 	"github.com/apricotway/apricotway/coordination/planning"
+	"github.com/apricotway/apricotway/coordination/shard"
 	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/fleet"
+	"github.com/apricotway/apricotway/state/ledger"
 )
 
 const (
@@ -230,3 +233,72 @@
 		both[0].log.wake()
 	})
 }
+
+// TestIdleShardTrimmed guards against a shard that refuses for ever because its owner is gone and its stream was trimmed while
+// no call came: a process that has read the stream writes the checkpoint, also if it never owned the shard. Where none has read
+// it, the shard has to refuse.
+func TestIdleShardTrimmed(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		bubble.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+
+			log, sent := standin.NewLog(), 0
+			start := func(node, gone apricotway.NodeID) (*shard.Manager, context.CancelFunc) {
+				ctx, cancel := context.WithCancel(ctx)
+				supervisor := suture.NewSimple(string(node))
+				members := &pair{apricotway.Member{Node: node}, apricotway.Member{Node: gone, State: apricotway.MemberDead}}
+				manager := shard.New(supervisor, members, log, func(
+					context.Context, apricotway.Service, apricotway.ServiceCall,
+				) (apricotway.ServiceAnswer, error) {
+					sent++
+					return apricotway.ServiceAnswer{Status: 201}, nil
+				}, shard.WithShards(1), shard.WithLookPeriod(time.Minute))
+				_ = supervisor.ServeBackground(ctx)
+
+				return manager, cancel
+			}
+			run := func(manager *shard.Manager, key string) string {
+				answer, err := manager.Run(ctx, shard.Request{Key: ledger.Key{Workspace: "w", Key: key}})
+				if err != nil {
+					return string(apricotway.AsRefusal(err).Execution)
+				}
+
+				return fmt.Sprint(answer.Status)
+			}
+
+			first, stop := start("a", "b")
+			if got := run(first, "k"); got != "201" {
+				t.Fatalf("got %s", got)
+			}
+
+			stop()
+
+			if !lost {
+				_, stop = start("b", "a")
+				sleep(2 * time.Minute)
+			}
+
+			log.Trim("ledger-0", 4)
+			sleep(2 * time.Minute)
+			stop()
+
+			third, _ := start("c", "b")
+			want, calls := "201", 2
+
+			if lost {
+				want, calls = string(apricotway.ExecutionUnknown), 1
+			}
+
+			for _, key := range []string{"k", "l"} {
+				if got := run(third, key); got != want {
+					t.Errorf("lost %v: got %s for key %s, want %s", lost, got, key, want)
+				}
+			}
+
+			if sent != calls {
+				t.Errorf("lost %v: got %d calls, want %d", lost, sent, calls)
+			}
+		})
+	}
+}
--- a/coordination/shard/checkpoint.go
+++ b/coordination/shard/checkpoint.go
@@ -23,8 +23,19 @@
 	}
 	s.mu.Unlock()
 
+	if !s.append(ctx, parts) {
+		s.mu.Lock()
+		s.sinceCheckpoint += m.checkpointRecords
+		s.mu.Unlock()
+	}
+}
+
+// append appends the parts of a checkpoint and reports whether the log service took all of them.
+func (s *shard) append(ctx context.Context, parts []ledger.Checkpoint) bool {
+	m := s.manager
+
 	for _, part := range parts {
-		record, err := ledger.NewRecord(ledger.KindCheckpoint, epoch, part)
+		record, err := ledger.NewRecord(ledger.KindCheckpoint, part.Holder.Offset, part)
 		if err == nil {
 			_, err = m.writer.Append(ctx, s.stream, record)
 		}
@@ -32,11 +43,9 @@
 		if err != nil {
 			m.logger.Info("ledger checkpoint not written", "event", 225, "stream", s.stream, "error", err.Error())
 
-			s.mu.Lock()
-			s.sinceCheckpoint += m.checkpointRecords
-			s.mu.Unlock()
-
-			return
+			return false
 		}
 	}
+
+	return true
 }
--- a/coordination/shard/manager.go
+++ b/coordination/shard/manager.go
@@ -115,6 +115,7 @@
 	maxBody           int
 	checkpointRecords int
 	checkpointAge     time.Duration
+	lookPeriod        time.Duration
 	shards            []*shard
 
 	pulse pulse
@@ -172,7 +173,7 @@
 }
 
 // New returns a manager and adds its goroutines to the supervisor: one repeats failed appends and writes checkpoints, one
-// notices pauses of the process.
+// notices pauses of the process, and one writes the checkpoints that others have left out.
 func New(
 	supervisor *suture.Supervisor, membership apricotway.Membership, log apricotway.Log, send Sender, options ...Option,
 ) *Manager {
@@ -180,7 +181,7 @@
 		membership: membership, log: log, writer: LogWriter{log}, send: send, logger: logr.Discard(),
 		hook:   func(Step) error { return nil },
 		window: DefaultWindow, margin: DefaultMargin, maxBody: DefaultMaxBody,
-		checkpointRecords: DefaultCheckpointRecords, checkpointAge: DefaultCheckpointAge,
+		checkpointRecords: DefaultCheckpointRecords, checkpointAge: DefaultCheckpointAge, lookPeriod: DefaultLookPeriod,
 		shards: make([]*shard, DefaultShards),
 	}
 	for _, option := range options {
@@ -205,6 +206,7 @@
 			}
 		}
 	}})
+	supervisor.Add(apricotway.ServiceFunc{Name: "ledger checkpoints", Func: m.lookForCheckpoints})
 	supervisor.Add(apricotway.ServiceFunc{Name: "ledger shards", Func: func(ctx context.Context) error {
 		ticker := time.NewTicker(flushPeriod)
 		defer ticker.Stop()
--- a/coordination/shard/read.go
+++ b/coordination/shard/read.go
@@ -88,6 +88,8 @@
 		}
 
 		s.mu.Lock()
+		s.oldest = batch.Oldest
+
 		for _, record := range batch.Records {
 			s.apply(record)
 		}
--- a/coordination/shard/shard.go
+++ b/coordination/shard/shard.go
@@ -38,6 +38,8 @@
 	failure  error
 	// lastRead is the time before the newest read that reached the end of the stream.
 	lastRead time.Time
+	// oldest is the oldest offset kept, as of the newest read.
+	oldest apricotway.Offset
 	// sinceCheckpoint counts the records folded since the last checkpoint, and checkpointed is its time.
 	sinceCheckpoint int
 	checkpointed    time.Time
--- a/state/ledger/checkpoint.go
+++ b/state/ledger/checkpoint.go
@@ -64,6 +64,47 @@
 	return parts
 }
 
+// kept tells of the newest complete checkpoint in the part of the stream that was folded.
+type kept struct {
+	// collecting, parts and begin are the id, the number of parts so far and the first offset of the newest checkpoint begun.
+	collecting string
+	parts      int
+	begin      apricotway.Offset
+	// first and through are the first offset of the newest complete checkpoint, 0 without one, and the offset it covers.
+	first, through apricotway.Offset
+}
+
+// note takes a checkpoint record. Checkpoints whose parts are mixed with those of another one are left out, which at worst
+// leads to one checkpoint too many.
+func (k *kept) note(record apricotway.StoredRecord) {
+	var part struct {
+		Checkpoint string            `json:"checkpoint"`
+		Part       int               `json:"part"`
+		Parts      int               `json:"parts"`
+		Through    apricotway.Offset `json:"through"`
+	}
+	if record.SchemaVersion != schemaVersion || json.Unmarshal(record.Payload, &part) != nil {
+		return
+	}
+
+	if part.Part == 0 {
+		k.collecting, k.parts, k.begin = part.Checkpoint, 0, record.Offset
+	}
+
+	if part.Checkpoint != k.collecting || part.Part != k.parts {
+		return
+	}
+
+	if k.parts++; k.parts == part.Parts {
+		k.first, k.through = k.begin, part.Through
+	}
+}
+
+// Restorable tells whether a reader that has no state could start from a checkpoint when the given offset is the oldest kept.
+func (f *Fold) Restorable(oldest apricotway.Offset) bool {
+	return f.kept.first >= oldest && f.kept.through+1 >= oldest
+}
+
 // restore collects records until a checkpoint is complete.
 type restore struct {
 	oldest apricotway.Offset
--- a/state/ledger/fold.go
+++ b/state/ledger/fold.go
@@ -55,6 +55,7 @@
 	// abandoned holds the ids of abandoned intents with their times: a delayed copy of such an intent must not count.
 	abandoned map[string]time.Time
 	restore   *restore
+	kept      kept
 }
 
 // New returns the state before the first record of a stream.
@@ -107,6 +108,10 @@
 
 	f.next = record.Offset + 1
 
+	if record.Kind == KindCheckpoint {
+		f.kept.note(record)
+	}
+
 	if f.restore != nil {
 		return f.hold(record)
 	}
--- a/state/ledger/fold_test.go
+++ b/state/ledger/fold_test.go
@@ -168,6 +168,10 @@
 					other.Apply(r)
 				}
 
+				if s.fold.Restorable(apricotway.Offset(oldest)) && !other.Ready() {
+					t.Fatalf("not ready from offset %d, which counts as restorable", oldest)
+				}
+
 				if other.Ready() {
 					compare(t, s.fold, other, now, attempts)
 				}
@@ -216,14 +220,18 @@
 	other := ledger.Restore(retention, oldest)
 
 	for i, part := range parts {
-		if other.Ready() {
-			t.Fatalf("ready after %d of %d parts", i, len(parts))
+		if other.Ready() || s.fold.Restorable(oldest) {
+			t.Fatalf("ready or restorable after %d of %d parts", i, len(parts))
 		}
 
 		s.append(record(ledger.KindCheckpoint, 1, part))
 		other.Apply(s.records[len(s.records)-1])
 	}
 
+	if !s.fold.Restorable(oldest) || s.fold.Restorable(oldest+1) {
+		t.Error("not restorable from the checkpoint's first part, or without it")
+	}
+
 	if !other.Ready() || other.Len() != keys || other.Holder() != s.fold.Holder() {
 		t.Errorf("got ready %v with %d keys, want %d", other.Ready(), other.Len(), keys)
 	}
