Append the parts of a checkpoint together

Cause: each part of a checkpoint was an append of its own. The planner writes its checkpoint between two plans, and with the share of one of 390 members (0.15 appends a second beside its usage batches) three parts take 20 s, which was the limit for the whole checkpoint.

The limit is a minute now, since larger states take several appends.

--- a/coordination/journal/checkpoint.go
+++ b/coordination/journal/checkpoint.go
@@ -35,6 +35,7 @@
 	ctx context.Context, stream apricotway.Stream, epoch, next apricotway.Offset, state []byte,
 ) error {
 	parts := max((len(state)+maxPart-1)/maxPart, 1)
+	records := make([]apricotway.Record, parts)
 
 	for i := range parts {
 		payload, err := json.Marshal(part{
@@ -44,14 +45,14 @@
 			return errors.Wrap(err, "encode checkpoint")
 		}
 
-		record := apricotway.Record{
+		records[i] = apricotway.Record{
 			SchemaVersion: 1, Kind: apricotway.KindCheckpoint, Epoch: epoch, Payload: payload,
 			ID: uuid.NewSHA1(namespace, append([]byte(stream), payload...)).String(),
 		}
+	}
 
-		if _, err := w.Append(ctx, stream, record); err != nil {
-			return errors.Wrap(err, "append checkpoint")
-		}
+	if err := w.AppendAll(ctx, stream, records); err != nil {
+		return errors.Wrap(err, "append checkpoint")
 	}
 
 	return nil
--- a/coordination/planning/checkpoint.go
+++ b/coordination/planning/checkpoint.go
@@ -13,8 +13,9 @@
 	// checkpointRecords is the number of records after which a checkpoint is due before its time, also when the holder changes
 	// more often than that. Renewals alone are 1200 an hour.
 	checkpointRecords = 2000
-	// checkpointTimeout bounds one checkpoint. At 7,600 hosts it has four parts, each with its wait for the append budget.
-	checkpointTimeout = 20 * time.Second
+	// checkpointTimeout bounds one checkpoint with its waits for the append budget. At 7,600 hosts it has 639 KB in three parts,
+	// which take one append.
+	checkpointTimeout = time.Minute
 	// checkpointRetry lies between two tries, so that planning goes on meanwhile.
 	checkpointRetry = time.Minute
 	// noCheckpointPause lies between two searches for a checkpoint, each of which reads all that is kept of the stream.
