--- a/coordination/configfeed/peers.go
+++ b/coordination/configfeed/peers.go
@@ -215,11 +215,15 @@
 // the reason. Each process answers once it has seen every record below the given offset, or after 1.5 s; a member that does
 // not answer would otherwise hold up the answers of the others until they are old.
 func (f *Feed) Everywhere(ctx context.Context, next apricotway.Offset) []Revisions {
+	// The own answer may wait as long as those of the members.
+	own := make(chan Revisions, 1)
+	go func() { own <- f.revisions(ctx, next) }()
+
 	members := f.liveMembers()
 	answers := gather(ctx, members, func(ctx context.Context, member apricotway.Member) (Revisions, error) {
 		return apricotway.CallPeer[Revisions](ctx, f.peers.peers, member.Peers, MethodRevisions, RevisionsRequest{Next: next})
 	})
-	all := []Revisions{f.revisions(ctx, next)}
+	all := []Revisions{<-own}
 
 	for i, answer := range answers {
 		if answer.err != nil {
