Let frequent broadcast entries take turns

The entries of tokens in flight are renewed every second and exceed the budget of a packet from about 8 processes on.

Updates with equal uses now go in turn, and an update that is replaced before it was sent keeps its turn. A larger budget alone was ruled out: it moves the number of processes at which the order matters, and the bytes grow with it. TestFrequentEntriesTakeTurns failed before.

--- a/state/member/broadcast.go
+++ b/state/member/broadcast.go
@@ -43,26 +43,55 @@
 }
 
 // queue counts how often each pending update has been sent.
-type queue map[key]int
+type queue struct {
+	pending map[key]pending
+	turn    uint64
+}
+
+// pending is the number of times an update was sent and its turn among those with the same number.
+type pending struct {
+	sent int
+	turn uint64
+}
+
+func newQueue() queue { return queue{pending: map[key]pending{}} }
+
+// add starts an update anew. One that was not sent yet keeps its turn: otherwise an update that is replaced more often than
+// its turn comes would never be sent.
+func (q *queue) add(k key) {
+	if old, ok := q.pending[k]; ok && old.sent == 0 {
+		return
+	}
 
-func (q queue) add(k key) { q[k] = 0 }
+	q.turn++
+	q.pending[k] = pending{turn: q.turn}
+}
 
 // sent counts one use of an update and drops it at the limit.
-func (q queue) sent(k key, limit int) {
-	if q[k]++; q[k] >= limit {
-		delete(q, k)
+func (q *queue) sent(k key, limit int) {
+	q.turn++
+
+	if update := (pending{q.pending[k].sent + 1, q.turn}); update.sent < limit {
+		q.pending[k] = update
+	} else {
+		delete(q.pending, k)
 	}
 }
 
-// order returns the updates by class, and within a class those sent least often first.
-func (q queue) order() []key {
-	keys := make([]key, 0, len(q))
-	for k := range q {
+func (q *queue) drop(k key) { delete(q.pending, k) }
+
+// order returns the updates by class, and within a class those sent least often first, in turn. In the order of their keys,
+// the first ones of frequent updates would take the whole budget of a packet each time.
+func (q *queue) order() []key {
+	keys := make([]key, 0, len(q.pending))
+	for k := range q.pending {
 		keys = append(keys, k)
 	}
 
 	slices.SortFunc(keys, func(a, b key) int {
-		return cmp.Or(cmp.Compare(a.class(), b.class()), cmp.Compare(q[a], q[b]), a.compare(b))
+		x, y := q.pending[a], q.pending[b]
+
+		return cmp.Or(cmp.Compare(a.class(), b.class()), cmp.Compare(x.sent, y.sent), cmp.Compare(x.turn, y.turn))
 	})
 
 	return keys
@@ -125,13 +154,13 @@
 }
 
 // expire drops what has reached its lifetime and reports whether there was any.
-func (s store) expire(now time.Time, pending queue) bool {
+func (s store) expire(now time.Time, pending *queue) bool {
 	before := len(s)
 
 	for k, entry := range s {
 		if !now.Before(entry.expires) {
 			delete(s, k)
-			delete(pending, k)
+			pending.drop(k)
 		}
 	}
 
--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -107,7 +107,7 @@
 		members: map[apricotway.NodeID]*member{}, relays: map[uint64]relay{},
 		// A random start keeps the answers to probes of an earlier process from matching.
 		sequence: random.Uint64() >> 1,
-		queue:    queue{}, store: store{},
+		queue:    newQueue(), store: store{},
 		lastTick:     now,
 		nextProbe:    now.Add(jitter(random, config.Period)),
 		nextExchange: now.Add(jitter(random, config.ExchangePeriod)),
@@ -215,7 +215,7 @@
 			m.set(now, other, entry)
 		case apricotway.MemberDead:
 			delete(m.members, node)
-			delete(m.queue, memberKey(node))
+			m.queue.drop(memberKey(node))
 		case apricotway.MemberAlive, apricotway.MemberLeaving:
 		}
 	}
@@ -226,7 +226,7 @@
 		}
 	}
 
-	if m.store.expire(now, m.queue) {
+	if m.store.expire(now, &m.queue) {
 		m.digestKnown = false
 	}
 }
@@ -382,7 +382,7 @@
 // likely misses one of them.
 func (m *Machine) fillRecent(now time.Time, message *Message, budget int) {
 	for _, key := range m.recent {
-		if _, pending := m.queue[key]; pending {
+		if _, pending := m.queue.pending[key]; pending {
 			continue
 		}
 
--- a/state/member/machine_test.go
+++ b/state/member/machine_test.go
@@ -5,6 +5,7 @@
 	"math/bits"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -410,3 +411,34 @@
 		t.Errorf("got %v after the lifetime, want nothing", got)
 	}
 }
+
+// TestFrequentEntriesTakeTurns guards the processes whose names come last: when the entries that all processes renew every
+// second exceed the budget of the packets, those with the first names took the whole of it.
+func TestFrequentEntriesTakeTurns(t *testing.T) {
+	const size = 16
+
+	n := newNetwork(size)
+	known := [size]int{}
+
+	for second := range 60 {
+		for i, machine := range n.machines {
+			out, _ := machine.Publish(n.now, apricotway.BroadcastEntry{
+				Topic: apricotway.TopicTokens, Key: string(machine.Self().Node), Version: uint64(second + 1),
+				Payload: make([]byte, 40), Lifetime: 5 * time.Second,
+			})
+			n.perform(i, out)
+		}
+
+		n.run(time.Second)
+
+		for _, machine := range n.machines {
+			for _, entry := range machine.Broadcasts(n.now, apricotway.TopicTokens) {
+				known[slices.IndexFunc(n.machines, func(m *member.Machine) bool { return string(m.Self().Node) == entry.Key })]++
+			}
+		}
+	}
+
+	if got, want := slices.Min(known[:]), slices.Max(known[:])*2/3; got < want {
+		t.Errorf("got entries of a process known %d times, want at least %d; all: %v", got, want, known)
+	}
+}
