Give the routing policy the work of other processes

The daemon's policy did not take the tokens in flight that processes announce, so each process chose by its own work and by the engines' late reports. Two processes with the same stale report sent all 12 requests of two bursts to one engine.

The exchange now carries what the policy announces itself: attempts, long attempts, predicted tokens to decode and prompt tokens to prefill, about 10 bytes an engine. An entry replaces the last one of its process, expires after 5 s, and is forgotten with the process. Sums per engine follow each entry without a pass over all peers. The work that peers are expected to have started is counted from each peer's own last entry, and also from a load report, which is used when it is newer than the entries.

TestBurstsOfTwoProcesses failed before with 12 of 12 requests on one engine.

--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/cmd/internal/standin"
 	"github.com/apricotway/apricotway/coordination/gate"
+	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/state/admission"
 	"github.com/apricotway/apricotway/state/routing"
 	"github.com/apricotway/apricotway/transport/engine"
@@ -24,7 +26,6 @@
 	reportPeriod = 250 * time.Millisecond
 	eventLag     = 500 * time.Millisecond
 	eventGap     = 20
-	peerPeriod   = 250 * time.Millisecond
 	probePeriod  = 100 * time.Millisecond
 	limitPeriod  = time.Second
 	// routers is the number of entry processes that share the load.
@@ -156,13 +157,13 @@
 	r.slowDown(r.warmup + duration)
 
 	background, cancel := context.WithCancel(ctx)
+	stopped := r.exchange(background, seed)
 
 	var loops sync.WaitGroup
 
 	loops.Go(func() { every(background, reportPeriod, r.exchangeReports) })
 
 	if r.routers[0].scored != nil {
-		loops.Go(func() { every(background, peerPeriod, r.exchangeShares) })
 		loops.Go(func() { every(background, probePeriod, func() { r.sendProbes(background) }) })
 		loops.Go(func() { every(background, limitPeriod, r.divide) })
 	}
@@ -188,6 +189,7 @@
 	r.work.Wait()
 	cancel()
 	loops.Wait()
+	<-stopped
 
 	return &r.result
 }
@@ -254,20 +256,23 @@
 	}
 }
 
-func (r *run) exchangeShares() {
-	now := time.Now()
+// exchange starts the exchange between the processes, which is that of the daemon.
+func (r *run) exchange(ctx context.Context, seed uint64) <-chan error {
+	supervisor := suture.NewSimple("bench")
+	joined := newHub(seed)
 
 	for _, entry := range r.routers {
-		shares := entry.scored.Shares()
-
-		for _, other := range r.routers {
-			if other != entry {
-				other.scored.PeerShares(now, entry.node, shares)
-			}
+		if entry.scored != nil {
+			inventory.NewTokenExchange(supervisor, r, port{joined, entry.node}, entry.node, entry.scored)
 		}
 	}
+
+	return supervisor.ServeBackground(ctx)
 }
 
+// Tracked implements inventory.Tracker.
+func (r *run) Tracked() []apricotway.BackendServer { return r.servers }
+
 func (r *run) sendProbes(ctx context.Context) {
 	for _, entry := range r.routers {
 		for _, server := range entry.scored.Probes(time.Now()) {
--- a/cmd/internal/daemon/completions.go
+++ b/cmd/internal/daemon/completions.go
@@ -27,12 +27,8 @@
 		completion.WithPolicy(routing.policy), completion.WithAdmission(routing), completion.WithSuspects(suspects),
 		completion.WithUsage(d.usage.Add), completion.WithReleases(d.feed.Fold().Release), completion.WithLogger(d.logger))
 
-	// Entries that no policy takes would only cost bytes.
-	if _, ok := any(routing.policy).(inventory.PeerTokens); ok {
-		inventory.NewTokenExchange(d.supervisor, d.inventory, d.membership, d.settings.Node, runner.TokensInFlight,
-			routing.policy, inventory.WithTokenLogger(d.logger))
-	}
-
+	inventory.NewTokenExchange(d.supervisor, d.inventory, d.membership, d.settings.Node, routing.policy,
+		inventory.WithTokenLogger(d.logger))
 	registerCompletionMetrics(registry, runner)
 
 	return completion.NewRequests(d.supervisor, runner,
--- a/cmd/internal/daemon/inventory_bench_test.go
+++ b/cmd/internal/daemon/inventory_bench_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/state/routing"
 )
 
 // benchList is a host list whose readings cost what decoding an answer of the platform costs. It is down without a body.
@@ -214,15 +215,7 @@
 				b.ReportMetric(measure(), "B/s/member-without")
 
 				for i, m := range members {
-					inventory.NewTokenExchange(supervisor, known[i], m.driver, m.driver.Self().Node,
-						func() map[apricotway.BackendServerID]int {
-							tokens := map[apricotway.BackendServerID]int{}
-							for n, server := range known[i].All() {
-								tokens[server.ID] = 1000 + (n*7919+int(time.Now().Unix())*104729)%50000
-							}
-
-							return tokens
-						}, nil)
+					inventory.NewTokenExchange(supervisor, known[i], m.driver, m.driver.Self().Node, busy{known[i]})
 				}
 
 				b.ReportMetric(measure(), "B/s/member-with")
@@ -234,3 +227,21 @@
 		})
 	}
 }
+
+// busy is a policy with work on every engine that changes every second.
+type busy struct{ known *inventory.Inventory }
+
+func (p busy) Shares() []routing.Share {
+	var shares []routing.Share
+	for n, server := range p.known.All() {
+		shares = append(shares, routing.Share{
+			Server: server.ID, Attempts: 8, Decode: float64(1000 + (n*7919+int(time.Now().Unix())*104729)%50000),
+		})
+	}
+
+	return shares
+}
+
+func (busy) PeerShares(time.Time, apricotway.NodeID, []routing.Share) {}
+
+func (busy) ForgetPeer(apricotway.NodeID) {}
--- a/coordination/inventory/inventory_test.go
+++ b/coordination/inventory/inventory_test.go
@@ -77,13 +77,6 @@
 	return apricotway.LoadReport{}, ctx.Err()
 }
 
-func (w *world) PeerTokens(_ time.Time, server apricotway.BackendServerID, _ apricotway.NodeID, tokens int) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	w.tokens[server] = tokens
-}
-
 // list is a host list; an empty one is out of reach.
 type list struct {
 	servers atomic.Pointer[[]apricotway.BackendServer]
--- a/coordination/inventory/tokens_test.go
+++ b/coordination/inventory/tokens_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/state/routing"
 )
 
 // TestTokenExchange guards against counts that outlive the work or the process that they belong to, and against more than
@@ -19,32 +20,31 @@
 	simulate(t, servers("a", "b"), func(w *world, supervisor *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
 		w.receivers = nil
 
-		many := map[apricotway.BackendServerID]int{"a": 3200}
+		many := []routing.Share{{Server: "a", Decode: 3200}}
 		for i := range 200 {
-			many[apricotway.BackendServerID(fmt.Sprint(i))] = 1600
+			many = append(many, routing.Share{Server: apricotway.BackendServerID(fmt.Sprint(i)), Attempts: 10, Decode: 1600})
 		}
 
-		var tokens atomic.Pointer[map[apricotway.BackendServerID]int]
+		var shares atomic.Pointer[[]routing.Share]
 
-		own := func() map[apricotway.BackendServerID]int { return *tokens.Load() }
 		sending := suture.NewSimple("sending")
 
-		inventory.NewTokenExchange(supervisor, known[1], w, "idle", func() map[apricotway.BackendServerID]int { return nil }, w)
-		inventory.NewTokenExchange(sending, known[0], w, "busy", own, nil)
+		inventory.NewTokenExchange(supervisor, known[1], w, "idle", silentPolicy{w, func() []routing.Share { return nil }})
+		inventory.NewTokenExchange(sending, known[0], w, "busy", silentPolicy{w, func() []routing.Share { return *shares.Load() }})
 
 		ctx, stop := context.WithCancel(context.Background())
 		defer stop()
 
 		for _, step := range []struct {
-			tokens       map[apricotway.BackendServerID]int
+			shares       []routing.Share
 			wait         time.Duration
 			a, b, atMost int
 		}{
-			{map[apricotway.BackendServerID]int{"a": 1600, "b": 160}, 10 * time.Second, 1600, 160, 4},
+			{[]routing.Share{{Server: "a", Decode: 1600}, {Server: "b", Decode: 160}}, 10 * time.Second, 1600, 160, 4},
 			{many, 1100 * time.Millisecond, 3200, 0, 6},
 			{nil, 7 * time.Second, 0, 0, 6},
 		} {
-			if tokens.Store(&step.tokens); step.tokens == nil {
+			if shares.Store(&step.shares); step.shares == nil {
 				stop()
 			} else if step.atMost == 4 {
 				sending.ServeBackground(ctx)
@@ -69,3 +69,66 @@
 		}
 	})
 }
+
+// silentPolicy gives the shares of a process and keeps those of the others in the world.
+type silentPolicy struct {
+	*world
+
+	shares func() []routing.Share
+}
+
+func (p silentPolicy) Shares() []routing.Share { return p.shares() }
+
+func (p silentPolicy) PeerShares(_ time.Time, _ apricotway.NodeID, shares []routing.Share) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	clear(p.tokens)
+
+	for _, share := range shares {
+		p.tokens[share.Server] = int(share.Decode)
+	}
+}
+
+func (p silentPolicy) ForgetPeer(peer apricotway.NodeID) { p.PeerShares(time.Time{}, peer, nil) }
+
+// TestBurstsOfTwoProcesses guards against two processes that both send a burst to the engine that a stale report shows as
+// idle.
+func TestBurstsOfTwoProcesses(t *testing.T) {
+	simulate(t, servers("a", "b"), func(w *world, supervisor *suture.Supervisor, _ *list, known [2]*inventory.Inventory) {
+		w.receivers = nil
+		counts := map[apricotway.BackendServerID]int{}
+
+		var policies [2]*routing.Scored
+
+		for process, node := range []apricotway.NodeID{"n0", "n1"} {
+			policy := routing.NewScored()
+			policies[process] = policy
+			inventory.NewTokenExchange(supervisor, known[process], w, node, policy)
+		}
+
+		for process, policy := range policies {
+			engines := known[process].Usable("")
+			policy.Choose(time.Now(), routing.Work{PromptTokens: 10, MaxTokens: 100}, engines)
+			policy.Reported(time.Now(), "a", apricotway.LoadReport{Time: time.Now()})
+			policy.Reported(time.Now(), "b", apricotway.LoadReport{Time: time.Now(), Running: 6, TokensInFlight: 600})
+		}
+
+		for process, policy := range policies {
+			engines := known[process].Usable("")
+			for i := range 6 {
+				work := routing.Work{PromptTokens: 10, MaxTokens: 100}
+				server := engines[policy.Choose(time.Now(), work, engines)].ID
+				policy.Started(time.Now(), server, apricotway.AttemptID(fmt.Sprint(process, i)), work)
+				counts[server]++
+			}
+
+			after(2 * time.Second)
+		}
+
+		// The second process expects the first one to go on as before, and so may send a request or two to the same engine.
+		if got, want := counts["a"], 8; got > want {
+			t.Errorf("got %d of 12 requests on the engine that the stale report shows as idle, want at most %d", got, want)
+		}
+	})
+}
--- a/state/routing/scored.go
+++ b/state/routing/scored.go
@@ -50,8 +50,11 @@
 	// DefaultLongShare is the part of an engine's places that long work may hold. In trials at twice the capacity, 543 of
 	// 19,560 requests were late with 0.75 and 105 with 0.5, at about the same goodput.
 	DefaultLongShare = 0.5
-	// peerAge is the age at which a peer's announcement is no longer used.
-	peerAge = 3 * time.Second
+	// PeerLifetime is the age at which a peer's announcement is no longer used. It covers the second between two entries, two
+	// more in which they wait for probes, and one that was lost.
+	PeerLifetime = 5 * time.Second
+	// candidateAge is the age at which an engine that is no candidate any more gives no capacity.
+	candidateAge = 3 * time.Second
 	// forgetAfter is the time after which an engine that is no candidate any more is forgotten.
 	forgetAfter = time.Minute
 	// probeAfter is the time without an observation after which a slow engine is probed, and probePeriod the time between
@@ -79,12 +82,13 @@
 	kinds     map[kind]*speeds
 	index     prefixIndex
 	predictor predictor
-	// peers holds the announcements of each peer.
-	peers map[apricotway.NodeID]announcement
-	sweep time.Time
-	depth [maxEngines]uint8
-	// chosen holds the engines of the candidates during a choice.
-	chosen []*engineState
+	// peers holds the last announcement of each peer; peersSeen is the time of the newest one.
+	peers     map[apricotway.NodeID]*announcement
+	peersSeen time.Time
+	sweep     time.Time
+	depth     [maxEngines]uint8
+	// chosen holds the engines of the candidates and the estimates of their load during a choice.
+	chosen []candidate
 }
 
 // load is the work that one process has on an engine.
@@ -111,26 +115,27 @@
 	speeds *speeds
 	pace   pace
 
+	// peers is the sum of the announcements.
 	own, peers load
 	// report is the newest load report; others is what it says about work of other processes.
 	report       apricotway.LoadReport
 	others       load
-	peersSeen    time.Time
 	lastProgress time.Time
 	decoding     int
-	// recent and recentDecode are the own short attempts and their tokens since the last announcements.
-	recent       int
-	recentDecode float64
-	lastProbe    time.Time
-	sequence     uint64
+	// started sums up the own short attempts and their tokens. Echoed is what of it lies before the last announcement of each
+	// peer, reported what lies before the report.
+	started, echoed, reported startedWork
+	lastProbe                 time.Time
+	sequence                  uint64
 
 	history     [historySize]pastLoad
 	historyNext int
 }
 
 type pastLoad struct {
-	time time.Time
-	load load
+	time    time.Time
+	load    load
+	started startedWork
 }
 
 type attempt struct {
@@ -148,18 +153,20 @@
 	hasTokens bool
 }
 
-// Share is one process's announcement of its work on one engine.
-type Share struct {
-	Server   apricotway.BackendServerID `json:"server"`
-	Attempts int                        `json:"attempts"`
-	Decode   float64                    `json:"decode"`
-	Prefill  float64                    `json:"prefill"`
-	Long     int                        `json:"long"`
-}
-
+// announcement is what a peer told last.
 type announcement struct {
 	time   time.Time
 	shares []Share
+	// started holds the engines' own started work at that time, by slot.
+	started [maxEngines]startedWork
+}
+
+// startedWork counts attempts and their predicted tokens. Whole numbers add up and subtract without a rest.
+type startedWork struct{ attempts, tokens int }
+
+func (w *startedWork) add(other startedWork, sign int) {
+	w.attempts += sign * other.attempts
+	w.tokens += sign * other.tokens
 }
 
 // ScoredOption changes a policy under construction.
@@ -189,7 +196,7 @@
 		kinds:     map[kind]*speeds{},
 		index:     newPrefixIndex(indexBlocks),
 		predictor: predictor{services: map[apricotway.Service]*lengthHistory{}},
-		peers:     map[apricotway.NodeID]announcement{},
+		peers:     map[apricotway.NodeID]*announcement{},
 	}
 	for slot := range maxEngines {
 		s.freeSlots = append(s.freeSlots, maxEngines-1-slot)
@@ -221,13 +228,14 @@
 	predicted, long := s.predictor.predict(work)
 	total := 0.0
 
-	s.chosen = s.chosen[:0]
+	s.chosen = slices.Grow(s.chosen[:0], len(candidates))[:len(candidates)]
+	announced := s.announced(now)
 
 	for i := range candidates {
-		e := s.engine(now, &candidates[i])
-		l := s.load(now, e)
-		total += l.attempts()
-		s.chosen = append(s.chosen, e)
+		c := &s.chosen[i]
+		c.engine = s.engine(now, &candidates[i])
+		s.load(announced, c.engine, &c.load)
+		total += c.load.attempts()
 	}
 
 	s.forget(now)
@@ -243,7 +251,8 @@
 		fullDepth, lostBlock = float64(work.PromptTokens), float64(apricotway.BlockTokens)
 	)
 
-	for i, e := range s.chosen {
+	for i := range s.chosen {
+		e, l := s.chosen[i].engine, &s.chosen[i].load
 		excluded := len(work.Excluded) > 0 && slices.Contains(work.Excluded, e.id)
 
 		if best >= 0 && excluded && !bestExcluded {
@@ -255,8 +264,7 @@
 			miss = max(fullDepth-float64(s.depth[e.slot])*lostBlock, 1)
 		}
 
-		l := s.load(now, e)
-		value := s.score(now, e, &l, miss, predicted, long)
+		value := s.score(now, e, l, miss, predicted, long)
 
 		if best < 0 || value < lowest || bestExcluded && !excluded {
 			best, lowest, bestExcluded = i, value, excluded
@@ -278,6 +286,12 @@
 	return best
 }
 
+// candidate is one engine during a choice.
+type candidate struct {
+	engine *engineState
+	load   estimate
+}
+
 // estimate is the work on an engine as this process sees it.
 type estimate struct{ own, others load }
 
@@ -286,26 +300,38 @@
 func (e *estimate) prefill() float64  { return e.own.prefill + e.others.prefill }
 func (e *estimate) long() int         { return e.own.long + e.others.long }
 
-// load estimates the work on an engine. Own work is known exactly. The work of others comes from their announcements, or,
-// when there are none, from the last report less the own work at its time.
-func (s *Scored) load(now time.Time, e *engineState) estimate {
-	l := estimate{own: e.own}
+// announced tells whether announcements of other processes are known and not out of date.
+func (s *Scored) announced(now time.Time) bool {
+	return !s.off[TermPeers] && len(s.peers) > 0 && now.Sub(s.peersSeen) < PeerLifetime
+}
+
+// load estimates the work on an engine. Own work is known exactly. The work of others comes from their announcements or
+// from the last report less the own work at its time, whichever is newer. Peers decide from the same information: since then
+// each is expected to have sent to the engine what this process has sent to it.
+func (s *Scored) load(announced bool, e *engineState, l *estimate) {
+	l.own, l.others = e.own, load{}
+	echo := len(s.peers) > 0 && !s.off[TermEcho]
 
 	switch {
-	case !s.off[TermPeers] && now.Sub(e.peersSeen) < peerAge:
+	case announced && (s.off[TermReports] || !e.report.Time.After(s.peersSeen)):
 		l.others = e.peers
 
-		// Peers decide from the same information. Until their next announcement each is expected to have sent to the
-		// engine what this process has sent to it.
-		if !s.off[TermEcho] {
-			l.others.attempts += len(s.peers) * e.recent
-			l.others.decode += float64(len(s.peers)) * e.recentDecode
+		if echo {
+			l.others.echo(len(s.peers), e.started, e.echoed)
 		}
 	case !s.off[TermReports]:
 		l.others = e.others
+
+		if echo && announced {
+			l.others.echo(len(s.peers), e.started, startedWork{len(s.peers) * e.reported.attempts, len(s.peers) * e.reported.tokens})
+		}
 	}
+}
 
-	return l
+// echo adds the own started work as often as there are peers, less what is known of them.
+func (l *load) echo(peers int, started, known startedWork) {
+	l.attempts += peers*started.attempts - known.attempts
+	l.decode += float64(peers*started.tokens - known.tokens)
 }
 
 // score returns the expected time to the last token in seconds.
@@ -394,6 +420,18 @@
 		e.slot, s.freeSlots = s.freeSlots[last], s.freeSlots[:last]
 	}
 
+	for _, peer := range s.peers {
+		if e.slot >= 0 {
+			peer.started[e.slot] = startedWork{}
+		}
+
+		for i := range peer.shares {
+			if peer.shares[i].Server == id {
+				e.peers.add(peer.shares[i].load(), 1)
+			}
+		}
+	}
+
 	s.engines[id] = e
 	s.list = append(s.list, e)
 
@@ -450,14 +488,15 @@
 		}
 	}
 
-	l := s.load(now, e)
+	var l estimate
+
+	s.load(s.announced(now), e, &l)
 	a.alone = l.prefill() == 0 && (e.speeds.slots == 0 || l.attempts() < float64(e.speeds.slots))
 	a.expected = s.expectedFirst(e, &l, a.uncached)
 	s.attempts[id] = a
 
 	if !long {
-		e.recent++
-		e.recentDecode += predicted
+		e.started.add(startedWork{1, int(math.Round(predicted))}, 1)
 	}
 
 	e.own.add(load{attempts: 1, decode: predicted, prefill: a.backlog(), long: count(long)}, 1)
@@ -480,19 +519,19 @@
 
 // remember keeps the present own load for the interpretation of later reports.
 func (e *engineState) remember(now time.Time) {
-	e.history[e.historyNext%historySize] = pastLoad{now, e.own}
+	e.history[e.historyNext%historySize] = pastLoad{now, e.own, e.started}
 	e.historyNext++
 }
 
-// ownAt returns the own load at a past time.
-func (e *engineState) ownAt(when time.Time) load {
+// ownAt returns the own load and the started work at a past time.
+func (e *engineState) ownAt(when time.Time) (load, startedWork) {
 	for back := 1; back <= min(e.historyNext, historySize); back++ {
 		if past := e.history[(e.historyNext-back)%historySize]; !past.time.After(when) {
-			return past.load
+			return past.load, past.started
 		}
 	}
 
-	return load{}
+	return load{}, startedWork{}
 }
 
 // Token implements Policy.
@@ -505,9 +544,13 @@
 		return
 	}
 
-	e, l := a.engine, s.load(now, a.engine)
+	e := a.engine
 	e.lastProgress = now
 
+	var l estimate
+
+	s.load(s.announced(now), e, &l)
+
 	if !a.hasTokens {
 		a.hasTokens = true
 		e.decoding++
@@ -610,7 +653,8 @@
 		e.speeds.slots = max(e.speeds.slots, report.Running)
 	}
 
-	own := e.ownAt(report.Time)
+	own, started := e.ownAt(report.Time)
+	e.reported = started
 	e.others = load{
 		attempts: max(report.Running+report.Waiting-own.attempts, 0),
 		decode:   max(float64(report.TokensInFlight)-own.decode-own.prefill, 0),
@@ -676,23 +720,57 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.peers[peer] = announcement{now, shares}
+	for node, old := range s.peers {
+		if now.Sub(old.time) > PeerLifetime {
+			s.forgetPeer(node)
+		}
+	}
+
+	a := s.peers[peer]
+	if a == nil {
+		a = &announcement{}
+		s.peers[peer] = a
+	} else {
+		s.addPeer(a, -1)
+	}
+
+	a.time, a.shares, s.peersSeen = now, slices.Clone(shares), now
 
 	for _, e := range s.list {
-		e.peers, e.peersSeen = load{}, now
-		e.recent, e.recentDecode = 0, 0
+		if e.slot >= 0 {
+			a.started[e.slot] = e.started
+		}
 	}
 
-	for node, announced := range s.peers {
-		if now.Sub(announced.time) > peerAge {
-			delete(s.peers, node)
-			continue
+	s.addPeer(a, 1)
+}
+
+// ForgetPeer drops the announcement of a peer that is gone.
+func (s *Scored) ForgetPeer(peer apricotway.NodeID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.forgetPeer(peer)
+}
+
+func (s *Scored) forgetPeer(peer apricotway.NodeID) {
+	if a := s.peers[peer]; a != nil {
+		s.addPeer(a, -1)
+		delete(s.peers, peer)
+	}
+}
+
+// addPeer adds an announcement to the sums of the engines, or takes it out of them.
+func (s *Scored) addPeer(a *announcement, sign int) {
+	for i := range a.shares {
+		if e := s.engines[a.shares[i].Server]; e != nil {
+			e.peers.add(a.shares[i].load(), sign)
 		}
+	}
 
-		for _, share := range announced.shares {
-			if e := s.engines[share.Server]; e != nil {
-				e.peers.add(load{share.Attempts, share.Decode, share.Prefill, share.Long}, 1)
-			}
+	for _, e := range s.list {
+		if e.slot >= 0 {
+			e.echoed.add(a.started[e.slot], sign)
 		}
 	}
 }
@@ -750,7 +828,7 @@
 		}
 
 		for _, e := range s.list {
-			if e.speeds != speeds || now.Sub(e.seen) > peerAge {
+			if e.speeds != speeds || now.Sub(e.seen) > candidateAge {
 				continue
 			}
 
--- a/state/routing/scored_test.go
+++ b/state/routing/scored_test.go
@@ -238,7 +238,7 @@
 
 	s.Started(now, servers[1].ID, "own", promptWork("x"))
 
-	if got := s.Choose(now.Add(2*peerAge), promptWork("x"), servers); got != 0 {
+	if got := s.Choose(now.Add(2*PeerLifetime), promptWork("x"), servers); got != 0 {
 		t.Errorf("got engine %d, want 0: the announcement is out of date", got)
 	}
 }
