Divide the engines' places by the demand of all processes

Each process admitted by the whole capacity with the workspaces' weights, so that the shares followed the number of processes that a workspace's callers used.

Every second a process divides the places by weighted max-min parts and takes its part of the demand. A member that was not heard yet keeps its part free, a dead one leaves the division. The entries have a budget of their own in a packet: behind entries of tokens, which fill theirs, they would never be sent.

A process without any part had limits of 0, which stand for no limit; it may admit one request now. A weight above its part is left only to workspaces that get all they demand: the fair weight as a floor for all raised the share of those that are uneven. Ruled out: messages to all processes, about 50 KB/s at 390.

The load tool divides by the same code.

--- a/broadcasts.go
+++ b/broadcasts.go
@@ -20,8 +20,14 @@
 	TopicQuarantine Topic = "quarantine"
 	// TopicTokens carries the in-flight tokens of a process at shared engines; the key is the process.
 	TopicTokens Topic = "tokens"
+	// TopicDemand carries the demand of a process for places of the engines by workspace; the key is the process.
+	TopicDemand Topic = "demand"
 )
 
+// Frequent reports whether the entries of a topic are renewed all the time. A lost one is not worth a repair, since the next
+// one replaces it.
+func (t Topic) Frequent() bool { return t == TopicTokens || t == TopicDemand }
+
 // MaxBroadcast bounds topic, key and payload of one entry in bytes, so that several entries fit into one probe.
 const MaxBroadcast = 400
 
--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -85,7 +85,9 @@
 	policy routing.Policy
 	scored *routing.Scored
 	gate   *gate.Gate
-	hedger *routing.Hedger
+	// exchange divides the places among the gates.
+	exchange *gate.Exchange
+	hedger   *routing.Hedger
 }
 
 // Result is what one run measured after its warm-up.
@@ -157,10 +159,12 @@
 	r.slowDown(r.warmup + duration)
 
 	background, cancel := context.WithCancel(ctx)
-	stopped := r.exchange(background, seed)
 
 	var loops sync.WaitGroup
 
+	exchange := r.exchange(seed)
+
+	loops.Go(func() { _ = exchange.Serve(background) }) // reports the end of the context
 	loops.Go(func() { every(background, reportPeriod, r.exchangeReports) })
 
 	if r.routers[0].scored != nil {
@@ -189,7 +193,6 @@
 	r.work.Wait()
 	cancel()
 	loops.Wait()
-	<-stopped
 
 	return &r.result
 }
@@ -256,8 +259,8 @@
 	}
 }
 
-// exchange starts the exchange between the processes, which is that of the daemon.
-func (r *run) exchange(ctx context.Context, seed uint64) <-chan error {
+// exchange returns the exchange between the processes, which is that of the daemon.
+func (r *run) exchange(seed uint64) *suture.Supervisor {
 	supervisor := suture.NewSimple("bench")
 	joined := newHub(seed)
 
@@ -265,9 +268,29 @@
 		if entry.scored != nil {
 			inventory.NewTokenExchange(supervisor, r, port{joined, entry.node}, entry.node, entry.scored)
 		}
+
+		if entry.gate != nil {
+			entry.exchange = gate.NewExchange(supervisor, port{joined, entry.node}, entry.node,
+				func() map[apricotway.Service]admission.Demand {
+					return map[apricotway.Service]admission.Demand{r.workload.Service: entry.gate.Demand()}
+				}, func() []apricotway.NodeID { return r.others(entry) })
+		}
+	}
+
+	return supervisor
+}
+
+// others returns the other processes.
+func (r *run) others(entry *router) []apricotway.NodeID {
+	var nodes []apricotway.NodeID
+
+	for _, other := range r.routers {
+		if other != entry {
+			nodes = append(nodes, other.node)
+		}
 	}
 
-	return supervisor.ServeBackground(ctx)
+	return nodes
 }
 
 // Tracked implements inventory.Tracker.
@@ -309,20 +332,10 @@
 		return
 	}
 
-	capacity := r.routers[0].scored.Capacity(time.Now(), r.workload.Service)
-	if capacity.Slots == 0 {
-		return
-	}
-
-	demand := map[apricotway.NodeID]admission.Demand{}
-	for _, entry := range r.routers {
-		demand[entry.node] = entry.gate.Demand()
-	}
-
-	shares := admission.Divide(capacity.Slots*overcommit, nil, demand)
-
 	for _, entry := range r.routers {
-		entry.gate.SetLimits(admission.LocalLimits(shares[entry.node], nil, capacity.Long/capacity.Slots))
+		capacity := entry.scored.Capacity(time.Now(), r.workload.Service)
+		entry.gate.SetLimits(entry.exchange.Limits(r.workload.Service, capacity.Slots*overcommit,
+			capacity.Long/max(capacity.Slots, 1), nil, entry.gate))
 	}
 }
 
--- a/cmd/internal/daemon/completions.go
+++ b/cmd/internal/daemon/completions.go
@@ -6,7 +6,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/transport/engine"
 )
@@ -22,13 +21,12 @@
 		completion.WithBroadcasts(d.membership),
 	)
 	engines := engine.New()
-	routing := newEngineRouting(d.supervisor, engines, d.inventory, d.feed.Fold(), d.logger)
+	routing := newEngineRouting(d.supervisor, engines, d.inventory, d.feed.Fold(), d.membership, d.logger)
 	runner := completion.New(engines, d.inventory,
 		completion.WithPolicy(routing.policy), completion.WithAdmission(routing), completion.WithSuspects(suspects),
 		completion.WithUsage(d.usage.Add), completion.WithReleases(d.feed.Fold().Release), completion.WithLogger(d.logger))
 
-	inventory.NewTokenExchange(d.supervisor, d.inventory, d.membership, d.settings.Node, routing.policy,
-		inventory.WithTokenLogger(d.logger))
+	routing.registerExchangeMetrics(registry)
 	registerCompletionMetrics(registry, runner)
 
 	return completion.NewRequests(d.supervisor, runner,
--- a/cmd/internal/daemon/inventory_bench_test.go
+++ b/cmd/internal/daemon/inventory_bench_test.go
@@ -13,7 +13,9 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/gate"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/state/admission"
 	"github.com/apricotway/apricotway/state/routing"
 )
 
@@ -189,7 +191,8 @@
 	}
 }
 
-// BenchmarkTokens measures the bytes of packets for each member without and with tokens in flight that change every second.
+// BenchmarkTokens measures the bytes of packets for each member without and with tokens in flight that change every second,
+// and with the demand of 10 workspaces as well.
 func BenchmarkTokens(b *testing.B) {
 	for _, size := range []int{8, 32} {
 		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
@@ -215,10 +218,17 @@
 				b.ReportMetric(measure(), "B/s/member-without")
 
 				for i, m := range members {
-					inventory.NewTokenExchange(supervisor, known[i], m.driver, m.driver.Self().Node, busy{known[i]})
+					inventory.NewTokenExchange(supervisor, known[i], m.driver, m.driver.Self().Node, busy{routing.NewScored(), known[i]})
 				}
 
 				b.ReportMetric(measure(), "B/s/member-with")
+
+				for _, m := range members {
+					gate.NewExchange(supervisor, m.driver, m.driver.Self().Node, demandOf(10),
+						func() []apricotway.NodeID { return serving(m.driver.Members()) })
+				}
+
+				b.ReportMetric(measure(), "B/s/member-with-demand")
 			}
 
 			for _, m := range members {
@@ -228,8 +238,23 @@
 	}
 }
 
+func demandOf(workspaces int) func() map[apricotway.Service]admission.Demand {
+	return func() map[apricotway.Service]admission.Demand {
+		demand := admission.Demand{}
+		for i := range workspaces {
+			demand[apricotway.Workspace(fmt.Sprint(i))] = float64(100 + int(time.Now().Unix())%50)
+		}
+
+		return map[apricotway.Service]admission.Demand{"shop-model": demand}
+	}
+}
+
 // busy is a policy with work on every engine that changes every second.
-type busy struct{ known *inventory.Inventory }
+type busy struct {
+	*routing.Scored
+
+	known *inventory.Inventory
+}
 
 func (p busy) Shares() []routing.Share {
 	var shares []routing.Share
@@ -241,7 +266,3 @@
 
 	return shares
 }
-
-func (busy) PeerShares(time.Time, apricotway.NodeID, []routing.Share) {}
-
-func (busy) ForgetPeer(apricotway.NodeID) {}
--- a/cmd/internal/daemon/routing.go
+++ b/cmd/internal/daemon/routing.go
@@ -8,11 +8,13 @@
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/gate"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/coordination/membership"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/admission"
 	"github.com/apricotway/apricotway/state/config"
@@ -42,6 +44,9 @@
 	inventory *inventory.Inventory
 	fold      *config.Fold
 
+	tokens *inventory.TokenExchange
+	demand *gate.Exchange
+
 	mu    sync.Mutex
 	gates map[apricotway.Service]*gate.Gate
 }
@@ -49,13 +54,19 @@
 // newEngineRouting returns the routing of one process and adds its loops to the supervisor.
 func newEngineRouting(
 	supervisor *suture.Supervisor, engines apricotway.EngineClient, known *inventory.Inventory, fold *config.Fold,
-	logger logr.Logger,
+	members *membership.Driver, logger logr.Logger,
 ) *engineRouting {
 	r := &engineRouting{
 		policy: routing.NewScored(), engines: engines, inventory: known, fold: fold,
 		gates: map[apricotway.Service]*gate.Gate{},
 	}
 
+	self := members.Self().Node
+	r.tokens = inventory.NewTokenExchange(supervisor, known, members, self, r.policy, inventory.WithTokenLogger(logger))
+	r.demand = gate.NewExchange(supervisor, members, self, r.ownDemand, func() []apricotway.NodeID {
+		return serving(members.Members())
+	}, gate.WithExchangeLogger(logger))
+
 	for _, loop := range []struct {
 		name   string
 		period time.Duration
@@ -86,6 +97,16 @@
 	return r
 }
 
+// registerExchangeMetrics shows from how many other processes entries are in use.
+func (r *engineRouting) registerExchangeMetrics(registry prometheus.Registerer) {
+	for entry, heard := range map[string]func() int{"tokens": r.tokens.Heard, "demand": r.demand.Heard} {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "apricotway_exchange_processes", Help: "Other processes whose announcements are in use.",
+			ConstLabels: prometheus.Labels{"entry": entry},
+		}, func() float64 { return float64(heard()) }))
+	}
+}
+
 // model reports whether a server is a live one of a model service.
 func (r *engineRouting) model(server apricotway.BackendServer) bool {
 	spec, ok := r.fold.Service(server.Service)
@@ -172,8 +193,47 @@
 	return g
 }
 
-// setLimits divides the capacity by the workspaces' weights. Until processes exchange their demand, each one counts with the
-// whole capacity.
+// serving returns the members that share the engines. Suspected ones count until they are declared dead.
+func serving(members []apricotway.Member) []apricotway.NodeID {
+	var nodes []apricotway.NodeID
+
+	for _, member := range members {
+		if member.State != apricotway.MemberDead {
+			nodes = append(nodes, member.Node)
+		}
+	}
+
+	return nodes
+}
+
+// ownDemand returns the demand of this process by service.
+func (r *engineRouting) ownDemand() map[apricotway.Service]admission.Demand {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	demand := map[apricotway.Service]admission.Demand{}
+	for service, g := range r.gates {
+		demand[service] = g.Demand()
+	}
+
+	return demand
+}
+
+// subsetPart returns how many times the live servers of a service exceed those that this process uses. The capacity that the
+// policy knows is that of the latter.
+func (r *engineRouting) subsetPart(service apricotway.Service) float64 {
+	live := 0
+
+	for _, server := range r.inventory.All() {
+		if server.Service == service && server.State == apricotway.HostLive {
+			live++
+		}
+	}
+
+	return max(float64(live)/float64(max(len(r.inventory.Usable(service)), 1)), 1)
+}
+
+// setLimits divides the capacity by the workspaces' weights and by the demand of all processes.
 func (r *engineRouting) setLimits() {
 	weights := map[apricotway.Workspace]float64{}
 
@@ -188,9 +248,8 @@
 
 	for service, g := range r.gates {
 		capacity := r.policy.Capacity(time.Now(), service)
-		g.SetLimits(admission.Limits{
-			Slots: overcommit * capacity.Slots, LongSlots: overcommit * capacity.Long, Weights: weights,
-		})
+		places := overcommit * capacity.Slots * r.subsetPart(service)
+		g.SetLimits(r.demand.Limits(service, places, capacity.Long/max(capacity.Slots, 1), weights, g))
 	}
 }
 
--- a/coordination/inventory/tokens.go
+++ b/coordination/inventory/tokens.go
@@ -144,6 +144,14 @@
 	x.policy.PeerShares(now, node, shares.Of(x.known.Tracked()))
 }
 
+// Heard returns the number of processes whose entries count.
+func (x *TokenExchange) Heard() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	return len(x.peers)
+}
+
 // expire takes back the counts of processes that are no longer heard.
 func (x *TokenExchange) expire() {
 	now := time.Now()
--- a/state/admission/divide.go
+++ b/state/admission/divide.go
@@ -50,21 +50,40 @@
 	return shares
 }
 
-// LocalLimits turns a process's part of a division into the limits of its queue; longPart is the part of the places that
-// long work may hold. A workspace without demand at the time of the division keeps at least its fair weight: with a weight
-// of 0, its next requests would wait for the next division.
+// minSlots is what a process without any share may admit: limits of 0 would stand for none.
+const minSlots = 1
+
+// LocalLimits turns a process's part of a division into the limits of its queue; own is its demand at the time of the
+// division and longPart the part of the places that long work may hold. A workspace that gets all it
+// demands, which may be nothing, keeps at least its fair weight: its next requests would wait for the next division
+// otherwise. For one that demands more, a weight above its part would raise its share over the processes.
 func LocalLimits(
-	shares, weights map[apricotway.Workspace]float64, longPart float64,
+	shares map[apricotway.Workspace]float64, own Demand, weights map[apricotway.Workspace]float64, longPart float64,
 ) Limits {
+	names := map[apricotway.Workspace]bool{}
 	total, sum := 0.0, 0.0
+
 	for workspace, share := range shares {
 		total += share
+		names[workspace] = true
+	}
+
+	for workspace := range weights {
+		names[workspace] = true
+	}
+
+	for workspace := range names {
 		sum += weightOf(weights, workspace)
 	}
 
-	local := make(map[apricotway.Workspace]float64, len(shares))
-	for workspace, share := range shares {
-		local[workspace] = max(share, total*weightOf(weights, workspace)/sum)
+	total = max(total, minSlots)
+	local := make(map[apricotway.Workspace]float64, len(names))
+
+	for workspace := range names {
+		local[workspace] = shares[workspace]
+		if own[workspace] <= local[workspace] {
+			local[workspace] = max(local[workspace], total*weightOf(weights, workspace)/sum)
+		}
 	}
 
 	return Limits{Slots: total, LongSlots: total * longPart, Weights: local}
--- a/state/admission/queue_test.go
+++ b/state/admission/queue_test.go
@@ -266,7 +266,7 @@
 
 // A workspace that was idle at the division must not be starved until the next one.
 func TestLocalLimits(t *testing.T) {
-	limits := LocalLimits(map[apricotway.Workspace]float64{"busy": 8, "idle": 0}, nil, 0.5)
+	limits := LocalLimits(map[apricotway.Workspace]float64{"busy": 8, "idle": 0}, Demand{"busy": 9}, nil, 0.5)
 
 	if limits.Slots != 8 || limits.LongSlots != 4 {
 		t.Errorf("got %v places and %v for long work, want 8 and 4", limits.Slots, limits.LongSlots)
--- a/state/member/broadcast.go
+++ b/state/member/broadcast.go
@@ -33,7 +33,7 @@
 	switch k.topic {
 	case "":
 		return 0
-	case apricotway.TopicTokens:
+	case apricotway.TopicTokens, apricotway.TopicDemand:
 		return 2
 	case apricotway.TopicNotice, apricotway.TopicRevision, apricotway.TopicQuarantine:
 		return 1
@@ -190,12 +190,12 @@
 	}
 }
 
-// spread queues an entry. Token deltas wait for the regular probes: they are frequent, and the next ones replace them.
+// spread queues an entry. Frequent entries wait for the regular probes, since the next ones replace them.
 func (m *Machine) spread(now time.Time, entry apricotway.BroadcastEntry) {
 	m.digestKnown = false
 	m.enqueue(broadcastKey(entry))
 
-	if entry.Topic != apricotway.TopicTokens {
+	if !entry.Topic.Frequent() {
 		m.urgent(now)
 	}
 }
--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -345,7 +345,7 @@
 // fill adds the updates that were sent least often.
 func (m *Machine) fill(now time.Time, message *Message, budget int) int {
 	limit := m.config.Repeat * bits.Len(uint(m.live+1))
-	tokens := tokenBudget
+	frequent := map[apricotway.Topic]int{apricotway.TopicTokens: tokenBudget, apricotway.TopicDemand: demandBudget}
 
 	for _, key := range m.queue.order() {
 		if key.topic == "" {
@@ -362,14 +362,11 @@
 		entry, ok := m.store.get(key, now)
 		size := broadcastSize(entry)
 
-		if !ok || size > budget || key.topic == apricotway.TopicTokens && size > tokens {
+		if !ok || size > budget || key.topic.Frequent() && size > frequent[key.topic] {
 			continue
 		}
 
-		if key.topic == apricotway.TopicTokens {
-			tokens -= size
-		}
-
+		frequent[key.topic] -= size
 		budget -= size
 		message.Broadcasts = append(message.Broadcasts, entry)
 		m.queue.sent(key, limit)
@@ -402,7 +399,7 @@
 func (m *Machine) enqueue(k key) {
 	m.queue.add(k)
 
-	if k.topic != apricotway.TopicTokens {
+	if !k.topic.Frequent() {
 		m.recent = append(slices.DeleteFunc(m.recent, func(other key) bool { return other == k }), k)
 		m.recent = m.recent[max(0, len(m.recent)-maxRecent):]
 	}
@@ -694,13 +691,13 @@
 	return m.Tick(now)
 }
 
-// State returns the full state for an exchange. Token deltas are left out, since the next ones replace them.
+// State returns the full state for an exchange, without frequent entries.
 func (m *Machine) State(now time.Time) State {
 	entries := append(m.Entries(), m.self)
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Node, b.Node) })
 
 	state := State{Entries: entries, Broadcasts: slices.DeleteFunc(m.store.all(now), func(b apricotway.BroadcastEntry) bool {
-		return b.Topic == apricotway.TopicTokens
+		return b.Topic.Frequent()
 	})}
 
 	state.Digest = m.viewDigest()
@@ -735,7 +732,7 @@
 	}
 
 	for k, kept := range m.store {
-		if k.topic != apricotway.TopicTokens {
+		if !k.topic.Frequent() {
 			text = append(append(append(text, k.topic...), 0), k.name...)
 			mix(kept.entry.Version)
 		}
--- a/state/member/message.go
+++ b/state/member/message.go
@@ -121,6 +121,8 @@
 	payloadBudget = 900
 	// tokenBudget bounds the part for token deltas, which are frequent and would fill every packet.
 	tokenBudget = 400
+	// demandBudget bounds the part for the demand of workspaces, which would wait behind the tokens otherwise.
+	demandBudget = 400
 )
 
 // entrySize returns an upper bound of the encoded size of an entry: names, state, four addresses of at most 20 bytes and
