--- a/cmd/internal/bench/run.go
+++ b/cmd/internal/bench/run.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/cmd/internal/standin"
 	"github.com/apricotway/apricotway/coordination/gate"
+	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/state/admission"
 	"github.com/apricotway/apricotway/state/routing"
 	"github.com/apricotway/apricotway/transport/engine"
@@ -24,7 +26,6 @@
 	reportPeriod = 250 * time.Millisecond
 	eventLag     = 500 * time.Millisecond
 	eventGap     = 20
-	peerPeriod   = 250 * time.Millisecond
 	probePeriod  = 100 * time.Millisecond
 	limitPeriod  = time.Second
 	// routers is the number of entry processes that share the load.
@@ -84,7 +85,9 @@
 	policy routing.Policy
 	scored *routing.Scored
 	gate   *gate.Gate
-	hedger *routing.Hedger
+	// exchange divides the places among the gates.
+	exchange *gate.Exchange
+	hedger   *routing.Hedger
 }
 
 // Result is what one run measured after its warm-up.
@@ -159,10 +162,12 @@
 
 	var loops sync.WaitGroup
 
+	exchange := r.exchange(seed)
+
+	loops.Go(func() { _ = exchange.Serve(background) }) // reports the end of the context
 	loops.Go(func() { every(background, reportPeriod, r.exchangeReports) })
 
 	if r.routers[0].scored != nil {
-		loops.Go(func() { every(background, peerPeriod, r.exchangeShares) })
 		loops.Go(func() { every(background, probePeriod, func() { r.sendProbes(background) }) })
 		loops.Go(func() { every(background, limitPeriod, r.divide) })
 	}
@@ -254,20 +259,43 @@
 	}
 }
 
-func (r *run) exchangeShares() {
-	now := time.Now()
+// exchange returns the exchange between the processes, which is that of the daemon.
+func (r *run) exchange(seed uint64) *suture.Supervisor {
+	supervisor := suture.NewSimple("bench")
+	joined := newHub(seed)
 
 	for _, entry := range r.routers {
-		shares := entry.scored.Shares()
+		if entry.scored != nil {
+			inventory.NewTokenExchange(supervisor, r, port{joined, entry.node}, entry.node, entry.scored)
+		}
 
-		for _, other := range r.routers {
-			if other != entry {
-				other.scored.PeerShares(now, entry.node, shares)
-			}
+		if entry.gate != nil {
+			entry.exchange = gate.NewExchange(supervisor, port{joined, entry.node}, entry.node,
+				func() map[apricotway.Service]admission.Demand {
+					return map[apricotway.Service]admission.Demand{r.workload.Service: entry.gate.Demand()}
+				}, func() []apricotway.NodeID { return r.others(entry) })
 		}
 	}
+
+	return supervisor
 }
 
+// others returns the other processes.
+func (r *run) others(entry *router) []apricotway.NodeID {
+	var nodes []apricotway.NodeID
+
+	for _, other := range r.routers {
+		if other != entry {
+			nodes = append(nodes, other.node)
+		}
+	}
+
+	return nodes
+}
+
+// Tracked implements inventory.Tracker.
+func (r *run) Tracked() []apricotway.BackendServer { return r.servers }
+
 func (r *run) sendProbes(ctx context.Context) {
 	for _, entry := range r.routers {
 		for _, server := range entry.scored.Probes(time.Now()) {
@@ -304,20 +332,10 @@
 		return
 	}
 
-	capacity := r.routers[0].scored.Capacity(time.Now(), r.workload.Service)
-	if capacity.Slots == 0 {
-		return
-	}
-
-	demand := map[apricotway.NodeID]admission.Demand{}
-	for _, entry := range r.routers {
-		demand[entry.node] = entry.gate.Demand()
-	}
-
-	shares := admission.Divide(capacity.Slots*overcommit, nil, demand)
-
 	for _, entry := range r.routers {
-		entry.gate.SetLimits(admission.LocalLimits(shares[entry.node], nil, capacity.Long/capacity.Slots))
+		capacity := entry.scored.Capacity(time.Now(), r.workload.Service)
+		entry.gate.SetLimits(entry.exchange.Limits(r.workload.Service, capacity.Slots*overcommit,
+			capacity.Long/max(capacity.Slots, 1), nil, entry.gate))
 	}
 }
 
--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -107,7 +107,7 @@
 		members: map[apricotway.NodeID]*member{}, relays: map[uint64]relay{},
 		// A random start keeps the answers to probes of an earlier process from matching.
 		sequence: random.Uint64() >> 1,
-		queue:    queue{}, store: store{},
+		queue:    newQueue(), store: store{},
 		lastTick:     now,
 		nextProbe:    now.Add(jitter(random, config.Period)),
 		nextExchange: now.Add(jitter(random, config.ExchangePeriod)),
@@ -215,7 +215,7 @@
 			m.set(now, other, entry)
 		case apricotway.MemberDead:
 			delete(m.members, node)
-			delete(m.queue, memberKey(node))
+			m.queue.drop(memberKey(node))
 		case apricotway.MemberAlive, apricotway.MemberLeaving:
 		}
 	}
@@ -226,7 +226,7 @@
 		}
 	}
 
-	if m.store.expire(now, m.queue) {
+	if m.store.expire(now, &m.queue) {
 		m.digestKnown = false
 	}
 }
@@ -345,7 +345,7 @@
 // fill adds the updates that were sent least often.
 func (m *Machine) fill(now time.Time, message *Message, budget int) int {
 	limit := m.config.Repeat * bits.Len(uint(m.live+1))
-	tokens := tokenBudget
+	frequent := map[apricotway.Topic]int{apricotway.TopicTokens: tokenBudget, apricotway.TopicDemand: demandBudget}
 
 	for _, key := range m.queue.order() {
 		if key.topic == "" {
@@ -362,14 +362,11 @@
 		entry, ok := m.store.get(key, now)
 		size := broadcastSize(entry)
 
-		if !ok || size > budget || key.topic == apricotway.TopicTokens && size > tokens {
+		if !ok || size > budget || key.topic.Frequent() && size > frequent[key.topic] {
 			continue
 		}
 
-		if key.topic == apricotway.TopicTokens {
-			tokens -= size
-		}
-
+		frequent[key.topic] -= size
 		budget -= size
 		message.Broadcasts = append(message.Broadcasts, entry)
 		m.queue.sent(key, limit)
@@ -382,7 +379,7 @@
 // likely misses one of them.
 func (m *Machine) fillRecent(now time.Time, message *Message, budget int) {
 	for _, key := range m.recent {
-		if _, pending := m.queue[key]; pending {
+		if _, pending := m.queue.pending[key]; pending {
 			continue
 		}
 
@@ -402,7 +399,7 @@
 func (m *Machine) enqueue(k key) {
 	m.queue.add(k)
 
-	if k.topic != apricotway.TopicTokens {
+	if !k.topic.Frequent() {
 		m.recent = append(slices.DeleteFunc(m.recent, func(other key) bool { return other == k }), k)
 		m.recent = m.recent[max(0, len(m.recent)-maxRecent):]
 	}
@@ -694,13 +691,13 @@
 	return m.Tick(now)
 }
 
-// State returns the full state for an exchange. Token deltas are left out, since the next ones replace them.
+// State returns the full state for an exchange, without frequent entries.
 func (m *Machine) State(now time.Time) State {
 	entries := append(m.Entries(), m.self)
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Node, b.Node) })
 
 	state := State{Entries: entries, Broadcasts: slices.DeleteFunc(m.store.all(now), func(b apricotway.BroadcastEntry) bool {
-		return b.Topic == apricotway.TopicTokens
+		return b.Topic.Frequent()
 	})}
 
 	state.Digest = m.viewDigest()
@@ -735,7 +732,7 @@
 	}
 
 	for k, kept := range m.store {
-		if k.topic != apricotway.TopicTokens {
+		if !k.topic.Frequent() {
 			text = append(append(append(text, k.topic...), 0), k.name...)
 			mix(kept.entry.Version)
 		}
