Check the signers' keys in the configuration fold

The account command decoded signer objects by itself, so that config apply took any payload and an invalid change ended the command. state/config now knows the kind: an invalid change leaves the last valid key in force. A retired key stays valid for what it signed, since a change of the key must not change the account of the past.

A fold with signer objects none of which is in force returns an empty map that is not nil, since one invalid object must not switch the check of signatures off.

--- /dev/null
+++ b/state/config/signer.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+)
+
+// KindSigner is the kind of the object that announces the key with which processes sign the account. The object's name is
+// the name of the signer.
+const KindSigner Kind = "signer"
+
+// SignerSpec is the payload of a signer object, schema version 1.
+type SignerSpec struct {
+	Owner apricotway.Owner `json:"owner"`
+	// PublicKey is an Ed25519 public key in base64.
+	PublicKey string `json:"publicKey"`
+	// RetiredKeys are earlier keys of the signer. What they signed stays valid, so that a change of the key does not change
+	// the account of the past.
+	RetiredKeys []string `json:"retiredKeys,omitempty"`
+}
+
+// Keys returns the public keys, the present one first.
+func (s SignerSpec) Keys() ([]ed25519.PublicKey, error) {
+	keys := make([]ed25519.PublicKey, 0, 1+len(s.RetiredKeys))
+
+	for _, text := range append([]string{s.PublicKey}, s.RetiredKeys...) {
+		key, err := base64.StdEncoding.DecodeString(text)
+		if err != nil || len(key) != ed25519.PublicKeySize {
+			return nil, errors.Wrapf(ErrInvalidSpec, "%q is no Ed25519 public key in base64", text)
+		}
+
+		keys = append(keys, key)
+	}
+
+	return keys, nil
+}
+
+func decodeSigner(payload json.RawMessage) (any, error) {
+	var spec SignerSpec
+	if err := json.Unmarshal(payload, &spec); err != nil {
+		return nil, errors.Wrap(ErrInvalidSpec, err.Error())
+	}
+
+	if spec.Owner == "" {
+		return nil, errors.Wrap(ErrInvalidSpec, "owner must be set")
+	}
+
+	if _, err := spec.Keys(); err != nil {
+		return nil, err
+	}
+
+	return spec, nil
+}
+
+// Signers returns the signers in force by name. The result is nil when the configuration holds no signer object, and not
+// nil when it holds one, even if none is in force: an invalid object must not switch the check of signatures off. The result
+// must not be changed.
+func (f *Fold) Signers() map[string]SignerSpec { return f.current().signers }
--- /dev/null
+++ b/state/config/signer_test.go
@@ -0,0 +1,64 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/config"
+)
+
+var testKey = strings.Repeat("A", 43) + "="
+
+// TestSignerCheck guards against a signing key that comes into force although no signature can be checked with it.
+func TestSignerCheck(t *testing.T) {
+	for _, test := range []struct {
+		name, spec string
+		valid      bool
+	}{
+		{"key", fmt.Sprintf(`{"owner": "a", "publicKey": %q}`, testKey), true},
+		{"retired key", fmt.Sprintf(`{"owner": "a", "publicKey": %q, "retiredKeys": [%[1]q]}`, testKey), true},
+		{"no owner", fmt.Sprintf(`{"publicKey": %q}`, testKey), false},
+		{"no key", `{"owner": "a"}`, false},
+		{"short key", `{"owner": "a", "publicKey": "AAAA"}`, false},
+		{"not base64", fmt.Sprintf(`{"owner": "a", "publicKey": %q}`, testKey[:43]+"!"), false},
+		{"short retired key", fmt.Sprintf(`{"owner": "a", "publicKey": %q, "retiredKeys": ["AAAA"]}`, testKey), false},
+		{"not an object", `[]`, false},
+	} {
+		if err := config.Check("signer", 1, json.RawMessage(test.spec)); (err == nil) != test.valid {
+			t.Errorf("%s: got %v, want valid %t", test.name, err, test.valid)
+		}
+	}
+}
+
+// TestSigners guards against an invalid change that puts a signer's key out of force, and against an account whose signatures
+// are no longer checked because the only signer was never valid.
+func TestSigners(t *testing.T) {
+	fold := config.New()
+	if got := fold.Signers(); got != nil {
+		t.Errorf("got signers %v of an empty configuration, want nil", got)
+	}
+
+	apply := func(object string, replaces, offset apricotway.Offset, spec string) {
+		payload := fmt.Sprintf(`{"object": %q, "replaces": %d, "spec": %s}`, object, replaces, spec)
+		fold.Apply(apricotway.StoredRecord{
+			Record: apricotway.Record{SchemaVersion: 1, Kind: "signer", ID: fmt.Sprint(offset), Payload: json.RawMessage(payload)},
+			Offset: offset,
+		})
+	}
+
+	apply("mill", 0, 1, `{"owner": "a"}`)
+
+	if got := fold.Signers(); got == nil || len(got) > 0 {
+		t.Errorf("got signers %v, want none in a map that is not nil", got)
+	}
+
+	apply("mill", 1, 2, fmt.Sprintf(`{"owner": "a", "publicKey": %q}`, testKey))
+	apply("mill", 2, 3, `{"owner": "a", "publicKey": "AAAA"}`)
+
+	if got := fold.Signers()["mill"]; got.Owner != "a" || got.PublicKey != testKey {
+		t.Errorf("got signer %+v, want the last valid one", got)
+	}
+}
--- a/state/config/view.go
+++ b/state/config/view.go
@@ -21,6 +21,8 @@
 	workspaces map[apricotway.Workspace]WorkspaceSpec
 	fleets     map[apricotway.Region]FleetSpec
 	releases   map[apricotway.Service]ReleaseSpec
+	// signers is nil when there is no signer object.
+	signers map[string]SignerSpec
 	// tokens holds the callers' token digests by their first eight bytes; the digests that share them are compared in
 	// constant time.
 	tokens  map[uint64][]token
@@ -114,6 +116,10 @@
 
 		v.objects = append(v.objects, status)
 
+		if name.Kind == KindSigner && !current.deleted && v.signers == nil {
+			v.signers = map[string]SignerSpec{}
+		}
+
 		switch spec := current.spec.(type) {
 		case ServiceSpec:
 			v.services[apricotway.Service(name.Object)] = spec
@@ -123,6 +129,8 @@
 			v.fleets[apricotway.Region(name.Object)] = spec
 		case ReleaseSpec:
 			v.releases[apricotway.Service(name.Object)] = spec
+		case SignerSpec:
+			v.signers[name.Object] = spec
 		}
 	}
 
