Write statements of the account before retention ends

The totals of a trimmed stream lacked what was trimmed. A mark on the usage stream now asks each owner for a signed statement of everything below it: totals, chains, counts and faults. Readers of a trimmed stream start from the complete statement with the lowest kept mark.

Marks name the one before them, so the order of the log decides between writers, and what a statement says follows from the records below its mark. A lease was ruled out as unneeded, fixed offsets because an idle stream never reaches the next one, and a statement by one owner alone because it would make the other owner's account once the batches are trimmed.

A statement takes 125 bytes for each process ever started.

--- a/cmd/internal/ctl/account.go
+++ b/cmd/internal/ctl/account.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/ed25519"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -16,16 +13,13 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/cmd/internal/cli"
+	"github.com/apricotway/apricotway/coordination/usage"
 	"github.com/apricotway/apricotway/state/account"
-	"github.com/apricotway/apricotway/state/config"
 	"github.com/apricotway/apricotway/transport/logservice"
 )
 
-const (
-	// accountTimeout bounds the reading of the whole usage stream.
-	accountTimeout = 5 * time.Minute
-	readLimit      = 1000
-)
+// accountTimeout bounds the reading of the whole usage stream.
+const accountTimeout = 5 * time.Minute
 
 // errAccountFaults makes verify fail when the stream has faults.
 var errAccountFaults = errors.New("the usage stream has faults")
@@ -57,17 +51,12 @@
 
 	objects := history.fold
 
-	signers, err := signersOf(objects.Objects())
-	if err != nil {
-		return account.Statement{}, err
-	}
-
-	fold := account.New(account.WithSigners(signers))
-	if err := readUsage(ctx, log, fold); err != nil {
+	reader := usage.NewReader(log, account.SignersOf(objects))
+	if err := reader.CatchUp(ctx); err != nil {
 		return account.Statement{}, err
 	}
 
-	statement := fold.Statement()
+	statement := reader.Fold().Statement()
 	if o.Owner != "" {
 		statement.Totals = slices.DeleteFunc(statement.Totals, func(entry account.Entry) bool {
 			workspace, ok := objects.Workspace(entry.Workspace)
@@ -78,73 +67,6 @@
 	return statement, nil
 }
 
-// readUsage folds the usage stream from its oldest kept record to its end.
-func readUsage(ctx context.Context, log apricotway.Log, fold *account.Fold) error {
-	for next := apricotway.Offset(1); ; {
-		batch, err := log.Read(ctx, apricotway.StreamUsage, next, readLimit, 0)
-		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest > next {
-			fold.Trimmed()
-
-			next = batch.Oldest
-
-			continue
-		}
-
-		if err != nil {
-			return errors.Wrap(err, "read usage stream")
-		}
-
-		for _, record := range batch.Records {
-			fold.Apply(record)
-		}
-
-		if len(batch.Records) == 0 {
-			return nil
-		}
-
-		next = batch.Next
-	}
-}
-
-// kindSigner is the kind of the configuration objects that announce keys.
-const kindSigner config.Kind = "signer"
-
-// signerSpec is the payload of a signer object, schema version 1.
-type signerSpec struct {
-	Owner apricotway.Owner `json:"owner"`
-	// PublicKey is an Ed25519 public key in base64.
-	PublicKey string `json:"publicKey"`
-}
-
-// signersOf returns the announced keys, or nil when the configuration announces none.
-func signersOf(objects []config.Status) (map[string]ed25519.PublicKey, error) {
-	var signers map[string]ed25519.PublicKey
-
-	for _, object := range objects {
-		if object.Kind != kindSigner || object.Deleted {
-			continue
-		}
-
-		var spec signerSpec
-		if err := json.Unmarshal(object.Spec, &spec); err != nil {
-			return nil, errors.Wrapf(err, "signer %s", object.Object)
-		}
-
-		key, err := base64.StdEncoding.DecodeString(spec.PublicKey)
-		if err != nil || len(key) != ed25519.PublicKeySize {
-			return nil, errors.Errorf("signer %s: publicKey is no Ed25519 key in base64", object.Object)
-		}
-
-		if signers == nil {
-			signers = map[string]ed25519.PublicKey{}
-		}
-
-		signers[object.Object] = key
-	}
-
-	return signers, nil
-}
-
 type accountShow struct{ accountOptions }
 
 // Execute implements flags.Commander.
@@ -192,6 +114,12 @@
 	} else {
 		fmt.Printf("%d batches counted, %d repeats dropped, %d processes without a last batch, %d chains with a trimmed start\n",
 			statement.Batches, statement.Repeats, statement.Open, statement.TrimmedChains)
+		fmt.Printf("%d complete statements fit, %d of their parts repeated, %d on records that are not kept\n",
+			statement.Statements, statement.StatementRepeats, statement.UncheckedParts)
+
+		if statement.Base > 0 {
+			fmt.Printf("what is trimmed is taken from the statement of offset %d\n", statement.Base)
+		}
 
 		for _, fault := range statement.Faults {
 			fmt.Printf("offset %d, node %s, batch %d: %s: %s\n",
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -151,7 +151,7 @@
 	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger),
 		inventory.WithBroadcasts(d.membership), inventory.WithMembership(d.membership))
 
-	if err := d.startAccount(); err != nil {
+	if err := d.startAccount(log); err != nil {
 		return err
 	}
 
--- /dev/null
+++ b/coordination/usage/reader.go
@@ -0,0 +1,105 @@
+package usage
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/account"
+)
+
+const readLimit = 1000
+
+// Reader folds the usage stream. A stream whose start is trimmed is folded from a complete statement. It is not safe for
+// concurrent use.
+type Reader struct {
+	log     apricotway.Log
+	signers map[string]account.Signer
+	fold    *account.Fold
+	next    apricotway.Offset
+}
+
+// NewReader returns a reader at the start of the stream. Without signers it does not check signatures.
+func NewReader(log apricotway.Log, signers map[string]account.Signer) *Reader {
+	r := &Reader{log: log, signers: signers}
+	r.reset()
+
+	return r
+}
+
+func (r *Reader) reset() {
+	r.fold, r.next = account.New(account.WithSigners(r.signers)), 1
+}
+
+// Fold returns what has been read so far.
+func (r *Reader) Fold() *account.Fold { return r.fold }
+
+// CatchUp reads to the end of the stream.
+func (r *Reader) CatchUp(ctx context.Context) error {
+	for {
+		batch, err := r.log.Read(ctx, apricotway.StreamUsage, r.next, readLimit, 0)
+		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest > r.next {
+			// What lies between is not kept, so that all of the state is taken from a statement.
+			if err := r.restart(ctx, batch.Oldest); err != nil {
+				return err
+			}
+
+			continue
+		}
+
+		if err != nil {
+			return errors.Wrap(err, "read usage stream")
+		}
+
+		for _, record := range batch.Records {
+			r.fold.Apply(record)
+		}
+
+		if len(batch.Records) == 0 {
+			return nil
+		}
+
+		r.next = batch.Next
+	}
+}
+
+// restart looks for a complete statement in the kept records and goes on from the oldest of them.
+func (r *Reader) restart(ctx context.Context, oldest apricotway.Offset) error {
+	search := account.NewSearch(oldest, r.signers)
+
+	for from := oldest; ; {
+		batch, err := r.log.Read(ctx, apricotway.StreamUsage, from, readLimit, 0)
+		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest > from {
+			oldest, from = batch.Oldest, batch.Oldest
+			search = account.NewSearch(oldest, r.signers)
+
+			continue
+		}
+
+		if err != nil {
+			return errors.Wrap(err, "look for a statement")
+		}
+
+		for _, record := range batch.Records {
+			search.Add(record)
+		}
+
+		if len(batch.Records) == 0 {
+			break
+		}
+
+		from = batch.Next
+	}
+
+	r.reset()
+	r.next = oldest
+
+	if base, ok := search.Base(); ok {
+		r.fold.Restore(base)
+	} else {
+		r.fold.Trimmed()
+	}
+
+	return nil
+}
--- a/state/account/account_test.go
+++ b/state/account/account_test.go
@@ -17,7 +17,9 @@
 var (
 	seed    = make([]byte, ed25519.SeedSize)
 	private = ed25519.NewKeyFromSeed(seed)
-	signers = map[string]ed25519.PublicKey{"mill": private.Public().(ed25519.PublicKey)}
+	signers = map[string]account.Signer{
+		"mill": {Owner: "association", Keys: []ed25519.PublicKey{private.Public().(ed25519.PublicKey)}},
+	}
 )
 
 // chainOf returns the batches of one process, batch i with i+1 generated tokens.
--- a/state/account/batch.go
+++ b/state/account/batch.go
@@ -4,13 +4,8 @@
 
 import (
 	"crypto/ed25519"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/apricotway/apricotway"
 )
 
@@ -53,6 +48,13 @@
 	}
 }
 
+// less tells whether any amount is below that of the other.
+func (u Usage) less(other Usage) bool {
+	return u.Requests < other.Requests || u.PromptTokens < other.PromptTokens ||
+		u.GeneratedTokens < other.GeneratedTokens || u.RecomputedTokens < other.RecomputedTokens ||
+		u.HedgedTokens < other.HedgedTokens || u.EngineMicroseconds < other.EngineMicroseconds
+}
+
 // negative tells whether any amount is below zero, which no use can cause.
 func (u Usage) negative() bool {
 	return min(u.Requests, u.PromptTokens, u.GeneratedTokens, u.RecomputedTokens, u.HedgedTokens, u.EngineMicroseconds) < 0
@@ -85,14 +87,7 @@
 func (b Batch) Hash() (string, error) {
 	b.Signature = nil
 
-	encoded, err := json.Marshal(b)
-	if err != nil {
-		return "", errors.Wrap(err, "encode batch")
-	}
-
-	sum := sha256.Sum256(encoded)
-
-	return hex.EncodeToString(sum[:]), nil
+	return hashOf(b)
 }
 
 // Sign returns the batch with the signature of the named key.
--- a/state/account/fold.go
+++ b/state/account/fold.go
@@ -2,10 +2,10 @@
 
 import (
 	"cmp"
-	"crypto/ed25519"
 	"encoding/json"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/apricotway/apricotway"
 )
@@ -23,6 +23,8 @@
 	FaultChain FaultKind = "chain"
 	// FaultSignature marks a batch whose signature is missing, unknown or wrong.
 	FaultSignature FaultKind = "signature"
+	// FaultStatement marks a statement that differs from the batches that it covers, or a batch that it lacks.
+	FaultStatement FaultKind = "statement"
 )
 
 // Fault is one fault of the usage stream.
@@ -40,13 +42,14 @@
 	sequence uint64
 	hash     string
 	last     bool
+	// offset is that of the newest accepted batch; it is not known of a chain from a statement.
+	offset apricotway.Offset
 }
 
 // Fold computes totals and faults from the records of the usage stream. Equal streams give equal results wherever they are
 // folded.
 type Fold struct {
-	// signers maps the names of keys to public keys; when it is nil, signatures are not checked.
-	signers map[string]ed25519.PublicKey
+	signers signers
 	chains  map[apricotway.NodeID]*chain
 	totals  map[Key]Usage
 	faults  []Fault
@@ -56,19 +59,40 @@
 	// trimmed is set when the stream's start is no longer kept; trimmedChains counts the chains that begin behind it.
 	trimmed       bool
 	trimmedChains int
+
+	// faultCount and firstFault are of batches alone, since a statement has to be the same whatever was said before it.
+	faultCount int
+	firstFault *Fault
+
+	// base is the offset of the statement that the fold was restored from; before folds the kept records below it.
+	base   apricotway.Offset
+	before *Fold
+	// newest is the newest mark in force, newestTime its informative time, state the encoded snapshot there, and sinceMark
+	// the number of batch records behind it.
+	newest     apricotway.Offset
+	newestTime time.Time
+	state      []byte
+	sinceMark  int
+	// marks holds the marks in force since the base.
+	marks map[apricotway.Offset]*marked
+	// complete counts complete statements, statementRepeats their dropped copies, and unchecked the parts of statements on
+	// records that are not kept.
+	complete, statementRepeats, unchecked int
 }
 
 // Option changes a fold under construction.
 type Option func(*Fold)
 
 // WithSigners makes the fold count only batches that one of the keys signed.
-func WithSigners(signers map[string]ed25519.PublicKey) Option {
-	return func(f *Fold) { f.signers = signers }
+func WithSigners(announced map[string]Signer) Option {
+	return func(f *Fold) { f.signers = announced }
 }
 
 // New returns an empty fold.
 func New(options ...Option) *Fold {
-	f := &Fold{chains: map[apricotway.NodeID]*chain{}, totals: map[Key]Usage{}}
+	f := &Fold{
+		chains: map[apricotway.NodeID]*chain{}, totals: map[Key]Usage{}, marks: map[apricotway.Offset]*marked{},
+	}
 	for _, option := range options {
 		option(f)
 	}
@@ -79,28 +103,54 @@
 // Trimmed tells the fold that the stream's start is no longer kept, so that chains may begin with any number.
 func (f *Fold) Trimmed() { f.trimmed = true }
 
+// partial tells whether the totals lack what is trimmed.
+func (f *Fold) partial() bool { return f.trimmed }
+
 // Apply folds one record. A batch with a fault in its chain or signature is not counted; one behind a gap is, since the
 // fault is the missing batch.
 func (f *Fold) Apply(record apricotway.StoredRecord) {
+	if record.Offset < f.base {
+		f.applyBefore(record)
+		return
+	}
+
+	if f.before != nil {
+		f.compareBefore(record)
+	}
+
+	switch {
+	case record.Kind == KindStatement:
+		f.applyStatement(record)
+	case record.Kind == KindMark && record.Offset == f.base && f.base > 0:
+		f.newestTime = record.Time
+	case record.Kind == KindMark:
+		f.applyMark(record)
+	default:
+		f.sinceMark++
+		f.applyBatch(record)
+	}
+}
+
+func (f *Fold) applyBatch(record apricotway.StoredRecord) {
 	var batch Batch
 	if record.Kind != KindBatch || record.SchemaVersion != SchemaVersion {
-		f.fault(record, batch, FaultMalformed, fmt.Sprintf("kind %s version %d", record.Kind, record.SchemaVersion))
+		f.batchFault(record, batch, FaultMalformed, fmt.Sprintf("kind %s version %d", record.Kind, record.SchemaVersion))
 		return
 	}
 
 	if err := json.Unmarshal(record.Payload, &batch); err != nil {
-		f.fault(record, batch, FaultMalformed, err.Error())
+		f.batchFault(record, batch, FaultMalformed, err.Error())
 		return
 	}
 
 	hash, err := batch.Hash()
 	if err != nil {
-		f.fault(record, batch, FaultMalformed, err.Error())
+		f.batchFault(record, batch, FaultMalformed, err.Error())
 		return
 	}
 
-	if detail := f.checkSignature(batch, hash); detail != "" {
-		f.fault(record, batch, FaultSignature, detail)
+	if detail := f.signers.check(batch.Signer, hash, batch.Signature); detail != "" {
+		f.batchFault(record, batch, FaultSignature, detail)
 		return
 	}
 
@@ -109,23 +159,6 @@
 	}
 }
 
-func (f *Fold) checkSignature(batch Batch, hash string) string {
-	if f.signers == nil {
-		return ""
-	}
-
-	key, ok := f.signers[batch.Signer]
-	if !ok {
-		return fmt.Sprintf("signer %q is unknown", batch.Signer)
-	}
-
-	if !ed25519.Verify(key, []byte(hash), batch.Signature) {
-		return "the signature does not fit the batch"
-	}
-
-	return ""
-}
-
 // acceptChain tells whether the batch continues the chain of its process, with or without a gap.
 func (f *Fold) acceptChain(record apricotway.StoredRecord, batch Batch, hash string) bool {
 	current := f.chains[batch.Node]
@@ -136,7 +169,7 @@
 
 	switch {
 	case batch.Sequence == 0 || batch.Node == "":
-		f.fault(record, batch, FaultMalformed, "node and sequence are required")
+		f.batchFault(record, batch, FaultMalformed, "node and sequence are required")
 		return false
 	case f.trimmed && current.sequence == 0 && batch.Sequence > 1:
 		f.trimmedChains++
@@ -146,16 +179,16 @@
 	case batch.Sequence <= current.sequence:
 		// Batches of one process are appended one after the other, so an earlier number is a late copy or an alteration;
 		// without the hash of every batch the two cannot be told apart, and neither may count.
-		f.fault(record, batch, FaultChain, fmt.Sprintf("follows batch %d", current.sequence))
+		f.batchFault(record, batch, FaultChain, fmt.Sprintf("follows batch %d", current.sequence))
 		return false
 	case batch.Sequence == current.sequence+1 && batch.Previous != current.hash:
-		f.fault(record, batch, FaultChain, "the hash of the batch before differs")
+		f.batchFault(record, batch, FaultChain, "the hash of the batch before differs")
 		return false
 	case batch.Sequence > current.sequence+1:
-		f.fault(record, batch, FaultGap, fmt.Sprintf("%d batches missing", batch.Sequence-current.sequence-1))
+		f.batchFault(record, batch, FaultGap, fmt.Sprintf("%d batches missing", batch.Sequence-current.sequence-1))
 	}
 
-	current.sequence, current.hash, current.last = batch.Sequence, hash, batch.Last
+	current.sequence, current.hash, current.last, current.offset = batch.Sequence, hash, batch.Last, record.Offset
 
 	return true
 }
@@ -163,7 +196,7 @@
 func (f *Fold) count(record apricotway.StoredRecord, batch Batch) {
 	for _, entry := range batch.Entries {
 		if entry.negative() {
-			f.fault(record, batch, FaultMalformed, "an amount is below zero")
+			f.batchFault(record, batch, FaultMalformed, "an amount is below zero")
 			return
 		}
 	}
@@ -175,9 +208,19 @@
 	}
 }
 
-func (f *Fold) fault(record apricotway.StoredRecord, batch Batch, kind FaultKind, detail string) {
+func (f *Fold) batchFault(record apricotway.StoredRecord, batch Batch, kind FaultKind, detail string) {
+	fault := Fault{Offset: record.Offset, Node: batch.Node, Sequence: batch.Sequence, Kind: kind, Detail: detail}
+	if f.firstFault == nil {
+		f.firstFault = &fault
+	}
+
+	f.faultCount++
+	f.faults = append(f.faults, fault)
+}
+
+func (f *Fold) statementFault(record apricotway.StoredRecord, p statementPart, kind FaultKind, detail string) {
 	f.faults = append(f.faults, Fault{
-		Offset: record.Offset, Node: batch.Node, Sequence: batch.Sequence, Kind: kind, Detail: detail,
+		Offset: record.Offset, Kind: kind, Detail: fmt.Sprintf("statement of offset %d by %q: %s", p.Mark, p.Signer, detail),
 	})
 }
 
@@ -193,29 +236,46 @@
 	Open int `json:"open"`
 	// TrimmedChains counts the processes whose first batches are no longer kept; the totals lack these.
 	TrimmedChains int `json:"trimmedChains"`
+	// BatchFaults counts the faults of batches, with those that are trimmed; Faults holds the first one and the kept ones.
+	BatchFaults int `json:"batchFaults"`
+	// Base is the offset of the statement from which a trimmed stream was folded, 0 for none.
+	Base apricotway.Offset `json:"base,omitempty"`
+	// Statements counts the statements that every owner has signed and that fit the batches.
+	Statements       int `json:"statements"`
+	StatementRepeats int `json:"statementRepeats"`
+	// UncheckedParts counts the parts of statements on batches that are no longer kept.
+	UncheckedParts int `json:"uncheckedParts"`
 }
 
 // Statement returns the account so far, in a fixed order.
 func (f *Fold) Statement() Statement {
-	statement := Statement{Totals: []Entry{}, Faults: slices.Clone(f.faults), Batches: f.batches, Repeats: f.repeats}
-	statement.TrimmedChains = f.trimmedChains
+	statement := Statement{
+		Totals: f.sortedTotals(), Faults: slices.Clone(f.faults), Batches: f.batches, Repeats: f.repeats,
+		TrimmedChains: f.trimmedChains, BatchFaults: f.faultCount, Base: f.base, Statements: f.complete,
+		StatementRepeats: f.statementRepeats, UncheckedParts: f.unchecked,
+	}
+
+	for _, current := range f.chains {
+		if !current.last {
+			statement.Open++
+		}
+	}
 
+	return statement
+}
+
+func (f *Fold) sortedTotals() []Entry {
+	totals := make([]Entry, 0, len(f.totals))
 	for key, usage := range f.totals {
-		statement.Totals = append(statement.Totals, Entry{Key: key, Usage: usage})
+		totals = append(totals, Entry{Key: key, Usage: usage})
 	}
 
-	slices.SortFunc(statement.Totals, func(a, b Entry) int {
+	slices.SortFunc(totals, func(a, b Entry) int {
 		return cmp.Or(
 			cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Service, b.Service),
 			cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.MachineClass, b.MachineClass),
 		)
 	})
 
-	for _, current := range f.chains {
-		if !current.last {
-			statement.Open++
-		}
-	}
-
-	return statement
+	return totals
 }
--- /dev/null
+++ b/state/account/signer.go
@@ -0,0 +1,98 @@
+package account
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/config"
+)
+
+// Signer is one announced signer.
+type Signer struct {
+	Owner apricotway.Owner
+	// Keys are the present key and the retired ones; a signature by any of them counts.
+	Keys []ed25519.PublicKey
+}
+
+// SignersOf returns the signers of a configuration; nil when it has none, so that signatures are not checked.
+func SignersOf(fold *config.Fold) map[string]Signer {
+	specs := fold.Signers()
+	if specs == nil {
+		return nil
+	}
+
+	signers := make(map[string]Signer, len(specs))
+
+	for name, spec := range specs {
+		// The specification was checked before it came into force.
+		keys, _ := spec.Keys()
+		signers[name] = Signer{Owner: spec.Owner, Keys: keys}
+	}
+
+	return signers
+}
+
+// signers checks signatures. Nil accepts everything.
+type signers map[string]Signer
+
+// check returns what is wrong with a signature, or nothing.
+func (s signers) check(name, hash string, signature []byte) string {
+	if s == nil {
+		return ""
+	}
+
+	signer, ok := s[name]
+	if !ok {
+		return fmt.Sprintf("signer %q is unknown", name)
+	}
+
+	for _, key := range signer.Keys {
+		if ed25519.Verify(key, []byte(hash), signature) {
+			return ""
+		}
+	}
+
+	return "the signature does not fit"
+}
+
+// owners returns the owners who have to sign a statement, in order. Without signers there is one nameless owner.
+func (s signers) owners() []apricotway.Owner {
+	if s == nil {
+		return []apricotway.Owner{""}
+	}
+
+	var owners []apricotway.Owner
+	for _, signer := range s {
+		owners = append(owners, signer.Owner)
+	}
+
+	slices.Sort(owners)
+
+	return slices.Compact(owners)
+}
+
+// owner returns the owner of a signer, the nameless one when there are no signers.
+func (s signers) owner(name string) apricotway.Owner { return s[name].Owner }
+
+// hashOf returns the hexadecimal SHA-256 digest of a value's JSON form.
+func hashOf(value any) (string, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return "", errors.Wrap(err, "encode")
+	}
+
+	return digestOf(encoded), nil
+}
+
+// digestOf returns the hexadecimal SHA-256 digest.
+func digestOf(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/state/account/statement.go
@@ -0,0 +1,293 @@
+package account
+
+import (
+	"cmp"
+	"crypto/ed25519"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/apricotway/apricotway"
+)
+
+// The kinds of the records that keep the account over a trim of the stream.
+const (
+	// KindMark is the kind of a record that asks for a statement of everything before it.
+	KindMark = "usageMark"
+	// KindStatement is the kind of a part of a statement.
+	KindStatement = "usageStatement"
+)
+
+const (
+	// maxPart bounds the state in one record; in base64 and with the rest of the record it fits into one append.
+	maxPart = 256 << 10
+	// maxParts bounds a statement to 256 MiB.
+	maxParts = 1024
+)
+
+// statementSpace is the name space of the identifiers of statement records.
+var statementSpace = uuid.MustParse("0d1f3a52-9b1c-4f64-8f0e-53f5a1f2c7be")
+
+// mark is the payload of a mark.
+type mark struct {
+	// Previous is the offset of the newest mark in force that the writer has read, 0 for the first one. Of several marks
+	// that name the same one the first in the stream is in force and the others are void.
+	Previous apricotway.Offset `json:"previous"`
+}
+
+// NewMark returns a mark that follows the one at the given offset.
+func NewMark(previous apricotway.Offset) (apricotway.Record, error) {
+	payload, err := json.Marshal(mark{Previous: previous})
+	if err != nil {
+		return apricotway.Record{}, errors.Wrap(err, "encode mark")
+	}
+
+	return apricotway.Record{SchemaVersion: SchemaVersion, Kind: KindMark, ID: uuid.NewString(), Payload: payload}, nil
+}
+
+// chainState is the durable form of a chain.
+type chainState struct {
+	Node     apricotway.NodeID `json:"node"`
+	Sequence uint64            `json:"sequence"`
+	Hash     string            `json:"hash"`
+	Last     bool              `json:"last,omitempty"`
+}
+
+// snapshot is what a statement says: the account of all records below a mark. It depends on these records and the signers
+// alone, so that all writers encode the same bytes. Faults of statements are no part of it.
+type snapshot struct {
+	Mark    apricotway.Offset `json:"mark"`
+	Batches int               `json:"batches"`
+	Repeats int               `json:"repeats"`
+	Faults  int               `json:"faults"`
+	// First is the first fault of a batch.
+	First  *Fault       `json:"first,omitempty"`
+	Chains []chainState `json:"chains"`
+	Totals []Entry      `json:"totals"`
+}
+
+func (f *Fold) snapshot(at apricotway.Offset) snapshot {
+	s := snapshot{
+		Mark: at, Batches: f.batches, Repeats: f.repeats, Faults: f.faultCount, First: f.firstFault,
+		Chains: make([]chainState, 0, len(f.chains)), Totals: f.sortedTotals(),
+	}
+	for node, c := range f.chains {
+		s.Chains = append(s.Chains, chainState{Node: node, Sequence: c.sequence, Hash: c.hash, Last: c.last})
+	}
+
+	slices.SortFunc(s.Chains, func(a, b chainState) int { return cmp.Compare(a.Node, b.Node) })
+
+	return s
+}
+
+// statementPart is the payload of a statement record.
+type statementPart struct {
+	Mark  apricotway.Offset `json:"mark"`
+	Part  int               `json:"part"`
+	Parts int               `json:"parts"`
+	// Digest is the hexadecimal SHA-256 digest of the whole state.
+	Digest string `json:"digest"`
+	// State is the part of the encoded snapshot, as base64.
+	State     []byte `json:"state"`
+	Signer    string `json:"signer,omitempty"`
+	Signature []byte `json:"signature,omitempty"`
+}
+
+func (p statementPart) hash() (string, error) {
+	p.Signature = nil
+	return hashOf(p)
+}
+
+func decodePart(record apricotway.StoredRecord) (statementPart, bool) {
+	var p statementPart
+
+	err := json.Unmarshal(record.Payload, &p)
+
+	return p, err == nil && record.SchemaVersion == SchemaVersion && p.Part >= 0 && p.Part < p.Parts &&
+		p.Parts <= maxParts && p.Mark > 0 && p.Mark < record.Offset
+}
+
+// checkPart returns what is wrong with the signature of a part, or nothing.
+func (s signers) checkPart(p statementPart) string {
+	hash, err := p.hash()
+	if err != nil {
+		return err.Error()
+	}
+
+	return s.check(p.Signer, hash, p.Signature)
+}
+
+// partsOf cuts the state of a statement into its parts, without signatures.
+func partsOf(at apricotway.Offset, state []byte) []statementPart {
+	parts := make([]statementPart, max((len(state)+maxPart-1)/maxPart, 1))
+	for i := range parts {
+		parts[i] = statementPart{
+			Mark: at, Part: i, Parts: len(parts), Digest: digestOf(state),
+			State: state[i*maxPart : min((i+1)*maxPart, len(state))],
+		}
+	}
+
+	return parts
+}
+
+// NewStatement returns the records of a statement on the state at a mark. Without a key they are not signed. Records of the
+// same state and signer are equal, so that readers drop a second copy.
+func NewStatement(at apricotway.Offset, state []byte, signer string, key ed25519.PrivateKey) ([]apricotway.Record, error) {
+	parts := partsOf(at, state)
+	records := make([]apricotway.Record, 0, len(parts))
+
+	for _, p := range parts {
+		if key != nil {
+			p.Signer = signer
+
+			hash, err := p.hash()
+			if err != nil {
+				return nil, err
+			}
+
+			p.Signature = ed25519.Sign(key, []byte(hash))
+		}
+
+		payload, err := json.Marshal(p)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode statement")
+		}
+
+		records = append(records, apricotway.Record{
+			SchemaVersion: SchemaVersion, Kind: KindStatement, ID: uuid.NewSHA1(statementSpace, payload).String(),
+			Payload: payload,
+		})
+	}
+
+	return records, nil
+}
+
+// marked is what the fold keeps of a mark in force.
+type marked struct {
+	digest string
+	// parts holds the digests of the parts of the expected statement.
+	parts []string
+	// signed holds the parts that each owner has signed.
+	signed map[apricotway.Owner]map[int]bool
+}
+
+func (m *marked) signedBy(owner apricotway.Owner) bool { return len(m.signed[owner]) == len(m.parts) }
+
+func (m *marked) complete(s signers) bool {
+	return !slices.ContainsFunc(s.owners(), func(owner apricotway.Owner) bool { return !m.signedBy(owner) })
+}
+
+func newMarked(at apricotway.Offset, state []byte) *marked {
+	m := &marked{digest: digestOf(state), signed: map[apricotway.Owner]map[int]bool{}}
+	for _, p := range partsOf(at, state) {
+		m.parts = append(m.parts, digestOf(p.State))
+	}
+
+	return m
+}
+
+// applyMark takes a mark. One that does not follow the mark in force is void.
+func (f *Fold) applyMark(record apricotway.StoredRecord) {
+	var m mark
+	if record.SchemaVersion != SchemaVersion || json.Unmarshal(record.Payload, &m) != nil {
+		f.batchFault(record, Batch{}, FaultMalformed, "no valid mark")
+		return
+	}
+
+	// A fold without the start of the stream cannot know which mark was in force.
+	if m.Previous != f.newest && !f.partial() {
+		return
+	}
+
+	f.newest, f.newestTime, f.sinceMark = record.Offset, record.Time, 0
+	f.state = nil
+
+	if f.partial() {
+		return
+	}
+
+	state, err := json.Marshal(f.snapshot(record.Offset))
+	if err != nil {
+		f.batchFault(record, Batch{}, FaultMalformed, err.Error())
+		return
+	}
+
+	f.state = state
+	f.marks[record.Offset] = newMarked(record.Offset, state)
+}
+
+// applyStatement checks a part of a statement against what the fold computed at its mark.
+func (f *Fold) applyStatement(record apricotway.StoredRecord) {
+	p, ok := decodePart(record)
+	if !ok {
+		f.statementFault(record, p, FaultMalformed, "no valid statement")
+		return
+	}
+
+	if detail := f.signers.checkPart(p); detail != "" {
+		f.statementFault(record, p, FaultSignature, detail)
+		return
+	}
+
+	m := f.marks[p.Mark]
+
+	switch {
+	case m == nil && (f.partial() || p.Mark < f.base):
+		f.unchecked++
+	case m == nil:
+		f.statementFault(record, p, FaultStatement, "no mark in force at the offset that it covers")
+	case p.Digest != m.digest || p.Parts != len(m.parts) || digestOf(p.State) != m.parts[p.Part]:
+		f.statementFault(record, p, FaultStatement, "differs from the batches that it covers")
+	default:
+		f.acceptPart(p, m)
+	}
+}
+
+func (f *Fold) acceptPart(p statementPart, m *marked) {
+	owner := f.signers.owner(p.Signer)
+	if m.signed[owner] == nil {
+		m.signed[owner] = map[int]bool{}
+	}
+
+	if m.signed[owner][p.Part] {
+		f.statementRepeats++
+		return
+	}
+
+	m.signed[owner][p.Part] = true
+
+	if m.complete(f.signers) {
+		f.complete++
+	}
+}
+
+// Due is what a writer of statements has to know.
+type Due struct {
+	// Mark is the newest mark in force, 0 when there is none.
+	Mark apricotway.Offset
+	// State is the state at the mark when the owner has not signed it yet; otherwise it is nil.
+	State []byte
+	// MarkTime is the log service's time of the mark. It steers when the next one is due, and nothing else.
+	MarkTime time.Time
+	// Batches counts the batch records behind the mark.
+	Batches int
+}
+
+// Due returns what the signer's owner has to write. It reports false when the stream's start is not kept and no complete
+// statement covers it, because then the fold cannot know what a statement has to say.
+func (f *Fold) Due(signer string) (Due, bool) {
+	if f.partial() {
+		return Due{}, false
+	}
+
+	due := Due{Mark: f.newest, MarkTime: f.newestTime, Batches: f.sinceMark}
+
+	if m := f.marks[f.newest]; m != nil && !m.signedBy(f.signers.owner(signer)) {
+		due.State = f.state
+	}
+
+	return due, true
+}
--- /dev/null
+++ b/state/account/statement_test.go
@@ -0,0 +1,399 @@
+package account_test
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/account"
+)
+
+var (
+	shopKey = ed25519.NewKeyFromSeed(slices.Repeat([]byte{2}, ed25519.SeedSize))
+	keys    = map[string]ed25519.PrivateKey{"mill": private, "shop": shopKey}
+	both    = map[string]account.Signer{
+		"mill": signers["mill"],
+		"shop": {Owner: "tinbright", Keys: []ed25519.PublicKey{shopKey.Public().(ed25519.PublicKey)}},
+	}
+)
+
+// usageStream is a usage stream under construction.
+type usageStream []apricotway.StoredRecord
+
+func (s *usageStream) put(records ...apricotway.Record) {
+	for _, record := range records {
+		*s = append(*s, apricotway.StoredRecord{Record: record, Offset: apricotway.Offset(len(*s) + 1)})
+	}
+}
+
+func (s *usageStream) batch(tb interface{ Fatal(...any) }, batch account.Batch) {
+	payload, err := json.Marshal(batch)
+	if err != nil {
+		tb.Fatal(err)
+	}
+
+	s.put(apricotway.Record{SchemaVersion: account.SchemaVersion, Kind: account.KindBatch, Payload: payload})
+}
+
+func (s *usageStream) mark(tb interface{ Fatal(...any) }, previous apricotway.Offset) {
+	record, err := account.NewMark(previous)
+	if err != nil {
+		tb.Fatal(err)
+	}
+
+	s.put(record)
+}
+
+// fold folds the stream as a reader does who finds nothing below the oldest offset.
+func (s *usageStream) fold(oldest apricotway.Offset, announced map[string]account.Signer) *account.Fold {
+	kept := (*s)[oldest-1:]
+	f := account.New(account.WithSigners(announced))
+
+	if oldest > 1 {
+		search := account.NewSearch(oldest, announced)
+		for _, record := range kept {
+			search.Add(record)
+		}
+
+		if base, ok := search.Base(); ok {
+			f.Restore(base)
+		} else {
+			f.Trimmed()
+		}
+	}
+
+	for _, record := range kept {
+		f.Apply(record)
+	}
+
+	return f
+}
+
+// state appends the statement that a signer's process owes after reading from the oldest offset.
+func (s *usageStream) state(tb interface{ Fatal(...any) }, oldest apricotway.Offset, signer string) {
+	if due, ok := s.fold(oldest, both).Due(signer); ok && due.State != nil {
+		s.statement(tb, due.Mark, due.State, signer, keys[signer])
+	}
+}
+
+func (s *usageStream) statement(
+	tb interface{ Fatal(...any) }, mark apricotway.Offset, state []byte, signer string, key ed25519.PrivateKey,
+) {
+	records, err := account.NewStatement(mark, state, signer, key)
+	if err != nil {
+		tb.Fatal(err)
+	}
+
+	s.put(records...)
+}
+
+// kept returns what has to be equal however much of the stream is kept.
+func kept(s account.Statement) account.Statement {
+	return account.Statement{Totals: s.Totals, Batches: s.Batches, Repeats: s.Repeats, Open: s.Open, BatchFaults: s.BatchFaults}
+}
+
+// TestStatementsKeepTotals guards the bill against retention: whatever is trimmed below a complete statement, however often
+// records are repeated, whichever processes of both owners write marks and statements, and whatever one owner forges, every
+// reader gets the totals of the whole stream.
+func TestStatementsKeepTotals(t *testing.T) {
+	chains := [][]account.Batch{chainOf(t, "a", 6), chainOf(t, "b", 6), chainOf(t, "c", 3)}
+
+	rapid.Check(t, func(t *rapid.T) {
+		var s usageStream
+
+		next := make([]int, len(chains))
+		oldest, newest, complete := apricotway.Offset(1), apricotway.Offset(0), apricotway.Offset(0)
+		forged := false
+
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			before := len(s)
+			signer := rapid.SampledFrom([]string{"mill", "shop"}).Draw(t, "signer")
+
+			switch rapid.SampledFrom([]string{
+				"batch", "batch", "batch", "lose", "mark", "stale", "state", "state", "state", "forge", "trim", "late",
+			}).Draw(t, "step") {
+			case "batch":
+				i := rapid.IntRange(0, len(chains)-1).Draw(t, "chain")
+				if next[i] < len(chains[i]) {
+					s.batch(t, chains[i][next[i]])
+					next[i]++
+				}
+			case "lose":
+				i := rapid.IntRange(0, len(chains)-1).Draw(t, "chain")
+				next[i] = min(next[i]+1, len(chains[i]))
+			case "mark":
+				s.mark(t, newest)
+				newest = apricotway.Offset(len(s))
+			case "stale":
+				s.mark(t, newest+1)
+			case "state":
+				s.state(t, oldest, signer)
+			case "forge":
+				if due, ok := s.fold(oldest, both).Due(signer); ok && due.State != nil {
+					forged = true
+					state := strings.Replace(string(due.State), `"batches":`, `"batches":1`, 1)
+					s.statement(t, due.Mark, []byte(state), signer, keys[signer])
+				}
+			case "late":
+				if len(s) > 0 {
+					s.put(s[rapid.IntRange(0, len(s)-1).Draw(t, "copied")].Record)
+				}
+			case "trim":
+				oldest = apricotway.Offset(rapid.IntRange(int(oldest), max(int(oldest), int(complete))).Draw(t, "oldest"))
+			}
+
+			for range rapid.IntRange(0, 1).Draw(t, "copies") {
+				for _, record := range slices.Clone(s[before:]) {
+					s.put(record.Record)
+				}
+			}
+
+			// The fold of one owner's process has the same marks as that of the other's.
+			if f := s.fold(oldest, both); f.Statement().Statements > 0 || f.Statement().Base > 0 {
+				mill, _ := f.Due("mill")
+				if shop, _ := f.Due("shop"); mill.State == nil && shop.State == nil {
+					complete = mill.Mark
+				}
+			}
+		}
+
+		whole := s.fold(1, both).Statement()
+		for from := apricotway.Offset(1); from <= complete; from++ {
+			trimmed := s.fold(from, both).Statement()
+			if got, want := kept(trimmed), kept(whole); !reflect.DeepEqual(got, want) {
+				t.Fatalf("trimmed below %d: got %+v, want %+v", from, got, want)
+			}
+
+			if whole.BatchFaults == 0 && !forged && len(trimmed.Faults) > 0 {
+				t.Fatalf("trimmed below %d: got faults %+v, want none", from, trimmed.Faults)
+			}
+		}
+	})
+}
+
+// TestStatementFaults guards verify against a statement that says something else than the batches: forged by a stranger or
+// by one owner, altered on the way, second under one offset, or about no mark; and against one that lacks kept batches.
+func TestStatementFaults(t *testing.T) {
+	c := chainOf(t, "n", 4)
+
+	// The mark is at 3 and the batches after it at 4 and 5.
+	start := func() (usageStream, account.Due) {
+		var s usageStream
+		s.batch(t, c[0])
+		s.batch(t, c[1])
+		s.mark(t, 0)
+
+		due, ok := s.fold(1, both).Due("mill")
+		if !ok || due.Mark != 3 || due.State == nil {
+			t.Fatalf("got %+v due, want a statement of offset 3", due)
+		}
+
+		s.batch(t, c[2])
+		s.batch(t, c[3])
+
+		return s, due
+	}
+	raised := func(state []byte) []byte {
+		return []byte(strings.Replace(string(state), `"generatedTokens":3`, `"generatedTokens":9`, 1))
+	}
+
+	for _, test := range []struct {
+		name string
+		add  func(s *usageStream, due account.Due)
+		want []account.FaultKind
+		// repeats is the number of dropped copies, complete that of complete statements.
+		repeats, complete int
+	}{
+		{"none", func(*usageStream, account.Due) {}, nil, 0, 0},
+		{"one owner", func(s *usageStream, due account.Due) { s.statement(t, 3, due.State, "mill", private) }, nil, 0, 0},
+		{"both owners", func(s *usageStream, due account.Due) {
+			s.statement(t, 3, due.State, "mill", private)
+			s.statement(t, 3, due.State, "shop", shopKey)
+		}, nil, 0, 1},
+		{"repeated", func(s *usageStream, due account.Due) {
+			s.statement(t, 3, due.State, "mill", private)
+			s.statement(t, 3, due.State, "mill", private)
+		}, nil, 1, 0},
+		{"unsigned", func(s *usageStream, due account.Due) {
+			s.statement(t, 3, due.State, "", nil)
+		}, []account.FaultKind{account.FaultSignature}, 0, 0},
+		{"by a stranger", func(s *usageStream, due account.Due) {
+			s.statement(t, 3, due.State, "mill", shopKey)
+		}, []account.FaultKind{account.FaultSignature}, 0, 0},
+		{"forged by an owner", func(s *usageStream, due account.Due) {
+			s.statement(t, 3, raised(due.State), "mill", private)
+		}, []account.FaultKind{account.FaultStatement}, 0, 0},
+		{"second of one signer", func(s *usageStream, due account.Due) {
+			s.statement(t, 3, due.State, "mill", private)
+			s.statement(t, 3, raised(due.State), "mill", private)
+		}, []account.FaultKind{account.FaultStatement}, 0, 0},
+		{"altered", func(s *usageStream, due account.Due) {
+			s.statement(t, 3, due.State, "mill", private)
+
+			last := &(*s)[len(*s)-1]
+			last.Payload = json.RawMessage(strings.Replace(string(last.Payload), `"mark":3`, `"mark":2`, 1))
+		}, []account.FaultKind{account.FaultSignature}, 0, 0},
+		{"no mark", func(s *usageStream, due account.Due) {
+			s.statement(t, 2, due.State, "mill", private)
+		}, []account.FaultKind{account.FaultStatement}, 0, 0},
+		{"void mark", func(s *usageStream, due account.Due) {
+			s.mark(t, 0)
+			s.statement(t, 6, due.State, "mill", private)
+		}, []account.FaultKind{account.FaultStatement}, 0, 0},
+		{"no statement", func(s *usageStream, _ account.Due) {
+			s.put(apricotway.Record{SchemaVersion: 1, Kind: account.KindStatement, Payload: json.RawMessage(`{}`)})
+		}, []account.FaultKind{account.FaultMalformed}, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, due := start()
+			test.add(&s, due)
+
+			got := s.fold(1, both).Statement()
+			if tokens(got) != 10 || got.StatementRepeats != test.repeats || got.Statements != test.complete {
+				t.Errorf("got %d tokens, %d repeats and %d complete statements, want 10, %d and %d",
+					tokens(got), got.StatementRepeats, got.Statements, test.repeats, test.complete)
+			}
+
+			var kinds []account.FaultKind
+			for _, fault := range got.Faults {
+				kinds = append(kinds, fault.Kind)
+			}
+
+			if !slices.Equal(kinds, test.want) || (len(kinds) > 0 && got.Faults[0].Offset < 6) {
+				t.Errorf("got faults %+v, want %v at the statement", got.Faults, test.want)
+			}
+		})
+	}
+
+	// Both owners' keys sign a wrong statement. Readers of a stream that still has one of its batches name the fault.
+	for _, test := range []struct {
+		name, old, new string
+		offset         apricotway.Offset
+	}{
+		{"lacks a kept batch", `"sequence":2`, `"sequence":1`, 2},
+		{"other batch", `"hash":"`, `"hash":"0`, 2},
+		{"lacks kept tokens", `"generatedTokens":3`, `"generatedTokens":1`, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, due := start()
+			wrong := []byte(strings.Replace(string(due.State), test.old, test.new, 1))
+			s.statement(t, 3, wrong, "mill", private)
+			s.statement(t, 3, wrong, "shop", shopKey)
+
+			got := s.fold(2, both).Statement()
+			if len(got.Faults) == 0 || got.Faults[0].Kind != account.FaultStatement || got.Faults[0].Offset != test.offset {
+				t.Errorf("got faults %+v, want the one at offset %d first", got.Faults, test.offset)
+			}
+		})
+	}
+
+	t.Run("altered without signatures", func(t *testing.T) {
+		s, due := start()
+		s.statement(t, 3, due.State, "", nil)
+
+		var part map[string]any
+		if err := json.Unmarshal(s[len(s)-1].Payload, &part); err != nil {
+			t.Fatal(err)
+		}
+
+		part["state"] = raised(due.State)
+
+		payload, err := json.Marshal(part)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		s[len(s)-1].Payload = payload
+
+		if got := s.fold(2, nil).Statement(); got.Base != 0 {
+			t.Errorf("got base %d from a statement that does not fit its digest, want none", got.Base)
+		}
+	})
+}
+
+// TestNoStatementOfPart guards against a process that states the totals of what happened to be kept when it started, and
+// against a reader that takes one owner's word for what is trimmed.
+func TestNoStatementOfPart(t *testing.T) {
+	var s usageStream
+	for _, batch := range chainOf(t, "n", 3) {
+		s.batch(t, batch)
+	}
+
+	s.mark(t, 0)
+
+	if due, ok := s.fold(2, both).Due("mill"); ok {
+		t.Errorf("got %+v due without the start of the stream, want nothing", due)
+	}
+
+	s.state(t, 1, "mill")
+
+	if got := s.fold(2, both).Statement(); got.Base != 0 || got.TrimmedChains != 1 {
+		t.Errorf("got base %d and %d trimmed chains from one owner's statement, want 0 and 1", got.Base, got.TrimmedChains)
+	}
+
+	s.state(t, 1, "shop")
+
+	if got := s.fold(2, both).Statement(); got.Base != 4 || got.TrimmedChains != 0 || tokens(got) != 6 {
+		t.Errorf("got base %d, %d trimmed chains, %d tokens; want 4, 0, 6", got.Base, got.TrimmedChains, tokens(got))
+	}
+}
+
+// TestOneMark guards against two statements of one interval by processes that ask for it at the same time: the mark that is
+// first in the log decides.
+func TestOneMark(t *testing.T) {
+	var s usageStream
+	s.mark(t, 0)
+	s.mark(t, 0)
+
+	if due, _ := s.fold(1, both).Due("mill"); due.Mark != 1 {
+		t.Errorf("got mark %d in force, want 1", due.Mark)
+	}
+
+	s.mark(t, 1)
+
+	if due, _ := s.fold(1, both).Due("mill"); due.Mark != 3 {
+		t.Errorf("got mark %d in force, want 3", due.Mark)
+	}
+}
+
+// TestStatementParts guards against a statement that is taken for whole although one of its parts is missing.
+func TestStatementParts(t *testing.T) {
+	const nodes = 2500
+
+	var s usageStream
+	for i := range nodes {
+		s.batch(t, account.Batch{
+			Node: apricotway.NodeID(fmt.Sprint("entry-", i)), Sequence: 1, Last: true,
+			Entries: []account.Entry{{Usage: account.Usage{GeneratedTokens: 1}}},
+		})
+	}
+
+	s.mark(t, 0)
+
+	due, _ := s.fold(1, nil).Due("")
+
+	records, err := account.NewStatement(due.Mark, due.State, "", nil)
+	if err != nil || len(records) != 2 {
+		t.Fatalf("got %d parts and %v, want 2 parts", len(records), err)
+	}
+
+	s.put(records[1])
+
+	if got := s.fold(2, nil).Statement(); got.Base != 0 {
+		t.Errorf("got base %d from one of two parts, want none", got.Base)
+	}
+
+	s.put(records[0])
+
+	got := s.fold(nodes, nil).Statement()
+	if got.Base != due.Mark || tokens(got) != nodes || len(got.Faults) > 0 {
+		t.Errorf("got base %d, %d tokens, faults %v; want %d, %d and none", got.Base, tokens(got), got.Faults, due.Mark, nodes)
+	}
+}
