Divide the cost of hosts and of idle time between the owners

The account counted tokens and engine time only, and no figure told what the shared hosts cost whom. Host batches on the usage stream now carry the time and the price of the planner's hosts, market by market, and the account's fold divides each period: busy time by engine time, idle time by the rule of the region's costRule object. Money is counted in millionths with the remainder carried on, so that the parts sum exactly to the whole.

Folding the fleet streams in the account was ruled out as the only source: their checkpoints hold no released hosts, so a trim would change the bill. verify does compare host batches with the fleet stream and the configuration, as far as these are kept. As with marks, a batch names the one before it and the order of the log decides, so that no lease is needed.

The test of host batches first found that a stream without usage batches got no mark: after 3 hours the whole account of the region was trimmed, and 4 of 6 hours were accounted. Host batches now count towards the next mark.

--- a/cmd/internal/ctl/account.go
+++ b/cmd/internal/ctl/account.go
@@ -30,6 +30,9 @@
 	Log   string `long:"log" value-name:"ADDR" required:"yes" description:"address of the log service"`
 	Owner string `long:"owner" value-name:"OWNER" description:"show the workspaces of one owner only"`
 	JSON  bool   `long:"json" description:"print JSON for programs"`
+
+	// uncheckedHosts is the number of host batches that could not be compared with their sources.
+	uncheckedHosts int
 }
 
 // statement folds the whole usage stream.
@@ -51,13 +54,24 @@
 
 	objects := history.fold
 
-	reader := usage.NewReader(log, account.SignersOf(objects))
+	hosts, err := newHostCheck(ctx, log, history)
+	if err != nil {
+		return account.Statement{}, err
+	}
+
+	reader := usage.NewReader(log, account.SignersOf(objects), account.WithHostCheck(hosts.check))
 	if err := reader.CatchUp(ctx); err != nil {
 		return account.Statement{}, err
 	}
 
 	statement := reader.Fold().Statement()
+	o.uncheckedHosts = hosts.unchecked
+
 	if o.Owner != "" {
+		statement.Costs = slices.DeleteFunc(statement.Costs, func(entry account.CostEntry) bool {
+			workspace, ok := objects.Workspace(entry.Workspace)
+			return entry.Owner != apricotway.Owner(o.Owner) && (!ok || workspace.Owner != apricotway.Owner(o.Owner))
+		})
 		statement.Totals = slices.DeleteFunc(statement.Totals, func(entry account.Entry) bool {
 			workspace, ok := objects.Workspace(entry.Workspace)
 			return !ok || workspace.Owner != apricotway.Owner(o.Owner)
@@ -93,6 +107,40 @@
 		})
 	}
 
+	if err := printTable(rows); err != nil || len(statement.Regions) == 0 {
+		return err
+	}
+
+	return printCosts(statement)
+}
+
+// printCosts prints the cost of the hosts by payer, and by region with the rule of its newest period.
+func printCosts(statement account.Statement) error {
+	rows := [][]string{{"REGION", "WORKSPACE", "OWNER", "HOST COST", "IDLE COST"}}
+	for _, entry := range statement.Costs {
+		rows = append(rows, []string{
+			string(entry.Region), string(entry.Workspace), string(entry.Owner),
+			account.FormatUnits(entry.Busy), account.FormatUnits(entry.Idle),
+		})
+	}
+
+	fmt.Println()
+
+	if err := printTable(rows); err != nil {
+		return err
+	}
+
+	fmt.Println()
+
+	rows = [][]string{{"REGION", "HOST COST", "IDLE COST", "IDLE RULE", "RULE REVISION", "FROM", "TO"}}
+	for _, region := range statement.Regions {
+		rows = append(rows, []string{
+			string(region.Region), account.FormatUnits(region.Busy), account.FormatUnits(region.Idle),
+			string(region.Rule.Idle), strconv.FormatUint(uint64(region.Rule.Revision), 10),
+			region.From.Format(time.RFC3339), region.To.Format(time.RFC3339),
+		})
+	}
+
 	return printTable(rows)
 }
 
@@ -117,6 +165,8 @@
 		fmt.Printf("%d complete statements fit, %d of their parts repeated, %d on records that are not kept\n",
 			statement.Statements, statement.StatementRepeats, statement.UncheckedParts)
 
+		fmt.Printf("%d host batches without their fleet stream or configuration\n", c.uncheckedHosts)
+
 		if statement.Base > 0 {
 			fmt.Printf("what is trimmed is taken from the statement of offset %d\n", statement.Base)
 		}
--- a/cmd/internal/daemon/account.go
+++ b/cmd/internal/daemon/account.go
@@ -16,7 +16,9 @@
 // startAccount sets up the recording of usage and the statements on it, with signatures when the settings name a key.
 func (d *Daemon) startAccount(log apricotway.Log) error {
 	options := []usage.Option{usage.WithLogger(d.logger)}
-	statements := []usage.StatementsOption{usage.WithStatementLogger(d.logger)}
+	statements := []usage.StatementsOption{
+		usage.WithStatementLogger(d.logger), usage.WithHosts(d.settings.Region, d.feed.Fold()),
+	}
 
 	if signing := d.settings.Signing; signing != nil {
 		key, err := readSigningKey(signing.Key)
--- a/coordination/usage/reader.go
+++ b/coordination/usage/reader.go
@@ -16,20 +16,21 @@
 type Reader struct {
 	log     apricotway.Log
 	signers map[string]account.Signer
+	options []account.Option
 	fold    *account.Fold
 	next    apricotway.Offset
 }
 
 // NewReader returns a reader at the start of the stream. Without signers it does not check signatures.
-func NewReader(log apricotway.Log, signers map[string]account.Signer) *Reader {
-	r := &Reader{log: log, signers: signers}
+func NewReader(log apricotway.Log, signers map[string]account.Signer, options ...account.Option) *Reader {
+	r := &Reader{log: log, signers: signers, options: append(options, account.WithSigners(signers))}
 	r.reset()
 
 	return r
 }
 
 func (r *Reader) reset() {
-	r.fold, r.next = account.New(account.WithSigners(r.signers)), 1
+	r.fold, r.next = account.New(r.options...), 1
 }
 
 // Fold returns what has been read so far.
--- a/coordination/usage/statements.go
+++ b/coordination/usage/statements.go
@@ -44,6 +44,8 @@
 	key      ed25519.PrivateKey
 
 	reader *Reader
+	// hosts is nil when the writer accounts no hosts.
+	hosts *hosts
 	// waited is the time for which something was due.
 	waited time.Duration
 	// blocked is set while the account cannot be stated, so that it is logged once.
@@ -137,6 +139,13 @@
 	}
 
 	s.blocked = false
+
+	if s.hosts != nil {
+		if err := s.stepHosts(ctx, rank); err != nil {
+			return err
+		}
+	}
+
 	if due.State == nil && !s.markDue(due) {
 		s.waited = 0
 		return nil
--- a/coordination/usage/statements_test.go
+++ b/coordination/usage/statements_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"encoding/json"
 	"fmt"
 	"reflect"
 	"slices"
@@ -16,19 +17,22 @@
 	"github.com/apricotway/apricotway/coordination/usage"
 	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/account"
+	"github.com/apricotway/apricotway/state/config"
+	"github.com/apricotway/apricotway/state/fleet"
+	"github.com/apricotway/apricotway/state/lease"
 )
 
-// retained is a log that keeps its records for a time only, refuses an append in twenty and loses the answer to another. The
-// records that it no longer serves stay in all.
+// retained is a log that keeps the records of the usage stream for a time only, refuses an append in twenty and loses the answer to another. The
+// records that it no longer serves stay in streams.
 type retained struct {
 	mu        sync.Mutex
 	retention time.Duration
-	all       []apricotway.StoredRecord
+	streams   map[apricotway.Stream][]apricotway.StoredRecord
 	appends   int
 }
 
 func (l *retained) Append(
-	_ context.Context, _ apricotway.Stream, records []apricotway.Record,
+	_ context.Context, stream apricotway.Stream, records []apricotway.Record,
 ) (apricotway.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -39,8 +43,8 @@
 	}
 
 	for _, record := range records {
-		l.all = append(l.all, apricotway.StoredRecord{
-			Record: record, Offset: apricotway.Offset(len(l.all) + 1), Time: time.Now(),
+		l.streams[stream] = append(l.streams[stream], apricotway.StoredRecord{
+			Record: record, Offset: apricotway.Offset(len(l.streams[stream]) + 1), Time: time.Now(),
 		})
 	}
 
@@ -48,17 +52,17 @@
 		return 0, apricotway.ErrAppendUnknown
 	}
 
-	return apricotway.Offset(len(l.all)), nil
+	return apricotway.Offset(len(l.streams[stream])), nil
 }
 
 func (l *retained) Read(
-	_ context.Context, _ apricotway.Stream, from apricotway.Offset, limit int, _ time.Duration,
+	_ context.Context, stream apricotway.Stream, from apricotway.Offset, limit int, _ time.Duration,
 ) (apricotway.Batch, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	first := 0
-	for first < len(l.all) && time.Since(l.all[first].Time) > l.retention {
+	all, first := l.streams[stream], 0
+	for stream == apricotway.StreamUsage && first < len(all) && time.Since(all[first].Time) > l.retention {
 		first++
 	}
 
@@ -67,13 +71,32 @@
 		return batch, apricotway.ErrTrimmed
 	}
 
-	rest := l.all[min(int(from-1), len(l.all)):]
+	rest := all[min(int(from-1), len(all)):]
 	batch.Records = slices.Clone(rest[:min(limit, len(rest))])
 	batch.Next += apricotway.Offset(len(batch.Records))
 
 	return batch, nil
 }
 
+func newRetained() *retained {
+	return &retained{
+		retention: 3 * usage.DefaultStatementInterval, streams: map[apricotway.Stream][]apricotway.StoredRecord{},
+	}
+}
+
+func twoSigners() (map[string]ed25519.PrivateKey, map[string]account.Signer) {
+	keys, signers := map[string]ed25519.PrivateKey{}, map[string]account.Signer{}
+
+	for i, name := range []string{"mill", "shop"} {
+		keys[name] = ed25519.NewKeyFromSeed(slices.Repeat([]byte{byte(i)}, ed25519.SeedSize))
+		signers[name] = account.Signer{
+			Owner: apricotway.Owner(name), Keys: []ed25519.PublicKey{keys[name].Public().(ed25519.PublicKey)},
+		}
+	}
+
+	return keys, signers
+}
+
 type appender struct{ *retained }
 
 func (a appender) Append(
@@ -85,18 +108,10 @@
 // TestStatementsOutliveRetention guards the account against retention that overtakes the statements, against idle hours in
 // which the newest statement itself is trimmed, and against processes that start anew on a trimmed stream.
 func TestStatementsOutliveRetention(t *testing.T) {
-	keys := map[string]ed25519.PrivateKey{}
-	signers := map[string]account.Signer{}
-
-	for i, name := range []string{"mill", "shop"} {
-		keys[name] = ed25519.NewKeyFromSeed(slices.Repeat([]byte{byte(i)}, ed25519.SeedSize))
-		signers[name] = account.Signer{
-			Owner: apricotway.Owner(name), Keys: []ed25519.PublicKey{keys[name].Public().(ed25519.PublicKey)},
-		}
-	}
+	keys, signers := twoSigners()
 
 	bubble.Test(t, func(t *testing.T) {
-		log := &retained{retention: 3 * usage.DefaultStatementInterval}
+		log := newRetained()
 		ready := make(chan struct{})
 		close(ready)
 
@@ -140,7 +155,7 @@
 		}
 
 		whole := account.New(account.WithSigners(signers))
-		for _, record := range log.all {
+		for _, record := range log.streams[apricotway.StreamUsage] {
 			whole.Apply(record)
 		}
 
@@ -168,3 +183,123 @@
 		}
 	})
 }
+
+// TestHostBatches guards the cost of hosts against periods that are counted twice or not at all when several processes write
+// or all of them restart, against a price that counts for a time before it was published, and against the trim of the stream.
+func TestHostBatches(t *testing.T) {
+	keys, signers := twoSigners()
+	market := fleet.Market{Zone: "a", MachineClass: "standard"}
+
+	bubble.Test(t, func(t *testing.T) {
+		log := newRetained()
+		ready := make(chan struct{})
+		close(ready)
+
+		put := func(stream apricotway.Stream, record apricotway.Record, err error) apricotway.Offset {
+			for err == nil {
+				// Only the first copy counts, so that a lost answer does no harm here.
+				offset, failed := log.Append(t.Context(), stream, []apricotway.Record{record})
+				if failed == nil {
+					return offset
+				}
+			}
+
+			t.Fatal(err)
+
+			return 0
+		}
+		configuration := config.New()
+		publish := func(kind config.Kind, offset, replaces apricotway.Offset, spec string) {
+			payload := fmt.Sprintf(`{"object": "r", "replaces": %d, "spec": %s}`, replaces, spec)
+			configuration.Apply(apricotway.StoredRecord{Offset: offset, Record: apricotway.Record{
+				SchemaVersion: 1, Kind: string(kind), ID: fmt.Sprint(offset), Payload: json.RawMessage(payload),
+			}})
+		}
+		price := func(price int) string {
+			return fmt.Sprintf(`{"region": "r", "service": "s", "demand": 1, "tokensPerSecond": {"standard": 1},
+				"prices": [{"zone": "a", "machineClass": "standard", "price": %d}]}`, price)
+		}
+
+		publish(config.KindFleet, 1, 0, price(6))
+		publish(config.KindCostRule, 2, 0, `{"idle": "reserved", "shares": {"mill": 2, "shop": 1}}`)
+
+		stream := fleet.StreamOf("r")
+		claim, err := lease.NewRecord(0, "n")
+		epoch := put(stream, claim, err)
+
+		for i := range uint64(2) {
+			intent, err := fleet.NewRecord(fleet.KindIntent, epoch, fleet.Intent{
+				Sequence: i + 1, Action: fleet.ActionCreate, Market: market,
+			})
+			put(stream, intent, err)
+
+			outcome, err := fleet.NewRecord(fleet.KindOutcome, epoch, fleet.Outcome{
+				Sequence: i + 1, Result: fleet.ResultCreated, Host: apricotway.BackendServerID(fmt.Sprint("h-", i)),
+			})
+			put(stream, outcome, err)
+		}
+
+		for generation := range 3 {
+			supervisor := suture.NewSimple("test")
+			ctx, cancel := context.WithCancel(t.Context())
+
+			for i := range 4 {
+				signer := []string{"mill", "shop"}[i%2]
+				usage.NewStatements(supervisor, log, appender{log}, ready,
+					func() map[string]account.Signer { return signers }, func() int { return i / 2 },
+					usage.WithStatementKey(signer, keys[signer]), usage.WithHosts("r", configuration))
+			}
+
+			if generation == 2 {
+				publish(config.KindFleet, 3, 1, price(9))
+			}
+
+			stopped := supervisor.ServeBackground(ctx)
+
+			for range 2 * 60 * 6 {
+				// Any record tells how far the stream is known.
+				put(stream, apricotway.Record{Kind: "renewal"}, nil)
+				<-time.After(10 * time.Second)
+			}
+
+			cancel()
+
+			if err := <-stopped; err == nil {
+				t.Error("supervisor stopped without a reason")
+			}
+		}
+
+		whole := account.New(account.WithSigners(signers))
+		for _, record := range log.streams[apricotway.StreamUsage] {
+			whole.Apply(record)
+		}
+
+		reader := usage.NewReader(log, signers)
+		if err := reader.CatchUp(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+
+		got, want := reader.Fold().Statement(), whole.Statement()
+		if got.Base == 0 || len(got.Faults) > 0 || !reflect.DeepEqual(got.Regions, want.Regions) || !reflect.DeepEqual(got.Costs, want.Costs) {
+			t.Errorf("got base %d, faults %v, costs %v; want a base, no faults, %v", got.Base, got.Faults, got.Costs, want.Costs)
+		}
+
+		// Two hosts are idle for six hours at 6 and for two at 9 at the least, but for the parts at the start and the end.
+		region := want.Regions[0]
+		if hours := region.To.Sub(region.From); hours < 6*time.Hour-3*time.Minute {
+			t.Errorf("got %s accounted, want almost 6 hours", hours)
+		}
+
+		first := 4*time.Hour - region.From.Sub(log.streams[stream][0].Time)
+		most := int64(first.Hours()*2*6e6) + int64(2*2*9e6)
+		least := most - int64(2*9e6/10)
+
+		if region.Busy != 0 || region.Idle > most || region.Idle < least {
+			t.Errorf("got busy %d and idle %d, want 0 and from %d to %d", region.Busy, region.Idle, least, most)
+		}
+
+		if len(want.Costs) != 2 || want.Costs[0].Idle+want.Costs[1].Idle != region.Idle {
+			t.Errorf("got costs %v, want two parts of %d", want.Costs, region.Idle)
+		}
+	})
+}
--- a/state/account/account_test.go
+++ b/state/account/account_test.go
@@ -31,7 +31,10 @@
 		batch, err := account.Batch{
 			Node: node, Sequence: uint64(i + 1), Previous: previous,
 			From: time.Unix(int64(i), 0).UTC(), To: time.Unix(int64(i+1), 0).UTC(), Last: i == count-1,
-			Entries: []account.Entry{{Key: account.Key{Workspace: "w"}, Usage: account.Usage{GeneratedTokens: int64(i + 1)}}},
+			Entries: []account.Entry{{
+				Key:   account.Key{Workspace: apricotway.Workspace("w-" + node)},
+				Usage: account.Usage{GeneratedTokens: int64(i + 1), EngineMicroseconds: int64(i+1) * 1_000_000},
+			}},
 		}.Sign("mill", private)
 		if err != nil {
 			tb.Fatal(err)
--- a/state/account/base.go
+++ b/state/account/base.go
@@ -101,7 +101,7 @@
 		base.state = state
 	}
 
-	if json.Unmarshal(base.state, &base.snapshot) != nil || base.snapshot.Mark != key.mark {
+	if json.Unmarshal(base.state, &base.snapshot) != nil || base.snapshot.Mark != key.mark || !base.snapshot.Hosts.valid() {
 		return nil, false
 	}
 
@@ -134,6 +134,8 @@
 		f.totals[entry.Key] = entry.Usage
 	}
 
+	f.restoreHosts(s.Hosts)
+
 	if s.First != nil {
 		f.faults = append(f.faults, *s.First)
 	}
--- a/state/account/fold.go
+++ b/state/account/fold.go
@@ -25,6 +25,8 @@
 	FaultSignature FaultKind = "signature"
 	// FaultStatement marks a statement that differs from the batches that it covers, or a batch that it lacks.
 	FaultStatement FaultKind = "statement"
+	// FaultHosts marks a host batch that differs from the fleet stream or the configuration.
+	FaultHosts FaultKind = "hosts"
 )
 
 // Fault is one fault of the usage stream.
@@ -49,9 +51,14 @@
 // Fold computes totals and faults from the records of the usage stream. Equal streams give equal results wherever they are
 // folded.
 type Fold struct {
-	signers signers
-	chains  map[apricotway.NodeID]*chain
-	totals  map[Key]Usage
+	signers    signers
+	checkHosts func(HostBatch) string
+	chains     map[apricotway.NodeID]*chain
+	totals     map[Key]Usage
+	// regions and costs hold the cost of hosts, uses the usage that no host batch has taken into account yet.
+	regions map[apricotway.Region]*RegionCost
+	costs   map[Payer]Cost
+	uses    map[place]map[apricotway.Workspace]use
 	faults  []Fault
 	// repeats counts the dropped second copies of batches.
 	repeats int
@@ -68,7 +75,7 @@
 	base   apricotway.Offset
 	before *Fold
 	// newest is the newest mark in force, newestTime its informative time, state the encoded snapshot there, and sinceMark
-	// the number of batch records behind it.
+	// the number of batches and host batches behind it.
 	newest     apricotway.Offset
 	newestTime time.Time
 	state      []byte
@@ -88,10 +95,16 @@
 	return func(f *Fold) { f.signers = announced }
 }
 
+// WithHostCheck makes the fold report each host batch in force for which the function returns what is wrong with it.
+func WithHostCheck(check func(HostBatch) string) Option {
+	return func(f *Fold) { f.checkHosts = check }
+}
+
 // New returns an empty fold.
 func New(options ...Option) *Fold {
 	f := &Fold{
 		chains: map[apricotway.NodeID]*chain{}, totals: map[Key]Usage{}, marks: map[apricotway.Offset]*marked{},
+		regions: map[apricotway.Region]*RegionCost{}, costs: map[Payer]Cost{}, uses: map[place]map[apricotway.Workspace]use{},
 	}
 	for _, option := range options {
 		option(f)
@@ -125,6 +138,9 @@
 		f.newestTime = record.Time
 	case record.Kind == KindMark:
 		f.applyMark(record)
+	case record.Kind == KindHosts:
+		f.sinceMark++
+		f.applyHosts(record)
 	default:
 		f.sinceMark++
 		f.applyBatch(record)
@@ -205,6 +221,7 @@
 
 	for _, entry := range batch.Entries {
 		f.totals[entry.Key] = f.totals[entry.Key].Add(entry.Usage)
+		f.addUse(entry)
 	}
 }
 
@@ -227,6 +244,9 @@
 // Statement is the account that results from a stream.
 type Statement struct {
 	Totals []Entry `json:"totals"`
+	// Regions and Costs are the cost of hosts, in millionths of the configuration's unit.
+	Regions []RegionCost `json:"regions,omitempty"`
+	Costs   []CostEntry  `json:"costs,omitempty"`
 	// Faults are in the order of the stream; the first one names the first batch that does not fit.
 	Faults  []Fault `json:"faults,omitempty"`
 	Batches int     `json:"batches"`
@@ -255,6 +275,9 @@
 		StatementRepeats: f.statementRepeats, UncheckedParts: f.unchecked,
 	}
 
+	hosts := f.hostState()
+	statement.Regions, statement.Costs = hosts.Regions, hosts.Costs
+
 	for _, current := range f.chains {
 		if !current.last {
 			statement.Open++
--- a/state/account/statement.go
+++ b/state/account/statement.go
@@ -67,12 +67,13 @@
 	First  *Fault       `json:"first,omitempty"`
 	Chains []chainState `json:"chains"`
 	Totals []Entry      `json:"totals"`
+	Hosts  hostState    `json:"hosts"`
 }
 
 func (f *Fold) snapshot(at apricotway.Offset) snapshot {
 	s := snapshot{
 		Mark: at, Batches: f.batches, Repeats: f.repeats, Faults: f.faultCount, First: f.firstFault,
-		Chains: make([]chainState, 0, len(f.chains)), Totals: f.sortedTotals(),
+		Chains: make([]chainState, 0, len(f.chains)), Totals: f.sortedTotals(), Hosts: f.hostState(),
 	}
 	for node, c := range f.chains {
 		s.Chains = append(s.Chains, chainState{Node: node, Sequence: c.sequence, Hash: c.hash, Last: c.last})
@@ -272,7 +273,7 @@
 	State []byte
 	// MarkTime is the log service's time of the mark. It steers when the next one is due, and nothing else.
 	MarkTime time.Time
-	// Batches counts the batch records behind the mark.
+	// Batches counts the batches and host batches behind the mark.
 	Batches int
 }
 
--- a/state/account/statement_test.go
+++ b/state/account/statement_test.go
@@ -96,7 +96,10 @@
 
 // kept returns what has to be equal however much of the stream is kept.
 func kept(s account.Statement) account.Statement {
-	return account.Statement{Totals: s.Totals, Batches: s.Batches, Repeats: s.Repeats, Open: s.Open, BatchFaults: s.BatchFaults}
+	return account.Statement{
+		Totals: s.Totals, Batches: s.Batches, Repeats: s.Repeats, Open: s.Open, BatchFaults: s.BatchFaults,
+		Regions: s.Regions, Costs: s.Costs,
+	}
 }
 
 // TestStatementsKeepTotals guards the bill against retention: whatever is trimmed below a complete statement, however often
@@ -117,7 +120,7 @@
 			signer := rapid.SampledFrom([]string{"mill", "shop"}).Draw(t, "signer")
 
 			switch rapid.SampledFrom([]string{
-				"batch", "batch", "batch", "lose", "mark", "stale", "state", "state", "state", "forge", "trim", "late",
+				"batch", "batch", "batch", "hosts", "hosts", "lose", "mark", "stale", "state", "state", "state", "forge", "trim", "late",
 			}).Draw(t, "step") {
 			case "batch":
 				i := rapid.IntRange(0, len(chains)-1).Draw(t, "chain")
@@ -128,6 +131,13 @@
 			case "lose":
 				i := rapid.IntRange(0, len(chains)-1).Draw(t, "chain")
 				next[i] = min(next[i]+1, len(chains[i]))
+			case "hosts":
+				previous, from := s.fold(oldest, both).NextHosts("r")
+				if rapid.IntRange(0, 4).Draw(t, "stale") == 0 {
+					previous++
+				}
+
+				s.hosts(t, drawHosts(t, previous, from), signer)
 			case "mark":
 				s.mark(t, newest)
 				newest = apricotway.Offset(len(s))
@@ -136,10 +146,11 @@
 			case "state":
 				s.state(t, oldest, signer)
 			case "forge":
-				if due, ok := s.fold(oldest, both).Due(signer); ok && due.State != nil {
+				// One owner forges; a statement that both owners forge in the same way cannot be told from a true one.
+				if due, ok := s.fold(oldest, both).Due("shop"); ok && due.State != nil {
 					forged = true
 					state := strings.Replace(string(due.State), `"batches":`, `"batches":1`, 1)
-					s.statement(t, due.Mark, []byte(state), signer, keys[signer])
+					s.statement(t, due.Mark, []byte(state), "shop", shopKey)
 				}
 			case "late":
 				if len(s) > 0 {
--- a/state/config/fold.go
+++ b/state/config/fold.go
@@ -234,3 +234,15 @@
 
 	return 0
 }
+
+// InForce returns the revision of an object that is in force, 0 when none is.
+func (f *Fold) InForce(name Name) apricotway.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if current := f.objects[name]; current != nil {
+		return current.specRevision
+	}
+
+	return 0
+}
--- a/state/config/signer_test.go
+++ b/state/config/signer_test.go
@@ -62,3 +62,37 @@
 		t.Errorf("got signer %+v, want the last valid one", got)
 	}
 }
+
+// TestCostRule guards against a rule that divides the cost of idle hosts between nobody, and against a wrong revision of it.
+func TestCostRule(t *testing.T) {
+	for _, test := range []struct {
+		spec  string
+		valid bool
+	}{
+		{`{"idle": "tokens", "shares": {"a": 1}}`, true},
+		{`{"idle": "reserved", "shares": {"a": 1, "b": 1000000}}`, true},
+		{`{"idle": "equal", "shares": {"a": 1, "b": 1}}`, true},
+		{`{"idle": "equal"}`, false},
+		{`{"idle": "luck", "shares": {"a": 1}}`, false},
+		{`{"idle": "reserved", "shares": {"a": 0}}`, false},
+		{`{"idle": "reserved", "shares": {"a": 1000001}}`, false},
+		{`{"idle": "reserved", "shares": {"": 1}}`, false},
+	} {
+		if err := config.Check(config.KindCostRule, 1, json.RawMessage(test.spec)); (err == nil) != test.valid {
+			t.Errorf("%s: got %v, want valid %t", test.spec, err, test.valid)
+		}
+	}
+
+	fold := config.New()
+	for i, spec := range []string{`{"idle": "equal", "shares": {"a": 1}}`, `{"idle": "luck"}`} {
+		payload := fmt.Sprintf(`{"object": "r", "replaces": %d, "spec": %s}`, i, spec)
+		fold.Apply(apricotway.StoredRecord{Offset: apricotway.Offset(i + 1), Record: apricotway.Record{
+			SchemaVersion: 1, Kind: string(config.KindCostRule), ID: fmt.Sprint(i), Payload: json.RawMessage(payload),
+		}})
+	}
+
+	spec, revision, ok := fold.CostRule("r")
+	if !ok || spec.Idle != config.IdleEqual || revision != 1 {
+		t.Errorf("got %v of revision %d, %t; want the rule of revision 1", spec, revision, ok)
+	}
+}
--- a/state/config/spec.go
+++ b/state/config/spec.go
@@ -92,6 +92,8 @@
 		return decodeFleet(payload)
 	case KindRelease:
 		return decodeRelease(payload)
+	case KindCostRule:
+		return decodeCostRule(payload)
 	case KindSigner:
 		return decodeSigner(payload)
 	default:
--- a/state/config/view.go
+++ b/state/config/view.go
@@ -21,6 +21,7 @@
 	workspaces map[apricotway.Workspace]WorkspaceSpec
 	fleets     map[apricotway.Region]FleetSpec
 	releases   map[apricotway.Service]ReleaseSpec
+	costRules  map[apricotway.Region]costRule
 	// signers is nil when there is no signer object.
 	signers map[string]SignerSpec
 	// tokens holds the callers' token digests by their first eight bytes; the digests that share them are compared in
@@ -98,6 +99,7 @@
 		workspaces: map[apricotway.Workspace]WorkspaceSpec{},
 		fleets:     map[apricotway.Region]FleetSpec{},
 		releases:   map[apricotway.Service]ReleaseSpec{},
+		costRules:  map[apricotway.Region]costRule{},
 		tokens:     map[uint64][]token{},
 		objects:    make([]Status, 0, len(f.objects)),
 	}
@@ -129,6 +131,8 @@
 			v.fleets[apricotway.Region(name.Object)] = spec
 		case ReleaseSpec:
 			v.releases[apricotway.Service(name.Object)] = spec
+		case CostRuleSpec:
+			v.costRules[apricotway.Region(name.Object)] = costRule{spec: spec, revision: current.specRevision}
 		case SignerSpec:
 			v.signers[name.Object] = spec
 		}
