Let an owner join after statements were written

A statement stands for trimmed records when every owner with a signer has signed it. The first signer of a further owner therefore made all earlier statements incomplete: on a trimmed stream no process could start from one, and none could write the next. TestFurtherOwner failed with base 0 instead of 2.

A signer now names the offset of the usage stream from which its owner signs, and verify prints the end of the stream for it. Taking the owners from the statement itself was ruled out, because one owner could then name itself alone.

--- a/cmd/internal/ctl/account.go
+++ b/cmd/internal/ctl/account.go
@@ -167,6 +167,8 @@
 
 		fmt.Printf("%d host batches without their fleet stream or configuration\n", c.uncheckedHosts)
 
+		fmt.Printf("the stream ends at offset %d\n", statement.End)
+
 		if statement.Base > 0 {
 			fmt.Printf("what is trimmed is taken from the statement of offset %d\n", statement.Base)
 		}
--- a/state/account/base.go
+++ b/state/account/base.go
@@ -44,7 +44,7 @@
 	}
 }
 
-// Add takes a record. A statement is complete when every owner who has a signer has signed all its parts: no owner alone
+// Add takes a record. A statement is complete when every owner who takes part at its mark has signed all its parts: no owner alone
 // can make the other one's account.
 func (s *Search) Add(record apricotway.StoredRecord) {
 	if record.Kind == KindMark {
@@ -83,7 +83,7 @@
 func (s *Search) assemble(key claim) (*Base, bool) {
 	base := &Base{}
 
-	for _, owner := range s.signers.owners() {
+	for _, owner := range s.signers.owners(key.mark) {
 		parts := s.claims[key][owner]
 		if len(parts) != key.parts {
 			return nil, false
--- a/state/account/fold.go
+++ b/state/account/fold.go
@@ -82,6 +82,8 @@
 	sinceMark  int
 	// marks holds the marks in force since the base.
 	marks map[apricotway.Offset]*marked
+	// end is the offset of the newest record.
+	end apricotway.Offset
 	// complete counts complete statements, statementRepeats their dropped copies, and unchecked the parts of statements on
 	// records that are not kept.
 	complete, statementRepeats, unchecked int
@@ -122,6 +124,8 @@
 // Apply folds one record. A batch with a fault in its chain or signature is not counted; one behind a gap is, since the
 // fault is the missing batch.
 func (f *Fold) Apply(record apricotway.StoredRecord) {
+	f.end = record.Offset
+
 	if record.Offset < f.base {
 		f.applyBefore(record)
 		return
@@ -258,6 +262,8 @@
 	TrimmedChains int `json:"trimmedChains"`
 	// BatchFaults counts the faults of batches, with those that are trimmed; Faults holds the first one and the kept ones.
 	BatchFaults int `json:"batchFaults"`
+	// End is the offset of the newest record.
+	End apricotway.Offset `json:"end"`
 	// Base is the offset of the statement from which a trimmed stream was folded, 0 for none.
 	Base apricotway.Offset `json:"base,omitempty"`
 	// Statements counts the statements that every owner has signed and that fit the batches.
@@ -271,7 +277,7 @@
 func (f *Fold) Statement() Statement {
 	statement := Statement{
 		Totals: f.sortedTotals(), Faults: slices.Clone(f.faults), Batches: f.batches, Repeats: f.repeats,
-		TrimmedChains: f.trimmedChains, BatchFaults: f.faultCount, Base: f.base, Statements: f.complete,
+		TrimmedChains: f.trimmedChains, BatchFaults: f.faultCount, End: f.end, Base: f.base, Statements: f.complete,
 		StatementRepeats: f.statementRepeats, UncheckedParts: f.unchecked,
 	}
 
--- a/state/account/signer.go
+++ b/state/account/signer.go
@@ -19,6 +19,8 @@
 	Owner apricotway.Owner
 	// Keys are the present key and the retired ones; a signature by any of them counts.
 	Keys []ed25519.PublicKey
+	// Since is the offset of the first mark that the signer takes part in.
+	Since apricotway.Offset
 }
 
 // SignersOf returns the signers of a configuration; nil when it has none, so that signatures are not checked.
@@ -33,7 +35,7 @@
 	for name, spec := range specs {
 		// The specification was checked before it came into force.
 		keys, _ := spec.Keys()
-		signers[name] = Signer{Owner: spec.Owner, Keys: keys}
+		signers[name] = Signer{Owner: spec.Owner, Keys: keys, Since: spec.Since}
 	}
 
 	return signers
@@ -62,15 +64,24 @@
 	return "the signature does not fit"
 }
 
-// owners returns the owners who have to sign a statement, in order. Without signers there is one nameless owner.
-func (s signers) owners() []apricotway.Owner {
+// owners returns the owners who have to sign a statement of a mark, in order. Without signers there is one nameless owner. An
+// owner takes part from the first of its signers on; a mark in which none takes part needs all of them.
+func (s signers) owners(at apricotway.Offset) []apricotway.Owner {
 	if s == nil {
 		return []apricotway.Owner{""}
 	}
 
-	var owners []apricotway.Owner
+	var owners, all []apricotway.Owner
+
 	for _, signer := range s {
-		owners = append(owners, signer.Owner)
+		all = append(all, signer.Owner)
+		if signer.Since <= at {
+			owners = append(owners, signer.Owner)
+		}
+	}
+
+	if len(owners) == 0 {
+		owners = all
 	}
 
 	slices.Sort(owners)
--- a/state/account/statement.go
+++ b/state/account/statement.go
@@ -177,8 +177,8 @@
 
 func (m *marked) signedBy(owner apricotway.Owner) bool { return len(m.signed[owner]) == len(m.parts) }
 
-func (m *marked) complete(s signers) bool {
-	return !slices.ContainsFunc(s.owners(), func(owner apricotway.Owner) bool { return !m.signedBy(owner) })
+func (m *marked) complete(s signers, at apricotway.Offset) bool {
+	return !slices.ContainsFunc(s.owners(at), func(owner apricotway.Owner) bool { return !m.signedBy(owner) })
 }
 
 func newMarked(at apricotway.Offset, state []byte) *marked {
@@ -260,7 +260,7 @@
 
 	m.signed[owner][p.Part] = true
 
-	if m.complete(f.signers) {
+	if m.complete(f.signers, p.Mark) {
 		f.complete++
 	}
 }
--- a/state/account/statement_test.go
+++ b/state/account/statement_test.go
@@ -408,3 +408,41 @@
 		t.Errorf("got base %d, %d tokens, faults %v; want %d, %d and none", got.Base, tokens(got), got.Faults, due.Mark, nodes)
 	}
 }
+
+// TestFurtherOwner guards against an owner who joins later and thereby makes all earlier statements incomplete, so that
+// nobody could state the account of a trimmed stream again; and against a later statement that lacks its signature.
+func TestFurtherOwner(t *testing.T) {
+	var s usageStream
+
+	c := chainOf(t, "n", 2)
+	s.batch(t, c[0])
+	s.mark(t, 0)
+	s.state(t, 1, "mill")
+
+	announced := map[string]account.Signer{"mill": both["mill"], "shop": both["shop"]}
+	if got := s.fold(2, announced).Statement(); got.Base != 0 {
+		t.Errorf("got base %d without the signature of an owner from the start on, want none", got.Base)
+	}
+
+	shop := announced["shop"]
+	shop.Since = 4
+	announced["shop"] = shop
+
+	if got := s.fold(2, announced).Statement(); got.Base != 2 || tokens(got) != 1 {
+		t.Errorf("got base %d and %d tokens, want 2 and 1", got.Base, tokens(got))
+	}
+
+	s.batch(t, c[1])
+	s.mark(t, 2)
+	s.state(t, 1, "mill")
+
+	if got := s.fold(3, announced).Statement(); got.Base != 0 {
+		t.Errorf("got base %d without the signature of the further owner, want none", got.Base)
+	}
+
+	s.state(t, 1, "shop")
+
+	if got := s.fold(3, announced).Statement(); got.Base != 5 || tokens(got) != 3 {
+		t.Errorf("got base %d and %d tokens, want 5 and 3", got.Base, tokens(got))
+	}
+}
--- a/state/config/signer.go
+++ b/state/config/signer.go
@@ -22,6 +22,9 @@
 	// RetiredKeys are earlier keys of the signer. What they signed stays valid, so that a change of the key does not change
 	// the account of the past.
 	RetiredKeys []string `json:"retiredKeys,omitempty"`
+	// Since is the offset of the usage stream from which on the owner signs statements. An owner who joins later names the
+	// present end of the stream; otherwise all earlier statements would lack its signature.
+	Since apricotway.Offset `json:"since,omitempty"`
 }
 
 // Keys returns the public keys, the present one first.
