Name faults of the account in the order of the stream

What the kept batches say about the statement below which they lie is found at its mark, node by node, so that the first fault could name a later batch than another one.

--- a/state/account/fold.go
+++ b/state/account/fold.go
@@ -281,6 +281,9 @@
 		StatementRepeats: f.statementRepeats, UncheckedParts: f.unchecked,
 	}
 
+	// What the kept batches say about the statement below which they lie is known at its mark only.
+	slices.SortStableFunc(statement.Faults, func(a, b Fault) int { return cmp.Compare(a.Offset, b.Offset) })
+
 	hosts := f.hostState()
 	statement.Regions, statement.Costs = hosts.Regions, hosts.Costs
 
--- a/state/account/statement_test.go
+++ b/state/account/statement_test.go
@@ -446,3 +446,22 @@
 		t.Errorf("got base %d and %d tokens, want 5 and 3", got.Base, tokens(got))
 	}
 }
+
+// TestFaultOrder guards the claim that the first fault names the first batch that does not fit: here two batches below a wrong
+// statement, found in the order of the nodes.
+func TestFaultOrder(t *testing.T) {
+	var s usageStream
+	s.batch(t, chainOf(t, "z", 1)[0])
+	s.batch(t, chainOf(t, "y", 1)[0])
+	s.batch(t, chainOf(t, "x", 1)[0])
+	s.mark(t, 0)
+
+	for _, signer := range []string{"mill", "shop"} {
+		s.statement(t, 4, []byte(`{"mark": 4}`), signer, keys[signer])
+	}
+
+	got := s.fold(2, both).Statement().Faults
+	if len(got) < 2 || got[0].Offset != 2 || got[1].Offset != 3 {
+		t.Errorf("got faults %+v, want those of offsets 2 and 3 first", got)
+	}
+}
