--- a/cmd/internal/daemon/routing.go
+++ b/cmd/internal/daemon/routing.go
@@ -235,13 +235,7 @@
 
 // setLimits divides the capacity by the workspaces' weights and by the demand of all processes.
 func (r *engineRouting) setLimits() {
-	weights := map[apricotway.Workspace]float64{}
-
-	for _, object := range r.fold.Objects() {
-		if spec, ok := r.fold.Workspace(apricotway.Workspace(object.Object)); ok && object.Kind == config.KindWorkspace {
-			weights[apricotway.Workspace(object.Object)] = float64(spec.Weight)
-		}
-	}
+	weights := workspaceWeights(r.fold)
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
