Read the host list in turn and share its changes

At 390 processes before 7,600 engines each process read the whole list every 10 s, which is 156 KB/s against a budget of 7 KB/s, and all of them together read it 39 times a second.

The processes now take turns: rendezvous hashing over the live members and the number of the turn chooses one reader every 500 ms, or every second from 128 members on. It tells the others what came, went or changed; leaves go by the notices as before. A turn needs no message, so a reader that is dead, frozen or wrong about the time leaves out its own turns only.

Ruled out: one elected reader, which would spend 1.5 MB/s and whose death takes 10 s to find out; a reader for each region or zone, since the list has no query for them and broadcasts reach all; conditional or compressed answers, which the platform's interface does not have.

Lifetimes of notices no longer cause a decision on all servers twice a second, but one when a lifetime ends.

A reclaim of a zone, some 950 notices at full size, is more than the packets carry within 2 s. The reader then asks every process to read the list once.

--- a/broadcasts.go
+++ b/broadcasts.go
@@ -22,11 +22,17 @@
 	TopicTokens Topic = "tokens"
 	// TopicDemand carries the demand of a process for places of the engines by workspace; the key is the process.
 	TopicDemand Topic = "demand"
+	// TopicHost carries changes of the platform's host list other than leaves; the key is the server.
+	TopicHost Topic = "host"
+	// TopicList asks every process to read the host list, since more changed than broadcasts carry.
+	TopicList Topic = "list"
+	// TopicReading tells that a process reads the host list in turn with the others.
+	TopicReading Topic = "reading"
 )
 
 // Frequent reports whether the entries of a topic are renewed all the time. A lost one is not worth a repair, since the next
 // one replaces it.
-func (t Topic) Frequent() bool { return t == TopicTokens || t == TopicDemand }
+func (t Topic) Frequent() bool { return t == TopicTokens || t == TopicDemand || t == TopicReading }
 
 // MaxBroadcast bounds topic, key and payload of one entry in bytes, so that several entries fit into one probe.
 const MaxBroadcast = 400
--- a/coordination/inventory/inventory.go
+++ b/coordination/inventory/inventory.go
@@ -13,23 +13,13 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
-	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/inventory"
 )
 
-// DefaultPeriod is the time between two readings of the host list. Together with the list's own lag it has to stay below
-// the 2 s after which a leaving backend server must receive no new work.
+// DefaultPeriod is the time between two readings of the host list by a process that is alone. Together with the list's own
+// lag it has to stay below the 2 s after which a leaving backend server must receive no new work.
 const DefaultPeriod = 500 * time.Millisecond
 
-const (
-	// memberPeriod is the time between two readings of the host list by any of the processes. They tell each other what
-	// they find, so that more processes may each read less often. One reading of 7,600 servers takes tens of milliseconds of
-	// CPU.
-	memberPeriod = 50 * time.Millisecond
-	// longestPeriod bounds the time after which a process that hears no notices finds out by itself.
-	longestPeriod = 10 * time.Second
-)
-
 // Inventory is the set of known backend servers. The decisions are those of the package state/inventory.
 type Inventory struct {
 	hosts      apricotway.HostList
@@ -50,18 +40,32 @@
 	// forgotten once they no longer count.
 	observations map[apricotway.BackendServerID]inventory.Observation
 	notices      map[apricotway.BackendServerID]inventory.Known
+	// changes holds what readings of other processes, and own ones, told of the listing. current is the listing with them.
+	changes map[apricotway.BackendServerID]inventory.KnownChange
+	current inventory.Listing
+	// altered is set while the changes or the listing differ from those in current.
+	altered bool
+	// heard is the time of the last sign that another process reads the list, and announced that of the last own one.
+	// readingVersion and listVersion are the highest versions of these entries.
+	heard, announced            time.Time
+	readingVersion, listVersion uint64
+	// asked is the time of the last request that every process reads the list.
+	asked time.Time
 	// subset holds the servers that this process uses; nil stands for all. It was computed for the members in users and
 	// the servers in divided, and is computed again when one of them changes.
 	subset  map[apricotway.BackendServerID]bool
 	users   []apricotway.Member
 	divided []apricotway.BackendServerID
-	// view is replaced as a whole and never changed in place.
-	view inventory.View
+	// view is replaced as a whole and never changed in place. It was decided at the time merged.
+	view   inventory.View
+	merged time.Time
 	// listeners are called with every change of the set.
 	listeners []func([]apricotway.BackendServer)
 
 	// arrived wakes the goroutine that takes over notices. A burst of them, such as the reclaim of a zone, costs few merges.
-	arrived   chan struct{}
+	arrived chan struct{}
+	// reread wakes the goroutine that reads the list.
+	reread    chan struct{}
 	ready     chan struct{}
 	readyOnce sync.Once
 }
@@ -97,7 +101,9 @@
 		period:       DefaultPeriod,
 		observations: map[apricotway.BackendServerID]inventory.Observation{},
 		notices:      map[apricotway.BackendServerID]inventory.Known{},
+		changes:      map[apricotway.BackendServerID]inventory.KnownChange{},
 		arrived:      make(chan struct{}, 1),
+		reread:       make(chan struct{}, 1),
 		ready:        make(chan struct{}),
 	}
 	for _, option := range options {
@@ -108,15 +114,11 @@
 		i.subscribe()
 	}
 
-	supervisor.Add(apricotway.ServiceFunc{Name: "inventory", Func: func(ctx context.Context) error {
-		for {
-			i.Refresh(ctx)
+	if i.shares() {
+		i.subscribeChanges()
+	}
 
-			if !pause.For(ctx, i.readPeriod()) {
-				return ctx.Err()
-			}
-		}
-	}})
+	supervisor.Add(apricotway.ServiceFunc{Name: "inventory", Func: i.runReadings})
 
 	// Notices do not wait for the host list, whose reading takes seconds while it is out of reach.
 	supervisor.Add(apricotway.ServiceFunc{Name: "inventory notices", Func: func(ctx context.Context) error {
@@ -128,7 +130,10 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			case <-i.arrived:
-			case <-ticker.C: // lifetimes end
+			case <-ticker.C:
+				if !i.due() {
+					continue
+				}
 			}
 
 			i.merge(nil)
@@ -138,26 +143,12 @@
 	return i
 }
 
-// readPeriod returns the time until the next reading of the host list. A process that is cut off from the others reads as
-// often as one alone.
-func (i *Inventory) readPeriod() time.Duration {
-	if i.broadcasts == nil || i.membership == nil {
-		return i.period
-	}
-
-	readers := 1
-
-	for _, member := range i.membership.Members() {
-		if member.State == apricotway.MemberAlive {
-			readers++
-		}
-	}
-
-	return min(max(i.period, time.Duration(readers)*memberPeriod), max(i.period, longestPeriod))
-}
-
 // Refresh reads the host list now. Callers that wait for each other share one reading that began after they asked.
-func (i *Inventory) Refresh(ctx context.Context) {
+func (i *Inventory) Refresh(ctx context.Context) { i.read(ctx, true) }
+
+// read reads the host list and tells the other processes of leaves and changes if asked to. The readings that one process asks
+// all of them for tell nothing: each would fill the broadcasts with what all have read.
+func (i *Inventory) read(ctx context.Context, tell bool) {
 	asked := time.Now()
 
 	i.reading.Lock()
@@ -168,11 +159,11 @@
 	}
 
 	i.begun = time.Now()
-	i.refresh(ctx)
+	i.refresh(ctx, tell)
 }
 
 // refresh reads the host list. The caller holds reading.
-func (i *Inventory) refresh(ctx context.Context) {
+func (i *Inventory) refresh(ctx context.Context, tell bool) {
 	servers, err := i.hosts.Hosts(ctx)
 	if err != nil {
 		i.logger.V(1).Info("host list not readable", "event", 211, "error", err.Error())
@@ -183,9 +174,22 @@
 		return strings.Compare(string(a.ID), string(b.ID))
 	})
 
+	i.mu.RLock()
+	before, first := i.current, i.listing.Begun.IsZero()
+	i.mu.RUnlock()
+
 	i.merge(&inventory.Listing{Servers: servers, Begun: i.begun})
 	i.readyOnce.Do(func() { close(i.ready) })
-	i.publishLeaves(servers)
+
+	if !i.shares() {
+		i.publishLeaves(servers)
+	} else if tell {
+		if !first {
+			i.publishChanges(before)
+		}
+
+		i.publishLeaves(servers)
+	}
 }
 
 // merge decides anew on all servers, with a new listing if there is one, and tells the listeners of a change.
@@ -196,13 +200,21 @@
 
 	if listing != nil {
 		i.listing = *listing
+		i.altered = true
 	}
 
-	inventory.Forget(now, i.listing, i.observations, i.notices)
+	if i.altered {
+		i.current = inventory.Apply(i.listing, i.changes)
+		i.altered = false
+	}
+
+	inventory.Forget(now, i.current, i.observations, i.notices)
+	inventory.ForgetChanges(now, i.listing, i.changes)
 	i.divide()
 
 	before := i.view.Servers
-	i.view = inventory.Merge(now, i.listing, i.observations, i.notices, i.subset)
+	i.merged = now
+	i.view = inventory.Merge(now, i.current, i.observations, i.notices, i.subset)
 	servers, listeners := i.view.Servers, i.listeners
 	changed := !slices.Equal(servers, before)
 
@@ -215,29 +227,48 @@
 	}
 }
 
+// due reports whether time alone may change the view: a lifetime ends, or the members have changed.
+func (i *Inventory) due() bool {
+	i.mu.RLock()
+	defer i.mu.RUnlock()
+
+	return inventory.Ended(i.merged, time.Now(), i.observations, i.notices) || !i.sameUsers(i.currentUsers())
+}
+
+// currentUsers returns self and the members among which the servers are divided.
+func (i *Inventory) currentUsers() []apricotway.Member {
+	if i.membership == nil {
+		return nil
+	}
+
+	return inventory.Users(i.membership.Members(), i.membership.Self())
+}
+
+func (i *Inventory) sameUsers(users []apricotway.Member) bool {
+	return slices.EqualFunc(users, i.users, func(a, b apricotway.Member) bool { return a.Node == b.Node && a.Zone == b.Zone })
+}
+
 // divide computes the subset when the members or the servers have changed. The caller holds the lock.
 func (i *Inventory) divide() {
 	if i.membership == nil {
 		return
 	}
 
-	self := i.membership.Self()
-	users := inventory.Users(i.membership.Members(), self)
-	sameUser := func(a, b apricotway.Member) bool { return a.Node == b.Node && a.Zone == b.Zone }
+	users := i.currentUsers()
 	sameServer := func(a apricotway.BackendServer, b apricotway.BackendServerID) bool { return a.ID == b }
 
-	if slices.EqualFunc(users, i.users, sameUser) && slices.EqualFunc(i.listing.Servers, i.divided, sameServer) {
+	if i.sameUsers(users) && slices.EqualFunc(i.current.Servers, i.divided, sameServer) {
 		return
 	}
 
 	i.users = users
-	i.divided = make([]apricotway.BackendServerID, len(i.listing.Servers))
+	i.divided = make([]apricotway.BackendServerID, len(i.current.Servers))
 
-	for n, server := range i.listing.Servers {
+	for n, server := range i.current.Servers {
 		i.divided[n] = server.ID
 	}
 
-	i.subset = inventory.Subset(i.listing.Servers, users[1:], self)
+	i.subset = inventory.Subset(i.current.Servers, users[1:], users[0])
 }
 
 // Usable returns the servers of a service that may receive new work: live ones of the own subset that were not seen dying.
--- a/coordination/inventory/notices.go
+++ b/coordination/inventory/notices.go
@@ -40,10 +40,7 @@
 
 	i.logger.V(1).Info("notice received", "event", 212, "server", id, "state", notice.State)
 
-	select {
-	case i.arrived <- struct{}{}:
-	default:
-	}
+	signal(i.arrived)
 }
 
 // publishLeaves tells the other processes of the leaving servers of a list.
@@ -65,7 +62,7 @@
 
 	i.mu.Lock()
 
-	next, ok := inventory.Next(now, i.listing, i.notices[id], notice)
+	next, ok := inventory.Next(now, i.current, i.notices[id], notice)
 	if ok {
 		i.notices[id] = next
 	}
--- a/state/inventory/inventory.go
+++ b/state/inventory/inventory.go
@@ -228,3 +228,25 @@
 		}
 	}
 }
+
+// Ended reports whether the lifetime of an observation or a notice ended after the first time and not after the second one.
+func Ended(
+	after, until time.Time, observations map[apricotway.BackendServerID]Observation,
+	notices map[apricotway.BackendServerID]Known,
+) bool {
+	between := func(end time.Time) bool { return end.After(after) && !end.After(until) }
+
+	for _, observation := range observations {
+		if between(observation.Lost.Add(DeathLifetime)) || between(observation.Reached.Add(DeathLifetime)) {
+			return true
+		}
+	}
+
+	for _, notice := range notices {
+		if between(notice.expires()) || between(notice.expires().Add(memory)) {
+			return true
+		}
+	}
+
+	return false
+}
--- a/state/member/broadcast.go
+++ b/state/member/broadcast.go
@@ -33,9 +33,9 @@
 	switch k.topic {
 	case "":
 		return 0
-	case apricotway.TopicTokens, apricotway.TopicDemand:
+	case apricotway.TopicTokens, apricotway.TopicDemand, apricotway.TopicReading, apricotway.TopicHost:
 		return 2
-	case apricotway.TopicNotice, apricotway.TopicRevision, apricotway.TopicQuarantine:
+	case apricotway.TopicNotice, apricotway.TopicRevision, apricotway.TopicQuarantine, apricotway.TopicList:
 		return 1
 	default: // a topic of a newer release
 		return 1
@@ -190,12 +190,13 @@
 	}
 }
 
-// spread queues an entry. Frequent entries wait for the regular probes, since the next ones replace them.
+// spread queues an entry. Frequent ones wait for the regular probes, since the next ones replace them. So do changes of the
+// host list: nothing goes wrong until they are known.
 func (m *Machine) spread(now time.Time, entry apricotway.BroadcastEntry) {
 	m.digestKnown = false
 	m.enqueue(broadcastKey(entry))
 
-	if !entry.Topic.Frequent() {
+	if !entry.Topic.Frequent() && entry.Topic != apricotway.TopicHost {
 		m.urgent(now)
 	}
 }
--- a/state/member/machine_test.go
+++ b/state/member/machine_test.go
@@ -442,3 +442,29 @@
 		t.Errorf("got entries of a process known %d times, want at least %d; all: %v", got, want, known)
 	}
 }
+
+// TestHostListTopics guards the topics of the host list against a topic that no packet has room for.
+func TestHostListTopics(t *testing.T) {
+	n := newNetwork(4)
+	n.run(10 * time.Second)
+
+	for topic, payload := range map[apricotway.Topic]int{
+		apricotway.TopicReading: 100, apricotway.TopicHost: 350, apricotway.TopicList: 100,
+	} {
+		out, ok := n.machines[0].Publish(n.now, apricotway.BroadcastEntry{
+			Topic: topic, Key: "k", Version: 1, Payload: make([]byte, payload), Lifetime: time.Minute,
+		})
+		if !ok {
+			t.Errorf("topic %s: refused", topic)
+		}
+
+		n.perform(0, out)
+		n.run(20 * time.Second)
+
+		for node, machine := range n.machines {
+			if got, want := len(machine.Broadcasts(n.now, topic)), 1; got != want {
+				t.Errorf("topic %s at %d: got %d entries, want %d", topic, node, got, want)
+			}
+		}
+	}
+}
--- a/state/member/message.go
+++ b/state/member/message.go
@@ -123,6 +123,8 @@
 	tokenBudget = 400
 	// demandBudget bounds the part for the demand of workspaces, which would wait behind the tokens otherwise.
 	demandBudget = 400
+	// readingBudget bounds the part for the signs of the readers of the host list, of which there is one at a time.
+	readingBudget = 200
 )
 
 // entrySize returns an upper bound of the encoded size of an entry: names, state, four addresses of at most 20 bytes and
--- a/state/placement/placement.go
+++ b/state/placement/placement.go
@@ -150,6 +150,34 @@
 	return slices.DeleteFunc(slices.Clone(engines), func(e apricotway.BackendServer) bool { return !tracked[e.ID] })
 }
 
+// Turn returns the member whose turn it is. Of two turns in a row the second one goes to another member, so that one that
+// does not act leaves out one turn.
+func Turn(members []apricotway.Member, turn uint64) apricotway.NodeID {
+	last := first(members, turn-1, "")
+	if len(members) == 1 {
+		return last
+	}
+
+	return first(members, turn, last)
+}
+
+// first returns the member with the highest rendezvous weight for a key, without the given one.
+func first(members []apricotway.Member, key uint64, without apricotway.NodeID) apricotway.NodeID {
+	var (
+		best apricotway.NodeID
+		high uint64
+	)
+
+	for _, member := range members {
+		weight := score(xxhash.Sum64String(string(member.Node)), key)
+		if member.Node != without && (best == "" || weight > high || weight == high && member.Node < best) {
+			best, high = member.Node, weight
+		}
+	}
+
+	return best
+}
+
 // zoneGroups holds the hashes of members by zone.
 type zoneGroups struct {
 	self    uint64
