Measure load reports and the host list in turn for the capacity page

The page had no bytes and CPU for load reports and cache events, and computed the host list for readings every 10 s. Others worked on the machine.

Ruled out for these: one reader an engine, which would still need 8 times the budget of bytes, and broadcasts of all reports. A longer period would need a measurement of its effect on the engine choice, which is not done.

The point of HostChange at 128 members is left out: the system was not quiet 40 s after its start (3,208 B/s).

--- a/cmd/internal/capacity/page.go
+++ b/cmd/internal/capacity/page.go
@@ -76,10 +76,12 @@
 	Relations []Relation
 	Control   []Row
 	Data      []Row
-	// The sums of the control rows.
+	// The sums of the other control rows.
 	ControlCPU, ControlMemory, ControlBytes float64
-	EnginesPerNode                          float64
-	Missing                                 []Name
+	// The need of the load reports and cache events, which is not in the sums.
+	ReportCPU, ReportBytes, Requests float64
+	EnginesPerNode                   float64
+	Missing                          []Name
 }
 
 // Compute computes the page. A relation that was not measured is named as missing, and its rows say so.
@@ -91,6 +93,7 @@
 	c.configuration()
 	c.inventory()
 	c.reports()
+	c.exchange()
 	c.account()
 	c.ledger()
 	c.requests()
@@ -183,22 +186,30 @@
 	})
 }
 
-// The time between two readings of the host list, in the measurement and at full size (coordination/inventory).
+// The time between two readings of the host list, by the one process of the measurement and by any process at full size
+// (state/inventory).
 const (
 	measuredReadSeconds = 0.5
-	readSeconds         = 10
+	turnSeconds         = 1
 )
 
 func (c *computation) inventory() {
-	engines := c.page.Target.Engines
+	target := c.page.Target
+	// Each node has a turn in turn, and one more reading at its start.
+	readings := 1/(target.Nodes*turnSeconds) + target.RestartsPerDay/target.Nodes/secondsPerDay
+	replaced := (target.RestartsPerDay + target.FailuresPerDay) / secondsPerDay
+
 	c.page.Control = append(c.page.Control, Row{
-		Part:     "host list",
-		State:    fmt.Sprintf("%.0f engines, %.0f in the subset", engines, c.page.EnginesPerNode),
-		Messages: c.value(InventoryBytes, engines, 1.0/readSeconds, "B/s", &c.page.ControlBytes),
-		CPU:      c.value(InventoryCPU, engines, measuredReadSeconds/readSeconds, "% of a core", &c.page.ControlCPU),
-		Memory:   c.value(EngineMemory, engines, 1.0/1024, "MB", &c.page.ControlMemory),
-		Mechanism: fmt.Sprintf("the list is read every %d s, since processes share notices (`coordination/inventory`); overlapping subsets "+
-			"by rendezvous hashing, %.0f nodes an engine (`state/placement`)", readSeconds, c.page.Target.Subset),
+		Part:  "host list",
+		State: fmt.Sprintf("%.0f engines, %.0f in the subset", target.Engines, c.page.EnginesPerNode),
+		Messages: c.value(InventoryBytes, target.Engines, readings, "B/s of readings", &c.page.ControlBytes) + ", " +
+			c.value(HostBytes, target.Nodes, replaced, "B/s of notices and changes", &c.page.ControlBytes),
+		CPU: c.value(InventoryCPU, target.Engines, measuredReadSeconds*readings, "% of a core for readings", &c.page.ControlCPU) +
+			", " + c.value(TurnsCPU, target.Engines, 1, "% between them", &c.page.ControlCPU),
+		Memory: c.value(EngineMemory, target.Engines, 1.0/1024, "MB", &c.page.ControlMemory),
+		Mechanism: fmt.Sprintf("one node after another reads the list, one every %d s, and tells the others of changes "+
+			"(`coordination/inventory`); overlapping subsets by rendezvous hashing, %.0f nodes an engine (`state/placement`)",
+			turnSeconds, target.Subset),
 	})
 }
 
@@ -206,16 +217,39 @@
 const reportsPerSecond = 4
 
 func (c *computation) reports() {
-	c.page.Control = append(c.page.Control, Row{
-		Part:      "load reports and cache events",
-		State:     fmt.Sprintf("%.0f engines", c.page.EnginesPerNode),
-		Messages:  fmt.Sprintf("%.0f requests/s, bytes %s", 2*reportsPerSecond*c.page.EnginesPerNode, notMeasured),
-		CPU:       notMeasured,
+	page := &c.page
+	page.Requests = 2 * reportsPerSecond * page.EnginesPerNode
+	page.Control = append(page.Control, Row{
+		Part:  "load reports and cache events",
+		State: fmt.Sprintf("%.0f engines", page.EnginesPerNode),
+		Messages: fmt.Sprintf("%.0f requests/s, ", page.Requests) +
+			c.value(ReportBytes, page.EnginesPerNode, 1, "B/s", &page.ReportBytes),
+		CPU:       c.value(ReportCPU, page.EnginesPerNode, 1, "% of a core", &page.ReportCPU),
 		Memory:    "with the host list",
 		Mechanism: "own subset only, spread over the period, bounded concurrency (`coordination/inventory`)",
 	})
 }
 
+// The most that the exchange of work and demand takes at full size, from the size and number of its packets and the time of one
+// division of the capacity (docs/serving.md).
+const (
+	exchangeBytes = 3700
+	exchangeCPU   = 0.2
+)
+
+func (c *computation) exchange() {
+	c.page.ControlBytes += exchangeBytes
+	c.page.ControlCPU += exchangeCPU
+	c.page.Control = append(c.page.Control, Row{
+		Part:      "work and demand of processes",
+		State:     fmt.Sprintf("%.0f processes", c.page.Target.Nodes),
+		Messages:  fmt.Sprintf("at most %d B/s", exchangeBytes),
+		CPU:       fmt.Sprintf("%.1f %% of a core", exchangeCPU),
+		Memory:    notMeasured,
+		Mechanism: "entries on the probes, bounded in each packet; docs/serving.md",
+	})
+}
+
 func (c *computation) account() {
 	target := c.page.Target
 	// A node serves the workspaces of its shuffle shards; two fifths of all is a high estimate.
@@ -289,7 +323,9 @@
 // Write writes the page as Markdown.
 func (p Page) Write(w io.Writer) error {
 	parsed, err := template.New("page").Funcs(template.FuncMap{
-		"fit": func(r Relation) (Line, error) { return r.Fit() },
+		"fit":     func(r Relation) (Line, error) { return r.Fit() },
+		"ratio":   func(a, b float64) float64 { return a / b },
+		"product": func(a, b float64) float64 { return a * b },
 	}).Parse(pageTemplate)
 	if err != nil {
 		return errors.Wrap(err, "parse page")
--- a/cmd/internal/daemon/inventory_bench_test.go
+++ b/cmd/internal/daemon/inventory_bench_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"runtime"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,13 +17,19 @@
 	"github.com/apricotway/apricotway/coordination/gate"
 	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/state/admission"
+	state "github.com/apricotway/apricotway/state/inventory"
 	"github.com/apricotway/apricotway/state/routing"
 )
 
 // benchList is a host list whose readings cost what decoding an answer of the platform costs. It is down without a body.
-type benchList struct{ body atomic.Pointer[[]byte] }
+type benchList struct {
+	body     atomic.Pointer[[]byte]
+	readings atomic.Int64
+}
 
 func (l *benchList) Hosts(ctx context.Context) ([]apricotway.BackendServer, error) {
+	l.readings.Add(1)
+
 	body := l.body.Load()
 	if body == nil {
 		<-ctx.Done()
@@ -61,7 +68,9 @@
 	return apricotway.Member{Node: "node-0", Zone: "prairie-west-0", State: apricotway.MemberAlive}
 }
 
-func (benchMembership) Members() []apricotway.Member {
+func (benchMembership) Members() []apricotway.Member { return slices.Clone(benchMembers) }
+
+var benchMembers = func() []apricotway.Member {
 	members := make([]apricotway.Member, 389)
 	for i := range members {
 		members[i] = apricotway.Member{
@@ -71,6 +80,113 @@
 	}
 
 	return members
+}()
+
+// benchSilence takes broadcasts and brings none.
+type benchSilence struct{}
+
+func (benchSilence) Publish(apricotway.BroadcastEntry) error { return nil }
+
+func (benchSilence) Subscribe(apricotway.Topic, func(string, uint64, []byte)) {}
+
+func (benchSilence) Latest(apricotway.Topic) []apricotway.BroadcastEntry { return nil }
+
+// BenchmarkInventoryTurns measures the inventory of one of 390 processes that read the host list in turn, between its turns.
+func BenchmarkInventoryTurns(b *testing.B) {
+	for _, size := range []int{120, 1200, 7600} {
+		b.Run(fmt.Sprintf("engines=%d", size), func(b *testing.B) {
+			const window = 30 * time.Second // below the time after which a process reads that hears no other
+
+			for b.Loop() {
+				list := &benchList{}
+				list.set(benchServers(size))
+
+				supervisor := suture.NewSimple("bench")
+				known := inventory.New(supervisor, list, inventory.WithMembership(benchMembership{}),
+					inventory.WithBroadcasts(benchSilence{}))
+				ctx, cancel := context.WithCancel(b.Context())
+				done := supervisor.ServeBackground(ctx)
+				<-known.Ready()
+				<-time.After(time.Second)
+
+				cpu, readings := cpuTime(), list.readings.Load()
+				<-time.After(window)
+				cpu, readings = cpuTime()-cpu, list.readings.Load()-readings
+
+				b.ReportMetric(100*cpu.Seconds()/window.Seconds(), "%core")
+				b.ReportMetric(float64(readings), "readings")
+				cancel()
+				<-done //nolint:errcheck // the context's error
+			}
+		})
+	}
+}
+
+// BenchmarkHostChange measures the bytes of packets at each member for one replaced host: a leave notice and two changes of
+// the host list.
+func BenchmarkHostChange(b *testing.B) {
+	for _, size := range []int{8, 16, 32} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			const replaced, window = 20, 60 * time.Second
+
+			members := make([]*benchMember, size)
+
+			var seeds []netip.AddrPort
+
+			for i := range members {
+				m, address := startBenchMember(b, i, seeds)
+				members[i], seeds = m, append(seeds[:0:0], address)
+			}
+
+			sum := func() float64 {
+				bytes := 0.0
+				for _, m := range members {
+					bytes += probeBytes(b, m)
+				}
+
+				return bytes / float64(size)
+			}
+
+			for _, m := range members {
+				for m.knows(func(m apricotway.Member) bool { return m.State == apricotway.MemberAlive }) < size-1 {
+					<-time.After(time.Millisecond)
+				}
+			}
+
+			<-time.After(40 * time.Second) // the joins are repeated for a while
+
+			for b.Loop() {
+				quiet := sum()
+				<-time.After(window)
+				quiet = sum() - quiet
+
+				busy := sum()
+				servers := benchServers(2 * replaced)
+
+				for n := range replaced {
+					m, begin := members[n%size].driver, time.Now()
+					id := string(servers[n].ID)
+					_ = apricotway.PublishValue(m, apricotway.TopicNotice, id, 7, time.Hour,
+						state.Notice{State: state.NoticeLeaving, Deadline: begin})
+					_ = apricotway.PublishValue(m, apricotway.TopicHost, id, uint64(begin.UnixMilli()), state.ChangeLifetime,
+						state.Change{Server: apricotway.BackendServer{ID: servers[n].ID}, Gone: true})
+					_ = apricotway.PublishValue(m, apricotway.TopicHost, string(servers[replaced+n].ID), uint64(begin.UnixMilli()),
+						state.ChangeLifetime, state.Change{Server: servers[replaced+n]})
+					<-time.After(time.Second)
+				}
+
+				<-time.After(window - replaced*time.Second)
+
+				busy = sum() - busy
+				b.ReportMetric((busy-quiet)/replaced, "B/host")
+				b.ReportMetric(quiet/window.Seconds(), "B/s-quiet")
+			}
+
+			for _, m := range members {
+				m.cancel()
+			}
+		})
+	}
 }
 
 // BenchmarkInventory measures the inventory of one of 390 processes that reads the host list twice a second.
--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -345,8 +345,10 @@
 // fill adds the updates that were sent least often.
 func (m *Machine) fill(now time.Time, message *Message, budget int) int {
 	limit := m.config.Repeat * bits.Len(uint(m.live+1))
-	frequent := map[apricotway.Topic]int{apricotway.TopicTokens: tokenBudget, apricotway.TopicDemand: demandBudget,
-		apricotway.TopicReading: readingBudget}
+	frequent := map[apricotway.Topic]int{
+		apricotway.TopicTokens: tokenBudget, apricotway.TopicDemand: demandBudget,
+		apricotway.TopicReading: readingBudget,
+	}
 
 	for _, key := range m.queue.order() {
 		if key.topic == "" {
