Cut the network and disturb the log in the random schedule

The schedule killed, froze and stopped single processes, reclaimed zones and took the log down. It never killed all entry processes at once, never cut the network between processes, and never let the log be late or lose an answer.

Each entry process now has a fault proxy before its addresses for peers and probes and on its way to the log. A round draws a failure of each part: the inbound link of one process cut in either or both directions, or all of them; answers of the log late or lost after the append took effect, for one process or all; the death of every entry process. The failures last until the steps are taken, until calls under them are answered, or until membership has noticed them. Keys that are sent once only make a false notStarted visible without a repeat. The invariants are checked after every step. A frozen process is waited for by its address: any dead member counted before.

readStream took over the id of an event whose text had not arrived whole, which would have shown as a gap after a kill.

--- a/cmd/scenario/records_test.go
+++ b/cmd/scenario/records_test.go
@@ -29,6 +29,8 @@
 type sentStream struct {
 	prompt, got string
 	tokens      int
+	// lost tells that all holders of the request died at once; what arrived before is still a part of the answer.
+	lost bool
 }
 
 // seenRevision is a configuration revision that a process reported; the entries are in the order in which they were seen.
@@ -43,6 +45,8 @@
 	executions []standin.Execution
 	streams    []sentStream
 	revisions  []seenRevision
+	// underway tells that calls are not answered yet, so that a key may run after its refusals so far.
+	underway bool
 }
 
 // violations returns what contradicts the guarantees. Timing plays no part.
@@ -80,13 +84,13 @@
 	}
 
 	for key, refused := range refusedOnly {
-		if refused && ran[key] > 0 {
+		if refused && ran[key] > 0 && !r.underway {
 			report("G3: key %s ran and was only refused as notStarted", key)
 		}
 	}
 
 	for _, stream := range r.streams {
-		if want := expected(stream.prompt, stream.tokens); stream.got != want {
+		if want := expected(stream.prompt, stream.tokens); stream.got != want && !(stream.lost && strings.HasPrefix(want, stream.got)) {
 			report("G2: the answer to %q is not that of an undisturbed run: got %q", stream.prompt, stream.got)
 		}
 	}
@@ -112,7 +116,7 @@
 	for want, r := range map[string]records{
 		"": {
 			calls: []sentCall{refused, created, created, {key: "u", execution: "unknown"}}, executions: once,
-			streams: []sentStream{{"p", expected("p", 3), 3}}, revisions: []seenRevision{{"a", 2}, {"b", 1}, {"a", 2}},
+			streams: []sentStream{{"p", expected("p", 3), 3, false}, {"p", expected("p", 2), 3, true}}, revisions: []seenRevision{{"a", 2}, {"b", 1}, {"a", 2}},
 		},
 		"G4: key k ran more than once":       {executions: append(once, once...)},
 		"G3: key k ran and was only refused": {calls: []sentCall{refused, refused}, executions: once},
@@ -121,7 +125,8 @@
 		},
 		"G1: key k was answered and did not":   {calls: []sentCall{created}},
 		"G2: key k was answered with":          {calls: []sentCall{created, {key: "k", status: 201, body: "2"}}, executions: once},
-		`G2: the answer to "p" is not that of`: {streams: []sentStream{{"p", expected("p", 2), 3}}},
+		`G2: the answer to "p" is not that of`: {streams: []sentStream{{"p", expected("p", 2), 3, false}}},
+		`G2: the answer to "q" is not that of`: {streams: []sentStream{{"q", expected("p", 2), 3, true}}},
 		"G7: a returned from revision 2 to 1":  {revisions: []seenRevision{{"a", 2}, {"a", 1}}},
 	} {
 		got := r.violations()
@@ -139,7 +144,8 @@
 var callClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitLimit}
 
 // callOnce sends one call with an idempotency key, after it has asked the backend server whether the key has run.
-func callOnce(backend, address, key, body string) sentCall {
+// The timeout is that of the call's header; an empty one leaves it out.
+func callOnce(backend, address, key, body, timeout string) sentCall {
 	before, err := executions(backend)
 	c := sentCall{key: key, ran: err == nil && slices.ContainsFunc(before, func(e standin.Execution) bool { return e.Key == key })}
 
@@ -153,6 +159,10 @@
 	r.Header.Set("Authorization", "Bearer secret")
 	r.Header.Set("Idempotency-Key", key)
 
+	if timeout != "" {
+		r.Header.Set("Apricotway-Timeout", timeout)
+	}
+
 	answer, err := callClient.Do(r)
 	if err != nil {
 		return c
@@ -206,7 +216,7 @@
 
 	for _, address := range args[3:] {
 		k.group.Go(func() {
-			call := callOnce(args[2], address, args[0], body)
+			call := callOnce(args[2], address, args[0], body, "")
 
 			k.mu.Lock()
 			defer k.mu.Unlock()
--- a/cmd/scenario/soak_test.go
+++ b/cmd/scenario/soak_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -17,6 +18,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/faultproxy"
 )
 
 var (
@@ -26,17 +30,31 @@
 )
 
 const (
-	soakRounds = 3
+	soakRounds = 4
 	soakTokens = 500
-	soakSpec   = `{"schemaVersion": 1, "kind": %q, "id": %q, "payload": {"object": %q, "replaces": %d, "spec": %s}}`
+	// soakTimeout is the deadline of a call with a key, after which its process answers unknown.
+	soakTimeout = "3s"
+	// soakLag is the lag of each answer of a slow log in milliseconds.
+	soakLag  = 300
+	soakSpec = `{"schemaVersion": 1, "kind": %q, "id": %q, "payload": {"object": %q, "replaces": %d, "spec": %s}}`
+)
+
+var (
+	// The schedules of the fixed seeds hold every failure, see TestFixedSeeds.
+	fixedSeeds = []uint64{125, 384}
+	entryZones = []string{"a", "b", "c"}
 )
 
+func newRandom(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
 // program is a process of a system under a random schedule.
 type program struct {
 	*process
 
 	name, zone string
 	fields     map[string]string
+	// proxy is the proxy before an entry process: its links "peers" and "probes" lead to the process, "log" from it to the log.
+	proxy *program
 }
 
 // system is a whole system of real processes and the records of its run.
@@ -50,6 +68,8 @@
 	engines       []*program
 	count         int
 	configuration int64
+	seed          uint64
+	logDown       bool
 	// mu guards the fields below.
 	mu      sync.Mutex
 	records records
@@ -78,20 +98,63 @@
 func (s *system) startEntry(zone string) {
 	seeds := []string{}
 	for _, entry := range s.entries {
-		seeds = append(seeds, entry.fields["peers"])
+		seeds = append(seeds, entry.proxy.fields["peers"])
 	}
 
+	proxy := s.start("proxy", zone, "apricotctl", "standin", "proxy", "--link", "peers:tcp", "--link", "probes:udp", "--link", "log:tcp")
+	s.link(proxy, "log", faultproxy.Fault{Target: netip.MustParseAddrPort(s.log.address())})
+
 	listed, _ := json.Marshal(seeds)
 	file := filepath.Join(s.directory, fmt.Sprintf("entry%d.jsonc", s.count))
 	settings := fmt.Sprintf(`{"region": "makedonia", "zone": %q, "seeds": %s, "probeKey": "00112233445566778899aabbccddeeff",
 		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "probes": "127.0.0.1:0", "operator": "127.0.0.1:0"},
-		"platform": {"log": %q, "hosts": %q}}`, zone, listed, s.log.address(), s.hosts.address())
+		"advertise": {"peers": %q, "probes": %q}, "platform": {"log": %q, "hosts": %q}}`, zone, listed,
+		proxy.fields["peers"], proxy.fields["probes"], proxy.fields["log"], s.hosts.address())
 
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
 
-	s.entries = append(s.entries, s.start("entry", zone, "apricotway", "serve", "--settings", file))
+	entry := s.start("entry", zone, "apricotway", "serve", "--settings", file)
+	entry.proxy = proxy
+	s.entries = append(s.entries, entry)
+	s.cut(entry, "")
+}
+
+// link sets the state of a link of a proxy.
+func (s *system) link(proxy *program, name string, fault faultproxy.Fault) {
+	body, _ := json.Marshal(fault)
+	if err := ask(http.MethodPut, proxy.address()+"/links/"+name, string(body), nil); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// cut cuts a direction of the links to a process, or heals them with the empty direction.
+func (s *system) cut(entry *program, direction faultproxy.Direction) {
+	for _, name := range []string{"peers", "probes"} {
+		s.link(entry.proxy, name, faultproxy.Fault{Target: netip.MustParseAddrPort(entry.fields[name]), Cut: direction})
+	}
+}
+
+// disturbLog sets a failure of the log for one process, or heals it with "none".
+func (s *system) disturbLog(entry *program, failure string) {
+	fault := faultproxy.Fault{Target: netip.MustParseAddrPort(s.log.address()), LoseAnswer: failure == "loseAnswer"}
+	if failure == "lag" {
+		fault.DelayMillis = soakLag
+	}
+
+	s.link(entry.proxy, "log", fault)
+}
+
+// dead tells whether a process takes another one for dead.
+func (s *system) dead(viewer, other *program) bool {
+	var members []apricotway.Member
+
+	_ = ask(http.MethodGet, viewer.fields["operator"]+"/v1/members", "", &members)
+
+	return slices.ContainsFunc(members, func(member apricotway.Member) bool {
+		return member.Callers.String() == other.address() && member.State == apricotway.MemberDead
+	})
 }
 
 func (s *system) startEngine(zone string) {
@@ -206,13 +269,15 @@
 }
 
 // converse reads one text as a caller does that goes on at the next address when its process is lost.
-func (s *system) converse(prompt string, addresses []string) {
+// When all processes are killed, it gives up: the holders of the request have died at once.
+func (s *system) converse(prompt string, addresses []string, killed <-chan struct{}) {
 	var (
 		got, last string
 		err       error
+		lost      bool
 	)
 
-	for end, i := time.Now().Add(waitLimit), 0; time.Now().Before(end); i++ {
+	for end, i := time.Now().Add(waitLimit), 0; time.Now().Before(end) && !lost; i++ {
 		answer, failure := openStream("http://"+addresses[i%len(addresses)]+"/v1/completions", "secret", prompt, soakTokens, last)
 		if err = failure; err == nil {
 			var text, id string
@@ -230,21 +295,25 @@
 			}
 		}
 
-		<-time.After(50 * time.Millisecond)
+		select {
+		case <-killed:
+			lost = true
+		case <-time.After(50 * time.Millisecond):
+		}
 	}
 
-	if err != nil {
+	if err != nil && !lost {
 		got += "\nthe last failure: " + err.Error()
 	}
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.records.streams = append(s.records.streams, sentStream{prompt, got, soakTokens})
+	s.records.streams = append(s.records.streams, sentStream{prompt, got, soakTokens, lost})
 }
 
 func (s *system) call(address, key string) sentCall {
-	call := callOnce(s.ledger.address(), address, key, "lot of "+key)
+	call := callOnce(s.ledger.address(), address, key, "lot of "+key, soakTimeout)
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -254,43 +323,60 @@
 	return call
 }
 
+// check reports what contradicts the guarantees so far. Calls with the same key may still be underway in the middle of a round.
+func (s *system) check(when string, underway bool) {
+	s.mu.Lock()
+	known := s.records
+	s.mu.Unlock()
+
+	var err error
+	// The executions are read after the answers, since each answer tells of an earlier execution.
+	if known.executions, err = executions(s.ledger.address()); err != nil {
+		s.t.Fatal(err)
+	}
+
+	known.underway = underway
+	if found := known.violations(); len(found) > 0 {
+		s.t.Fatalf("seed %d, %s:\n%s", s.seed, when, strings.Join(found, "\n"))
+	}
+}
+
+// started returns how many requests the engines have started.
+func (s *system) started() (total int) {
+	for _, engine := range s.engines {
+		var counters struct{ Started int }
+
+		_ = ask(http.MethodGet, engine.address()+"/counters", "", &counters)
+		total += counters.Started
+	}
+
+	return total
+}
+
 // round brings about failures together while texts are streamed and calls with the same keys are sent to all processes, heals
 // them, and waits until every text and call has its final answer.
 func (s *system) round(number int) {
-	var group sync.WaitGroup
+	var group, answered sync.WaitGroup
 
 	addresses := []string{}
 	for _, entry := range s.entries {
 		addresses = append(addresses, entry.address())
 	}
 
-	// The process of the first address is the one that fails; no other fails before every text has arrived, since a request
-	// survives the loss of one process.
-	victim := s.entries[0]
-	reclaim, logDown, change := s.random.IntN(2) == 0, s.random.IntN(2) == 0, s.random.IntN(2) == 0
-	failure := []string{"none", "kill", "freeze", "term"}[s.random.IntN(4)]
-	zone := s.engines[s.random.IntN(len(s.engines))].zone
-	s.t.Logf("round %d: entry %s, reclaim %t of %s, log down %t, change %t", number, failure, reclaim, zone, logDown, change)
-
-	started := func() (total int) {
-		for _, engine := range s.engines {
-			var counters struct{ Started int }
+	// The process of the first address is the one that fails; unless all do, no other fails before every text has arrived,
+	// since a request survives the loss of one process.
+	f := drawFailures(s.random)
+	s.t.Logf("round %d: %+v", number, f)
 
-			_ = ask(http.MethodGet, engine.address()+"/counters", "", &counters)
-			total += counters.Started
-		}
-
-		return total
-	}
-	before := started()
+	killed, before := make(chan struct{}), s.started()
 
 	for i := range 4 {
 		group.Go(func() {
-			s.converse(fmt.Sprintf("round %d text %d", number, i), slices.Concat(addresses[i%2:], addresses[:i%2]))
+			s.converse(fmt.Sprintf("round %d text %d", number, i), slices.Concat(addresses[i%2:], addresses[:i%2]), killed)
 		})
 	}
 
-	s.await("the start of the texts", func() bool { return started() >= before+4 })
+	s.await("the start of the texts", func() bool { return s.started() >= before+4 })
 
 	keys := []string{}
 	for i := range 4 {
@@ -302,49 +388,50 @@
 		}
 	}
 
-	down, steps := false, []func(){}
-	if change {
-		steps = append(steps, func() {
-			// Nothing is accepted while the log is down.
-			if down {
-				return
-			}
-
-			s.configuration = s.publish("service", fmt.Sprintf("change-%d", number), "belt-assistant", s.configuration,
-				fmt.Sprintf(`{"type": "model", "maxTokens": %d}`, 1000+number))
-		})
+	for _, step := range f.order {
+		s.step(step, f, number, killed)
+		s.check(fmt.Sprintf("round %d after step %d", number, step), true)
 	}
 
-	if reclaim {
-		steps = append(steps, func() { _ = ask(http.MethodPost, s.hosts.address()+"/zones/"+zone+"/reclaim?notice=5s", "", nil) })
-	}
+	// Callers repeat their calls while the failures last, and send others once only.
+	for i, address := range addresses {
+		// A frozen process answers nothing until it wakes.
+		waited := &answered
+		if f.entry == "freeze" && i == 0 {
+			waited = &group
+		}
 
-	if sig, ok := map[string]syscall.Signal{"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "term": syscall.SIGTERM}[failure]; ok {
-		steps = append(steps, func() { _ = victim.command.Process.Signal(sig) })
-	}
+		for _, key := range keys {
+			waited.Go(func() { s.call(address, key) })
+		}
 
-	if logDown {
-		steps = append(steps, func() {
-			down = true
-			_ = ask(http.MethodPut, s.log.address()+"/fault?kind=down", "", nil)
-		})
+		for single := range 4 {
+			waited.Go(func() { s.call(address, fmt.Sprintf("round-%d-once-%d-%d", number, i, single)) })
+		}
 	}
 
-	s.random.Shuffle(len(steps), func(i, j int) { steps[i], steps[j] = steps[j], steps[i] })
-
-	for _, step := range steps {
-		step()
+	if f.hold != "taken" {
+		answered.Wait()
+		s.check(fmt.Sprintf("round %d under the failures", number), true)
 	}
 
-	// Callers repeat their calls while the failures last.
-	for _, key := range keys {
-		for _, address := range addresses {
-			group.Go(func() { s.call(address, key) })
+	if f.hold == "noticed" {
+		s.noticed(f)
+
+		for _, address := range addresses[1:] {
+			for _, key := range keys {
+				answered.Go(func() { s.call(address, key) })
+			}
 		}
+
+		answered.Wait()
+		s.check(fmt.Sprintf("round %d after the failures were noticed", number), true)
 	}
 
-	s.heal(failure, reclaim, zone)
+	s.heal(f)
 	group.Wait()
+	answered.Wait()
+	s.check(fmt.Sprintf("round %d after its failures", number), false)
 	s.ready()
 
 	for _, key := range keys {
@@ -352,13 +439,93 @@
 			s.await("a final answer for "+key, func() bool { return s.call(entry.address(), key).final })
 		}
 	}
+
+	s.check(fmt.Sprintf("the end of round %d", number), false)
+}
+
+// step brings about one failure of a round.
+func (s *system) step(step int, f failures, number int, killed chan struct{}) {
+	switch step {
+	case stepChange:
+		// Nothing is accepted while the log is down.
+		if f.change && !s.logDown {
+			s.configuration = s.publish("service", fmt.Sprintf("change-%d", number), "belt-assistant", s.configuration,
+				fmt.Sprintf(`{"type": "model", "maxTokens": %d}`, 1000+number))
+		}
+	case stepReclaim:
+		if f.reclaim {
+			_ = ask(http.MethodPost, s.hosts.address()+"/zones/"+f.zone+"/reclaim?notice=5s", "", nil)
+		}
+	case stepEntry:
+		if f.entry == "killAll" {
+			for _, entry := range s.entries {
+				_ = entry.command.Process.Kill()
+			}
+
+			for _, entry := range s.entries {
+				<-entry.done
+			}
+
+			close(killed)
+		} else if sig, ok := map[string]syscall.Signal{"kill": syscall.SIGKILL, "freeze": syscall.SIGSTOP, "term": syscall.SIGTERM}[f.entry]; ok {
+			_ = s.entries[0].command.Process.Signal(sig)
+		}
+	case stepLog:
+		s.logDown = f.log == "down"
+		if s.logDown {
+			_ = ask(http.MethodPut, s.log.address()+"/fault?kind=down", "", nil)
+			return
+		}
+
+		for i, entry := range s.entries {
+			if f.logAll || i == f.logIndex {
+				s.disturbLog(entry, f.log)
+			}
+		}
+	case stepNetwork:
+		for i, entry := range s.entries {
+			switch {
+			case f.network == "all":
+				s.cut(entry, faultproxy.Both)
+			case f.network != "none" && i == f.cutIndex:
+				s.cut(entry, faultproxy.Direction(f.network))
+			}
+		}
+	}
+}
+
+// noticed waits until the processes take those for dead that they cannot reach.
+func (s *system) noticed(f failures) {
+	for i, viewer := range s.entries {
+		for j, other := range s.entries {
+			gone := j == 0 && (f.entry == "kill" || f.entry == "freeze")
+			if i == j || i == 0 && f.entry != "none" || f.entry == "killAll" || f.network != "all" && !gone {
+				continue
+			}
+
+			// A process that has been told to stop says so before it is cut off, and is not taken for dead.
+			if j == 0 && f.entry == "term" {
+				continue
+			}
+
+			s.await(viewer.name+" takes "+other.name+" for dead", func() bool { return s.dead(viewer, other) })
+		}
+	}
 }
 
 // heal ends the failures of a round and replaces what was lost.
-func (s *system) heal(failure string, reclaim bool, zone string) {
-	if reclaim {
+func (s *system) heal(f failures) {
+	s.logDown = false
+	_ = ask(http.MethodPut, s.log.address()+"/fault", "", nil)
+
+	for _, entry := range s.entries {
+		s.disturbLog(entry, "none")
+		s.cut(entry, "")
+	}
+
+	if f.reclaim {
 		for _, engine := range slices.Clone(s.engines) {
-			if engine.zone == zone {
+			if engine.zone == f.zone {
 				s.await(engine.name+" is idle", func() bool {
 					var load struct{ Running int }
 
@@ -367,36 +534,43 @@
 				engine.kill()
 
 				s.engines = slices.DeleteFunc(s.engines, func(other *program) bool { return other == engine })
-				s.startEngine(zone)
+				s.startEngine(f.zone)
 			}
 		}
 	}
 
-	_ = ask(http.MethodPut, s.log.address()+"/fault", "", nil)
-
 	victim := s.entries[0]
 
-	switch failure {
+	switch f.entry {
 	case "freeze":
-		others := s.entries[1]
-		s.await("the frozen process is taken for dead", func() bool {
-			var answer json.RawMessage
-
-			return ask(http.MethodGet, others.fields["operator"]+"/v1/members", "", &answer) == nil && strings.Contains(string(answer), `"dead"`)
-		})
+		s.await("the frozen process is taken for dead", func() bool { return s.dead(s.entries[1], victim) })
 		_ = victim.command.Process.Signal(syscall.SIGCONT)
 	case "kill", "term":
 		<-victim.done
+		victim.proxy.kill()
 
 		s.entries = s.entries[1:]
 		s.startEntry(victim.zone)
+
+		return
+	case "killAll":
+		for _, entry := range s.entries {
+			entry.proxy.kill()
+		}
+
+		s.entries = nil
+		for _, zone := range entryZones {
+			s.startEntry(zone)
+		}
+
+		return
 	}
 
-	s.entries = append(s.entries[1:], s.entries[0])
+	s.entries = append(s.entries[1:], victim)
 }
 
 func runSchedule(t *testing.T, seed uint64, enough func(rounds int) bool) {
-	s := &system{t: t, directory: t.TempDir(), random: rand.New(rand.NewPCG(seed, 0))}
+	s := &system{t: t, directory: t.TempDir(), random: newRandom(seed), seed: seed}
 	s.log = s.start("log", "", "apricotctl", "standin", "log")
 	s.hosts = s.start("hosts", "", "apricotctl", "standin", "hosts")
 	s.ledger = s.start("ledger", "", "apricotctl", "standin", "service", "--id", "ledger-1", "--service", "lot-ledger",
@@ -406,7 +580,7 @@
 		"tokenHashes": ["2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"]}`)
 	s.configuration = s.publish("service", "3", "belt-assistant", 0, `{"type": "model"}`)
 
-	for _, zone := range []string{"a", "b", "c"} {
+	for _, zone := range entryZones {
 		s.startEngine(zone)
 		s.startEntry(zone)
 	}
@@ -417,24 +591,14 @@
 		s.round(rounds)
 	}
 
-	var err error
-	if s.records.executions, err = executions(s.ledger.address()); err != nil {
-		t.Fatal(err)
-	}
-
-	for _, violation := range s.records.violations() {
-		t.Errorf("seed %d: %s", seed, violation)
-	}
-
-	t.Logf("seed %d: %d calls, %d executions, %d texts, %d revisions seen", seed,
-		len(s.records.calls), len(s.records.executions), len(s.records.streams), len(s.records.revisions))
+	t.Logf("seed %d: %d calls, %d texts, %d revisions seen", seed,
+		len(s.records.calls), len(s.records.streams), len(s.records.revisions))
 }
 
 // TestRandomFailures guards the guarantees against failures that come together, drawn from fixed seeds. "make soak" runs others.
 func TestRandomFailures(t *testing.T) {
 	if *soakSeeds == 0 {
-		// Their schedules hold each failure of a process, reclaims, outages of the log and changes.
-		for _, seed := range []uint64{2, 2001} {
+		for _, seed := range fixedSeeds {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed, func(rounds int) bool { return rounds == soakRounds }) })
 		}
 
--- a/cmd/scenario/stream_test.go
+++ b/cmd/scenario/stream_test.go
@@ -50,11 +50,13 @@
 	var (
 		collected strings.Builder
 		count     int
+		// id is that of the event being read. It counts only once the event's text has arrived whole.
+		id string
 	)
 
 	for lines := bufio.NewScanner(body); lines.Scan(); {
-		if id, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
-			last = id
+		if value, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			id = value
 			continue
 		}
 
@@ -78,6 +80,8 @@
 
 		collected.WriteString(chunk.Choices[0].Text)
 
+		last = id
+
 		if count++; count == until {
 			return collected.String(), last, nil
 		}
