Send the lease's fencing number and not-after time to the cloud API

The design has every order carry both, but the planner dropped the order that the lease gave it: creations and releases reached the cloud with the client token only. A platform could not refuse the late order of a former holder, and a creation that the next holder had been refused took effect all the same.

Creations and releases now carry both, the cloud API answers 412 to an order that is behind, and the planner leaves the intent open for the holder. The stand-in checks the number, the time, both or neither.

TestFleetFaults runs with and without the checks, TestPlatformClients covers the answers on the wire.

--- a/cmd/internal/standin/cloud.go
+++ b/cmd/internal/standin/cloud.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	Lag time.Duration `json:"lag,omitempty"`
 }
 
+// CloudChecks are what a deployment of the cloud API checks of an order's lease.
+type CloudChecks struct{ Number, NotAfter bool }
+
 // Cloud is the platform's cloud API in memory. It implements apricotway.Cloud, and Handler serves it over HTTP.
 type Cloud struct {
 	region apricotway.Region
@@ -44,6 +48,9 @@
 
 	mu     sync.Mutex
 	faults CloudFaults
+	checks CloudChecks
+	// number is the highest fencing number seen.
+	number apricotway.Offset
 	// tokens holds the host of every order, released ones included: a late copy of an order creates no second host.
 	tokens map[string]apricotway.BackendServerID
 	alive  map[apricotway.BackendServerID]apricotway.HostOrder
@@ -65,6 +72,14 @@
 	c.faults = faults
 }
 
+// SetChecks replaces the checks; at first there are none.
+func (c *Cloud) SetChecks(checks CloudChecks) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.checks = checks
+}
+
 // Alive returns the hosts that exist, with their orders.
 func (c *Cloud) Alive() map[apricotway.BackendServerID]apricotway.HostOrder {
 	c.mu.Lock()
@@ -74,7 +89,7 @@
 
 // Create implements apricotway.Cloud.
 func (c *Cloud) Create(ctx context.Context, order apricotway.HostOrder) (apricotway.BackendServerID, error) {
-	return c.call(ctx, func(faults CloudFaults) (apricotway.BackendServerID, error) {
+	return c.call(ctx, order.Fencing, func(faults CloudFaults) (apricotway.BackendServerID, error) {
 		if known, ok := c.tokens[order.ClientToken]; ok {
 			return known, nil
 		}
@@ -97,8 +112,8 @@
 }
 
 // Release implements apricotway.Cloud.
-func (c *Cloud) Release(ctx context.Context, id apricotway.BackendServerID) error {
-	_, err := c.call(ctx, func(faults CloudFaults) (apricotway.BackendServerID, error) {
+func (c *Cloud) Release(ctx context.Context, id apricotway.BackendServerID, fencing apricotway.Fencing) error {
+	_, err := c.call(ctx, fencing, func(faults CloudFaults) (apricotway.BackendServerID, error) {
 		delete(c.alive, id)
 		c.list(faults.Lag, apricotway.BackendServer{ID: id}, false)
 
@@ -125,7 +140,7 @@
 
 // call takes effect between the delays, although the caller may have given up.
 func (c *Cloud) call(
-	ctx context.Context, effect func(CloudFaults) (apricotway.BackendServerID, error),
+	ctx context.Context, fencing apricotway.Fencing, effect func(CloudFaults) (apricotway.BackendServerID, error),
 ) (id apricotway.BackendServerID, err error) {
 	c.mu.Lock()
 	faults := c.faults
@@ -136,7 +151,14 @@
 	go func() {
 		<-time.After(faults.Before)
 		c.mu.Lock()
-		host, failure := effect(faults)
+
+		var host apricotway.BackendServerID
+
+		failure := c.fence(fencing)
+		if failure == nil {
+			host, failure = effect(faults)
+		}
+
 		c.mu.Unlock()
 		<-time.After(faults.After)
 		done <- func() { id, err = host, failure }
@@ -156,6 +178,17 @@
 	return id, err
 }
 
+// fence refuses an order whose lease has ended, as far as the checks tell. The caller holds the lock.
+func (c *Cloud) fence(fencing apricotway.Fencing) error {
+	if c.checks.Number && fencing.Number < c.number || c.checks.NotAfter && time.Now().After(fencing.NotAfter) {
+		return apricotway.ErrOrderFenced
+	}
+
+	c.number = max(c.number, fencing.Number)
+
+	return nil
+}
+
 // Handler serves the cloud API over HTTP; PUT /faults is for tests.
 func (c *Cloud) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -164,7 +197,16 @@
 		return platform.CreatedHost{ID: id}, err
 	}))
 	mux.HandleFunc("DELETE /hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
-		answer(w, struct{}{}, c.Release(r.Context(), apricotway.BackendServerID(r.PathValue("id"))))
+		number, errNumber := strconv.ParseUint(r.URL.Query().Get("number"), 10, 64)
+		notAfter, errTime := time.Parse(time.RFC3339Nano, r.URL.Query().Get("notAfter"))
+
+		if errNumber != nil || errTime != nil {
+			http.Error(w, "number and notAfter are required", http.StatusBadRequest)
+			return
+		}
+
+		fencing := apricotway.Fencing{Number: apricotway.Offset(number), NotAfter: notAfter}
+		answer(w, struct{}{}, c.Release(r.Context(), apricotway.BackendServerID(r.PathValue("id")), fencing))
 	})
 	mux.HandleFunc("PUT /faults", serveJSON(func(_ context.Context, faults CloudFaults) (any, error) {
 		c.SetFaults(faults)
@@ -192,6 +234,8 @@
 	switch {
 	case err == nil:
 		httpjson.Write(w, http.StatusOK, document)
+	case errors.Is(err, apricotway.ErrOrderFenced):
+		http.Error(w, err.Error(), http.StatusPreconditionFailed)
 	case errors.Is(err, apricotway.ErrHostRefused):
 		http.Error(w, err.Error(), http.StatusConflict)
 	default:
--- a/cmd/scenario/fleet_test.go
+++ b/cmd/scenario/fleet_test.go
@@ -56,8 +56,8 @@
 }
 
 // Release implements apricotway.Cloud.
-func (r *region) Release(ctx context.Context, id apricotway.BackendServerID) error {
-	return r.cloud.Release(ctx, id)
+func (r *region) Release(ctx context.Context, id apricotway.BackendServerID, fencing apricotway.Fencing) error {
+	return r.cloud.Release(ctx, id, fencing)
 }
 
 func newRegion(t *testing.T) *region {
@@ -363,24 +363,27 @@
 		"log answers lost":       {log: standin.LogLoseAnswer},
 	}
 	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			inRegion(t, func(ctx context.Context, r *region) {
-				r.cloud.SetFaults(test.faults)
-				r.start(ctx, "first")
-				r.start(ctx, "second")
-				r.log.SetFault(test.log)
-				sleep(2 * time.Minute)
-
-				if test.during != nil && test.log == standin.LogHealthy {
-					r.check(ctx, "during the faults", test.during)
-				}
-
-				r.log.SetFault(standin.LogHealthy)
-				r.cloud.SetFaults(standin.CloudFaults{})
-				sleep(10 * time.Minute)
-				r.check(ctx, "after the faults", wantFull)
+		for _, checks := range []standin.CloudChecks{{}, {Number: true, NotAfter: true}} {
+			t.Run(fmt.Sprintf("%s/%+v", name, checks), func(t *testing.T) {
+				inRegion(t, func(ctx context.Context, r *region) {
+					r.cloud.SetChecks(checks)
+					r.cloud.SetFaults(test.faults)
+					r.start(ctx, "first")
+					r.start(ctx, "second")
+					r.log.SetFault(test.log)
+					sleep(2 * time.Minute)
+
+					if test.during != nil && test.log == standin.LogHealthy {
+						r.check(ctx, "during the faults", test.during)
+					}
+
+					r.log.SetFault(standin.LogHealthy)
+					r.cloud.SetFaults(standin.CloudFaults{})
+					sleep(10 * time.Minute)
+					r.check(ctx, "after the faults", wantFull)
+				})
 			})
-		})
+		}
 	}
 }
 
@@ -420,7 +423,7 @@
 
 		for id, order := range r.cloud.Alive() {
 			if order.Zone == "a" {
-				if err := r.cloud.Release(ctx, id); err != nil {
+				if err := r.cloud.Release(ctx, id, apricotway.Fencing{}); err != nil {
 					t.Fatal(err)
 				}
 			}
@@ -467,9 +470,29 @@
 		t.Errorf("got %d hosts from a repeated token, want %d", got, want)
 	}
 
+	// An order under an old lease, or after its time, must not look like an outage either.
+	cloud.SetChecks(standin.CloudChecks{Number: true, NotAfter: true})
+
+	for _, test := range []struct {
+		fencing apricotway.Fencing
+		want    error
+	}{
+		{apricotway.Fencing{Number: 2, NotAfter: time.Now().Add(time.Hour)}, nil},
+		{apricotway.Fencing{Number: 1, NotAfter: time.Now().Add(time.Hour)}, apricotway.ErrOrderFenced},
+		{apricotway.Fencing{Number: 2, NotAfter: time.Now().Add(-time.Hour)}, apricotway.ErrOrderFenced},
+	} {
+		if _, err := client.Create(t.Context(), apricotway.HostOrder{ClientToken: "t", Fencing: test.fencing}); !errors.Is(err, test.want) {
+			t.Errorf("got error %v from a creation, want %v", err, test.want)
+		}
+
+		if err := client.Release(t.Context(), "host-00009", test.fencing); !errors.Is(err, test.want) {
+			t.Errorf("got error %v from a release, want %v", err, test.want)
+		}
+	}
+
 	cloudServer.Close()
 
-	if err := client.Release(t.Context(), "host-00001"); !errors.Is(err, apricotway.ErrPlatformUnavailable) {
+	if err := client.Release(t.Context(), "host-00001", apricotway.Fencing{}); !errors.Is(err, apricotway.ErrPlatformUnavailable) {
 		t.Errorf("got error %v, want %v", err, apricotway.ErrPlatformUnavailable)
 	}
 
--- a/cmd/scenario/records_test.go
+++ b/cmd/scenario/records_test.go
@@ -53,7 +53,11 @@
 func (r *records) violations() []string {
 	var found []string
 
-	report := func(format string, args ...any) { found = append(found, fmt.Sprintf(format, args...)) }
+	report := func(format string, args ...any) {
+		if text := fmt.Sprintf(format, args...); !slices.Contains(found, text) {
+			found = append(found, text)
+		}
+	}
 	ran, refusedOnly, recorded := map[string]int{}, map[string]bool{}, map[string]string{}
 
 	for _, execution := range r.executions {
--- a/cmd/scenario/soak_test.go
+++ b/cmd/scenario/soak_test.go
@@ -193,6 +193,7 @@
 
 	for end := time.Now().Add(waitLimit); !happened(); <-time.After(20 * time.Millisecond) {
 		if time.Now().After(end) {
+			s.check("without "+what, true)
 			s.t.Fatalf("%s has not happened; the last calls: %+v", what, s.lastCalls())
 		}
 	}
--- a/coordination/planning/planning.go
+++ b/coordination/planning/planning.go
@@ -407,8 +407,8 @@
 	case c.err == nil:
 		outcome.Result, outcome.Host = fleet.ResultReleased, c.open.Host
 		d.logger.Info("host released", "event", 243, "host", c.open.Host)
-	case errors.Is(c.err, leasing.ErrNotHeld):
-		// The next holder repeats the order.
+	case errors.Is(c.err, leasing.ErrNotHeld), errors.Is(c.err, apricotway.ErrOrderFenced):
+		// The next holder repeats the order, or this one does when it has renewed its lease meanwhile.
 		return fleet.Outcome{}, false, nil
 	case (refused || retry.attempts >= maxAttempts) && c.open.Action == fleet.ActionCreate:
 		outcome.Result = fleet.ResultUnanswered
@@ -447,7 +447,7 @@
 }
 
 // Apply implements leasing.Target.
-func (c *call) Apply(ctx context.Context, _ lease.Order) error {
+func (c *call) Apply(ctx context.Context, order lease.Order) error {
 	if err := c.driver.step(StepBeforeCall, c.open.Intent); err != nil {
 		return err
 	}
@@ -460,9 +460,10 @@
 		c.host, err = c.driver.cloud.Create(ctx, apricotway.HostOrder{
 			ClientToken: c.open.Token, Service: c.open.Service, Zone: c.open.Market.Zone,
 			MachineClass: c.open.Market.MachineClass, Reclaimable: c.open.Market.Reclaimable,
+			Fencing: apricotway.Fencing(order),
 		})
 	default:
-		err = c.driver.cloud.Release(ctx, c.open.Host)
+		err = c.driver.cloud.Release(ctx, c.open.Host, apricotway.Fencing(order))
 	}
 
 	if stop := c.driver.step(StepAfterCall, c.open.Intent); stop != nil {
--- a/platform.go
+++ b/platform.go
@@ -38,6 +38,14 @@
 	Hosts(ctx context.Context) ([]BackendServer, error)
 }
 
+// Fencing limits an order to the lease under which it was given.
+type Fencing struct {
+	// Number is the fencing number. A platform that checks it refuses a lower one than it has seen.
+	Number Offset `json:"number"`
+	// NotAfter is the time after which the order must not be carried out.
+	NotAfter time.Time `json:"notAfter,omitzero"`
+}
+
 // HostOrder asks the cloud API for one host.
 type HostOrder struct {
 	// ClientToken makes the order idempotent: two orders with one token create one host.
@@ -46,6 +54,7 @@
 	Zone         Zone         `json:"zone"`
 	MachineClass MachineClass `json:"machineClass"`
 	Reclaimable  bool         `json:"reclaimable"`
+	Fencing      Fencing      `json:"fencing"`
 }
 
 // Cloud is the platform's cloud API.
@@ -53,7 +62,7 @@
 	// Create orders a host and returns its identifier.
 	Create(ctx context.Context, order HostOrder) (BackendServerID, error)
 	// Release gives a host back. Releasing an unknown host is no error.
-	Release(ctx context.Context, id BackendServerID) error
+	Release(ctx context.Context, id BackendServerID, fencing Fencing) error
 }
 
 // WeightStore is the platform's rate-limited store of model weights.
@@ -68,4 +77,6 @@
 	ErrPlatformUnavailable = errors.New("platform service unavailable")
 	// ErrHostRefused reports that the cloud has no such host at present.
 	ErrHostRefused = errors.New("host refused")
+	// ErrOrderFenced reports that the cloud has seen an order of a later lease, or got the order after its time.
+	ErrOrderFenced = errors.New("order under an old lease refused")
 )
--- a/transport/platform/cloud.go
+++ b/transport/platform/cloud.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strconv"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -13,7 +15,7 @@
 )
 
 // Cloud implements apricotway.Cloud over HTTP: POST /hosts with an order answers CreatedHost, or the status 409 when there is
-// no such host at present; DELETE /hosts/{id} releases a host.
+// no such host at present; DELETE /hosts/{id}?number=N&notAfter=T releases a host. Both answer 412 to an order under an old lease.
 type Cloud struct {
 	address   netip.AddrPort
 	transport http.RoundTripper
@@ -46,7 +48,7 @@
 	case errors.As(err, &status) && status.Status == http.StatusConflict:
 		return "", errors.Wrap(apricotway.ErrHostRefused, status.Body)
 	case err != nil:
-		return "", errors.Wrap(apricotway.ErrPlatformUnavailable, err.Error())
+		return "", translate(err)
 	case created.ID == "":
 		return "", errors.Wrap(apricotway.ErrPlatformUnavailable, "the answer names no host")
 	}
@@ -55,14 +57,29 @@
 }
 
 // Release implements apricotway.Cloud.
-func (c *Cloud) Release(ctx context.Context, id apricotway.BackendServerID) error {
+func (c *Cloud) Release(ctx context.Context, id apricotway.BackendServerID, fencing apricotway.Fencing) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 
-	target := httpjson.URL(c.address, "/hosts/"+url.PathEscape(string(id)))
+	query := url.Values{
+		"number":   {strconv.FormatUint(uint64(fencing.Number), 10)},
+		"notAfter": {fencing.NotAfter.Format(time.RFC3339Nano)},
+	}
+	target := httpjson.URL(c.address, "/hosts/"+url.PathEscape(string(id))+"?"+query.Encode())
+
 	if err := httpjson.Do(ctx, c.transport, http.MethodDelete, target, nil, nil); err != nil {
-		return errors.Wrap(apricotway.ErrPlatformUnavailable, err.Error())
+		return translate(err)
 	}
 
 	return nil
 }
+
+// translate tells an order that was refused for its lease from a platform that did not answer.
+func translate(err error) error {
+	var status *httpjson.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusPreconditionFailed {
+		return errors.Wrap(apricotway.ErrOrderFenced, status.Body)
+	}
+
+	return errors.Wrap(apricotway.ErrPlatformUnavailable, err.Error())
+}
