Cut single processes off from the log in the random schedule

The cut holds up the bytes of one process's or of every process's way to the log, unlike the outage, which refuses every call.

A planner whose order is refused under an old lease now logs event 106.

--- a/cmd/scenario/schedule_test.go
+++ b/cmd/scenario/schedule_test.go
@@ -10,8 +10,9 @@
 // The values of the parts of a failures; "none" stands for no failure of the part.
 var (
 	entryFailures = []string{"none", "kill", "freeze", "term", "killAll"}
-	// With lag and loseAnswer the log takes appends: each answer is late, or is lost after the append took effect.
-	logFailures = []string{"none", "down", "lag", "loseAnswer"}
+	// With lag and loseAnswer the log takes appends: each answer is late, or is lost after the append took effect. With cut it
+	// answers nothing to some processes, while the others can claim their shards.
+	logFailures = []string{"none", "down", "lag", "loseAnswer", "cut"}
 	// A link leads from all other processes to one. Forward, backward and both cut the directions of that link; all cuts the
 	// links of all processes both ways, so that each is alone.
 	networkFailures = []string{"none", "forward", "backward", "both", "all"}
@@ -23,7 +24,7 @@
 // failures are the failures of one round.
 type failures struct {
 	entry, log, network, hold string
-	// logAll tells whether a lag or lost answers meet every process or only the one at logIndex.
+	// logAll tells whether a failure other than down meets every process or only the one at logIndex.
 	logAll             bool
 	logIndex, cutIndex int
 	reclaim, change    bool
--- a/cmd/scenario/soak_test.go
+++ b/cmd/scenario/soak_test.go
@@ -139,8 +139,12 @@
 // disturbLog sets a failure of the log for one process, or heals it with "none".
 func (s *system) disturbLog(entry *program, failure string) {
 	fault := faultproxy.Fault{Target: netip.MustParseAddrPort(s.log.address()), LoseAnswer: failure == "loseAnswer"}
-	if failure == "lag" {
+
+	switch failure {
+	case "lag":
 		fault.DelayMillis = soakLag
+	case "cut":
+		fault.Cut = faultproxy.Both
 	}
 
 	s.link(entry.proxy, "log", fault)
--- a/coordination/planning/planning.go
+++ b/coordination/planning/planning.go
@@ -407,8 +407,13 @@
 	case c.err == nil:
 		outcome.Result, outcome.Host = fleet.ResultReleased, c.open.Host
 		d.logger.Info("host released", "event", 243, "host", c.open.Host)
-	case errors.Is(c.err, leasing.ErrNotHeld), errors.Is(c.err, apricotway.ErrOrderFenced):
+	case errors.Is(c.err, leasing.ErrNotHeld):
+		// The next holder repeats the order.
+		return fleet.Outcome{}, false, nil
+	case errors.Is(c.err, apricotway.ErrOrderFenced):
 		// The next holder repeats the order, or this one does when it has renewed its lease meanwhile.
+		d.logger.Info("order under an old lease refused", "event", 106, "token", c.open.Token)
+
 		return fleet.Outcome{}, false, nil
 	case (refused || retry.attempts >= maxAttempts) && c.open.Action == fleet.ActionCreate:
 		outcome.Result = fleet.ResultUnanswered
