Share the decoding and answering of the stand-ins' handlers

The handlers of the engine, the host list and the log each decoded their body and translated their errors. They now use what the cloud API used. The refusal by machine class was used nowhere.

--- a/cmd/internal/standin/cloud.go
+++ b/cmd/internal/standin/cloud.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -12,10 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/apricotway/apricotway"
-	"github.com/apricotway/apricotway/transport/httpjson"
 	"github.com/apricotway/apricotway/transport/platform"
 )
 
@@ -24,10 +20,9 @@
 
 // CloudFaults are the faults of the cloud API that a test can switch on.
 type CloudFaults struct {
-	// RefuseZones and RefuseClasses name what is not available; RefuseAll refuses everything.
-	RefuseZones   []apricotway.Zone         `json:"refuseZones"`
-	RefuseClasses []apricotway.MachineClass `json:"refuseClasses"`
-	RefuseAll     bool                      `json:"refuseAll"`
+	// RefuseZones names what is not available; RefuseAll refuses everything.
+	RefuseZones []apricotway.Zone `json:"refuseZones"`
+	RefuseAll   bool              `json:"refuseAll"`
 	// Before and After delay a call before and after its effect, in nanoseconds. A caller that gives up during Before does not
 	// keep the call from taking effect.
 	Before time.Duration `json:"before,omitempty"`
@@ -94,7 +89,7 @@
 			return known, nil
 		}
 
-		if refused(faults, order) {
+		if faults.RefuseAll || slices.Contains(faults.RefuseZones, order.Zone) {
 			return "", apricotway.ErrHostRefused
 		}
 
@@ -133,11 +128,6 @@
 	time.AfterFunc(lag, func() { c.change(server, present) })
 }
 
-func refused(faults CloudFaults, order apricotway.HostOrder) bool {
-	return faults.RefuseAll || slices.Contains(faults.RefuseZones, order.Zone) ||
-		slices.Contains(faults.RefuseClasses, order.MachineClass)
-}
-
 // call takes effect between the delays, although the caller may have given up.
 func (c *Cloud) call(
 	ctx context.Context, fencing apricotway.Fencing, effect func(CloudFaults) (apricotway.BackendServerID, error),
@@ -192,8 +182,8 @@
 // Handler serves the cloud API over HTTP; PUT /faults is for tests.
 func (c *Cloud) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /hosts", serveJSON(func(ctx context.Context, order apricotway.HostOrder) (any, error) {
-		id, err := c.Create(ctx, order)
+	mux.HandleFunc("POST /hosts", serveJSON(func(r *http.Request, order apricotway.HostOrder) (any, error) {
+		id, err := c.Create(r.Context(), order)
 		return platform.CreatedHost{ID: id}, err
 	}))
 	mux.HandleFunc("DELETE /hosts/{id}", func(w http.ResponseWriter, r *http.Request) {
@@ -206,39 +196,12 @@
 		}
 
 		fencing := apricotway.Fencing{Number: apricotway.Offset(number), NotAfter: notAfter}
-		answer(w, struct{}{}, c.Release(r.Context(), apricotway.BackendServerID(r.PathValue("id")), fencing))
+		answer(w, nil, c.Release(r.Context(), apricotway.BackendServerID(r.PathValue("id")), fencing))
 	})
-	mux.HandleFunc("PUT /faults", serveJSON(func(_ context.Context, faults CloudFaults) (any, error) {
+	mux.HandleFunc("PUT /faults", serveJSON(func(_ *http.Request, faults CloudFaults) (any, error) {
 		c.SetFaults(faults)
-		return faults, nil
+		return nil, nil
 	}))
 
 	return mux
 }
-
-// serveJSON answers a request with a JSON body.
-func serveJSON[T any](serve func(context.Context, T) (any, error)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		var body T
-		if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-
-		document, err := serve(r.Context(), body)
-		answer(w, document, err)
-	}
-}
-
-func answer(w http.ResponseWriter, document any, err error) {
-	switch {
-	case err == nil:
-		httpjson.Write(w, http.StatusOK, document)
-	case errors.Is(err, apricotway.ErrOrderFenced):
-		http.Error(w, err.Error(), http.StatusPreconditionFailed)
-	case errors.Is(err, apricotway.ErrHostRefused):
-		http.Error(w, err.Error(), http.StatusConflict)
-	default:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	}
-}
--- a/cmd/internal/standin/engine.go
+++ b/cmd/internal/standin/engine.go
@@ -110,9 +110,12 @@
 		after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 		httpjson.Write(w, http.StatusOK, e.model.CacheEvents(time.Now(), after))
 	})
-	mux.HandleFunc("POST /kv/export", e.serveExport)
-	mux.HandleFunc("POST /kv/import", e.serveImport)
-	mux.HandleFunc("PUT /fault", e.serveFault)
+	mux.HandleFunc("POST /kv/export", serveJSON(e.serveExport))
+	mux.HandleFunc("POST /kv/import", serveJSON(e.serveImport))
+	mux.HandleFunc("PUT /fault", serveJSON(func(_ *http.Request, fault Fault) (any, error) {
+		e.SetFault(fault)
+		return nil, nil
+	}))
 	mux.HandleFunc("GET /counters", func(w http.ResponseWriter, _ *http.Request) {
 		httpjson.Write(w, http.StatusOK, e.Counters())
 	})
@@ -219,63 +222,51 @@
 	delete(e.running, id)
 }
 
-func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
-	var request engine.ExportRequest
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-
+func (e *Engine) serveExport(r *http.Request, request engine.ExportRequest) (any, error) {
 	target, err := netip.ParseAddrPort(request.Target)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+		return nil, refusal(http.StatusBadRequest, err.Error())
 	}
 
 	e.mu.Lock()
-	running, ok := e.running[request.RequestID]
+	running := e.running[request.RequestID]
 
 	var cache kvCache
-	if ok {
+	if running != nil {
 		cache = *running
 	}
 	e.mu.Unlock()
 
-	if !ok || e.current().Kind == FaultRefuseExport {
-		http.Error(w, "no such request", http.StatusConflict)
-		return
+	if running == nil || e.current().Kind == FaultRefuseExport {
+		return nil, refusal(http.StatusConflict, "no such request")
 	}
 
 	transfer := time.Duration(apricotway.EstimateTokens(cache.Prompt)+cache.Tokens) * kvPerToken
 	if err := wait(r.Context(), transfer); err != nil {
-		return
+		return nil, err
 	}
 
 	var answer engine.ExportAnswer
 
 	err = httpjson.Do(r.Context(), e.transport, http.MethodPost, httpjson.URL(target, "/kv/import"), cache, &answer)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadGateway)
-		return
+		return nil, refusal(http.StatusBadGateway, err.Error())
 	}
 
 	e.mu.Lock()
+	defer e.mu.Unlock()
+
 	e.counters.Exported++
-	e.mu.Unlock()
 
-	httpjson.Write(w, http.StatusOK, answer)
+	return answer, nil
 }
 
-func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
-	var cache kvCache
-	if err := json.NewDecoder(r.Body).Decode(&cache); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-
+func (e *Engine) serveImport(_ *http.Request, cache kvCache) (any, error) {
 	handle := uuid.NewString()
 
 	e.mu.Lock()
+	defer e.mu.Unlock()
+
 	e.counters.Imported++
 
 	// An engine that loses the cache after the import refuses the handle later.
@@ -283,15 +274,11 @@
 		e.imported[handle] = cache
 	}
 
-	refused := e.fault.Kind == FaultRefuseImport
-	e.mu.Unlock()
-
-	if refused {
-		http.Error(w, "no KV memory", http.StatusServiceUnavailable)
-		return
+	if e.fault.Kind == FaultRefuseImport {
+		return nil, refusal(http.StatusServiceUnavailable, "no KV memory")
 	}
 
-	httpjson.Write(w, http.StatusOK, engine.ExportAnswer{KVHandle: handle})
+	return engine.ExportAnswer{KVHandle: handle}, nil
 }
 
 // engineStream writes the events of one generation.
--- a/cmd/internal/standin/enginefault.go
+++ b/cmd/internal/standin/enginefault.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"strings"
 
 	"github.com/apricotway/apricotway"
@@ -56,16 +54,6 @@
 	e.fault = fault
 }
 
-func (e *Engine) serveFault(w http.ResponseWriter, r *http.Request) {
-	var fault Fault
-	if err := json.NewDecoder(r.Body).Decode(&fault); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-
-	e.SetFault(fault)
-}
-
 func (e *Engine) current() Fault {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/cmd/internal/standin/hosts.go
+++ b/cmd/internal/standin/hosts.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/apricotway/apricotway"
-	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
 // Hosts is the platform's list of hosts. It implements apricotway.HostList, and Handler serves it over HTTP.
@@ -61,14 +59,10 @@
 	defer h.mu.Unlock()
 
 	list := make([]apricotway.BackendServer, 0, len(h.servers))
-	for _, server := range h.servers {
-		list = append(list, server)
+	for _, id := range slices.Sorted(maps.Keys(h.servers)) {
+		list = append(list, h.servers[id])
 	}
 
-	slices.SortFunc(list, func(a, b apricotway.BackendServer) int {
-		return strings.Compare(string(a.ID), string(b.ID))
-	})
-
 	return list, nil
 }
 
@@ -76,18 +70,13 @@
 func (h *Hosts) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, r *http.Request) {
-		list, _ := h.Hosts(r.Context())
-		httpjson.Write(w, http.StatusOK, list)
+		list, err := h.Hosts(r.Context())
+		answer(w, list, err)
 	})
-	mux.HandleFunc("PUT /hosts", func(w http.ResponseWriter, r *http.Request) {
-		var server apricotway.BackendServer
-		if err := json.NewDecoder(r.Body).Decode(&server); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-
+	mux.HandleFunc("PUT /hosts", serveJSON(func(_ *http.Request, server apricotway.BackendServer) (any, error) {
 		h.Add(server)
-	})
+		return nil, nil
+	}))
 	mux.HandleFunc("DELETE /hosts/{id}", func(_ http.ResponseWriter, r *http.Request) {
 		h.Remove(apricotway.BackendServerID(r.PathValue("id")))
 	})
--- a/cmd/internal/standin/log.go
+++ b/cmd/internal/standin/log.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -35,7 +34,7 @@
 // Handler serves the log over HTTP. PUT /fault and DELETE on a stream's records steer faults and trimming for tests.
 func (l *Log) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /streams/{stream}/records", l.serveAppend)
+	mux.HandleFunc("POST /streams/{stream}/records", serveJSON(l.serveAppend))
 	mux.HandleFunc("GET /streams/{stream}/records", l.serveRead)
 	mux.HandleFunc("DELETE /streams/{stream}/records", func(w http.ResponseWriter, r *http.Request) {
 		below, err := strconv.ParseUint(r.URL.Query().Get("below"), 10, 64)
@@ -53,23 +52,14 @@
 	return mux
 }
 
-func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
-	var request logservice.AppendRequest
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || len(request.Records) == 0 {
-		http.Error(w, "the body holds no records", http.StatusBadRequest)
-		return
+func (l *Log) serveAppend(r *http.Request, request logservice.AppendRequest) (any, error) {
+	if len(request.Records) == 0 {
+		return nil, refusal(http.StatusBadRequest, "the body holds no records")
 	}
 
 	first, err := l.Append(r.Context(), apricotway.Stream(r.PathValue("stream")), request.Records)
 
-	switch {
-	case err == nil:
-		httpjson.Write(w, http.StatusOK, logservice.AppendAnswer{First: first})
-	case errors.Is(err, apricotway.ErrAppendUnknown):
-		panic(http.ErrAbortHandler)
-	default:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
-	}
+	return logservice.AppendAnswer{First: first}, err
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -85,12 +75,10 @@
 
 	batch, err := l.Read(r.Context(), apricotway.Stream(r.PathValue("stream")), apricotway.Offset(from), limit, wait)
 
-	switch {
-	case err == nil:
-		httpjson.Write(w, http.StatusOK, batch)
-	case errors.Is(err, apricotway.ErrTrimmed):
+	if errors.Is(err, apricotway.ErrTrimmed) {
 		httpjson.Write(w, http.StatusGone, batch)
-	default:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
 	}
+
+	answer(w, batch, err)
 }
--- a/cmd/internal/standin/server.go
+++ b/cmd/internal/standin/server.go
@@ -32,13 +32,8 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 
-	bound, err := netip.ParseAddrPort(listener.Addr().String())
-	if err != nil {
-		return nil, errors.Wrap(err, "parse own address")
-	}
-
 	s := &Server{
-		Address: bound,
+		Address: listener.Addr().(*net.TCPAddr).AddrPort(),
 		server:  &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
 		done:    make(chan struct{}),
 	}
--- a/cmd/internal/standin/service.go
+++ b/cmd/internal/standin/service.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -77,7 +76,5 @@
 
 	intercept(w, r)
 
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusCreated)
-	_ = json.NewEncoder(w).Encode(map[string]int{"booking": number})
+	httpjson.Write(w, http.StatusCreated, map[string]int{"booking": number})
 }
--- a/cmd/internal/standin/weights.go
+++ b/cmd/internal/standin/weights.go
@@ -38,8 +38,8 @@
 // Handler serves the store over HTTP.
 func (s *Weights) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /transfers", serveJSON(func(ctx context.Context, transfer platform.Transfer) (any, error) {
-		wait, err := s.Reserve(ctx, transfer.Version, transfer.Server)
+	mux.HandleFunc("POST /transfers", serveJSON(func(r *http.Request, transfer platform.Transfer) (any, error) {
+		wait, err := s.Reserve(r.Context(), transfer.Version, transfer.Server)
 		// Rounded up, so that a wait is never reported as a grant.
 		return platform.TransferAnswer{WaitMillis: (wait + time.Millisecond - 1).Milliseconds()}, err
 	}))
