Answer unknown after a cut until the shard has been read again

While the log is down, the owner of a shard may answer notStarted for a key that it does not hold. It checked that it was not paused since its last read, but only that it is not cut off at present. Two cases were wrong:

- A cut that has healed: the others had claimed the shard and run the call, then the log went down.
TestRepeatAfterCut got notStarted for a call that had run.
- Many members: a process that was cut off is taken for dead after 5 s, but suspects only one member a second.
With 16 members 9 or 10 were still alive to it when the first other took it for dead (TestContactLostBeforeDeath).

A cut now counts like a pause, begins after 3 s without an answer to a probe, and a read counts only from 5 s after its end, since others may claim the shard until they have heard of the process again.

The random schedule can let the log fail only after the other failures were noticed, and repeat calls that ran meanwhile.

--- a/cmd/internal/daemon/ledger.go
+++ b/cmd/internal/daemon/ledger.go
@@ -9,7 +9,8 @@
 // once assembles what runs calls with an idempotency key.
 func (d *Daemon) once(log apricotway.Log, services apricotway.ServiceClient) call.Once {
 	shards := shard.New(d.supervisor, d.membership, log, call.NewSender(services, d.inventory),
-		shard.WithLogger(d.logger), shard.WithWriter(d.writer))
+		shard.WithLogger(d.logger), shard.WithWriter(d.writer),
+		shard.WithContact(d.membership.LastContact))
 
 	return call.NewLedger(shards, d.membership, d.peers, d.peerServer)
 }
--- a/cmd/scenario/lease_test.go
+++ b/cmd/scenario/lease_test.go
@@ -444,6 +444,151 @@
 	}
 }
 
+// changingPair is a pair whose view of the other node changes.
+type changingPair struct {
+	self  apricotway.Member
+	mu    sync.Mutex
+	other apricotway.Member
+}
+
+func (p *changingPair) Self() apricotway.Member { return p.self }
+
+func (p *changingPair) Members() []apricotway.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return []apricotway.Member{p.other}
+}
+
+func (p *changingPair) see(state apricotway.MemberState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.other.State = state
+}
+
+// TestRepeatAfterCut guards against a repeat that is told that the call did not run, at a process that still takes itself for
+// the owner: it was cut off, another process claimed the shard and ran the call, and the log service went down before the cut
+// healed.
+func TestRepeatAfterCut(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+
+		log, supervisor := standin.NewLog(), suture.NewSimple("test")
+		send := func(context.Context, apricotway.Service, apricotway.ServiceCall) (apricotway.ServiceAnswer, error) {
+			return apricotway.ServiceAnswer{Status: http.StatusCreated}, nil
+		}
+		member := func(node apricotway.NodeID) apricotway.Member {
+			return apricotway.Member{Node: node, State: apricotway.MemberAlive}
+		}
+		a := &changingPair{self: member("a"), other: member("b")}
+		b := &changingPair{self: member("b"), other: member("a")}
+		see := func(state apricotway.MemberState) {
+			a.see(state)
+			b.see(state)
+			sleep(time.Second)
+		}
+		// The first owner is the one that hashing names.
+		first := shard.New(supervisor, a, log, send, shard.WithShards(1))
+		second := shard.New(supervisor, b, log, send, shard.WithShards(1))
+
+		if first.Candidate(ledger.Key{}) != "a" {
+			first, second = second, first
+		}
+
+		_ = supervisor.ServeBackground(ctx)
+		run := func(m *shard.Manager, key string) apricotway.Execution {
+			if _, err := m.Run(ctx, shard.Request{Key: ledger.Key{Key: key}}); err != nil {
+				return apricotway.AsRefusal(err).Execution
+			}
+
+			return ""
+		}
+
+		if got := run(first, "before"); got != "" {
+			t.Fatalf("got %q from the first owner", got)
+		}
+
+		see(apricotway.MemberDead)
+
+		if got := run(second, "meanwhile"); got != "" {
+			t.Fatalf("got %q from the second owner", got)
+		}
+
+		log.SetFault(standin.LogDown)
+		see(apricotway.MemberAlive)
+
+		if got, want := run(first, "meanwhile"), apricotway.ExecutionUnknown; got != want {
+			t.Errorf("got %q for a call that has run, want %q", got, want)
+		}
+
+		log.SetFault(standin.LogHealthy)
+		sleep(time.Second)
+		_ = run(first, "after")
+		cancel()
+		sleep(time.Minute)
+	})
+}
+
+// TestRepeatWithoutContact guards against the same answer at a process that has had no contact to any member, and has not
+// suspected all of them yet.
+func TestRepeatWithoutContact(t *testing.T) {
+	for _, cutOff := range []bool{false, true} {
+		t.Run(fmt.Sprint(cutOff), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+
+				log, supervisor, contact := standin.NewLog(), suture.NewSimple("test"), time.Now()
+				send := func(context.Context, apricotway.Service, apricotway.ServiceCall) (apricotway.ServiceAnswer, error) {
+					return apricotway.ServiceAnswer{Status: http.StatusCreated}, nil
+				}
+				view := &changingPair{
+					self: apricotway.Member{Node: "a"}, other: apricotway.Member{Node: "b", State: apricotway.MemberDead},
+				}
+				owner := shard.New(supervisor, view, log, send, shard.WithShards(1),
+					shard.WithContact(func() time.Time {
+						if cutOff {
+							return contact
+						}
+
+						return time.Now()
+					}))
+				_ = supervisor.ServeBackground(ctx)
+
+				if _, err := owner.Run(ctx, shard.Request{Key: ledger.Key{Key: "before"}}); err != nil {
+					t.Fatal(err)
+				}
+
+				// The process learns of the other one after it has claimed the shard, and reads the stream again.
+				view.see(apricotway.MemberAlive)
+				sleep(time.Second)
+
+				if _, err := owner.Run(ctx, shard.Request{Key: ledger.Key{Key: "later"}}); err != nil {
+					t.Fatal(err)
+				}
+
+				sleep(4 * time.Second)
+				log.SetFault(standin.LogDown)
+
+				want := apricotway.ExecutionNotStarted
+				if cutOff {
+					want = apricotway.ExecutionUnknown
+				}
+
+				_, err := owner.Run(ctx, shard.Request{Key: ledger.Key{Key: "k"}})
+				if err == nil || apricotway.AsRefusal(err).Execution != want {
+					t.Errorf("got %v, want %s", err, want)
+				}
+
+				cancel()
+				sleep(time.Minute)
+			})
+		})
+	}
+}
+
 // smallAnswers is a log service whose client takes no answers with more than 20 records.
 type smallAnswers struct{ apricotway.Log }
 
--- a/cmd/scenario/schedule_test.go
+++ b/cmd/scenario/schedule_test.go
@@ -29,6 +29,9 @@
 	logIndex, cutIndex int
 	reclaim, change    bool
 	zone               string
+	// logLate makes the failure of the log begin only after the others have been noticed, and end only after them: other
+	// processes then claim shards and run calls of which the former owner cannot read.
+	logLate bool
 	// order is the order of the steps.
 	order []int
 }
@@ -50,9 +53,13 @@
 		entry: choose(entryFailures), log: choose(logFailures), network: choose(networkFailures), hold: choose(holds),
 		logAll: random.IntN(2) == 0, logIndex: random.IntN(len(entryZones)), cutIndex: random.IntN(len(entryZones)),
 		reclaim: random.IntN(2) == 0, change: random.IntN(2) == 0, zone: choose(entryZones), order: random.Perm(steps),
+		logLate: random.IntN(2) == 0,
 	}
 }
 
+// late tells whether the log fails after the other failures were noticed.
+func (f failures) late() bool { return f.logLate && f.hold == "noticed" }
+
 // TestFixedSeeds guards against fixed seeds whose schedules leave out a failure.
 func TestFixedSeeds(t *testing.T) {
 	seen := map[string]bool{}
@@ -62,11 +69,13 @@
 		for range soakRounds {
 			drawn := drawFailures(random)
 			seen["entry "+drawn.entry], seen["log "+drawn.log], seen["network "+drawn.network] = true, true, true
+			seen["log late after a cut"] = seen["log late after a cut"] ||
+				drawn.late() && drawn.network == "all" && (drawn.log == "down" || drawn.log == "cut")
 			seen["reclaim"], seen["change"] = seen["reclaim"] || drawn.reclaim, seen["change"] || drawn.change
 		}
 	}
 
-	want := []string{"reclaim", "change"}
+	want := []string{"reclaim", "change", "log late after a cut"}
 	for part, values := range map[string][]string{"entry ": entryFailures, "log ": logFailures, "network ": networkFailures} {
 		for _, value := range values {
 			want = append(want, part+value)
--- a/cmd/scenario/soak_test.go
+++ b/cmd/scenario/soak_test.go
@@ -34,6 +34,9 @@
 	soakTokens = 500
 	// soakTimeout is the deadline of a call with a key, after which its process answers unknown.
 	soakTimeout = "3s"
+	// lateKeys is the number of keys that are first used by each process after the failures were noticed; with 8 of them most
+	// of the 16 shards change hands.
+	lateKeys = 8
 	// soakLag is the lag of each answer of a slow log in milliseconds.
 	soakLag  = 300
 	soakSpec = `{"schemaVersion": 1, "kind": %q, "id": %q, "payload": {"object": %q, "replaces": %d, "spec": %s}}`
@@ -41,7 +44,7 @@
 
 var (
 	// The schedules of the fixed seeds hold every failure, see TestFixedSeeds.
-	fixedSeeds = []uint64{125, 384}
+	fixedSeeds = []uint64{489, 805}
 	entryZones = []string{"a", "b", "c"}
 )
 
@@ -394,6 +397,10 @@
 	}
 
 	for _, step := range f.order {
+		if step == stepLog && f.late() {
+			continue
+		}
+
 		s.step(step, f, number, killed)
 		s.check(fmt.Sprintf("round %d after step %d", number, step), true)
 	}
@@ -423,16 +430,24 @@
 	if f.hold == "noticed" {
 		s.noticed(f)
 
-		for _, address := range addresses[1:] {
+		for i, address := range addresses[1:] {
 			for _, key := range keys {
 				answered.Go(func() { s.call(address, key) })
 			}
+
+			for late := range lateKeys {
+				answered.Go(func() { s.call(address, lateKey(number, i, late)) })
+			}
 		}
 
 		answered.Wait()
 		s.check(fmt.Sprintf("round %d after the failures were noticed", number), true)
 	}
 
+	if f.late() {
+		s.logLate(f, number)
+	}
+
 	s.heal(f)
 	group.Wait()
 	answered.Wait()
@@ -448,6 +463,46 @@
 	s.check(fmt.Sprintf("the end of round %d", number), false)
 }
 
+// lateKey returns one of the keys that are sent first after the failures were noticed, each to one process.
+func lateKey(round, process, number int) string {
+	return fmt.Sprintf("round-%d-late-%d-%d", round, process, number)
+}
+
+// logLate lets the log fail, ends the cut of the network, and repeats calls that have run meanwhile.
+func (s *system) logLate(f failures, number int) {
+	s.step(stepLog, f, number, nil)
+
+	for _, entry := range s.entries {
+		s.cut(entry, "")
+	}
+
+	running := s.entries
+	if f.entry != "none" {
+		running = running[1:]
+	}
+
+	if f.entry == "killAll" {
+		return
+	}
+
+	var group sync.WaitGroup
+
+	for _, entry := range running {
+		for _, other := range running {
+			s.await(entry.name+" knows "+other.name+" again", func() bool { return !s.dead(entry, other) })
+		}
+
+		for i := range s.entries[1:] {
+			for late := range lateKeys {
+				group.Go(func() { s.call(entry.address(), lateKey(number, i, late)) })
+			}
+		}
+	}
+
+	group.Wait()
+	s.check(fmt.Sprintf("round %d under the late failure of the log", number), true)
+}
+
 // step brings about one failure of a round.
 func (s *system) step(step int, f failures, number int, killed chan struct{}) {
 	switch step {
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -330,6 +330,14 @@
 	return d.machine.Self().Member()
 }
 
+// LastContact returns the time of the last answer of another member to a probe of this process, or of its start.
+func (d *Driver) LastContact() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.machine.LastContact()
+}
+
 // Addresses implements apricotway.Directory.
 func (d *Driver) Addresses(
 	service apricotway.Service, workspace apricotway.Workspace,
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -254,6 +254,53 @@
 	}
 }
 
+// TestContactLostBeforeDeath guards against a process that is taken for dead before it can notice that it is cut off: shards
+// are claimed then, and contactLimit of package shard relies on an answer that is at least that old.
+func TestContactLostBeforeDeath(t *testing.T) {
+	const contactLimit = 3 * time.Second
+
+	for _, size := range []int{3, 16} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				all := n.startMany(t, size, "r")
+				<-time.After(30 * time.Second)
+
+				for round := range 8 {
+					cutOff := all[round%size]
+					n.setCut(func(from, to *node) bool { return from == cutOff || to == cutOff })
+
+					dead := func(viewer *node) bool {
+						return viewer != cutOff && viewer.states()[cutOff.name()] == apricotway.MemberDead
+					}
+					for !slices.ContainsFunc(all, dead) {
+						<-time.After(50 * time.Millisecond)
+					}
+
+					reached := 0
+
+					for _, state := range cutOff.states() {
+						if state == apricotway.MemberAlive {
+							reached++
+						}
+					}
+
+					t.Logf("%d of %d members are still alive to the process that is cut off", reached, size-1)
+
+					if got := time.Since(cutOff.driver.LastContact()); got <= contactLimit {
+						t.Errorf("got the last contact %s ago, want more than %s", got, contactLimit)
+					}
+
+					n.setCut(func(_, _ *node) bool { return false })
+					<-time.After(2 * time.Minute)
+				}
+
+				n.stop()
+			})
+		})
+	}
+}
+
 // TestJoin guards the two ways to first peers: join records on the log, and seeds while the log is down.
 func TestJoin(t *testing.T) {
 	for _, down := range []bool{false, true} {
--- a/coordination/shard/call.go
+++ b/coordination/shard/call.go
@@ -119,7 +119,7 @@
 
 // refuse refuses a call that this process has not sent and will not send. The owner of the shard has looked the key up and
 // knows that no earlier attempt has run, unless another process may have claimed the shard since: while this one was paused
-// or while all others think that it is gone.
+// or cut off, so that the others thought that it was gone.
 func (s *shard) refuse(err error) *apricotway.Refusal {
 	s.mu.Lock()
 	read := s.lastRead
--- a/coordination/shard/manager.go
+++ b/coordination/shard/manager.go
@@ -119,6 +119,8 @@
 	shards            []*shard
 
 	pulse pulse
+	// contact returns the time of the last answer of another member.
+	contact func() time.Time
 
 	mu sync.Mutex
 	// pending holds the records whose append failed; they keep their ids, so that a second copy has no effect.
@@ -146,6 +148,12 @@
 	return func(m *Manager) { m.writer = writer }
 }
 
+// WithContact sets the source of the time at which another member last answered a probe of this process. Without it only the
+// states of the members tell whether this process is cut off.
+func WithContact(contact func() time.Time) Option {
+	return func(m *Manager) { m.contact = contact }
+}
+
 // WithWindow sets the deduplication window and the margin for differences of clocks. All processes use the same values.
 func WithWindow(window, margin time.Duration) Option {
 	return func(m *Manager) { m.window, m.margin = window, margin }
@@ -179,7 +187,7 @@
 ) *Manager {
 	m := &Manager{
 		membership: membership, log: log, writer: LogWriter{log}, send: send, logger: logr.Discard(),
-		hook:   func(Step) error { return nil },
+		hook: func(Step) error { return nil }, contact: time.Now,
 		window: DefaultWindow, margin: DefaultMargin, maxBody: DefaultMaxBody,
 		checkpointRecords: DefaultCheckpointRecords, checkpointAge: DefaultCheckpointAge, lookPeriod: DefaultLookPeriod,
 		shards: make([]*shard, DefaultShards),
@@ -192,7 +200,7 @@
 		m.shards[i] = m.newShard(i)
 	}
 
-	m.pulse.beat(time.Now())
+	m.pulse.beat(time.Now(), false)
 	supervisor.Add(apricotway.ServiceFunc{Name: "ledger pulse", Func: func(ctx context.Context) error {
 		ticker := time.NewTicker(pulsePeriod)
 		defer ticker.Stop()
@@ -202,7 +210,7 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			case now := <-ticker.C:
-				m.pulse.beat(now)
+				m.pulse.beat(now, m.isolated())
 			}
 		}
 	}})
@@ -266,8 +274,11 @@
 // isolated tells whether this process reaches none of the others that it knows. They may have declared it dead.
 func (m *Manager) isolated() bool {
 	members := m.membership.Members()
+	if len(members) == 0 {
+		return false
+	}
 
-	return len(members) > 0 && !slices.ContainsFunc(members, func(member apricotway.Member) bool {
+	return time.Since(m.contact()) > contactLimit || !slices.ContainsFunc(members, func(member apricotway.Member) bool {
 		return member.State == apricotway.MemberAlive
 	})
 }
--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -89,6 +89,8 @@
 	// digest identifies the view while digestKnown is set.
 	digest      uint64
 	digestKnown bool
+	// contact is the time of the last answer to an own probe.
+	contact time.Time
 	// differing counts the acknowledgements in a row with another digest.
 	differing  int
 	nextRepair time.Time
@@ -109,6 +111,7 @@
 		sequence: random.Uint64() >> 1,
 		queue:    queue{}, store: store{},
 		lastTick:     now,
+		contact:      now,
 		nextProbe:    now.Add(jitter(random, config.Period)),
 		nextExchange: now.Add(jitter(random, config.ExchangePeriod)),
 	}
@@ -124,6 +127,9 @@
 // Self returns this process.
 func (m *Machine) Self() Entry { return m.self }
 
+// LastContact returns the time of the last answer of another member to a probe of this process, or of its start.
+func (m *Machine) LastContact() time.Time { return m.contact }
+
 // Stats returns the counters.
 func (m *Machine) Stats() Stats { return m.stats }
 
@@ -555,7 +561,7 @@
 	}
 
 	if m.current != nil && m.current.sequence == message.Sequence && m.current.target == message.Target {
-		m.current = nil
+		m.current, m.contact = nil, now
 		m.compare(now, message)
 	}
 }
