Keep a copy of a running request that is handed over

A process that was asked for a request it runs ended its run and gave the request away in its answer. When that answer did not arrive, no process had the request any more: after a cut that held the question up until the asker had given up, callers got requestNotFound for good. The process now keeps a copy in the name of the one that asked, with the term that this one runs under, as it does when it gives a copy away.

--- a/protocol/completion/copies_test.go
+++ b/protocol/completion/copies_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/thejerf/suture/v4"
 
@@ -51,3 +52,32 @@
 		t.Errorf("got %d copies, want %d", got, want)
 	}
 }
+
+// TestTakeOverAnswerLost guards against a request that no process has any more: the process that ran it hands it over, and the
+// answer does not reach the one that asked, as after a cut that held up the question until the asker had given up.
+func TestTakeOverAnswerLost(t *testing.T) {
+	supervisor := suture.NewSimple("test")
+	s := NewRequests(supervisor, New(nil, inventory.New(supervisor, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+
+	defer cancel()
+
+	request := Request{ID: "r", Workspace: "w", Deadline: time.Now().Add(time.Hour)}
+	s.adopt(requestCopy{Request: request, Term: 2, Tokens: []string{"a"}}, apricotway.Member{}, 0)
+
+	answer, err := s.handleTakeOver(ctx, takeOverMessage{ID: "r", Workspace: "w", By: "other"})
+	if err != nil || !answer.Found || !answer.Live {
+		t.Fatalf("got %+v, %v, want the running request", answer, err)
+	}
+
+	finds, err := s.ask(ctx, takeOverMessage{ID: "r", Workspace: "w", By: "self"})
+	if err != nil || len(finds[0].Copy.Tokens) != 1 || finds[0].Copy.Origin != "other" {
+		t.Fatalf("got %+v, %v, want the copy that the process keeps for the other one", finds, err)
+	}
+
+	// The copy gives way to that of the process that goes on.
+	taken, err := s.handleCopy(ctx, requestCopy{Request: request, Origin: "other", Term: answer.Copy.Term + 1})
+	if err != nil || taken.Taken {
+		t.Errorf("got %+v, %v for the copy of the process that goes on, want it kept", taken, err)
+	}
+}
--- a/protocol/completion/takeover.go
+++ b/protocol/completion/takeover.go
@@ -31,7 +31,7 @@
 
 	switch {
 	case live && a.request.Workspace == message.Workspace:
-		return a.handOver(), nil
+		return s.keep(a.handOver(), message), nil
 	case copied && held.Request.Workspace == message.Workspace:
 		s.adopt(held.requestCopy, apricotway.Member{}, 0) //nolint:contextcheck // the request outlives this call
 		return takeOverAnswer{Found: true}, nil
@@ -40,6 +40,28 @@
 	}
 }
 
+// keep keeps a copy of a running request that was handed over, for the process that goes on with it: the answer may not reach
+// that process, and then nobody else has the request.
+func (s *Requests) keep(answer takeOverAnswer, message takeOverMessage) takeOverAnswer {
+	if !answer.Live || answer.Refusal != nil || answer.Copy.Finish != "" {
+		return answer
+	}
+
+	held := answer.Copy
+	held.Origin, held.OriginPeers = message.By, message.ByPeers
+	held.Term++
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	// The process that goes on may have copied the request here already.
+	if _, ok := s.copies[message.ID]; !ok {
+		s.copies[message.ID] = &replica{held, held.Request.Deadline.Add(s.times.Retention)}
+	}
+
+	return answer
+}
+
 // handOver ends a running request in this process and returns what the next one needs. An ended request stays where it is.
 func (a *Answer) handOver() takeOverAnswer {
 	a.mu.Lock()
