Refuse joined repeats like the call that they joined

Repeats that arrive while the owner tries to append the intent wait for the first call. When that call was not sent, they were told notStarted without the checks for a pause or a cut that the first one gets, although another process may have run the key.

TestRepeatAfterCut now sends two calls at once and failed before the change.

--- a/cmd/scenario/lease_test.go
+++ b/cmd/scenario/lease_test.go
@@ -489,9 +489,17 @@
 			b.see(state)
 			sleep(time.Second)
 		}
+		// Repeats that arrive during the append join the first one.
+		slow := shard.WithHook(func(step shard.Step) error {
+			if step == shard.StepBeforeIntent {
+				<-time.After(time.Second)
+			}
+
+			return nil
+		})
 		// The first owner is the one that hashing names.
-		first := shard.New(supervisor, a, log, send, shard.WithShards(1))
-		second := shard.New(supervisor, b, log, send, shard.WithShards(1))
+		first := shard.New(supervisor, a, log, send, shard.WithShards(1), slow)
+		second := shard.New(supervisor, b, log, send, shard.WithShards(1), slow)
 
 		if first.Candidate(ledger.Key{}) != "a" {
 			first, second = second, first
@@ -519,10 +527,18 @@
 		log.SetFault(standin.LogDown)
 		see(apricotway.MemberAlive)
 
-		if got, want := run(first, "meanwhile"), apricotway.ExecutionUnknown; got != want {
-			t.Errorf("got %q for a call that has run, want %q", got, want)
+		var group sync.WaitGroup
+
+		for range 2 {
+			group.Go(func() {
+				if got, want := run(first, "meanwhile"), apricotway.ExecutionUnknown; got != want {
+					t.Errorf("got %q for a call that has run, want %q", got, want)
+				}
+			})
 		}
 
+		group.Wait()
+
 		log.SetFault(standin.LogHealthy)
 		sleep(time.Second)
 		_ = run(first, "after")
--- a/cmd/scenario/records_test.go
+++ b/cmd/scenario/records_test.go
@@ -71,7 +71,7 @@
 		refusedOnly[call.key] = (refused || !known) && call.execution == "notStarted"
 
 		if call.ran && call.execution == "notStarted" {
-			report("G3: key %s had run and was refused as notStarted", call.key)
+			report("G3: key %s had run and was refused as notStarted: %s", call.key, call.body)
 		}
 
 		if call.status != http.StatusCreated {
--- a/coordination/shard/call.go
+++ b/coordination/shard/call.go
@@ -53,6 +53,11 @@
 
 	select {
 	case <-current.done:
+		if current.outcome.Result == ledger.ResultAbandoned {
+			// That the first call was not sent says nothing about those of another process.
+			return apricotway.ServiceAnswer{}, s.refuse(errors.New("the call was not sent"))
+		}
+
 		return answerOutcome(current.outcome)
 	case <-ctx.Done():
 		return apricotway.ServiceAnswer{}, &apricotway.Refusal{
