--- a/coordination/planning/planning.go
+++ b/coordination/planning/planning.go
@@ -409,6 +409,11 @@
 		d.logger.Info("host released", "event", 243, "host", c.open.Host)
 	case errors.Is(c.err, leasing.ErrNotHeld):
 		// The next holder repeats the order.
+		return fleet.Outcome{}, false, nil
+	case errors.Is(c.err, apricotway.ErrOrderFenced):
+		// The next holder repeats the order, or this one does when it has renewed its lease meanwhile.
+		d.logger.Info("order under an old lease refused", "event", 106, "token", c.open.Token)
+
 		return fleet.Outcome{}, false, nil
 	case (refused || retry.attempts >= maxAttempts) && c.open.Action == fleet.ActionCreate:
 		outcome.Result = fleet.ResultUnanswered
@@ -447,7 +452,7 @@
 }
 
 // Apply implements leasing.Target.
-func (c *call) Apply(ctx context.Context, _ lease.Order) error {
+func (c *call) Apply(ctx context.Context, order lease.Order) error {
 	if err := c.driver.step(StepBeforeCall, c.open.Intent); err != nil {
 		return err
 	}
@@ -460,9 +465,10 @@
 		c.host, err = c.driver.cloud.Create(ctx, apricotway.HostOrder{
 			ClientToken: c.open.Token, Service: c.open.Service, Zone: c.open.Market.Zone,
 			MachineClass: c.open.Market.MachineClass, Reclaimable: c.open.Market.Reclaimable,
+			Fencing: apricotway.Fencing(order),
 		})
 	default:
-		err = c.driver.cloud.Release(ctx, c.open.Host)
+		err = c.driver.cloud.Release(ctx, c.open.Host, apricotway.Fencing(order))
 	}
 
 	if stop := c.driver.step(StepAfterCall, c.open.Intent); stop != nil {
--- a/coordination/shard/call.go
+++ b/coordination/shard/call.go
@@ -53,6 +53,11 @@
 
 	select {
 	case <-current.done:
+		if current.outcome.Result == ledger.ResultAbandoned {
+			// That the first call was not sent says nothing about those of another process.
+			return apricotway.ServiceAnswer{}, s.refuse(errors.New("the call was not sent"))
+		}
+
 		return answerOutcome(current.outcome)
 	case <-ctx.Done():
 		return apricotway.ServiceAnswer{}, &apricotway.Refusal{
@@ -119,7 +124,7 @@
 
 // refuse refuses a call that this process has not sent and will not send. The owner of the shard has looked the key up and
 // knows that no earlier attempt has run, unless another process may have claimed the shard since: while this one was paused
-// or while all others think that it is gone.
+// or cut off, so that the others thought that it was gone.
 func (s *shard) refuse(err error) *apricotway.Refusal {
 	s.mu.Lock()
 	read := s.lastRead
