--- a/cmd/internal/standin/log.go
+++ b/cmd/internal/standin/log.go
@@ -18,16 +18,6 @@
 	*memorylog.Log
 }
 
-// LogFault is a fault of the log service that a test can switch on.
-type LogFault = memorylog.Fault
-
-// The values of LogFault.
-const (
-	LogHealthy    = memorylog.FaultNone
-	LogDown       = memorylog.FaultDown
-	LogLoseAnswer = memorylog.FaultLoseAnswer
-)
-
 // NewLog returns an empty log.
 func NewLog() *Log { return &Log{memorylog.New()} }
 
--- a/cmd/scenario/fleet_test.go
+++ b/cmd/scenario/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/apricotway/apricotway/coordination/leasing"
 	"github.com/apricotway/apricotway/coordination/planning"
 	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/memorylog"
 	"github.com/apricotway/apricotway/state/fleet"
 	"github.com/apricotway/apricotway/transport/platform"
 )
@@ -347,7 +348,7 @@
 func TestFleetFaults(t *testing.T) {
 	tests := map[string]struct {
 		faults standin.CloudFaults
-		log    standin.LogFault
+		log    memorylog.Fault
 		// during is the state at the end of the faults; nil where nothing is required of it.
 		during map[apricotway.Zone]int
 	}{
@@ -359,8 +360,8 @@
 		"answers lost":           {faults: standin.CloudFaults{LoseAnswer: true}, during: wantFull},
 		"answers lost and lag":   {faults: standin.CloudFaults{LoseAnswer: true, Lag: 15 * time.Second}},
 		"list lagging":           {faults: standin.CloudFaults{Lag: 15 * time.Second}, during: wantFull},
-		"log down":               {log: standin.LogDown, during: map[apricotway.Zone]int{}},
-		"log answers lost":       {log: standin.LogLoseAnswer},
+		"log down":               {log: memorylog.FaultDown, during: map[apricotway.Zone]int{}},
+		"log answers lost":       {log: memorylog.FaultLoseAnswer},
 	}
 	for name, test := range tests {
 		for _, checks := range []standin.CloudChecks{{}, {Number: true, NotAfter: true}} {
@@ -373,11 +374,11 @@
 					r.log.SetFault(test.log)
 					sleep(2 * time.Minute)
 
-					if test.during != nil && test.log == standin.LogHealthy {
+					if test.during != nil && test.log == memorylog.FaultNone {
 						r.check(ctx, "during the faults", test.during)
 					}
 
-					r.log.SetFault(standin.LogHealthy)
+					r.log.SetFault(memorylog.FaultNone)
 					r.cloud.SetFaults(standin.CloudFaults{})
 					sleep(10 * time.Minute)
 					r.check(ctx, "after the faults", wantFull)
@@ -419,7 +420,7 @@
 			t.Errorf("before the loss: got hosts %v, want %v", got, want)
 		}
 
-		r.log.SetFault(standin.LogDown)
+		r.log.SetFault(memorylog.FaultDown)
 
 		for id, order := range r.cloud.Alive() {
 			if order.Zone == "a" {
@@ -430,7 +431,7 @@
 		}
 
 		sleep(30 * time.Second)
-		r.log.SetFault(standin.LogHealthy)
+		r.log.SetFault(memorylog.FaultNone)
 		r.cloud.SetFaults(standin.CloudFaults{RefuseZones: []apricotway.Zone{"a"}})
 		sleep(5 * time.Minute)
 		r.check(ctx, "without zone a", map[apricotway.Zone]int{"b": 4, "c": 4})
--- a/cmd/scenario/lease_test.go
+++ b/cmd/scenario/lease_test.go
@@ -20,6 +20,7 @@
 	"github.com/apricotway/apricotway/coordination/leasing"
 	"github.com/apricotway/apricotway/coordination/shard"
 	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/memorylog"
 	"github.com/apricotway/apricotway/state/fleet"
 	"github.com/apricotway/apricotway/state/lease"
 	"github.com/apricotway/apricotway/state/ledger"
@@ -290,7 +291,7 @@
 					t.Fatal(err)
 				}
 
-				log.SetFault(standin.LogLoseAnswer)
+				log.SetFault(memorylog.FaultLoseAnswer)
 			}
 
 			sleep(leaseTerms.TTL / 30)
@@ -318,11 +319,11 @@
 		log := standin.NewLog()
 		all := contend(ctx, log, 3)
 		random := rand.New(rand.NewPCG(1, 2))
-		faults := []standin.LogFault{standin.LogHealthy, standin.LogHealthy, standin.LogDown, standin.LogLoseAnswer}
+		faults := []memorylog.Fault{memorylog.FaultNone, memorylog.FaultNone, memorylog.FaultDown, memorylog.FaultLoseAnswer}
 		taken := map[int]bool{}
 		r := &region{t: t, log: log}
 		whole := fleet.New(fleet.StreamOf(fleetRegion))
-		number, fault := whole.Lease().Number, standin.LogHealthy
+		number, fault := whole.Lease().Number, memorylog.FaultNone
 
 		for i := range 3000 {
 			if i%40 == 0 {
@@ -338,7 +339,7 @@
 			}
 
 			if trimmed && i%15 == 0 {
-				log.SetFault(standin.LogHealthy)
+				log.SetFault(memorylog.FaultNone)
 				r.trimBehindCheckpoint(ctx, whole, random.IntN(3))
 				log.SetFault(fault)
 
@@ -369,7 +370,7 @@
 			t.Errorf("got %d different holders, want %d", len(taken), len(all))
 		}
 
-		log.SetFault(standin.LogHealthy)
+		log.SetFault(memorylog.FaultNone)
 
 		for _, c := range all {
 			c.log.wake()
@@ -524,7 +525,7 @@
 			t.Fatalf("got %q from the second owner", got)
 		}
 
-		log.SetFault(standin.LogDown)
+		log.SetFault(memorylog.FaultDown)
 		see(apricotway.MemberAlive)
 
 		var group sync.WaitGroup
@@ -539,7 +540,7 @@
 
 		group.Wait()
 
-		log.SetFault(standin.LogHealthy)
+		log.SetFault(memorylog.FaultNone)
 		sleep(time.Second)
 		_ = run(first, "after")
 		cancel()
@@ -586,7 +587,7 @@
 				}
 
 				sleep(4 * time.Second)
-				log.SetFault(standin.LogDown)
+				log.SetFault(memorylog.FaultDown)
 
 				want := apricotway.ExecutionNotStarted
 				if cutOff {
--- a/cmd/scenario/ledger_test.go
+++ b/cmd/scenario/ledger_test.go
@@ -18,6 +18,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/cmd/internal/standin"
 	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/memorylog"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/state/ledger"
 	"github.com/apricotway/apricotway/state/timeline"
@@ -437,7 +438,7 @@
 func TestAnswerOfAppendLost(t *testing.T) {
 	lose := func(c *cluster) func() error {
 		return func() error {
-			c.log.SetFault(standin.LogLoseAnswer)
+			c.log.SetFault(memorylog.FaultLoseAnswer)
 			return nil
 		}
 	}
@@ -449,9 +450,9 @@
 
 		owner.at(shard.StepBeforeIntent, lose(c))
 		c.want("first call", c.nodes[1].run(booking(key, "lot 7")), unavailable, 0)
-		c.log.SetFault(standin.LogDown)
+		c.log.SetFault(memorylog.FaultDown)
 		c.want("log down", c.nodes[1].run(booking(key, "lot 7")), unavailable, 0)
-		c.log.SetFault(standin.LogHealthy)
+		c.log.SetFault(memorylog.FaultNone)
 		c.want("log back", c.nodes[1].runUntil(booking(key, "lot 7")), booked, 1)
 		c.want("repeat", c.nodes[2].run(booking(key, "lot 7")), booked, 1)
 	})
@@ -460,9 +461,9 @@
 		c := newCluster(t, 3)
 		key := c.keys(c.nodes[0], 1)[0]
 
-		c.log.SetFault(standin.LogLoseAnswer)
+		c.log.SetFault(memorylog.FaultLoseAnswer)
 		c.want("first call", c.nodes[1].run(booking(key, "lot 7")), uncertain, 0)
-		c.log.SetFault(standin.LogHealthy)
+		c.log.SetFault(memorylog.FaultNone)
 		c.want("log back", c.nodes[1].run(booking(key, "lot 7")), booked, 1)
 	})
 
@@ -478,7 +479,7 @@
 			return lose(c)()
 		})
 		c.want("first call", owner.run(booking(keys[0], "lot 7")), unavailable, 1)
-		c.log.SetFault(standin.LogHealthy)
+		c.log.SetFault(memorylog.FaultNone)
 		c.want("repeat", other.run(booking(keys[0], "lot 7")), bookedAgain, 2)
 	})
 
@@ -495,7 +496,7 @@
 			reached atomic.Int32
 			hook    = func(step shard.Step) error {
 				if step == shard.StepBeforeIntent && reached.Add(1) == size {
-					c.log.SetFault(standin.LogLoseAnswer)
+					c.log.SetFault(memorylog.FaultLoseAnswer)
 				}
 
 				return nil
@@ -519,7 +520,7 @@
 		owner.hook.Store(&hook)
 		all(unavailable, (*node).run)
 		c.want("answer lost", "", "", 0)
-		c.log.SetFault(standin.LogHealthy)
+		c.log.SetFault(memorylog.FaultNone)
 		all("", (*node).runUntil)
 		c.want("log back", "", "", size)
 	})
@@ -532,19 +533,19 @@
 	owner := c.nodes[0]
 	keys := c.keys(owner, 2)
 
-	c.log.SetFault(standin.LogDown)
+	c.log.SetFault(memorylog.FaultDown)
 	c.want("log down, shard never read", c.nodes[1].run(booking(keys[0], "lot 7")), uncertain, 0)
-	c.log.SetFault(standin.LogHealthy)
+	c.log.SetFault(memorylog.FaultNone)
 
 	owner.at(shard.StepAfterCall, func() error {
-		c.log.SetFault(standin.LogDown)
+		c.log.SetFault(memorylog.FaultDown)
 		return nil
 	})
 	c.want("log down after the call", c.nodes[1].run(booking(keys[0], "lot 7")), booked, 1)
 	c.want("repeat", c.nodes[2].run(booking(keys[0], "lot 7")), booked, 1)
 	c.want("other key", c.nodes[2].run(booking(keys[1], "lot 8")), unavailable, 1)
 
-	c.log.SetFault(standin.LogHealthy)
+	c.log.SetFault(memorylog.FaultNone)
 	c.want("other key, log back", c.nodes[2].runUntil(booking(keys[1], "lot 8")), bookedAgain, 2)
 
 	// The outcome reaches the stream, where a successor finds it.
@@ -569,13 +570,13 @@
 
 	_ = owner.kill()
 	owner.stop()
-	c.log.SetFault(standin.LogDown)
+	c.log.SetFault(memorylog.FaultDown)
 	c.want("owner not reachable", c.nodes[1].run(booking(key, "lot 7")), uncertain, 1)
 	c.declareDead(owner)
 	c.want("owner dead", c.nodes[1].run(booking(key, "lot 7")), uncertain, 1)
 	c.want("owner dead, other address", c.nodes[2].run(booking(key, "lot 7")), uncertain, 1)
 
-	c.log.SetFault(standin.LogHealthy)
+	c.log.SetFault(memorylog.FaultNone)
 	c.want("log back", c.nodes[1].runUntil(booking(key, "lot 7")), booked, 1)
 }
 
