--- a/cmd/internal/daemon/calls.go
+++ b/cmd/internal/daemon/calls.go
@@ -34,19 +34,7 @@
 		fold: fold, inventory: known, membership: membership, gates: map[apricotway.Service]*gate.Gate{},
 	}
 
-	supervisor.Add(apricotway.ServiceFunc{Name: "call limits", Func: func(ctx context.Context) error {
-		ticker := time.NewTicker(limitPeriod)
-		defer ticker.Stop()
-
-		for {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-ticker.C:
-				a.setLimits()
-			}
-		}
-	}})
+	supervisor.Add(apricotway.Periodic("call limits", limitPeriod, func(context.Context, time.Time) { a.setLimits() }))
 
 	return a
 }
--- a/cmd/internal/daemon/routing.go
+++ b/cmd/internal/daemon/routing.go
@@ -67,28 +67,8 @@
 		return serving(members.Members())
 	}, gate.WithExchangeLogger(logger))
 
-	for _, loop := range []struct {
-		name   string
-		period time.Duration
-		do     func(context.Context)
-	}{
-		{"engine probes", probePeriod, r.probeSlow},
-		{"admission limits", limitPeriod, func(context.Context) { r.setLimits() }},
-	} {
-		supervisor.Add(apricotway.ServiceFunc{Name: loop.name, Func: func(ctx context.Context) error {
-			ticker := time.NewTicker(loop.period)
-			defer ticker.Stop()
-
-			for {
-				select {
-				case <-ctx.Done():
-					return ctx.Err()
-				case <-ticker.C:
-					loop.do(ctx)
-				}
-			}
-		}})
-	}
+	supervisor.Add(apricotway.Periodic("engine probes", probePeriod, func(ctx context.Context, _ time.Time) { r.probeSlow(ctx) }))
+	supervisor.Add(apricotway.Periodic("admission limits", limitPeriod, func(context.Context, time.Time) { r.setLimits() }))
 
 	inventory.NewPoller(supervisor, known, engines, r.policy.Reported, inventory.WithReportPeriod(reportPeriod),
 		inventory.WithAccept(r.model), inventory.WithCacheEvents(r.policy.CacheSequence, r.policy.Cached),
--- a/coordination/gate/exchange.go
+++ b/coordination/gate/exchange.go
@@ -60,19 +60,7 @@
 
 	broadcasts.Subscribe(apricotway.TopicDemand, x.receive)
 
-	supervisor.Add(apricotway.ServiceFunc{Name: "demand exchange", Func: func(ctx context.Context) error {
-		ticker := time.NewTicker(demandTick)
-		defer ticker.Stop()
-
-		for {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-ticker.C:
-				x.publish(time.Now())
-			}
-		}
-	}})
+	supervisor.Add(apricotway.Periodic("demand exchange", demandTick, func(context.Context, time.Time) { x.publish(time.Now()) }))
 
 	return x
 }
--- a/coordination/inventory/tokens.go
+++ b/coordination/inventory/tokens.go
@@ -86,20 +86,10 @@
 
 	broadcasts.Subscribe(apricotway.TopicTokens, x.receive)
 
-	supervisor.Add(apricotway.ServiceFunc{Name: "token exchange", Func: func(ctx context.Context) error {
-		ticker := time.NewTicker(tokenPeriod)
-		defer ticker.Stop()
-
-		for {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-ticker.C:
-				x.publish()
-				x.expire()
-			}
-		}
-	}})
+	supervisor.Add(apricotway.Periodic("token exchange", tokenPeriod, func(context.Context, time.Time) {
+		x.publish()
+		x.expire()
+	}))
 
 	return x
 }
--- a/coordination/shard/manager.go
+++ b/coordination/shard/manager.go
@@ -201,38 +201,17 @@
 	}
 
 	m.pulse.beat(time.Now(), false)
-	supervisor.Add(apricotway.ServiceFunc{Name: "ledger pulse", Func: func(ctx context.Context) error {
-		ticker := time.NewTicker(pulsePeriod)
-		defer ticker.Stop()
-
-		for {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case now := <-ticker.C:
-				m.pulse.beat(now, m.isolated())
-			}
-		}
-	}})
+	supervisor.Add(apricotway.Periodic("ledger pulse", pulsePeriod, func(_ context.Context, now time.Time) {
+		m.pulse.beat(now, m.isolated())
+	}))
 	supervisor.Add(apricotway.ServiceFunc{Name: "ledger checkpoints", Func: m.lookForCheckpoints})
-	supervisor.Add(apricotway.ServiceFunc{Name: "ledger shards", Func: func(ctx context.Context) error {
-		ticker := time.NewTicker(flushPeriod)
-		defer ticker.Stop()
-
-		for {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-ticker.C:
-			}
-
-			m.flush(ctx)
-
-			for _, s := range m.shards {
-				s.checkpoint(ctx)
-			}
+	supervisor.Add(apricotway.Periodic("ledger shards", flushPeriod, func(ctx context.Context, _ time.Time) {
+		m.flush(ctx)
+
+		for _, s := range m.shards {
+			s.checkpoint(ctx)
 		}
-	}})
+	}))
 
 	return m
 }
