--- a/coordination/configfeed/peers.go
+++ b/coordination/configfeed/peers.go
@@ -166,6 +166,8 @@
 		}
 	}
 
+	f.logger.V(1).Info("configuration asked of peers", "event", 209, "reachable", reachable, "ready", ready, "next", f.fold.Next())
+
 	// Peers that started at the same time know no more than this process, so that only those that are ready count.
 	if 2*ready > reachable && f.fold.Next() >= highest {
 		f.setReady()
