Compare accounts by one function in the tests of statements

Two tests held the same twelve lines that fold the whole stream and read what is kept of it. What they compare and their bounds are unchanged.

--- a/coordination/usage/statements_test.go
+++ b/coordination/usage/statements_test.go
@@ -154,17 +154,7 @@
 			}
 		}
 
-		whole := account.New(account.WithSigners(signers))
-		for _, record := range log.streams[apricotway.StreamUsage] {
-			whole.Apply(record)
-		}
-
-		reader := usage.NewReader(log, signers)
-		if err := reader.CatchUp(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-
-		got, want := reader.Fold().Statement(), whole.Statement()
+		got, want := statements(t, log, signers)
 		if got.Base == 0 || len(got.Faults)+len(want.Faults) > 0 {
 			t.Errorf("got base %d, faults %v, and %v in the whole stream; want a base and no faults", got.Base, got.Faults, want.Faults)
 		}
@@ -269,17 +259,7 @@
 			}
 		}
 
-		whole := account.New(account.WithSigners(signers))
-		for _, record := range log.streams[apricotway.StreamUsage] {
-			whole.Apply(record)
-		}
-
-		reader := usage.NewReader(log, signers)
-		if err := reader.CatchUp(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-
-		got, want := reader.Fold().Statement(), whole.Statement()
+		got, want := statements(t, log, signers)
 		if got.Base == 0 || len(got.Faults) > 0 || !reflect.DeepEqual(got.Regions, want.Regions) || !reflect.DeepEqual(got.Costs, want.Costs) {
 			t.Errorf("got base %d, faults %v, costs %v; want a base, no faults, %v", got.Base, got.Faults, got.Costs, want.Costs)
 		}
@@ -303,3 +283,20 @@
 		}
 	})
 }
+
+// statements returns the account of a reader of what is kept, and that of the whole stream.
+func statements(t *testing.T, log *retained, signers map[string]account.Signer) (got, want account.Statement) {
+	t.Helper()
+
+	whole := account.New(account.WithSigners(signers))
+	for _, record := range log.streams[apricotway.StreamUsage] {
+		whole.Apply(record)
+	}
+
+	reader := usage.NewReader(log, signers)
+	if err := reader.CatchUp(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+
+	return reader.Fold().Statement(), whole.Statement()
+}
