--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -28,6 +28,8 @@
 	backendGap = 300 * time.Millisecond
 	// answerTime is the time for an answer beyond the wait.
 	answerTime = 1500 * time.Millisecond
+	// leastWait is the shortest waiting read.
+	leastWait = 50 * time.Millisecond
 	// retryPause is the pause after a read that failed.
 	retryPause = 150 * time.Millisecond
 	// returnTime is the time after an outage of the store within which servers whose entries lapsed register themselves again.
@@ -234,7 +236,7 @@
 			changes, position, err = c.store.Backends(limited)
 			known = err == nil
 		} else {
-			changes, position, err = c.store.BackendsAfter(limited, position, backendWait)
+			changes, position, err = c.store.BackendsAfter(limited, position, c.waitForBackends())
 		}
 
 		if errors.Is(err, apricotway.ErrTrimmed) {
@@ -259,6 +261,19 @@
 	}
 }
 
+// waitForBackends returns the longest wait of the next read: servers whose entries lapsed must be removed in time although
+// nothing else changes.
+func (c *Catalog) waitForBackends() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if len(c.lapsed) == 0 {
+		return backendWait
+	}
+
+	return min(max(returnTime-time.Since(c.returned), leastWait), backendWait)
+}
+
 // missing returns the removal of every known server that a whole list does not name.
 func (c *Catalog) missing(changes []apricotway.BackendChange) []apricotway.BackendChange {
 	named := make(map[apricotway.BackendServerID]bool, len(changes))
--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -18,6 +18,9 @@
 	refusedPause = 2 * time.Second
 	// repeatPause is the time after which an order that does not show is given again.
 	repeatPause = 8 * time.Second
+	// floorPart is the part of the engines needed without spare ones below which on-demand engines are started: they cost
+	// several times as much and come after the boot time.
+	floorPart = 0.7
 	// shrinkAfter is the time for which fewer engines must suffice before any is given up.
 	shrinkAfter = 6 * time.Second
 )
@@ -37,7 +40,7 @@
 // DefaultTerms returns the terms of the operators' engines: about 57 prompt tokens in a millisecond when nothing else runs, and
 // 64 places of which a third can be used without long pauses.
 func DefaultTerms() Terms {
-	return Terms{Least: 8, PrefillRate: 20000, Running: 14, Spare: 0.25}
+	return Terms{Least: 10, PrefillRate: 20000, Running: 14, Spare: 0.25}
 }
 
 // Load is the work of a service.
@@ -52,12 +55,30 @@
 	Reclaimable, OnDemand int
 }
 
-// zone is what the planner remembers of a zone.
+// zone is what the planner remembers of the orders for one zone, by kind.
 type zone struct {
-	ordered      Counts
-	orderedAt    [2]time.Time
-	known        [2]bool
-	refusedUntil [2]time.Time
+	ordered [kinds]int
+	// known tells that the platform accepted an order; orderedAt is the time of the last one.
+	known     [kinds]bool
+	orderedAt [kinds]time.Time
+	// refused tells that the last order was refused; it is tried again at retryAt.
+	refused [kinds]bool
+	retryAt [kinds]time.Time
+}
+
+// Kinds of engines as indices.
+const (
+	kindReclaimable = iota
+	kindOnDemand
+	kinds
+)
+
+func (c Counts) of(kind int) int {
+	if kind == kindReclaimable {
+		return c.Reclaimable
+	}
+
+	return c.OnDemand
 }
 
 // Planner plans one service. It is not safe for concurrent use.
@@ -104,12 +125,16 @@
 		return cmp.Or(cmp.Compare(rule.ZonePrices[a], rule.ZonePrices[b]), cmp.Compare(a, b))
 	})
 
-	wanted := p.divide(now, rule, names, live)
+	wanted := p.divide(rule, names, live)
 
 	var orders []Order
 
 	for _, name := range names {
-		orders = append(orders, p.zones[name].orders(now, name, wanted[name], live[name])...)
+		for kind := range kinds {
+			if order, due := p.zones[name].order(now, name, kind, wanted[name].of(kind), live[name].of(kind)); due {
+				orders = append(orders, order)
+			}
+		}
 	}
 
 	return orders
@@ -129,104 +154,106 @@
 
 // divide spreads the target over the zones, the cheapest ones first among those with equal numbers.
 func (p *Planner) divide(
-	now time.Time, rule apricotway.CapacityRule, names []apricotway.Zone, live map[apricotway.Zone]Counts,
+	rule apricotway.CapacityRule, names []apricotway.Zone, live map[apricotway.Zone]Counts,
 ) map[apricotway.Zone]Counts {
 	wanted := make(map[apricotway.Zone]Counts, len(names))
-	left := p.target
+	left := p.spread(rule, names, live, wanted)
 
-	usable := func(name apricotway.Zone, kind int) bool {
-		return !now.Before(p.zones[name].refusedUntil[kind])
-	}
-
-	reclaimable := rule.ReclaimablePrice > 0
-
-	// Reclaimable engines come first, in rounds over the zones that give them.
-	for round := 1; reclaimable && left > 0 && round <= rule.Max; round++ {
-		for _, name := range names {
-			if left > 0 && usable(name, kindReclaimable) {
-				c := wanted[name]
-				c.Reclaimable = round
-				wanted[name] = c
-				left--
-			}
-		}
-	}
-
-	serving := 0
-	for _, counts := range live {
-		serving += counts.Reclaimable + counts.OnDemand
+	// Reclaimable engines that are ordered and do not serve yet, and those that cannot be had, are stood in for by on-demand
+	// engines that serve already. They are given up once all are there.
+	standIn, serving := left, 0
+	for _, name := range names {
+		standIn += max(wanted[name].Reclaimable-live[name].Reclaimable, 0)
+		serving += live[name].Reclaimable + live[name].OnDemand
 	}
 
-	// On-demand engines stand in for reclaimable ones that do not serve yet or are refused.
-	missing := 0
 	for _, name := range names {
-		missing += max(wanted[name].Reclaimable-live[name].Reclaimable, 0)
+		c := wanted[name]
+		have := max(live[name].OnDemand, p.zones[name].ordered[kindOnDemand])
+		c.OnDemand = min(have, standIn, max(rule.Max-c.Reclaimable, 0))
+		standIn -= c.OnDemand
+		wanted[name] = c
 	}
 
-	standIn := min(missing+left, p.target)
+	p.addOnDemand(rule, names, wanted, min(left, p.floor()-serving))
 
 	for _, name := range names {
 		c := wanted[name]
-		have := live[name].OnDemand
-		// Those that serve already are kept for as long as they stand in; new ones start too late for a short gap.
-		keep := min(have, standIn, max(rule.Max-c.Reclaimable, 0))
-		standIn -= keep
-		c.OnDemand = keep
-
-		if c.Reclaimable+c.OnDemand < rule.Min {
-			c.OnDemand = rule.Min - c.Reclaimable
+		if p.zones[name].refused[kindReclaimable] {
+			// The trial order asks for an even part of the target.
+			c.Reclaimable = max(c.Reclaimable, min((p.target+len(names)-1)/len(names), rule.Max-c.OnDemand))
 		}
 
+		c.OnDemand = max(c.OnDemand, rule.Min-c.Reclaimable)
 		wanted[name] = c
 	}
 
-	for left > 0 {
-		placed := false
+	return wanted
+}
+
+// spread gives reclaimable engines to the zones in rounds and returns how many of the target found no place. A zone that
+// refuses orders counts with the engines that it has.
+func (p *Planner) spread(
+	rule apricotway.CapacityRule, names []apricotway.Zone, live, wanted map[apricotway.Zone]Counts,
+) int {
+	left := p.target
+	if rule.ReclaimablePrice <= 0 {
+		return left
+	}
 
+	for round := 1; left > 0 && round <= rule.Max; round++ {
 		for _, name := range names {
-			c := wanted[name]
-			if left > 0 && c.OnDemand+max(c.Reclaimable, live[name].Reclaimable) < rule.Max && usable(name, kindOnDemand) &&
-				serving < p.terms.Least {
-				c.OnDemand++
-				wanted[name] = c
-				left--
-				placed = true
+			if left == 0 || p.zones[name].refused[kindReclaimable] && round > live[name].Reclaimable {
+				continue
 			}
-		}
 
-		if !placed {
-			break
+			wanted[name] = Counts{Reclaimable: round}
+			left--
 		}
 	}
 
-	return wanted
+	return left
 }
 
-// Kinds of engines as indices.
-const (
-	kindReclaimable = iota
-	kindOnDemand
-)
+// floor is the number of engines below which on-demand ones are started: what the load needs without the spare ones.
+func (p *Planner) floor() int { return int(math.Ceil(float64(p.target) / (1 + p.terms.Spare) * floorPart)) }
 
-func (z *zone) orders(now time.Time, name apricotway.Zone, wanted, live Counts) []Order {
-	var orders []Order
+// addOnDemand adds on-demand engines, the cheapest zones first.
+func (p *Planner) addOnDemand(
+	rule apricotway.CapacityRule, names []apricotway.Zone, wanted map[apricotway.Zone]Counts, count int,
+) {
+	for placed := true; placed && count > 0; {
+		placed = false
 
-	for kind, counts := range [2][3]int{
-		kindReclaimable: {wanted.Reclaimable, z.ordered.Reclaimable, live.Reclaimable},
-		kindOnDemand:    {wanted.OnDemand, z.ordered.OnDemand, live.OnDemand},
-	} {
-		want, ordered, have := counts[0], counts[1], counts[2]
-		lost := z.known[kind] && want == ordered && have != want && now.Sub(z.orderedAt[kind]) >= repeatPause
+		for _, name := range names {
+			c := wanted[name]
+			if count <= 0 || c.Reclaimable+c.OnDemand >= rule.Max || p.zones[name].refused[kindOnDemand] {
+				continue
+			}
 
-		if z.known[kind] && want == ordered && !lost || !z.known[kind] && want == have ||
-			now.Before(z.refusedUntil[kind]) {
-			continue
+			c.OnDemand++
+			wanted[name] = c
+			count--
+			placed = true
 		}
-
-		orders = append(orders, Order{Zone: name, Reclaimable: kind == kindReclaimable, Count: want})
 	}
+}
 
-	return orders
+// order returns the order of one kind that is due in the zone.
+func (z *zone) order(now time.Time, name apricotway.Zone, kind, want, have int) (Order, bool) {
+	order := Order{Zone: name, Reclaimable: kind == kindReclaimable, Count: want}
+
+	switch {
+	case z.refused[kind]:
+		return order, want > have && !now.Before(z.retryAt[kind])
+	case !z.known[kind]:
+		return order, want != have
+	case want != z.ordered[kind]:
+		return order, true
+	default:
+		// The engines of an accepted order may have been taken back since.
+		return order, have != want && now.Sub(z.orderedAt[kind]) >= repeatPause
+	}
 }
 
 // Ordered notes the result of an order.
@@ -241,18 +268,11 @@
 		kind = kindReclaimable
 	}
 
+	z.refused[kind] = err != nil
 	if err != nil {
-		z.refusedUntil[kind] = now.Add(refusedPause)
-		z.known[kind] = false
-
+		z.retryAt[kind] = now.Add(refusedPause)
 		return
 	}
 
-	z.known[kind], z.orderedAt[kind] = true, now
-
-	if order.Reclaimable {
-		z.ordered.Reclaimable = order.Count
-	} else {
-		z.ordered.OnDemand = order.Count
-	}
+	z.known[kind], z.orderedAt[kind], z.ordered[kind] = true, now, order.Count
 }
