Keep the limits of workspaces at one center

One process now keeps each bucket, hands out credit with the answers to reports, and is asked when a call costs more than is left.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -149,14 +149,12 @@
 		Ratio: s.Retries.Ratio, Window: time.Duration(s.Retries.Window), Slack: s.Retries.Slack,
 	})
 
-	if s.Platform.Cloud.IsValid() {
-		duties := duty.New(e.supervisor, e.platform, e.membership, e.membership, duty.WithLogger(e.logger))
-		rollup.New(e.supervisor, rollup.Parts{
-			Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: began,
-		}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger))
-	}
+	duties := duty.New(e.supervisor, e.platform, e.membership, e.membership, duty.WithLogger(e.logger))
+	gathered := rollup.New(e.supervisor, rollup.Parts{
+		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: began,
+	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger))
 
-	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.limiter, budget, began,
+	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, gathered, budget, began,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithLeaving(e.leaving.Load))
 
 	return e.serveAll(ctx, forward)
--- a/cmd/internal/settings/entry.go
+++ b/cmd/internal/settings/entry.go
@@ -53,8 +53,8 @@
 // EntryPlatform holds the addresses of the platform.
 type EntryPlatform struct {
 	Store netip.AddrPort `json:"store"`
-	// Cloud takes usage reports and orders; without it the process performs no duties.
-	Cloud netip.AddrPort `json:"cloud,omitzero"`
+	// Cloud takes usage reports and orders.
+	Cloud netip.AddrPort `json:"cloud"`
 }
 
 // Retries bounds repeated sends over all processes.
--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -62,8 +62,10 @@
 	// read is set once the log has been read; next is the offset behind what was read.
 	read bool
 	next apricotway.Offset
-	// holder is the newest claim; its number is 0 before the first.
+	// holder is the newest claim that is known; its number is 0 before the first.
 	holder apricotway.Holder
+	// claim is the newest claim before next. Another process may have told of a later one.
+	claim apricotway.Holder
 	// usage is the newest usage report on the log, nil without one.
 	usage *apricotway.UsageReport
 	// stale asks for another look at the log, since the platform refused our number.
@@ -193,12 +195,13 @@
 
 	switch r.Kind {
 	case KindClaim:
+		d.claim = apricotway.Holder{Node: r.Node, Number: at}
 		if at > d.holder.Number {
-			d.holder = apricotway.Holder{Node: r.Node, Number: at}
+			d.holder = d.claim
 		}
 	case KindUsage:
-		// A report counts only under the claim in force.
-		if r.Usage != nil && r.Node == d.holder.Node && (d.usage == nil || r.Usage.Window > d.usage.Window) {
+		// A report counts only under the claim that stands before it.
+		if r.Usage != nil && r.Node == d.claim.Node && (d.usage == nil || r.Usage.Window > d.usage.Window) {
 			d.usage = r.Usage
 		}
 	}
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -26,6 +26,7 @@
 
 const (
 	methodReport apricotway.Method = "report"
+	methodTake   apricotway.Method = "take"
 	// leastPeriod is the time between two reports of a process; with many processes periodPerMember for each of them, so
 	// that the holder answers a bounded number of reports.
 	leastPeriod     = 250 * time.Millisecond
@@ -51,9 +52,9 @@
 	Node apricotway.NodeID
 	// Counts holds all recent windows in full.
 	Counts tally.Counts
-	// Asked holds the units that callers asked for since the last report.
-	Asked map[apricotway.Workspace]float64
-	Work  map[apricotway.BackendServerID]dispatch.Work
+	// Accounts holds what callers asked for since the last report, and the credit left.
+	Accounts map[apricotway.Workspace]quota.Account
+	Work     map[apricotway.BackendServerID]dispatch.Work
 	// Demand is that since the last report, over the time Elapsed.
 	Demand  map[apricotway.Service]dispatch.Demand
 	Elapsed time.Duration
@@ -63,7 +64,8 @@
 type Answer struct {
 	// Holding tells whether the process holds the duties; otherwise the rest is empty.
 	Holding bool
-	Shares  map[apricotway.Workspace]float64
+	// Credit is what the process may spend beyond what it has.
+	Credit map[apricotway.Workspace]float64
 	// Others holds the work of all other processes.
 	Others map[apricotway.BackendServerID]dispatch.Work
 }
@@ -95,12 +97,14 @@
 
 	mu sync.Mutex
 	// held is the number under which the fields below were gathered.
-	held       apricotway.Offset
-	collector  *tally.Collector
-	divider    *quota.Divider
-	reports    map[apricotway.NodeID]work
-	demand     map[apricotway.Service]scaling.Load
-	planners   map[apricotway.Service]*scaling.Planner
+	held      apricotway.Offset
+	collector *tally.Collector
+	center    *quota.Center
+	reports   map[apricotway.NodeID]work
+	demand    map[apricotway.Service]scaling.Load
+	planners  map[apricotway.Service]*scaling.Planner
+	// limits is the configuration whose limits the center has.
+	limits     *route.Table
 	nextWindow int64
 	// recorded is the report that stands on the log and has not been accepted yet.
 	recorded *apricotway.UsageReport
@@ -139,6 +143,11 @@
 	apricotway.HandlePeer(registry, methodReport,
 		func(_ context.Context, report Report) (Answer, error) { return r.receive(time.Now(), report), nil })
 
+	apricotway.HandlePeer(registry, methodTake,
+		func(_ context.Context, question Question) (Verdict, error) {
+			return r.answer(time.Now(), question), nil
+		})
+
 	supervisor.Add(apricotway.ServiceFunc{Name: "report", Func: r.runReports})
 	supervisor.Add(apricotway.Periodic("usage duty", dutyPeriod, r.reportUsage))
 	supervisor.Add(apricotway.Periodic("capacity duty", dutyPeriod, r.orderCapacity))
@@ -149,11 +158,11 @@
 // reset drops what was gathered under an earlier number; it needs the lock but in New.
 func (r *Rollup) reset(number apricotway.Offset) {
 	r.held = number
-	r.collector, r.divider = tally.NewCollector(), quota.NewDivider()
+	r.collector, r.center = tally.NewCollector(), quota.NewCenter()
 	r.reports = map[apricotway.NodeID]work{}
 	r.demand = map[apricotway.Service]scaling.Load{}
 	r.planners = map[apricotway.Service]*scaling.Planner{}
-	r.nextWindow, r.recorded = 0, nil
+	r.nextWindow, r.recorded, r.limits = 0, nil, nil
 }
 
 // runReports reports to the holder for as long as the context holds.
@@ -190,10 +199,10 @@
 
 func (r *Rollup) reportOnce(ctx context.Context, now time.Time, elapsed time.Duration) {
 	report := Report{
-		Node:   r.membership.Self().Node,
-		Counts: r.Tally.Counts(r.Tally.Window(now) - firstWindows),
-		Asked:  r.Limiter.Asked(),
-		Work:   r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
+		Node:     r.membership.Self().Node,
+		Counts:   r.Tally.Counts(r.Tally.Window(now) - firstWindows),
+		Accounts: r.Limiter.Accounts(),
+		Work:     r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
 	}
 
 	if _, held := r.duty.Held(); held {
@@ -235,7 +244,7 @@
 		return
 	}
 
-	r.Limiter.SetShares(now, answer.Shares)
+	r.Limiter.Credit(now, answer.Credit)
 	r.Pool.SetOthersWork(now, answer.Others)
 }
 
@@ -249,15 +258,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	if r.held != holder.Number {
-		r.reset(holder.Number)
-	}
-
+	r.prepare(now, holder.Number)
 	r.collector.Report(report.Node, report.Counts)
 	r.reports[report.Node] = work{at: now, work: report.Work, demand: r.smooth(report)}
 
 	answer := Answer{
-		Holding: true, Shares: r.divider.Report(now, report.Node, report.Asked),
+		Holding: true, Credit: r.center.Report(now, report.Node, report.Elapsed, report.Accounts),
 		Others: map[apricotway.BackendServerID]dispatch.Work{},
 	}
 
@@ -282,6 +288,18 @@
 	return answer
 }
 
+// prepare starts anew under another number, and puts the limits of the newest configuration in force; it needs the lock.
+func (r *Rollup) prepare(now time.Time, number apricotway.Offset) {
+	if r.held != number {
+		r.reset(number)
+	}
+
+	if table := r.Catalog.Table(); table != nil && r.limits != table {
+		r.limits = table
+		r.center.SetLimits(now, table.Workspaces())
+	}
+}
+
 // smooth returns the demand of a process by service in units a second.
 func (r *Rollup) smooth(report Report) map[apricotway.Service]scaling.Load {
 	seconds := max(report.Elapsed.Seconds(), leastPeriod.Seconds())
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -16,7 +16,6 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/dispatch"
-	"github.com/apricotway/apricotway/state/quota"
 	"github.com/apricotway/apricotway/state/retrybudget"
 	"github.com/apricotway/apricotway/state/route"
 	"github.com/apricotway/apricotway/state/tally"
@@ -45,6 +44,14 @@
 	KeysFresh() bool
 }
 
+// Limiter holds workspaces to their limits over all processes.
+type Limiter interface {
+	// Take spends the cost of one call, or returns the time after which it may be there.
+	Take(ctx context.Context, workspace apricotway.Workspace, cost float64) (time.Duration, bool)
+	// Return gives back the cost of a call that did not run.
+	Return(workspace apricotway.Workspace, cost float64)
+}
+
 // Quarantine knows the calls that crash servers.
 type Quarantine interface {
 	// Refuses tells whether a call must not be sent any more.
@@ -67,7 +74,7 @@
 	upstream apricotway.Upstream
 	catalog  Catalog
 	pool     *dispatch.Pool
-	limiter  *quota.Limiter
+	limiter  Limiter
 	budget   *retrybudget.Budget
 	tally    *tally.Tally
 
@@ -99,7 +106,7 @@
 
 // New returns a relay.
 func New(
-	dialect apricotway.Dialect, upstream apricotway.Upstream, catalog Catalog, pool *dispatch.Pool, limiter *quota.Limiter,
+	dialect apricotway.Dialect, upstream apricotway.Upstream, catalog Catalog, pool *dispatch.Pool, limiter Limiter,
 	budget *retrybudget.Budget, began *tally.Tally, options ...Option,
 ) *Relay {
 	r := &Relay{
@@ -308,7 +315,7 @@
 		}
 	}
 
-	wait, ok := c.relay.limiter.Take(c.arrived, c.workspace.Name, c.cost)
+	wait, ok := c.relay.limiter.Take(c.request.Context(), c.workspace.Name, c.cost)
 	if !ok {
 		return &refusal{
 			status: http.StatusTooManyRequests, reason: "overLimit", retryAfter: wait,
--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -1,6 +1,7 @@
-// Package quota holds workspaces to their limits over all processes. Each process spends from a share of the limit; the
-// coordinator divides the limit anew from what the processes ask for. A process that cannot reach the coordinator falls back to
-// an even share, so that the sum over all processes keeps to the limit.
+// Package quota holds workspaces to their limits over all processes. One process, the center, keeps the bucket of each limit and
+// hands out credit; the others spend their credit without a question and ask for more when a call costs more than is left. A
+// process that cannot reach the center spends from an even share, which the center sets aside. It answers days on which one
+// workspace asks for many times its usual, at processes that change from moment to moment.
 package quota
 
 import (
@@ -10,34 +11,55 @@
 	"github.com/apricotway/apricotway"
 )
 
-// shareLifetime is the time for which a process spends from a share without a newer one. It is three periods of the exchange
-// with the coordinator or more.
-const shareLifetime = 2 * time.Second
+const (
+	// centerLifetime is the time after its last answer for which the center is taken to be reachable.
+	centerLifetime = 1500 * time.Millisecond
+	// longestDenial bounds the time for which a denial of the center holds without another question.
+	longestDenial = 250 * time.Millisecond
+)
+
+// Verdict is the result of spending.
+type Verdict string
+
+// The values of Verdict.
+const (
+	Spent  Verdict = "spent"
+	Denied Verdict = "denied"
+	// Ask means that only the center knows.
+	Ask Verdict = "ask"
+)
 
-// Limiter spends the shares of one process. It is safe for concurrent use.
+// Limiter spends for one process. It is safe for concurrent use.
 type Limiter struct {
 	mu      sync.Mutex
-	buckets map[apricotway.Workspace]*bucket
-	// members is the number of processes that share the limits; at least 1.
+	buckets map[apricotway.Workspace]*local
+	// members is the number of processes that share the limits; at least leastMembers.
 	members int
+	// answered is the time of the center's last answer.
+	answered time.Time
 }
 
-// bucket is the share of one workspace.
-type bucket struct {
+// leastMembers is the number of processes assumed before others are known, so that processes that all start at once do not
+// spend a whole limit each.
+const leastMembers = 4
+
+// local is what a process knows of one limit.
+type local struct {
 	limit apricotway.TokenLimit
-	// share is the part of the limit from 0 to 1 that this process may spend until the given time.
-	share float64
-	until time.Time
-	// level is what may be spent at the given time; at most share times burst.
-	level float64
-	at    time.Time
+	// credit is what the center has handed out and was not spent.
+	credit float64
 	// asked counts the units asked for since the last report.
 	asked float64
+	// deniedUntil is the time before which the center has nothing to hand out.
+	deniedUntil time.Time
+	// level is what is left of the even share at the time at.
+	level float64
+	at    time.Time
 }
 
 // New returns a limiter without limits.
 func New() *Limiter {
-	return &Limiter{buckets: map[apricotway.Workspace]*bucket{}, members: 1}
+	return &Limiter{buckets: map[apricotway.Workspace]*local{}, members: leastMembers}
 }
 
 // SetLimits puts the limits of a configuration in force.
@@ -48,17 +70,15 @@
 	for name, rule := range workspaces {
 		b := l.buckets[name]
 		if b == nil {
-			b = &bucket{at: now}
+			b = &local{at: now, level: rule.Limit.Burst / float64(l.members)}
 			l.buckets[name] = b
-			b.limit = rule.Limit
-			b.level = l.shareOf(b, now) * rule.Limit.Burst
+		}
 
-			continue
+		if rule.Limit.Rate < b.limit.Rate {
+			b.credit = 0
 		}
 
-		b.refill(now, l.shareOf(b, now))
 		b.limit = rule.Limit
-		b.level = min(b.level, l.shareOf(b, now)*b.limit.Burst)
 	}
 
 	for name := range l.buckets {
@@ -73,63 +93,63 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.members = max(members, 1)
+	l.members = max(members, leastMembers)
 }
 
-// SetShares takes the shares that the coordinator gave, as parts of the limits from 0 to 1.
-func (l *Limiter) SetShares(now time.Time, shares map[apricotway.Workspace]float64) {
+// Take spends the cost of one call. A denial comes with the time after which the cost may be there.
+func (l *Limiter) Take(now time.Time, workspace apricotway.Workspace, cost float64) (Verdict, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	for name, share := range shares {
-		if b := l.buckets[name]; b != nil {
-			b.refill(now, l.shareOf(b, now))
-			b.share, b.until = share, now.Add(shareLifetime)
-		}
-	}
-}
-
-// shareOf returns the part of the limit that the process may spend now.
-func (l *Limiter) shareOf(b *bucket, now time.Time) float64 {
-	even := 1 / float64(l.members)
-	if now.Before(b.until) {
-		return b.share
+	b := l.buckets[workspace]
+	if b == nil || b.limit.Rate <= 0 {
+		return Spent, 0
 	}
 
-	return even
-}
+	b.asked += cost
 
-func (b *bucket) refill(now time.Time, share float64) {
-	if elapsed := now.Sub(b.at).Seconds(); elapsed > 0 {
-		b.level = min(b.level+elapsed*share*b.limit.Rate, max(share*b.limit.Burst, b.level))
-		b.at = now
+	switch {
+	case b.credit >= cost:
+		b.credit -= cost
+		return Spent, 0
+	case now.Before(b.deniedUntil):
+		return Denied, max(wait(cost, 0, b.limit.Rate), longestDenial)
+	case now.Sub(l.answered) < centerLifetime:
+		return Ask, 0
+	default:
+		return b.takeShare(now, cost, float64(l.members))
 	}
 }
 
-// Take spends the cost of one call. When it is over the limit, it returns the time after which the cost can be spent.
-func (l *Limiter) Take(now time.Time, workspace apricotway.Workspace, cost float64) (time.Duration, bool) {
+// TakeShare spends from the even share, for a call about which the center could not be asked.
+func (l *Limiter) TakeShare(now time.Time, workspace apricotway.Workspace, cost float64) (Verdict, time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	b := l.buckets[workspace]
-	if b == nil || b.limit.Rate <= 0 {
-		return 0, true
+	if b := l.buckets[workspace]; b != nil {
+		return b.takeShare(now, cost, float64(l.members))
 	}
 
-	b.asked += cost
-	share := l.shareOf(b, now)
-	b.refill(now, share)
+	return Spent, 0
+}
+
+func (b *local) takeShare(now time.Time, cost, members float64) (Verdict, time.Duration) {
+	rate, burst := b.limit.Rate/members, b.limit.Burst/members
+	b.level = min(b.level+max(now.Sub(b.at).Seconds(), 0)*rate, burst)
+	b.at = now
 
-	// A call that costs more than the whole share is admitted from a full bucket, and the bucket goes below zero.
-	if b.level >= cost || b.level >= share*b.limit.Burst && b.level > 0 {
+	// A call that costs more than the whole share is taken from a full one, which goes below zero.
+	if b.level >= min(cost, burst) {
 		b.level -= cost
-		return 0, true
+		return Spent, 0
 	}
 
-	missing := min(cost, share*b.limit.Burst) - b.level
-	wait := time.Duration(missing / max(share*b.limit.Rate, 1) * float64(time.Second))
+	return Denied, wait(min(cost, burst), b.level, rate)
+}
 
-	return max(wait, 0), false
+// wait returns the time until a level reaches a cost.
+func wait(cost, level, rate float64) time.Duration {
+	return time.Duration(max(cost-level, 0) / max(rate, 1) * float64(time.Second))
 }
 
 // Return gives back the cost of a call that did not run.
@@ -138,22 +158,57 @@
 	defer l.mu.Unlock()
 
 	if b := l.buckets[workspace]; b != nil && b.limit.Rate > 0 {
-		b.level += cost
+		b.credit += cost
 	}
 }
 
-// Asked returns the units asked for since the last call, by workspace.
-func (l *Limiter) Asked() map[apricotway.Workspace]float64 {
+// Answered takes the center's answer to a question about one call: the time to wait, or 0 when the cost was handed out.
+func (l *Limiter) Answered(now time.Time, workspace apricotway.Workspace, denied time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.answered = now
+
+	if b := l.buckets[workspace]; b != nil && denied > 0 {
+		b.deniedUntil = now.Add(min(denied, longestDenial))
+	}
+}
+
+// Credit takes the credit that the center handed out with an answer to a report.
+func (l *Limiter) Credit(now time.Time, credit map[apricotway.Workspace]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.answered = now
+
+	for name, units := range credit {
+		if b := l.buckets[name]; b != nil {
+			b.credit += units
+		}
+	}
+}
+
+// Account is what a process tells the center about one limit.
+type Account struct {
+	// Asked holds the units that callers asked for since the last report.
+	Asked float64
+	// Credit is what is left of the credit.
+	Credit float64
+}
+
+// Accounts returns the accounts since the last call.
+func (l *Limiter) Accounts() map[apricotway.Workspace]Account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	asked := make(map[apricotway.Workspace]float64, len(l.buckets))
+	accounts := make(map[apricotway.Workspace]Account, len(l.buckets))
 
 	for name, b := range l.buckets {
-		if b.asked > 0 {
-			asked[name], b.asked = b.asked, 0
+		if b.limit.Rate > 0 {
+			accounts[name] = Account{Asked: b.asked, Credit: b.credit}
+			b.asked = 0
 		}
 	}
 
-	return asked
+	return accounts
 }
