--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -76,13 +76,13 @@
 	switch {
 	case answer.Status == http.StatusMisdirectedRequest:
 		send.End(c.relay.now(), dispatch.OutcomeMisdirected)
-		return next{step: stepRepeat, reason: "misdirected", arrived: true}
+		return next{step: stepRepeat, reason: reasonMisdirected, arrived: true}
 	case metadata.NotRun:
 		send.Report(c.relay.now(), metadata.Load)
 		send.End(c.relay.now(), dispatch.OutcomeFull)
 		drain(answer.Body)
 
-		return next{step: stepRepeat, reason: "rejected", arrived: true}
+		return next{step: stepRepeat, reason: reasonRejected, arrived: true}
 	}
 
 	c.sends++
@@ -141,7 +141,7 @@
 
 	if errors.Is(err, apricotway.ErrNotSent) {
 		send.End(now, dispatch.OutcomeUnreachable)
-		return next{step: stepRepeat, reason: "unreachable"}
+		return next{step: stepRepeat, reason: reasonUnreachable}
 	}
 
 	c.sends++
@@ -149,18 +149,18 @@
 
 	if ctx.Err() != nil {
 		send.End(now, dispatch.OutcomeLeft)
-		return next{step: stepFail, reason: "ended", arrived: true, ran: true}
+		return next{step: stepFail, reason: reasonEnded, arrived: true, ran: true}
 	}
 
 	send.End(now, dispatch.OutcomeFailed)
 
 	if watch.fired() {
-		return next{step: stepRepeat, reason: "silent", arrived: true, ran: true}
+		return next{step: stepRepeat, reason: reasonSilent, arrived: true, ran: true}
 	}
 
 	c.relay.quarantine.Broken(c.digest, send.Backend)
 
-	return next{step: stepRepeat, reason: "broken", arrived: true, ran: true}
+	return next{step: stepRepeat, reason: reasonBroken, arrived: true, ran: true}
 }
 
 // whole passes on an answer that is read to its end first, so that a cut answer never reaches the caller.
@@ -175,18 +175,18 @@
 	switch {
 	case err != nil && ctx.Err() != nil:
 		send.End(now, dispatch.OutcomeLeft)
-		return next{step: stepFail, reason: "ended", arrived: true, ran: true}
+		return next{step: stepFail, reason: reasonEnded, arrived: true, ran: true}
 	case err != nil:
 		send.End(now, dispatch.OutcomeFailed)
 		c.relay.quarantine.Broken(c.digest, send.Backend)
 
-		return next{step: stepRepeat, reason: "cut", arrived: true, ran: true}
+		return next{step: stepRepeat, reason: reasonCut, arrived: true, ran: true}
 	case answer.Status >= http.StatusInternalServerError:
 		send.Report(now, metadata.Load)
 		send.End(now, dispatch.OutcomeFailed)
 
 		if c.route.Repeatable() && c.sends < c.route.MaxAttempts {
-			if again := (next{step: stepRepeat, reason: "serverError", arrived: true, ran: true}); c.mayRepeat(ctx, again) {
+			if again := (next{step: stepRepeat, reason: reasonServerError, arrived: true, ran: true}); c.mayRepeat(ctx, again) {
 				return c.again(ctx, again, answer, content)
 			}
 		}
@@ -225,7 +225,7 @@
 	// A write fails only when the caller has left.
 	_, _ = c.writer.Write(content)
 
-	c.ended("answered", answer.Status)
+	c.ended(resultAnswered, answer.Status)
 }
 
 // writeHeader passes the header of an answer on; a negative length leaves it open.
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -9,6 +9,22 @@
 	"github.com/apricotway/apricotway"
 )
 
+// Results of calls and reasons for further sends, as they stand in logs, metrics and answers.
+const (
+	resultAnswered    = "answered"
+	reasonEnded       = "ended"
+	reasonCallerLeft  = "callerLeft"
+	reasonBroken      = "broken"
+	reasonCut         = "cut"
+	reasonSilent      = "silent"
+	reasonRejected    = "rejected"
+	reasonMisdirected = "misdirected"
+	reasonUnreachable = "unreachable"
+	reasonServerError = "serverError"
+	reasonResumed     = "resumed"
+	reasonNoTime      = "noTime"
+)
+
 // refusal is an answer of the system's own.
 type refusal struct {
 	status int
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -165,7 +165,7 @@
 		w.Header().Set("Connection", "close")
 	}
 
-	if refusal := c.admit(); refusal != nil {
+	if refusal := c.admit(request.Context()); refusal != nil {
 		c.refuse(refusal)
 		return
 	}
@@ -177,7 +177,7 @@
 }
 
 // admit checks the call up to its limits. It returns the refusal of a call that must not be sent.
-func (c *call) admit() *refusal {
+func (c *call) admit(ctx context.Context) *refusal {
 	r := c.relay
 
 	metadata, err := r.dialect.ReadCall(c.request.Header)
@@ -218,7 +218,7 @@
 		}
 	}
 
-	return c.spend()
+	return c.spend(ctx)
 }
 
 // path returns the path of the request target as the caller wrote it.
@@ -300,7 +300,7 @@
 }
 
 // spend takes the cost of the call from the workspace's limit.
-func (c *call) spend() *refusal {
+func (c *call) spend(ctx context.Context) *refusal {
 	if c.workspace == nil {
 		return nil
 	}
@@ -315,7 +315,7 @@
 		}
 	}
 
-	wait, ok := c.relay.limiter.Take(c.request.Context(), c.workspace.Name, c.cost)
+	wait, ok := c.relay.limiter.Take(ctx, c.workspace.Name, c.cost)
 	if !ok {
 		return &refusal{
 			status: http.StatusTooManyRequests, reason: "overLimit", retryAfter: wait,
@@ -364,7 +364,7 @@
 	remaining := c.deadline.Sub(now)
 	if remaining < leastRemaining {
 		return nil, &refusal{
-			status: http.StatusServiceUnavailable, reason: "noTime", retryAfter: unknownPause, message: "the time is used up",
+			status: http.StatusServiceUnavailable, reason: reasonNoTime, retryAfter: unknownPause, message: "the time is used up",
 		}
 	}
 
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -78,7 +78,7 @@
 
 	if ctx.Err() != nil {
 		send.End(now, dispatch.OutcomeLeft)
-		return next{step: stepFail, reason: "ended", arrived: true, ran: true}
+		return next{step: stepFail, reason: reasonEnded, arrived: true, ran: true}
 	}
 
 	send.End(now, dispatch.OutcomeFailed)
@@ -87,7 +87,7 @@
 		c.relay.quarantine.Broken(c.digest, send.Backend)
 	}
 
-	return next{step: stepRepeat, reason: "broken", arrived: true, ran: true}
+	return next{step: stepRepeat, reason: reasonBroken, arrived: true, ran: true}
 }
 
 // passStream passes on a stream that cannot go on elsewhere. A break ends the caller's connection, so that the answer does not
@@ -100,7 +100,7 @@
 	for {
 		if n > 0 {
 			if _, writeErr := c.writer.Write(buffer[:n]); writeErr != nil {
-				return c.cut(ctx, send, "callerLeft", dispatch.OutcomeLeft)
+				return c.cut(ctx, send, reasonCallerLeft, dispatch.OutcomeLeft)
 			}
 
 			// A flush fails only when the caller has left; the next write tells.
@@ -109,19 +109,19 @@
 
 		if errors.Is(err, io.EOF) {
 			send.End(c.relay.now(), dispatch.OutcomeDone)
-			c.ended("answered", http.StatusOK)
+			c.ended(resultAnswered, http.StatusOK)
 
 			return answered
 		}
 
 		if err != nil {
 			if ctx.Err() != nil {
-				return c.cut(ctx, send, "ended", dispatch.OutcomeLeft)
+				return c.cut(ctx, send, reasonEnded, dispatch.OutcomeLeft)
 			}
 
 			c.relay.quarantine.Broken(c.digest, send.Backend)
 
-			return c.cut(ctx, send, "broken", dispatch.OutcomeFailed)
+			return c.cut(ctx, send, reasonBroken, dispatch.OutcomeFailed)
 		}
 
 		n, err = body.Read(buffer)
@@ -131,7 +131,7 @@
 // cut ends the caller's connection in the middle of a stream.
 func (c *call) cut(ctx context.Context, send *dispatch.Send, reason string, outcome dispatch.Outcome) next {
 	if ctx.Err() != nil && errors.Is(c.request.Context().Err(), context.Canceled) {
-		reason = "callerLeft"
+		reason = reasonCallerLeft
 	}
 
 	send.End(c.relay.now(), outcome)
@@ -149,7 +149,7 @@
 		reason, outcome := c.passRun(ctx, cutter, body, buffer, n, err, watch)
 		if reason == "" {
 			send.End(c.relay.now(), dispatch.OutcomeDone)
-			c.ended("answered", http.StatusOK)
+			c.ended(resultAnswered, http.StatusOK)
 
 			return answered
 		}
@@ -160,7 +160,7 @@
 
 		send.End(c.relay.now(), outcome)
 
-		if reason == "broken" {
+		if reason == reasonBroken {
 			c.relay.quarantine.Broken(c.digest, send.Backend)
 		}
 
@@ -187,7 +187,7 @@
 			watch.progress()
 
 			if _, writeErr := c.writer.Write(whole); writeErr != nil {
-				return "callerLeft", dispatch.OutcomeLeft
+				return reasonCallerLeft, dispatch.OutcomeLeft
 			}
 
 			// A flush fails only when the caller has left; the next write tells.
@@ -203,11 +203,11 @@
 
 			return "", dispatch.OutcomeDone
 		case err != nil && ctx.Err() != nil:
-			return "ended", dispatch.OutcomeLeft
+			return reasonEnded, dispatch.OutcomeLeft
 		case err != nil && watch.fired():
-			return "silent", dispatch.OutcomeFailed
+			return reasonSilent, dispatch.OutcomeFailed
 		case err != nil:
-			return "broken", dispatch.OutcomeFailed
+			return reasonBroken, dispatch.OutcomeFailed
 		}
 
 		n, err = body.Read(buffer)
@@ -238,7 +238,7 @@
 			return nil, nil
 		}
 
-		c.relay.metrics.Repeated(c.service, "resumed")
+		c.relay.metrics.Repeated(c.service, reasonResumed)
 
 		header := c.relay.dialect.ForwardHeader(c.request.Header)
 		c.relay.dialect.WriteSend(header, apricotway.SendMetadata{
--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -216,7 +216,9 @@
 }
 
 // floor is the number of engines below which on-demand ones are started: what the load needs without the spare ones.
-func (p *Planner) floor() int { return int(math.Ceil(float64(p.target) / (1 + p.terms.Spare) * floorPart)) }
+func (p *Planner) floor() int {
+	return int(math.Ceil(float64(p.target) / (1 + p.terms.Spare) * floorPart))
+}
 
 // addOnDemand adds on-demand engines, the cheapest zones first.
 func (p *Planner) addOnDemand(
--- a/transport/upstream/quiet.go
+++ b/transport/upstream/quiet.go
@@ -22,7 +22,7 @@
 		var one [1]byte
 
 		_, readErr := syscall.Read(int(fd), one[:])
-		open = readErr == syscall.EAGAIN //nolint:errorlint // System calls return the number itself.
+		open = readErr == syscall.EAGAIN
 
 		return true
 	})
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -86,6 +86,9 @@
 	expires time.Time
 }
 
+// drop closes the connection. What was not received or sent is lost in any case, so that an error tells nothing.
+func (c *connection) drop() { _ = c.Close() }
+
 // Send implements apricotway.Upstream.
 func (p *Pool) Send(
 	ctx context.Context, address netip.AddrPort, call apricotway.ForwardedCall,
@@ -95,11 +98,11 @@
 		return nil, errors.Wrap(apricotway.ErrNotSent, err.Error())
 	}
 
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, c.drop)
 
 	if n, err := c.Write(encode(call)); err != nil {
 		stop()
-		c.Close()
+		c.drop()
 
 		if n == 0 {
 			return nil, errors.Wrap(apricotway.ErrNotSent, err.Error())
@@ -108,10 +111,10 @@
 		return nil, errors.Wrap(err, "send call")
 	}
 
-	response, foreign, err := c.answer(call)
+	response, foreign, err := c.answer(call) //nolint:bodyclose // The answer's body closes it.
 	if err != nil {
 		stop()
-		c.Close()
+		c.drop()
 
 		if ctx.Err() != nil {
 			return nil, errors.Wrap(ctx.Err(), "wait for answer")
@@ -167,7 +170,7 @@
 			return c
 		}
 
-		c.Close()
+		c.drop()
 	}
 }
 
@@ -176,7 +179,7 @@
 	defer p.mu.Unlock()
 
 	if len(p.idle[address]) >= maxIdle {
-		c.Close()
+		c.drop()
 		return
 	}
 
@@ -195,7 +198,7 @@
 			if now.Before(c.expires) {
 				kept = append(kept, c)
 			} else {
-				c.Close()
+				c.drop()
 			}
 		}
 
@@ -275,7 +278,7 @@
 // Read implements io.Reader.
 func (b *body) Read(buffer []byte) (int, error) {
 	n, err := b.response.Body.Read(buffer)
-	if err == io.EOF { //nolint:errorlint // Readers return io.EOF itself.
+	if err == io.EOF {
 		b.ended = true
 	}
 
