Place long and short prompts on different engines

Half of the engines take prompts above 5,000 tokens first; inside an engine shorter prompts come first; reports go out every 120 ms in place of 250.

--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -29,7 +29,7 @@
 	methodTake   apricotway.Method = "take"
 	// leastPeriod is the time between two reports of a process; with many processes periodPerMember for each of them, so
 	// that the holder answers a bounded number of reports.
-	leastPeriod     = 250 * time.Millisecond
+	leastPeriod     = 120 * time.Millisecond
 	periodPerMember = 8 * time.Millisecond
 	// reportTime bounds one report.
 	reportTime = time.Second
@@ -42,7 +42,7 @@
 	// firstWindows is the number of windows before the present one that a first holder reports.
 	firstWindows = 2
 	// demandSmoothing is the weight of the newest demand.
-	demandSmoothing = 0.25
+	demandSmoothing = 0.1
 	// workLifetime is the time for which the work of a process counts without a newer report.
 	workLifetime = 3 * time.Second
 )
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -111,28 +111,34 @@
 	}
 }
 
-// urgency orders the call inside an engine: by rank, and long prompts behind short ones of the same rank.
+// Sizes of prompts in tokens from which a call is less urgent inside an engine.
+const (
+	middlePrompt = 1500
+	longPrompt   = 5000
+	hugePrompt   = 20000
+)
+
+// urgency orders the call inside an engine: the shortest prompts first, since each of them delays the others least, and by rank
+// among prompts of about the same size.
 func (c *call) urgency() int {
 	if !c.metadata.HasTokens {
 		return -1
 	}
 
-	const (
-		longPrompt = 4000
-		least      = 9
-	)
-
 	rank := c.route.Rank
 	if c.workspace != nil && c.workspace.Rank != nil {
 		rank = *c.workspace.Rank
 	}
 
-	urgency := 2*rank + 1
-	if c.metadata.PromptTokens > longPrompt {
-		urgency++
+	size := 0
+
+	for _, bound := range []int{middlePrompt, longPrompt, hugePrompt} {
+		if c.metadata.PromptTokens > bound {
+			size += 2
+		}
 	}
 
-	return min(max(urgency, 0), least)
+	return size + min(max(rank, 0), 1) + 1
 }
 
 // sendFailed classifies a send without an answer.
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -84,7 +84,13 @@
 		version = c.table.Version
 	}
 
+	began := time.Duration(0)
+	if !c.first.IsZero() {
+		began = c.first.Sub(c.arrived)
+	}
+
 	c.relay.logger.Info("call ended", "event", 351, "attempt", c.metadata.Attempt, "route", name, "result", result,
-		"status", status, "took", took, "sends", c.sends, "servers", c.tried, "service", c.service,
+		"status", status, "took", took, "began", began, "expected", c.expected,
+		"promptTokens", c.metadata.PromptTokens, "sends", c.sends, "servers", c.tried, "service", c.service,
 		"workspace", c.workspaceName(), "configuration", version)
 }
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -155,6 +155,9 @@
 	tried []apricotway.BackendServerID
 	// counted tells that the call was counted as begun.
 	counted bool
+	// expected is the estimated time to the beginning of the answer at the last send, first the time of that beginning.
+	expected time.Duration
+	first    time.Time
 }
 
 // ServeHTTP implements http.Handler.
@@ -383,7 +386,9 @@
 		send, why, wait = c.relay.pool.Place(now, request)
 	}
 
-	if send == nil {
+	if send != nil {
+		c.expected = send.Expected
+	} else {
 		return nil, &refusal{
 			status: http.StatusServiceUnavailable, reason: string(why), retryAfter: wait,
 			message: "no backend server can take the call in time",
@@ -461,5 +466,6 @@
 	}
 
 	c.counted = true
+	c.first = at
 	c.relay.tally.Began(at, c.workspace.Name)
 }
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -22,6 +22,12 @@
 	ejectedPenalty = 1e6
 	// otherZonePenalty in milliseconds is the cost of bytes between availability zones.
 	otherZonePenalty = 2.0
+	// longPrompt is the size in tokens above which a prompt counts as long: it takes an engine about 100 ms to read.
+	longPrompt = 5000
+	// longLane is the part of the engines to which long prompts go first. They hold over half of all prompt tokens.
+	longLane = 0.5
+	// otherLanePenalty in milliseconds is the wait from which a prompt goes to an engine of the other part.
+	otherLanePenalty = 150.0
 	// scoreNoise keeps processes with the same view from choosing the same server.
 	scoreNoise = 0.1
 	// noServerPause is the time after which a caller comes back when no server is known.
@@ -57,6 +63,9 @@
 type server struct {
 	backend apricotway.Backend
 	added   time.Time
+	// hash orders servers alike in all processes; long tells that long prompts come here first.
+	hash uint64
+	long bool
 
 	// running counts own calls in flight, prefill the prompt tokens of those without a first event.
 	running int
@@ -82,7 +91,9 @@
 }
 
 func newServer(backend apricotway.Backend, now time.Time) *server {
-	return &server{backend: backend, added: now, pace: 1, work: plainWork, cached: map[uint64]time.Time{}}
+	return &server{
+		backend: backend, added: now, hash: xxhash.Sum64String(string(backend.ID)), pace: 1, work: plainWork, cached: map[uint64]time.Time{},
+	}
 }
 
 // estimate is the expected course of a call on one server.
@@ -153,7 +164,7 @@
 			continue
 		}
 
-		if weight := mix(link.hash, xxhash.Sum64String(string(s.backend.ID))); home == nil || weight > best {
+		if weight := mix(link.hash, s.hash); home == nil || weight > best {
 			home, best = s, weight
 		}
 	}
--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -20,7 +20,7 @@
 	repeatPause = 8 * time.Second
 	// floorPart is the part of the engines needed without spare ones below which on-demand engines are started: they cost
 	// several times as much and come after the boot time.
-	floorPart = 0.7
+	floorPart = 0.5
 	// shrinkAfter is the time for which fewer engines must suffice before any is given up.
 	shrinkAfter = 6 * time.Second
 )
@@ -40,7 +40,7 @@
 // DefaultTerms returns the terms of the operators' engines: about 57 prompt tokens in a millisecond when nothing else runs, and
 // 64 places of which a third can be used without long pauses.
 func DefaultTerms() Terms {
-	return Terms{Least: 10, PrefillRate: 20000, Running: 14, Spare: 0.25}
+	return Terms{Least: 12, PrefillRate: 22000, Running: 40, Spare: 0.2}
 }
 
 // Load is the work of a service.
