--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -32,6 +32,8 @@
 	leastWait = 50 * time.Millisecond
 	// retryPause is the pause after a read that failed.
 	retryPause = 150 * time.Millisecond
+	// provePause is the least time between two reads that calls ask for.
+	provePause = 250 * time.Millisecond
 	// returnTime is the time after an outage of the store within which servers whose entries lapsed register themselves again.
 	returnTime = 1800 * time.Millisecond
 	// DefaultKeyValidity is the time for which keys are accepted without a newer proof.
@@ -56,9 +58,14 @@
 	boot func() time.Duration
 
 	table atomic.Pointer[route.Table]
+	// refresh asks for a read at once: the waiting one cannot prove more than its beginning.
+	refresh chan struct{}
 	// proof is the boot time at which the newest read of the configuration began; 0 before the first.
 	proof atomic.Int64
 
+	// applying serialises the changes of table.
+	applying sync.Mutex
+
 	mu sync.Mutex
 	// listed is set once the list of backend servers has been read.
 	listed bool
@@ -80,6 +87,9 @@
 	return func(c *Catalog) { c.keyValidity = validity }
 }
 
+// WithBootClock sets the clock that goes on while the machine is suspended.
+func WithBootClock(clock func() time.Duration) Option { return func(c *Catalog) { c.boot = clock } }
+
 // WithChanged sets a function that sees each new version of the configuration. It must not block.
 func WithChanged(changed func(*route.Table)) Option { return func(c *Catalog) { c.changed = changed } }
 
@@ -90,6 +100,7 @@
 	c := &Catalog{
 		store: store, servers: servers, logger: logr.Discard(), keyValidity: DefaultKeyValidity,
 		changed: func(*route.Table) {}, boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
+		refresh: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(c)
@@ -102,9 +113,48 @@
 		return c.follow(ctx, "list of backend servers", c.readBackends())
 	}})
 
+	supervisor.Add(apricotway.ServiceFunc{Name: "proof of the configuration", Func: c.prove})
+
 	return c
 }
 
+// prove reads the configuration at once when a call finds that the last proof is too old, as after a suspension.
+func (c *Catalog) prove(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-c.refresh:
+		}
+
+		began := c.boot()
+
+		limited, cancel := context.WithTimeout(ctx, answerTime)
+		deployment, _, err := c.store.Deployment(limited)
+
+		cancel()
+
+		if err == nil {
+			c.apply(deployment)
+			c.proved(began)
+		} else {
+			c.logger.V(1).Info("configuration not read anew", "event", 287, "error", err.Error())
+		}
+
+		pause.For(ctx, provePause)
+	}
+}
+
+// proved notes that the newest configuration was known at a time; an older proof changes nothing.
+func (c *Catalog) proved(began time.Duration) {
+	for {
+		known := c.proof.Load()
+		if int64(began) <= known || c.proof.CompareAndSwap(known, int64(began)) {
+			return
+		}
+	}
+}
+
 // Table returns the newest version of the configuration, nil while none is known.
 func (c *Catalog) Table() *route.Table { return c.table.Load() }
 
@@ -117,7 +167,16 @@
 
 	proof := time.Duration(c.proof.Load())
 
-	return proof != 0 && c.boot()-proof < c.keyValidity
+	if proof != 0 && c.boot()-proof < c.keyValidity {
+		return true
+	}
+
+	select {
+	case c.refresh <- struct{}{}:
+	default:
+	}
+
+	return false
 }
 
 // Ready tells whether configuration and list have been read.
@@ -187,8 +246,8 @@
 			return err
 		}
 
-		c.proof.Store(int64(began))
 		c.apply(deployment)
+		c.proved(began)
 
 		if deployment == nil && c.table.Load() == nil {
 			pause.For(ctx, retryPause)
@@ -204,6 +263,9 @@
 		return
 	}
 
+	c.applying.Lock()
+	defer c.applying.Unlock()
+
 	if current := c.table.Load(); current != nil && deployment.Version <= current.Version {
 		return
 	}
--- /dev/null
+++ b/coordination/catalog/catalog_test.go
@@ -0,0 +1,341 @@
+package catalog_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/catalog"
+	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/route"
+)
+
+// store is an operators' store in memory with faults.
+type store struct {
+	mu          sync.Mutex
+	deployments []*apricotway.Deployment
+	changes     []apricotway.BackendChange
+	// whole is the list as a read without position gives it.
+	whole map[apricotway.BackendServerID]apricotway.Backend
+	// down fails all reads; trimmed fails reads behind a position once.
+	down, trimmedConfig, trimmedList bool
+}
+
+func newStore() *store { return &store{whole: map[apricotway.BackendServerID]apricotway.Backend{}} }
+
+func (s *store) set(change func(s *store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	change(s)
+}
+
+func (s *store) publish(version uint64) {
+	s.set(func(s *store) { s.deployments = append(s.deployments, &apricotway.Deployment{Version: version}) })
+}
+
+func (s *store) register(id apricotway.BackendServerID, leaving bool) {
+	s.set(func(s *store) {
+		backend := apricotway.Backend{ID: id, Service: "s", Leaving: leaving}
+		s.whole[id] = backend
+		s.changes = append(s.changes, apricotway.BackendChange{ID: id, Backend: &backend})
+	})
+}
+
+func (s *store) drop(id apricotway.BackendServerID) {
+	s.set(func(s *store) {
+		delete(s.whole, id)
+		s.changes = append(s.changes, apricotway.BackendChange{ID: id})
+	})
+}
+
+func (s *store) Deployment(context.Context) (*apricotway.Deployment, apricotway.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.down {
+		return nil, 0, apricotway.ErrLogUnavailable
+	}
+
+	if len(s.deployments) == 0 {
+		return nil, 0, nil
+	}
+
+	return s.deployments[len(s.deployments)-1], apricotway.Offset(len(s.deployments)), nil
+}
+
+func (s *store) DeploymentAfter(
+	ctx context.Context, position apricotway.Offset, wait time.Duration,
+) (*apricotway.Deployment, apricotway.Offset, error) {
+	for end := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		down, trimmed, have := s.down, s.trimmedConfig, s.deployments[min(int(position), len(s.deployments)):]
+		s.trimmedConfig = false
+		s.mu.Unlock()
+
+		switch {
+		case down:
+			return nil, position, apricotway.ErrLogUnavailable
+		case trimmed:
+			return nil, position, apricotway.ErrTrimmed
+		case len(have) > 0:
+			return have[len(have)-1], position + apricotway.Offset(len(have)), nil
+		case !time.Now().Before(end) || ctx.Err() != nil:
+			return nil, position, nil
+		}
+
+		<-time.After(10 * time.Millisecond)
+	}
+}
+
+func (s *store) Backends(context.Context) ([]apricotway.BackendChange, apricotway.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.down {
+		return nil, 0, apricotway.ErrLogUnavailable
+	}
+
+	var changes []apricotway.BackendChange
+	for id, backend := range s.whole {
+		changes = append(changes, apricotway.BackendChange{ID: id, Backend: &backend})
+	}
+
+	return changes, apricotway.Offset(len(s.changes)), nil
+}
+
+func (s *store) BackendsAfter(
+	ctx context.Context, position apricotway.Offset, wait time.Duration,
+) ([]apricotway.BackendChange, apricotway.Offset, error) {
+	for end := time.Now().Add(wait); ; {
+		s.mu.Lock()
+		down, trimmed, have := s.down, s.trimmedList, s.changes[min(int(position), len(s.changes)):]
+		s.trimmedList = false
+		s.mu.Unlock()
+
+		switch {
+		case down:
+			return nil, position, apricotway.ErrLogUnavailable
+		case trimmed:
+			return nil, position, apricotway.ErrTrimmed
+		case len(have) > 0:
+			return have, position + apricotway.Offset(len(have)), nil
+		case !time.Now().Before(end) || ctx.Err() != nil:
+			return nil, position, nil
+		}
+
+		<-time.After(10 * time.Millisecond)
+	}
+}
+
+func start(t *testing.T, s *store, options ...catalog.Option) (*catalog.Catalog, *dispatch.Pool) {
+	t.Helper()
+
+	supervisor := suture.NewSimple("test")
+	pool := dispatch.New()
+	c := catalog.New(supervisor, s, pool, options...)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := supervisor.ServeBackground(ctx)
+
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+
+	return c, pool
+}
+
+func wait(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
+
+func version(c *catalog.Catalog) uint64 {
+	if table := c.Table(); table != nil {
+		return table.Version
+	}
+
+	return 0
+}
+
+func knows(pool *dispatch.Pool, id apricotway.BackendServerID) bool {
+	for _, backend := range pool.Backends() {
+		if backend.ID == id {
+			return true
+		}
+	}
+
+	return false
+}
+
+// TestNeverBack guards against a configuration that goes back: an older version that is read later, as after a loss of the
+// store's history, is not put in force.
+func TestNeverBack(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+
+		var seen []uint64
+
+		c, _ := start(t, s, catalog.WithChanged(func(table *route.Table) { seen = append(seen, table.Version) }))
+		wait(time.Second)
+
+		if got, want := c.Ready(), false; got != want {
+			t.Errorf("without a configuration: got ready: %t, want %t", got, want)
+		}
+
+		for _, published := range []uint64{4, 9, 7} {
+			s.publish(published)
+			wait(time.Second)
+		}
+
+		s.set(func(s *store) { s.trimmedConfig = true })
+		wait(3 * time.Second)
+
+		if got, want := version(c), uint64(9); got != want {
+			t.Errorf("got version %d, want %d", got, want)
+		}
+
+		if got, want := len(seen), 2; got != want {
+			t.Errorf("got %d versions in force, want %d", got, want)
+		}
+	})
+}
+
+// TestKeysFresh guards keys that were taken away: without a recent proof of the configuration they are not accepted, and the
+// time goes on while the machine is suspended.
+func TestKeysFresh(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		var suspended atomic.Int64
+
+		begin := time.Now()
+		c, _ := start(t, s, catalog.WithKeyValidity(4*time.Second), catalog.WithBootClock(func() time.Duration {
+			return time.Hour + time.Since(begin) + time.Duration(suspended.Load())
+		}))
+		wait(20 * time.Second)
+
+		if got, want := c.KeysFresh(), true; got != want {
+			t.Errorf("got fresh: %t, want %t", got, want)
+		}
+
+		suspended.Store(int64(5 * time.Second))
+
+		if got, want := c.KeysFresh(), false; got != want {
+			t.Errorf("after a suspension: got fresh: %t, want %t", got, want)
+		}
+
+		wait(300 * time.Millisecond)
+
+		if got, want := c.KeysFresh(), true; got != want {
+			t.Errorf("after the next read: got fresh: %t, want %t", got, want)
+		}
+
+		s.set(func(s *store) { s.down = true })
+		wait(5 * time.Second)
+
+		if got, want := c.KeysFresh(), false; got != want {
+			t.Errorf("in an outage: got fresh: %t, want %t", got, want)
+		}
+	})
+}
+
+// TestLapsed guards both sides of an outage: servers whose entries lapsed are kept until they can have registered again, and
+// those that have not are gone within the time for leaving servers, although nothing else changes.
+func TestLapsed(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+		s.register("back", false)
+		s.register("gone", false)
+
+		_, pool := start(t, s)
+		wait(time.Second)
+		s.set(func(s *store) { s.down = true })
+		wait(5 * time.Second)
+		s.drop("back")
+		s.drop("gone")
+		s.set(func(s *store) { s.down = false })
+		wait(time.Second)
+
+		for _, id := range []apricotway.BackendServerID{"back", "gone"} {
+			if got, want := knows(pool, id), true; got != want {
+				t.Errorf("one second after the outage: got server %s known: %t, want %t", id, got, want)
+			}
+		}
+
+		s.register("back", false)
+		wait(1500 * time.Millisecond)
+
+		for id, want := range map[apricotway.BackendServerID]bool{"back": true, "gone": false} {
+			if got := knows(pool, id); got != want {
+				t.Errorf("2.5 s after the outage: got server %s known: %t, want %t", id, got, want)
+			}
+		}
+	})
+}
+
+// TestLeaving guards against new calls for servers that leave: without an outage, notices and removals count at once, also
+// those that only a whole list shows after a loss of history.
+func TestLeaving(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		for _, id := range []apricotway.BackendServerID{"draining", "removed", "missing", "stays"} {
+			s.register(id, false)
+		}
+
+		_, pool := start(t, s)
+		wait(time.Second)
+
+		s.register("draining", true)
+		s.drop("removed")
+		wait(time.Second)
+		s.set(func(s *store) {
+			delete(s.whole, "missing")
+			s.trimmedList = true
+		})
+		wait(3 * time.Second)
+
+		for id, want := range map[apricotway.BackendServerID]bool{
+			"draining": true, "removed": true, "missing": true, "stays": false,
+		} {
+			if got := pool.Leaving(id); got != want {
+				t.Errorf("server %s: got leaving: %t, want %t", id, got, want)
+			}
+		}
+	})
+}
+
+// TestUnusableEntry guards against an entry that cannot be read: it names no server to use, and the others hold.
+func TestUnusableEntry(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+		s.register("good", false)
+		s.register("forged", false)
+
+		_, pool := start(t, s)
+		wait(time.Second)
+		s.set(func(s *store) {
+			s.changes = append(s.changes, apricotway.BackendChange{ID: "forged", Problem: "no address"},
+				apricotway.BackendChange{Problem: "key is cut off"})
+		})
+		wait(time.Second)
+
+		for id, want := range map[apricotway.BackendServerID]bool{"good": true, "forged": false} {
+			if got := knows(pool, id); got != want {
+				t.Errorf("server %s: got known: %t, want %t", id, got, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/coordination/duty/duty_test.go
@@ -0,0 +1,304 @@
+package duty_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/duty"
+	"github.com/apricotway/apricotway/internal/bubble"
+)
+
+// log is a duty log in memory with faults.
+type log struct {
+	mu      sync.Mutex
+	records [][]byte
+	// down refuses all calls; lose performs the next append and loses its answer.
+	down, lose bool
+}
+
+func (l *log) AppendAt(_ context.Context, at apricotway.Offset, record []byte) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	switch {
+	case l.down:
+		return apricotway.ErrLogUnavailable
+	case int(at) != len(l.records)+1:
+		return apricotway.ErrConflict
+	}
+
+	l.records = append(l.records, record)
+
+	if l.lose {
+		l.lose = false
+		return errors.Wrap(apricotway.ErrAppendUnknown, "answer lost")
+	}
+
+	return nil
+}
+
+func (l *log) ReadFrom(
+	_ context.Context, from apricotway.Offset,
+) (records [][]byte, first, end apricotway.Offset, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.down {
+		return nil, 0, 0, apricotway.ErrLogUnavailable
+	}
+
+	from = max(from, 1)
+	if int(from) > len(l.records) {
+		return nil, from, apricotway.Offset(len(l.records) + 1), nil
+	}
+
+	return l.records[from-1:], from, apricotway.Offset(len(l.records) + 1), nil
+}
+
+func (l *log) set(change func(l *log)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	change(l)
+}
+
+// cluster is the membership and the broadcasts of all processes of a test.
+type cluster struct {
+	mu       sync.Mutex
+	states   map[apricotway.NodeID]apricotway.MemberState
+	handlers map[apricotway.NodeID]func(key string, version uint64, payload []byte)
+}
+
+// seat is one process of the cluster.
+type seat struct {
+	cluster *cluster
+	node    apricotway.NodeID
+}
+
+func (s seat) Self() apricotway.Member {
+	s.cluster.mu.Lock()
+	defer s.cluster.mu.Unlock()
+
+	return apricotway.Member{Node: s.node, State: s.cluster.states[s.node], Ready: true}
+}
+
+func (s seat) Members() []apricotway.Member {
+	s.cluster.mu.Lock()
+	defer s.cluster.mu.Unlock()
+
+	var members []apricotway.Member
+
+	for node, state := range s.cluster.states {
+		if node != s.node {
+			members = append(members, apricotway.Member{Node: node, State: state, Ready: true})
+		}
+	}
+
+	return members
+}
+
+func (s seat) Publish(entry apricotway.BroadcastEntry) error {
+	s.cluster.mu.Lock()
+	defer s.cluster.mu.Unlock()
+
+	for node, handler := range s.cluster.handlers {
+		if node != s.node {
+			handler(entry.Key, entry.Version, entry.Payload)
+		}
+	}
+
+	return nil
+}
+
+func (s seat) Subscribe(_ apricotway.Topic, receive func(key string, version uint64, payload []byte)) {
+	s.cluster.mu.Lock()
+	defer s.cluster.mu.Unlock()
+
+	s.cluster.handlers[s.node] = receive
+}
+
+func (s seat) Latest(apricotway.Topic) []apricotway.BroadcastEntry { return nil }
+
+func (c *cluster) set(node apricotway.NodeID, state apricotway.MemberState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.states[node] = state
+}
+
+// start starts a process and returns its duties.
+func (c *cluster) start(t *testing.T, l *log, node apricotway.NodeID) *duty.Duty {
+	t.Helper()
+	c.set(node, apricotway.MemberAlive)
+
+	supervisor := suture.NewSimple(string(node))
+	s := seat{cluster: c, node: node}
+	d := duty.New(supervisor, l, s, s)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := supervisor.ServeBackground(ctx)
+
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+
+	return d
+}
+
+func newCluster() *cluster {
+	return &cluster{
+		states:   map[apricotway.NodeID]apricotway.MemberState{},
+		handlers: map[apricotway.NodeID]func(key string, version uint64, payload []byte){},
+	}
+}
+
+// wait lets virtual time pass.
+func wait(d time.Duration) {
+	<-time.After(d)
+	synctest.Wait()
+}
+
+func held(duties ...*duty.Duty) (holders []apricotway.Holder) {
+	for _, d := range duties {
+		if holder, ok := d.Held(); ok {
+			holders = append(holders, holder)
+		}
+	}
+
+	return holders
+}
+
+// TestOneHolder guards against two holders and against a number that is used twice, over the start, the death of the holder,
+// and its planned stop.
+func TestOneHolder(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{}
+		a, b, d := c.start(t, l, "a"), c.start(t, l, "b"), c.start(t, l, "d")
+		wait(3 * time.Second)
+
+		first := held(a, b, d)
+		if len(first) != 1 {
+			t.Fatalf("got holders %v, want one", first)
+		}
+
+		c.set(first[0].Node, apricotway.MemberDead)
+		wait(time.Second)
+
+		second := held(b, d)
+		if len(second) != 1 || second[0].Number <= first[0].Number {
+			t.Fatalf("got holders %v after %v, want one with a higher number", second, first)
+		}
+
+		c.set(second[0].Node, apricotway.MemberLeaving)
+		wait(time.Second)
+
+		third := held(b, d)
+		if len(third) != 1 || third[0].Number <= second[0].Number {
+			t.Errorf("got holders %v after %v, want one with a higher number", third, second)
+		}
+	})
+}
+
+// TestUsageBeforeHeardClaim guards against a second report of a window with other counts: a successor that hears of a claim
+// before it has read the log still knows the reports under the claims before it.
+func TestUsageBeforeHeardClaim(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{}
+		a := c.start(t, l, "a")
+		wait(3 * time.Second)
+
+		report := apricotway.UsageReport{Window: 7, Calls: map[apricotway.Workspace]int64{"w": 3}}
+		if err := a.Record(t.Context(), report); err != nil {
+			t.Fatal(err)
+		}
+
+		l.set(func(l *log) { l.down = true })
+
+		b := c.start(t, l, "b")
+		// The process hears of a claim that stands behind all that it has not read yet.
+		if err := (seat{cluster: c, node: "z"}).Publish(apricotway.BroadcastEntry{
+			Key: "holder", Version: 3, Payload: []byte(`"z"`),
+		}); err != nil {
+			t.Fatal(err)
+		}
+
+		l.set(func(l *log) {
+			l.down = false
+			l.records = append(l.records, []byte(`{"kind":"claim","node":"z"}`))
+		})
+		wait(3 * time.Second)
+
+		if got := b.LastUsage(); got == nil || got.Window != 7 || got.Calls["w"] != 3 {
+			t.Errorf("got %v, want the report of window 7", got)
+		}
+	})
+}
+
+// TestUsageAfterLaterClaim guards against a report that a deposed holder appended behind its successor's claim.
+func TestUsageAfterLaterClaim(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{records: [][]byte{
+			[]byte(`{"kind":"claim","node":"y"}`),
+			[]byte(`{"kind":"claim","node":"z"}`),
+			[]byte(`{"kind":"usage","node":"y","usage":{"window":9,"calls":{"w":1}}}`),
+			[]byte(`no record`),
+		}}
+		a := c.start(t, l, "a")
+		wait(3 * time.Second)
+
+		if got := a.LastUsage(); got != nil {
+			t.Errorf("got %v, want none", got)
+		}
+
+		if holder, ok := a.Held(); !ok || holder.Number != 5 {
+			t.Errorf("got holder %v and held: %t, want number 5", holder, ok)
+		}
+	})
+}
+
+// TestClaimAnswerLost guards against a claim that is repeated although it took effect.
+func TestClaimAnswerLost(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{lose: true}
+		a := c.start(t, l, "a")
+		wait(4 * time.Second)
+
+		if holder, ok := a.Held(); !ok || holder.Number != 1 {
+			t.Errorf("got holder %v and held: %t, want number 1", holder, ok)
+		}
+	})
+}
+
+// TestFenced guards against a holder that goes on under a number that the platform refused. Without a later claim on the log
+// it claims anew.
+func TestFenced(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{}
+		a := c.start(t, l, "a")
+		wait(3 * time.Second)
+
+		before, _ := a.Held()
+		a.Fenced(before.Number)
+
+		if _, ok := a.Held(); ok {
+			t.Error("got the duties held under a refused number, want them given up")
+		}
+
+		if err := a.Record(t.Context(), apricotway.UsageReport{Window: 1}); !errors.Is(err, duty.ErrNotHolder) {
+			t.Errorf("got error %v, want %v", err, duty.ErrNotHolder)
+		}
+
+		wait(time.Second)
+
+		if after, ok := a.Held(); !ok || after.Number <= before.Number {
+			t.Errorf("got holder %v and held: %t, want a higher number than %d", after, ok, before.Number)
+		}
+	})
+}
--- /dev/null
+++ b/protocol/relay/dialect_test.go
@@ -0,0 +1,58 @@
+package relay_test
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+)
+
+// testDialect is a plain dialect with headers of its own.
+type testDialect struct{}
+
+var errNoAttempt = errors.New("no attempt")
+
+func (testDialect) ReadCall(header http.Header) (apricotway.CallMetadata, error) {
+	wait, _ := time.ParseDuration(header.Get("Wait"))
+	prompt, err := strconv.Atoi(header.Get("Prompt"))
+	call := apricotway.CallMetadata{
+		Attempt: apricotway.AttemptID(header.Get("Attempt")), Patience: wait, Key: header.Get("Key"),
+		PromptTokens: prompt, AnswerTokens: 10, HasTokens: err == nil, LastEvent: header.Get("Last-Event-Id"),
+	}
+
+	if call.Attempt == "" {
+		return call, errNoAttempt
+	}
+
+	return call, nil
+}
+
+func (testDialect) ForwardHeader(header http.Header) http.Header {
+	forwarded := header.Clone()
+	for _, name := range []string{"Key", "Workspace", "Server", "Wait", "Connection", "Content-Length"} {
+		forwarded.Del(name)
+	}
+
+	return forwarded
+}
+
+func (testDialect) WriteSend(header http.Header, send apricotway.SendMetadata) {
+	header.Set("Wait", send.Remaining.String())
+	header.Set("Workspace", string(send.Workspace))
+	header.Set("Server", string(send.Server))
+
+	if send.LastEvent != "" {
+		header.Set("Last-Event-Id", send.LastEvent)
+	}
+}
+
+func (testDialect) ReadAnswer(_ int, header http.Header) apricotway.AnswerMetadata {
+	return apricotway.AnswerMetadata{
+		Attempt: apricotway.AttemptID(header.Get("Attempt")), NotRun: header.Get("Not-Run") != "",
+	}
+}
+
+func (testDialect) AnswerHeader(header http.Header) http.Header { return header.Clone() }
--- /dev/null
+++ b/protocol/relay/relay_test.go
@@ -0,0 +1,536 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/protocol/relay"
+	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/retrybudget"
+	"github.com/apricotway/apricotway/state/route"
+	"github.com/apricotway/apricotway/state/tally"
+	"github.com/apricotway/apricotway/transport/upstream"
+)
+
+// catalog is a configuration that a test sets.
+type catalog struct {
+	table *route.Table
+	stale bool
+}
+
+func (c *catalog) Table() *route.Table { return c.table }
+func (c *catalog) KeysFresh() bool     { return !c.stale }
+
+// limiter admits calls up to a number of units.
+type limiter struct {
+	mu   sync.Mutex
+	left float64
+}
+
+func (l *limiter) Take(_ context.Context, _ apricotway.Workspace, cost float64) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if l.left < cost {
+		return 1500 * time.Millisecond, false
+	}
+
+	l.left -= cost
+
+	return 0, true
+}
+
+func (l *limiter) Return(_ apricotway.Workspace, cost float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.left += cost
+}
+
+// harness is a relay in front of backend servers that a test scripts.
+type harness struct {
+	t       *testing.T
+	catalog *catalog
+	limiter *limiter
+	pool    *dispatch.Pool
+	tally   *tally.Tally
+	front   *httptest.Server
+	// runs counts the calls that reached backend servers.
+	runs atomic.Int64
+}
+
+// route kinds of the tests, by path.
+func deployment() *apricotway.Deployment {
+	target := []apricotway.RouteTarget{{Service: "s", Weight: 1}}
+
+	return &apricotway.Deployment{
+		Version: 1,
+		Routes: []apricotway.Route{
+			{
+				Name: "safe", Host: "h.example", PathPrefix: "/safe/", Targets: target, Kind: apricotway.RouteSafe,
+				MaxAttempts: 2, Timeout: 5 * time.Second, Objective: time.Second,
+			},
+			{
+				Name: "unsafe", Host: "h.example", PathPrefix: "/unsafe/", Targets: target, Kind: apricotway.RouteUnsafe,
+				MaxAttempts: 1, Timeout: 5 * time.Second,
+			},
+			{
+				Name: "stream", Host: "h.example", PathPrefix: "/stream/", Targets: target, Kind: apricotway.RouteStream,
+				MaxAttempts: 1, Timeout: 5 * time.Second,
+			},
+			{
+				Name: "resumable", Host: "h.example", PathPrefix: "/resumable/", Targets: target,
+				Kind: apricotway.RouteStream, Resumable: true, MaxAttempts: 3, Timeout: 5 * time.Second,
+			},
+			{
+				Name: "public", Host: "h.example", PathPrefix: "/public/", Targets: target, Kind: apricotway.RouteSafe,
+				MaxAttempts: 1, Timeout: 300 * time.Millisecond, Public: true,
+			},
+		},
+		Services:   []apricotway.ServiceRule{{Name: "s"}},
+		Workspaces: []apricotway.WorkspaceRule{{Name: "w", Keys: []string{"secret"}, Limit: apricotway.TokenLimit{Rate: 1}}},
+		Limits:     apricotway.CallerLimits{BodyBytes: 1000},
+	}
+}
+
+func newHarness(t *testing.T, servers ...http.HandlerFunc) *harness {
+	t.Helper()
+
+	h := &harness{
+		t: t, catalog: &catalog{table: route.New(deployment())}, limiter: &limiter{left: 1000},
+		pool: dispatch.New(), tally: tally.New(5 * time.Second),
+	}
+
+	for i, serve := range servers {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			h.runs.Add(1)
+			w.Header().Set("Attempt", r.Header.Get("Attempt"))
+			serve(w, r)
+		}))
+		t.Cleanup(server.Close)
+
+		h.pool.Update(apricotway.Backend{
+			ID: apricotway.BackendServerID(fmt.Sprint("b", i)), Service: "s", Slots: 8,
+			Address: netip.MustParseAddrPort(server.Listener.Addr().String()),
+		}, time.Now())
+	}
+
+	budget := retrybudget.New(retrybudget.Terms{Ratio: 0.2, Window: 10 * time.Second, Slack: 100})
+	h.front = httptest.NewServer(relay.New(testDialect{}, upstream.New(), h.catalog, h.pool, h.limiter, budget, h.tally))
+	t.Cleanup(h.front.Close)
+
+	return h
+}
+
+// call sends one call and returns status, body and the error of reading it.
+func (h *harness) call(path string, header map[string]string) (*http.Response, string, error) {
+	h.t.Helper()
+
+	request, err := http.NewRequestWithContext(h.t.Context(), http.MethodPost, h.front.URL+path, strings.NewReader("body"))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+
+	request.Host = "h.example"
+	request.Header.Set("Attempt", "1")
+	request.Header.Set("Key", "secret")
+
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+
+	content, err := io.ReadAll(response.Body)
+
+	return response, string(content), err
+}
+
+func (h *harness) wantStatus(path string, header map[string]string, want int) *http.Response {
+	h.t.Helper()
+
+	response, body, err := h.call(path, header)
+	if err != nil {
+		h.t.Fatalf("%s: got error %v, want status %d", path, err, want)
+	}
+
+	if got := response.StatusCode; got != want {
+		h.t.Errorf("%s: got status %d with %q, want %d", path, got, body, want)
+	}
+
+	return response
+}
+
+func (h *harness) wantRuns(want int64) {
+	h.t.Helper()
+
+	if got := h.runs.Load(); got != want {
+		h.t.Errorf("got %d calls at backend servers, want %d", got, want)
+	}
+}
+
+func ok(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") }
+
+// reset ends the connection of a call that was read.
+func reset(w http.ResponseWriter, _ *http.Request) {
+	if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
+		conn.Close()
+	}
+}
+
+func failing(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "broken")
+}
+
+func full(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// TestForwarded guards the call as the backend server gets it: body and target unchanged, the workspace in place of the key,
+// no more time than is left, and nothing that a caller may not set.
+func TestForwarded(t *testing.T) {
+	var got *http.Request
+
+	h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		got = r.Clone(context.Background())
+		got.Header.Set("Body", string(body))
+		ok(w, r)
+	})
+	h.wantStatus("/safe/a%2Fb?q=1", map[string]string{"Wait": "2s", "Workspace": "forged", "Server": "forged", "X": "y"}, 200)
+
+	for name, want := range map[string]string{
+		"Body": "body", "Workspace": "w", "Server": "b0", "Key": "", "X": "y", "Attempt": "1",
+	} {
+		if value := got.Header.Get(name); value != want {
+			t.Errorf("header %s: got %q, want %q", name, value, want)
+		}
+	}
+
+	if want := "/safe/a%2Fb?q=1"; got.RequestURI != want {
+		t.Errorf("got target %s, want %s", got.RequestURI, want)
+	}
+
+	if left, err := time.ParseDuration(got.Header.Get("Wait")); err != nil || left > 2*time.Second || left <= 0 {
+		t.Errorf("got time left %s and %v, want above 0 and at most 2s", left, err)
+	}
+}
+
+// TestRefusals guards what is refused before anything is sent, with a status that says so truly.
+func TestRefusals(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(h *harness)
+		path   string
+		header map[string]string
+		want   int
+		retry  bool
+	}{
+		{name: "no attempt", path: "/safe/", header: map[string]string{"Attempt": ""}, want: 400},
+		{name: "no route", path: "/none/", want: 404},
+		{name: "unknown key", path: "/safe/", header: map[string]string{"Key": "other"}, want: 401},
+		{name: "no key", path: "/safe/", header: map[string]string{"Key": ""}, want: 401},
+		{name: "stale keys", path: "/safe/", change: func(h *harness) { h.catalog.stale = true }, want: 503, retry: true},
+		{name: "no configuration", path: "/safe/", change: func(h *harness) { h.catalog.table = nil }, want: 503, retry: true},
+		{name: "over the limit", path: "/safe/", change: func(h *harness) { h.limiter.left = 0.5 }, want: 429, retry: true},
+		{name: "no server", path: "/safe/", change: func(h *harness) { h.pool.Remove("b0") }, want: 503, retry: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, ok)
+			if test.change != nil {
+				test.change(h)
+			}
+
+			response := h.wantStatus(test.path, test.header, test.want)
+			if got := response.Header.Get("Retry-After") != ""; got != test.retry {
+				t.Errorf("got Retry-After: %t, want %t", got, test.retry)
+			}
+
+			h.wantRuns(0)
+		})
+	}
+}
+
+// TestStaleKeysPublic guards routes without keys against an outage that only concerns keys.
+func TestStaleKeysPublic(t *testing.T) {
+	h := newHarness(t, ok)
+	h.catalog.stale = true
+	h.wantStatus("/public/", map[string]string{"Key": ""}, 200)
+}
+
+// TestRepeats guards what may run twice: only calls that may be repeated, and calls that a server says it did not run.
+func TestRepeats(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		first      http.HandlerFunc
+		want       int
+		wantRuns   int64
+	}{
+		{"safe call reset", "/safe/", reset, 200, 2},
+		{"safe call failed", "/safe/", failing, 200, 2},
+		{"unsafe call reset", "/unsafe/", reset, 502, 1},
+		{"unsafe call failed", "/unsafe/", failing, 500, 1},
+		{"unsafe call rejected", "/unsafe/", full, 200, 2},
+		{"stream reset", "/stream/", reset, 502, 1},
+		{"resumable stream reset", "/resumable/", reset, 200, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var calls atomic.Int64
+
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				if calls.Add(1) == 1 {
+					test.first(w, r)
+					return
+				}
+
+				ok(w, r)
+			}
+			h := newHarness(t, answer, answer)
+			h.wantStatus(test.path, nil, test.want)
+			h.wantRuns(test.wantRuns)
+		})
+	}
+}
+
+// TestAllRejected guards the truth of 503: every server said that it did not run the call, and the call's cost is given back.
+func TestAllRejected(t *testing.T) {
+	h := newHarness(t, full, full)
+	before := h.limiter.left
+	h.wantStatus("/unsafe/", nil, 503)
+
+	if got := h.limiter.left; got != before {
+		t.Errorf("got %v units left, want %v", got, before)
+	}
+}
+
+// TestServerAnswersUnchanged guards failures of servers that are final: status and body reach the caller as they are.
+func TestServerAnswersUnchanged(t *testing.T) {
+	h := newHarness(t, failing, failing)
+
+	response, body, err := h.call("/safe/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	if got, want := fmt.Sprint(response.StatusCode, body), "500broken"; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+}
+
+// TestTimeout guards the end of a route's time: the caller gets a final answer at once, and the server is left.
+func TestTimeout(t *testing.T) {
+	left := make(chan struct{})
+	h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		close(left)
+	})
+	h.wantStatus("/public/", map[string]string{"Key": "", "Wait": "1m"}, 504)
+	<-left
+}
+
+// TestCallerLeaves guards engines against work for a caller who has closed the connection.
+func TestCallerLeaves(t *testing.T) {
+	arrived, left := make(chan struct{}), make(chan struct{})
+	h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(arrived)
+		<-r.Context().Done()
+		close(left)
+	})
+
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, h.front.URL+"/unsafe/", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	request.Host = "h.example"
+	request.Header.Set("Attempt", "1")
+	request.Header.Set("Key", "secret")
+
+	if response, err := http.DefaultTransport.RoundTrip(request); err == nil {
+		response.Body.Close()
+		t.Error("got an answer, want an error")
+	}
+
+	<-left
+}
+
+// event returns one event of a stream.
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id) }
+
+// streamOf writes the events from the one behind the last that the caller has, and breaks off before an end in the middle of
+// an event when cut is above 0.
+func streamOf(events, cut int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var last int
+
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+		w.Header().Set("Content-Type", "text/event-stream")
+
+		for id := last + 1; id <= events; id++ {
+			if id == cut {
+				_, _ = io.WriteString(w, event(id)[:9])
+				_ = http.NewResponseController(w).Flush()
+
+				panic(http.ErrAbortHandler)
+			}
+
+			_, _ = io.WriteString(w, event(id))
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+// TestResume guards a resumable stream whose engine breaks off within an event: another engine goes on behind the last whole
+// event, and the caller gets every event once.
+func TestResume(t *testing.T) {
+	var calls atomic.Int64
+
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			streamOf(9, 5)(w, r)
+			return
+		}
+
+		streamOf(9, 0)(w, r)
+	}
+	h := newHarness(t, answer, answer)
+
+	_, got, err := h.call("/resumable/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	want := ""
+	for id := 1; id <= 9; id++ {
+		want += event(id)
+	}
+
+	if got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestBrokenStream guards a stream that may not be resumed: the caller gets what arrived and no end that looks complete.
+func TestBrokenStream(t *testing.T) {
+	h := newHarness(t, streamOf(9, 5), streamOf(9, 5))
+
+	_, got, err := h.call("/stream/", nil)
+	if err == nil {
+		t.Error("got a complete answer, want an error")
+	}
+
+	if want := event(1) + event(2) + event(3) + event(4); !strings.HasPrefix(got, want) {
+		t.Errorf("got %q, want it to begin with %q", got, want)
+	}
+
+	h.wantRuns(1)
+}
+
+// TestSilentStream guards a resumable stream whose engine falls silent: another engine goes on with it.
+func TestSilentStream(t *testing.T) {
+	var calls atomic.Int64
+
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(w, event(1))
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+
+			return
+		}
+
+		streamOf(3, 0)(w, r)
+	}
+	h := newHarness(t, answer, answer)
+	d := deployment()
+
+	for i := range d.Routes {
+		d.Routes[i].Objective, d.Routes[i].LongestPause = 20*time.Millisecond, 10*time.Millisecond
+	}
+
+	h.catalog.table = route.New(d)
+
+	_, got, err := h.call("/resumable/", nil)
+	if want := event(1) + event(2) + event(3); err != nil || got != want {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+}
+
+// TestUsage guards the account: a call is counted once for its workspace however often it was sent, and a refused one is not.
+func TestUsage(t *testing.T) {
+	var calls atomic.Int64
+
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) == 1 {
+			reset(w, r)
+			return
+		}
+
+		ok(w, r)
+	}
+	h := newHarness(t, answer, answer)
+	h.wantStatus("/safe/", nil, 200)
+	h.wantStatus("/safe/", map[string]string{"Key": "other"}, 401)
+
+	var got int64
+	for _, window := range h.tally.Counts(0) {
+		got += window["w"]
+	}
+
+	if want := int64(1); got != want {
+		t.Errorf("got %d calls, want %d", got, want)
+	}
+}
+
+// TestBodies guards against bodies that are too large or cut off: nothing of them is passed on.
+func TestBodies(t *testing.T) {
+	h := newHarness(t, ok)
+
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, h.front.URL+"/safe/",
+		strings.NewReader(strings.Repeat("x", 1001)))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	request.Host = "h.example"
+	request.Header.Set("Attempt", "1")
+	request.Header.Set("Key", "secret")
+
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	response.Body.Close()
+
+	if got, want := response.StatusCode, http.StatusRequestEntityTooLarge; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+
+	h.wantRuns(0)
+}
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -25,7 +25,7 @@
 	// longPrompt is the size in tokens above which a prompt counts as long: it takes an engine about 100 ms to read.
 	longPrompt = 5000
 	// longLane is the part of the engines to which long prompts go first. They hold over half of all prompt tokens.
-	longLane = 0.5
+	longLane = 0.6
 	// otherLanePenalty in milliseconds is the wait from which a prompt goes to an engine of the other part.
 	otherLanePenalty = 150.0
 	// scoreNoise keeps processes with the same view from choosing the same server.
--- a/state/quota/center.go
+++ b/state/quota/center.go
@@ -96,7 +96,7 @@
 // Gone forgets a process that has ended.
 func (c *Center) Gone(node apricotway.NodeID) { delete(c.processes, node) }
 
-// Report takes the accounts of a process and returns the credit that it gets.
+// Report takes the accounts of a process and returns the credit that it gets, or gives back where it is negative.
 func (c *Center) Report(
 	now time.Time, node apricotway.NodeID, elapsed time.Duration, accounts map[apricotway.Workspace]Account,
 ) map[apricotway.Workspace]float64 {
@@ -120,7 +120,13 @@
 
 		c.refill(now, b)
 
-		if units := min(p.demand[name]*ahead.Seconds()-account.Credit, b.level*handOut); units > 0 {
+		// Credit that a process no longer needs goes back, so that others can have it.
+		units := p.demand[name]*ahead.Seconds() - account.Credit
+		if units > 0 {
+			units = min(units, max(b.level, 0)*handOut)
+		}
+
+		if units != 0 {
 			b.level -= units
 			credit[name] = units
 		}
--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -174,7 +174,8 @@
 	}
 }
 
-// Credit takes the credit that the center handed out with an answer to a report.
+// Credit takes the credit that the center handed out with an answer to a report. What the center takes back may have been spent
+// meanwhile; the credit is below zero then.
 func (l *Limiter) Credit(now time.Time, credit map[apricotway.Workspace]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/state/quota/quota_test.go
@@ -0,0 +1,209 @@
+package quota_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/quota"
+)
+
+const (
+	workspace = apricotway.Workspace("w")
+	step      = 10 * time.Millisecond
+	period    = 120 * time.Millisecond
+)
+
+func limits(rate, burst float64) map[apricotway.Workspace]*apricotway.WorkspaceRule {
+	return map[apricotway.Workspace]*apricotway.WorkspaceRule{
+		workspace: {Name: workspace, Limit: apricotway.TokenLimit{Rate: rate, Burst: burst, InTokens: true}},
+	}
+}
+
+// fleet plays several processes and their center.
+type fleet struct {
+	now       time.Time
+	center    *quota.Center
+	processes []*quota.Limiter
+	// cut tells which processes cannot reach the center.
+	cut map[int]bool
+	// spent holds what was spent in each step, refused what was not.
+	spent   []float64
+	refused float64
+}
+
+func newFleet(processes int, rate, burst float64) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), center: quota.NewCenter(), cut: map[int]bool{}}
+	f.center.SetLimits(f.now, limits(rate, burst))
+
+	for range processes {
+		l := quota.New()
+		l.SetMembers(processes)
+		l.SetLimits(f.now, limits(rate, burst))
+		f.processes = append(f.processes, l)
+	}
+
+	return f
+}
+
+// call asks one process to spend.
+func (f *fleet) call(process int, cost float64) {
+	l := f.processes[process]
+
+	verdict, _ := l.Take(f.now, workspace, cost)
+	if verdict == quota.Ask {
+		if f.cut[process] {
+			verdict, _ = l.TakeShare(f.now, workspace, cost)
+		} else {
+			wait := f.center.Ask(f.now, workspace, cost)
+			l.Answered(f.now, workspace, wait)
+
+			verdict = quota.Denied
+			if wait == 0 {
+				verdict = quota.Spent
+			}
+		}
+	}
+
+	if verdict == quota.Spent {
+		f.spent[len(f.spent)-1] += cost
+	} else {
+		f.refused += cost
+	}
+}
+
+// run plays the calls that load gives for each step.
+func (f *fleet) run(duration time.Duration, load func(at time.Duration)) {
+	start := f.now
+
+	for f.now.Sub(start) < duration {
+		f.spent = append(f.spent, 0)
+
+		if len(f.spent)%int(period/step) == 0 {
+			for i, l := range f.processes {
+				if !f.cut[i] {
+					l.Credit(f.now, f.center.Report(f.now, apricotway.NodeID(fmt.Sprint(i)), period, l.Accounts()))
+				}
+			}
+		}
+
+		load(f.now.Sub(start))
+		f.now = f.now.Add(step)
+	}
+}
+
+// most returns the largest sum over a window.
+func (f *fleet) most(window time.Duration) float64 {
+	var sum, most float64
+
+	size := int(window / step)
+	for i, spent := range f.spent {
+		sum += spent
+		if i >= size {
+			sum -= f.spent[i-size]
+		}
+
+		most = max(most, sum)
+	}
+
+	return most
+}
+
+const (
+	rate, burst = 36000.0, 36000.0
+	window      = 8 * time.Second
+)
+
+// TestHotWorkspace plays a workspace that asks for ten times its limit, at processes that change every second. What all
+// processes spend in a window must stay within the limit, and nearly all of the limit must be had.
+func TestHotWorkspace(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	f := newFleet(8, rate, burst)
+	f.run(30*time.Second, func(at time.Duration) {
+		for range 4 {
+			f.call((int(at/time.Second)+random.IntN(2))%8, 500+random.Float64()*1000)
+		}
+	})
+
+	bound := rate*window.Seconds() + burst
+	if got, want := f.most(window), bound*1.02; got > want {
+		t.Errorf("got %.0f units in a window, want at most %.0f", got, want)
+	}
+
+	if got, want := f.most(window), bound*0.95; got < want {
+		t.Errorf("got %.0f units in a window, want at least %.0f", got, want)
+	}
+}
+
+// TestWithinLimit guards against refusals below the limit: a workspace that asks for three quarters of its rate in calls of
+// very different costs, each at a random process, is served in full.
+func TestWithinLimit(t *testing.T) {
+	random := rand.New(rand.NewPCG(2, 2))
+	f := newFleet(8, rate, burst)
+
+	due := 0.0
+	f.run(30*time.Second, func(time.Duration) {
+		for due += 0.75 * rate * step.Seconds(); due > 0; {
+			cost := 200.0
+			if random.IntN(10) == 0 {
+				cost = 9000
+			}
+
+			f.call(random.IntN(8), cost)
+			due -= cost
+		}
+	})
+
+	if got, want := f.refused, 0.0; got > want {
+		t.Errorf("got %.0f units refused, want %.0f", got, want)
+	}
+}
+
+// TestCutProcesses plays processes that lose the center while their workspace asks for more than its limit. The center sets
+// their shares aside, so that the sum stays within the limit and its tolerance of a tenth and 140,000 units.
+func TestCutProcesses(t *testing.T) {
+	f := newFleet(8, rate, burst)
+	f.run(30*time.Second, func(at time.Duration) {
+		for i := range 3 {
+			f.cut[i] = at > 10*time.Second && at < 15*time.Second
+		}
+
+		for i := range 8 {
+			f.call(i, 700)
+		}
+	})
+
+	if got, want := f.most(window), (rate*window.Seconds()+burst)*1.1+140000; got > want {
+		t.Errorf("got %.0f units in a window, want at most %.0f", got, want)
+	}
+}
+
+// TestLargeCall guards against a call that never runs because it costs more than the burst.
+func TestLargeCall(t *testing.T) {
+	f := newFleet(8, rate, burst)
+	f.run(3*time.Second, func(at time.Duration) {
+		if at == 2*time.Second {
+			f.call(3, 2*burst)
+		}
+	})
+
+	if got, want := f.refused, 0.0; got != want {
+		t.Errorf("got %.0f units refused, want %.0f", got, want)
+	}
+}
+
+// TestReturn guards against a limit that shrinks by calls that did not run.
+func TestReturn(t *testing.T) {
+	f := newFleet(1, rate, burst)
+	f.run(10*time.Second, func(time.Duration) {
+		f.call(0, rate)
+		f.processes[0].Return(workspace, f.spent[len(f.spent)-1])
+	})
+
+	// All calls before the limit was asked for again must have been returned to it.
+	if verdict, _ := f.processes[0].Take(f.now, workspace, rate/2); verdict == quota.Denied {
+		t.Errorf("got %s, want the returned units to be spendable", verdict)
+	}
+}
--- /dev/null
+++ b/state/scaling/scaling_test.go
@@ -0,0 +1,249 @@
+package scaling_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/scaling"
+)
+
+var (
+	zones = []apricotway.Zone{"a", "b", "c", "d"}
+	rule  = apricotway.CapacityRule{
+		Min: 1, Max: 6, Boot: 4 * time.Second, ReclaimablePrice: 0.15,
+		ZonePrices: map[apricotway.Zone]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
+	}
+	errRefused = errors.New("none available")
+)
+
+// cloud plays orders: engines serve after their boot time, and zones are taken back or refuse orders for a time.
+type cloud struct {
+	now     time.Time
+	planner *scaling.Planner
+	live    map[apricotway.Zone]scaling.Counts
+	desired map[apricotway.Zone]scaling.Counts
+	booting []boot
+	// dry holds the time until which a zone gives no reclaimable engines.
+	dry    map[apricotway.Zone]time.Time
+	orders int
+	// least is the least number of engines that served.
+	least int
+	// onDemandSeconds counts engine-seconds of on-demand engines.
+	onDemandSeconds float64
+}
+
+type boot struct {
+	at    time.Time
+	order scaling.Order
+	count int
+}
+
+func newCloud(onDemand int) *cloud {
+	c := &cloud{
+		now: time.Unix(1000, 0), planner: scaling.New(scaling.DefaultTerms()), live: map[apricotway.Zone]scaling.Counts{},
+		desired: map[apricotway.Zone]scaling.Counts{}, dry: map[apricotway.Zone]time.Time{}, least: 1000,
+	}
+	for _, zone := range zones {
+		c.live[zone] = scaling.Counts{OnDemand: onDemand}
+		c.desired[zone] = c.live[zone]
+	}
+
+	return c
+}
+
+func (c *cloud) order(order scaling.Order) error {
+	c.orders++
+
+	counts, desired := c.live[order.Zone], c.desired[order.Zone]
+	have := counts.OnDemand
+
+	if order.Reclaimable {
+		have = counts.Reclaimable
+
+		if order.Count > have && c.now.Before(c.dry[order.Zone]) {
+			return errRefused
+		}
+
+		desired.Reclaimable = order.Count
+	} else {
+		desired.OnDemand = order.Count
+	}
+
+	c.desired[order.Zone] = desired
+
+	if order.Count > have {
+		c.booting = append(c.booting, boot{c.now.Add(rule.Boot), order, order.Count})
+	} else if order.Reclaimable {
+		counts.Reclaimable = order.Count
+	} else {
+		counts.OnDemand = order.Count
+	}
+
+	c.live[order.Zone] = counts
+
+	return nil
+}
+
+// reclaim takes the reclaimable engines of a zone back.
+func (c *cloud) reclaim(zone apricotway.Zone, dry time.Duration) {
+	counts := c.live[zone]
+	counts.Reclaimable = 0
+	c.live[zone] = counts
+	c.dry[zone] = c.now.Add(dry)
+}
+
+func (c *cloud) run(duration time.Duration, load scaling.Load) {
+	const step = 500 * time.Millisecond
+
+	for end := c.now.Add(duration); c.now.Before(end); c.now = c.now.Add(step) {
+		c.arrive()
+
+		serving := 0
+		for _, counts := range c.live {
+			serving += counts.Reclaimable + counts.OnDemand
+			c.onDemandSeconds += float64(counts.OnDemand) * step.Seconds()
+		}
+
+		c.least = min(c.least, serving)
+
+		for _, order := range c.planner.Plan(c.now, rule, c.live, load) {
+			c.planner.Ordered(c.now, order, c.order(order))
+		}
+	}
+}
+
+func (c *cloud) arrive() {
+	rest := c.booting[:0]
+
+	for _, b := range c.booting {
+		counts := c.live[b.order.Zone]
+
+		switch {
+		case c.now.Before(b.at):
+			rest = append(rest, b)
+		case b.order.Reclaimable && b.count == c.desired[b.order.Zone].Reclaimable:
+			counts.Reclaimable = b.count
+		case !b.order.Reclaimable && b.count == c.desired[b.order.Zone].OnDemand:
+			counts.OnDemand = b.count
+		}
+
+		c.live[b.order.Zone] = counts
+	}
+
+	c.booting = rest
+}
+
+func (c *cloud) total() (total scaling.Counts) {
+	for _, counts := range c.live {
+		total.Reclaimable += counts.Reclaimable
+		total.OnDemand += counts.OnDemand
+	}
+
+	return total
+}
+
+// TestReplaceOnDemand plays the first seconds of a day: on-demand engines serve until the reclaimable ones that replace them
+// do, and not longer.
+func TestReplaceOnDemand(t *testing.T) {
+	c := newCloud(3)
+	c.run(20*time.Second, scaling.Load{})
+
+	if got, want := c.total(), (scaling.Counts{Reclaimable: 12}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+
+	if got, want := c.least, 12; got < want {
+		t.Errorf("got %d engines at the least, want %d", got, want)
+	}
+}
+
+// TestWave plays a wave in which two zones are taken back six seconds apart and give no engines for a while. The others make up
+// for them, the number of engines comes back, and few orders are given.
+func TestWave(t *testing.T) {
+	c := newCloud(3)
+	c.run(20*time.Second, scaling.Load{})
+	before := c.orders
+	c.least = 1000
+
+	c.reclaim("b", 14*time.Second)
+	c.run(6*time.Second, scaling.Load{})
+	c.reclaim("d", 14*time.Second)
+	c.run(8*time.Second, scaling.Load{})
+
+	if got, want := c.total().Reclaimable, 12; got < want {
+		t.Errorf("got %d reclaimable engines during the wave, want %d", got, want)
+	}
+
+	if got, want := c.least, 6; got < want {
+		t.Errorf("got %d engines at the least, want %d", got, want)
+	}
+
+	c.run(20*time.Second, scaling.Load{})
+
+	if got, want := c.total(), (scaling.Counts{Reclaimable: 12}); got != want {
+		t.Errorf("after the wave: got %+v, want %+v", got, want)
+	}
+
+	if got, want := c.orders-before, 40; got > want {
+		t.Errorf("got %d orders, want at most %d", got, want)
+	}
+}
+
+// TestAllZonesDry plays a time in which no zone gives reclaimable engines and all were taken back: on-demand engines stand in,
+// and are given up once the reclaimable ones are back.
+func TestAllZonesDry(t *testing.T) {
+	c := newCloud(3)
+	c.run(20*time.Second, scaling.Load{})
+
+	for _, zone := range zones {
+		c.reclaim(zone, 20*time.Second)
+	}
+
+	c.run(10*time.Second, scaling.Load{})
+
+	if got, want := c.total().OnDemand, 4; got < want {
+		t.Errorf("got %d on-demand engines, want at least %d", got, want)
+	}
+
+	c.run(30*time.Second, scaling.Load{})
+
+	if got, want := c.total(), (scaling.Counts{Reclaimable: 12}); got != want {
+		t.Errorf("after the wave: got %+v, want %+v", got, want)
+	}
+}
+
+// TestNoThrash guards against orders that follow each swing of the load: the number of engines grows at once and shrinks slowly.
+func TestNoThrash(t *testing.T) {
+	c := newCloud(3)
+	c.run(20*time.Second, scaling.Load{})
+	before := c.orders
+
+	for range 10 {
+		c.run(time.Second, scaling.Load{Prefill: 400000})
+		c.run(3*time.Second, scaling.Load{})
+	}
+
+	if got, want := c.orders-before, 16; got > want {
+		t.Errorf("got %d orders, want at most %d", got, want)
+	}
+}
+
+// TestWithoutReclaimable plays a service whose zones give no reclaimable engines at any time.
+func TestWithoutReclaimable(t *testing.T) {
+	planner := scaling.New(scaling.DefaultTerms())
+	plain := rule
+	plain.ReclaimablePrice = 0
+
+	for _, order := range planner.Plan(time.Unix(1000, 0), plain, map[apricotway.Zone]scaling.Counts{}, scaling.Load{}) {
+		if order.Reclaimable {
+			t.Errorf("got order %+v, want on-demand engines only", order)
+		}
+
+		if order.Count < plain.Min || order.Count > plain.Max {
+			t.Errorf("got %d engines, want %d to %d", order.Count, plain.Min, plain.Max)
+		}
+	}
+}
--- /dev/null
+++ b/transport/upstream/upstream_test.go
@@ -0,0 +1,302 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/transport/upstream"
+)
+
+// backend is a listener that hands each request to a function, which writes bytes and tells whether to go on.
+type backend struct {
+	address     netip.AddrPort
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+func newBackend(t *testing.T, answer func(conn net.Conn, head string) bool) *backend {
+	t.Helper()
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	t.Cleanup(func() { listener.Close() })
+
+	b := &backend{address: netip.MustParseAddrPort(listener.Addr().String())}
+
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+
+			b.connections.Add(1)
+
+			go b.serve(conn, answer)
+		}
+	}()
+
+	return b
+}
+
+func (b *backend) serve(conn net.Conn, answer func(conn net.Conn, head string) bool) {
+	defer conn.Close()
+
+	reader := bufio.NewReader(conn)
+
+	for {
+		var head strings.Builder
+
+		for {
+			line, err := reader.ReadString('\n')
+			if err != nil {
+				return
+			}
+
+			head.WriteString(line)
+
+			if line == "\r\n" {
+				break
+			}
+		}
+
+		b.requests.Add(1)
+
+		if !answer(conn, head.String()) {
+			return
+		}
+	}
+}
+
+func get(target string) apricotway.ForwardedCall {
+	return apricotway.ForwardedCall{
+		Method: http.MethodGet, Target: target, Host: "h.example", Header: http.Header{"Idempotency-Key": {"k"}},
+		Belongs: func(_ int, header http.Header) bool { return header.Get("Id") == "1" },
+	}
+}
+
+func send(t *testing.T, pool *upstream.Pool, b *backend, call apricotway.ForwardedCall) (string, error) {
+	t.Helper()
+
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+
+	answer, err := pool.Send(ctx, b.address, call)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+
+	content, err := io.ReadAll(answer.Body)
+
+	return string(content), err
+}
+
+func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+// TestNoSecondSend guards against a call that runs twice because a library repeats it on a new connection: the backend server
+// closes a kept connection after it has read the call.
+func TestNoSecondSend(t *testing.T) {
+	var served atomic.Int64
+
+	b := newBackend(t, func(conn net.Conn, _ string) bool {
+		if served.Add(1) > 1 {
+			return false
+		}
+
+		write(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
+
+		return true
+	})
+	pool := upstream.New()
+
+	if got, err := send(t, pool, b, get("/")); got != "ok" || err != nil {
+		t.Fatalf("first call: got %q and %v, want ok", got, err)
+	}
+
+	_, err := send(t, pool, b, get("/"))
+	if err == nil || errors.Is(err, apricotway.ErrNotSent) {
+		t.Errorf("got error %v, want one that does not say that the call was not sent", err)
+	}
+
+	if got, want := b.requests.Load(), int64(2); got != want {
+		t.Errorf("got %d requests, want %d", got, want)
+	}
+
+	if got, want := b.connections.Load(), int64(1); got != want {
+		t.Errorf("got %d connections, want %d", got, want)
+	}
+}
+
+// TestExactCall guards against a call that reaches the backend server changed: target, host and header as the caller wrote
+// them, and nothing added.
+func TestExactCall(t *testing.T) {
+	heads := make(chan string, 1)
+	b := newBackend(t, func(conn net.Conn, head string) bool {
+		heads <- head
+
+		write(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+
+		return true
+	})
+
+	if _, err := send(t, upstream.New(), b, get("/a%2Fb//c?x=%20&y")); err != nil {
+		t.Fatal(err)
+	}
+
+	want := "GET /a%2Fb//c?x=%20&y HTTP/1.1\r\nHost: h.example\r\nIdempotency-Key: k\r\n\r\n"
+	if got := <-heads; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// TestForeignAnswer guards against an answer that reaches the caller of another call: one that arrives late is read over, and
+// its connection is not used again.
+func TestForeignAnswer(t *testing.T) {
+	b := newBackend(t, func(conn net.Conn, _ string) bool {
+		write(conn, "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nwrongHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nright")
+		return true
+	})
+	pool := upstream.New()
+
+	for range 2 {
+		if got, err := send(t, pool, b, get("/")); got != "right" || err != nil {
+			t.Errorf("got %q and %v, want right", got, err)
+		}
+	}
+
+	if got, want := b.connections.Load(), int64(2); got != want {
+		t.Errorf("got %d connections, want %d", got, want)
+	}
+}
+
+// TestConnectionNotKept guards against a connection whose state is in doubt: it must not serve another call.
+func TestConnectionNotKept(t *testing.T) {
+	for _, test := range []struct {
+		name, answer string
+		wantBody     string
+		wantErr      bool
+	}{
+		{"bytes behind the body", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nokHTTP", "ok", false},
+		{"close announced", "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", "ok", false},
+		{"no idle time", "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", "ok", false},
+		{"only foreign answers", strings.Repeat("HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 2\r\n\r\nno", 4), "", true},
+		{"no answer in the protocol", "garbage\r\n\r\n", "", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, _ string) bool {
+				write(conn, test.answer)
+				return true
+			})
+			pool := upstream.New()
+
+			for range 2 {
+				got, err := send(t, pool, b, get("/"))
+				if got != test.wantBody || (err != nil) != test.wantErr {
+					t.Errorf("got %q and %v, want %q and an error: %t", got, err, test.wantBody, test.wantErr)
+				}
+			}
+
+			if got, want := b.connections.Load(), int64(2); got != want {
+				t.Errorf("got %d connections, want %d", got, want)
+			}
+		})
+	}
+}
+
+// TestShortBody guards against an answer that looks complete although it was cut off.
+func TestShortBody(t *testing.T) {
+	for name, answer := range map[string]string{
+		"announced": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nshort",
+		"in chunks": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend(t, func(conn net.Conn, _ string) bool {
+				write(conn, answer)
+				return false
+			})
+
+			if got, err := send(t, upstream.New(), b, get("/")); err == nil {
+				t.Errorf("got body %q without an error, want one", got)
+			}
+		})
+	}
+}
+
+// TestUnreachable guards the promise of ErrNotSent: it is returned when no byte has left, so that the call may go elsewhere.
+func TestUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	listener.Close()
+
+	if _, err := upstream.New().Send(t.Context(), address, get("/")); !errors.Is(err, apricotway.ErrNotSent) {
+		t.Errorf("got error %v, want %v", err, apricotway.ErrNotSent)
+	}
+}
+
+// TestCallerLeaves guards against engines that work on for a caller who has left: the end of the context closes the connection.
+func TestCallerLeaves(t *testing.T) {
+	closed := make(chan struct{})
+	arrived := make(chan struct{})
+	b := newBackend(t, func(conn net.Conn, _ string) bool {
+		close(arrived)
+
+		_, _ = conn.Read(make([]byte, 1))
+
+		close(closed)
+
+		return false
+	})
+
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+
+	if _, err := upstream.New().Send(ctx, b.address, get("/")); !errors.Is(err, context.Canceled) {
+		t.Errorf("got error %v, want %v", err, context.Canceled)
+	}
+
+	<-closed
+}
+
+// TestClosedIdleConnection guards against a call that is lost on a connection which the backend server had closed before.
+func TestClosedIdleConnection(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	b := newBackend(t, func(conn net.Conn, _ string) bool {
+		write(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
+		conn.Close()
+
+		closed <- struct{}{}
+
+		return false
+	})
+	pool := upstream.New()
+
+	for range 2 {
+		if got, err := send(t, pool, b, get("/")); got != "ok" || err != nil {
+			t.Errorf("got %q and %v, want ok", got, err)
+		}
+
+		<-closed
+	}
+}
