--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/process"
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/configfeed"
 	"github.com/apricotway/apricotway/coordination/inventory"
@@ -95,9 +96,7 @@
 	d.clock = timeline.NewClock(time.Now)
 	d.ring = timeline.NewRing(s.Node, d.clock, timeline.DefaultCapacity)
 	d.logger = recording(d.logger.WithValues("node", s.Node), d.ring)
-	d.supervisor = suture.New("apricotway", suture.Spec{EventHook: func(event suture.Event) {
-		d.logger.Info("supervisor event", "event", 101, "detail", event.String())
-	}})
+	d.supervisor = suture.New("apricotway", process.Supervisor(d.logger))
 
 	if err := d.assemble(ctx); err != nil {
 		return nil, err
@@ -105,7 +104,7 @@
 
 	ctx, d.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	d.stopped = d.supervisor.ServeBackground(ctx)
-	d.logger.Info("process started", "event", 102, "callers", d.callers.address, "operator", d.operator.address)
+	process.Started(d.logger, d.callers.address, d.operator.address)
 
 	return d, nil
 }
@@ -262,7 +261,7 @@
 // Stop ends the process gracefully: it serves until the addresses handed out have expired, and waits for the requests in
 // flight until the context ends.
 func (d *Daemon) Stop(ctx context.Context) error {
-	d.logger.Info("process stopping", "event", 103)
+	process.Stopping(d.logger)
 
 	d.withdraw(ctx)
 
@@ -284,8 +283,7 @@
 
 	d.peers.Close()
 	d.cancel()
-	reason := <-d.stopped
-	d.logger.Info("process stopped", "event", 104, "reason", reason)
+	process.Stopped(d.logger, <-d.stopped)
 
 	if err != nil {
 		return errors.Wrap(err, "wait for requests in flight")
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/process"
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/coordination/duty"
@@ -109,9 +110,7 @@
 	}
 
 	e.clock = timeline.NewClock(time.Now)
-	e.supervisor = suture.New("apricotway", suture.Spec{EventHook: func(event suture.Event) {
-		e.logger.Info("supervisor event", "event", 101, "detail", event.String())
-	}})
+	e.supervisor = suture.New("apricotway", process.Supervisor(e.logger))
 
 	if err := e.assemble(ctx); err != nil {
 		return nil, err
@@ -119,7 +118,7 @@
 
 	ctx, e.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	e.stopped = e.supervisor.ServeBackground(ctx)
-	e.logger.Info("process started", "event", 102, "callers", s.Listen.Callers, "operator", s.Listen.Operator)
+	process.Started(e.logger, s.Listen.Callers, s.Listen.Operator)
 
 	return e, nil
 }
@@ -282,7 +281,7 @@
 // Stop ends the process gracefully: it withdraws its address, serves until callers no longer use it, and waits for the requests
 // in flight until shortly before the stop limit.
 func (e *Entry) Stop(ctx context.Context) {
-	e.logger.Info("process stopping", "event", 103)
+	process.Stopping(e.logger)
 
 	limit := time.Duration(e.settings.StopLimit) - stopReserve
 	ctx, cancel := context.WithTimeout(ctx, limit)
@@ -305,5 +304,5 @@
 
 	e.peers.Close()
 	e.cancel()
-	e.logger.Info("process stopped", "event", 104, "reason", (<-e.stopped).Error())
+	process.Stopped(e.logger, <-e.stopped)
 }
--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
@@ -87,7 +88,9 @@
 			return nil, position, apricotway.ErrTrimmed
 		case len(have) > 0:
 			return have[len(have)-1], position + apricotway.Offset(len(have)), nil
-		case !time.Now().Before(end) || ctx.Err() != nil:
+		case ctx.Err() != nil:
+			return nil, position, ctx.Err()
+		case !time.Now().Before(end):
 			return nil, position, nil
 		}
 
@@ -127,7 +130,9 @@
 			return nil, position, apricotway.ErrTrimmed
 		case len(have) > 0:
 			return have, position + apricotway.Offset(len(have)), nil
-		case !time.Now().Before(end) || ctx.Err() != nil:
+		case ctx.Err() != nil:
+			return nil, position, ctx.Err()
+		case !time.Now().Before(end):
 			return nil, position, nil
 		}
 
@@ -146,7 +151,10 @@
 
 	t.Cleanup(func() {
 		cancel()
-		<-done
+
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("got end %v, want %v", err, context.Canceled)
+		}
 	})
 
 	return c, pool
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -146,7 +146,10 @@
 
 	t.Cleanup(func() {
 		cancel()
-		<-done
+
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("got end %v, want %v", err, context.Canceled)
+		}
 	})
 
 	return d
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -91,6 +91,6 @@
 
 	c.relay.logger.Info("call ended", "event", 351, "attempt", c.metadata.Attempt, "route", name, "result", result,
 		"status", status, "took", took, "began", began, "expected", c.expected,
-		"promptTokens", c.metadata.PromptTokens, "sends", c.sends, "servers", c.tried, "service", c.service,
+		"promptTokens", c.metadata.PromptTokens, "sends", c.sends, "servers", c.tried, "steps", c.steps, "service", c.service,
 		"workspace", c.workspaceName(), "configuration", version)
 }
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -153,6 +153,8 @@
 	// sends counts sends after which the call may have run, tried the servers that had it.
 	sends int
 	tried []apricotway.BackendServerID
+	// steps tells for each send how it ended, for the log.
+	steps []string
 	// counted tells that the call was counted as begun.
 	counted bool
 	// expected is the estimated time to the beginning of the answer at the last send, first the time of that beginning.
@@ -341,7 +343,10 @@
 			return
 		}
 
-		switch next := c.attempt(ctx, send); next.step {
+		next := c.attempt(ctx, send)
+		c.steps = append(c.steps, next.reason)
+
+		switch next.step {
 		case stepAnswered:
 			return
 		case stepRepeat:
@@ -386,15 +391,15 @@
 		send, why, wait = c.relay.pool.Place(now, request)
 	}
 
-	if send != nil {
-		c.expected = send.Expected
-	} else {
+	if send == nil {
 		return nil, &refusal{
 			status: http.StatusServiceUnavailable, reason: string(why), retryAfter: wait,
 			message: "no backend server can take the call in time",
 		}
 	}
 
+	c.expected = send.Expected
+
 	return send, nil
 }
 
--- a/state/scaling/scaling_test.go
+++ b/state/scaling/scaling_test.go
@@ -74,11 +74,12 @@
 
 	c.desired[order.Zone] = desired
 
-	if order.Count > have {
+	switch {
+	case order.Count > have:
 		c.booting = append(c.booting, boot{c.now.Add(rule.Boot), order, order.Count})
-	} else if order.Reclaimable {
+	case order.Reclaimable:
 		counts.Reclaimable = order.Count
-	} else {
+	default:
 		counts.OnDemand = order.Count
 	}
 
--- a/protocol/relay/dialect_test.go
+++ b/transport/upstream/dialect_test.go
@@ -1,4 +1,4 @@
-package relay_test
+package upstream_test
 
 import (
 	"net/http"
--- a/protocol/relay/relay_test.go
+++ b/transport/upstream/relay_test.go
@@ -1,4 +1,4 @@
-package relay_test
+package upstream_test
 
 import (
 	"context"
@@ -160,10 +160,11 @@
 	return response, string(content), err
 }
 
-func (h *harness) wantStatus(path string, header map[string]string, want int) *http.Response {
+// wantStatus sends one call and returns the header of its answer.
+func (h *harness) wantStatus(path string, header map[string]string, want int) http.Header {
 	h.t.Helper()
 
-	response, body, err := h.call(path, header)
+	response, body, err := h.call(path, header) //nolint:bodyclose // The call has read and closed it.
 	if err != nil {
 		h.t.Fatalf("%s: got error %v, want status %d", path, err, want)
 	}
@@ -172,7 +173,7 @@
 		h.t.Errorf("%s: got status %d with %q, want %d", path, got, body, want)
 	}
 
-	return response
+	return response.Header
 }
 
 func (h *harness) wantRuns(want int64) {
@@ -188,7 +189,7 @@
 // reset ends the connection of a call that was read.
 func reset(w http.ResponseWriter, _ *http.Request) {
 	if conn, _, err := w.(http.Hijacker).Hijack(); err == nil {
-		conn.Close()
+		_ = conn.Close()
 	}
 }
 
@@ -209,7 +210,7 @@
 
 	h := newHarness(t, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		got = r.Clone(context.Background())
+		got = r.Clone(context.WithoutCancel(r.Context()))
 		got.Header.Set("Body", string(body))
 		ok(w, r)
 	})
@@ -257,8 +258,8 @@
 				test.change(h)
 			}
 
-			response := h.wantStatus(test.path, test.header, test.want)
-			if got := response.Header.Get("Retry-After") != ""; got != test.retry {
+			header := h.wantStatus(test.path, test.header, test.want)
+			if got := header.Get("Retry-After") != ""; got != test.retry {
 				t.Errorf("got Retry-After: %t, want %t", got, test.retry)
 			}
 
@@ -323,7 +324,7 @@
 func TestServerAnswersUnchanged(t *testing.T) {
 	h := newHarness(t, failing, failing)
 
-	response, body, err := h.call("/safe/", nil)
+	response, body, err := h.call("/safe/", nil) //nolint:bodyclose // The call has read and closed it.
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -345,8 +346,8 @@
 	<-left
 }
 
-// TestCallerLeaves guards engines against work for a caller who has closed the connection.
-func TestCallerLeaves(t *testing.T) {
+// TestRelayCallerLeaves guards engines against work for a caller who has closed the connection.
+func TestRelayCallerLeaves(t *testing.T) {
 	arrived, left := make(chan struct{}), make(chan struct{})
 	h := newHarness(t, func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -419,7 +420,7 @@
 	}
 	h := newHarness(t, answer, answer)
 
-	_, got, err := h.call("/resumable/", nil)
+	_, got, err := h.call("/resumable/", nil) //nolint:bodyclose // The call has read and closed it.
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -438,7 +439,7 @@
 func TestBrokenStream(t *testing.T) {
 	h := newHarness(t, streamOf(9, 5), streamOf(9, 5))
 
-	_, got, err := h.call("/stream/", nil)
+	_, got, err := h.call("/stream/", nil) //nolint:bodyclose // The call has read and closed it.
 	if err == nil {
 		t.Error("got a complete answer, want an error")
 	}
@@ -475,7 +476,7 @@
 
 	h.catalog.table = route.New(d)
 
-	_, got, err := h.call("/resumable/", nil)
+	_, got, err := h.call("/resumable/", nil) //nolint:bodyclose // The call has read and closed it.
 	if want := event(1) + event(2) + event(3); err != nil || got != want {
 		t.Errorf("got %q and %v, want %q", got, err, want)
 	}
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -33,7 +33,7 @@
 		t.Fatal(err)
 	}
 
-	t.Cleanup(func() { listener.Close() })
+	t.Cleanup(func() { _ = listener.Close() })
 
 	b := &backend{address: netip.MustParseAddrPort(listener.Addr().String())}
 
@@ -54,7 +54,7 @@
 }
 
 func (b *backend) serve(conn net.Conn, answer func(conn net.Conn, head string) bool) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 
 	reader := bufio.NewReader(conn)
 
@@ -245,7 +245,7 @@
 	}
 
 	address := netip.MustParseAddrPort(listener.Addr().String())
-	listener.Close()
+	_ = listener.Close()
 
 	if _, err := upstream.New().Send(t.Context(), address, get("/")); !errors.Is(err, apricotway.ErrNotSent) {
 		t.Errorf("got error %v, want %v", err, apricotway.ErrNotSent)
@@ -284,7 +284,7 @@
 	closed := make(chan struct{}, 2)
 	b := newBackend(t, func(conn net.Conn, _ string) bool {
 		write(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok")
-		conn.Close()
+		_ = conn.Close()
 
 		closed <- struct{}{}
 
