--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer listener.Close()
+	defer func() { _ = listener.Close() }()
 
 	return netip.MustParseAddrPort(listener.Addr().String())
 }
