Keep the counts and the engines over the death of the holder

The holder records the counts every 250 ms behind its claim, a leaving process hands its last ones over, and a new planner starts from the engines that serve.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -89,6 +89,7 @@
 	catalog    *catalog.Catalog
 	pool       *dispatch.Pool
 	limiter    *quota.Limiter
+	rollup     *rollup.Rollup
 
 	leaving atomic.Bool
 	callers *http.Server
@@ -149,11 +150,11 @@
 	})
 
 	duties := duty.New(e.supervisor, e.platform, e.membership, e.membership, duty.WithLogger(e.logger))
-	gathered := rollup.New(e.supervisor, rollup.Parts{
+	e.rollup = rollup.New(e.supervisor, rollup.Parts{
 		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: began,
 	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger))
 
-	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, gathered, budget, began,
+	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, began,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithLeaving(e.leaving.Load))
 
 	return e.serveAll(ctx, forward)
@@ -296,6 +297,11 @@
 		e.logger.Info("requests in flight cut off at the stop limit", "event", 107, "error", err.Error())
 	}
 
+	// The stop limit may be used up; the counts have their own time.
+	closing, cancelClosing := context.WithTimeout(context.WithoutCancel(ctx), stopReserve/2)
+	defer cancelClosing()
+
+	e.rollup.Stop(closing)
 	e.membership.Stopped()
 
 	for _, server := range e.servers {
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -25,7 +25,7 @@
 	backendWait = 2 * time.Second
 	// backendGap is the pause between two reads of the list. Entries change several times a second, and each change would end a
 	// waiting read.
-	backendGap = 300 * time.Millisecond
+	backendGap = 600 * time.Millisecond
 	// answerTime is the time for an answer beyond the wait.
 	answerTime = 1500 * time.Millisecond
 	// leastWait is the shortest waiting read.
--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -38,6 +38,8 @@
 const (
 	KindClaim Kind = "claim"
 	KindUsage Kind = "usage"
+	// KindState carries what the holder has gathered, for its successor.
+	KindState Kind = "state"
 )
 
 // record is one record of the log.
@@ -45,6 +47,7 @@
 	Kind  Kind                    `json:"kind"`
 	Node  apricotway.NodeID       `json:"node"`
 	Usage *apricotway.UsageReport `json:"usage,omitempty"`
+	State json.RawMessage         `json:"state,omitempty"`
 }
 
 // Duty follows the claims and makes those of this process.
@@ -68,6 +71,8 @@
 	claim apricotway.Holder
 	// usage is the newest usage report on the log, nil without one.
 	usage *apricotway.UsageReport
+	// state is the newest state that a holder left, nil without one.
+	state json.RawMessage
 	// stale asks for another look at the log, since the platform refused our number.
 	stale bool
 	// fenced is the number that the platform refused.
@@ -114,17 +119,21 @@
 	return d.holder
 }
 
-// Held returns the holder when it is this process and its number has not been refused.
+// Held returns the holder when it is this process, its number has not been refused, and the process is not leaving.
 func (d *Duty) Held() (apricotway.Holder, bool) {
+	holder, held := d.Holds()
+
+	return holder, held && d.membership.Self().State == apricotway.MemberAlive
+}
+
+// Holds returns the holder when it is this process, leaving or not, and its number has not been refused.
+func (d *Duty) Holds() (apricotway.Holder, bool) {
 	self := d.membership.Self()
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	held := d.holder.Number > 0 && d.holder.Node == self.Node && d.fenced != d.holder.Number &&
-		self.State == apricotway.MemberAlive
-
-	return d.holder, held
+	return d.holder, d.holder.Number > 0 && d.holder.Node == self.Node && d.fenced != d.holder.Number
 }
 
 // LastUsage returns the newest usage report on the log, nil without one.
@@ -135,6 +144,23 @@
 	return d.usage
 }
 
+// LastState returns the newest state that a holder left for its successor, nil without one.
+func (d *Duty) LastState() json.RawMessage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.state
+}
+
+// Leave appends the state of the holder for its successor.
+func (d *Duty) Leave(ctx context.Context, state json.RawMessage) error {
+	if holder, held := d.Holds(); !held {
+		return errors.Wrapf(ErrNotHolder, "number %d", holder.Number)
+	}
+
+	return d.append(ctx, record{Kind: KindState, Node: d.membership.Self().Node, State: state})
+}
+
 // Fenced reports that the platform refused a number. The holder stops at once and looks at the log.
 func (d *Duty) Fenced(number apricotway.Offset) {
 	d.mu.Lock()
@@ -204,6 +230,10 @@
 		if r.Usage != nil && r.Node == d.claim.Node && (d.usage == nil || r.Usage.Window > d.usage.Window) {
 			d.usage = r.Usage
 		}
+	case KindState:
+		if r.Node == d.claim.Node {
+			d.state = r.State
+		}
 	}
 }
 
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -4,7 +4,9 @@
 package rollup
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"net/netip"
 	"sync"
 	"time"
@@ -41,6 +43,9 @@
 	callTime = time.Second
 	// firstWindows is the number of windows before the present one that a first holder reports.
 	firstWindows = 2
+	// statePeriod is the time between two records of the gathered counts. A death of all processes loses that much of a
+	// window, of which a twentieth may be missing.
+	statePeriod = 250 * time.Millisecond
 	// demandSmoothing is the weight of the newest demand.
 	demandSmoothing = 0.1
 	// workLifetime is the time for which the work of a process counts without a newer report.
@@ -108,6 +113,8 @@
 	nextWindow int64
 	// recorded is the report that stands on the log and has not been accepted yet.
 	recorded *apricotway.UsageReport
+	// left is the state that was recorded last.
+	left []byte
 }
 
 type work struct {
@@ -149,6 +156,9 @@
 		})
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "report", Func: r.runReports})
+	supervisor.Add(apricotway.Periodic("state of the duties", statePeriod, func(ctx context.Context, _ time.Time) {
+		r.leaveState(ctx)
+	}))
 	supervisor.Add(apricotway.Periodic("usage duty", dutyPeriod, r.reportUsage))
 	supervisor.Add(apricotway.Periodic("capacity duty", dutyPeriod, r.orderCapacity))
 
@@ -162,7 +172,7 @@
 	r.reports = map[apricotway.NodeID]work{}
 	r.demand = map[apricotway.Service]scaling.Load{}
 	r.planners = map[apricotway.Service]*scaling.Planner{}
-	r.nextWindow, r.recorded, r.limits = 0, nil, nil
+	r.nextWindow, r.recorded, r.limits, r.left = 0, nil, nil, nil
 }
 
 // runReports reports to the holder for as long as the context holds.
@@ -292,6 +302,7 @@
 func (r *Rollup) prepare(now time.Time, number apricotway.Offset) {
 	if r.held != number {
 		r.reset(number)
+		r.restore()
 	}
 
 	if table := r.Catalog.Table(); table != nil && r.limits != table {
@@ -300,6 +311,68 @@
 	}
 }
 
+// restore takes the counts that the last holder left; it needs the lock. Processes that still run report theirs anew.
+func (r *Rollup) restore() {
+	content := r.duty.LastState()
+	if content == nil {
+		return
+	}
+
+	var counts map[apricotway.NodeID]tally.Counts
+	if err := json.Unmarshal(content, &counts); err != nil {
+		r.logger.Info("counts of the last holder not usable", "event", 288, "error", err.Error())
+		return
+	}
+
+	for node, windows := range counts {
+		r.collector.Report(node, windows)
+	}
+}
+
+// leaveState records the counts for a successor when they have changed.
+func (r *Rollup) leaveState(ctx context.Context) {
+	holder, held := r.duty.Holds()
+
+	r.mu.Lock()
+	if !held || r.held != holder.Number {
+		r.mu.Unlock()
+		return
+	}
+
+	content, err := json.Marshal(r.collector.All())
+	same := bytes.Equal(content, r.left)
+	r.mu.Unlock()
+
+	if err == nil && !same {
+		err = r.duty.Leave(ctx, content)
+	}
+
+	if err != nil {
+		r.logger.V(1).Info("counts not recorded", "event", 289, "error", err.Error())
+		return
+	}
+
+	r.mu.Lock()
+	r.left = content
+	r.mu.Unlock()
+}
+
+// Stop hands the last counts of a leaving process to the holder.
+func (r *Rollup) Stop(ctx context.Context) {
+	now := time.Now()
+	r.reportOnce(ctx, now, leastPeriod)
+
+	if holder, held := r.duty.Holds(); held {
+		r.mu.Lock()
+		if r.held == holder.Number {
+			r.collector.Report(r.membership.Self().Node, r.Tally.Counts(r.Tally.Window(now)-firstWindows))
+		}
+		r.mu.Unlock()
+
+		r.leaveState(ctx)
+	}
+}
+
 // smooth returns the demand of a process by service in units a second.
 func (r *Rollup) smooth(report Report) map[apricotway.Service]scaling.Load {
 	seconds := max(report.Elapsed.Seconds(), leastPeriod.Seconds())
--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -110,7 +110,7 @@
 func (p *Planner) Plan(
 	now time.Time, rule apricotway.CapacityRule, live map[apricotway.Zone]Counts, load Load,
 ) []Order {
-	p.setTarget(now, p.terms.Needed(load))
+	p.setTarget(now, p.terms.Needed(load), live)
 
 	names := make([]apricotway.Zone, 0, len(rule.ZonePrices))
 	for name := range rule.ZonePrices {
@@ -140,7 +140,17 @@
 	return orders
 }
 
-func (p *Planner) setTarget(now time.Time, needed int) {
+// setTarget follows a growing need at once and a falling one slowly. A planner that knows nothing of the load yet, as after its
+// predecessor's death, keeps the engines that serve.
+func (p *Planner) setTarget(now time.Time, needed int, live map[apricotway.Zone]Counts) {
+	if p.target == 0 {
+		for _, counts := range live {
+			p.target += counts.Reclaimable + counts.OnDemand
+		}
+
+		p.lowerSince = now
+	}
+
 	if needed >= p.target {
 		p.target, p.lowerSince = needed, now
 		return
--- a/state/scaling/scaling_test.go
+++ b/state/scaling/scaling_test.go
@@ -248,3 +248,19 @@
 		}
 	}
 }
+
+// TestNewPlanner plays the death of the process that planned, under load: its successor has measured nothing yet and must not
+// give up engines.
+func TestNewPlanner(t *testing.T) {
+	c := newCloud(3)
+	c.run(30*time.Second, scaling.Load{Prefill: 320000})
+	before := c.total().Reclaimable
+	c.planner = scaling.New(scaling.DefaultTerms())
+	c.least = 1000
+	c.run(2*time.Second, scaling.Load{})
+	c.run(10*time.Second, scaling.Load{Prefill: 320000})
+
+	if got, want := c.least, before; got < want {
+		t.Errorf("got %d engines at the least, want %d", got, want)
+	}
+}
--- a/state/tally/tally.go
+++ b/state/tally/tally.go
@@ -101,6 +101,9 @@
 	return total
 }
 
+// All returns the counts of all processes. They must not be changed.
+func (c *Collector) All() map[apricotway.NodeID]Counts { return c.processes }
+
 // Forget drops the windows before the given one.
 func (c *Collector) Forget(before int64) {
 	for node, counts := range c.processes {
