Size the engines by the square root of the load

The number is now the busy engines and five for each square root of them, 8 at least. The tests of the planner ask for 12 engines by terms of their own, with the same bounds.

--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -18,9 +18,9 @@
 	refusedPause = 2 * time.Second
 	// repeatPause is the time after which an order that does not show is given again.
 	repeatPause = 8 * time.Second
-	// floorPart is the part of the engines needed without spare ones below which on-demand engines are started: they cost
-	// several times as much and come after the boot time.
-	floorPart = 0.5
+	// floorPart is the part of the target below which on-demand engines are started: they cost several times as much and come
+	// after the boot time.
+	floorPart = 0.4
 	// shrinkAfter is the time for which fewer engines must suffice before any is given up.
 	shrinkAfter = 6 * time.Second
 )
@@ -29,18 +29,19 @@
 type Terms struct {
 	// Least is the number of engines that are kept without any load.
 	Least int
-	// PrefillRate is the number of prompt tokens that an engine reads in a second, at a load that still meets objectives.
+	// PrefillRate is the number of prompt tokens that a busy engine reads in a second.
 	PrefillRate float64
+	// Headroom is the number of further engines for each square root of the busy ones: the more engines share a load, the less
+	// its swings and the loss of a zone weigh.
+	Headroom float64
 	// Running is the number of requests that an engine runs at a time, at a load that still meets objectives.
 	Running float64
-	// Spare is the part of the engines that is kept beyond the load.
-	Spare float64
 }
 
 // DefaultTerms returns the terms of the operators' engines: about 57 prompt tokens in a millisecond when nothing else runs, and
-// 64 places of which a third can be used without long pauses.
+// 64 places of which two thirds can be used without long pauses.
 func DefaultTerms() Terms {
-	return Terms{Least: 12, PrefillRate: 22000, Running: 40, Spare: 0.2}
+	return Terms{Least: 8, PrefillRate: 45000, Headroom: 5, Running: 40}
 }
 
 // Load is the work of a service.
@@ -102,8 +103,8 @@
 
 // Needed returns the number of engines for a load.
 func (t Terms) Needed(load Load) int {
-	engines := max(load.Prefill/t.PrefillRate, load.Running/t.Running)
-	return max(t.Least, int(math.Ceil(engines*(1+t.Spare))))
+	busy := load.Prefill / t.PrefillRate
+	return max(t.Least, int(math.Ceil(busy+t.Headroom*math.Sqrt(busy))), int(math.Ceil(load.Running/t.Running)))
 }
 
 // Plan returns the orders to be given now. live holds the engines that serve, by zone.
@@ -225,10 +226,8 @@
 	return left
 }
 
-// floor is the number of engines below which on-demand ones are started: what the load needs without the spare ones.
-func (p *Planner) floor() int {
-	return int(math.Ceil(float64(p.target) / (1 + p.terms.Spare) * floorPart))
-}
+// floor is the number of engines below which on-demand ones are started.
+func (p *Planner) floor() int { return int(math.Ceil(float64(p.target) * floorPart)) }
 
 // addOnDemand adds on-demand engines, the cheapest zones first.
 func (p *Planner) addOnDemand(
--- a/state/scaling/scaling_test.go
+++ b/state/scaling/scaling_test.go
@@ -17,6 +17,8 @@
 		ZonePrices: map[apricotway.Zone]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
 	}
 	errRefused = errors.New("none available")
+	// terms ask for 12 engines without load.
+	terms = scaling.Terms{Least: 12, PrefillRate: 45000, Headroom: 5, Running: 40}
 )
 
 // cloud plays orders: engines serve after their boot time, and zones are taken back or refuse orders for a time.
@@ -43,7 +45,7 @@
 
 func newCloud(onDemand int) *cloud {
 	c := &cloud{
-		now: time.Unix(1000, 0), planner: scaling.New(scaling.DefaultTerms()), live: map[apricotway.Zone]scaling.Counts{},
+		now: time.Unix(1000, 0), planner: scaling.New(terms), live: map[apricotway.Zone]scaling.Counts{},
 		desired: map[apricotway.Zone]scaling.Counts{}, dry: map[apricotway.Zone]time.Time{}, least: 1000,
 	}
 	for _, zone := range zones {
@@ -234,7 +236,7 @@
 
 // TestWithoutReclaimable plays a service whose zones give no reclaimable engines at any time.
 func TestWithoutReclaimable(t *testing.T) {
-	planner := scaling.New(scaling.DefaultTerms())
+	planner := scaling.New(terms)
 	plain := rule
 	plain.ReclaimablePrice = 0
 
@@ -255,7 +257,7 @@
 	c := newCloud(3)
 	c.run(30*time.Second, scaling.Load{Prefill: 320000})
 	before := c.total().Reclaimable
-	c.planner = scaling.New(scaling.DefaultTerms())
+	c.planner = scaling.New(terms)
 	c.least = 1000
 	c.run(2*time.Second, scaling.Load{})
 	c.run(10*time.Second, scaling.Load{Prefill: 320000})
@@ -264,3 +266,20 @@
 		t.Errorf("got %d engines at the least, want %d", got, want)
 	}
 }
+
+// TestNeeded guards the number of engines for a load: it grows more slowly than the load, and long answers alone need engines.
+func TestNeeded(t *testing.T) {
+	for _, test := range []struct {
+		load scaling.Load
+		want int
+	}{
+		{scaling.Load{}, 12},
+		{scaling.Load{Prefill: 180000}, 14},
+		{scaling.Load{Prefill: 720000}, 36},
+		{scaling.Load{Running: 800}, 20},
+	} {
+		if got := terms.Needed(test.load); got != test.want {
+			t.Errorf("%+v: got %d engines, want %d", test.load, got, test.want)
+		}
+	}
+}
