--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -155,7 +155,7 @@
 	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger))
 
 	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, began,
-		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithLeaving(e.leaving.Load))
+		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithLeaving(e.leaving.Load))
 
 	return e.serveAll(ctx, forward)
 }
--- a/forwarding.go
+++ b/forwarding.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // PromptPart is one part of a prompt. Requests whose prompts begin with the same parts share them in an engine's cache.
@@ -44,8 +46,30 @@
 	Urgency int
 	// LastEvent makes a stream go on behind that event; empty for none.
 	LastEvent string
+	// Memory names the memory of a run that goes on; nil for a run that begins.
+	Memory *RunMemory
+}
+
+// RunMemory names the memory of a run that was stopped, so that the run can go on where the memory is.
+type RunMemory struct {
+	// Source is the engine that stopped the run.
+	Source netip.AddrPort
+	Handle string
 }
 
+// Mover moves runs between engines.
+type Mover interface {
+	// Move stops a run and copies its memory to the target. The stream of the run ends without its end. When only the copy
+	// failed, the result has a handle and copied is false: the run can go on at its source. It fails with ErrRunUnknown when
+	// the engine has no such run, as after its end.
+	Move(
+		ctx context.Context, source netip.AddrPort, attempt AttemptID, target netip.AddrPort,
+	) (memory RunMemory, copied bool, err error)
+}
+
+// ErrRunUnknown reports that an engine does not have a run.
+var ErrRunUnknown = errors.New("run unknown")
+
 // BackendLoad is the load that a backend server reports with an answer.
 type BackendLoad struct {
 	Running, Waiting, Slots int
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -22,6 +22,7 @@
 	reasonUnreachable = "unreachable"
 	reasonServerError = "serverError"
 	reasonResumed     = "resumed"
+	reasonMoved       = "moved"
 	reasonNoTime      = "noTime"
 )
 
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -78,6 +78,7 @@
 	budget   *retrybudget.Budget
 	tally    *tally.Tally
 
+	mover      apricotway.Mover
 	quarantine Quarantine
 	metrics    Metrics
 	logger     logr.Logger
@@ -101,6 +102,9 @@
 	return func(r *Relay) { r.quarantine = quarantine }
 }
 
+// WithMover sets what moves the runs of streams away from engines that leave. Without it they run until the engine ends.
+func WithMover(mover apricotway.Mover) Option { return func(r *Relay) { r.mover = mover } }
+
 // WithLeaving sets the check whether the process is about to stop, so that callers do not use their connections again.
 func WithLeaving(leaving func() bool) Option { return func(r *Relay) { r.leaving = leaving } }
 
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -65,11 +65,10 @@
 	send.Began(now, metadata.Load)
 	c.writeHeader(answer, -1)
 
-	if !c.route.Resumable {
-		return c.passStream(ctx, send, answer.Body, buffer, n, err)
-	}
+	current := &run{send: send, body: answer.Body, watch: watch, end: func() {}}
+	defer func() { current.end() }()
 
-	return c.passEvents(ctx, send, answer.Body, buffer, n, err, watch)
+	return c.pass(ctx, &current, buffer, n, err)
 }
 
 // streamBroken handles a stream that ended before anything of it was passed on.
@@ -90,44 +89,6 @@
 	return next{step: stepRepeat, reason: reasonBroken, arrived: true, ran: true}
 }
 
-// passStream passes on a stream that cannot go on elsewhere. A break ends the caller's connection, so that the answer does not
-// look complete.
-func (c *call) passStream(
-	ctx context.Context, send *dispatch.Send, body io.Reader, buffer []byte, n int, err error,
-) next {
-	flusher := http.NewResponseController(c.writer)
-
-	for {
-		if n > 0 {
-			if _, writeErr := c.writer.Write(buffer[:n]); writeErr != nil {
-				return c.cut(ctx, send, reasonCallerLeft, dispatch.OutcomeLeft)
-			}
-
-			// A flush fails only when the caller has left; the next write tells.
-			_ = flusher.Flush()
-		}
-
-		if errors.Is(err, io.EOF) {
-			send.End(c.relay.now(), dispatch.OutcomeDone)
-			c.ended(resultAnswered, http.StatusOK)
-
-			return answered
-		}
-
-		if err != nil {
-			if ctx.Err() != nil {
-				return c.cut(ctx, send, reasonEnded, dispatch.OutcomeLeft)
-			}
-
-			c.relay.quarantine.Broken(c.digest, send.Backend)
-
-			return c.cut(ctx, send, reasonBroken, dispatch.OutcomeFailed)
-		}
-
-		n, err = body.Read(buffer)
-	}
-}
-
 // cut ends the caller's connection in the middle of a stream.
 func (c *call) cut(ctx context.Context, send *dispatch.Send, reason string, outcome dispatch.Outcome) next {
 	if ctx.Err() != nil && errors.Is(c.request.Context().Err(), context.Canceled) {
@@ -139,52 +100,93 @@
 	panic(http.ErrAbortHandler)
 }
 
-// passEvents passes on a resumable stream by whole events and goes on at another engine when one breaks off.
-func (c *call) passEvents(
-	ctx context.Context, send *dispatch.Send, body io.Reader, buffer []byte, n int, err error, watch *watch,
-) next {
+// run is the part of a stream that one engine makes.
+type run struct {
+	send  *dispatch.Send
+	body  io.Reader
+	watch *watch
+	// end releases what the run holds; that of the first one ends with its attempt.
+	end func()
+	// memory is set once the engine has stopped the run so that it goes on at next.
+	memory *apricotway.RunMemory
+	next   *dispatch.Send
+	// stays tells that the engine could not stop the run.
+	stays bool
+}
+
+// pass passes a stream on by whole events. It goes on at another engine when the engine leaves, and when the engine breaks off
+// and the stream may be resumed. The current run is replaced then.
+func (c *call) pass(ctx context.Context, current **run, buffer []byte, n int, err error) next {
 	cutter := &events{last: c.metadata.LastEvent}
 
 	for {
-		reason, outcome := c.passRun(ctx, cutter, body, buffer, n, err, watch)
+		now := *current
+		reason, outcome := c.passRun(ctx, cutter, now, buffer, n, err)
+
 		if reason == "" {
-			send.End(c.relay.now(), dispatch.OutcomeDone)
+			now.send.End(c.relay.now(), dispatch.OutcomeDone)
 			c.ended(resultAnswered, http.StatusOK)
 
 			return answered
 		}
 
-		if outcome == dispatch.OutcomeLeft {
-			return c.cut(ctx, send, reason, outcome)
+		if now.memory != nil && outcome != dispatch.OutcomeLeft {
+			now.send.End(c.relay.now(), dispatch.OutcomeLeft)
+			c.steps = append(c.steps, reasonMoved)
+		} else {
+			now.send.End(c.relay.now(), outcome)
+			c.steps = append(c.steps, reason)
 		}
 
-		send.End(c.relay.now(), outcome)
+		if outcome == dispatch.OutcomeLeft {
+			return c.cut(ctx, now.send, reason, outcome)
+		}
 
-		if reason == reasonBroken {
-			c.relay.quarantine.Broken(c.digest, send.Backend)
+		following := c.following(ctx, now, cutter, reason)
+		if following == nil {
+			return c.cut(ctx, now.send, reason, outcome)
 		}
 
-		again, resumed := c.resume(ctx, cutter)
-		if resumed == nil {
-			return c.cut(ctx, send, reason, outcome)
+		now.end()
+
+		*current, n, err = following, 0, nil
+	}
+}
+
+// following returns the run that goes on behind the last whole event, nil without one.
+func (c *call) following(ctx context.Context, now *run, cutter *events, reason string) *run {
+	rest := cutter.pending
+	cutter.pending = nil
+
+	if now.memory != nil {
+		if moved := c.goOn(ctx, now, cutter.last); moved != nil {
+			return moved
 		}
+	}
 
-		send, body, watch = again, resumed.Body, resumed.watch
-		n, err = 0, nil
+	if reason == reasonBroken && now.memory == nil {
+		c.relay.quarantine.Broken(c.digest, now.send.Backend)
+	}
 
-		defer resumed.end()
+	if c.route.Resumable {
+		return c.resume(ctx, cutter.last)
 	}
+
+	// What arrived of the last event is the caller's, although the stream ends here.
+	_, _ = c.writer.Write(rest)
+
+	return nil
 }
 
 // passRun passes on the events of one engine. It returns an empty reason at the stream's end.
 func (c *call) passRun(
-	ctx context.Context, cutter *events, body io.Reader, buffer []byte, n int, err error, watch *watch,
+	ctx context.Context, cutter *events, now *run, buffer []byte, n int, err error,
 ) (reason string, outcome dispatch.Outcome) {
 	flusher := http.NewResponseController(c.writer)
 
 	for {
 		if whole := cutter.add(buffer[:n]); len(whole) > 0 {
-			watch.progress()
+			now.watch.progress()
 
 			if _, writeErr := c.writer.Write(whole); writeErr != nil {
 				return reasonCallerLeft, dispatch.OutcomeLeft
@@ -195,7 +197,7 @@
 		}
 
 		switch {
-		case errors.Is(err, io.EOF):
+		case errors.Is(err, io.EOF) && now.memory == nil:
 			if len(cutter.pending) > 0 {
 				// The end of the body is the end of the last event.
 				_, _ = c.writer.Write(cutter.pending)
@@ -204,74 +206,79 @@
 			return "", dispatch.OutcomeDone
 		case err != nil && ctx.Err() != nil:
 			return reasonEnded, dispatch.OutcomeLeft
-		case err != nil && watch.fired():
+		case err != nil && now.memory != nil:
+			return reasonMoved, dispatch.OutcomeDone
+		case err != nil && now.watch.fired():
 			return reasonSilent, dispatch.OutcomeFailed
 		case err != nil:
 			return reasonBroken, dispatch.OutcomeFailed
 		}
 
-		n, err = body.Read(buffer)
-	}
-}
-
-// resumed is the continuation of a stream at another engine.
-type resumed struct {
-	*apricotway.ForwardedAnswer
-
-	watch  *watch
-	cancel context.CancelFunc
-}
+		c.leave(ctx, now, cutter)
 
-func (r *resumed) end() {
-	r.watch.stop()
-	r.Body.Close()
-	r.cancel()
+		n, err = now.body.Read(buffer)
+	}
 }
 
-// resume sends the call to another engine, to go on behind the last whole event. It returns nil when no engine takes it.
-func (c *call) resume(ctx context.Context, cutter *events) (*dispatch.Send, *resumed) {
-	cutter.pending = nil
-
+// resume sends the call to another engine, to go on behind an event. It returns nil when no engine takes it.
+func (c *call) resume(ctx context.Context, last string) *run {
 	for c.mayRepeat(ctx, next{step: stepRepeat, arrived: true, ran: true}) {
 		send, refused := c.place()
 		if refused != nil {
-			return nil, nil
+			return nil
 		}
 
 		c.relay.metrics.Repeated(c.service, reasonResumed)
 
-		header := c.relay.dialect.ForwardHeader(c.request.Header)
-		c.relay.dialect.WriteSend(header, apricotway.SendMetadata{
-			Workspace: c.workspaceName(), Remaining: c.deadline.Sub(c.relay.now()), Server: send.Backend.ID,
-			Urgency: 0, LastEvent: cutter.last,
-		})
+		if resumed := c.sendOn(ctx, send, last, nil); resumed != nil {
+			return resumed
+		}
+	}
 
-		attempt, cancel := context.WithCancel(ctx)
-		w := c.watch(send, cancel)
-		c.tried = append(c.tried, send.Backend.ID)
+	return nil
+}
 
-		answer, err := c.relay.upstream.Send(attempt, send.Backend.Address, c.forwarded(header))
-		if err == nil && answer.Status == http.StatusOK {
+// sendOn sends the call to an engine that goes on behind an event, from the memory of a stopped run if there is one. It returns
+// nil when the engine does not.
+func (c *call) sendOn(ctx context.Context, send *dispatch.Send, last string, memory *apricotway.RunMemory) *run {
+	header := c.relay.dialect.ForwardHeader(c.request.Header)
+	c.relay.dialect.WriteSend(header, apricotway.SendMetadata{
+		Workspace: c.workspaceName(), Remaining: c.deadline.Sub(c.relay.now()), Server: send.Backend.ID,
+		Urgency: 0, LastEvent: last, Memory: memory,
+	})
+
+	attempt, cancel := context.WithCancel(ctx)
+	w := c.watch(send, cancel)
+	c.tried = append(c.tried, send.Backend.ID)
+
+	answer, err := c.relay.upstream.Send(attempt, send.Backend.Address, c.forwarded(header))
+	if err == nil && answer.Status == http.StatusOK {
+		if memory == nil {
 			c.sends++
-			send.Began(c.relay.now(), c.relay.dialect.ReadAnswer(answer.Status, answer.Header).Load)
-
-			return send, &resumed{ForwardedAnswer: answer, watch: w, cancel: cancel}
 		}
 
-		if err == nil {
-			answer.Body.Close()
-		}
+		send.Began(c.relay.now(), c.relay.dialect.ReadAnswer(answer.Status, answer.Header).Load)
 
-		w.stop()
-		cancel()
+		return &run{send: send, body: answer.Body, watch: w, end: func() {
+			w.stop()
+			_ = answer.Body.Close() // What is left of the stream is not wanted.
+			cancel()
+		}}
+	}
 
-		if ctx.Err() != nil {
-			send.End(c.relay.now(), dispatch.OutcomeLeft)
-			return nil, nil
-		}
+	if err == nil {
+		_ = answer.Body.Close() // The engine did not go on.
+	}
+
+	w.stop()
+	cancel()
 
-		send.End(c.relay.now(), dispatch.OutcomeFailed)
+	outcome := dispatch.OutcomeFailed
+	if ctx.Err() != nil {
+		outcome = dispatch.OutcomeLeft
 	}
 
-	return nil, nil
+	send.End(c.relay.now(), outcome)
+
+	return nil
 }
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -249,6 +249,21 @@
 	return send, RefusedNone, 0
 }
 
+// PlaceAt places a call on a given server, leaving or not. It returns nil when the server is gone.
+func (p *Pool) PlaceAt(now time.Time, id apricotway.BackendServerID, request Request) *Send {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	s := p.servers[id]
+	if s == nil {
+		return nil
+	}
+
+	s.running++
+
+	return &Send{Backend: s.backend, pool: p, server: s, request: request, sent: now}
+}
+
 func (p *Pool) demandLocked(service apricotway.Service) *Demand {
 	if p.demand[service] == nil {
 		p.demand[service] = &Demand{}
--- a/transport/upstream/dialect_test.go
+++ b/transport/upstream/dialect_test.go
@@ -44,6 +44,10 @@
 	header.Set("Workspace", string(send.Workspace))
 	header.Set("Server", string(send.Server))
 
+	if send.Memory != nil {
+		header.Set("Memory", send.Memory.Source.String()+"/"+send.Memory.Handle)
+	}
+
 	if send.LastEvent != "" {
 		header.Set("Last-Event-Id", send.LastEvent)
 	}
--- a/transport/upstream/relay_test.go
+++ b/transport/upstream/relay_test.go
@@ -67,6 +67,22 @@
 	front   *httptest.Server
 	// runs counts the calls that reached backend servers.
 	runs atomic.Int64
+	// move answers the questions to move a run; nil fails them.
+	move func() (copied bool, err error)
+}
+
+// Move implements apricotway.Mover.
+func (h *harness) Move(
+	_ context.Context, source netip.AddrPort, _ apricotway.AttemptID, _ netip.AddrPort,
+) (apricotway.RunMemory, bool, error) {
+	memory := apricotway.RunMemory{Source: source, Handle: "handle"}
+	if h.move == nil {
+		return memory, false, apricotway.ErrRunUnknown
+	}
+
+	copied, err := h.move()
+
+	return memory, copied, err
 }
 
 // route kinds of the tests, by path.
@@ -126,7 +142,8 @@
 	}
 
 	budget := retrybudget.New(retrybudget.Terms{Ratio: 0.2, Window: 10 * time.Second, Slack: 100})
-	h.front = httptest.NewServer(relay.New(testDialect{}, upstream.New(), h.catalog, h.pool, h.limiter, budget, h.tally))
+	h.front = httptest.NewServer(relay.New(testDialect{}, upstream.New(), h.catalog, h.pool, h.limiter, budget, h.tally,
+		relay.WithMover(h)))
 	t.Cleanup(h.front.Close)
 
 	return h
@@ -535,3 +552,97 @@
 
 	h.wantRuns(0)
 }
+
+// movable plays the engines of a stream that is moved: the first one stops within an event once it is asked to.
+type movable struct {
+	// stop is closed when the run is to stop, leave is called before the third event.
+	stop  chan struct{}
+	leave func(server string)
+	calls atomic.Int64
+	// second holds the header of the call that goes on.
+	second http.Header
+}
+
+func (m *movable) serve(w http.ResponseWriter, r *http.Request) {
+	if m.calls.Add(1) > 1 {
+		m.second = r.Header.Clone()
+		streamOf(9, 0)(w, r)
+
+		return
+	}
+
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(w, event(1)+event(2))
+	_ = http.NewResponseController(w).Flush()
+
+	m.leave(r.Header.Get("Server"))
+
+	_, _ = io.WriteString(w, event(3)+event(4)[:5])
+	_ = http.NewResponseController(w).Flush()
+
+	select {
+	case <-m.stop:
+		panic(http.ErrAbortHandler)
+	case <-r.Context().Done():
+	}
+}
+
+// TestMove guards the streams of an engine that leaves, also those that may not be resumed: the run is stopped, goes on where its
+// memory is, and the caller gets every event once. When the copy failed it goes on at its source.
+func TestMove(t *testing.T) {
+	for name, copied := range map[string]bool{"copied": true, "copy failed": false} {
+		t.Run(name, func(t *testing.T) {
+			m := &movable{stop: make(chan struct{})}
+			h := newHarness(t, m.serve, m.serve)
+			source := ""
+			m.leave = func(server string) {
+				source = server
+
+				for _, backend := range h.pool.Backends() {
+					if string(backend.ID) == server {
+						backend.Leaving = true
+						h.pool.Update(backend, time.Now())
+					}
+				}
+			}
+			h.move = func() (bool, error) {
+				close(m.stop)
+				return copied, nil
+			}
+
+			_, got, err := h.call("/stream/", nil) //nolint:bodyclose // The call has read and closed it.
+
+			want := ""
+			for id := 1; id <= 9; id++ {
+				want += event(id)
+			}
+
+			if err != nil || got != want {
+				t.Errorf("got %q and %v, want %q", got, err, want)
+			}
+
+			if got := m.second.Get("Memory"); got == "" {
+				t.Error("got a run that begins anew, want one that goes on from memory")
+			}
+
+			if got := m.second.Get("Server") == source; got == copied {
+				t.Errorf("got the run at its source: %t, want %t", got, !copied)
+			}
+		})
+	}
+}
+
+// TestNotMoved guards a stream whose engine leaves and does not know the run any more: it ends there.
+func TestNotMoved(t *testing.T) {
+	h := newHarness(t, streamOf(9, 0))
+
+	for _, backend := range h.pool.Backends() {
+		backend.Leaving = true
+		defer h.pool.Update(backend, time.Now())
+	}
+
+	_, got, err := h.call("/stream/", nil) //nolint:bodyclose // The call has read and closed it.
+	if want := event(9); err != nil || !strings.HasSuffix(got, want) {
+		t.Errorf("got %q and %v, want it to end with %q", got, err, want)
+	}
+}
