Count on-demand engines that are ordered and do not serve yet

Cause: while no reclaimable engines were to be had, on-demand ones were added every 0.5 s until the first ones served: 9 to 20 in place of 5 (TestAllZonesDry: 12, bound 6).

--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -172,10 +172,10 @@
 
 	// Reclaimable engines that are ordered and do not serve yet, and those that cannot be had, are stood in for by on-demand
 	// engines that serve already. They are given up once all are there.
-	standIn, serving := left, 0
+	standIn, expected := left, 0
 	for _, name := range names {
 		standIn += max(wanted[name].Reclaimable-live[name].Reclaimable, 0)
-		serving += live[name].Reclaimable + live[name].OnDemand
+		expected += live[name].Reclaimable
 	}
 
 	for _, name := range names {
@@ -183,10 +183,11 @@
 		have := max(live[name].OnDemand, p.zones[name].ordered[kindOnDemand])
 		c.OnDemand = min(have, standIn, max(rule.Max-c.Reclaimable, 0))
 		standIn -= c.OnDemand
+		expected += c.OnDemand
 		wanted[name] = c
 	}
 
-	p.addOnDemand(rule, names, wanted, min(left, p.floor()-serving))
+	p.addOnDemand(rule, names, wanted, min(left, p.floor()-expected))
 
 	for _, name := range names {
 		c := wanted[name]
--- a/state/scaling/scaling_test.go
+++ b/state/scaling/scaling_test.go
@@ -211,6 +211,11 @@
 		t.Errorf("got %d on-demand engines, want at least %d", got, want)
 	}
 
+	// Those that are ordered and do not serve yet count as well.
+	if got, want := c.total().OnDemand, 6; got > want {
+		t.Errorf("got %d on-demand engines, want at most %d", got, want)
+	}
+
 	c.run(30*time.Second, scaling.Load{})
 
 	if got, want := c.total(), (scaling.Counts{Reclaimable: 12}); got != want {
