--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -20,7 +20,7 @@
 	repeatPause = 8 * time.Second
 	// floorPart is the part of the target below which on-demand engines are started: they cost several times as much and come
 	// after the boot time.
-	floorPart = 0.4
+	floorPart = 0.55
 	// shrinkAfter is the time for which fewer engines must suffice before any is given up.
 	shrinkAfter = 6 * time.Second
 )
