Read the store at one process and pass the news on

The holder of the duties answers reports with what it read, with the age of the proof for keys; the others read only a newer configuration, and everything when the news stop.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -30,6 +30,8 @@
 	answerTime = 1500 * time.Millisecond
 	// leastWait is the shortest waiting read.
 	leastWait = 50 * time.Millisecond
+	// informedPause is the time between two looks whether another process still passes its news on.
+	informedPause = 200 * time.Millisecond
 	// retryPause is the pause after a read that failed.
 	retryPause = 150 * time.Millisecond
 	// provePause is the least time between two reads that calls ask for.
@@ -72,8 +74,16 @@
 	// failing is set while the list cannot be read; returned is the time at which it could be read again.
 	failing  bool
 	returned time.Time
+	// journal holds the changes for other processes; told is the place up to which this one has those of another, since toldAt.
+	journal journal
+	told    Position
+	toldAt  time.Duration
+	// reads tells that this process reads the store for all.
+	reads atomic.Bool
 	// lapsed holds the servers whose removal waits for the end of returnTime.
 	lapsed map[apricotway.BackendServerID]bool
+	// entries holds the newest usable entry of each server.
+	entries map[apricotway.BackendServerID]apricotway.Backend
 }
 
 // Option changes a catalog under construction.
@@ -100,6 +110,7 @@
 	c := &Catalog{
 		store: store, servers: servers, logger: logr.Discard(), keyValidity: DefaultKeyValidity,
 		changed: func(*route.Table) {}, boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
+		entries: map[apricotway.BackendServerID]apricotway.Backend{},
 		refresh: make(chan struct{}, 1),
 	}
 	for _, option := range options {
@@ -187,16 +198,29 @@
 	return c.listed && c.table.Load() != nil
 }
 
-// follow repeats a read for as long as the context holds.
-func (c *Catalog) follow(ctx context.Context, name string, read func(ctx context.Context) error) error {
-	failing := false
+// follow repeats a read for as long as the context holds and no other process passes on what it read. The read that follows a
+// time of news begins anew.
+func (c *Catalog) follow(ctx context.Context, name string, read func(ctx context.Context, anew bool) error) error {
+	failing, behind := false, false
 
 	for {
-		err := read(ctx)
+		if c.informed() && !c.reads.Load() {
+			if !pause.For(ctx, informedPause) {
+				return ctx.Err()
+			}
+
+			behind = true
+
+			continue
+		}
+
+		err := read(ctx, behind)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 
+		behind = behind && err != nil
+
 		if (err != nil) != failing {
 			failing = err != nil
 			if failing {
@@ -213,16 +237,18 @@
 }
 
 // readDeployment returns a function that reads the configuration once.
-func (c *Catalog) readDeployment() func(ctx context.Context) error {
+func (c *Catalog) readDeployment() func(ctx context.Context, anew bool) error {
 	var (
 		position apricotway.Offset
 		known    bool
 	)
 
-	return func(ctx context.Context) error {
+	return func(ctx context.Context, anew bool) error {
 		ctx, cancel := context.WithTimeout(ctx, configWait+answerTime)
 		defer cancel()
 
+		known = known && !anew
+
 		began := c.boot()
 
 		var (
@@ -278,13 +304,15 @@
 }
 
 // readBackends returns a function that reads the list of backend servers once.
-func (c *Catalog) readBackends() func(ctx context.Context) error {
+func (c *Catalog) readBackends() func(ctx context.Context, anew bool) error {
 	var (
 		position apricotway.Offset
 		known    bool
 	)
 
-	return func(ctx context.Context) error {
+	return func(ctx context.Context, anew bool) error {
+		known = known && !anew
+
 		limited, cancel := context.WithTimeout(ctx, backendWait+answerTime)
 		defer cancel()
 
@@ -313,7 +341,9 @@
 		}
 
 		if whole {
+			c.mu.Lock()
 			changes = append(changes, c.missing(changes)...)
+			c.mu.Unlock()
 		}
 
 		c.applyChanges(changes)
@@ -336,7 +366,7 @@
 	return min(max(returnTime-time.Since(c.returned), leastWait), backendWait)
 }
 
-// missing returns the removal of every known server that a whole list does not name.
+// missing returns the removal of every known server that a whole list does not name; it needs the lock.
 func (c *Catalog) missing(changes []apricotway.BackendChange) []apricotway.BackendChange {
 	named := make(map[apricotway.BackendServerID]bool, len(changes))
 	for _, change := range changes {
@@ -377,12 +407,7 @@
 	for _, change := range changes {
 		if change.Backend != nil {
 			delete(c.lapsed, change.ID)
-			c.servers.Update(*change.Backend, now)
-
-			if change.Backend.Leaving {
-				c.logger.Info("backend server leaves", "event", 284, "server", change.ID, "service", change.Backend.Service,
-					"zone", change.Backend.Zone, "leavesIn", change.Backend.LeavesIn)
-			}
+			c.update(*change.Backend)
 
 			continue
 		}
@@ -408,8 +433,33 @@
 	}
 }
 
+// update takes the entry of a server. An entry that says nothing new is no change; it needs the lock.
+func (c *Catalog) update(backend apricotway.Backend) {
+	if c.entries[backend.ID] == backend {
+		return
+	}
+
+	left := c.entries[backend.ID].Leaving
+	c.entries[backend.ID] = backend
+	c.servers.Update(backend, time.Now())
+	c.journal.add(apricotway.BackendChange{ID: backend.ID, Backend: &backend})
+
+	if backend.Leaving && !left {
+		c.logger.Info("backend server leaves", "event", 284, "server", backend.ID, "service", backend.Service,
+			"zone", backend.Zone, "leavesIn", backend.LeavesIn)
+	}
+}
+
+// remove drops a server; it needs the lock.
 func (c *Catalog) remove(id apricotway.BackendServerID) {
 	delete(c.lapsed, id)
+
+	if _, known := c.entries[id]; !known {
+		return
+	}
+
+	delete(c.entries, id)
 	c.servers.Remove(id)
+	c.journal.add(apricotway.BackendChange{ID: id})
 	c.logger.Info("backend server gone", "event", 286, "server", id)
 }
--- /dev/null
+++ b/coordination/catalog/news.go
@@ -0,0 +1,158 @@
+package catalog
+
+import (
+	"time"
+
+	"github.com/apricotway/apricotway"
+)
+
+const (
+	// newsLifetime is the time after the last news from the holder of the duties for which a process does not read the store
+	// itself.
+	newsLifetime = 1500 * time.Millisecond
+	// oldestProof bounds the age of what the holder passes on. A holder that is cut off from the store passes on nothing then,
+	// and every process reads for itself.
+	oldestProof = 2500 * time.Millisecond
+	// keptChanges bounds the changes that are kept for others; one that is further behind gets the whole list.
+	keptChanges = 512
+)
+
+// Position is the place in the changes of a process up to which another one has them.
+type Position struct {
+	Source   apricotway.NodeID
+	Sequence uint64
+}
+
+// News is what one process passes on of what it read from the store, so that not every process has to read it.
+type News struct {
+	Position
+
+	// Fresh tells that the process reads the store at present; otherwise the rest is empty.
+	Fresh bool
+	// Whole tells that Changes is the whole list and not only what came after the asked position.
+	Whole   bool
+	Changes []apricotway.BackendChange
+	// Version is that of the newest configuration. A process with an older one reads it from the store.
+	Version uint64
+	// Age is the time since the read of the configuration began, when the news were made.
+	Age time.Duration
+}
+
+// journal keeps the last effective changes of the list, for others.
+type journal struct {
+	sequence uint64
+	changes  []apricotway.BackendChange
+}
+
+func (j *journal) add(change apricotway.BackendChange) {
+	j.sequence++
+	j.changes = append(j.changes, change)
+
+	if len(j.changes) > keptChanges {
+		j.changes = append(j.changes[:0], j.changes[len(j.changes)-keptChanges/2:]...)
+	}
+}
+
+// after returns the changes behind a sequence number, and false when they are no longer kept.
+func (j *journal) after(sequence uint64) ([]apricotway.BackendChange, bool) {
+	behind := j.sequence - sequence
+	if sequence > j.sequence || behind > uint64(len(j.changes)) {
+		return nil, false
+	}
+
+	return append([]apricotway.BackendChange(nil), j.changes[uint64(len(j.changes))-behind:]...), true
+}
+
+// Position returns the place up to which this process has the changes of another one.
+func (c *Catalog) Position() Position {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.told
+}
+
+// Now returns the time on the clock of proofs, to be passed to Take.
+func (c *Catalog) Now() time.Duration { return c.boot() }
+
+// News returns what this process read from the store behind the position of another one.
+func (c *Catalog) News(self apricotway.NodeID, after Position) News {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	table := c.table.Load()
+	age := c.boot() - time.Duration(c.proof.Load())
+
+	if table == nil || !c.listed || c.failing || c.proof.Load() == 0 || age > oldestProof {
+		return News{}
+	}
+
+	news := News{
+		Position: Position{Source: self, Sequence: c.journal.sequence}, Fresh: true, Version: table.Version, Age: age,
+	}
+
+	if changes, ok := c.journal.after(after.Sequence); ok && after.Source == self {
+		news.Changes = changes
+		return news
+	}
+
+	news.Whole = true
+
+	for _, backend := range c.servers.Backends() {
+		news.Changes = append(news.Changes, apricotway.BackendChange{ID: backend.ID, Backend: &backend})
+	}
+
+	return news
+}
+
+// Take takes the news that another process passed on. The question for them was sent at the given time, before they were made.
+func (c *Catalog) Take(sent time.Duration, news News) {
+	if !news.Fresh {
+		return
+	}
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if !news.Whole && news.Source != c.told.Source {
+		return
+	}
+
+	changes := news.Changes
+	if news.Whole {
+		changes = append(changes, c.missing(changes)...)
+	}
+
+	for _, change := range changes {
+		if change.Backend == nil {
+			c.remove(change.ID)
+		} else {
+			delete(c.lapsed, change.ID)
+			c.update(*change.Backend)
+		}
+	}
+
+	c.told, c.toldAt, c.listed = news.Position, c.boot(), true
+
+	// Without the version that the proof is about, it proves nothing here.
+	table := c.table.Load()
+	if table != nil && table.Version >= news.Version {
+		c.proved(sent - news.Age)
+		return
+	}
+
+	select {
+	case c.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// informed tells whether another process passes its news on to this one.
+func (c *Catalog) informed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.toldAt != 0 && c.boot()-c.toldAt < newsLifetime && c.table.Load() != nil
+}
+
+// Reads sets whether this process has to read the store itself, as the one that passes the news on.
+func (c *Catalog) Reads(self bool) { c.reads.Store(self) }
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -16,6 +16,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/coordination/duty"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/dispatch"
@@ -32,7 +33,7 @@
 	// leastPeriod is the time between two reports of a process; with many processes periodPerMember for each of them, so
 	// that the holder answers a bounded number of reports.
 	leastPeriod     = 120 * time.Millisecond
-	periodPerMember = 8 * time.Millisecond
+	periodPerMember = 6 * time.Millisecond
 	// reportTime bounds one report.
 	reportTime = time.Second
 	// settleTime is the time after a window's end until the counts of all processes have arrived.
@@ -46,8 +47,8 @@
 	// statePeriod is the time between two records of the gathered counts. A death of all processes loses that much of a
 	// window, of which a twentieth may be missing.
 	statePeriod = 250 * time.Millisecond
-	// demandSmoothing is the weight of the newest demand.
-	demandSmoothing = 0.1
+	// demandLife is the time over which demand is averaged.
+	demandLife = 1500 * time.Millisecond
 	// workLifetime is the time for which the work of a process counts without a newer report.
 	workLifetime = 3 * time.Second
 )
@@ -63,6 +64,8 @@
 	// Demand is that since the last report, over the time Elapsed.
 	Demand  map[apricotway.Service]dispatch.Demand
 	Elapsed time.Duration
+	// Known is the place up to which the process has the holder's news of the store.
+	Known catalog.Position
 }
 
 // Answer is what the holder returns.
@@ -73,11 +76,18 @@
 	Credit map[apricotway.Workspace]float64
 	// Others holds the work of all other processes.
 	Others map[apricotway.BackendServerID]dispatch.Work
+	// News is what the holder read from the store.
+	News catalog.News
 }
 
 // Catalog is the configuration as far as the process knows it.
 type Catalog interface {
 	Table() *route.Table
+	Position() catalog.Position
+	Now() time.Duration
+	News(self apricotway.NodeID, after catalog.Position) catalog.News
+	Take(sent time.Duration, news catalog.News)
+	Reads(self bool)
 }
 
 // Parts are the parts of the process that the rollup reads and sets.
@@ -182,9 +192,10 @@
 	for {
 		members := r.countMembers()
 		r.Limiter.SetMembers(members)
+		r.Pool.SetMembers(members, reportPeriod(members))
 		r.Budget.SetMembers(members)
 
-		if !pause.For(ctx, max(leastPeriod, time.Duration(members)*periodPerMember)) {
+		if !pause.For(ctx, reportPeriod(members)) {
 			return ctx.Err()
 		}
 
@@ -194,6 +205,11 @@
 	}
 }
 
+// reportPeriod is the time between two reports of a process.
+func reportPeriod(members int) time.Duration {
+	return max(leastPeriod, time.Duration(members)*periodPerMember)
+}
+
 // countMembers counts the processes that may be alive, with this one.
 func (r *Rollup) countMembers() int {
 	count := 1
@@ -212,10 +228,15 @@
 		Node:     r.membership.Self().Node,
 		Counts:   r.Tally.Counts(r.Tally.Window(now) - firstWindows),
 		Accounts: r.Limiter.Accounts(),
+		Known:    r.Catalog.Position(),
 		Work:     r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
 	}
 
-	if _, held := r.duty.Held(); held {
+	sent := r.Catalog.Now()
+	_, held := r.duty.Held()
+	r.Catalog.Reads(held)
+
+	if held {
 		r.accept(now, r.receive(now, report))
 		return
 	}
@@ -235,6 +256,7 @@
 	}
 
 	r.accept(time.Now(), answer)
+	r.Catalog.Take(sent, answer.News)
 }
 
 func (r *Rollup) holderAddress() (address netip.AddrPort, ok bool) {
@@ -277,6 +299,10 @@
 		Others: map[apricotway.BackendServerID]dispatch.Work{},
 	}
 
+	if self := r.membership.Self().Node; report.Node != self {
+		answer.News = r.Catalog.News(self, report.Known)
+	}
+
 	for node, other := range r.reports {
 		if now.Sub(other.at) > workLifetime {
 			delete(r.reports, node)
@@ -377,14 +403,15 @@
 func (r *Rollup) smooth(report Report) map[apricotway.Service]scaling.Load {
 	seconds := max(report.Elapsed.Seconds(), leastPeriod.Seconds())
 	loads := map[apricotway.Service]scaling.Load{}
+	weight := min(seconds/demandLife.Seconds(), 1)
 
 	for service, before := range r.reports[report.Node].demand {
-		loads[service] = scaling.Load{Prefill: before.Prefill * (1 - demandSmoothing)}
+		loads[service] = scaling.Load{Prefill: before.Prefill * (1 - weight)}
 	}
 
 	for service, demand := range report.Demand {
 		load := loads[service]
-		load.Prefill += demandSmoothing * demand.PrefillTokens / seconds
+		load.Prefill += weight * demand.PrefillTokens / seconds
 		loads[service] = load
 	}
 
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -67,8 +68,12 @@
 	servers map[apricotway.BackendServerID]*server
 	// services holds the servers of each service in an order that does not matter.
 	services map[apricotway.Service][]*server
-	// arrivals counts the placed calls by service since the last report.
+	// members is the number of processes that place calls, and period the time between two reports of each.
+	members int
+	period  time.Duration
+	// demand counts what callers asked for since the last report.
 	demand map[apricotway.Service]*Demand
+	rates  map[apricotway.Service]*callRate
 }
 
 // Demand is what the callers of one process asked of a service since the last report.
@@ -96,6 +101,7 @@
 		servers:  map[apricotway.BackendServerID]*server{},
 		services: map[apricotway.Service][]*server{},
 		demand:   map[apricotway.Service]*Demand{},
+		rates:    map[apricotway.Service]*callRate{},
 	}
 	for _, option := range options {
 		option(p)
@@ -223,6 +229,12 @@
 	demand := p.demandLocked(request.Service)
 	demand.Calls++
 
+	if p.rates[request.Service] == nil {
+		p.rates[request.Service] = &callRate{}
+	}
+
+	p.rates[request.Service].add(now)
+
 	best, estimate := p.chooseLocked(now, request)
 	if best == nil {
 		demand.Refused++
@@ -272,6 +284,44 @@
 	return p.demand[service]
 }
 
+// SetMembers sets the number of processes that place calls, and the time between two reports of each.
+func (p *Pool) SetMembers(members int, period time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.members, p.period = members, period
+}
+
+// candidatesLocked returns the number of servers out of n that one call is compared on. Between two reports the other processes
+// place calls by the same picture; if all took the server that looks best, they would all take the same one.
+func (p *Pool) candidatesLocked(now time.Time, service apricotway.Service, n int) int {
+	rate := p.rates[service]
+	if rate == nil || p.members < 2 {
+		return n
+	}
+
+	unseen := rate.now(now) * p.period.Seconds() * float64(p.members-1)
+	count := int(math.Round(float64(n) / (1 + unseen/float64(max(n, 1)))))
+
+	return min(max(count, leastCandidates), n)
+}
+
+// callRate is the rate of calls of one service at this process.
+type callRate struct {
+	// perSecond is the rate at the given time.
+	perSecond float64
+	at        time.Time
+}
+
+func (r *callRate) now(now time.Time) float64 {
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateLife.Seconds())
+}
+
+func (r *callRate) add(now time.Time) {
+	r.perSecond = r.now(now) + 1/rateLife.Seconds()
+	r.at = now
+}
+
 // TakeDemand returns the demand since the last call.
 func (p *Pool) TakeDemand() map[apricotway.Service]Demand {
 	p.mu.Lock()
@@ -299,11 +349,21 @@
 		chosen    estimate
 	)
 
-	for _, s := range p.services[request.Service] {
+	all := p.services[request.Service]
+	count := p.candidatesLocked(now, request.Service, len(all))
+	// Each server is compared with this probability, the home of the prompt always.
+	chance := float64(count) / float64(max(len(all), 1))
+
+	for _, s := range all {
 		if s.backend.Leaving || contains(request.Avoid, s.backend.ID) {
 			continue
 		}
 
+		// The last resort is any server that can take the call.
+		if best != nil && s != home && p.random.Float64() >= chance {
+			continue
+		}
+
 		e := s.estimate(now, request, chain, s == home)
 		score := e.score
 
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -28,6 +28,10 @@
 	longLane = 0.6
 	// otherLanePenalty in milliseconds is the wait from which a prompt goes to an engine of the other part.
 	otherLanePenalty = 150.0
+	// leastCandidates is the least number of servers that a call is compared on.
+	leastCandidates = 3
+	// rateLife is the time over which the rate of calls is averaged.
+	rateLife = 2 * time.Second
 	// scoreNoise keeps processes with the same view from choosing the same server.
 	scoreNoise = 0.1
 	// noServerPause is the time after which a caller comes back when no server is known.
--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -21,8 +21,13 @@
 	// floorPart is the part of the target below which on-demand engines are started: they cost several times as much and come
 	// after the boot time.
 	floorPart = 0.55
+	// learnTime is the time under load before engines that were there at the start are given up: the operators started as many
+	// as they expect to need.
+	learnTime = 6 * time.Second
+	// shrinkPart is the part of the target that is given up at a time.
+	shrinkPart = 0.05
 	// shrinkAfter is the time for which fewer engines must suffice before any is given up.
-	shrinkAfter = 6 * time.Second
+	shrinkAfter = 4 * time.Second
 )
 
 // Terms are the assumptions about one engine.
@@ -89,6 +94,8 @@
 	// target is the number of engines, and lowerSince the time since when a lower one would do.
 	target     int
 	lowerSince time.Time
+	// loadedSince is the time at which a load was seen first.
+	loadedSince time.Time
 }
 
 // New returns a planner that knows of no orders.
@@ -111,7 +118,7 @@
 func (p *Planner) Plan(
 	now time.Time, rule apricotway.CapacityRule, live map[apricotway.Zone]Counts, load Load,
 ) []Order {
-	p.setTarget(now, p.terms.Needed(load), live)
+	p.setTarget(now, p.terms.Needed(load), load.Prefill+load.Running, live)
 
 	names := make([]apricotway.Zone, 0, len(rule.ZonePrices))
 	for name := range rule.ZonePrices {
@@ -143,12 +150,21 @@
 
 // setTarget follows a growing need at once and a falling one slowly. A planner that knows nothing of the load yet, as after its
 // predecessor's death, keeps the engines that serve.
-func (p *Planner) setTarget(now time.Time, needed int, live map[apricotway.Zone]Counts) {
-	if p.target == 0 {
+func (p *Planner) setTarget(now time.Time, needed int, load float64, live map[apricotway.Zone]Counts) {
+	if load > 0 && p.loadedSince.IsZero() {
+		p.loadedSince = now
+	}
+
+	if p.loadedSince.IsZero() || now.Sub(p.loadedSince) < learnTime {
+		var present Counts
+
 		for _, counts := range live {
-			p.target += counts.Reclaimable + counts.OnDemand
+			present.Reclaimable += counts.Reclaimable
+			present.OnDemand += counts.OnDemand
 		}
 
+		// Both kinds serve together only while one replaces the other.
+		p.target = max(p.target, present.Reclaimable, present.OnDemand)
 		p.lowerSince = now
 	}
 
@@ -158,7 +174,7 @@
 	}
 
 	if now.Sub(p.lowerSince) >= shrinkAfter {
-		p.target--
+		p.target = max(needed, p.target-1-int(shrinkPart*float64(p.target)))
 		p.lowerSince = now
 	}
 }
