Estimate the wait behind prompts of each size, without engines for long ones

Cause: the estimate counted all prompts at an engine as ahead of a short one, although engines read short ones first. Work is told by four sizes, which are also the urgency inside an engine.

--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -145,7 +145,10 @@
 
 	supervisor := suture.NewSimple("test")
 	pool := dispatch.New()
-	c := catalog.New(supervisor, s, pool, options...)
+	begin := time.Now()
+	// The machine's own clock does not follow virtual time.
+	clock := catalog.WithBootClock(func() time.Duration { return time.Hour + time.Since(begin) })
+	c := catalog.New(supervisor, s, pool, append([]catalog.Option{clock}, options...)...)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := supervisor.ServeBackground(ctx)
 
--- /dev/null
+++ b/coordination/catalog/news_test.go
@@ -0,0 +1,140 @@
+package catalog_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/catalog"
+	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/state/dispatch"
+)
+
+// pass passes the news of one catalog on to another one for a time.
+func pass(from, to *catalog.Catalog, duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		sent := to.Now()
+		to.Take(sent, from.News("reader", to.Position()))
+		<-time.After(100 * time.Millisecond)
+		synctest.Wait()
+	}
+}
+
+func wantKnown(t *testing.T, pool *dispatch.Pool, want map[apricotway.BackendServerID]bool) {
+	t.Helper()
+
+	for id, known := range want {
+		if got := knows(pool, id); got != known {
+			t.Errorf("server %s: got known: %t, want %t", id, got, known)
+		}
+	}
+}
+
+// TestNews guards the processes that do not read the store themselves: they know what the reader knows, changes included, they
+// leave the store alone, and they read again when the news stop.
+func TestNews(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		near, far := newStore(), newStore()
+		near.publish(3)
+		near.register("a", false)
+		near.register("b", false)
+		far.publish(3)
+
+		reader, _ := start(t, near)
+		told, pool := start(t, far)
+
+		wait(time.Second)
+		pass(reader, told, 2*time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": true, "b": true})
+
+		// The store of the second process would say something else.
+		far.register("elsewhere", false)
+		near.register("c", false)
+		near.drop("a")
+		near.register("b", true)
+		pass(reader, told, 2*time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false, "c": true, "elsewhere": false})
+
+		if got, want := pool.Leaving("b"), true; got != want {
+			t.Errorf("got leaving: %t, want %t", got, want)
+		}
+
+		if got, want := told.KeysFresh(), true; got != want {
+			t.Errorf("got fresh keys: %t, want %t", got, want)
+		}
+
+		// A newer configuration is read from the store.
+		near.publish(8)
+		far.publish(8)
+		pass(reader, told, 3*time.Second)
+
+		if got, want := version(told), uint64(8); got != want {
+			t.Errorf("got version %d, want %d", got, want)
+		}
+
+		wait(4 * time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"elsewhere": true, "c": false})
+	})
+}
+
+// TestStaleNews guards keys that were taken away against a reader that is cut off from the store: it passes nothing on, and the
+// others do not take its last proof for a newer one.
+func TestStaleNews(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		near, far := newStore(), newStore()
+		near.publish(3)
+		near.register("a", false)
+		far.publish(3)
+
+		reader, _ := start(t, near, catalog.WithKeyValidity(4*time.Second))
+		told, _ := start(t, far, catalog.WithKeyValidity(4*time.Second))
+
+		wait(time.Second)
+		pass(reader, told, time.Second)
+		near.set(func(s *store) { s.down = true })
+		far.set(func(s *store) { s.down = true })
+		pass(reader, told, 6*time.Second)
+
+		if got := reader.News("reader", catalog.Position{}); got.Fresh {
+			t.Errorf("got news %+v of a cut-off reader, want none", got)
+		}
+
+		if got, want := told.KeysFresh(), false; got != want {
+			t.Errorf("got fresh keys: %t, want %t", got, want)
+		}
+	})
+}
+
+// TestManyChanges guards a process that is far behind: it gets the whole list.
+func TestManyChanges(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		near, far := newStore(), newStore()
+		near.publish(3)
+		near.register("a", false)
+		far.publish(3)
+
+		reader, _ := start(t, near)
+		told, pool := start(t, far)
+
+		wait(time.Second)
+		pass(reader, told, time.Second)
+
+		for i := range 2000 {
+			near.register("b", i%2 == 0)
+		}
+
+		near.drop("a")
+		wait(2 * time.Second)
+
+		sent := told.Now()
+		news := reader.News("reader", told.Position())
+		told.Take(sent, news)
+
+		if got, want := news.Whole, true; got != want {
+			t.Errorf("got a whole list: %t, want %t", got, want)
+		}
+
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false, "b": true})
+	})
+}
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -315,8 +315,7 @@
 
 		for server, w := range other.work {
 			sum := answer.Others[server]
-			sum.Running += w.Running
-			sum.Prefill += w.Prefill
+			sum.Add(w)
 			answer.Others[server] = sum
 		}
 	}
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -111,13 +111,6 @@
 	}
 }
 
-// Sizes of prompts in tokens from which a call is less urgent inside an engine.
-const (
-	middlePrompt = 1500
-	longPrompt   = 5000
-	hugePrompt   = 20000
-)
-
 // urgency orders the call inside an engine: the shortest prompts first, since each of them delays the others least, and by rank
 // among prompts of about the same size.
 func (c *call) urgency() int {
@@ -130,15 +123,9 @@
 		rank = *c.workspace.Rank
 	}
 
-	size := 0
-
-	for _, bound := range []int{middlePrompt, longPrompt, hugePrompt} {
-		if c.metadata.PromptTokens > bound {
-			size += 2
-		}
-	}
+	const ranks = 2
 
-	return size + min(max(rank, 0), 1) + 1
+	return ranks*dispatch.SizeOf(c.metadata.PromptTokens) + min(max(rank, 0), ranks-1) + 1
 }
 
 // sendFailed classifies a send without an answer.
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -4,10 +4,8 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -118,13 +116,7 @@
 	known := p.servers[backend.ID]
 	if known != nil && known.backend.Service == backend.Service && known.backend.Address == backend.Address &&
 		known.backend.Born.Equal(backend.Born) {
-		leaves := known.backend.Leaving != backend.Leaving
 		known.backend = backend
-
-		if leaves {
-			p.divideLanes(backend.Service)
-		}
-
 		return
 	}
 
@@ -135,7 +127,6 @@
 	added := newServer(backend, now)
 	p.servers[backend.ID] = added
 	p.services[backend.Service] = append(p.services[backend.Service], added)
-	p.divideLanes(backend.Service)
 }
 
 // Remove drops a server. Its calls in flight go on.
@@ -155,33 +146,11 @@
 	for i, other := range list {
 		if other == gone {
 			p.services[gone.backend.Service] = append(list[:i:i], list[i+1:]...)
-			p.divideLanes(gone.backend.Service)
-
 			return
 		}
 	}
 }
 
-// divideLanes divides the engines of a service into one part for long prompts and one for short ones: a long prompt delays the
-// first event of every short one that arrives at its engine while it is read, and other processes hear of it late. All
-// processes divide alike, by a hash of the servers' identifiers; it needs the lock.
-func (p *Pool) divideLanes(service apricotway.Service) {
-	var serving []*server
-
-	for _, s := range p.services[service] {
-		if !s.backend.Leaving {
-			serving = append(serving, s)
-		}
-	}
-
-	slices.SortFunc(serving, func(a, b *server) int { return cmp.Compare(a.hash, b.hash) })
-
-	count := int(longLane * float64(len(serving)))
-	for i, s := range serving {
-		s.long = i < count
-	}
-}
-
 // Backends returns the newest entry of every server.
 func (p *Pool) Backends() []apricotway.Backend {
 	p.mu.Lock()
@@ -255,7 +224,7 @@
 	}
 
 	best.running++
-	best.prefill += estimate.prefill
+	best.begin(estimate.prefill, 1, request.PromptTokens)
 	best.remember(now, request.Parts)
 
 	return send, RefusedNone, 0
@@ -341,7 +310,6 @@
 func (p *Pool) chooseLocked(now time.Time, request Request) (*server, estimate) {
 	chain := chainOf(request.Parts)
 	home := p.homeLocked(request.Service, chain)
-	long := request.PromptTokens > 0 && float64(request.PromptTokens) > longPrompt
 
 	var (
 		best      *server
@@ -375,10 +343,6 @@
 			score += otherZonePenalty
 		}
 
-		if request.PromptTokens > 0 && long != s.long {
-			score += otherLanePenalty
-		}
-
 		score *= 1 + scoreNoise*p.random.Float64()
 
 		if best == nil || score < bestScore {
@@ -403,7 +367,7 @@
 	}
 
 	s.first = true
-	s.server.prefill = max(s.server.prefill-s.prefill, 0)
+	s.server.begin(s.prefill, -1, s.request.PromptTokens)
 	s.server.observe(now.Sub(s.sent), s.Expected)
 }
 
@@ -432,7 +396,7 @@
 	s.server.running--
 
 	if !s.first {
-		s.server.prefill = max(s.server.prefill-s.prefill, 0)
+		s.server.begin(s.prefill, -1, s.request.PromptTokens)
 	}
 
 	s.server.ended(now, outcome)
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -22,12 +22,8 @@
 	ejectedPenalty = 1e6
 	// otherZonePenalty in milliseconds is the cost of bytes between availability zones.
 	otherZonePenalty = 2.0
-	// longPrompt is the size in tokens above which a prompt counts as long: it takes an engine about 100 ms to read.
-	longPrompt = 5000
-	// longLane is the part of the engines to which long prompts go first. They hold over half of all prompt tokens.
-	longLane = 0.6
-	// otherLanePenalty in milliseconds is the wait from which a prompt goes to an engine of the other part.
-	otherLanePenalty = 150.0
+	// behindLarger is the part of the larger prompts at an engine that delays a smaller one.
+	behindLarger = 0.15
 	// leastCandidates is the least number of servers that a call is compared on.
 	leastCandidates = 3
 	// rateLife is the time over which the rate of calls is averaged.
@@ -67,13 +63,12 @@
 type server struct {
 	backend apricotway.Backend
 	added   time.Time
-	// hash orders servers alike in all processes; long tells that long prompts come here first.
+	// hash stands for the server in rendezvous hashing.
 	hash uint64
-	long bool
 
-	// running counts own calls in flight, prefill the prompt tokens of those without a first event.
+	// running counts own calls in flight, prefill the prompt tokens of those without a first event by size.
 	running int
-	prefill float64
+	prefill [Sizes]float64
 
 	// others holds the sends of the other processes as of othersAt.
 	others   Work
@@ -177,17 +172,38 @@
 }
 
 // runningNow estimates the calls on the server: own ones, and those of others by their reports or by the server's.
-func (s *server) runningNow(now time.Time) (running, prefill float64) {
-	running, prefill = float64(s.running), s.prefill
+func (s *server) runningNow(now time.Time) Work {
+	work := Work{Running: s.running, Prefill: s.prefill}
 
 	if now.Sub(s.othersAt) < othersLifetime {
-		running += float64(s.others.Running)
-		prefill += s.others.Prefill
+		work.Add(s.others)
 	} else if now.Sub(s.loadAt) < reportLifetime {
-		running += float64(max(s.load.Running+s.load.Waiting-s.ownThen, 0))
+		work.Running += max(s.load.Running+s.load.Waiting-s.ownThen, 0)
+	}
+
+	return work
+}
+
+// begin adds the prompt of a call without a first event, with a negative sign at its end.
+func (s *server) begin(tokens, sign float64, promptTokens int) {
+	size := SizeOf(promptTokens)
+	s.prefill[size] = max(s.prefill[size]+sign*tokens, 0)
+}
+
+// ahead returns the tokens that are read before the first event of a prompt: those of its size and of smaller ones, and the
+// part of a larger one that is being read.
+func (w *Work) ahead(size int) float64 {
+	var tokens float64
+
+	for other, waiting := range w.Prefill {
+		if other > size {
+			waiting *= behindLarger
+		}
+
+		tokens += waiting
 	}
 
-	return running, prefill
+	return tokens
 }
 
 func (s *server) slots() float64 {
@@ -213,7 +229,8 @@
 }
 
 func (s *server) estimate(now time.Time, request Request, chain []chainLink, home bool) estimate {
-	running, prefill := s.runningNow(now)
+	work := s.runningNow(now)
+	running := float64(work.Running)
 	full := running >= s.slots()
 	failing := s.failures * failureWeight
 
@@ -231,6 +248,7 @@
 	}
 
 	own := float64(request.PromptTokens) - s.cachedTokens(now, chain, home)
+	prefill := work.ahead(SizeOf(request.PromptTokens))
 	wait := (baseWait + stepPerRunning*running + (prefill+own)/prefillRate) * s.pace * s.slowdown(now)
 
 	if full {
--- a/state/dispatch/work.go
+++ b/state/dispatch/work.go
@@ -9,8 +9,33 @@
 // Work is what one or more processes have under way on a server.
 type Work struct {
 	Running int
-	// Prefill is the number of prompt tokens of calls without a first event.
-	Prefill float64
+	// Prefill holds the prompt tokens of calls without a first event, by the size of their prompts.
+	Prefill [Sizes]float64
+}
+
+// Sizes is the number of sizes of prompts that are told apart. Engines read prompts of a smaller size first.
+const Sizes = 4
+
+// sizeBounds holds the largest prompt of each size but the last, in tokens.
+var sizeBounds = [Sizes - 1]int{1500, 5000, 20000}
+
+// SizeOf returns the size of a prompt from 0, the smallest, to Sizes-1.
+func SizeOf(tokens int) int {
+	for size, bound := range sizeBounds {
+		if tokens <= bound {
+			return size
+		}
+	}
+
+	return Sizes - 1
+}
+
+// Add adds the work of another process.
+func (w *Work) Add(other Work) {
+	w.Running += other.Running
+	for size, tokens := range other.Prefill {
+		w.Prefill[size] += tokens
+	}
 }
 
 // OwnWork returns the work of this process on each server where it has some.
