Look for the holder on the log, and start on-demand engines by the busy ones

A process whose holder is no living member, or does not answer as one, looks at the log once a second. TestAllZonesDry plays its dry time under a load, with the same bounds.

--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -21,6 +21,8 @@
 	period = 300 * time.Millisecond
 	// callTime bounds a call to the log.
 	callTime = 1500 * time.Millisecond
+	// lookPeriod is the least time between two looks at the log for a holder that is not to be found.
+	lookPeriod = time.Second
 	// settleTime is the time after the start before a first claim, in which the processes find each other.
 	settleTime = 1500 * time.Millisecond
 	// broadcastLifetime is the time for which the name of the holder is kept by the others.
@@ -75,6 +77,9 @@
 	state json.RawMessage
 	// stale asks for another look at the log, since the platform refused our number.
 	stale bool
+	// doubted asks for a look at the log, since the holder did not answer as one; lookedAt is the time of the last one.
+	doubted  bool
+	lookedAt time.Time
 	// fenced is the number that the platform refused.
 	fenced apricotway.Offset
 }
@@ -171,6 +176,14 @@
 	}
 }
 
+// Doubt reports that the known holder did not answer as one. A broadcast that names a later one may not have arrived.
+func (d *Duty) Doubt() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.doubted = true
+}
+
 // Record appends a usage report under the claim of this process. It fails when another claim stands behind it.
 func (d *Duty) Record(ctx context.Context, report apricotway.UsageReport) error {
 	if _, held := d.Held(); !held {
@@ -249,8 +262,13 @@
 
 // step reads the log when that is due, and claims the duties when their holder is gone and this process is the next one.
 func (d *Duty) step(ctx context.Context, now time.Time) error {
+	found := d.holderFound()
+
 	d.mu.Lock()
-	due := !d.read || d.stale
+	due := !d.read || d.stale || (d.doubted || !found) && now.Sub(d.lookedAt) >= lookPeriod
+	if due {
+		d.doubted, d.lookedAt = false, now
+	}
 	d.mu.Unlock()
 
 	if due {
@@ -327,6 +345,22 @@
 	return nil
 }
 
+// holderFound tells whether the known holder is this process or a living member.
+func (d *Duty) holderFound() bool {
+	holder := d.Holder()
+	if holder.Node == d.membership.Self().Node {
+		return true
+	}
+
+	for _, member := range d.membership.Members() {
+		if member.Node == holder.Node {
+			return member.State == apricotway.MemberAlive || member.State == apricotway.MemberSuspect
+		}
+	}
+
+	return false
+}
+
 // mustClaim tells whether this process has to claim: the holder is gone, leaving or refused, and no living process precedes it.
 func (d *Duty) mustClaim() bool {
 	self := d.membership.Self()
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -305,3 +305,36 @@
 		}
 	})
 }
+
+// TestBroadcastLost guards against processes that report to nobody: one that did not hear of the holder's claim finds it on the
+// log, when the holder that it knows is dead and when that one answers that it holds nothing.
+func TestBroadcastLost(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{records: [][]byte{[]byte(`{"kind":"claim","node":"old"}`)}}
+		a := c.start(t, l, "a")
+		c.set("old", apricotway.MemberAlive)
+		c.set("new", apricotway.MemberAlive)
+		wait(3 * time.Second)
+
+		if got, want := a.Holder().Node, apricotway.NodeID("old"); got != want {
+			t.Fatalf("got holder %s, want %s", got, want)
+		}
+
+		l.set(func(l *log) { l.records = append(l.records, []byte(`{"kind":"claim","node":"new"}`)) })
+		a.Doubt()
+		wait(2 * time.Second)
+
+		if got, want := a.Holder().Node, apricotway.NodeID("new"); got != want {
+			t.Errorf("after a doubt: got holder %s, want %s", got, want)
+		}
+
+		l.set(func(l *log) { l.records = append(l.records, []byte(`{"kind":"claim","node":"newest"}`)) })
+		c.set("newest", apricotway.MemberAlive)
+		c.set("new", apricotway.MemberDead)
+		wait(2 * time.Second)
+
+		if got, want := a.Holder().Node, apricotway.NodeID("newest"); got != want {
+			t.Errorf("after a death: got holder %s, want %s", got, want)
+		}
+	})
+}
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -252,6 +252,13 @@
 	answer, err := apricotway.CallPeer[Answer](ctx, r.peers, address, methodReport, report)
 	if err != nil {
 		r.logger.V(1).Info("report to the holder of the duties failed", "event", 295, "error", err.Error())
+		r.duty.Doubt()
+
+		return
+	}
+
+	if !answer.Holding {
+		r.duty.Doubt()
 		return
 	}
 
--- a/state/scaling/scaling.go
+++ b/state/scaling/scaling.go
@@ -14,13 +14,15 @@
 )
 
 const (
+	// busyDecay is the factor by which the number of busy engines may fall from one plan to the next, half a second later.
+	busyDecay = 0.95
 	// refusedPause is the time after which a refused order is given again.
 	refusedPause = 2 * time.Second
 	// repeatPause is the time after which an order that does not show is given again.
 	repeatPause = 8 * time.Second
-	// floorPart is the part of the target below which on-demand engines are started: they cost several times as much and come
-	// after the boot time.
-	floorPart = 0.55
+	// floorLoad is the number of engines for each busy one below which on-demand engines are started: they cost several times as
+	// much and come after the boot time, but engines that read prompts for over 45% of their time answer late.
+	floorLoad = 2.2
 	// learnTime is the time under load before engines that were there at the start are given up: the operators started as many
 	// as they expect to need.
 	learnTime = 6 * time.Second
@@ -94,6 +96,8 @@
 	// target is the number of engines, and lowerSince the time since when a lower one would do.
 	target     int
 	lowerSince time.Time
+	// busy is the number of busy engines, which falls slowly.
+	busy float64
 	// loadedSince is the time at which a load was seen first.
 	loadedSince time.Time
 }
@@ -108,9 +112,12 @@
 	Count       int
 }
 
+// busy returns the number of engines that a load would keep busy without a pause.
+func (t Terms) busy(load Load) float64 { return load.Prefill / t.PrefillRate }
+
 // Needed returns the number of engines for a load.
 func (t Terms) Needed(load Load) int {
-	busy := load.Prefill / t.PrefillRate
+	busy := t.busy(load)
 	return max(t.Least, int(math.Ceil(busy+t.Headroom*math.Sqrt(busy))), int(math.Ceil(load.Running/t.Running)))
 }
 
@@ -118,6 +125,7 @@
 func (p *Planner) Plan(
 	now time.Time, rule apricotway.CapacityRule, live map[apricotway.Zone]Counts, load Load,
 ) []Order {
+	p.busy = max(p.terms.busy(load), p.busy*busyDecay)
 	p.setTarget(now, p.terms.Needed(load), load.Prefill+load.Running, live)
 
 	names := make([]apricotway.Zone, 0, len(rule.ZonePrices))
@@ -244,7 +252,7 @@
 }
 
 // floor is the number of engines below which on-demand ones are started.
-func (p *Planner) floor() int { return int(math.Ceil(float64(p.target) * floorPart)) }
+func (p *Planner) floor() int { return min(int(math.Ceil(floorLoad*p.busy))+1, p.target) }
 
 // addOnDemand adds on-demand engines, the cheapest zones first.
 func (p *Planner) addOnDemand(
--- a/state/scaling/scaling_test.go
+++ b/state/scaling/scaling_test.go
@@ -198,14 +198,16 @@
 // TestAllZonesDry plays a time in which no zone gives reclaimable engines and all were taken back: on-demand engines stand in,
 // and are given up once the reclaimable ones are back.
 func TestAllZonesDry(t *testing.T) {
+	// A load that keeps 2.7 engines busy.
+	load := scaling.Load{Prefill: 120000}
 	c := newCloud(3)
-	c.run(20*time.Second, scaling.Load{})
+	c.run(20*time.Second, load)
 
 	for _, zone := range zones {
 		c.reclaim(zone, 20*time.Second)
 	}
 
-	c.run(10*time.Second, scaling.Load{})
+	c.run(10*time.Second, load)
 
 	if got, want := c.total().OnDemand, 4; got < want {
 		t.Errorf("got %d on-demand engines, want at least %d", got, want)
@@ -216,7 +218,7 @@
 		t.Errorf("got %d on-demand engines, want at most %d", got, want)
 	}
 
-	c.run(30*time.Second, scaling.Load{})
+	c.run(30*time.Second, load)
 
 	if got, want := c.total(), (scaling.Counts{Reclaimable: 12}); got != want {
 		t.Errorf("after the wave: got %+v, want %+v", got, want)
