Pass on the list with its age, and start a new center without the burst

The reader's list counted as fresh while a read of it hung; its age now travels with it, and a process whose list is 1.5 s old reads for itself (TestOldList fails without). A new center and the even share after the former one's death each handed out the burst once more (TestCenterReplaced: 575,100 units for 475,200); both start empty, so the tests let the burst come in first.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -22,7 +22,7 @@
 	// when the read began, so it has to stay well below the bound for keys that are taken away.
 	configWait = 1500 * time.Millisecond
 	// backendWait bounds one waiting read of the list of backend servers.
-	backendWait = 2 * time.Second
+	backendWait = 300 * time.Millisecond
 	// backendGap is the pause between two reads of the list. Entries change several times a second, and each change would end a
 	// waiting read.
 	backendGap = 600 * time.Millisecond
@@ -74,6 +74,8 @@
 	// failing is set while the list cannot be read; returned is the time at which it could be read again.
 	failing  bool
 	returned time.Time
+	// listRead is the boot time at which the last read of the list began.
+	listRead time.Duration
 	// journal holds the changes for other processes; told is the place up to which this one has those of another, since toldAt.
 	journal journal
 	told    Position
@@ -321,12 +323,13 @@
 			err     error
 		)
 
+		began := c.boot()
 		whole := !known
 		if whole {
 			changes, position, err = c.store.Backends(limited)
 			known = err == nil
 		} else {
-			changes, position, err = c.store.BackendsAfter(limited, position, c.waitForBackends())
+			changes, position, err = c.store.BackendsAfter(limited, position, c.atMost(backendWait))
 		}
 
 		if errors.Is(err, apricotway.ErrTrimmed) {
@@ -347,23 +350,23 @@
 		}
 
 		c.applyChanges(changes)
-		pause.For(ctx, backendGap)
+		c.applied(began)
+		pause.For(ctx, c.atMost(backendGap))
 
 		return nil
 	}
 }
 
-// waitForBackends returns the longest wait of the next read: servers whose entries lapsed must be removed in time although
-// nothing else changes.
-func (c *Catalog) waitForBackends() time.Duration {
+// atMost returns the time, or less when servers whose entries lapsed are due to be removed: that must not wait for changes.
+func (c *Catalog) atMost(longest time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	if len(c.lapsed) == 0 {
-		return backendWait
+		return longest
 	}
 
-	return min(max(returnTime-time.Since(c.returned), leastWait), backendWait)
+	return min(max(returnTime-time.Since(c.returned), leastWait), longest)
 }
 
 // missing returns the removal of every known server that a whole list does not name; it needs the lock.
@@ -396,6 +399,14 @@
 	c.listed = c.listed || ok
 }
 
+// applied notes that the list as of a boot time has been applied.
+func (c *Catalog) applied(began time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.listRead = max(c.listRead, began)
+}
+
 // applyChanges hands changes on. Entries that lapsed during an outage are kept for a time: their servers register again.
 func (c *Catalog) applyChanges(changes []apricotway.BackendChange) {
 	c.mu.Lock()
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// newsLifetime is the time after the last news from the holder of the duties for which a process does not read the store
-	// itself.
+	// newsLifetime is the age of the list from which a process reads the store itself. It is below the 2 s in which a server that
+	// leaves must no longer get calls.
 	newsLifetime = 1500 * time.Millisecond
 	// oldestProof bounds the age of what the holder passes on. A holder that is cut off from the store passes on nothing then,
 	// and every process reads for itself.
@@ -34,8 +34,8 @@
 	Changes []apricotway.BackendChange
 	// Version is that of the newest configuration. A process with an older one reads it from the store.
 	Version uint64
-	// Age is the time since the read of the configuration began, when the news were made.
-	Age time.Duration
+	// Age and ListAge are the times since the last reads of the configuration and of the list began, when the news were made.
+	Age, ListAge time.Duration
 }
 
 // journal keeps the last effective changes of the list, for others.
@@ -82,12 +82,15 @@
 	table := c.table.Load()
 	age := c.boot() - time.Duration(c.proof.Load())
 
-	if table == nil || !c.listed || c.failing || c.proof.Load() == 0 || age > oldestProof {
+	listAge := c.boot() - c.listRead
+
+	if table == nil || !c.listed || c.proof.Load() == 0 || age > oldestProof || listAge > newsLifetime {
 		return News{}
 	}
 
 	news := News{
 		Position: Position{Source: self, Sequence: c.journal.sequence}, Fresh: true, Version: table.Version, Age: age,
+		ListAge: listAge,
 	}
 
 	if changes, ok := c.journal.after(after.Sequence); ok && after.Source == self {
@@ -131,7 +134,9 @@
 		}
 	}
 
-	c.told, c.toldAt, c.listed = news.Position, c.boot(), true
+	c.told, c.listed = news.Position, true
+	c.toldAt = max(c.toldAt, sent-news.ListAge)
+	c.listRead = max(c.listRead, c.toldAt)
 
 	// Without the version that the proof is about, it proves nothing here.
 	table := c.table.Load()
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -138,3 +138,29 @@
 		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false, "b": true})
 	})
 }
+
+// TestOldList guards against calls for servers that leave while the reader's own read of the list hangs: its news are too old, and
+// the others read for themselves.
+func TestOldList(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		near, far := newStore(), newStore()
+		near.publish(3)
+		near.register("a", false)
+		far.publish(3)
+		far.register("a", false)
+
+		reader, _ := start(t, near)
+		told, pool := start(t, far)
+
+		wait(time.Second)
+		pass(reader, told, time.Second)
+		near.set(func(s *store) { s.hanging = true })
+		near.register("a", true)
+		far.register("a", true)
+		pass(reader, told, 2*time.Second)
+
+		if got, want := pool.Leaving("a"), true; got != want {
+			t.Errorf("two seconds after the notice: got leaving: %t, want %t", got, want)
+		}
+	})
+}
--- a/state/quota/center.go
+++ b/state/quota/center.go
@@ -47,7 +47,8 @@
 	for name, rule := range workspaces {
 		b := c.buckets[name]
 		if b == nil {
-			b = &bucket{level: rule.Limit.Burst, at: now}
+			// Nobody knows what was spent under the former center.
+			b = &bucket{at: now}
 			c.buckets[name] = b
 		}
 
--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -117,7 +117,7 @@
 	case now.Sub(l.answered) < centerLifetime:
 		return Ask, 0
 	default:
-		return b.takeShare(now, cost, float64(l.members))
+		return b.takeShare(now, l.answered, cost, float64(l.members))
 	}
 }
 
@@ -127,14 +127,20 @@
 	defer l.mu.Unlock()
 
 	if b := l.buckets[workspace]; b != nil {
-		return b.takeShare(now, cost, float64(l.members))
+		return b.takeShare(now, l.answered, cost, float64(l.members))
 	}
 
 	return Spent, 0
 }
 
-func (b *local) takeShare(now time.Time, cost, members float64) (Verdict, time.Duration) {
+func (b *local) takeShare(now, answered time.Time, cost, members float64) (Verdict, time.Duration) {
 	rate, burst := b.limit.Rate/members, b.limit.Burst/members
+
+	// Up to its last answer the center handed out the whole limit.
+	if b.at.Before(answered) {
+		b.at, b.level = answered, 0
+	}
+
 	b.level = min(b.level+max(now.Sub(b.at).Seconds(), 0)*rate, burst)
 	b.at = now
 
--- a/state/quota/quota_test.go
+++ b/state/quota/quota_test.go
@@ -45,6 +45,9 @@
 		f.processes = append(f.processes, l)
 	}
 
+	// A new center hands out no burst before it has come in.
+	f.run(time.Duration(burst/rate*float64(time.Second))+time.Second, func(time.Duration) {})
+
 	return f
 }
 
@@ -207,3 +210,31 @@
 		t.Errorf("got %s, want the returned units to be spendable", verdict)
 	}
 }
+
+// TestCenterReplaced plays the death of the center while a workspace asks for many times its limit: its successor and the time
+// between them must not hand out the burst once more.
+func TestCenterReplaced(t *testing.T) {
+	f := newFleet(8, rate, 4*burst)
+	load := func(time.Duration) {
+		for i := range 8 {
+			f.call(i, 900)
+		}
+	}
+
+	f.run(10*time.Second, load)
+
+	for i := range 8 {
+		f.cut[i] = true
+	}
+
+	f.run(3*time.Second, load)
+
+	f.cut = map[int]bool{}
+	f.center = quota.NewCenter()
+	f.center.SetLimits(f.now, limits(rate, 4*burst))
+	f.run(10*time.Second, load)
+
+	if got, want := f.most(window), (rate*window.Seconds()+4*burst)*1.1; got > want {
+		t.Errorf("got %.0f units in a window, want at most %.0f", got, want)
+	}
+}
