--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -91,6 +91,9 @@
 	limiter    *quota.Limiter
 	rollup     *rollup.Rollup
 
+	// content is the settings file as it was read last. It belongs to the goroutine that reloads.
+	content []byte
+
 	leaving atomic.Bool
 	callers *http.Server
 	servers []*http.Server
@@ -136,7 +139,7 @@
 
 	e.pool = dispatch.New(dispatch.WithZone(s.Zone))
 	e.catalog = catalog.New(e.supervisor, e.platform, e.pool, catalog.WithLogger(e.logger),
-		catalog.WithKeyValidity(time.Duration(float64(s.KeyRevocation)*keyMargin)),
+		catalog.WithKeyValidity(keyValidity(s)),
 		catalog.WithChanged(func(t *route.Table) { e.limiter.SetLimits(time.Now(), t.Workspaces()) }))
 
 	connections := upstream.New(upstream.WithOpened(counters.opened.Inc))
--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -19,9 +19,13 @@
 	"github.com/apricotway/apricotway/cmd/internal/cli"
 	"github.com/apricotway/apricotway/cmd/internal/daemon"
 	"github.com/apricotway/apricotway/cmd/internal/entry"
+	"github.com/apricotway/apricotway/cmd/internal/logsink"
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 )
 
+// settingsPeriod is the time between two looks at the settings file of an entry host, which may change without a signal.
+const settingsPeriod = time.Second
+
 type serveCommand struct {
 	Settings string `long:"settings" value-name:"FILE" required:"yes" description:"settings file (JSON with comments)"`
 }
@@ -32,6 +36,7 @@
 
 type checkCommand struct {
 	Settings string `long:"settings" value-name:"FILE" required:"yes" description:"settings file (JSON with comments)"`
+	Entry    bool   `long:"entry" description:"the file is for apricotway entry"`
 }
 
 type devCommand struct {
@@ -117,10 +122,10 @@
 		return err
 	}
 
-	logger, err := newLogger()
-	if err != nil {
-		return err
-	}
+	sink := logsink.New(os.Stdout)
+	logger := zapr.NewLogger(logsink.Logger(sink))
+
+	defer func() { _ = sink.Sync() }() // It waits and never fails.
 
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
@@ -133,10 +138,15 @@
 		return err
 	}
 
+	changes := time.NewTicker(settingsPeriod)
+	defer changes.Stop()
+
 	for {
 		select {
 		case <-hangup:
 			e.Reload(c.Settings)
+		case <-changes.C:
+			e.ReloadChanged(c.Settings)
 		case <-ctx.Done():
 			e.Stop(context.Background())
 			return nil
@@ -146,7 +156,14 @@
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) error {
-	if _, err := settings.Load(c.Settings); err != nil {
+	var err error
+	if c.Entry {
+		_, err = settings.LoadEntry(c.Settings)
+	} else {
+		_, err = settings.Load(c.Settings)
+	}
+
+	if err != nil {
 		return err
 	}
 
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -51,10 +51,11 @@
 
 // Catalog reads the operators' store.
 type Catalog struct {
-	store       apricotway.OperatorStore
-	servers     Servers
-	logger      logr.Logger
-	keyValidity time.Duration
+	store   apricotway.OperatorStore
+	servers Servers
+	logger  logr.Logger
+	// keyValidity is in nanoseconds.
+	keyValidity atomic.Int64
 	changed     func(*route.Table)
 	// boot reads a clock that goes on while the machine is suspended.
 	boot func() time.Duration
@@ -96,9 +97,12 @@
 
 // WithKeyValidity sets the time for which keys are accepted without a newer proof; 0 accepts them without end.
 func WithKeyValidity(validity time.Duration) Option {
-	return func(c *Catalog) { c.keyValidity = validity }
+	return func(c *Catalog) { c.SetKeyValidity(validity) }
 }
 
+// SetKeyValidity sets the time for which keys are accepted without a newer proof; 0 accepts them without end.
+func (c *Catalog) SetKeyValidity(validity time.Duration) { c.keyValidity.Store(int64(validity)) }
+
 // WithBootClock sets the clock that goes on while the machine is suspended.
 func WithBootClock(clock func() time.Duration) Option { return func(c *Catalog) { c.boot = clock } }
 
@@ -110,11 +114,12 @@
 	supervisor *suture.Supervisor, store apricotway.OperatorStore, servers Servers, options ...Option,
 ) *Catalog {
 	c := &Catalog{
-		store: store, servers: servers, logger: logr.Discard(), keyValidity: DefaultKeyValidity,
-		changed: func(*route.Table) {}, boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
+		store: store, servers: servers, logger: logr.Discard(), changed: func(*route.Table) {}, boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
 		entries: map[apricotway.BackendServerID]apricotway.Backend{},
 		refresh: make(chan struct{}, 1),
 	}
+	c.SetKeyValidity(DefaultKeyValidity)
+
 	for _, option := range options {
 		option(c)
 	}
@@ -174,13 +179,14 @@
 // KeysFresh tells whether the configuration was the newest one a short time ago. The time goes on while the machine is
 // suspended.
 func (c *Catalog) KeysFresh() bool {
-	if c.keyValidity <= 0 {
+	validity := time.Duration(c.keyValidity.Load())
+	if validity <= 0 {
 		return true
 	}
 
 	proof := time.Duration(c.proof.Load())
 
-	if proof != 0 && c.boot()-proof < c.keyValidity {
+	if proof != 0 && c.boot()-proof < validity {
 		return true
 	}
 
