--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,9 @@
 SEEDS ?= 10
 DURATION ?= 1m
 FIRST ?= 1000
-.PHONY: soak
+.PHONY: soak soak-entry
+soak-entry:
+	go test -race -count=1 -timeout 0 -run 'TestEntryFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
+
 soak:
 	go test -race -count=1 -timeout 0 -run 'TestRandomFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -27,7 +27,7 @@
 	// waiting read.
 	backendGap = 600 * time.Millisecond
 	// answerTime is the time for an answer beyond the wait.
-	answerTime = 1500 * time.Millisecond
+	answerTime = 800 * time.Millisecond
 	// leastWait is the shortest waiting read.
 	leastWait = 50 * time.Millisecond
 	// informedPause is the time between two looks whether another process still passes its news on.
@@ -72,7 +72,7 @@
 	mu sync.Mutex
 	// listed is set once the list of backend servers has been read.
 	listed bool
-	// failing is set while the list cannot be read; returned is the time at which it could be read again.
+	// failing is set while the store cannot be read; returned is the time at which it could be read again.
 	failing  bool
 	returned time.Time
 	// listRead is the boot time at which the last read of the list began.
@@ -276,6 +276,8 @@
 			return nil
 		}
 
+		c.reached(err == nil)
+
 		if err != nil {
 			return err
 		}
@@ -349,6 +351,8 @@
 			return err
 		}
 
+		c.listedNow()
+
 		if whole {
 			c.mu.Lock()
 			changes = append(changes, c.missing(changes)...)
@@ -393,6 +397,7 @@
 	return gone
 }
 
+// reached notes whether a read of the store had an answer.
 func (c *Catalog) reached(ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -402,7 +407,14 @@
 	}
 
 	c.failing = !ok
-	c.listed = c.listed || ok
+}
+
+// listedNow notes that the list has been read.
+func (c *Catalog) listedNow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.listed = true
 }
 
 // applied notes that the list as of a boot time has been applied.
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -88,6 +88,11 @@
 		return News{}
 	}
 
+	// Servers whose entries lapsed are kept here for a time. Others may have read that they left for good.
+	if c.failing || time.Since(c.returned) < returnTime {
+		return News{}
+	}
+
 	news := News{
 		Position: Position{Source: self, Sequence: c.journal.sequence}, Fresh: true, Version: table.Version, Age: age,
 		ListAge: listAge,
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -164,3 +164,33 @@
 		}
 	})
 }
+
+// TestLapsedNews guards against servers that come back after their removal: a reader that keeps them for a time after its outage
+// does not pass them on to others that have read that they left.
+func TestLapsedNews(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		near, far := newStore(), newStore()
+		near.publish(3)
+		near.register("a", false)
+		far.publish(3)
+		far.register("a", false)
+
+		reader, _ := start(t, near)
+		told, pool := start(t, far)
+
+		wait(time.Second)
+		near.set(func(s *store) { s.down = true })
+		wait(3 * time.Second)
+		near.drop("a")
+		far.drop("a")
+		wait(time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false})
+
+		near.set(func(s *store) { s.down = false })
+
+		for range 30 {
+			pass(reader, told, 100*time.Millisecond)
+			wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false})
+		}
+	})
+}
