--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -198,13 +198,13 @@
 }
 
 // call sends one call on a kept connection and records what came of it.
-func (s *entrySystem) call(client *http.Client, address netip.AddrPort, attempt string, stream bool) bool {
+func (s *entrySystem) call(ctx context.Context, client *http.Client, address netip.AddrPort, attempt string, stream bool) bool {
 	c := standin.Call{Address: address, Host: "h.example", Path: "/book/x", Attempt: attempt, Key: "secret"}
 	if stream {
 		c.Path, c.Tokens = "/chat/x", "100,20"
 	}
 
-	request, err := c.Request(s.t.Context())
+	request, err := c.Request(ctx)
 	if err != nil {
 		s.t.Error(err)
 		return false
@@ -246,7 +246,7 @@
 
 			for n := 0; ctx.Err() == nil; n++ {
 				e := s.entries[random.IntN(len(s.entries))]
-				s.call(client, e.callers, fmt.Sprintf("c%d-%d-%d", i, random.Uint32(), n), random.IntN(2) == 0)
+				s.call(context.WithoutCancel(ctx), client, e.callers, fmt.Sprintf("c%d-%d-%d", i, random.Uint32(), n), random.IntN(2) == 0)
 
 				select {
 				case <-time.After(time.Duration(random.IntN(30)) * time.Millisecond):
@@ -374,8 +374,8 @@
 	end := time.Now().Add(recoverTime)
 
 	for _, e := range s.entries {
-		for n := 0; !s.call(client, e.callers, fmt.Sprint(when, e.name, n, "b"), false) ||
-			!s.call(client, e.callers, fmt.Sprint(when, e.name, n, "s"), true); n++ {
+		for n := 0; !s.call(s.t.Context(), client, e.callers, fmt.Sprint(when, e.name, n, "b"), false) ||
+			!s.call(s.t.Context(), client, e.callers, fmt.Sprint(when, e.name, n, "s"), true); n++ {
 			if time.Now().After(end) {
 				s.t.Fatalf("%s: got no answer of %s in %s, want one", when, e.name, recoverTime)
 			}
