Choose the ports of tests below those of outgoing connections

With logs kept, three of 48 schedules at six shards showed a port that another process had taken between its choice and the start (address already in use). The tests of the entry processes chose their ports in the same way.

--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -18,6 +17,7 @@
 
 	"github.com/apricotway/apricotway/cmd/internal/entry"
 	"github.com/apricotway/apricotway/cmd/internal/settings"
+	"github.com/apricotway/apricotway/internal/freeport"
 	"github.com/apricotway/apricotway/platform/standin"
 )
 
@@ -65,19 +65,6 @@
 	}
 }
 
-// free returns an address that nothing listens on.
-func free(t *testing.T) netip.AddrPort {
-	t.Helper()
-
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
 // start starts a process; the first one is the seed of the others.
 func (s *site) start() *entry.Entry {
 	s.t.Helper()
@@ -86,7 +73,7 @@
 	e.Node, e.Region, e.Zone = "n", "r", "a"
 	e.Platform = settings.EntryPlatform{Store: s.store, Cloud: s.store}
 	e.Listen = settings.EntryListen{
-		Callers: free(s.t), Readiness: free(s.t), Directory: free(s.t), Peers: free(s.t), Probes: free(s.t), Operator: free(s.t),
+		Callers: freeport.Address(s.t), Readiness: freeport.Address(s.t), Directory: freeport.Address(s.t), Peers: freeport.Address(s.t), Probes: freeport.Address(s.t), Operator: freeport.Address(s.t),
 	}
 	e.UsageWindow = settings.Duration(time.Second)
 	e.AddressValidity = settings.Duration(200 * time.Millisecond)
--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -20,6 +19,7 @@
 	"time"
 
 	"github.com/apricotway/apricotway/cmd/internal/faultproxy"
+	"github.com/apricotway/apricotway/internal/freeport"
 	"github.com/apricotway/apricotway/platform/standin"
 )
 
@@ -80,7 +80,7 @@
 		s.startEngine(service)
 	}
 
-	peers := freeAddress(t)
+	peers := freeport.Address(t)
 	for i := range entryCount {
 		s.addEntry(fmt.Sprint("n", i), peers, i == 0)
 	}
@@ -97,23 +97,15 @@
 		for _, e := range s.engines {
 			e.Close()
 		}
+
+		if t.Failed() {
+			s.keepLogs(seed)
+		}
 	})
 
 	return s
 }
 
-func freeAddress(t *testing.T) netip.AddrPort {
-	t.Helper()
-
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
 func (s *entrySystem) publish() {
 	s.version++
 
@@ -142,16 +134,16 @@
 
 	own := peers
 	if !first {
-		own = freeAddress(s.t)
+		own = freeport.Address(s.t)
 	}
 
 	e := &entryProgram{
-		name: name, link: link, callers: freeAddress(s.t), settings: filepath.Join(s.directory, name+".jsonc"),
+		name: name, link: link, callers: freeport.Address(s.t), settings: filepath.Join(s.directory, name+".jsonc"),
 	}
 	content := fmt.Sprintf(`{"node": %q, "region": "r", "zone": "a", "seeds": [%q], "usageWindow": "2s",
 		"listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "probes": %q, "operator": %q},
-		"platform": {"store": %q, "cloud": %q}, "probeKey": %q}`, name, peers, e.callers, freeAddress(s.t), freeAddress(s.t), own,
-		freeAddress(s.t), freeAddress(s.t), link.Address, link.Address, strings.Repeat("ab", 16))
+		"platform": {"store": %q, "cloud": %q}, "probeKey": %q}`, name, peers, e.callers, freeport.Address(s.t), freeport.Address(s.t), own,
+		freeport.Address(s.t), freeport.Address(s.t), link.Address, link.Address, strings.Repeat("ab", 16))
 
 	if err := os.WriteFile(e.settings, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -418,10 +410,6 @@
 	}
 
 	t.Logf("seed %d: %d attempts", seed, len(s.answers))
-
-	if t.Failed() {
-		s.keepLogs(seed)
-	}
 }
 
 // keepLogs keeps the logs of a schedule that failed.
