--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -36,6 +36,9 @@
 	retryPause = 150 * time.Millisecond
 	// provePause is the least time between two reads that calls ask for.
 	provePause = 250 * time.Millisecond
+	// lapseTime is the age of the list from which entries may have lapsed meanwhile: servers register about every 1.2 s, and
+	// their entries lapse after three times that.
+	lapseTime = 2500 * time.Millisecond
 	// returnTime is the time after an outage of the store within which servers whose entries lapsed register themselves again.
 	returnTime = 1800 * time.Millisecond
 	// DefaultKeyValidity is the time for which keys are accepted without a newer proof.
@@ -72,7 +75,8 @@
 	mu sync.Mutex
 	// listed is set once the list of backend servers has been read.
 	listed bool
-	// failing is set while the store cannot be read; returned is the time at which it could be read again.
+	// failing is set while the store cannot be read; returned is the time at which the list could be read again after an
+	// outage.
 	failing  bool
 	returned time.Time
 	// listRead is the boot time at which the last read of the list began.
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -194,3 +194,21 @@
 		}
 	})
 }
+
+// TestShortFailure guards against a removal that is held back after a failure that was too short for an entry to lapse.
+func TestShortFailure(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(3)
+		s.register("a", false)
+
+		_, pool := start(t, s)
+		wait(2 * time.Second)
+		s.set(func(s *store) { s.down = true })
+		wait(700 * time.Millisecond)
+		s.drop("a")
+		s.set(func(s *store) { s.down = false })
+		wait(1300 * time.Millisecond)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false})
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -167,18 +167,19 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if ok && c.failing {
-		c.returned = time.Now()
-	}
-
 	c.failing = !ok
 }
 
-// listedNow notes that the list has been read.
+// listedNow notes that the list has been read, and the end of an outage if nothing was known of it for so long that entries may
+// have lapsed.
 func (c *Catalog) listedNow() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	if c.listed && c.boot()-c.listRead > lapseTime {
+		c.returned = time.Now()
+	}
+
 	c.listed = true
 }
 
