Show how a process ended when a scenario cannot signal it

TestScenarios/one-way-cut failed once because entry3 had ended before it was woken; neither the log nor the exit state was kept. The command now prints both.

--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -175,7 +175,13 @@
 		ts.Fatalf("usage: signal NAME TERM|KILL|STOP|CONT")
 	}
 
-	ts.Check(processes(ts)[args[0]].command.Process.Signal(signals[args[1]]))
+	p := processes(ts)[args[0]]
+	if err := p.command.Process.Signal(signals[args[1]]); err != nil {
+		<-p.done
+
+		content, _ := os.ReadFile(ts.MkAbs(args[0] + ".log"))
+		ts.Fatalf("%s: %v: ended with %s\n%s", args[0], err, p.command.ProcessState, content)
+	}
 }
 
 // cmdJoin runs "join NAME": it waits until a program has ended; with "!" before it, the program must have failed.
