Refuse calls that crash engines, over all processes, and keep sums of the work

Cause: relay.Quarantine had no implementation, so that a call that crashes each engine reached one after the other at each process. Processes now report the broken connections of a content to the holder of the duties, which names those with two crashes or more; three refuse it, an answer clears it. TestCrashingCall fails without (no refusal within 30 s).

The holder added up the work of all processes for each report, 80 times 64 servers; dispatch.Board keeps the sum.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/apricotway/apricotway/coordination/duty"
 	"github.com/apricotway/apricotway/coordination/membership"
 	"github.com/apricotway/apricotway/coordination/rollup"
+	"github.com/apricotway/apricotway/coordination/suspect"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/platform"
 	"github.com/apricotway/apricotway/protocol/relay"
@@ -153,12 +154,14 @@
 	})
 
 	duties := duty.New(e.supervisor, e.platform, e.membership, e.membership, duty.WithLogger(e.logger))
+	suspects := suspect.New(suspect.WithLogger(e.logger))
 	e.rollup = rollup.New(e.supervisor, rollup.Parts{
-		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: began,
+		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: began, Suspects: suspects,
 	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger))
 
 	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, began,
-		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithLeaving(e.leaving.Load))
+		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithLeaving(e.leaving.Load),
+		relay.WithQuarantine(suspects))
 
 	return e.serveAll(ctx, forward)
 }
--- a/cmd/internal/entry/entry_test.go
+++ b/cmd/internal/entry/entry_test.go
@@ -275,3 +275,85 @@
 	s.platform.SetDown(false)
 	s.eventually("keys are accepted again", func() bool { return s.ready(0) })
 }
+
+// TestCrashingCall guards against a call that comes again at every process and crashes one engine after the other, and against
+// innocent calls that are refused with it.
+func TestCrashingCall(t *testing.T) {
+	s := newSite(t)
+	for i := range 6 {
+		e := standin.NewEngine(s.platform, fmt.Sprint("more-", i), "model", "a")
+		t.Cleanup(e.Close)
+
+		s.engines = append(s.engines, e)
+	}
+
+	for range 3 {
+		process := s.start()
+		defer process.Stop(context.Background())
+	}
+
+	s.eventually("the processes serve and know each other", func() bool {
+		return s.ready(0) && s.ready(1) && s.ready(2) && len(s.addresses(0)) == 3
+	})
+
+	for _, e := range s.engines {
+		e.CrashOn("crashing")
+	}
+
+	attempt := 0
+	send := func(process int, body string) int {
+		attempt++
+
+		status, _, err := s.call(standin.Call{
+			Address: s.settings[process].Listen.Callers, Path: "/chat/", Attempt: fmt.Sprint("a", attempt), Key: "secret", Tokens: "9,9",
+			Body: strings.NewReader(body),
+		})
+		if err != nil {
+			return 0
+		}
+
+		return status
+	}
+
+	s.eventually("every process refuses the call", func() bool {
+		refused := 0
+
+		for process := range 3 {
+			if send(process, "crashing") == http.StatusServiceUnavailable {
+				refused++
+			}
+		}
+
+		return refused == 3
+	})
+
+	before := s.runs()
+
+	for process := range 3 {
+		if got, want := send(process, "crashing"), http.StatusServiceUnavailable; got != want {
+			t.Errorf("process %d: got status %d of the crashing call, want %d", process, got, want)
+		}
+	}
+
+	if got := s.runs() - before; got != 0 {
+		t.Errorf("got %d sends of a call that crashed the engines, want none", got)
+	}
+
+	for process := range 3 {
+		if got, want := send(process, "innocent"), http.StatusOK; got != want {
+			t.Errorf("process %d: got status %d of another call, want %d", process, got, want)
+		}
+	}
+}
+
+// runs counts the runs at all servers.
+func (s *site) runs() int {
+	sum := 0
+
+	for _, e := range s.engines {
+		total, _ := e.Runs()
+		sum += total
+	}
+
+	return sum
+}
--- a/coordination/rollup/capacity.go
+++ b/coordination/rollup/capacity.go
@@ -16,7 +16,7 @@
 	loads := map[apricotway.Service]scaling.Load{}
 	weight := min(seconds/demandLife.Seconds(), 1)
 
-	for service, before := range r.reports[report.Node].demand {
+	for service, before := range r.loads[report.Node].demand {
 		loads[service] = scaling.Load{Prefill: before.Prefill * (1 - weight)}
 	}
 
@@ -78,11 +78,11 @@
 		r.planners[service] = planner
 	}
 
-	return planner.Plan(now, rule, live, r.load(service))
+	return planner.Plan(now, rule, live, r.load(now, service))
 }
 
 // load returns the load of a service over all processes; it needs the lock.
-func (r *Rollup) load(service apricotway.Service) scaling.Load {
+func (r *Rollup) load(now time.Time, service apricotway.Service) scaling.Load {
 	var load scaling.Load
 
 	servers := map[apricotway.BackendServerID]bool{}
@@ -90,13 +90,18 @@
 		servers[backend.ID] = backend.Service == service
 	}
 
-	for _, process := range r.reports {
+	for node, process := range r.loads {
+		if now.Sub(process.at) > demandKept {
+			delete(r.loads, node)
+			continue
+		}
+
 		load.Prefill += process.demand[service].Prefill
+	}
 
-		for server, w := range process.work {
-			if servers[server] {
-				load.Running += float64(w.Running)
-			}
+	for server, w := range r.board.Total() {
+		if servers[server] {
+			load.Running += float64(w.Running)
 		}
 	}
 
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -15,8 +15,10 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/coordination/duty"
+	"github.com/apricotway/apricotway/coordination/suspect"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/quarantine"
 	"github.com/apricotway/apricotway/state/quota"
 	"github.com/apricotway/apricotway/state/retrybudget"
 	"github.com/apricotway/apricotway/state/route"
@@ -46,8 +48,8 @@
 	statePeriod = 250 * time.Millisecond
 	// demandLife is the time over which demand is averaged.
 	demandLife = 1500 * time.Millisecond
-	// workLifetime is the time for which the work of a process counts without a newer report.
-	workLifetime = 3 * time.Second
+	// demandKept is the time for which the demand of a process counts without a newer report.
+	demandKept = 3 * time.Second
 )
 
 // Report is what one process counted.
@@ -63,6 +65,8 @@
 	Elapsed time.Duration
 	// Known is the place up to which the process has the holder's news of the store.
 	Known catalog.Position
+	// Suspects tells of calls under which servers crashed.
+	Suspects suspect.Report
 }
 
 // Answer is what the holder returns.
@@ -75,6 +79,8 @@
 	Others map[apricotway.BackendServerID]dispatch.Work
 	// News is what the holder read from the store.
 	News catalog.News
+	// Suspects holds the contents of calls under which several servers crashed.
+	Suspects map[quarantine.Digest]int
 }
 
 // Catalog is the configuration as far as the process knows it.
@@ -94,6 +100,8 @@
 	Limiter *quota.Limiter
 	Budget  *retrybudget.Budget
 	Tally   *tally.Tally
+	// Suspects are the calls that crash servers.
+	Suspects *suspect.Suspects
 }
 
 // Rollup reports for one process, and gathers the reports of all while it holds the duties.
@@ -112,8 +120,11 @@
 	held      apricotway.Offset
 	collector *tally.Collector
 	center    *quota.Center
-	reports   map[apricotway.NodeID]work
-	planners  map[apricotway.Service]*scaling.Planner
+	board     *dispatch.Board
+	// loads is the demand of each process.
+	loads    map[apricotway.NodeID]load
+	crashes  *quarantine.Crashes
+	planners map[apricotway.Service]*scaling.Planner
 	// limits is the configuration whose limits the center has.
 	limits     *route.Table
 	nextWindow int64
@@ -123,9 +134,9 @@
 	left []byte
 }
 
-type work struct {
+// load is the demand of one process at the time of its last report.
+type load struct {
 	at     time.Time
-	work   map[apricotway.BackendServerID]dispatch.Work
 	demand map[apricotway.Service]scaling.Load
 }
 
@@ -175,7 +186,8 @@
 func (r *Rollup) reset(number apricotway.Offset) {
 	r.held = number
 	r.collector, r.center = tally.NewCollector(), quota.NewCenter()
-	r.reports = map[apricotway.NodeID]work{}
+	r.board, r.loads = dispatch.NewBoard(), map[apricotway.NodeID]load{}
+	r.crashes = quarantine.NewCrashes(suspect.Lifetime)
 	r.planners = map[apricotway.Service]*scaling.Planner{}
 	r.nextWindow, r.recorded, r.limits, r.left = 0, nil, nil, nil
 }
@@ -227,12 +239,19 @@
 		Work:     r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
 	}
 
+	suspects, told := r.Suspects.Report(r.duty.Holder().Number)
+	report.Suspects = suspects
+
 	sent := r.Catalog.Now()
 	_, held := r.duty.Held()
 	r.Catalog.Reads(held)
 
 	if held {
-		r.accept(now, r.receive(now, report))
+		if answer := r.receive(now, report); answer.Holding {
+			told()
+			r.accept(now, answer)
+		}
+
 		return
 	}
 
@@ -257,6 +276,7 @@
 		return
 	}
 
+	told()
 	r.accept(time.Now(), answer)
 	r.Catalog.Take(sent, answer.News)
 }
@@ -274,12 +294,9 @@
 }
 
 func (r *Rollup) accept(now time.Time, answer Answer) {
-	if !answer.Holding {
-		return
-	}
-
 	r.Limiter.Credit(now, answer.Credit)
 	r.Pool.SetOthersWork(now, answer.Others)
+	r.Suspects.Take(answer.Suspects)
 }
 
 // receive takes the report of a process and returns its answer.
@@ -294,32 +311,24 @@
 
 	r.prepare(now, holder.Number)
 	r.collector.Report(report.Node, report.Counts)
-	r.reports[report.Node] = work{at: now, work: report.Work, demand: r.smooth(report)}
 
-	answer := Answer{
-		Holding: true, Credit: r.center.Report(now, report.Node, report.Elapsed, report.Accounts),
-		Others: map[apricotway.BackendServerID]dispatch.Work{},
-	}
+	r.loads[report.Node] = load{at: now, demand: r.smooth(report)}
 
-	if self := r.membership.Self().Node; report.Node != self {
-		answer.News = r.Catalog.News(self, report.Known)
+	for _, digest := range report.Suspects.Answered {
+		r.crashes.Clear(digest)
 	}
 
-	for node, other := range r.reports {
-		if now.Sub(other.at) > workLifetime {
-			delete(r.reports, node)
-			continue
-		}
+	for _, crash := range report.Suspects.Crashes {
+		r.crashes.Add(now, crash)
+	}
 
-		if node == report.Node {
-			continue
-		}
+	answer := Answer{
+		Holding: true, Suspects: r.crashes.Suspects(now), Credit: r.center.Report(now, report.Node, report.Elapsed, report.Accounts),
+		Others: r.board.Post(now, report.Node, report.Work),
+	}
 
-		for server, w := range other.work {
-			sum := answer.Others[server]
-			sum.Add(w)
-			answer.Others[server] = sum
-		}
+	if self := r.membership.Self().Node; report.Node != self {
+		answer.News = r.Catalog.News(self, report.Known)
 	}
 
 	return answer
--- /dev/null
+++ b/coordination/suspect/suspect_test.go
@@ -0,0 +1,104 @@
+package suspect_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/suspect"
+	"github.com/apricotway/apricotway/state/quarantine"
+)
+
+// holder counts the crashes of all processes, as the one that performs the duties does.
+type holder struct{ crashes *quarantine.Crashes }
+
+func newHolder() *holder { return &holder{crashes: quarantine.NewCrashes(suspect.Lifetime)} }
+
+// exchange lets a process report and hear the answer; a lost one reaches the holder only.
+func (h *holder) exchange(s *suspect.Suspects, number apricotway.Offset, lost bool) {
+	now := time.Now()
+	report, told := s.Report(number)
+
+	for _, digest := range report.Answered {
+		h.crashes.Clear(digest)
+	}
+
+	for _, crash := range report.Crashes {
+		h.crashes.Add(now, crash)
+	}
+
+	if !lost {
+		told()
+		s.Take(h.crashes.Suspects(now))
+	}
+}
+
+// TestSuspects guards against a call that crashes one server at each process and is refused by none, against crashes that a new
+// holder of the duties never hears of, and against innocents that are refused.
+func TestSuspects(t *testing.T) {
+	h := newHolder()
+	processes := []*suspect.Suspects{suspect.New(), suspect.New(), suspect.New()}
+
+	for i, s := range processes {
+		if s.Watching() {
+			t.Errorf("process %d: got a digest asked for before any crash", i)
+		}
+
+		s.Broken("d", apricotway.BackendServerID(fmt.Sprint("e", i)))
+		h.exchange(s, 1, i == 1)
+	}
+
+	for i, s := range processes {
+		h.exchange(s, 1, false)
+
+		if !s.Refuses("d") || s.Refuses("other") {
+			t.Errorf("process %d: got refusals %v of the crashing and %v of the other content, want true and false", i, s.Refuses("d"), s.Refuses("other"))
+		}
+	}
+
+	successor := newHolder()
+	for _, s := range processes {
+		successor.exchange(s, 2, false)
+	}
+
+	if got, want := successor.crashes.Count(time.Now(), "d"), quarantine.CrashLimit; got != want {
+		t.Errorf("got %d crashes at the next holder, want %d", got, want)
+	}
+
+	processes[2].Answered("d")
+	successor.exchange(processes[2], 2, false)
+
+	for i, s := range processes {
+		successor.exchange(s, 2, false)
+
+		if s.Refuses("d") {
+			t.Errorf("process %d: got an answered content refused", i)
+		}
+	}
+}
+
+// TestManyBroken plays the crash of engines with more calls under way than one report carries.
+func TestManyBroken(t *testing.T) {
+	s, h := suspect.New(), newHolder()
+
+	const contents = 500
+
+	for i := range contents {
+		s.Broken(quarantine.Digest(fmt.Sprint(i)), "e")
+	}
+
+	for range contents {
+		h.exchange(s, 1, false)
+	}
+
+	counted := 0
+
+	for i := range contents {
+		counted += h.crashes.Count(time.Now(), quarantine.Digest(fmt.Sprint(i)))
+	}
+
+	if counted != contents {
+		t.Errorf("got %d crashes at the holder, want %d", counted, contents)
+	}
+}
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // admit checks the call up to its limits. It returns the refusal of a call that must not be sent.
@@ -44,10 +42,9 @@
 		return refused
 	}
 
-	c.digest = xxhash.Sum64String(c.request.Method + " " + c.request.RequestURI + "\n" + string(c.body))
-	if r.quarantine.Refuses(c.digest) {
+	if c.refused() {
 		return &refusal{
-			status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: time.Minute,
+			status: http.StatusServiceUnavailable, reason: "quarantined", retryAfter: quarantinePause,
 			message: "calls with this content have crashed backend servers",
 		}
 	}
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -152,7 +152,7 @@
 		return next{step: stepRepeat, reason: reasonSilent, arrived: true, ran: true}
 	}
 
-	c.relay.quarantine.Broken(c.digest, send.Backend)
+	c.broken(send)
 
 	return next{step: stepRepeat, reason: reasonBroken, arrived: true, ran: true}
 }
@@ -177,7 +177,7 @@
 		return next{step: stepFail, reason: reasonEnded, arrived: true, ran: true}
 	case err != nil:
 		send.End(now, dispatch.OutcomeFailed)
-		c.relay.quarantine.Broken(c.digest, send.Backend)
+		c.broken(send)
 
 		return next{step: stepRepeat, reason: reasonCut, arrived: true, ran: true}
 	case answer.Status >= http.StatusInternalServerError:
@@ -192,6 +192,7 @@
 	default:
 		send.Began(now, metadata.Load)
 		send.End(now, dispatch.OutcomeDone)
+		c.innocent()
 	}
 
 	c.writeWhole(answer, content)
@@ -215,6 +216,7 @@
 	}
 
 	send.End(c.relay.now(), dispatch.OutcomeDone)
+	c.innocent()
 	c.ended(resultAnswered, answer.Status)
 
 	return answered
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/quarantine"
 	"github.com/apricotway/apricotway/state/retrybudget"
 	"github.com/apricotway/apricotway/state/route"
 	"github.com/apricotway/apricotway/state/tally"
@@ -49,12 +50,16 @@
 	Return(workspace apricotway.Workspace, cost float64)
 }
 
-// Quarantine knows the calls that crash servers.
+// Quarantine knows the contents of calls that crash servers.
 type Quarantine interface {
-	// Refuses tells whether a call must not be sent any more.
-	Refuses(digest uint64) bool
+	// Watching tells whether any content is suspect.
+	Watching() bool
+	// Refuses tells whether a content must not be sent any more.
+	Refuses(digest quarantine.Digest) bool
 	// Broken reports that the connection of a call ended while the server may have worked on it.
-	Broken(digest uint64, server apricotway.Backend)
+	Broken(digest quarantine.Digest, server apricotway.BackendServerID)
+	// Answered reports that a content was answered, so that it crashes no servers.
+	Answered(digest quarantine.Digest)
 }
 
 // Metrics counts what happens to calls.
@@ -124,8 +129,10 @@
 
 type noQuarantine struct{}
 
-func (noQuarantine) Refuses(uint64) bool               { return false }
-func (noQuarantine) Broken(uint64, apricotway.Backend) {}
+func (noQuarantine) Watching() bool                                       { return false }
+func (noQuarantine) Refuses(quarantine.Digest) bool                       { return false }
+func (noQuarantine) Broken(quarantine.Digest, apricotway.BackendServerID) {}
+func (noQuarantine) Answered(quarantine.Digest)                           {}
 
 type noMetrics struct{}
 
@@ -139,7 +146,8 @@
 	request  *http.Request
 	metadata apricotway.CallMetadata
 	body     []byte
-	digest   uint64
+	// content is the digest of the content once it was needed.
+	content quarantine.Digest
 
 	arrived  time.Time
 	deadline time.Time
@@ -264,6 +272,10 @@
 		return false
 	}
 
+	if next.ran && c.refused() {
+		return false
+	}
+
 	// A send that did not arrive costs the service nothing.
 	if !next.arrived {
 		return len(c.tried) < maxUnreachable
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -104,7 +104,7 @@
 	send.End(now, dispatch.OutcomeFailed)
 
 	if !watch.fired() {
-		c.relay.quarantine.Broken(c.digest, send.Backend)
+		c.broken(send)
 	}
 
 	return next{step: stepRepeat, reason: reasonBroken, arrived: true, ran: true}
@@ -146,6 +146,7 @@
 
 		if reason == "" {
 			now.send.End(c.relay.now(), dispatch.OutcomeDone)
+			c.innocent()
 			c.ended(resultAnswered, http.StatusOK)
 
 			return answered
@@ -186,7 +187,7 @@
 	}
 
 	if reason == reasonBroken && now.memory == nil {
-		c.relay.quarantine.Broken(c.digest, now.send.Backend)
+		c.broken(now.send)
 	}
 
 	if c.route.Resumable {
--- a/state/dispatch/load_test.go
+++ b/state/dispatch/load_test.go
@@ -188,7 +188,7 @@
 
 			for id, w := range work {
 				sum := others[id]
-				sum.Add(w)
+				sum.Add(w, 1)
 				others[id] = sum
 			}
 		}
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -176,7 +176,7 @@
 	work := Work{Running: s.running, Prefill: s.prefill}
 
 	if now.Sub(s.othersAt) < othersLifetime {
-		work.Add(s.others)
+		work.Add(s.others, 1)
 	} else if now.Sub(s.loadAt) < reportLifetime {
 		work.Running += max(s.load.Running+s.load.Waiting-s.ownThen, 0)
 	}
--- a/state/dispatch/work.go
+++ b/state/dispatch/work.go
@@ -30,11 +30,11 @@
 	return Sizes - 1
 }
 
-// Add adds the work of another process.
-func (w *Work) Add(other Work) {
-	w.Running += other.Running
+// Add adds the work of another process, or takes it back with the factor -1.
+func (w *Work) Add(other Work, factor int) {
+	w.Running += factor * other.Running
 	for size, tokens := range other.Prefill {
-		w.Prefill[size] += tokens
+		w.Prefill[size] += float64(factor) * tokens
 	}
 }
 
