--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -26,6 +26,8 @@
 	// backendGap is the pause between two reads of the list. Entries change several times a second, and each change would end a
 	// waiting read.
 	backendGap = 600 * time.Millisecond
+	// leastGap is the shortest pause between two reads of the list.
+	leastGap = 100 * time.Millisecond
 	// answerTime is the time for an answer beyond the wait.
 	answerTime = 800 * time.Millisecond
 	// leastWait is the shortest waiting read.
@@ -87,6 +89,8 @@
 	toldAt  time.Duration
 	// reads tells that this process reads the store for all.
 	reads atomic.Bool
+	// asked is the time between two questions of another process for the news, in nanoseconds.
+	asked atomic.Int64
 	// lapsed holds the servers whose removal waits for the end of returnTime.
 	lapsed map[apricotway.BackendServerID]bool
 	// entries holds the newest usable entry of each server.
@@ -269,7 +273,7 @@
 		)
 
 		if known {
-			deployment, position, err = c.store.DeploymentAfter(ctx, position, configWait)
+			deployment, position, err = c.store.DeploymentAfter(ctx, position, c.configWaitNow())
 		} else {
 			deployment, position, err = c.store.Deployment(ctx)
 			known = err == nil
--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -29,6 +29,8 @@
 	down, trimmedConfig, trimmedList bool
 	// hanging holds up the reads of the list.
 	hanging bool
+	// reads counts the reads of the list.
+	reads int
 }
 
 func newStore() *store { return &store{whole: map[apricotway.BackendServerID]apricotway.Backend{}} }
@@ -104,6 +106,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	s.reads++
+
 	if s.down {
 		return nil, 0, apricotway.ErrLogUnavailable
 	}
@@ -119,6 +123,8 @@
 func (s *store) BackendsAfter(
 	ctx context.Context, position apricotway.Offset, wait time.Duration,
 ) ([]apricotway.BackendChange, apricotway.Offset, error) {
+	s.set(func(s *store) { s.reads++ })
+
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		down, trimmed, hanging, have := s.down, s.trimmedList, s.hanging, s.changes[min(int(position), len(s.changes)):]
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -10,6 +10,11 @@
 	// newsLifetime is the age of the list from which a process reads the store itself. It is below the 2 s in which a server that
 	// leaves must no longer get calls.
 	newsLifetime = 1500 * time.Millisecond
+	// readerWait bounds one waiting read of the configuration at the process that passes it on; twice that and the time between
+	// two questions are well below oldestProof.
+	readerWait = 600 * time.Millisecond
+	// newsMargin is the part of newsLifetime that is kept for the way of the news and for slow processes.
+	newsMargin = 500 * time.Millisecond
 	// oldestProof bounds the age of what the holder passes on. A holder that is cut off from the store passes on nothing then,
 	// and every process reads for itself.
 	oldestProof = 2500 * time.Millisecond
@@ -164,5 +169,29 @@
 	return c.toldAt != 0 && c.boot()-c.toldAt < newsLifetime && c.table.Load() != nil
 }
 
-// Reads sets whether this process has to read the store itself, as the one that passes the news on.
-func (c *Catalog) Reads(self bool) { c.reads.Store(self) }
+// Reads sets whether this process has to read the store itself, as the one that passes the news on, and the time between two
+// questions of another process for them.
+func (c *Catalog) Reads(self bool, asked time.Duration) {
+	c.reads.Store(self)
+	c.asked.Store(int64(asked))
+}
+
+// listPace returns the time that a read of the list waits for changes, and the pause after it. The list that others hear of must
+// stay young until they ask again: it is up to two waits and a pause old.
+func (c *Catalog) listPace() (wait, gap time.Duration) {
+	if !c.reads.Load() {
+		return backendWait, backendGap
+	}
+
+	return leastWait, min(max(newsLifetime-newsMargin-2*leastWait-time.Duration(c.asked.Load()), leastGap), backendGap)
+}
+
+// configWaitNow returns the time that a read of the configuration waits for a newer one. What others hear of it is up to two
+// waits old.
+func (c *Catalog) configWaitNow() time.Duration {
+	if !c.reads.Load() {
+		return configWait
+	}
+
+	return readerWait
+}
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -212,3 +212,49 @@
 		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false})
 	})
 }
+
+// TestNewsOfManyProcesses plays 80 processes, which ask for the news every 480 ms: those that do not read the store on a calm day
+// must not begin to, since their reads are the most of what the platform is asked.
+func TestNewsOfManyProcesses(t *testing.T) {
+	const (
+		asked = 480 * time.Millisecond
+		way   = 100 * time.Millisecond
+	)
+
+	bubble.Test(t, func(t *testing.T) {
+		near, far := newStore(), newStore()
+		near.publish(3)
+		far.publish(3)
+
+		reader, _ := start(t, near)
+		told, _ := start(t, far)
+
+		reader.Reads(true, asked)
+		told.Reads(false, asked)
+		wait(time.Second)
+
+		before := 0
+
+		for i := range 60 {
+			// Servers register a little changed all the time.
+			near.register("a", i%2 == 0)
+
+			sent := told.Now()
+			news := reader.News("reader", told.Position())
+
+			wait(way)
+			told.Take(sent, news)
+			wait(asked - way)
+
+			if i == 5 {
+				far.set(func(s *store) { before = s.reads })
+			}
+		}
+
+		far.set(func(s *store) {
+			if got := s.reads - before; got != 0 {
+				t.Errorf("got %d reads of a process that hears the news, want none", got)
+			}
+		})
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -29,12 +29,13 @@
 		)
 
 		began := c.boot()
+		wait, gap := c.listPace()
 		whole := !known
 		if whole {
 			changes, position, err = c.store.Backends(limited)
 			known = err == nil
 		} else {
-			changes, position, err = c.store.BackendsAfter(limited, position, c.atMost(backendWait))
+			changes, position, err = c.store.BackendsAfter(limited, position, c.atMost(wait))
 		}
 
 		if errors.Is(err, apricotway.ErrTrimmed) {
@@ -58,7 +59,7 @@
 
 		c.applyChanges(changes)
 		c.applied(began)
-		pause.For(ctx, c.atMost(backendGap))
+		pause.For(ctx, c.atMost(gap))
 
 		return nil
 	}
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -90,7 +90,7 @@
 	Now() time.Duration
 	News(self apricotway.NodeID, after catalog.Position) catalog.News
 	Take(sent time.Duration, news catalog.News)
-	Reads(self bool)
+	Reads(self bool, asked time.Duration)
 }
 
 // Parts are the parts of the process that the rollup reads and sets.
@@ -244,7 +244,7 @@
 
 	sent := r.Catalog.Now()
 	_, held := r.duty.Held()
-	r.Catalog.Reads(held)
+	r.Catalog.Reads(held, reportPeriod(r.countMembers()))
 
 	if held {
 		if answer := r.receive(now, report); answer.Holding {
