Ask other processes for the configuration while the store turns this one away

Cause: a process that hears of a newer configuration proves nothing by its older one, and read it from the store only. A process that the store does not answer now asks up to four others for their news, with the configuration when it is newer; the ages add up. TestNeighbours fails without.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -140,7 +140,7 @@
 
 	e.pool = dispatch.New(dispatch.WithZone(s.Zone))
 	e.catalog = catalog.New(e.supervisor, e.platform, e.pool, catalog.WithLogger(e.logger),
-		catalog.WithKeyValidity(keyValidity(s)),
+		catalog.WithKeyValidity(keyValidity(s)), catalog.WithNeighbours(e.peers, e.peerServer, e.membership),
 		catalog.WithChanged(func(t *route.Table) { e.limiter.SetLimits(time.Now(), t.Workspaces()) }))
 
 	connections := upstream.New(upstream.WithOpened(counters.opened.Inc))
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -66,6 +66,13 @@
 	boot func() time.Duration
 
 	table atomic.Pointer[route.Table]
+	// newest is the configuration that table was made from.
+	newest atomic.Pointer[apricotway.Deployment]
+	// heard is the newest version that another process told of.
+	heard atomic.Uint64
+	// configLost and listLost tell that the last read of the configuration and of the list failed.
+	configLost, listLost atomic.Bool
+	neighbours           *neighbours
 	// refresh asks for a read at once: the waiting one cannot prove more than its beginning.
 	refresh chan struct{}
 	// proof is the boot time at which the newest read of the configuration began; 0 before the first.
@@ -139,6 +146,10 @@
 		return c.follow(ctx, "list of backend servers", c.readBackends())
 	}})
 
+	if c.neighbours != nil {
+		supervisor.Add(apricotway.Periodic("news of other processes", askPeriod, c.ask))
+	}
+
 	supervisor.Add(apricotway.ServiceFunc{Name: "proof of the configuration", Func: c.prove})
 
 	return c
@@ -159,6 +170,7 @@
 		deployment, _, err := c.store.Deployment(limited)
 
 		cancel()
+		c.configLost.Store(err != nil)
 
 		if err == nil {
 			c.apply(deployment)
@@ -273,7 +285,7 @@
 		)
 
 		if known {
-			deployment, position, err = c.store.DeploymentAfter(ctx, position, c.configWaitNow())
+			deployment, position, err = c.store.DeploymentAfter(ctx, position, c.configPace())
 		} else {
 			deployment, position, err = c.store.Deployment(ctx)
 			known = err == nil
@@ -284,7 +296,7 @@
 			return nil
 		}
 
-		c.reached(err == nil)
+		c.reached(&c.configLost, err == nil)
 
 		if err != nil {
 			return err
@@ -315,6 +327,7 @@
 	}
 
 	table := route.New(deployment)
+	c.newest.Store(deployment)
 	c.table.Store(table)
 	c.changed(table)
 	c.logger.Info("configuration in force", "event", 283, "version", deployment.Version, "routes", len(deployment.Routes),
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -155,12 +155,24 @@
 		return
 	}
 
+	c.hear(news.Version)
+
 	select {
 	case c.refresh <- struct{}{}:
 	default:
 	}
 }
 
+// hear notes the version of a configuration that this process does not have yet.
+func (c *Catalog) hear(version uint64) {
+	for {
+		known := c.heard.Load()
+		if version <= known || c.heard.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
 // informed tells whether another process passes its news on to this one.
 func (c *Catalog) informed() bool {
 	c.mu.Lock()
@@ -186,9 +198,9 @@
 	return leastWait, min(max(newsLifetime-newsMargin-2*leastWait-time.Duration(c.asked.Load()), leastGap), backendGap)
 }
 
-// configWaitNow returns the time that a read of the configuration waits for a newer one. What others hear of it is up to two
+// configPace returns the time that a read of the configuration waits for a newer one. What others hear of it is up to two
 // waits old.
-func (c *Catalog) configWaitNow() time.Duration {
+func (c *Catalog) configPace() time.Duration {
 	if !c.reads.Load() {
 		return configWait
 	}
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -1,6 +1,9 @@
 package catalog_test
 
 import (
+	"context"
+	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -258,3 +261,107 @@
 		})
 	})
 }
+
+// exchange connects the processes of a test.
+type exchange struct {
+	mu       sync.Mutex
+	handlers map[string]apricotway.PeerHandler
+	cut      bool
+}
+
+// seat is one process of the exchange.
+type seat struct {
+	*exchange
+	node string
+}
+
+func (s *seat) address(node string) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(node[0]))
+}
+
+func (s *seat) Register(_ apricotway.Method, handler apricotway.PeerHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.handlers[s.address(s.node).String()] = handler
+}
+
+func (s *seat) Call(ctx context.Context, to netip.AddrPort, _ apricotway.Method, payload []byte) ([]byte, error) {
+	s.mu.Lock()
+	handler, cut := s.handlers[to.String()], s.cut
+	s.mu.Unlock()
+
+	if cut || handler == nil {
+		return nil, apricotway.ErrNotSent
+	}
+
+	return handler(ctx, payload)
+}
+
+func (s *seat) Self() apricotway.Member { return apricotway.Member{Node: apricotway.NodeID(s.node)} }
+
+func (s *seat) Members() []apricotway.Member {
+	var members []apricotway.Member
+
+	for _, node := range []string{"a", "b", "c"} {
+		if node != s.node {
+			members = append(members, apricotway.Member{
+				Node: apricotway.NodeID(node), Peers: s.address(node), State: apricotway.MemberAlive,
+			})
+		}
+	}
+
+	return members
+}
+
+// TestNeighbours guards the processes that the store turns away while others reach it: keys that were taken away end at them and
+// all others still hold, and they send nothing to servers that left meanwhile. A process that reaches nobody accepts no key.
+func TestNeighbours(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		ways := &exchange{handlers: map[string]apricotway.PeerHandler{}}
+		near, far := newStore(), newStore()
+
+		for _, s := range []*store{near, far} {
+			s.publish(3)
+			s.register("a", false)
+		}
+
+		begin := func(node string, s *store) (*catalog.Catalog, *dispatch.Pool) {
+			place := &seat{exchange: ways, node: node}
+			return start(t, s, catalog.WithNeighbours(place, place, place), catalog.WithKeyValidity(4*time.Second))
+		}
+
+		begin("a", near)
+		first, firstPool := begin("b", far)
+		second, _ := begin("c", far)
+
+		wait(2 * time.Second)
+		far.set(func(s *store) { s.down = true })
+		near.publish(8)
+		near.drop("a")
+		near.register("b", false)
+		wait(4 * time.Second)
+
+		for range 40 {
+			wait(250 * time.Millisecond)
+
+			for name, c := range map[string]*catalog.Catalog{"b": first, "c": second} {
+				if got, want := version(c), uint64(8); got != want || !c.KeysFresh() {
+					t.Fatalf("process %s: got version %d and fresh keys: %t, want %d and fresh ones", name, got, c.KeysFresh(), want)
+				}
+			}
+		}
+
+		wantKnown(t, firstPool, map[apricotway.BackendServerID]bool{"a": false, "b": true})
+
+		ways.mu.Lock()
+		ways.cut = true
+		ways.mu.Unlock()
+
+		wait(5 * time.Second)
+
+		if first.KeysFresh() {
+			t.Error("got fresh keys at a process that reaches neither store nor others, want none")
+		}
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,7 +44,7 @@
 			return nil
 		}
 
-		c.reached(err == nil)
+		c.reached(&c.listLost, err == nil)
 
 		if err != nil {
 			return err
@@ -164,7 +165,9 @@
 }
 
 // reached notes whether a read of the store had an answer.
-func (c *Catalog) reached(ok bool) {
+func (c *Catalog) reached(lost *atomic.Bool, ok bool) {
+	lost.Store(!ok)
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
