Keep long prompts apart from short ones, and refuse calls that would be late

Cause: an engine reads the prompt that it has begun to its end. The choice took it for 0.15 of the prompt, and with 80 processes half of the long prompts are not known yet when a call is placed.

Change: from 14 engines on, long prompts take a part of them in the order of a hash, in proportion to what they took of the engines. Of a larger prompt its mean rest counts. Reading weighs more, so that prompts go where their parts are cached. A call whose first event would be late because of others is refused with the time after which to come back.

The load tests' engines now read a prompt to its end, as the bench's do.

--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -239,6 +239,10 @@
 		Service: c.service, Remaining: remaining, Avoid: c.tried, Once: !c.route.Repeatable(), Parts: c.metadata.Parts,
 	}
 
+	if c.sends == 0 {
+		request.Objective = c.route.Objective
+	}
+
 	if c.metadata.HasTokens {
 		request.PromptTokens, request.AnswerTokens = c.metadata.PromptTokens, c.metadata.AnswerTokens
 	}
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -4,8 +4,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,6 +42,9 @@
 	Parts        []apricotway.PromptPart
 	// Remaining is the time that the caller has left.
 	Remaining time.Duration
+	// Objective is the time to the first event within which the answer has its full worth; 0 when there is none or the call has
+	// been sent before.
+	Objective time.Duration
 	// Avoid lists servers that have had this call.
 	Avoid []apricotway.BackendServerID
 	// Once tells that the call must not run twice, so that servers that fail weigh more.
@@ -56,6 +61,8 @@
 	RefusedNoServer Refused = "noServer"
 	// RefusedFull means that every server has all its places taken, and no place comes free in time.
 	RefusedFull Refused = "full"
+	// RefusedLate means that the first event would come too late, and that the call would make others late.
+	RefusedLate Refused = "late"
 )
 
 // Pool is the view that one process has of all backend servers. It is safe for concurrent use.
@@ -64,14 +71,15 @@
 	random  *rand.Rand
 	zone    apricotway.Zone
 	servers map[apricotway.BackendServerID]*server
-	// services holds the servers of each service in an order that does not matter.
+	// services holds the servers of each service in the order of their hashes, the same at all processes.
 	services map[apricotway.Service][]*server
 	// members is the number of processes that place calls, and period the time between two reports of each.
 	members int
 	period  time.Duration
 	// demand counts what callers asked for since the last report.
 	demand map[apricotway.Service]*Demand
-	rates  map[apricotway.Service]*callRate
+	rates  map[stream]*callRate
+	mixes  map[apricotway.Service]*mixture
 }
 
 // Demand is what the callers of one process asked of a service since the last report.
@@ -99,7 +107,8 @@
 		servers:  map[apricotway.BackendServerID]*server{},
 		services: map[apricotway.Service][]*server{},
 		demand:   map[apricotway.Service]*Demand{},
-		rates:    map[apricotway.Service]*callRate{},
+		rates:    map[stream]*callRate{},
+		mixes:    map[apricotway.Service]*mixture{},
 	}
 	for _, option := range options {
 		option(p)
@@ -126,7 +135,9 @@
 
 	added := newServer(backend, now)
 	p.servers[backend.ID] = added
-	p.services[backend.Service] = append(p.services[backend.Service], added)
+	list := p.services[backend.Service]
+	at, _ := slices.BinarySearchFunc(list, added.hash, func(s *server, hash uint64) int { return cmp.Compare(s.hash, hash) })
+	p.services[backend.Service] = slices.Insert(list, at, added)
 }
 
 // Remove drops a server. Its calls in flight go on.
@@ -187,7 +198,9 @@
 	prefill float64
 	sent    time.Time
 	first   bool
-	done    bool
+	// began is the time of the first event.
+	began time.Time
+	done  bool
 }
 
 // Place chooses the server of a call. Without one it returns the reason and the time after which a place may be free.
@@ -198,11 +211,12 @@
 	demand := p.demandLocked(request.Service)
 	demand.Calls++
 
-	if p.rates[request.Service] == nil {
-		p.rates[request.Service] = &callRate{}
+	from := stream{request.Service, SizeOf(request.PromptTokens) >= longSize}
+	if p.rates[from] == nil {
+		p.rates[from] = &callRate{}
 	}
 
-	p.rates[request.Service].add(now)
+	p.rates[from].add(now)
 
 	best, estimate := p.chooseLocked(now, request)
 	if best == nil {
@@ -210,6 +224,8 @@
 		return nil, RefusedNoServer, noServerPause
 	}
 
+	p.mixLocked(request.Service).add(now, request.PromptTokens, 1, estimate.prefill/readRate)
+
 	demand.PrefillTokens += estimate.prefill
 	demand.AnswerTokens += float64(request.AnswerTokens)
 
@@ -218,12 +234,17 @@
 		return nil, RefusedFull, max(estimate.wait-request.Remaining, fullPause)
 	}
 
+	if estimate.late(request.Objective) {
+		demand.Refused++
+		return nil, RefusedLate, max(estimate.wait-request.Objective/2, fullPause)
+	}
+
 	send := &Send{
 		Backend: best.backend, Expected: estimate.wait, pool: p, server: best, request: request,
 		prefill: estimate.prefill, sent: now,
 	}
 
-	best.running++
+	best.own.Running++
 	best.begin(estimate.prefill, 1, request.PromptTokens)
 	best.remember(now, request.Parts)
 
@@ -240,7 +261,7 @@
 		return nil
 	}
 
-	s.running++
+	s.own.Running++
 
 	return &Send{Backend: s.backend, pool: p, server: s, request: request, sent: now}
 }
@@ -263,8 +284,8 @@
 
 // candidatesLocked returns the number of servers out of n that one call is compared on. Between two reports the other processes
 // place calls by the same picture; if all took the server that looks best, they would all take the same one.
-func (p *Pool) candidatesLocked(now time.Time, service apricotway.Service, n int) int {
-	rate := p.rates[service]
+func (p *Pool) candidatesLocked(now time.Time, from stream, n int) int {
+	rate := p.rates[from]
 	if rate == nil || p.members < 2 {
 		return n
 	}
@@ -275,7 +296,13 @@
 	return min(max(count, leastCandidates), n)
 }
 
-// callRate is the rate of calls of one service at this process.
+// stream is a kind of calls that are placed on the same servers.
+type stream struct {
+	service apricotway.Service
+	long    bool
+}
+
+// callRate is the rate of calls of one kind at this process.
 type callRate struct {
 	// perSecond is the rate at the given time.
 	perSecond float64
@@ -309,7 +336,8 @@
 // chooseLocked returns the server with the least estimated wait. Servers that failed of late are taken only when no other is left.
 func (p *Pool) chooseLocked(now time.Time, request Request) (*server, estimate) {
 	chain := chainOf(request.Parts)
-	home := p.homeLocked(request.Service, chain)
+	lane := p.laneLocked(request)
+	home := p.homeLocked(request.Service, chain, lane)
 
 	var (
 		best      *server
@@ -318,12 +346,19 @@
 	)
 
 	all := p.services[request.Service]
-	count := p.candidatesLocked(now, request.Service, len(all))
+	size := min(lane.end, len(all)) - lane.first
+	count := p.candidatesLocked(now, stream{request.Service, SizeOf(request.PromptTokens) >= longSize}, size)
 	// Each server is compared with this probability, the home of the prompt always.
-	chance := float64(count) / float64(max(len(all), 1))
+	chance := float64(count) / float64(max(size, 1))
+
+	rank := -1
 
 	for _, s := range all {
-		if s.backend.Leaving || contains(request.Avoid, s.backend.ID) {
+		if s.backend.Leaving {
+			continue
+		}
+
+		if rank++; contains(request.Avoid, s.backend.ID) {
 			continue
 		}
 
@@ -343,6 +378,10 @@
 			score += otherZonePenalty
 		}
 
+		if !lane.holds(rank) {
+			score += lane.crossing
+		}
+
 		score *= 1 + scoreNoise*p.random.Float64()
 
 		if best == nil || score < bestScore {
@@ -366,7 +405,7 @@
 		return
 	}
 
-	s.first = true
+	s.first, s.began = true, now
 	s.server.begin(s.prefill, -1, s.request.PromptTokens)
 	s.server.observe(now.Sub(s.sent), s.Expected)
 }
@@ -393,9 +432,12 @@
 	}
 
 	s.done = true
-	s.server.running--
+	s.server.own.Running--
 
-	if !s.first {
+	if s.first {
+		took := float64(now.Sub(s.began)) / float64(time.Millisecond) / runningPerEngine
+		s.pool.mixLocked(s.request.Service).add(now, s.request.PromptTokens, 0, took)
+	} else {
 		s.server.begin(s.prefill, -1, s.request.PromptTokens)
 	}
 
--- a/state/dispatch/load_test.go
+++ b/state/dispatch/load_test.go
@@ -12,14 +12,20 @@
 )
 
 const (
-	service   = apricotway.Service("s")
-	processes = 8
-	// reportPeriod is the time between two reports of a process.
-	reportPeriod = 120 * time.Millisecond
+	service = apricotway.Service("s")
+	// processes and reportPeriod are those of a small site, manyProcesses and longPeriod those of a large one.
+	processes     = 8
+	reportPeriod  = 120 * time.Millisecond
+	manyProcesses = 40
+	longPeriod    = 480 * time.Millisecond
 	// tokensPerMs is the number of prompt tokens that an engine reads in a millisecond.
 	tokensPerMs = 50.0
 	// stepPart is the part by which each running call slows the reading: a step of 0.1 ms for every 18 ms of a prompt.
 	stepPart = 0.0057
+	// manyEngines is the number of engines from which a site is large.
+	manyEngines = 24
+	// longPart is the part of the calls with long prompts.
+	longPart = 0.24
 )
 
 // job is one call on its way.
@@ -37,18 +43,32 @@
 	process int
 }
 
-// engine reads prompts one after the other, the shortest first, and then answers.
+// aim is the time to the first event that callers want.
+func (j *job) aim() time.Duration {
+	if j.long {
+		return 1200 * time.Millisecond
+	}
+
+	return 500 * time.Millisecond
+}
+
+// engine reads prompts one after the other, each to its end, takes those of the smallest size first, and answers what it has read
+// meanwhile.
 type engine struct {
 	id      apricotway.BackendServerID
 	slow    float64
 	fails   float64
 	waiting []*job
 	running []*job
+	// reading is the prompt that has been begun.
+	reading *job
 }
 
 // site plays processes and engines in steps of a millisecond.
 type site struct {
-	now     time.Time
+	now time.Time
+	// period is the time between two reports of a process.
+	period  time.Duration
 	random  *rand.Rand
 	pools   []*dispatch.Pool
 	engines []*engine
@@ -59,11 +79,16 @@
 }
 
 func newSite(seed uint64, engines int, choose func(s *site, j *job) *engine) *site {
-	s := &site{now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 2)), choose: choose}
+	s := &site{now: time.Unix(1000, 0), period: reportPeriod, random: rand.New(rand.NewPCG(seed, 2)), choose: choose}
+	count := processes
 
-	for i := range processes {
+	if engines >= manyEngines {
+		count, s.period = manyProcesses, longPeriod
+	}
+
+	for i := range count {
 		pool := dispatch.New(dispatch.WithRandom(rand.New(rand.NewPCG(uint64(i), seed))))
-		pool.SetMembers(processes, reportPeriod)
+		pool.SetMembers(count, s.period)
 		s.pools = append(s.pools, pool)
 	}
 
@@ -81,10 +106,10 @@
 
 // arrive makes a call of the sites' mix: a quarter have long prompts of very different sizes.
 func (s *site) arrive() {
-	j := &job{arrived: s.now, process: s.random.IntN(processes), answer: 400 + s.random.IntN(3000)}
+	j := &job{arrived: s.now, process: s.random.IntN(len(s.pools)), answer: 400 + s.random.IntN(3000)}
 
 	switch share := s.random.Float64(); {
-	case share < 0.24:
+	case share < longPart:
 		j.tokens, j.long = min(6000*math.Exp(s.random.NormFloat64()), 54000), true
 	case share < 0.63:
 		j.tokens = 300 + s.random.Float64()*1000
@@ -99,7 +124,7 @@
 		j.engine = s.choose(s, j)
 	} else {
 		send, _, _ := s.pools[j.process].Place(s.now, dispatch.Request{
-			Service: service, PromptTokens: int(j.tokens), AnswerTokens: 300, Remaining: 15 * time.Second,
+			Service: service, PromptTokens: int(j.tokens), AnswerTokens: 300, Remaining: 15 * time.Second, Objective: j.aim(),
 		})
 		if send == nil {
 			j.failed = true
@@ -130,19 +155,22 @@
 
 // step lets an engine work for a millisecond.
 func (e *engine) step(now time.Time) {
-	var next *job
-
-	for _, j := range e.waiting {
-		if next == nil || j.left < next.left {
-			next = j
+	if e.reading == nil {
+		for _, j := range e.waiting {
+			if e.reading == nil || dispatch.SizeOf(int(j.tokens)) < dispatch.SizeOf(int(e.reading.tokens)) {
+				e.reading = j
+			}
 		}
 	}
 
+	next := e.reading
+
 	if next != nil {
 		next.left -= tokensPerMs / e.slow / (1 + stepPart*float64(len(e.running)))
 
 		if next.left <= 0 {
 			next.began = now.Sub(next.arrived)
+			e.reading = nil
 			e.running = append(e.running, next)
 
 			for i, j := range e.waiting {
@@ -173,27 +201,12 @@
 
 // exchange tells each process what the others have under way, as the holder of the duties does.
 func (s *site) exchange() {
-	own := make([]map[apricotway.BackendServerID]dispatch.Work, processes)
-	for i, pool := range s.pools {
-		own[i] = pool.OwnWork()
-	}
-
-	for i, pool := range s.pools {
-		others := map[apricotway.BackendServerID]dispatch.Work{}
+	board := dispatch.NewBoard()
 
-		for k, work := range own {
-			if k == i {
-				continue
-			}
-
-			for id, w := range work {
-				sum := others[id]
-				sum.Add(w, 1)
-				others[id] = sum
-			}
+	for range 2 {
+		for i, pool := range s.pools {
+			pool.SetOthersWork(s.now, board.Post(s.now, apricotway.NodeID(fmt.Sprint("n", i)), pool.OwnWork()))
 		}
-
-		pool.SetOthersWork(s.now, others)
 	}
 }
 
@@ -203,7 +216,7 @@
 
 	for s.now.Sub(start) < duration {
 		at := s.now.Sub(start)
-		if at%reportPeriod == 0 {
+		if at%s.period == 0 {
 			s.exchange()
 		}
 
@@ -221,9 +234,9 @@
 	var inTime, all [2]float64
 
 	for _, j := range s.jobs {
-		kind, aim := 0, 500*time.Millisecond
+		kind, aim := 0, j.aim()
 		if j.long {
-			kind, aim = 1, 1200*time.Millisecond
+			kind = 1
 		}
 
 		// Calls that arrived at the very end may still wait.
@@ -341,3 +354,35 @@
 func TestFailingEngine(t *testing.T) {
 	compare(t, 12, func(s *site) { s.engines[5].fails = 0.45 }, steady(80), 0.95)
 }
+
+// TestManyEngines plays a large site, whose processes know of each other's calls half a second late: short calls must not wait
+// behind long prompts that nobody told of.
+func TestManyEngines(t *testing.T) {
+	compare(t, 48, func(*site) {}, steady(400), 0.95)
+}
+
+// TestOverload plays a large site that has lost two thirds of its engines: calls that would be late are refused, so that the
+// others are served. At least as many are in time as the engines can read at their best, less a fifth.
+func TestOverload(t *testing.T) {
+	const (
+		engines = 24
+		rate    = 400
+		days    = 3
+		// reading is the mean time in seconds that a prompt of the mix takes an engine.
+		reading = 0.0606
+		wanted  = 0.8 * engines / (rate * reading)
+	)
+
+	var all float64
+
+	for seed := range uint64(days) {
+		long, short := newSite(seed, engines, nil).run(30*time.Second, steady(rate))
+		t.Logf("long %.3f, short %.3f", long, short)
+
+		all += (longPart*long + (1-longPart)*short) / days
+	}
+
+	if all < wanted {
+		t.Errorf("got %.3f of the calls in time, want at least %.3f", all, wanted)
+	}
+}
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -22,8 +22,9 @@
 	ejectedPenalty = 1e6
 	// otherZonePenalty in milliseconds is the cost of bytes between availability zones.
 	otherZonePenalty = 2.0
-	// behindLarger is the part of the larger prompts at an engine that delays a smaller one.
-	behindLarger = 0.15
+	// leftOfLarger is the mean part of a prompt that is still to be read when another call arrives. An engine reads the prompt
+	// that it has begun to its end, and takes the next one by urgency.
+	leftOfLarger = 0.5
 	// leastCandidates is the least number of servers that a call is compared on.
 	leastCandidates = 3
 	// rateLife is the time over which the rate of calls is averaged.
@@ -52,7 +53,9 @@
 	// cacheEntries bounds the parts remembered for one server.
 	cacheEntries = 512
 	// homeCached is the probability that the home server of a prompt has its shared parts cached by another process's call.
-	homeCached = 0.6
+	homeCached = 0.85
+	// readWeight is the weight of the time in which a prompt is read here, since calls that come meanwhile wait for it.
+	readWeight = 3.0
 	// minPace and maxPace bound how much slower than estimated a server is taken to be.
 	minPace, maxPace = 0.5, 8.0
 	// failureWeight is the wait in milliseconds that a certain failure is worth.
@@ -66,9 +69,8 @@
 	// hash stands for the server in rendezvous hashing.
 	hash uint64
 
-	// running counts own calls in flight, prefill the prompt tokens of those without a first event by size.
-	running int
-	prefill [Sizes]float64
+	// own holds the calls of this process in flight.
+	own Work
 
 	// others holds the sends of the other processes as of othersAt.
 	others   Work
@@ -98,8 +100,10 @@
 // estimate is the expected course of a call on one server.
 type estimate struct {
 	// score orders servers; the least is chosen.
-	score   float64
-	wait    time.Duration
+	score float64
+	wait  time.Duration
+	// queue is the part of the wait that other calls cause.
+	queue   time.Duration
 	prefill float64
 	full    bool
 }
@@ -147,7 +151,7 @@
 }
 
 // homeLocked returns the server that all processes prefer for a prompt's shared parts, by rendezvous hashing.
-func (p *Pool) homeLocked(service apricotway.Service, chain []chainLink) *server {
+func (p *Pool) homeLocked(service apricotway.Service, chain []chainLink, lane lane) *server {
 	link, ok := shared(chain)
 	if !ok {
 		return nil
@@ -158,11 +162,17 @@
 		best uint64
 	)
 
+	rank := -1
+
 	for _, s := range p.services[service] {
 		if s.backend.Leaving {
 			continue
 		}
 
+		if rank++; !lane.holds(rank) {
+			continue
+		}
+
 		if weight := mix(link.hash, s.hash); home == nil || weight > best {
 			home, best = s, weight
 		}
@@ -173,7 +183,7 @@
 
 // runningNow estimates the calls on the server: own ones, and those of others by their reports or by the server's.
 func (s *server) runningNow(now time.Time) Work {
-	work := Work{Running: s.running, Prefill: s.prefill}
+	work := s.own
 
 	if now.Sub(s.othersAt) < othersLifetime {
 		work.Add(s.others, 1)
@@ -187,23 +197,27 @@
 // begin adds the prompt of a call without a first event, with a negative sign at its end.
 func (s *server) begin(tokens, sign float64, promptTokens int) {
 	size := SizeOf(promptTokens)
-	s.prefill[size] = max(s.prefill[size]+sign*tokens, 0)
+	s.own.Prefill[size] = max(s.own.Prefill[size]+sign*tokens, 0)
+	s.own.Prompts[size] = max(s.own.Prompts[size]+int(sign), 0)
 }
 
 // ahead returns the tokens that are read before the first event of a prompt: those of its size and of smaller ones, and the
-// part of a larger one that is being read.
+// rest of a larger one that is being read.
 func (w *Work) ahead(size int) float64 {
-	var tokens float64
+	var tokens, larger float64
+
+	prompts := 0
 
 	for other, waiting := range w.Prefill {
 		if other > size {
-			waiting *= behindLarger
+			larger += waiting
+			prompts += w.Prompts[other]
+		} else {
+			tokens += waiting
 		}
-
-		tokens += waiting
 	}
 
-	return tokens
+	return tokens + leftOfLarger*larger/float64(max(prompts, 1))
 }
 
 func (s *server) slots() float64 {
@@ -251,12 +265,14 @@
 	prefill := work.ahead(SizeOf(request.PromptTokens))
 	wait := (baseWait + stepPerRunning*running + (prefill+own)/prefillRate) * s.pace * s.slowdown(now)
 
+	queue := prefill / prefillRate * s.pace * s.slowdown(now)
+
 	if full {
 		// A place comes free when a running call ends.
 		wait += waitForPlace * (running - s.slots() + 1) / s.slots()
 	}
 
-	return estimate{score: wait + failing, wait: milliseconds(wait), prefill: own, full: full}
+	return estimate{score: wait + readWeight*own/prefillRate + failing, wait: milliseconds(wait), queue: milliseconds(queue), prefill: own, full: full}
 }
 
 // waitForPlace is the time in milliseconds in which all places of an engine come free once.
@@ -300,7 +316,7 @@
 }
 
 func (s *server) report(now time.Time, load apricotway.BackendLoad) {
-	s.load, s.loadAt, s.ownThen = load, now, s.running
+	s.load, s.loadAt, s.ownThen = load, now, s.own.Running
 }
 
 // observe compares the time to the beginning of an answer with the expected one.
--- a/state/dispatch/work.go
+++ b/state/dispatch/work.go
@@ -9,8 +9,9 @@
 // Work is what one or more processes have under way on a server.
 type Work struct {
 	Running int
-	// Prefill holds the prompt tokens of calls without a first event, by the size of their prompts.
+	// Prefill holds the prompt tokens of calls without a first event, by the size of their prompts, and Prompts their number.
 	Prefill [Sizes]float64
+	Prompts [Sizes]int
 }
 
 // Sizes is the number of sizes of prompts that are told apart. Engines read prompts of a smaller size first.
@@ -35,6 +36,7 @@
 	w.Running += factor * other.Running
 	for size, tokens := range other.Prefill {
 		w.Prefill[size] += float64(factor) * tokens
+		w.Prompts[size] += factor * other.Prompts[size]
 	}
 }
 
@@ -46,8 +48,8 @@
 	work := map[apricotway.BackendServerID]Work{}
 
 	for id, s := range p.servers {
-		if s.running > 0 {
-			work[id] = Work{Running: s.running, Prefill: s.prefill}
+		if s.own.Running > 0 {
+			work[id] = s.own
 		}
 	}
 
