--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -78,7 +78,7 @@
 	period  time.Duration
 	// demand counts what callers asked for since the last report.
 	demand map[apricotway.Service]*Demand
-	rates  map[stream]*callRate
+	rates  map[callKind]*callRate
 	mixes  map[apricotway.Service]*mixture
 }
 
@@ -107,7 +107,7 @@
 		servers:  map[apricotway.BackendServerID]*server{},
 		services: map[apricotway.Service][]*server{},
 		demand:   map[apricotway.Service]*Demand{},
-		rates:    map[stream]*callRate{},
+		rates:    map[callKind]*callRate{},
 		mixes:    map[apricotway.Service]*mixture{},
 	}
 	for _, option := range options {
@@ -211,7 +211,7 @@
 	demand := p.demandLocked(request.Service)
 	demand.Calls++
 
-	from := stream{request.Service, SizeOf(request.PromptTokens) >= longSize}
+	from := callKind{request.Service, SizeOf(request.PromptTokens) >= longSize}
 	if p.rates[from] == nil {
 		p.rates[from] = &callRate{}
 	}
@@ -284,7 +284,7 @@
 
 // candidatesLocked returns the number of servers out of n that one call is compared on. Between two reports the other processes
 // place calls by the same picture; if all took the server that looks best, they would all take the same one.
-func (p *Pool) candidatesLocked(now time.Time, from stream, n int) int {
+func (p *Pool) candidatesLocked(now time.Time, from callKind, n int) int {
 	rate := p.rates[from]
 	if rate == nil || p.members < 2 {
 		return n
@@ -296,8 +296,8 @@
 	return min(max(count, leastCandidates), n)
 }
 
-// stream is a kind of calls that are placed on the same servers.
-type stream struct {
+// callKind is a kind of calls that are placed on the same servers.
+type callKind struct {
 	service apricotway.Service
 	long    bool
 }
@@ -347,7 +347,7 @@
 
 	all := p.services[request.Service]
 	size := min(lane.end, len(all)) - lane.first
-	count := p.candidatesLocked(now, stream{request.Service, SizeOf(request.PromptTokens) >= longSize}, size)
+	count := p.candidatesLocked(now, callKind{request.Service, SizeOf(request.PromptTokens) >= longSize}, size)
 	// Each server is compared with this probability, the home of the prompt always.
 	chance := float64(count) / float64(max(size, 1))
 
