Log the prompt parts of calls that backend servers break off

The logs could not tell the hypotheses of the prompt part incident apart: they showed neither the parts nor the digest of a broken call, nor how far its answer had come. Event 356 has all three.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -156,7 +156,7 @@
 		return attemptResult{step: stepRetry, reason: reasonSilent, arrived: true, mayHaveRun: true}
 	}
 
-	c.reportBroken(send)
+	c.reportBroken(send, false, err)
 
 	return attemptResult{step: stepRetry, reason: reasonBroken, arrived: true, mayHaveRun: true}
 }
@@ -181,7 +181,7 @@
 		return attemptResult{step: stepFail, reason: reasonEnded, arrived: true, mayHaveRun: true}
 	case err != nil:
 		send.End(now, dispatch.OutcomeFailed)
-		c.reportBroken(send)
+		c.reportBroken(send, len(content) > 0, err)
 
 		return attemptResult{step: stepRetry, reason: reasonCut, arrived: true, mayHaveRun: true}
 	case answer.Status >= http.StatusInternalServerError:
--- a/protocol/relay/quarantine.go
+++ b/protocol/relay/quarantine.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/apricotway/apricotway/state/dispatch"
@@ -39,11 +40,24 @@
 	return c.relay.quarantine.HasSuspects() && c.relay.quarantine.Refuses(c.digest())
 }
 
-// reportBroken tells the quarantine that the server of a send may have crashed on the call.
-func (c *call) reportBroken(send *dispatch.Send) {
+// reportBroken logs that the server of a send broke off the call and tells the quarantine that it may have crashed on the call. began
+// is set when a part of the answer's body had arrived.
+func (c *call) reportBroken(send *dispatch.Send, began bool, err error) {
+	c.relay.logger.Info("backend server broke off a call", "event", 356, "attempt", c.metadata.Attempt, "server", send.Backend.ID,
+		"service", c.service, "digest", c.digest(), "parts", c.partNames(), "began", began, "error", err.Error())
 	c.relay.quarantine.RecordBroken(c.digest(), send.Backend.ID)
 }
 
+// partNames returns the identifiers of the prompt's parts for the log.
+func (c *call) partNames() []string {
+	names := make([]string, len(c.metadata.Parts))
+	for i, part := range c.metadata.Parts {
+		names[i] = strconv.FormatUint(part.ID, 16)
+	}
+
+	return names
+}
+
 // reportAnswered tells the quarantine that the call was answered, and so did not crash its server.
 func (c *call) reportAnswered() {
 	if c.relay.quarantine.HasSuspects() {
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -99,7 +99,7 @@
 	c.countUsage(now)
 
 	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
-		return c.streamBroken(ctx, send, silence)
+		return c.streamBroken(ctx, send, silence, err)
 	}
 
 	send.RecordFirstEvent(now, metadata.Load)
@@ -112,7 +112,7 @@
 }
 
 // streamBroken returns the result of an attempt whose stream broke before any of it was passed on.
-func (c *call) streamBroken(ctx context.Context, send *dispatch.Send, silence *silenceTimer) attemptResult {
+func (c *call) streamBroken(ctx context.Context, send *dispatch.Send, silence *silenceTimer, err error) attemptResult {
 	now := c.relay.now()
 
 	if ctx.Err() != nil {
@@ -123,7 +123,7 @@
 	send.End(now, dispatch.OutcomeFailed)
 
 	if !silence.fired() {
-		c.reportBroken(send)
+		c.reportBroken(send, false, err)
 	}
 
 	return attemptResult{step: stepRetry, reason: reasonBroken, arrived: true, mayHaveRun: true}
@@ -171,6 +171,8 @@
 	// memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
 	memory *apricotway.RunKVCache
 	next   *dispatch.Send
+	// err is the error with which reading the body failed.
+	err error
 	// noMove is set when moving the run was tried in vain; it is not tried again.
 	noMove bool
 }
@@ -227,7 +229,7 @@
 	}
 
 	if reason == reasonBroken && run.memory == nil {
-		c.reportBroken(run.send)
+		c.reportBroken(run.send, true, run.err)
 	}
 
 	if c.route.Resumable && !splitter.passedPart {
@@ -274,6 +276,7 @@
 		case err != nil && current.silence.fired():
 			return reasonSilent, dispatch.OutcomeFailed
 		case err != nil:
+			current.err = err
 			return reasonBroken, dispatch.OutcomeFailed
 		}
 
