--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -62,9 +62,9 @@
 	attempt, path, body string
 	status              int
 	err                 error
-	// address is the host that the attempt was sent to, and begun the time at which its answer began.
-	address netip.AddrPort
-	begun   time.Time
+	// address is the host that the attempt was sent to at the time sent, and begun the time at which its answer began.
+	address     netip.AddrPort
+	sent, begun time.Time
 	// engine is the engine that answered, and limited tells whether the answer states a limit.
 	engine  string
 	limited bool
@@ -228,13 +228,18 @@
 	<-e.done
 }
 
-// call sends one attempt with the client, records the response or the error, and reports whether the status was 200.
+// call sends one attempt without prompt parts or body, and reports whether the status was 200.
 func (s *entrySystem) call(ctx context.Context, client *http.Client, address netip.AddrPort, attempt string, stream bool) bool {
 	c := standin.Call{Address: address, Host: "h.example", Path: "/book/x", Attempt: attempt, Key: "secret"}
 	if stream {
 		c.Path, c.Tokens = "/chat/x", "100,20"
 	}
 
+	return s.send(ctx, client, c)
+}
+
+// send sends an attempt with the client, records the response or the error, and reports whether the status was 200.
+func (s *entrySystem) send(ctx context.Context, client *http.Client, c standin.Call) bool {
 	request, err := c.Request(ctx)
 	if err != nil {
 		s.t.Error(err)
@@ -244,7 +249,7 @@
 	// Without GetBody the client cannot retry by itself, which would send the same attempt twice.
 	request.GetBody = nil
 
-	a := attemptResult{attempt: attempt, path: c.Path, address: address}
+	a := attemptResult{attempt: c.Attempt, path: c.Path, address: c.Address, sent: time.Now()}
 
 	response, err := client.Do(request)
 	if err == nil {
--- a/cmd/scenario/serverlimit_test.go
+++ b/cmd/scenario/serverlimit_test.go
@@ -73,7 +73,12 @@
 		return false
 	}
 
-	for _, i := range a.impaired[host] {
+	return a.inTouch(arrival)
+}
+
+// inTouch reports whether the host that sent a request was not impaired within limitContact.
+func (a limitAudit) inTouch(arrival standin.Arrival) bool {
+	for _, i := range a.impaired[a.hosts[arrival.Attempt]] {
 		if !arrival.At.Before(i.begin) && (i.end.IsZero() || arrival.At.Before(i.end.Add(limitContact))) {
 			return false
 		}
