Treat streams that end inside an event as broken off

Callers got streams as complete that an engine had broken off: with neither a length nor chunks, the end of the connection looked like the end of the answer, and a last event without its empty line was passed on as whole, also behind proper chunks. Such an answer also counted as proof that its call crashes no server.

passAnswerStream wrote the head after the first bytes and took any io.EOF for the end. It now waits for the first whole event, so that an engine which fails before that is still replaced, and an end inside an event, or of an answer without length, chunks and events, is io.ErrUnexpectedEOF on first and resumed runs alike. Answers with another content type than text/event-stream may end anywhere.

The well-behaved servers of TestEndlessAnswers now state their content type.

--- a/forwarding.go
+++ b/forwarding.go
@@ -147,7 +147,10 @@
 	Header http.Header
 	// Length is the announced length of the body; negative when it is not announced.
 	Length int64
-	Body   io.ReadCloser
+	// CloseDelimited is set when the body has neither a length nor chunks and ends with its connection. Its end can't be told from a
+	// connection that the server closed early.
+	CloseDelimited bool
+	Body           io.ReadCloser
 }
 
 // Upstream sends calls to backend servers. It never retries on its own.
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net"
 	"net/http"
 
@@ -25,13 +26,17 @@
 	passed  int
 	// last is the identifier of the last complete event.
 	last string
+	// plain is set when the answer is no event stream, so that it may end anywhere.
+	plain bool
 	// passedPart is set when a part of an event was passed on. No other engine can continue in the middle of an event.
 	passedPart bool
+	// open is set while an event of which a part was passed on has not ended.
+	open bool
 }
 
 var (
 	// An event ends with an empty line, with either kind of line ending.
-	eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
+	eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n"), []byte("\n\r\n")}
 	eventID   = []byte("id:")
 )
 
@@ -57,13 +62,13 @@
 	size := completeSize(e.pending)
 	if size == 0 {
 		if len(e.pending) > maxPending {
-			e.passed, e.passedPart = len(e.pending), true
+			e.passed, e.passedPart, e.open = len(e.pending), true, true
 		}
 
 		return e.pending[:e.passed], false
 	}
 
-	e.passed = size
+	e.passed, e.open = size, false
 	ready = e.pending[:size]
 
 	for line := range bytes.Lines(ready) {
@@ -86,29 +91,63 @@
 	return e.pending
 }
 
-// passAnswerStream waits for the first bytes of a stream and then passes it on as it arrives.
+// insideEvent reports whether the stream has ended in the middle of an event.
+func (e *eventSplitter) insideEvent() bool {
+	return !e.plain && (e.open || len(bytes.Trim(e.rest(), "\r\n")) > 0)
+}
+
+// isEventStream reports whether an answer's header allows that it is an event stream.
+func isEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+
+	return err != nil || mediaType == "text/event-stream"
+}
+
+// readFirstEvent reads a stream up to the end of its first event, or until more than maxPending bytes of that have arrived.
+func readFirstEvent(body io.Reader, buffer []byte) ([]byte, error) {
+	var first []byte
+
+	for {
+		n, err := body.Read(buffer)
+		first = append(first, buffer[:n]...)
+
+		if err != nil || completeSize(first) > 0 || len(first) > maxPending {
+			return first, err
+		}
+	}
+}
+
+// passAnswerStream waits for the first event of a stream and then passes it on as it arrives.
 func (c *call) passAnswerStream(
 	ctx context.Context, send *dispatch.Send, answer *apricotway.ForwardedAnswer, metadata apricotway.AnswerMetadata,
 	silence *silenceTimer,
 ) attemptResult {
 	buffer := make([]byte, copyBufferBytes)
 
-	// The header is written only after the first bytes: until then another engine may still answer the call.
-	n, err := answer.Body.Read(buffer)
+	// The header is written only after the first event: until then another engine may still answer the call.
+	first, err := readFirstEvent(answer.Body, buffer)
 	now := c.relay.now()
 	c.countUsage(now)
 
-	if n == 0 && err != nil && !errors.Is(err, io.EOF) {
+	splitter := &eventSplitter{last: c.metadata.LastEvent, plain: !isEventStream(answer.Header)}
+
+	if errors.Is(err, io.EOF) && completeSize(first) == 0 && !splitter.plain && (len(first) > 0 || answer.CloseDelimited) {
+		err = io.ErrUnexpectedEOF
+	}
+
+	if err != nil && !errors.Is(err, io.EOF) && completeSize(first) == 0 {
 		return c.streamBroken(ctx, send, silence, err)
 	}
 
 	send.RecordFirstEvent(now, metadata.Load)
 	c.writeHeader(answer, -1)
 
-	current := &engineRun{send: send, body: answer.Body, silence: silence, end: func() {}}
+	current := &engineRun{
+		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, end: func() {},
+	}
 	defer func() { current.end() }()
 
-	return c.passStream(ctx, &current, buffer, n, err)
+	return c.passStream(ctx, splitter, &current, buffer, first, err)
 }
 
 // streamBroken returns the result of an attempt whose stream broke before any of it was passed on.
@@ -171,6 +210,8 @@
 	// memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
 	memory *apricotway.RunKVCache
 	next   *dispatch.Send
+	// closeDelimited is that of the answer, and began is set once the run's first event has arrived.
+	closeDelimited, began bool
 	// err is the error with which reading the body failed.
 	err error
 	// noMove is set when moving the run was tried in vain; it is not tried again.
@@ -179,12 +220,12 @@
 
 // passStream passes on a stream in complete events. When the engine leaves, or breaks off and the stream may be resumed, the stream
 // continues at another engine, and the current run is replaced.
-func (c *call) passStream(ctx context.Context, current **engineRun, buffer []byte, n int, err error) attemptResult {
-	splitter := &eventSplitter{last: c.metadata.LastEvent}
-
+func (c *call) passStream(
+	ctx context.Context, splitter *eventSplitter, current **engineRun, buffer, first []byte, err error,
+) attemptResult {
 	for {
 		run := *current
-		reason, outcome := c.passRun(ctx, splitter, run, buffer, n, err)
+		reason, outcome := c.passRun(ctx, splitter, run, buffer, first, err)
 
 		if reason == "" {
 			run.send.End(c.relay.now(), dispatch.OutcomeDone)
@@ -213,7 +254,7 @@
 
 		run.end()
 
-		*current, n, err = next, 0, nil
+		*current, first, err = next, nil, nil
 	}
 }
 
@@ -242,15 +283,17 @@
 	return nil
 }
 
-// passRun passes on the events of one engine. It returns an empty reason when the stream ended normally.
+// passRun passes on the events of one engine, beginning with the chunk that was read last and the error of that read. It returns an
+// empty reason when the stream ended normally.
 func (c *call) passRun(
-	ctx context.Context, splitter *eventSplitter, current *engineRun, buffer []byte, n int, err error,
+	ctx context.Context, splitter *eventSplitter, current *engineRun, buffer, chunk []byte, err error,
 ) (reason string, outcome dispatch.Outcome) {
 	flusher := http.NewResponseController(c.writer)
 
 	for {
-		ready, progress := splitter.add(buffer[:n])
+		ready, progress := splitter.add(chunk)
 		if progress {
+			current.began = true
 			current.silence.progress()
 		}
 
@@ -263,9 +306,13 @@
 			_ = flusher.Flush()
 		}
 
+		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.closeDelimited && !current.began && !splitter.plain) {
+			err = io.ErrUnexpectedEOF
+		}
+
 		switch {
 		case errors.Is(err, io.EOF) && current.memory == nil:
-			// The end of the body is the end of the last event. A write fails only when the caller has left.
+			// Empty lines at the end. A write fails only when the caller has left.
 			_, _ = c.writer.Write(splitter.rest())
 
 			return "", dispatch.OutcomeDone
@@ -282,7 +329,10 @@
 
 		c.moveIfLeaving(ctx, current, splitter)
 
+		var n int
+
 		n, err = current.body.Read(buffer)
+		chunk = buffer[:n]
 	}
 }
 
@@ -318,7 +368,7 @@
 
 		send.RecordFirstEvent(c.relay.now(), metadata.Load)
 
-		return &engineRun{send: send, body: answer.Body, silence: silence, end: func() {
+		return &engineRun{send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, end: func() {
 			silence.stop()
 			_ = answer.Body.Close() // The rest of the stream is not needed.
 			cancel()
--- /dev/null
+++ b/transport/upstream/brokenoff_test.go
@@ -0,0 +1,111 @@
+package upstream_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+)
+
+// TestBrokenOffStreams guards against streams that a server breaks off and that reach the caller as complete, or that are not continued
+// elsewhere although they may be.
+func TestBrokenOffStreams(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n"
+
+	whole := event(1) + event(2) + event(3)
+	chunk := func(content string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(content), content) }
+	framings := map[string]func(content string) string{
+		"no length": func(content string) string { return head + "\r\n" + content },
+		"length": func(content string) string {
+			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(whole), content)
+		},
+		"chunks": func(content string) string {
+			return head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(content + "\n")[:len(content)]
+		},
+		"whole chunks": func(content string) string {
+			return head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(content) + "0\r\n\r\n"
+		},
+	}
+	cuts := map[string]string{
+		"before the first event":  "",
+		"inside the first event":  event(1)[:9],
+		"inside the second event": event(1) + event(2)[:9],
+		"before its empty line":   event(1) + event(2)[:len(event(2))-1],
+	}
+
+	for framing, frame := range framings {
+		for cut, content := range cuts {
+			if framing == "whole chunks" && content == "" {
+				continue // An empty stream with a proper end is complete.
+			}
+
+			for _, path := range []string{"/stream/", "/resumable/"} {
+				t.Run(path+framing+"/"+cut, func(t *testing.T) {
+					var sends atomic.Int64
+
+					answer := func(conn net.Conn, _ string) bool {
+						if sends.Add(1) == 1 {
+							write(conn, frame(content))
+							return false
+						}
+
+						rest := whole
+						if len(content) > len(event(1)) {
+							rest = event(2) + event(3)
+						}
+
+						write(conn, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(rest), rest))
+
+						return true
+					}
+
+					h := newHarness(t)
+					for i := range 2 {
+						h.pool.Update(apricotway.Backend{
+							ID: apricotway.BackendServerID(fmt.Sprint(i)), Service: "s", Slots: 8, Address: newBackend(t, answer).address,
+						}, time.Now())
+					}
+
+					response, got, err := h.call(path, nil) //nolint:bodyclose // The call has read and closed it.
+					succeeded := err == nil && response.StatusCode == http.StatusOK
+
+					if path == "/stream/" && succeeded {
+						t.Errorf("got %q as a complete answer, want a failure", got)
+					}
+
+					if path == "/resumable/" && (!succeeded || got != whole) {
+						t.Errorf("got %q and %v, want every event once", got, err)
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestBrokenOffResumption guards against a resumed stream that looks complete although its second engine sent no event.
+func TestBrokenOffResumption(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: text/event-stream\r\n\r\n"
+
+	var sends atomic.Int64
+
+	answer := func(conn net.Conn, _ string) bool {
+		write(conn, head+[]string{event(1) + "id: 2", "", event(2) + event(3)}[min(sends.Add(1), 3)-1])
+		return false
+	}
+
+	h := newHarness(t)
+	for i := range 3 {
+		h.pool.Update(apricotway.Backend{
+			ID: apricotway.BackendServerID(fmt.Sprint(i)), Service: "s", Slots: 8, Address: newBackend(t, answer).address,
+		}, time.Now())
+	}
+
+	_, got, err := h.call("/resumable/", nil) //nolint:bodyclose // The call has read and closed it.
+	if want := event(1) + event(2) + event(3); err != nil || got != want {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+}
--- a/transport/upstream/relay_test.go
+++ b/transport/upstream/relay_test.go
@@ -684,18 +684,37 @@
 
 // TestEvents checks streams with either line ending, and answers on a stream route that are not event streams.
 func TestEvents(t *testing.T) {
-	for name, content := range map[string]string{
-		"line feeds":       event(1) + event(2),
-		"carriage returns": strings.ReplaceAll(event(1)+event(2), "\n", "\r\n"),
-		"no event":         strings.Repeat("x", 1<<20),
-		"no end":           event(1) + "id: 2",
+	const eventStream, text = "text/event-stream; charset=utf-8", "text/plain"
+
+	for name, test := range map[string]struct {
+		contentType string
+		content     string
+		whole       bool
+	}{
+		"line feeds":       {eventStream, event(1) + event(2), true},
+		"carriage returns": {eventStream, strings.ReplaceAll(event(1)+event(2), "\n", "\r\n"), true},
+		"mixed line ends":  {eventStream, event(1) + "id: 2\n\r\n", true},
+		"empty lines":      {eventStream, event(1) + "\n\r\n", true},
+		"long event":       {eventStream, strings.Repeat("x", 1<<20) + "\n\n", true},
+		"no events":        {eventStream, "", true},
+		"event cut":        {eventStream, event(1) + "id: 2", false},
+		"long event cut":   {eventStream, strings.Repeat("x", 1<<20), false},
+		"no event":         {text, strings.Repeat("x", 1<<20), true},
+		"no end":           {text, event(1) + "id: 2", true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, content) })
+			h := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", test.contentType)
+				_, _ = io.WriteString(w, test.content)
+			})
 
 			_, got, err := h.call("/stream/", nil) //nolint:bodyclose // The call has read and closed it.
-			if err != nil || got != content {
-				t.Errorf("got %d bytes and %v, want %d", len(got), err, len(content))
+			if whole := err == nil && got == test.content; whole != test.whole {
+				t.Errorf("got %d bytes and %v, want all of %d without an error: %t", len(got), err, len(test.content), test.whole)
+			}
+
+			if !strings.HasPrefix(test.content, got) {
+				t.Errorf("got %q, want a beginning of the server's answer", got)
 			}
 		})
 	}
--- a/transport/upstream/trouble_test.go
+++ b/transport/upstream/trouble_test.go
@@ -109,7 +109,7 @@
 		for i := range servers {
 			backends[i] = newBackend(t, func(conn net.Conn, _ string) bool {
 				if wellBehaved {
-					write(conn, okHead+"Content-Length: 4\r\n\r\nfine")
+					write(conn, okHead+"Content-Type: text/plain\r\nContent-Length: 4\r\n\r\nfine")
 					return true
 				}
 
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -150,11 +150,13 @@
 		return nil, err
 	}
 
+	closeDelimited := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+
 	return &apricotway.ForwardedAnswer{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, CloseDelimited: closeDelimited,
 		Body: &body{
 			pool: p, address: address, connection: c, stop: stop, response: response,
-			reusable: !foreign && !response.Close && response.ContentLength+int64(len(response.TransferEncoding)) >= 0,
+			reusable: !foreign && !response.Close && !closeDelimited,
 		},
 	}, nil
 }
