Refuse calls with a prompt part that crashes backend servers

Cause: the quarantine knew a call by a hash of key, method, host, target and body. No two of these requests are alike, so no count reached its limit. Class of fault: a count over the wrong identity; whatever a call shares with others was invisible to it. Parts can't simply be counted either: the first part was in 22 of 22 crashes, and a sound one too (event 356).

The crashes are now searched for what the calls have in common that were waiting for their answer, and every answer acquits its parts: a content that crashes servers is among the suspects of each crash and is never answered. Parts that the crashes can't tell apart are refused together only; an answer shortly before counts too, so that many servers crashing at once convict nothing; one trial at a time, in growing gaps, frees a content again. Calls that had begun are no suspects. Refusals pass from each process to a new holder, and are saved for the case that all end. The fields of the reports have new names, so processes of both builds ignore each other's.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -97,6 +97,7 @@
 	catalog    *catalog.Catalog
 	pool       *dispatch.Pool
 	limiter    *quota.Limiter
+	suspects   *suspect.Suspects
 	rollup     *rollup.Rollup
 
 	// content is the last content of the settings file. Only the goroutine that reloads the settings may access it.
@@ -167,14 +168,14 @@
 
 	duties := duty.New(e.supervisor, e.platform, e.membership, e.membership, duty.WithLogger(e.logger),
 		duty.WithLease(time.Duration(s.HolderLease)), duty.WithLastContact(e.membership.LastContact))
-	suspects := suspect.New(suspect.WithLogger(e.logger))
+	e.suspects = suspect.New(suspect.WithLogger(e.logger))
 	e.rollup = rollup.New(e.supervisor, rollup.Parts{
-		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: suspects,
+		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: e.suspects,
 	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger))
 
 	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithLeaving(e.leaving.Load),
-		relay.WithQuarantine(suspects))
+		relay.WithQuarantine(e.suspects))
 
 	return e.serveAll(ctx, forward, counters)
 }
@@ -201,6 +202,7 @@
 	operators.HandleJSON("/v1/members", func() any { return append(e.membership.Members(), e.membership.Self()) })
 	operators.HandleJSON("/v1/backends", func() any { return e.pool.Backends() })
 	operators.HandleJSON("/v1/limits", func() any { return e.serverLimits(time.Now()) })
+	operators.HandleJSON("/v1/quarantine", func() any { return e.quarantine() })
 
 	for _, entry := range []struct {
 		name    string
--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -59,8 +59,8 @@
 	claim apricotway.DutyHolder
 	// usage is the newest valid usage report in the log, nil if there is none.
 	usage *apricotway.UsageReport
-	// state is the state that the previous holder saved, read when this process claimed; nil if there was none.
-	state []byte
+	// state holds the parts of the state that the previous holder saved, read when this process claimed.
+	state map[apricotway.StatePart][]byte
 	// vacant is the time since which no live holder is known; zero while there is one.
 	vacant time.Time
 	// stale requests a read of the log at the next check, after the platform refused a fencing number or an append failed.
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -20,7 +20,7 @@
 type log struct {
 	mu      sync.Mutex
 	records [][]byte
-	state   []byte
+	state   map[apricotway.StatePart][]byte
 	// read is the total size in bytes of the records that were read.
 	read int
 	// down fails all calls; lose performs the next append but reports an unknown outcome.
@@ -70,7 +70,7 @@
 	return l.records[from-1:], from, apricotway.Offset(len(l.records) + 1), nil
 }
 
-func (l *log) SaveState(_ context.Context, state []byte) error {
+func (l *log) SaveState(_ context.Context, part apricotway.StatePart, state []byte) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -78,12 +78,12 @@
 		return apricotway.ErrLogUnavailable
 	}
 
-	l.state = state
+	l.state = map[apricotway.StatePart][]byte{part: state}
 
 	return nil
 }
 
-func (l *log) State(context.Context) ([]byte, error) {
+func (l *log) State(context.Context) (map[apricotway.StatePart][]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -558,7 +558,7 @@
 		state := []byte(`"` + strings.Repeat("x", 92_000) + `"`)
 
 		for range 4 * 20 {
-			if err := a.SaveState(t.Context(), state); err != nil {
+			if err := a.SaveState(t.Context(), apricotway.StateCounts, state); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -579,7 +579,7 @@
 		c.set("a", apricotway.MemberDead)
 		wait(2 * time.Second)
 
-		if got := b.LastState(); string(got) != string(state) {
+		if got := b.LastState(apricotway.StateCounts); string(got) != string(state) {
 			t.Errorf("got a state of %d bytes, want the saved one of %d bytes", len(got), len(state))
 		}
 	})
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -35,16 +35,16 @@
 	return d.usage
 }
 
-// LastState returns the saved state that this process read when it last claimed the duties, nil if there was none.
-func (d *Duty) LastState() []byte {
+// LastState returns a part of the saved state that this process read when it last claimed the duties, nil if there was none.
+func (d *Duty) LastState(part apricotway.StatePart) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.state
+	return d.state[part]
 }
 
-// SaveState saves the holder's state for its successor, replacing the state saved before.
-func (d *Duty) SaveState(ctx context.Context, state []byte) error {
+// SaveState saves a part of the holder's state for its successor, replacing the one saved before.
+func (d *Duty) SaveState(ctx context.Context, part apricotway.StatePart, state []byte) error {
 	if holder, held := d.HeldEvenIfLeaving(); !held {
 		return errors.Wrapf(ErrNotHolder, "save state, newest known fencing number %d", holder.Number)
 	}
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 
-	if err := d.log.SaveState(ctx, state); err != nil {
+	if err := d.log.SaveState(ctx, part, state); err != nil {
 		return errors.Wrap(err, "save the duty holder's state")
 	}
 
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -64,8 +64,8 @@
 	Elapsed time.Duration
 	// Known is the position up to which the process has the holder's changes of the list of backend servers.
 	Known catalog.Position
-	// Suspects holds the calls during which backend servers crashed.
-	Suspects suspect.Report
+	// Crashes holds what the process knows about calls that crash backend servers and the holder may not.
+	Crashes suspect.Report
 	// Limits holds what the process knows about the limits of backend servers and the last answer did not have.
 	Limits []intake.Statement
 }
@@ -80,8 +80,8 @@
 	Others map[apricotway.BackendServerID]dispatch.Work
 	// News holds what the holder read from the operators' store.
 	News catalog.News
-	// Suspects holds the crash counts of request contents during which several backend servers crashed.
-	Suspects map[quarantine.Digest]int
+	// Verdict holds what the crashes of backend servers have in common.
+	Verdict suspect.Verdict
 	// Limits holds the newest statement about the limit of each backend server that stated one.
 	Limits []intake.Statement
 }
@@ -103,7 +103,7 @@
 	Limiter *quota.Limiter
 	Budget  *retrybudget.Budget
 	Tally   *tally.Counter
-	// Suspects counts the crashes of backend servers by call content.
+	// Suspects holds what this process knows about calls that crash backend servers.
 	Suspects *suspect.Suspects
 }
 
@@ -134,8 +134,8 @@
 	nextWindow  int64
 	// pendingReport is the usage report that has been appended to the duty log but not yet accepted by the platform.
 	pendingReport *apricotway.UsageReport
-	// savedState is the state that was last saved for a successor.
-	savedState []byte
+	// savedState holds the counts and savedCrashes the refusals that were last saved for a successor.
+	savedState, savedCrashes []byte
 }
 
 // load is the averaged demand of one process as of its last report.
@@ -177,8 +177,9 @@
 		})
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "report", Func: r.runReports})
-	supervisor.Add(apricotway.Periodic("state of the duties", stateSavePeriod, func(ctx context.Context, _ time.Time) {
+	supervisor.Add(apricotway.Periodic("state of the duties", stateSavePeriod, func(ctx context.Context, now time.Time) {
 		r.saveState(ctx)
+		r.saveCrashes(ctx, now)
 	}))
 	supervisor.Add(apricotway.Periodic("usage duty", dutyCheckPeriod, r.reportUsage))
 	supervisor.Add(apricotway.Periodic("capacity duty", dutyCheckPeriod, r.orderCapacity))
@@ -193,7 +194,7 @@
 	r.board, r.loads = dispatch.NewWorkTable(), map[apricotway.NodeID]load{}
 	r.crashes, r.limits = quarantine.NewCrashes(suspect.Lifetime), intake.NewBoard()
 	r.planners = map[apricotway.Service]*scaling.Planner{}
-	r.nextWindow, r.pendingReport, r.limitsTable, r.savedState = 0, nil, nil, nil
+	r.nextWindow, r.pendingReport, r.limitsTable, r.savedState, r.savedCrashes = 0, nil, nil, nil, nil
 }
 
 // runReports reports to the holder periodically until the context ends. The period grows with the number of processes.
@@ -258,7 +259,7 @@
 	}
 
 	suspects, markReported := r.Suspects.Report(r.duty.Holder().Number)
-	report.Suspects = suspects
+	report.Crashes = suspects
 
 	sent := r.Catalog.BootTime()
 	_, held := r.duty.Held()
@@ -321,7 +322,7 @@
 
 	r.Limiter.AddCredit(now, answer.Credit)
 	r.Pool.SetOthersWork(now, answer.Others)
-	r.Suspects.SetGlobalCounts(answer.Suspects)
+	r.Suspects.Apply(answer.Verdict)
 }
 
 // receive aggregates the report of a process and returns the answer to it, which is empty if this process is not the holder.
@@ -339,18 +340,11 @@
 
 	r.loads[report.Node] = load{at: now, demand: r.smoothDemand(report)}
 
-	for _, digest := range report.Suspects.Answered {
-		r.crashes.Clear(digest)
-	}
-
-	for _, crash := range report.Suspects.Crashes {
-		r.crashes.Add(now, crash)
-	}
-
 	r.limits.Add(now, report.Limits)
 
 	answer := Answer{
-		Holding: true, Limits: r.limits.Statements(now), Suspects: r.crashes.Suspects(now), Credit: r.center.Report(now, report.Node, report.Elapsed, report.Accounts),
+		Holding: true, Limits: r.limits.Statements(now), Verdict: suspect.Judge(now, r.crashes, report.Crashes),
+		Credit: r.center.Report(now, report.Node, report.Elapsed, report.Accounts),
 		Others: r.board.Report(now, report.Node, report.Work),
 	}
 
@@ -367,6 +361,7 @@
 	if r.collectedUnder != number {
 		r.reset(number)
 		r.restoreCounts()
+		r.restoreCrashes(now)
 	}
 
 	if table := r.Catalog.Table(); table != nil && r.limitsTable != table {
--- a/coordination/rollup/usage.go
+++ b/coordination/rollup/usage.go
@@ -15,7 +15,7 @@
 // restoreCounts loads the counts that the previous holder saved. Running processes will report theirs again, but those of processes
 // that ended are only there. The caller holds r.mu.
 func (r *Rollup) restoreCounts() {
-	content := r.duty.LastState()
+	content := r.duty.LastState(apricotway.StateCounts)
 	if content == nil {
 		return
 	}
@@ -46,7 +46,7 @@
 	r.mu.Unlock()
 
 	if err == nil && !same {
-		err = r.duty.SaveState(ctx, content)
+		err = r.duty.SaveState(ctx, apricotway.StateCounts, content)
 	}
 
 	if err != nil {
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -1,9 +1,12 @@
-// Package suspect finds the calls that crash backend servers, across all processes. Each process counts the crashes that it
-// observes by call content, reports them to the holder of the duties, and receives the contents that have crashed several servers.
-// A content with quarantine.CrashLimit crashes is refused.
+// Package suspect finds the calls that crash backend servers, across all processes. Each process reports the calls that were waiting
+// for their answer when a server crashed, and the contents that were answered, to the holder of the duties, and receives what the
+// crashes have in common. Contents with quarantine.CrashLimit crashes are refused.
 package suspect
 
 import (
+	"maps"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -14,39 +17,83 @@
 )
 
 const (
-	// Lifetime is the time after the last crash of a content for which its crashes count.
+	// Lifetime is the time for which a crash counts.
 	Lifetime = 10 * time.Minute
-	// maxReport bounds the crashes and the cleared contents of one report, so that a report stays small when many servers
-	// fail at once.
+	// maxReport bounds the suspects of one report, so that a report stays small when many servers fail at once.
 	maxReport = 128
-	// maxUnreported bounds the crashes that are kept and the cleared contents that wait for a report. When it is exceeded, the
-	// oldest crashes and the newest cleared contents are dropped.
+	// maxUnreported bounds the suspects that are kept and the answered fingerprints that wait for a report. When it is exceeded, the
+	// oldest suspects and the newest answers are dropped.
 	maxUnreported = 2048
 )
 
 // Report is the part of a process's report to the holder of the duties that deals with crashes.
 type Report struct {
-	Crashes []quarantine.Crash
-	// Answered holds contents that were suspect and have been answered successfully since.
-	Answered []quarantine.Digest
+	Suspects []quarantine.Suspect
+	// Answered holds the fingerprints of the calls that were answered since the last report.
+	Answered []quarantine.Fingerprint
+	// Refused holds the fingerprints of the findings under which this process refused calls since the last report.
+	Refused []quarantine.Fingerprint
+	// Findings holds the refusals of the last holder in the first report to another one.
+	Findings []quarantine.Finding
 }
 
-// Suspects holds the crash counts that one process knows. It is safe for concurrent use.
+// Verdict is the holder's answer to a Report.
+type Verdict struct {
+	Findings []quarantine.Finding
+	// Trials holds the fingerprints of the findings under which the process may send one call.
+	Trials []quarantine.Fingerprint
+}
+
+// Judge returns the holder's answer to the report of a process. crashes holds what all processes reported.
+func Judge(now time.Time, crashes *quarantine.Crashes, report Report) Verdict {
+	crashes.Adopt(now, report.Findings)
+	crashes.Answered(now, report.Answered)
+
+	for _, suspect := range report.Suspects {
+		crashes.Add(now, suspect)
+	}
+
+	verdict := Verdict{Findings: crashes.Findings(now)}
+
+	for _, fingerprint := range report.Refused {
+		if crashes.GrantTrial(now, fingerprint) {
+			verdict.Trials = append(verdict.Trials, fingerprint)
+		}
+	}
+
+	return verdict
+}
+
+// Suspects holds what one process knows about calls that crash servers. It is safe for concurrent use.
 type Suspects struct {
 	logger logr.Logger
 	now    func() time.Time
-	own    *quarantine.Crashes
 
 	mu sync.Mutex
-	// globalCounts holds the crashes of suspect contents over all processes, from the holder's last answer.
-	globalCounts map[quarantine.Digest]int
-	// crashes holds the crashes that this process observed. The first reported ones of them are known to the holder whose fencing
-	// number is holder.
-	crashes  []quarantine.Crash
+	// findings holds the findings of the holder's last answer by their fingerprints, and trials those under which one call may be
+	// sent.
+	findings map[quarantine.Fingerprint]quarantine.Finding
+	trials   fingerprints
+	// suspects holds what this process observed. The first reported ones of them are known to the holder whose fencing number is
+	// holder, and so are the findings if informed is set.
+	suspects []observation
 	reported int
+	informed bool
 	holder   apricotway.Offset
-	// cleared holds the answered contents that have not been reported to the holder yet.
-	cleared []quarantine.Digest
+	// mentioned counts the suspects that have a fingerprint.
+	mentioned map[quarantine.Fingerprint]int
+	// answered and refused hold what has not been reported yet, answeredSent and refusedSent what the last report held if the holder
+	// has not confirmed it.
+	answered, refused, answeredSent, refusedSent fingerprints
+}
+
+type fingerprints = map[quarantine.Fingerprint]bool
+
+// observation is a suspect with the time at which its connection broke.
+type observation struct {
+	quarantine.Suspect
+
+	at time.Time
 }
 
 // Option configures a Suspects.
@@ -55,9 +102,12 @@
 // WithLogger sets the logger.
 func WithLogger(logger logr.Logger) Option { return func(s *Suspects) { s.logger = logger } }
 
-// New returns a Suspects without any crash.
+// New returns a Suspects that knows of no crash.
 func New(options ...Option) *Suspects {
-	s := &Suspects{logger: logr.Discard(), now: time.Now, own: quarantine.NewCrashes(Lifetime)}
+	s := &Suspects{
+		logger: logr.Discard(), now: time.Now, mentioned: map[quarantine.Fingerprint]int{},
+		trials: fingerprints{}, answered: fingerprints{}, refused: fingerprints{},
+	}
 	for _, option := range options {
 		option(s)
 	}
@@ -65,119 +115,224 @@
 	return s
 }
 
-// HasSuspects reports whether any content has crashes, so that the digests of calls have to be computed.
+// HasSuspects reports whether any crash is known, so that the fingerprints of whole contents have to be computed.
 func (s *Suspects) HasSuspects() bool {
-	if !s.own.Empty() {
-		return true
-	}
-
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	return len(s.globalCounts) > 0
+	return len(s.suspects)+len(s.findings) > 0
 }
 
-// Refuses reports whether calls of a content must not be sent any more.
-func (s *Suspects) Refuses(digest quarantine.Digest) bool {
+// Refuses reports whether a call with a content must not be sent. Of the calls that a finding concerns, one is let through for each
+// trial that the holder grants.
+func (s *Suspects) Refuses(content []quarantine.Fingerprint) bool {
 	s.mu.Lock()
-	global := s.globalCounts[digest]
-	s.mu.Unlock()
+	defer s.mu.Unlock()
 
-	return max(global, s.own.Count(s.now(), digest)) >= quarantine.CrashLimit
-}
+	for _, part := range content {
+		finding, ok := s.findings[part]
+		if !ok || !finding.Refused || !finding.Concerns(content) {
+			continue
+		}
 
-// RecordBroken counts a call whose connection broke while the server may have been working on it.
-func (s *Suspects) RecordBroken(digest quarantine.Digest, server apricotway.BackendServerID) {
-	now := s.now()
+		if s.trials[part] {
+			delete(s.trials, part)
+			s.logger.Info("sending a refused call as a trial", "event", 357, "fingerprint", name(part))
 
-	crash := quarantine.Crash{Digest: digest, Server: server}
-	if !s.own.Add(now, crash) {
-		return
+			continue
+		}
+
+		s.refused[part] = true
+
+		return true
 	}
 
+	return false
+}
+
+// RecordBroken records a call whose connection broke before its answer had begun.
+func (s *Suspects) RecordBroken(content []quarantine.Fingerprint, server apricotway.BackendServerID) {
 	s.mu.Lock()
-	s.crashes = append(s.crashes, crash)
+	defer s.mu.Unlock()
+
+	s.suspects = append(s.suspects, observation{quarantine.Suspect{Server: server, Content: slices.Clone(content)}, s.now()})
 
-	if excess := len(s.crashes) - maxUnreported; excess > 0 {
-		s.crashes = s.crashes[excess:]
-		s.reported = max(s.reported-excess, 0)
+	for _, part := range content {
+		s.mentioned[part]++
 	}
-	s.mu.Unlock()
 
-	if count := s.own.Count(now, digest); count >= quarantine.SuspectThreshold {
-		s.logger.Info("several backend servers crashed during calls of the same content", "event", 317, "digest", digest, "server", server, "crashes", count)
+	for len(s.suspects) > maxUnreported {
+		s.forget(s.suspects[0])
+		s.suspects = s.suspects[1:]
+		s.reported = max(s.reported-1, 0)
 	}
 }
 
-// RecordAnswered clears a content, since a server has answered a call of it without crashing.
-func (s *Suspects) RecordAnswered(digest quarantine.Digest) {
-	known := s.own.Clear(digest)
-
+// RecordAnswered records that a server has begun to answer a call with a content without crashing.
+func (s *Suspects) RecordAnswered(content []quarantine.Fingerprint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if s.globalCounts[digest] == 0 && !known {
+	acquitted := false
+
+	s.acquitFindings(content)
+
+	for _, part := range content {
+		if len(s.answered) < maxUnreported {
+			s.answered[part] = true
+		}
+
+		acquitted = acquitted || s.mentioned[part] > 0
+		delete(s.mentioned, part)
+	}
+
+	if !acquitted {
 		return
 	}
 
-	// A report that is being sent may still carry the crash, so the clearing goes into a later one.
-	delete(s.globalCounts, digest)
+	for i := range s.suspects {
+		s.suspects[i].Content = slices.DeleteFunc(s.suspects[i].Content, func(part quarantine.Fingerprint) bool {
+			return slices.Contains(content, part)
+		})
+	}
+}
+
+// acquitFindings removes answered fingerprints from what the findings are about, until the holder's next answer takes account of them.
+// The caller holds s.mu.
+func (s *Suspects) acquitFindings(content []quarantine.Fingerprint) {
+	isAnswered := func(part quarantine.Fingerprint) bool { return slices.Contains(content, part) }
+
+	for _, finding := range slices.Collect(maps.Values(s.findings)) {
+		if !slices.ContainsFunc(finding.Common, isAnswered) {
+			continue
+		}
+
+		delete(s.findings, finding.Fingerprint)
 
-	if len(s.cleared) < maxUnreported {
-		s.cleared = append(s.cleared, digest)
+		if finding.Common = slices.DeleteFunc(slices.Clone(finding.Common), isAnswered); len(finding.Common) > 0 {
+			finding.Fingerprint = finding.Common[0]
+			s.findings[finding.Fingerprint] = finding
+		}
+	}
+}
+
+// forget removes the mentions of a suspect. The caller holds s.mu.
+func (s *Suspects) forget(o observation) {
+	for _, part := range o.Content {
+		if s.mentioned[part]--; s.mentioned[part] <= 0 {
+			delete(s.mentioned, part)
+		}
 	}
 }
 
-// Report returns the crashes and cleared contents that the holder with the given fencing number does not know yet. The caller calls
-// confirm once the holder has received them.
+// Report returns what the holder with the given fencing number does not know yet. The caller calls confirm once the holder has
+// received it.
 func (s *Suspects) Report(holder apricotway.Offset) (report Report, confirm func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if s.holder != holder {
-		s.holder, s.reported = holder, 0
+		s.holder, s.reported, s.informed = holder, 0, false
 		s.dropExpired()
 	}
 
-	crashes := s.crashes[s.reported:min(s.reported+maxReport, len(s.crashes))]
-	answered := s.cleared[:min(maxReport, len(s.cleared))]
-	report = Report{Crashes: append([]quarantine.Crash(nil), crashes...), Answered: append([]quarantine.Digest(nil), answered...)}
+	observed := s.suspects[s.reported:min(s.reported+maxReport, len(s.suspects))]
+
+	for _, o := range observed {
+		report.Suspects = append(report.Suspects, quarantine.Suspect{Server: o.Server, Content: slices.Clone(o.Content)})
+	}
+
+	maps.Copy(s.answered, s.answeredSent)
+	maps.Copy(s.refused, s.refusedSent)
+	report.Answered, report.Refused = slices.Collect(maps.Keys(s.answered)), slices.Collect(maps.Keys(s.refused))
+
+	if !s.informed {
+		for _, finding := range s.findings {
+			if finding.Refused {
+				report.Findings = append(report.Findings, finding)
+			}
+		}
+	}
+
+	s.answeredSent, s.refusedSent = s.answered, s.refused
+	s.answered, s.refused = fingerprints{}, fingerprints{}
 
 	return report, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 
+		s.answeredSent, s.refusedSent = nil, nil
+
 		if s.holder == holder {
-			s.reported = min(s.reported+len(report.Crashes), len(s.crashes))
+			s.reported = min(s.reported+len(observed), len(s.suspects))
+			s.informed = true
 		}
-
-		s.cleared = s.cleared[min(len(report.Answered), len(s.cleared)):]
 	}
 }
 
-// dropExpired drops the crashes that no longer count. The caller holds s.mu.
+// dropExpired drops the suspects that no longer count. The caller holds s.mu.
 func (s *Suspects) dropExpired() {
-	now, kept := s.now(), s.crashes[:0]
-
-	for _, crash := range s.crashes {
-		if s.own.Count(now, crash.Digest) > 0 {
-			kept = append(kept, crash)
+	now := s.now()
+	s.suspects = slices.DeleteFunc(s.suspects, func(o observation) bool {
+		expired := now.Sub(o.at) >= Lifetime
+		if expired {
+			s.forget(o)
 		}
-	}
 
-	s.crashes = kept
+		return expired || len(o.Content) == 0
+	})
 }
 
-// SetGlobalCounts replaces the crash counts over all processes by those of the holder's answer.
-func (s *Suspects) SetGlobalCounts(counts map[quarantine.Digest]int) {
+// Apply applies the holder's answer to a report.
+func (s *Suspects) Apply(verdict Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	for digest, count := range counts {
-		if count >= quarantine.CrashLimit && s.globalCounts[digest] < quarantine.CrashLimit {
-			s.logger.Info("refusing all calls of a content that crashes backend servers", "event", 318, "digest", digest, "crashes", count)
+	known := s.findings
+	s.findings = make(map[quarantine.Fingerprint]quarantine.Finding, len(verdict.Findings))
+
+	for _, finding := range verdict.Findings {
+		s.findings[finding.Fingerprint] = finding
+
+		if before, ok := known[finding.Fingerprint]; ok && before.Refused == finding.Refused {
+			continue
+		}
+
+		if finding.Refused {
+			s.logger.Info("refusing all calls of a content that crashes backend servers", "event", 318, "fingerprint",
+				name(finding.Fingerprint), "common", len(finding.Common), "crashes", finding.Crashes)
+		} else {
+			s.logger.Info("several backend servers crashed during calls of the same content", "event", 317, "fingerprint",
+				name(finding.Fingerprint), "common", len(finding.Common), "crashes", finding.Crashes)
+		}
+	}
+
+	for fingerprint, before := range known {
+		if after := s.findings[fingerprint]; before.Refused && !after.Refused {
+			s.logger.Info("no longer refusing calls of a content", "event", 358, "fingerprint", name(fingerprint))
+		}
+	}
+
+	for _, fingerprint := range verdict.Trials {
+		s.trials[fingerprint] = true
+	}
+
+	for fingerprint := range s.trials {
+		if !s.findings[fingerprint].Refused {
+			delete(s.trials, fingerprint)
 		}
 	}
+}
+
+// Findings returns the findings of the holder's last answer.
+func (s *Suspects) Findings() []quarantine.Finding {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.AppendSeq(make([]quarantine.Finding, 0, len(s.findings)), maps.Values(s.findings))
+}
 
-	s.globalCounts = counts
+// name returns the form of a fingerprint in logs, which for a prompt part is its identifier.
+func name(fingerprint quarantine.Fingerprint) string {
+	return strconv.FormatUint(uint64(fingerprint), 16)
 }
--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -10,74 +10,160 @@
 	"github.com/apricotway/apricotway/state/quarantine"
 )
 
-// holder counts the crashes of all processes, as the holder of the duties does.
+// holder judges the reports of all processes, as the holder of the duties does.
 type holder struct{ crashes *quarantine.Crashes }
 
 func newHolder() *holder { return &holder{crashes: quarantine.NewCrashes(suspect.Lifetime)} }
 
 // exchange sends the report of a process to the holder and the answer back. If lost is set, the answer does not reach the process.
 func (h *holder) exchange(s *suspect.Suspects, number apricotway.Offset, lost bool) {
-	now := time.Now()
 	report, confirm := s.Report(number)
-
-	for _, digest := range report.Answered {
-		h.crashes.Clear(digest)
-	}
-
-	for _, crash := range report.Crashes {
-		h.crashes.Add(now, crash)
-	}
+	verdict := suspect.Judge(time.Now(), h.crashes, report)
 
 	if !lost {
 		confirm()
-		s.SetGlobalCounts(h.crashes.Suspects(now))
+		s.Apply(verdict)
 	}
 }
 
+func content(parts ...quarantine.Fingerprint) []quarantine.Fingerprint { return parts }
+
 // TestSuspects guards against a call that crashes one server at each process but is refused by none of them, against crashes that
 // are never reported to a new holder of the duties, and against refusing calls that crash nothing.
 func TestSuspects(t *testing.T) {
+	const d, other = 1, 2
+
 	h := newHolder()
 	processes := []*suspect.Suspects{suspect.New(), suspect.New(), suspect.New()}
 
 	for i, s := range processes {
 		if s.HasSuspects() {
-			t.Errorf("process %d: digests are requested before any crash", i)
+			t.Errorf("process %d: whole contents are hashed before any crash", i)
 		}
 
-		s.RecordBroken("d", apricotway.BackendServerID(fmt.Sprint("e", i)))
+		s.RecordBroken(content(d), apricotway.BackendServerID(fmt.Sprint("e", i)))
 		h.exchange(s, 1, i == 1)
 	}
 
-	for i, s := range processes {
-		h.exchange(s, 1, false)
+	wantRefused := func(t *testing.T, i int, want bool) {
+		t.Helper()
 
-		if !s.Refuses("d") || s.Refuses("other") {
-			t.Errorf("process %d: got refusals %v of the crashing and %v of the other content, want true and false", i, s.Refuses("d"), s.Refuses("other"))
+		s := processes[i]
+		if got, of := s.Refuses(content(d)), s.Refuses(content(other)); got != want || of {
+			t.Errorf("process %d: got refusals %v of the crashing and %v of the other content, want %v and false", i, got, of, want)
 		}
 	}
 
+	for i, s := range processes {
+		h.exchange(s, 1, false)
+		wantRefused(t, i, true)
+	}
+
 	successor := newHolder()
 	for _, s := range processes {
 		successor.exchange(s, 2, false)
 	}
 
-	if got, want := successor.crashes.Count(time.Now(), "d"), quarantine.CrashLimit; got != want {
-		t.Errorf("got %d crashes at the next holder, want %d", got, want)
+	if got, want := len(successor.crashes.Findings(time.Now())), 1; got != want {
+		t.Errorf("got %d findings at the next holder, want %d", got, want)
 	}
 
-	processes[2].RecordAnswered("d")
+	processes = append(processes, suspect.New())
+	successor.exchange(processes[3], 2, false)
+
+	for i := range processes {
+		wantRefused(t, i, true)
+	}
+
+	processes[2].RecordAnswered(content(d))
 	successor.exchange(processes[2], 2, false)
 
 	for i, s := range processes {
 		successor.exchange(s, 2, false)
+		wantRefused(t, i, false)
+	}
+}
+
+// TestRefusalOutlivesProcesses guards against calls that are let through again once the processes that saw the crashes and the holder
+// have ended.
+func TestRefusalOutlivesProcesses(t *testing.T) {
+	const d = 1
+
+	h, remaining := newHolder(), suspect.New()
+
+	for i := range quarantine.CrashLimit {
+		ended := suspect.New()
+		ended.RecordBroken(content(d), apricotway.BackendServerID(fmt.Sprint("e", i)))
+		h.exchange(ended, 1, false)
+	}
+
+	h.exchange(remaining, 1, false)
+
+	successor, started := newHolder(), suspect.New()
+	successor.exchange(remaining, 2, true)
+	successor.exchange(remaining, 2, false)
+	successor.exchange(started, 2, false)
 
-		if s.Refuses("d") {
-			t.Errorf("process %d: an answered content is refused", i)
+	if !remaining.Refuses(content(d)) || !started.Refuses(content(d)) {
+		t.Error("got calls that are let through, want them refused")
+	}
+}
+
+// TestAnswersReachHolder guards against answers that the holder never learns of because a report or its answer was lost.
+func TestAnswersReachHolder(t *testing.T) {
+	const d = 1
+
+	h, s := newHolder(), suspect.New()
+
+	for i := range quarantine.CrashLimit {
+		s.RecordBroken(content(d), apricotway.BackendServerID(fmt.Sprint("e", i)))
+	}
+
+	h.exchange(s, 1, false)
+
+	other := suspect.New()
+	h.exchange(other, 1, false)
+	other.RecordAnswered(content(d))
+	other.Report(1)
+	h.exchange(other, 1, false)
+	h.exchange(s, 1, false)
+
+	if s.Refuses(content(d)) {
+		t.Error("got an answered content refused")
+	}
+}
+
+// TestTrialIsOneCall guards against more than one call of a refused content that is sent as a trial.
+func TestTrialIsOneCall(t *testing.T) {
+	const d = 1
+
+	s := suspect.New()
+	finding := quarantine.Finding{Fingerprint: d, Common: content(d), Crashes: quarantine.CrashLimit, Refused: true}
+	s.Apply(suspect.Verdict{Findings: []quarantine.Finding{finding}, Trials: content(d)})
+
+	for i, want := range []bool{false, true, true} {
+		if got := s.Refuses(content(d)); got != want {
+			t.Errorf("call %d: got refused %v, want %v", i, got, want)
 		}
 	}
 }
 
+// TestAnswerAcquitsOnlyItsParts guards against a crashing part that is let through because a call was answered that shares another part
+// with the crashed ones.
+func TestAnswerAcquitsOnlyItsParts(t *testing.T) {
+	const common, bad = 1, 2
+
+	s := suspect.New()
+	s.Apply(suspect.Verdict{Findings: []quarantine.Finding{
+		{Fingerprint: common, Common: content(common, bad), Crashes: quarantine.CrashLimit, Refused: true},
+	}})
+	s.RecordAnswered(content(common))
+
+	if !s.Refuses(content(3, bad)) || s.Refuses(content(3, common)) {
+		t.Errorf("got refusals %v with the part and %v without, want true and false", s.Refuses(content(3, bad)), s.Refuses(content(3, common)))
+	}
+}
+
 // TestManyBroken guards against crashes that are never reported because more calls were in flight on the crashed engine than one
 // report carries.
 func TestManyBroken(t *testing.T) {
@@ -86,20 +172,14 @@
 	const contents = 500
 
 	for i := range contents {
-		s.RecordBroken(quarantine.Digest(fmt.Sprint(i)), "e")
+		s.RecordBroken(content(quarantine.Fingerprint(i)), "e")
 	}
 
 	for range contents {
 		h.exchange(s, 1, false)
 	}
 
-	counted := 0
-
-	for i := range contents {
-		counted += h.crashes.Count(time.Now(), quarantine.Digest(fmt.Sprint(i)))
-	}
-
-	if counted != contents {
-		t.Errorf("got %d crashes at the holder, want %d", counted, contents)
+	if got := h.crashes.Suspects(); got != contents {
+		t.Errorf("got %d suspects at the holder, want %d", got, contents)
 	}
 }
--- a/operatorstore.go
+++ b/operatorstore.go
@@ -28,13 +28,24 @@
 	// ReadFrom returns the records from the offset on, or from the oldest one kept, with the offset of the first one and the
 	// offset after the last one.
 	ReadFrom(ctx context.Context, from Offset) (records [][]byte, first, end Offset, err error)
-	// SaveState replaces the state that the holder of the duties saves for its successor. It is stored outside the log, so that
-	// reading the log does not mean reading every state ever saved.
-	SaveState(ctx context.Context, state []byte) error
-	// State returns the newest saved state, or nil when there is none.
-	State(ctx context.Context) ([]byte, error)
+	// SaveState replaces a part of the state that the holder of the duties saves for its successor. It is stored outside the log, so
+	// that reading the log does not mean reading every state ever saved.
+	SaveState(ctx context.Context, part StatePart, state []byte) error
+	// State returns the parts of the newest saved state.
+	State(ctx context.Context) (map[StatePart][]byte, error)
 }
 
+// StatePart names a part of the state that the holder of the duties saves for its successor.
+type StatePart string
+
+// The parts of the state.
+const (
+	// StateCounts holds the counts of all processes for the usage reports.
+	StateCounts StatePart = "state"
+	// StateCrashes holds the refusals of contents that crash backend servers.
+	StateCrashes StatePart = "crashes"
+)
+
 // UsageReport holds the number of calls in one window by workspace.
 type UsageReport struct {
 	// Window is the number of the window, counted from the Unix epoch.
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -181,7 +181,7 @@
 		return attemptResult{step: stepFail, reason: reasonEnded, arrived: true, mayHaveRun: true}
 	case err != nil:
 		send.End(now, dispatch.OutcomeFailed)
-		c.reportBroken(send, len(content) > 0, err)
+		c.reportBroken(send, false, err)
 
 		return attemptResult{step: stepRetry, reason: reasonCut, arrived: true, mayHaveRun: true}
 	case answer.Status >= http.StatusInternalServerError:
--- a/protocol/relay/quarantine.go
+++ b/protocol/relay/quarantine.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/sha256"
-	"encoding/base64"
+	"encoding/binary"
 	"io"
 	"strconv"
 	"time"
@@ -12,16 +12,28 @@
 )
 
 const (
-	// retryAfterQuarantined is the Retry-After of calls whose content crashed several servers. The content is accepted again once
-	// it has not been seen for as long as the quarantine keeps it, so callers should not retry soon.
+	// retryAfterQuarantined is the Retry-After of calls whose content crashed several servers. It stays refused until a trial shows
+	// that it no longer does, so callers should not retry soon.
 	retryAfterQuarantined = time.Minute
-	// digestBytes is the length of a digest in bytes. It is long enough that contents of different callers don't collide.
-	digestBytes = 16
+	// maxFingerprints bounds the prompt parts of a call that are tracked.
+	maxFingerprints = 32
 )
 
-// digest returns a hash of the caller's key, the method, host, target and body. A retry by the caller has the same digest.
-func (c *call) digest() quarantine.Digest {
-	if c.contentDigest == "" {
+// partFingerprints returns the fingerprints of the prompt's parts. The last part belongs to this call or its session alone.
+func (c *call) partFingerprints() []quarantine.Fingerprint {
+	shared := c.metadata.Parts[:max(len(c.metadata.Parts)-1, 0)]
+	fingerprints := make([]quarantine.Fingerprint, 0, len(shared)+1)
+
+	for _, part := range shared[:min(len(shared), maxFingerprints)] {
+		fingerprints = append(fingerprints, quarantine.Fingerprint(part.ID))
+	}
+
+	return fingerprints
+}
+
+// fingerprints returns the fingerprints of the prompt's parts and of the whole content, which a retry by the caller has as well.
+func (c *call) fingerprints() []quarantine.Fingerprint {
+	if c.digest == 0 {
 		hash := sha256.New()
 		for _, part := range []string{c.metadata.Key, c.request.Method, c.request.Host, c.request.RequestURI} {
 			// Writes to a hash never fail.
@@ -29,23 +41,28 @@
 		}
 
 		_, _ = hash.Write(c.body)
-		c.contentDigest = quarantine.Digest(base64.RawStdEncoding.EncodeToString(hash.Sum(nil)[:digestBytes]))
+		c.digest = quarantine.Fingerprint(binary.BigEndian.Uint64(hash.Sum(nil)))
 	}
 
-	return c.contentDigest
+	return append(c.partFingerprints(), c.digest)
 }
 
-// quarantined reports whether the call's content crashed too many servers to be sent again.
+// quarantined reports whether the call's content crashed too many servers to be sent.
 func (c *call) quarantined() bool {
-	return c.relay.quarantine.HasSuspects() && c.relay.quarantine.Refuses(c.digest())
+	return c.relay.quarantine.HasSuspects() && c.relay.quarantine.Refuses(c.fingerprints())
 }
 
-// reportBroken logs that the server of a send broke off the call and tells the quarantine that it may have crashed on the call. began
-// is set when a part of the answer's body had arrived.
+// reportBroken logs that the server of a send broke off the call. Unless the answer had begun, it tells the quarantine that the server
+// may have crashed on the call.
 func (c *call) reportBroken(send *dispatch.Send, began bool, err error) {
+	content := c.fingerprints()
 	c.relay.logger.Info("backend server broke off a call", "event", 356, "attempt", c.metadata.Attempt, "server", send.Backend.ID,
-		"service", c.service, "digest", c.digest(), "parts", c.partNames(), "began", began, "error", err.Error())
-	c.relay.quarantine.RecordBroken(c.digest(), send.Backend.ID)
+		"service", c.service, "digest", strconv.FormatUint(uint64(c.digest), 16), "parts", c.partNames(), "began", began,
+		"error", err.Error())
+
+	if !began {
+		c.relay.quarantine.RecordBroken(content, send.Backend.ID)
+	}
 }
 
 // partNames returns the identifiers of the prompt's parts for the log.
@@ -58,9 +75,18 @@
 	return names
 }
 
-// reportAnswered tells the quarantine that the call was answered, and so did not crash its server.
+// reportAnswered tells the quarantine that a server has begun to answer the call without crashing. Only the first report has an
+// effect.
 func (c *call) reportAnswered() {
+	if c.acquitted {
+		return
+	}
+
+	c.acquitted = true
+
 	if c.relay.quarantine.HasSuspects() {
-		c.relay.quarantine.RecordAnswered(c.digest())
+		c.relay.quarantine.RecordAnswered(c.fingerprints())
+	} else if parts := c.partFingerprints(); len(parts) > 0 {
+		c.relay.quarantine.RecordAnswered(parts)
 	}
 }
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -53,16 +53,16 @@
 	Return(workspace apricotway.Workspace, cost float64)
 }
 
-// Quarantine tracks the digests of calls that crash backend servers.
+// Quarantine tracks the contents of calls that crash backend servers, given as fingerprints of their parts and of the whole.
 type Quarantine interface {
-	// HasSuspects reports whether any content is suspected at present; while it is false, digests need not be computed.
+	// HasSuspects reports whether any content is suspected at present; while it is false, whole contents need not be hashed.
 	HasSuspects() bool
-	// Refuses reports whether a content must not be sent any more.
-	Refuses(digest quarantine.Digest) bool
-	// RecordBroken records that the connection of a call broke while the server may have been working on it.
-	RecordBroken(digest quarantine.Digest, server apricotway.BackendServerID)
-	// RecordAnswered records that a content was answered, which clears it of suspicion.
-	RecordAnswered(digest quarantine.Digest)
+	// Refuses reports whether a call with a content must not be sent.
+	Refuses(content []quarantine.Fingerprint) bool
+	// RecordBroken records that the connection of a call broke before its answer had begun.
+	RecordBroken(content []quarantine.Fingerprint, server apricotway.BackendServerID)
+	// RecordAnswered records that a server has begun to answer a content without crashing, which clears it of suspicion.
+	RecordAnswered(content []quarantine.Fingerprint)
 }
 
 // Metrics records the results and retries of calls.
@@ -136,10 +136,11 @@
 
 type noQuarantine struct{}
 
-func (noQuarantine) HasSuspects() bool                                          { return false }
-func (noQuarantine) Refuses(quarantine.Digest) bool                             { return false }
-func (noQuarantine) RecordBroken(quarantine.Digest, apricotway.BackendServerID) {}
-func (noQuarantine) RecordAnswered(quarantine.Digest)                           {}
+func (noQuarantine) HasSuspects() bool { return false }
+
+func (noQuarantine) Refuses([]quarantine.Fingerprint) bool                             { return false }
+func (noQuarantine) RecordBroken([]quarantine.Fingerprint, apricotway.BackendServerID) {}
+func (noQuarantine) RecordAnswered([]quarantine.Fingerprint)                           {}
 
 type noMetrics struct{}
 
@@ -154,8 +155,12 @@
 	request  *http.Request
 	metadata apricotway.CallMetadata
 	body     []byte
-	// contentDigest caches the result of digest; empty until it is needed.
-	contentDigest quarantine.Digest
+	// digest is the fingerprint of the whole content; 0 until it is needed.
+	digest quarantine.Fingerprint
+	// events counts the reads of a stream that had a complete event. acquitted is set once the quarantine knows that the call was
+	// answered.
+	events    int
+	acquitted bool
 
 	arrived  time.Time
 	deadline time.Time
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -150,6 +150,16 @@
 	return c.passStream(ctx, splitter, &current, buffer, first, err)
 }
 
+// acquittingEvents is the number of events from which a stream has certainly begun without crashing its engine.
+const acquittingEvents = 2
+
+// countEvent counts a read of the stream that had a complete event.
+func (c *call) countEvent() {
+	if c.events++; c.events >= acquittingEvents {
+		c.reportAnswered()
+	}
+}
+
 // streamBroken returns the result of an attempt whose stream broke before any of it was passed on.
 func (c *call) streamBroken(ctx context.Context, send *dispatch.Send, silence *silenceTimer, err error) attemptResult {
 	now := c.relay.now()
@@ -270,7 +280,7 @@
 	}
 
 	if reason == reasonBroken && run.memory == nil {
-		c.reportBroken(run.send, true, run.err)
+		c.reportBroken(run.send, c.acquitted, run.err)
 	}
 
 	if c.route.Resumable && !splitter.passedPart {
@@ -295,6 +305,7 @@
 		if progress {
 			current.began = true
 			current.silence.progress()
+			c.countEvent()
 		}
 
 		if len(ready) > 0 {
@@ -383,8 +394,12 @@
 	cancel()
 
 	outcome := dispatch.OutcomeFailed
-	if ctx.Err() != nil {
+
+	switch {
+	case ctx.Err() != nil:
 		outcome = dispatch.OutcomeLeft
+	case err != nil && !errors.Is(err, apricotway.ErrNotSent) && !silence.fired():
+		c.reportBroken(send, c.acquitted, err)
 	}
 
 	send.End(c.relay.now(), outcome)
