Log the era of the operators' store and the offset of failed appends

Nothing read Store-Era, so no log told when the store had come back from an older copy, and the error of a refused append did not say at which offset.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/coordination/duty"
+	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/coordination/membership"
 	"github.com/apricotway/apricotway/coordination/rollup"
 	"github.com/apricotway/apricotway/coordination/suspect"
@@ -93,6 +94,7 @@
 	peerServer *peer.Server
 	peers      *peer.Client
 	membership *membership.Driver
+	eras       *era.Tracker
 	platform   *platform.Client
 	catalog    *catalog.Catalog
 	pool       *dispatch.Pool
@@ -143,7 +145,9 @@
 	s := e.settings
 
 	counters := newCounters(e.registry)
-	e.platform = platform.New(s.Platform.Store, platform.WithCloud(s.Platform.Cloud), platform.WithObserver(counters.platformCall))
+	e.eras = era.New(era.WithLogger(e.logger))
+	e.platform = platform.New(s.Platform.Store, platform.WithCloud(s.Platform.Cloud), platform.WithObserver(counters.platformCall),
+		platform.WithEraObserver(e.eras.Observe))
 
 	if err := e.join(ctx); err != nil {
 		return err
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -112,7 +112,7 @@
 		d.stale = true
 		d.mu.Unlock()
 
-		return errors.Wrap(err, "append to the duty log")
+		return errors.Wrapf(err, "append to the duty log at offset %d", at)
 	}
 
 	d.mu.Lock()
--- a/operatorstore.go
+++ b/operatorstore.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// StoreEra counts how often the operators' store has come back from an older copy. It is 0 for a store that doesn't tell.
+type StoreEra uint64
+
 // OperatorStore stores what operators and backend servers publish: the configuration and the list of backend servers. Each read
 // returns the position up to which it has read. A read that continues from a position that is no longer kept fails with ErrTrimmed;
 // the reader then reads the current state from the start.
