Read the duty log again and claim anew after the store has gone back

A process kept the offset after the last record it had read; it never went back, so each conditional append named an offset behind the end and was refused with 412, and a read from there got 410, which was taken for a trim.

Class of fault: a position that outlives the log it points into. Offsets are given out again, so comparing them is not enough: an append at an offset that the log has reached again succeeds behind records that its writer doesn't know, and two claims can have one number.

One rule now covers it: what was taken from the log belongs to an era.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -171,7 +171,7 @@
 	})
 
 	duties := duty.New(e.supervisor, e.platform, e.membership, e.membership, duty.WithLogger(e.logger),
-		duty.WithLease(time.Duration(s.HolderLease)), duty.WithLastContact(e.membership.LastContact))
+		duty.WithEras(e.eras), duty.WithLease(time.Duration(s.HolderLease)), duty.WithLastContact(e.membership.LastContact))
 	e.suspects = suspect.New(suspect.WithLogger(e.logger))
 	e.rollup = rollup.New(e.supervisor, rollup.Parts{
 		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: e.suspects,
--- a/coordination/duty/claim.go
+++ b/coordination/duty/claim.go
@@ -36,7 +36,7 @@
 	}
 
 	d.mu.Lock()
-	holder, fenced := d.holder, d.fenced
+	holder, fenced, era := d.holder, d.fenced, d.era
 	yielding := d.deposedAt != 0 && d.boot()-d.deposedAt < claimBackoffLeases*d.lease
 	d.mu.Unlock()
 
@@ -45,8 +45,9 @@
 	}
 
 	if holder.Number > 0 && holder.Node == self.Node {
-		// The platform refused this process's fencing number although the log holds no later claim.
-		return fenced == holder.Number
+		// The platform refused this process's fencing number although the log holds no later claim, or the claim is from before the
+		// store came back from an older copy.
+		return fenced == holder.Number || eraOf(holder.Number) < era
 	}
 
 	before, holderFound, holderOutgrown := 0, false, false
--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -14,6 +14,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/internal/boottime"
 )
 
@@ -35,9 +36,27 @@
 	holderKey = "holder"
 )
 
+// eraBits is the number of bits of a fencing number below the era. Offsets of the log stay far below: it gets a record each few
+// seconds.
+const eraBits = 32
+
+// fencingNumber returns the number of a claim. An offset is given out again after the store has come back from an older copy, so the
+// era comes first: numbers are unique and rise in the order of the claims.
+func fencingNumber(era apricotway.StoreEra, at apricotway.Offset) apricotway.Offset {
+	return apricotway.Offset(era)<<eraBits | at
+}
+
+// eraOf returns the era of a claim.
+func eraOf(number apricotway.Offset) apricotway.StoreEra {
+	return apricotway.StoreEra(number >> eraBits)
+}
+
 // ErrNotHolder reports that this process is not the holder of the duties.
 var ErrNotHolder = errors.New("duties not held")
 
+// ErrEraChanged reports that the store has come back from an older copy, so that what this process knew of the log is void.
+var ErrEraChanged = errors.New("store came back from an older copy")
+
 // Duty is one process's part in the election: it follows the claims in the log and appends its own. It is safe for concurrent use.
 type Duty struct {
 	log        apricotway.DutyLog
@@ -50,9 +69,13 @@
 	appending sync.Mutex
 
 	mu sync.Mutex
-	// read is set once the log has been read; next is the offset after the last record read.
+	// era is the era of the store that next, claim and usage belong to. read is set once the log has been read in it; next is the
+	// offset after the last record read.
+	era  apricotway.StoreEra
 	read bool
 	next apricotway.Offset
+	// recordEra is the highest era that a writer of the records read so far knew.
+	recordEra apricotway.StoreEra
 	// holder is the newest known claim; its number is 0 while none is known.
 	holder apricotway.DutyHolder
 	// claim is the newest claim read from the log. It is older than holder when a broadcast announced a later one.
@@ -89,9 +112,14 @@
 	// lease bounds the time for which a deposed holder may still act after its successor's claim; 0 if the platform refuses
 	// calls under an older fencing number.
 	lease time.Duration
+	// renewed is the fencing number of the claim of this process that its newest claim renews; 0 if that follows another process's.
+	renewed apricotway.Offset
+
 	// boot reads a clock that also advances while the machine is suspended.
 	boot func() time.Duration
 	self apricotway.NodeID
+	// eras tells when the store has come back from an older copy.
+	eras *era.Tracker
 }
 
 // Option configures a Duty.
@@ -100,6 +128,9 @@
 // WithLogger sets the logger.
 func WithLogger(logger logr.Logger) Option { return func(d *Duty) { d.logger = logger } }
 
+// WithEras sets the tracker of the store's eras. Without it, the process learns of a new era by its own reads of the log only.
+func WithEras(eras *era.Tracker) Option { return func(d *Duty) { d.eras = eras } }
+
 // New returns the Duty of a process that takes part in the election, and adds its goroutines to the supervisor.
 func New(
 	supervisor *suture.Supervisor, log apricotway.DutyLog, membership apricotway.Membership,
@@ -107,7 +138,7 @@
 ) *Duty {
 	d := &Duty{
 		log: log, membership: membership, broadcasts: broadcasts, logger: logr.Discard(), started: time.Now(), next: 1,
-		boot: boottime.Now, self: membership.Self().Node,
+		boot: boottime.Now, self: membership.Self().Node, eras: era.New(),
 	}
 	for _, option := range options {
 		option(d)
@@ -152,7 +183,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.holder, d.holder.Number > 0 && d.holder.Node == self.Node && d.fenced != d.holder.Number
+	return d.holder, d.holder.Number > 0 && d.holder.Node == self.Node && d.fenced != d.holder.Number && eraOf(d.holder.Number) == d.era
+}
+
+// Renewed returns the fencing number of the earlier claim that this process renewed with its newest one, 0 if another process held the
+// duties before.
+func (d *Duty) Renewed() apricotway.Offset {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.renewed
 }
 
 // MarkFenced records that the platform refused a fencing number. The holder with this number stops at once and reads the log again.
@@ -189,7 +229,7 @@
 	found := d.holderAlive()
 
 	d.mu.Lock()
-	due := !d.read || d.stale || (d.doubted || !found) && now.Sub(d.refreshedAt) >= refreshInterval
+	due := !d.read || d.stale || d.eras.Current() > d.era || (d.doubted || !found) && now.Sub(d.refreshedAt) >= refreshInterval
 	if due {
 		d.doubted, d.refreshedAt = false, now
 	}
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -21,53 +22,54 @@
 	mu      sync.Mutex
 	records [][]byte
 	state   map[apricotway.StatePart][]byte
+	era     apricotway.StoreEra
 	// read is the total size in bytes of the records that were read.
 	read int
 	// down fails all calls; lose performs the next append but reports an unknown outcome.
 	down, lose bool
 }
 
-func (l *log) AppendAt(_ context.Context, at apricotway.Offset, record []byte) error {
+func (l *log) AppendAt(_ context.Context, at apricotway.Offset, record []byte) (apricotway.StoreEra, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	switch {
 	case l.down:
-		return apricotway.ErrLogUnavailable
+		return 0, apricotway.ErrLogUnavailable
 	case int(at) != len(l.records)+1:
-		return apricotway.ErrConflict
+		return l.era, apricotway.ErrConflict
 	}
 
 	l.records = append(l.records, record)
 
 	if l.lose {
 		l.lose = false
-		return errors.Wrap(apricotway.ErrAppendUnknown, "answer lost")
+		return 0, errors.Wrap(apricotway.ErrAppendUnknown, "answer lost")
 	}
 
-	return nil
+	return l.era, nil
 }
 
-func (l *log) ReadFrom(
-	_ context.Context, from apricotway.Offset,
-) (records [][]byte, first, end apricotway.Offset, err error) {
+func (l *log) ReadFrom(_ context.Context, from apricotway.Offset) (apricotway.DutyRecords, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	if l.down {
-		return nil, 0, 0, apricotway.ErrLogUnavailable
+		return apricotway.DutyRecords{}, apricotway.ErrLogUnavailable
 	}
 
 	from = max(from, 1)
-	if int(from) > len(l.records) {
-		return nil, from, apricotway.Offset(len(l.records) + 1), nil
+	end := apricotway.Offset(len(l.records) + 1)
+
+	if from > end {
+		return apricotway.DutyRecords{Era: l.era}, apricotway.ErrTrimmed
 	}
 
 	for _, record := range l.records[from-1:] {
 		l.read += len(record)
 	}
 
-	return l.records[from-1:], from, apricotway.Offset(len(l.records) + 1), nil
+	return apricotway.DutyRecords{Records: l.records[from-1:], First: from, End: end, Era: l.era}, nil
 }
 
 func (l *log) SaveState(_ context.Context, part apricotway.StatePart, state []byte) error {
@@ -660,3 +662,112 @@
 		}
 	})
 }
+
+// restore makes the log go back to its first records, in the next era.
+func (l *log) restore(kept int, written ...string) {
+	l.set(func(l *log) {
+		l.era++
+		l.records = slices.Clone(l.records[:kept])
+
+		for _, record := range written {
+			l.records = append(l.records, []byte(record))
+		}
+	})
+}
+
+// TestHolderAfterRestore guards against a holder that can append nothing any more, or acts under an old number, after the store has
+// come back from an older copy.
+func TestHolderAfterRestore(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{era: 1}
+		a := c.start(t, l, "a")
+		wait(3 * time.Second)
+
+		before, _ := a.Held()
+
+		for window := range int64(3) {
+			if err := a.RecordUsage(t.Context(), apricotway.UsageReport{Window: window}); err != nil {
+				t.Fatal(err)
+			}
+		}
+
+		l.restore(2)
+
+		if err := a.RecordUsage(t.Context(), apricotway.UsageReport{Window: 3}); err == nil {
+			t.Error("a record was appended at a lost offset, want an error")
+		}
+
+		wait(time.Second)
+
+		after, ok := a.Held()
+		if !ok || after.Number <= before.Number || a.Renewed() != before.Number {
+			t.Errorf("got holder %v, held: %t, that renews %d, want a renewal of %v", after, ok, a.Renewed(), before)
+		}
+
+		if err := a.RecordUsage(t.Context(), apricotway.UsageReport{Window: 3}); err != nil {
+			t.Errorf("got error %v of a record in the new era, want none", err)
+		}
+	})
+}
+
+// TestAppendIntoUnknownEra guards against a record that takes effect although its writer doesn't know the records before it: the log
+// went back and grew to the same length again.
+func TestAppendIntoUnknownEra(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{era: 1}
+		a := c.start(t, l, "a")
+		wait(3 * time.Second)
+
+		if err := a.RecordUsage(t.Context(), apricotway.UsageReport{Window: 7}); err != nil {
+			t.Fatal(err)
+		}
+
+		c.set("z", apricotway.MemberAlive)
+		l.restore(1, `{"kind":"claim","node":"z","era":2}`)
+
+		if err := a.RecordUsage(t.Context(), apricotway.UsageReport{Window: 8}); !errors.Is(err, duty.ErrEraChanged) {
+			t.Errorf("got error %v, want %v", err, duty.ErrEraChanged)
+		}
+
+		wait(time.Second)
+
+		if holder, ok := a.Held(); ok || holder.Node != "z" {
+			t.Errorf("got holder %v and held: %t, want z", holder, ok)
+		}
+
+		if got := a.LastUsage(); got != nil {
+			t.Errorf("got usage report %v, want none", got)
+		}
+	})
+}
+
+// TestNumbersOverEras guards against one fencing number for two claims at an offset that is given out twice.
+func TestNumbersOverEras(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{era: 1}
+		a, b := c.start(t, l, "a"), c.start(t, l, "b")
+		wait(3 * time.Second)
+
+		numbers := map[apricotway.Offset]bool{}
+		last := apricotway.Offset(0)
+
+		for range 4 {
+			holders := held(a, b)
+			if len(holders) != 1 {
+				t.Fatalf("got holders %v, want one", holders)
+			}
+
+			if number := holders[0].Number; numbers[number] || number <= last {
+				t.Errorf("got number %d after %d, want a higher one", number, last)
+			}
+
+			last = holders[0].Number
+			numbers[last] = true
+
+			l.restore(0)
+			c.set(holders[0].Node, apricotway.MemberDead)
+			wait(3 * time.Second)
+			c.set(holders[0].Node, apricotway.MemberAlive)
+		}
+	})
+}
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -25,6 +25,8 @@
 	Kind  Kind                    `json:"kind"`
 	Node  apricotway.NodeID       `json:"node"`
 	Usage *apricotway.UsageReport `json:"usage,omitempty"`
+	// Era is the era of the store that the writer knew.
+	Era apricotway.StoreEra `json:"era,omitempty"`
 }
 
 // LastUsage returns the newest usage report in the log, nil if there is none.
@@ -93,11 +95,6 @@
 	d.appending.Lock()
 	defer d.appending.Unlock()
 
-	content, err := json.Marshal(r)
-	if err != nil {
-		return errors.Wrap(err, "encode duty log record")
-	}
-
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 
@@ -105,9 +102,21 @@
 
 	d.mu.Lock()
 	at := d.next
+	r.Era = d.era
 	d.mu.Unlock()
 
-	if err := d.log.AppendAt(ctx, at, content); err != nil {
+	content, err := json.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode duty log record")
+	}
+
+	era, err := d.log.AppendAt(ctx, at, content)
+	if err == nil && era != r.Era {
+		// The record lies behind others that this process doesn't know.
+		err = errors.Wrapf(ErrEraChanged, "appended in era %d, known is %d", era, r.Era)
+	}
+
+	if err != nil {
 		d.mu.Lock()
 		d.stale = true
 		d.mu.Unlock()
@@ -118,7 +127,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.next == at {
+	if d.next == at && d.era == r.Era {
 		d.apply(at, r)
 		d.verifiedAt = max(d.verifiedAt, began)
 	}
@@ -130,6 +139,17 @@
 func (d *Duty) apply(at apricotway.Offset, r record) {
 	d.next = at + 1
 
+	// The writer didn't know of the restore after which the records before were written.
+	if r.Era < d.recordEra {
+		d.logger.Info("ignored a duty log record of an earlier era", "event", 362, "offset", at, "kind", r.Kind, "node", r.Node, "era",
+			r.Era, "current", d.recordEra)
+
+		return
+	}
+
+	d.recordEra = r.Era
+	number := fencingNumber(r.Era, at)
+
 	switch r.Kind {
 	case KindClaim:
 		if d.claim.Number > 0 && d.claim.Node != r.Node {
@@ -140,8 +160,13 @@
 			}
 		}
 
-		d.claim = apricotway.DutyHolder{Node: r.Node, Number: at}
-		if at > d.holder.Number {
+		d.claim = apricotway.DutyHolder{Node: r.Node, Number: number}
+		if number > d.holder.Number {
+			d.renewed = 0
+			if r.Node == d.self && d.holder.Node == d.self {
+				d.renewed = d.holder.Number
+			}
+
 			d.holder = d.claim
 		}
 	case KindUsage:
@@ -152,6 +177,14 @@
 	}
 }
 
+// enterEra drops what was read from the log in an earlier era: its newest records are gone, and their offsets are given out again. The
+// newest known holder remains, since processes report to it until a claim of the new era shows. The caller holds d.mu.
+func (d *Duty) enterEra(era apricotway.StoreEra) {
+	d.era, d.read, d.next, d.recordEra = era, false, 1, 0
+	d.claim, d.usage = apricotway.DutyHolder{}, nil
+	d.verifiedAt, d.stale = 0, true
+}
+
 // refresh reads the log to its end.
 func (d *Duty) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
@@ -160,10 +193,22 @@
 	began := d.boot()
 
 	d.mu.Lock()
-	from := d.next
+	from, known := d.next, d.era
 	d.mu.Unlock()
 
-	records, first, end, err := d.log.ReadFrom(ctx, from)
+	found, err := d.log.ReadFrom(ctx, from)
+
+	if err == nil && found.Era != known || errors.Is(err, apricotway.ErrTrimmed) {
+		d.mu.Lock()
+		d.enterEra(found.Era)
+		d.mu.Unlock()
+
+		// In another era the offset stands for another place. Without eras, a log that ends before it has gone back as well.
+		if from > 1 {
+			found, err = d.log.ReadFrom(ctx, 1)
+		}
+	}
+
 	if err != nil {
 		return errors.Wrap(err, "read the duty log")
 	}
@@ -171,8 +216,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	for i, content := range records {
-		at := first + apricotway.Offset(i)
+	if found.Era != d.era {
+		d.stale = true
+		return errors.Wrapf(ErrEraChanged, "read in era %d, known is %d", found.Era, d.era)
+	}
+
+	for i, content := range found.Records {
+		at := found.First + apricotway.Offset(i)
 		if at < d.next {
 			continue
 		}
@@ -186,7 +236,7 @@
 		d.apply(at, r)
 	}
 
-	d.next = max(d.next, end)
+	d.next = max(d.next, found.End)
 	d.read, d.stale, d.maybeSuspended = true, false, false
 	d.verifiedAt = max(d.verifiedAt, began)
 
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -358,7 +358,12 @@
 // prepare resets the aggregate to the predecessor's saved counts if the fencing number has changed, and applies the limits of the
 // newest configuration. The caller holds r.mu.
 func (r *Rollup) prepare(now time.Time, number apricotway.Offset) {
-	if r.collectedUnder != number {
+	switch {
+	case r.collectedUnder == number:
+	case r.collectedUnder > 0 && r.collectedUnder == r.duty.Renewed():
+		// The processes have reported here all the time. What was saved may be gone.
+		r.collectedUnder, r.savedState, r.savedCrashes = number, nil, nil
+	default:
 		r.reset(number)
 		r.restoreCounts()
 		r.restoreCrashes(now)
--- a/operatorstore.go
+++ b/operatorstore.go
@@ -25,12 +25,13 @@
 // DutyLog is the log with which the processes elect the one that performs a duty: a task that one process does for all. Offsets
 // count from 1.
 type DutyLog interface {
-	// AppendAt appends one record at the given offset, and returns ErrConflict when the log has reached that offset already. An
-	// error that wraps ErrAppendUnknown means that the append may have taken effect or may still do so.
-	AppendAt(ctx context.Context, at Offset, record []byte) error
-	// ReadFrom returns the records from the offset on, or from the oldest one kept, with the offset of the first one and the
-	// offset after the last one.
-	ReadFrom(ctx context.Context, from Offset) (records [][]byte, first, end Offset, err error)
+	// AppendAt appends one record at the given offset, and returns ErrConflict when the log doesn't end there. An error that wraps
+	// ErrAppendUnknown means that the append may have taken effect or may still do so. The record lies in the returned era, in which
+	// the offset may stand for another place than in the one that the caller knows.
+	AppendAt(ctx context.Context, at Offset, record []byte) (StoreEra, error)
+	// ReadFrom returns the records from the offset on, or from the oldest one kept. It fails with ErrTrimmed when the log ends
+	// before the offset.
+	ReadFrom(ctx context.Context, from Offset) (DutyRecords, error)
 	// SaveState replaces a part of the state that the holder of the duties saves for its successor. It is stored outside the log, so
 	// that reading the log does not mean reading every state ever saved.
 	SaveState(ctx context.Context, part StatePart, state []byte) error
@@ -38,6 +39,15 @@
 	State(ctx context.Context) (map[StatePart][]byte, error)
 }
 
+// DutyRecords are the records of one read of a DutyLog.
+type DutyRecords struct {
+	Records [][]byte
+	// First is the offset of the first record, and End the offset after the last one.
+	First, End Offset
+	// Era is the era that the records and offsets belong to.
+	Era StoreEra
+}
+
 // StatePart names a part of the state that the holder of the duties saves for its successor.
 type StatePart string
 
