Settle which usage was reported when the duty log no longer tells

A holder records a report before it sends it, so that a successor repeats it. When the store goes back, or the log is trimmed, that record is gone while the platform keeps the report, and a successor took the window for open. It also ignored reports whose claim had been trimmed.

Class of fault: a record that stands for an effect outside the log, taken for the only memory of it. What was recorded is now also known to each process: the holder's answers carry the newest report, and processes tell it to the next holder. A holder whose log has a gap, or no report of the present era, first hears all members for up to 2 s; if one can't be asked, it skips the windows that were due before its claim. It records the outcome (kind skip, and the last report again), so that its successors need not ask. Reports name their claim.

--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -69,7 +69,7 @@
 	appending sync.Mutex
 
 	mu sync.Mutex
-	// era is the era of the store that next, claim and usage belong to. read is set once the log has been read in it; next is the
+	// era is the era of the store that next and claim belong to. read is set once the log has been read in it; next is the
 	// offset after the last record read.
 	era  apricotway.StoreEra
 	read bool
@@ -80,8 +80,12 @@
 	holder apricotway.DutyHolder
 	// claim is the newest claim read from the log. It is older than holder when a broadcast announced a later one.
 	claim apricotway.DutyHolder
-	// usage is the newest valid usage report in the log, nil if there is none.
-	usage *apricotway.UsageReport
+	// usage is the newest valid usage report that was ever in the log, as far as this process knows, nil if there is none. skipped is the
+	// newest window up to which no usage is reported any more, 0 if there is none.
+	usage   *apricotway.UsageReport
+	skipped int64
+	// settled is set while the records that were read tell all about usage reports in the present era.
+	settled bool
 	// state holds the parts of the state that the previous holder saved, read when this process claimed.
 	state map[apricotway.StatePart][]byte
 	// vacant is the time since which no live holder is known; zero while there is one.
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -735,8 +735,12 @@
 			t.Errorf("got holder %v and held: %t, want z", holder, ok)
 		}
 
-		if got := a.LastUsage(); got != nil {
-			t.Errorf("got usage report %v, want none", got)
+		if got := a.LastUsage(); got == nil || got.Window != 7 {
+			t.Errorf("got usage report %v, want the lost one of window 7", got)
+		}
+
+		if a.UsageSettled() {
+			t.Error("got reports settled by a record that lies in an unknown era, want them open")
 		}
 	})
 }
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -18,6 +18,8 @@
 	KindClaim Kind = "claim"
 	// KindUsage holds a usage report that the holder sends to the platform.
 	KindUsage Kind = "usage"
+	// KindSkip states that no usage up to Window is reported any more, except the last report before it.
+	KindSkip Kind = "skip"
 )
 
 // record is one record of the duty log.
@@ -25,11 +27,16 @@
 	Kind  Kind                    `json:"kind"`
 	Node  apricotway.NodeID       `json:"node"`
 	Usage *apricotway.UsageReport `json:"usage,omitempty"`
+	// Window is the last window of a KindSkip record.
+	Window int64 `json:"window,omitempty"`
+	// Claim is the fencing number under which a report or skip was recorded. The record of that claim may have been trimmed.
+	Claim apricotway.Offset `json:"claim,omitempty"`
 	// Era is the era of the store that the writer knew.
 	Era apricotway.StoreEra `json:"era,omitempty"`
 }
 
-// LastUsage returns the newest usage report in the log, nil if there is none.
+// LastUsage returns the newest usage report that this process knows to have been recorded, nil if there is none. Its record may be lost
+// since, while the platform has received the report.
 func (d *Duty) LastUsage() *apricotway.UsageReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -37,6 +44,33 @@
 	return d.usage
 }
 
+// LearnUsage records a usage report that another process knows to have been recorded.
+func (d *Duty) LearnUsage(report apricotway.UsageReport) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.usage == nil || report.Window > d.usage.Window {
+		d.usage = &report
+	}
+}
+
+// UsageSettled reports whether the log tells which windows have been reported. After it has gone back or was trimmed, that is so from the
+// next report or skip on.
+func (d *Duty) UsageSettled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.settled
+}
+
+// Skipped returns the newest window up to which no usage is reported any more, 0 if there is none.
+func (d *Duty) Skipped() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.skipped
+}
+
 // LastState returns a part of the saved state that this process read when it last claimed the duties, nil if there was none.
 func (d *Duty) LastState(part apricotway.StatePart) []byte {
 	d.mu.Lock()
@@ -82,11 +116,22 @@
 // RecordUsage appends a usage report to the log. It fails if this process is not the holder or if another record has been appended
 // since this process last read the log.
 func (d *Duty) RecordUsage(ctx context.Context, report apricotway.UsageReport) error {
-	if _, held := d.Held(); !held {
+	holder, held := d.Held()
+	if !held {
+		return ErrNotHolder
+	}
+
+	return d.append(ctx, record{Kind: KindUsage, Node: holder.Node, Claim: holder.Number, Usage: &report})
+}
+
+// RecordSkip records that no usage up to a window is reported any more. It fails like RecordUsage.
+func (d *Duty) RecordSkip(ctx context.Context, window int64) error {
+	holder, held := d.Held()
+	if !held {
 		return ErrNotHolder
 	}
 
-	return d.append(ctx, record{Kind: KindUsage, Node: d.membership.Self().Node, Usage: &report})
+	return d.append(ctx, record{Kind: KindSkip, Node: holder.Node, Claim: holder.Number, Window: window})
 }
 
 // append appends a record right after the last one read. On any error, a conflict and an unknown outcome included, it requests
@@ -148,40 +193,68 @@
 	}
 
 	d.recordEra = r.Era
-	number := fencingNumber(r.Era, at)
 
 	switch r.Kind {
 	case KindClaim:
-		if d.claim.Number > 0 && d.claim.Node != r.Node {
-			d.mayActFrom = d.boot() + d.takeoverWait()
+		d.applyClaim(apricotway.DutyHolder{Node: r.Node, Number: fencingNumber(r.Era, at)})
+	case KindUsage, KindSkip:
+		d.applyUsage(r)
+	}
+}
+
+// applyClaim applies a claim that was read or appended. The caller holds d.mu.
+func (d *Duty) applyClaim(claim apricotway.DutyHolder) {
+	if d.claim.Number > 0 && d.claim.Node != claim.Node {
+		d.mayActFrom = d.boot() + d.takeoverWait()
 
-			if d.claim.Node == d.self {
-				d.deposedAt = d.boot()
-			}
+		if d.claim.Node == d.self {
+			d.deposedAt = d.boot()
 		}
+	}
 
-		d.claim = apricotway.DutyHolder{Node: r.Node, Number: number}
-		if number > d.holder.Number {
-			d.renewed = 0
-			if r.Node == d.self && d.holder.Node == d.self {
-				d.renewed = d.holder.Number
-			}
+	d.claim = claim
+	if claim.Number <= d.holder.Number {
+		return
+	}
 
-			d.holder = d.claim
-		}
-	case KindUsage:
-		// Ignore a report that a deposed holder appended after its successor's claim.
-		if r.Usage != nil && r.Node == d.claim.Node && (d.usage == nil || r.Usage.Window > d.usage.Window) {
-			d.usage = r.Usage
+	d.renewed = 0
+	if claim.Node == d.self && d.holder.Node == d.self {
+		d.renewed = d.holder.Number
+	}
+
+	d.holder = claim
+}
+
+// applyUsage applies a report or skip that was read or appended. The caller holds d.mu.
+func (d *Duty) applyUsage(r record) {
+	switch {
+	case r.Claim > d.claim.Number:
+		// The record of the claim was trimmed.
+		d.claim = apricotway.DutyHolder{Node: r.Node, Number: r.Claim}
+		if r.Claim > d.holder.Number {
+			d.holder, d.renewed = d.claim, 0
 		}
+	case r.Claim == d.claim.Number && r.Claim > 0:
+	case r.Claim == 0 && r.Node == d.claim.Node:
+		// Older builds don't name the claim.
+	default:
+		// A deposed holder appended it after its successor's claim.
+		return
 	}
+
+	if r.Usage != nil && (d.usage == nil || r.Usage.Window > d.usage.Window) {
+		d.usage = r.Usage
+	}
+
+	d.skipped = max(d.skipped, r.Window)
+	d.settled = r.Era == d.era
 }
 
 // enterEra drops what was read from the log in an earlier era: its newest records are gone, and their offsets are given out again. The
 // newest known holder remains, since processes report to it until a claim of the new era shows. The caller holds d.mu.
 func (d *Duty) enterEra(era apricotway.StoreEra) {
 	d.era, d.read, d.next, d.recordEra = era, false, 1, 0
-	d.claim, d.usage = apricotway.DutyHolder{}, nil
+	d.claim, d.settled = apricotway.DutyHolder{}, false
 	d.verifiedAt, d.stale = 0, true
 }
 
@@ -221,6 +294,11 @@
 		return errors.Wrapf(ErrEraChanged, "read in era %d, known is %d", found.Era, d.era)
 	}
 
+	// Records between were trimmed.
+	if found.First > d.next {
+		d.settled = false
+	}
+
 	for i, content := range found.Records {
 		at := found.First + apricotway.Offset(i)
 		if at < d.next {
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -66,6 +66,10 @@
 	Known catalog.Position
 	// Crashes holds what the process knows about calls that crash backend servers and the holder may not.
 	Crashes suspect.Report
+	// LastUsage is the newest usage report that the process knows of, in its first report to a holder; nil otherwise. KnownWindow is the
+	// window of that report, 0 without one.
+	LastUsage   *apricotway.UsageReport
+	KnownWindow int64
 	// Limits holds what the process knows about the limits of backend servers and the last answer did not have.
 	Limits []intake.Statement
 }
@@ -82,6 +86,8 @@
 	News catalog.News
 	// Verdict holds what the crashes of backend servers have in common.
 	Verdict suspect.Verdict
+	// LastUsage is the newest usage report, if the process doesn't know it yet.
+	LastUsage *apricotway.UsageReport
 	// Limits holds the newest statement about the limit of each backend server that stated one.
 	Limits []intake.Statement
 }
@@ -132,6 +138,11 @@
 	// limitsTable is the configuration from which the limits of center were last set.
 	limitsTable *route.Table
 	nextWindow  int64
+	// claimedAt is the time at which collectedUnder was first used, and heard holds the processes that have reported since.
+	claimedAt time.Time
+	heard     map[apricotway.NodeID]bool
+	// toldUsage is the fencing number of the holder that knows the last usage report known here.
+	toldUsage apricotway.Offset
 	// pendingReport is the usage report that has been appended to the duty log but not yet accepted by the platform.
 	pendingReport *apricotway.UsageReport
 	// savedState holds the counts and savedCrashes the refusals that were last saved for a successor.
@@ -258,8 +269,10 @@
 		Limits: r.Pool.UncollectedLimits(now),
 	}
 
-	suspects, markReported := r.Suspects.Report(r.duty.Holder().Number)
+	holder := r.duty.Holder().Number
+	suspects, markReported := r.Suspects.Report(holder)
 	report.Crashes = suspects
+	r.addUsage(&report, holder)
 
 	sent := r.Catalog.BootTime()
 	_, held := r.duty.Held()
@@ -268,7 +281,7 @@
 	if held {
 		if answer := r.receive(now, report); answer.Holding {
 			markReported()
-			r.accept(now, now, answer)
+			r.accept(now, now, holder, answer)
 		}
 
 		return
@@ -296,7 +309,7 @@
 	}
 
 	markReported()
-	r.accept(time.Now(), now, answer)
+	r.accept(time.Now(), now, holder, answer)
 	r.Catalog.ApplyNews(sent, answer.News)
 }
 
@@ -313,8 +326,34 @@
 	return netip.AddrPort{}, false
 }
 
-// accept applies the holder's answer to a report, which was sent at the time asked, to the components of this process.
-func (r *Rollup) accept(now, asked time.Time, answer Answer) {
+// addUsage adds what this process knows of usage reports to its report to the holder with the given fencing number.
+func (r *Rollup) addUsage(report *Report, holder apricotway.Offset) {
+	r.mu.Lock()
+	told := r.toldUsage == holder
+	r.mu.Unlock()
+
+	last := r.duty.LastUsage()
+	if last == nil {
+		return
+	}
+
+	report.KnownWindow = last.Window
+	if !told {
+		report.LastUsage = last
+	}
+}
+
+// accept applies the answer to a report, which was sent at the time asked to the holder with the given fencing number, to the components
+// of this process.
+func (r *Rollup) accept(now, asked time.Time, holder apricotway.Offset, answer Answer) {
+	r.mu.Lock()
+	r.toldUsage = holder
+	r.mu.Unlock()
+
+	if answer.LastUsage != nil {
+		r.duty.LearnUsage(*answer.LastUsage)
+	}
+
 	for _, change := range r.Pool.LearnLimits(now, asked, answer.Limits) {
 		r.logger.Info("another process told the limit of a backend server", "event", 355, "server", change.Server,
 			"statement", change.Limit.Statement, "perSecond", change.Limit.PerSecond, "from", change.Observation.Node)
@@ -336,6 +375,12 @@
 	defer r.mu.Unlock()
 
 	r.prepare(now, holder.Number)
+	r.heard[report.Node] = true
+
+	if report.LastUsage != nil {
+		r.duty.LearnUsage(*report.LastUsage)
+	}
+
 	r.collector.Report(report.Node, report.Counts)
 
 	r.loads[report.Node] = load{at: now, demand: r.smoothDemand(report)}
@@ -348,6 +393,10 @@
 		Others: r.board.Report(now, report.Node, report.Work),
 	}
 
+	if last := r.duty.LastUsage(); last != nil && last.Window > report.KnownWindow {
+		answer.LastUsage = last
+	}
+
 	if self := r.membership.Self().Node; report.Node != self {
 		answer.News = r.Catalog.News(self, report.Known)
 	}
@@ -358,6 +407,10 @@
 // prepare resets the aggregate to the predecessor's saved counts if the fencing number has changed, and applies the limits of the
 // newest configuration. The caller holds r.mu.
 func (r *Rollup) prepare(now time.Time, number apricotway.Offset) {
+	if r.collectedUnder != number {
+		r.claimedAt, r.heard = now, map[apricotway.NodeID]bool{}
+	}
+
 	switch {
 	case r.collectedUnder == number:
 	case r.collectedUnder > 0 && r.collectedUnder == r.duty.Renewed():
--- a/coordination/rollup/usage.go
+++ b/coordination/rollup/usage.go
@@ -82,6 +82,10 @@
 		return
 	}
 
+	if !r.duty.UsageSettled() && !r.settleUsage(ctx, now, holder.Number) {
+		return
+	}
+
 	for {
 		report, ok := r.nextUsage(now, holder.Number)
 		if !ok {
@@ -110,10 +114,10 @@
 	}
 
 	if r.nextWindow == 0 {
-		r.nextWindow = r.Tally.Window(now) - backfillWindows
+		r.nextWindow = r.firstWindow(now)
 
-		if last := r.duty.LastUsage(); last != nil && last.Window >= r.nextWindow-backfillWindows {
-			r.pendingReport, r.nextWindow = last, last.Window
+		if last := r.duty.LastUsage(); last != nil && last.Window == r.nextWindow-1 {
+			r.pendingReport = last
 			return *last, true
 		}
 	}
@@ -161,7 +165,7 @@
 	defer r.mu.Unlock()
 
 	r.pendingReport = nil
-	r.nextWindow = report.Window + 1
+	r.nextWindow = max(r.nextWindow, report.Window+1)
 	r.collector.Forget(report.Window)
 	r.logger.Info("reported usage to the platform", "event", 297, "window", report.Window, "workspaces", len(report.Calls),
 		"number", holder.Number)
