Read list and configuration from the start after the store has gone back

A process went on from the offset up to which it had read the list of servers and the configuration. If the store came back from an older copy and grew past that offset before the process read again (a process that was cut off or frozen, or any between two reads), the changes before the offset were never seen: servers that had come were unknown, ones that had left got calls, and a version of the configuration was not put in force. A read behind the end was noticed, since it gets 410.

Class of fault: as for the duty log, a position that outlives the log it points into. Positions of the store now hold their era, and an answer of another era makes the catalog read everything again.

TestListAfterRestore and TestConfigurationAfterRestore fail when the comparison of the eras is taken out.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -156,7 +156,7 @@
 	e.pool = dispatch.New(dispatch.WithZone(s.Zone))
 	e.registry.MustRegister(newLimitGauge(func() int { return len(e.serverLimits(time.Now())) }))
 
-	e.catalog = catalog.New(e.supervisor, e.platform, e.pool, catalog.WithLogger(e.logger),
+	e.catalog = catalog.New(e.supervisor, e.platform, e.pool, catalog.WithLogger(e.logger), catalog.WithEras(e.eras),
 		catalog.WithKeyValidity(keyValidity(s)), catalog.WithPeerNews(e.peers, e.peerServer, e.membership),
 		catalog.WithChanged(func(t *route.Table) { e.limiter.SetLimits(time.Now(), t.Workspaces()) }))
 
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -13,6 +13,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/internal/boottime"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/route"
@@ -124,6 +125,11 @@
 // WithBootClock sets the clock that also advances while the machine is suspended.
 func WithBootClock(clock func() time.Duration) Option { return func(c *Catalog) { c.boot = clock } }
 
+// WithEras sets the tracker of the store's eras. Without it, the process learns of a new era by its own reads only.
+func WithEras(eras *era.Tracker) Option {
+	return func(c *Catalog) { eras.Subscribe(c.noteRestore) }
+}
+
 // WithChanged sets a function that is called with each new version of the configuration. It must not block.
 func WithChanged(changed func(*route.Table)) Option { return func(c *Catalog) { c.changed = changed } }
 
@@ -270,7 +276,7 @@
 // readDeployment returns a function that reads the configuration once and remembers the position between calls.
 func (c *Catalog) readDeployment() func(ctx context.Context, fromScratch bool) error {
 	var (
-		position apricotway.Offset
+		position apricotway.StorePosition
 		known    bool
 	)
 
@@ -287,8 +293,14 @@
 			err        error
 		)
 
+		era := position.Era
+
 		if known {
 			deployment, position, err = c.store.DeploymentAfter(ctx, position, c.configReadWait())
+			if err == nil && position.Era != era {
+				// The changes before the position may be others than those that were read.
+				err = apricotway.ErrTrimmed
+			}
 		} else {
 			deployment, position, err = c.store.Deployment(ctx)
 			known = err == nil
--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -29,6 +29,7 @@
 	down, trimmedConfig, trimmedList bool
 	// hanging makes the reads of changes of the list hang.
 	hanging bool
+	era     apricotway.StoreEra
 	// reads counts the reads of the list.
 	reads int
 }
@@ -61,28 +62,32 @@
 	})
 }
 
-func (s *store) Deployment(context.Context) (*apricotway.Deployment, apricotway.Offset, error) {
+func (s *store) Deployment(context.Context) (*apricotway.Deployment, apricotway.StorePosition, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if s.down {
-		return nil, 0, apricotway.ErrLogUnavailable
+		return nil, apricotway.StorePosition{}, apricotway.ErrLogUnavailable
 	}
 
 	if len(s.deployments) == 0 {
-		return nil, 0, nil
+		return nil, apricotway.StorePosition{Era: s.era}, nil
 	}
 
-	return s.deployments[len(s.deployments)-1], apricotway.Offset(len(s.deployments)), nil
+	return s.deployments[len(s.deployments)-1], s.position(len(s.deployments)), nil
+}
+
+func (s *store) position(offset int) apricotway.StorePosition {
+	return apricotway.StorePosition{Era: s.era, Offset: apricotway.Offset(offset)}
 }
 
 func (s *store) DeploymentAfter(
-	ctx context.Context, position apricotway.Offset, wait time.Duration,
-) (*apricotway.Deployment, apricotway.Offset, error) {
+	ctx context.Context, position apricotway.StorePosition, wait time.Duration,
+) (*apricotway.Deployment, apricotway.StorePosition, error) {
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
-		down, trimmed, have := s.down, s.trimmedConfig, s.deployments[min(int(position), len(s.deployments)):]
-		s.trimmedConfig = false
+		down, trimmed, have := s.down, s.trimmedConfig, s.deployments[min(int(position.Offset), len(s.deployments)):]
+		s.trimmedConfig, position.Era = false, s.era
 		s.mu.Unlock()
 
 		switch {
@@ -91,7 +96,8 @@
 		case trimmed:
 			return nil, position, apricotway.ErrTrimmed
 		case len(have) > 0:
-			return have[len(have)-1], position + apricotway.Offset(len(have)), nil
+			position.Offset += apricotway.Offset(len(have))
+			return have[len(have)-1], position, nil
 		case ctx.Err() != nil:
 			return nil, position, ctx.Err()
 		case !time.Now().Before(end):
@@ -102,14 +108,14 @@
 	}
 }
 
-func (s *store) Backends(context.Context) ([]apricotway.BackendChange, apricotway.Offset, error) {
+func (s *store) Backends(context.Context) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	s.reads++
 
 	if s.down {
-		return nil, 0, apricotway.ErrLogUnavailable
+		return nil, apricotway.StorePosition{}, apricotway.ErrLogUnavailable
 	}
 
 	var changes []apricotway.BackendChange
@@ -117,18 +123,18 @@
 		changes = append(changes, apricotway.BackendChange{ID: id, Backend: &backend})
 	}
 
-	return changes, apricotway.Offset(len(s.changes)), nil
+	return changes, s.position(len(s.changes)), nil
 }
 
 func (s *store) BackendsAfter(
-	ctx context.Context, position apricotway.Offset, wait time.Duration,
-) ([]apricotway.BackendChange, apricotway.Offset, error) {
+	ctx context.Context, position apricotway.StorePosition, wait time.Duration,
+) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
 	s.set(func(s *store) { s.reads++ })
 
 	for end := time.Now().Add(wait); ; {
 		s.mu.Lock()
-		down, trimmed, hanging, have := s.down, s.trimmedList, s.hanging, s.changes[min(int(position), len(s.changes)):]
-		s.trimmedList = false
+		down, trimmed, hanging, have := s.down, s.trimmedList, s.hanging, s.changes[min(int(position.Offset), len(s.changes)):]
+		s.trimmedList, position.Era = false, s.era
 		s.mu.Unlock()
 
 		switch {
@@ -140,7 +146,8 @@
 			return nil, position, apricotway.ErrLogUnavailable
 		case hanging:
 		case len(have) > 0:
-			return have, position + apricotway.Offset(len(have)), nil
+			position.Offset += apricotway.Offset(len(have))
+			return have, position, nil
 		case ctx.Err() != nil:
 			return nil, position, ctx.Err()
 		case !time.Now().Before(end):
@@ -361,3 +368,59 @@
 		}
 	})
 }
+
+// restore makes the store go back to the given list, in the next era.
+func (s *store) restore(backends ...apricotway.Backend) {
+	s.set(func(s *store) {
+		s.era++
+		s.changes, s.whole = nil, map[apricotway.BackendServerID]apricotway.Backend{}
+
+		for _, backend := range backends {
+			s.changes = append(s.changes, apricotway.BackendChange{ID: backend.ID, Backend: &backend})
+			s.whole[backend.ID] = backend
+		}
+	})
+}
+
+// TestListAfterRestore guards against changes that are never read because the list went back and grew to the same length again.
+func TestListAfterRestore(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+		s.register("a", false)
+		s.register("b", false)
+
+		_, pool := start(t, s)
+		wait(time.Second)
+
+		s.restore(apricotway.Backend{ID: "a", Service: "s"}, apricotway.Backend{ID: "c", Service: "s"})
+		wait(1500 * time.Millisecond)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": true, "b": true, "c": true})
+
+		// Servers that don't register again within the time for that are gone.
+		wait(2 * time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": true, "b": false, "c": true})
+	})
+}
+
+// TestConfigurationAfterRestore guards against a newer configuration that is not put in force because the topic went back and grew to the
+// same length again.
+func TestConfigurationAfterRestore(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+		s.publish(2)
+
+		c, _ := start(t, s)
+		wait(time.Second)
+		s.set(func(s *store) {
+			s.era++
+			s.deployments = []*apricotway.Deployment{{Version: 1}, {Version: 3}}
+		})
+		wait(2 * time.Second)
+
+		if got, want := version(c), uint64(3); got != want {
+			t.Errorf("got version %d, want %d", got, want)
+		}
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -14,7 +14,7 @@
 // readBackends returns a function that reads the list of backend servers once and remembers the position between calls.
 func (c *Catalog) readBackends() func(ctx context.Context, fromScratch bool) error {
 	var (
-		position apricotway.Offset
+		position apricotway.StorePosition
 		known    bool
 	)
 
@@ -36,7 +36,14 @@
 			changes, position, err = c.store.Backends(limited)
 			known = err == nil
 		} else {
+			era := position.Era
+
 			changes, position, err = c.store.BackendsAfter(limited, position, c.limitWait(wait))
+			if err == nil && position.Era != era {
+				c.noteRestore()
+
+				err = apricotway.ErrTrimmed
+			}
 		}
 
 		if errors.Is(err, apricotway.ErrTrimmed) {
--- a/operatorstore.go
+++ b/operatorstore.go
@@ -8,18 +8,24 @@
 // StoreEra counts how often the operators' store has come back from an older copy. It is 0 for a store that doesn't tell.
 type StoreEra uint64
 
+// StorePosition is the position up to which a topic of the operators' store was read. Offsets of different eras can't be compared.
+type StorePosition struct {
+	Era    StoreEra
+	Offset Offset
+}
+
 // OperatorStore stores what operators and backend servers publish: the configuration and the list of backend servers. Each read
-// returns the position up to which it has read. A read that continues from a position that is no longer kept fails with ErrTrimmed;
-// the reader then reads the current state from the start.
+// returns the position up to which it has read. A read that continues from a position that is no longer kept fails with ErrTrimmed,
+// and one whose answer has a position of another era may lack changes; the reader then reads the current state from the start.
 type OperatorStore interface {
 	// Deployment returns the newest configuration, or nil when there is none yet.
-	Deployment(ctx context.Context) (*Deployment, Offset, error)
+	Deployment(ctx context.Context) (*Deployment, StorePosition, error)
 	// DeploymentAfter waits for a configuration after the position and returns nil when none arrives in time.
-	DeploymentAfter(ctx context.Context, position Offset, wait time.Duration) (*Deployment, Offset, error)
+	DeploymentAfter(ctx context.Context, position StorePosition, wait time.Duration) (*Deployment, StorePosition, error)
 	// Backends returns all entries of the list.
-	Backends(ctx context.Context) ([]BackendChange, Offset, error)
+	Backends(ctx context.Context) ([]BackendChange, StorePosition, error)
 	// BackendsAfter waits for changes after the position and returns none when none arrives in time.
-	BackendsAfter(ctx context.Context, position Offset, wait time.Duration) ([]BackendChange, Offset, error)
+	BackendsAfter(ctx context.Context, position StorePosition, wait time.Duration) ([]BackendChange, StorePosition, error)
 }
 
 // DutyLog is the log with which the processes elect the one that performs a duty: a task that one process does for all. Offsets
