Ignore entries of servers that the store's older copy brings back

After the store has come back from an older copy, a server that had announced its leaving looked ready again, and one that had left was back in the list; both got calls until the store's writers had written again.

Class of fault: a value taken for newer because it was read later. Entries of one start of a server are ordered by their sequence number, which was not read. For 5 s after a restore an entry that is older than the known one, or than the last one of a server that was removed, is ignored; then the list is read again and taken as it is, so that nothing stays wrong for good, also beside clocks that were set back.

TestOldEntriesAfterRestore fails without the comparison.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -32,6 +32,11 @@
 	minListPause = 100 * time.Millisecond
 	// answerMargin is the time that an answer may take beyond the requested wait.
 	answerMargin = 800 * time.Millisecond
+	// restoreTime is the time after the store came back from an older copy for which entries that are older than those known before are
+	// ignored. Servers have registered again by then.
+	restoreTime = 5 * time.Second
+	// restoreCheckPeriod is the time between two checks whether restoreTime is over.
+	restoreCheckPeriod = time.Second
 	// minListWait is the shortest wait of a long-polling read of the list.
 	minListWait = 50 * time.Millisecond
 	// newsCheckPeriod is the time between two checks whether another process still passes on its news.
@@ -106,6 +111,19 @@
 	lapsed map[apricotway.BackendServerID]bool
 	// entries holds the newest usable entry of each server.
 	entries map[apricotway.BackendServerID]apricotway.Backend
+	// removed holds the last entries of the servers that were removed within restoreTime, with the times of their removal.
+	removed map[apricotway.BackendServerID]removal
+	// restoredAt is the time at which the store was first seen to have come back from an older copy; zero before that. ignored is set
+	// when an entry of that copy was ignored since, and rereadList when the list has to be read from the start for that reason.
+	restoredAt time.Time
+	ignored    bool
+	rereadList bool
+}
+
+// removal is the last entry of a server that was removed.
+type removal struct {
+	backend apricotway.Backend
+	at      time.Time
 }
 
 // Option configures a Catalog.
@@ -139,7 +157,7 @@
 ) *Catalog {
 	c := &Catalog{
 		store: store, servers: servers, logger: logr.Discard(), changed: func(*route.Table) {}, boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
-		entries: map[apricotway.BackendServerID]apricotway.Backend{},
+		entries: map[apricotway.BackendServerID]apricotway.Backend{}, removed: map[apricotway.BackendServerID]removal{},
 		refresh: make(chan struct{}, 1),
 	}
 	c.SetKeyValidity(DefaultKeyValidity)
@@ -155,6 +173,10 @@
 		return c.poll(ctx, "list of backend servers", c.readBackends())
 	}})
 
+	supervisor.Add(apricotway.Periodic("entries of a restored list", restoreCheckPeriod, func(_ context.Context, now time.Time) {
+		c.endRestore(now)
+	}))
+
 	if c.queries != nil {
 		supervisor.Add(apricotway.Periodic("news of other processes", queryCheckPeriod, c.queryIfNeeded))
 	}
--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -424,3 +424,51 @@
 		}
 	})
 }
+
+// TestOldEntriesAfterRestore guards against calls to servers that were leaving or gone before the store came back from a copy that holds
+// their earlier entries.
+func TestOldEntriesAfterRestore(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		entry := func(id apricotway.BackendServerID, sequence uint64, leaving bool) apricotway.Backend {
+			return apricotway.Backend{ID: id, Service: "s", Sequence: sequence, Leaving: leaving}
+		}
+		put := func(backends ...apricotway.Backend) {
+			s.set(func(s *store) {
+				for _, backend := range backends {
+					s.whole[backend.ID] = backend
+					s.changes = append(s.changes, apricotway.BackendChange{ID: backend.ID, Backend: &backend})
+				}
+			})
+		}
+
+		put(entry("gone", 3, false), entry("leaving", 5, true), entry("stays", 2, false))
+
+		c, pool := start(t, s)
+		wait(time.Second)
+		s.drop("gone")
+		wait(time.Second)
+
+		s.restore(entry("gone", 2, false), entry("leaving", 4, false), entry("stays", 2, false))
+
+		for range 20 {
+			wait(200 * time.Millisecond)
+			wantKnown(t, pool, map[apricotway.BackendServerID]bool{"gone": false, "leaving": true, "stays": true})
+
+			if !pool.Leaving("leaving") {
+				t.Fatal("got a leaving server as ready, want it leaving")
+			}
+		}
+
+		// What a server has not written again in time is taken as it is.
+		put(entry("leaving", 6, true))
+		wait(4 * time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"gone": true, "leaving": true, "stays": true})
+
+		if !pool.Leaving("leaving") || !c.Ready() {
+			t.Error("got a leaving server as ready, want it leaving")
+		}
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -19,7 +19,7 @@
 	)
 
 	return func(ctx context.Context, fromScratch bool) error {
-		known = known && !fromScratch
+		known = known && !fromScratch && !c.takeReread()
 
 		limited, cancel := context.WithTimeout(ctx, listWait+answerMargin)
 		defer cancel()
@@ -144,7 +144,18 @@
 
 // update applies the entry of a server; an unchanged entry has no effect. The caller holds c.mu.
 func (c *Catalog) update(backend apricotway.Backend) {
-	if c.entries[backend.ID] == backend {
+	if c.ignoresOlder(backend) {
+		return
+	}
+
+	delete(c.removed, backend.ID)
+
+	// Servers register again and again with a higher sequence.
+	unchanged := c.entries[backend.ID]
+	unchanged.Sequence = backend.Sequence
+
+	if unchanged == backend {
+		c.entries[backend.ID] = backend
 		return
 	}
 
@@ -163,11 +174,13 @@
 func (c *Catalog) remove(id apricotway.BackendServerID) {
 	delete(c.lapsed, id)
 
-	if _, known := c.entries[id]; !known {
+	entry, known := c.entries[id]
+	if !known {
 		return
 	}
 
 	delete(c.entries, id)
+	c.recordRemoval(entry)
 	c.servers.Remove(id)
 	c.journal.add(apricotway.BackendChange{ID: id})
 	c.logger.Info("backend server removed from the list", "event", 286, "server", id)
--- a/deployment.go
+++ b/deployment.go
@@ -123,12 +123,14 @@
 // Backend is the registration of one backend server.
 type Backend struct {
 	// ID identifies the server. A restarted server may register with the same ID; Born, the time of its start, then differs.
-	ID      BackendServerID
-	Born    time.Time
-	Service Service
-	Address netip.AddrPort
-	Zone    Zone
-	Slots   int
+	ID   BackendServerID
+	Born time.Time
+	// Sequence rises with each entry that the server registers after a start; 0 when unknown.
+	Sequence uint64
+	Service  Service
+	Address  netip.AddrPort
+	Zone     Zone
+	Slots    int
 	// Leaving is set when the server must get no new calls.
 	Leaving bool
 	// LeavesIn is the time from the registration until the announced removal of the server; 0 when unknown.
