Take no older configuration as proof that keys are valid

A process that had missed a version of the configuration and then read a store that had come back from an older copy found no newer version, and took that as the proof that its own was the newest, although the holder's news had told it of a newer one. It accepted keys that had been taken away and did not serve routes that had been added, until the operator had written again.

A read proves nothing any more while another process is known to have a newer version, and such a process asks the others for the configuration itself, as it did before only while its own reads failed.

Found by reading. TestOlderConfigurationProvesNothing fails without the check. What remains: a process that starts between the restore and the operator's second write knows of no newer version until its first report is answered.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -214,8 +214,13 @@
 	}
 }
 
-// recordProof records that the newest configuration was known at the boot time began, unless a newer proof is recorded.
+// recordProof records that the newest configuration was known at the boot time began, unless a newer proof is recorded. A read that
+// found an older version than other processes know proves nothing: the store may have come back from an older copy.
 func (c *Catalog) recordProof(began time.Duration) {
+	if table := c.table.Load(); table != nil && table.Version < c.announcedVersion.Load() {
+		return
+	}
+
 	for {
 		known := c.provenAt.Load()
 		if int64(began) <= known || c.provenAt.CompareAndSwap(known, int64(began)) {
--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -472,3 +472,34 @@
 		}
 	})
 }
+
+// TestOlderConfigurationProvesNothing guards against keys that are accepted on the proof of a store which has come back from a copy older
+// than the configuration that other processes know.
+func TestOlderConfigurationProvesNothing(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		newer, older := newStore(), newStore()
+		newer.publish(3)
+		older.publish(2)
+
+		from, _ := start(t, newer)
+		to, _ := start(t, older)
+		wait(time.Second)
+
+		if !to.KeysFresh() {
+			t.Error("got stale keys before the news of a newer version, want fresh ones")
+		}
+
+		relay(from, to, 2*catalog.DefaultKeyValidity)
+
+		if to.KeysFresh() {
+			t.Error("got fresh keys on the proof of an older version, want stale ones")
+		}
+
+		older.publish(3)
+		wait(3 * time.Second)
+
+		if !to.KeysFresh() || version(to) != 3 {
+			t.Errorf("got version %d and fresh keys: %t, want 3 and true", version(to), to.KeysFresh())
+		}
+	})
+}
--- a/coordination/catalog/neighbours.go
+++ b/coordination/catalog/neighbours.go
@@ -89,8 +89,12 @@
 
 	table := c.table.Load()
 
-	return c.configFailing.Load() &&
-		(table == nil || table.Version < c.announcedVersion.Load() || c.boot()-time.Duration(c.provenAt.Load()) > maxProofAge)
+	// The store may have come back from an older copy that lacks the version.
+	if table != nil && table.Version < c.announcedVersion.Load() {
+		return true
+	}
+
+	return c.configFailing.Load() && (table == nil || c.boot()-time.Duration(c.provenAt.Load()) > maxProofAge)
 }
 
 // queryIfNeeded asks other processes for news if this process needs them.
