Append join records again after the store has gone back

Join records that the store's older copy lacks were missing for up to an hour, after which each process appends its own again. A process that started meanwhile found nobody through the log, and one that had joined shortly before the restore was not found by others.

Each process appends its record again within two seconds of learning of a new era. Processes that don't call the store, since the holder passes on what it reads, learn of it with the answers to their reports.

Found by reading; TestJoinAfterRestore fails without the signal.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -175,7 +175,7 @@
 	e.suspects = suspect.New(suspect.WithLogger(e.logger))
 	e.rollup = rollup.New(e.supervisor, rollup.Parts{
 		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: e.suspects,
-	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger))
+	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger), rollup.WithEras(e.eras))
 
 	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithLeaving(e.leaving.Load),
@@ -258,7 +258,7 @@
 		Probes: s.Listen.Probes, Operator: s.Listen.Operator, Capacity: capacity(s),
 	}
 	e.membership = membership.New(e.supervisor, self, socket, e.peers, e.peerServer, e.platform,
-		membership.WithLogger(e.logger), membership.WithSeeds(s.Seeds), membership.WithConfig(probeConfig()),
+		membership.WithLogger(e.logger), membership.WithEras(e.eras), membership.WithSeeds(s.Seeds), membership.WithConfig(probeConfig()),
 		membership.WithValidity(time.Duration(s.AddressValidity)), membership.WithReady(e.ready))
 	e.membership.Register(e.registry)
 	socket.Receive(e.supervisor, e.membership.Receive)
--- a/coordination/membership/join.go
+++ b/coordination/membership/join.go
@@ -28,6 +28,8 @@
 	// rejoinPause is the longest time between two attempts to reach processes that are not known as members, such as those on the
 	// other side of a network partition that lasted longer than dead members are kept.
 	rejoinPause = time.Minute
+	// maxJoinSpread is the longest wait before the join record is appended again after the store came back from an older copy.
+	maxJoinSpread = 2 * time.Second
 	// joinAttempts bounds the processes that one attempt tries to reach.
 	joinAttempts = 3
 )
@@ -52,8 +54,11 @@
 
 		d.joinOne(ctx, j)
 
-		if !pause.For(ctx, wait) {
-			return ctx.Err()
+		if again, err := d.awaitNextJoin(ctx, wait); err != nil {
+			return err
+		} else if again {
+			j.appended, wait = time.Time{}, minJoinPause
+			continue
 		}
 
 		// Keep the first pauses short even after a success: processes that start at the same time may have joined in groups that
@@ -67,6 +72,27 @@
 	}
 }
 
+// awaitNextJoin waits until the next attempt is due. It returns true earlier when the join record has to be appended again.
+func (d *Driver) awaitNextJoin(ctx context.Context, wait time.Duration) (bool, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-timer.C:
+		return false, nil
+	case <-d.joinAgain:
+	}
+
+	// The processes learn of it at the same time and must not append all at once.
+	if !pause.For(ctx, time.Duration(d.random.Int64N(int64(maxJoinSpread)))) {
+		return false, ctx.Err()
+	}
+
+	return true, nil
+}
+
 // syncJoinRecords appends this process's record and reads the records before it, unless it did so within joinRecordInterval. Of
 // two processes that start at the same time, at least the one whose record comes second sees the other.
 func (d *Driver) syncJoinRecords(ctx context.Context, j *joiner) {
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/member"
 	"github.com/apricotway/apricotway/state/placement"
@@ -62,6 +63,9 @@
 	handlers map[apricotway.Topic][]broadcastHandler
 	// ended is set once this process has told the members that it stops.
 	ended bool
+
+	// joinAgain signals that the join record may be lost.
+	joinAgain chan struct{}
 }
 
 var (
@@ -88,6 +92,12 @@
 // WithConfig sets the timing parameters of the protocol.
 func WithConfig(config member.Config) Option { return func(d *Driver) { d.config = config } }
 
+// WithEras sets the tracker of the store's eras. The join record is appended again when the store has come back from an older copy, which
+// may lack it.
+func WithEras(eras *era.Tracker) Option {
+	return func(d *Driver) { eras.Subscribe(func() { signal(d.joinAgain) }) }
+}
+
 // WithRandom sets the source of random choices.
 func WithRandom(random *rand.Rand) Option { return func(d *Driver) { d.random = random } }
 
@@ -101,7 +111,8 @@
 		config: member.DefaultConfig(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		validity: 5 * time.Second, ready: func() bool { return true },
 		wake: make(chan struct{}, 1), exchanges: make(chan netip.AddrPort, 1), broadcastsReady: make(chan struct{}, 1),
-		handlers: map[apricotway.Topic][]broadcastHandler{},
+		joinAgain: make(chan struct{}, 1),
+		handlers:  map[apricotway.Topic][]broadcastHandler{},
 	}
 	for _, option := range options {
 		option(d)
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/coordination/membership"
 	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/state/member"
@@ -30,6 +31,8 @@
 	// cut reports whether packets from one node to another are lost. Calls need both directions.
 	cut func(from, to *node) bool
 	log *memoryLog
+	// eras is the tracker of all nodes.
+	eras *era.Tracker
 	// seeds are given to every node.
 	seeds []netip.AddrPort
 	next  int
@@ -52,7 +55,7 @@
 
 func newNetwork() *network {
 	return &network{
-		nodes: map[netip.AddrPort]*node{}, cut: func(_, _ *node) bool { return false }, log: &memoryLog{},
+		nodes: map[netip.AddrPort]*node{}, cut: func(_, _ *node) bool { return false }, log: &memoryLog{}, eras: era.New(),
 	}
 }
 
@@ -89,7 +92,7 @@
 	}
 	supervisor := suture.NewSimple("test")
 	added.driver = membership.New(supervisor, self, added, added, added, n.log,
-		membership.WithSeeds(n.seeds), membership.WithRandom(rand.New(rand.NewPCG(1, uint64(n.next)))),
+		membership.WithSeeds(n.seeds), membership.WithEras(n.eras), membership.WithRandom(rand.New(rand.NewPCG(1, uint64(n.next)))),
 		membership.WithReady(func() bool {
 			added.running <- <-added.running
 			return true
@@ -326,6 +329,29 @@
 	}
 }
 
+// TestJoinAfterRestore guards against processes that a later one can't find, since the log has come back from a copy without their join
+// records.
+func TestJoinAfterRestore(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		n.eras.Observe(1)
+		n.startMany(t, 3, "r")
+		<-time.After(10 * time.Second)
+
+		n.log.mu.Lock()
+		n.log.records = nil
+		n.log.mu.Unlock()
+		n.eras.Observe(2)
+		<-time.After(5 * time.Second)
+
+		n.start("r")
+		<-time.After(10 * time.Second)
+		n.wantAlive(t, "after the restore")
+	})
+}
+
 // TestOneWayCut guards against declaring a member dead because messages to or from only one other process are lost, and against a
 // member that stays dead after a cut from all others has healed.
 func TestOneWayCut(t *testing.T) {
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -16,6 +16,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/coordination/duty"
+	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/coordination/suspect"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/cadence"
@@ -88,6 +89,8 @@
 	Verdict suspect.Verdict
 	// LastUsage is the newest usage report, if the process doesn't know it yet.
 	LastUsage *apricotway.UsageReport
+	// Era is the era of the store that the holder knows. Other processes may not call the store for a long time.
+	Era apricotway.StoreEra
 	// Limits holds the newest statement about the limit of each backend server that stated one.
 	Limits []intake.Statement
 }
@@ -123,6 +126,7 @@
 	peers      apricotway.Peers
 	logger     logr.Logger
 	terms      scaling.Parameters
+	eras       *era.Tracker
 
 	mu sync.Mutex
 	// collectedUnder is the fencing number under which the fields below were collected. They are reset when it changes.
@@ -164,6 +168,9 @@
 // WithTerms sets the assumptions about engines from which the capacity is planned.
 func WithTerms(terms scaling.Parameters) Option { return func(r *Rollup) { r.terms = terms } }
 
+// WithEras sets the tracker of the store's eras.
+func WithEras(eras *era.Tracker) Option { return func(r *Rollup) { r.eras = eras } }
+
 // New returns a Rollup, registers its handlers for other processes, and adds its goroutines to the supervisor.
 func New(
 	supervisor *suture.Supervisor, parts Parts, duties *duty.Duty, calls apricotway.DutyClient,
@@ -171,7 +178,7 @@
 ) *Rollup {
 	r := &Rollup{
 		Parts: parts, duty: duties, calls: calls, membership: membership, peers: peers, logger: logr.Discard(),
-		terms: scaling.DefaultParameters(),
+		terms: scaling.DefaultParameters(), eras: era.New(),
 	}
 	for _, option := range options {
 		option(r)
@@ -350,6 +357,8 @@
 	r.toldUsage = holder
 	r.mu.Unlock()
 
+	r.eras.Observe(answer.Era)
+
 	if answer.LastUsage != nil {
 		r.duty.LearnUsage(*answer.LastUsage)
 	}
@@ -388,7 +397,7 @@
 	r.limits.Add(now, report.Limits)
 
 	answer := Answer{
-		Holding: true, Limits: r.limits.Statements(now), Verdict: suspect.Judge(now, r.crashes, report.Crashes),
+		Holding: true, Era: r.eras.Current(), Limits: r.limits.Statements(now), Verdict: suspect.Judge(now, r.crashes, report.Crashes),
 		Credit: r.center.Report(now, report.Node, report.Elapsed, report.Accounts),
 		Others: r.board.Report(now, report.Node, report.Work),
 	}
