Soak of a store that comes back from older copies

The store of the stand-in goes back by 0.5 to 6.5 s every few seconds while hosts are killed, stopped and cut off and the store fails in other ways. Checked: usage reports go on after the failures, none contradicts an earlier one, and the promises of the entry soak.

--- a/cmd/scenario/restore_test.go
+++ b/cmd/scenario/restore_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -142,3 +145,69 @@
 	calling.Wait()
 	s.check()
 }
+
+// restoreRounds is the number of rounds of a short run.
+const restoreRounds = 2
+
+// restoreAtRandom makes the store go back by some seconds, now and then until the context ends.
+func (s *entrySystem) restoreAtRandom(ctx context.Context, random *rand.Rand) {
+	for {
+		select {
+		case <-time.After(time.Duration(1000+random.IntN(5000)) * time.Millisecond):
+		case <-ctx.Done():
+			return
+		}
+
+		s.restore(time.Duration(random.IntN(1500))*time.Millisecond, time.Duration(500+random.IntN(6000))*time.Millisecond)
+	}
+}
+
+func runRestoreSchedule(t *testing.T, seed uint64, enough func(rounds int) bool) {
+	s := newEntrySystem(t, seed)
+	s.awaitRecovery("start")
+
+	random := rand.New(rand.NewPCG(seed, 4))
+
+	for round := 0; !enough(round) && !t.Failed(); round++ {
+		ctx, cancel := context.WithCancel(t.Context())
+		calling := s.startCallers(ctx)
+		restoring, stop := context.WithCancel(ctx)
+
+		var restores sync.WaitGroup
+
+		restores.Go(func() { s.restoreAtRandom(restoring, random) })
+		s.injectFailures()
+		stop()
+		restores.Wait()
+		s.awaitRecovery(fmt.Sprint("round", round))
+
+		// A killed process is held for dead after 2 s, and the next claim comes within as much again.
+		back := windowAt(time.Now().Add(2*usageWindow)) + 1
+		s.awaitReports(back, back+1)
+		cancel()
+		calling.Wait()
+		s.check()
+	}
+}
+
+// TestRestoreFailures guards against usage reports that end or contradict each other, and broken promises to callers, when the store
+// comes back from older copies under random failures. "make soak-restores" runs other seeds.
+func TestRestoreFailures(t *testing.T) {
+	if *soakSeeds == 0 {
+		t.Run("41", func(t *testing.T) {
+			runRestoreSchedule(t, 41, func(rounds int) bool { return rounds == restoreRounds })
+		})
+
+		return
+	}
+
+	for i := range *soakSeeds {
+		seed := *soakFirst + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+
+			begin := time.Now()
+			runRestoreSchedule(t, seed, func(int) bool { return time.Since(begin) >= *soakDuration })
+		})
+	}
+}
