Void claims behind a gap in the duty log, and repeat no report of an earlier era

A holder whose claim was followed by another one that was trimmed before it read on took itself for the holder, and reported beside its successor. A gap may hide a claim, so it voids what is known, as a new era does, and a holder claims anew.

A process that was stopped over a restore appended a report at an offset that the log had reached again. It knew to void it, but reading the log from the start it took its own record for an earlier report, and repeated it with its counts. Reports of an earlier era are not repeated any more; only their window counts, as a bound behind which reports go on. Processes therefore exchange the last window in place of the last report.

--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -80,10 +80,10 @@
 	holder apricotway.DutyHolder
 	// claim is the newest claim read from the log. It is older than holder when a broadcast announced a later one.
 	claim apricotway.DutyHolder
-	// usage is the newest valid usage report that was ever in the log, as far as this process knows, nil if there is none. skipped is the
-	// newest window up to which no usage is reported any more, 0 if there is none.
-	usage   *apricotway.UsageReport
-	skipped int64
+	// usage is the newest valid usage report of the present era in the log, nil if there is none. lastWindow is the newest window of any
+	// report that is known to have been recorded, and skipped the newest one up to which no usage is reported any more.
+	usage               *apricotway.UsageReport
+	lastWindow, skipped int64
 	// settled is set while the records that were read tell all about usage reports in the present era.
 	settled bool
 	// state holds the parts of the state that the previous holder saved, read when this process claimed.
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -18,7 +18,7 @@
 	KindClaim Kind = "claim"
 	// KindUsage holds a usage report that the holder sends to the platform.
 	KindUsage Kind = "usage"
-	// KindSkip states that no usage up to Window is reported any more, except the last report before it.
+	// KindSkip states that no usage up to Window is reported any more.
 	KindSkip Kind = "skip"
 )
 
@@ -35,8 +35,8 @@
 	Era apricotway.StoreEra `json:"era,omitempty"`
 }
 
-// LastUsage returns the newest usage report that this process knows to have been recorded, nil if there is none. Its record may be lost
-// since, while the platform has received the report.
+// LastUsage returns the newest usage report in the log, nil if there is none of the present era. A report of an earlier era may have been
+// appended by a process that didn't know of the restore, and never sent.
 func (d *Duty) LastUsage() *apricotway.UsageReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -44,14 +44,21 @@
 	return d.usage
 }
 
-// LearnUsage records a usage report that another process knows to have been recorded.
-func (d *Duty) LearnUsage(report apricotway.UsageReport) {
+// LastWindow returns the newest window that any process is known to have recorded a report of, 0 if there is none. The record may be lost
+// since, while the platform has received the report.
+func (d *Duty) LastWindow() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	if d.usage == nil || report.Window > d.usage.Window {
-		d.usage = &report
-	}
+	return d.lastWindow
+}
+
+// LearnWindow records a window that another process knows to have been reported.
+func (d *Duty) LearnWindow(window int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.lastWindow = max(d.lastWindow, window)
 }
 
 // UsageSettled reports whether the log tells which windows have been reported. After it has gone back or was trimmed, that is so from the
@@ -242,8 +249,12 @@
 		return
 	}
 
-	if r.Usage != nil && (d.usage == nil || r.Usage.Window > d.usage.Window) {
-		d.usage = r.Usage
+	if r.Usage != nil {
+		d.lastWindow = max(d.lastWindow, r.Usage.Window)
+
+		if r.Era == d.era && (d.usage == nil || r.Usage.Window > d.usage.Window) {
+			d.usage = r.Usage
+		}
 	}
 
 	d.skipped = max(d.skipped, r.Window)
@@ -254,10 +265,20 @@
 // newest known holder remains, since processes report to it until a claim of the new era shows. The caller holds d.mu.
 func (d *Duty) enterEra(era apricotway.StoreEra) {
 	d.era, d.read, d.next, d.recordEra = era, false, 1, 0
-	d.claim, d.settled = apricotway.DutyHolder{}, false
+	d.claim, d.usage, d.settled = apricotway.DutyHolder{}, nil, false
 	d.verifiedAt, d.stale = 0, true
 }
 
+// noteGap drops what the records that were trimmed before this process read them may have changed: there may be a later claim among them.
+// The caller holds d.mu.
+func (d *Duty) noteGap() {
+	d.claim, d.usage, d.settled = apricotway.DutyHolder{}, nil, false
+
+	if d.read && d.holder.Node == d.self {
+		d.fenced = max(d.fenced, d.holder.Number)
+	}
+}
+
 // refresh reads the log to its end.
 func (d *Duty) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
@@ -294,9 +315,8 @@
 		return errors.Wrapf(ErrEraChanged, "read in era %d, known is %d", found.Era, d.era)
 	}
 
-	// Records between were trimmed.
 	if found.First > d.next {
-		d.settled = false
+		d.noteGap()
 	}
 
 	for i, content := range found.Records {
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -67,10 +67,8 @@
 	Known catalog.Position
 	// Crashes holds what the process knows about calls that crash backend servers and the holder may not.
 	Crashes suspect.Report
-	// LastUsage is the newest usage report that the process knows of, in its first report to a holder; nil otherwise. KnownWindow is the
-	// window of that report, 0 without one.
-	LastUsage   *apricotway.UsageReport
-	KnownWindow int64
+	// LastWindow is the newest window whose usage is known to have been reported.
+	LastWindow int64
 	// Limits holds what the process knows about the limits of backend servers and the last answer did not have.
 	Limits []intake.Statement
 }
@@ -87,8 +85,8 @@
 	News catalog.News
 	// Verdict holds what the crashes of backend servers have in common.
 	Verdict suspect.Verdict
-	// LastUsage is the newest usage report, if the process doesn't know it yet.
-	LastUsage *apricotway.UsageReport
+	// LastWindow is the newest window whose usage is known to have been reported.
+	LastWindow int64
 	// Era is the era of the store that the holder knows. Other processes may not call the store for a long time.
 	Era apricotway.StoreEra
 	// Limits holds the newest statement about the limit of each backend server that stated one.
@@ -145,8 +143,6 @@
 	// claimedAt is the time at which collectedUnder was first used, and heard holds the processes that have reported since.
 	claimedAt time.Time
 	heard     map[apricotway.NodeID]bool
-	// toldUsage is the fencing number of the holder that knows the last usage report known here.
-	toldUsage apricotway.Offset
 	// pendingReport is the usage report that has been appended to the duty log but not yet accepted by the platform.
 	pendingReport *apricotway.UsageReport
 	// savedState holds the counts and savedCrashes the refusals that were last saved for a successor.
@@ -273,13 +269,11 @@
 		Accounts: r.Limiter.Accounts(),
 		Known:    r.Catalog.Position(),
 		Work:     r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
-		Limits: r.Pool.UncollectedLimits(now),
+		Limits: r.Pool.UncollectedLimits(now), LastWindow: r.duty.LastWindow(),
 	}
 
-	holder := r.duty.Holder().Number
-	suspects, markReported := r.Suspects.Report(holder)
+	suspects, markReported := r.Suspects.Report(r.duty.Holder().Number)
 	report.Crashes = suspects
-	r.addUsage(&report, holder)
 
 	sent := r.Catalog.BootTime()
 	_, held := r.duty.Held()
@@ -288,7 +282,7 @@
 	if held {
 		if answer := r.receive(now, report); answer.Holding {
 			markReported()
-			r.accept(now, now, holder, answer)
+			r.accept(now, now, answer)
 		}
 
 		return
@@ -316,7 +310,7 @@
 	}
 
 	markReported()
-	r.accept(time.Now(), now, holder, answer)
+	r.accept(time.Now(), now, answer)
 	r.Catalog.ApplyNews(sent, answer.News)
 }
 
@@ -333,35 +327,10 @@
 	return netip.AddrPort{}, false
 }
 
-// addUsage adds what this process knows of usage reports to its report to the holder with the given fencing number.
-func (r *Rollup) addUsage(report *Report, holder apricotway.Offset) {
-	r.mu.Lock()
-	told := r.toldUsage == holder
-	r.mu.Unlock()
-
-	last := r.duty.LastUsage()
-	if last == nil {
-		return
-	}
-
-	report.KnownWindow = last.Window
-	if !told {
-		report.LastUsage = last
-	}
-}
-
-// accept applies the answer to a report, which was sent at the time asked to the holder with the given fencing number, to the components
-// of this process.
-func (r *Rollup) accept(now, asked time.Time, holder apricotway.Offset, answer Answer) {
-	r.mu.Lock()
-	r.toldUsage = holder
-	r.mu.Unlock()
-
+// accept applies the holder's answer to a report, which was sent at the time asked, to the components of this process.
+func (r *Rollup) accept(now, asked time.Time, answer Answer) {
 	r.eras.Observe(answer.Era)
-
-	if answer.LastUsage != nil {
-		r.duty.LearnUsage(*answer.LastUsage)
-	}
+	r.duty.LearnWindow(answer.LastWindow)
 
 	for _, change := range r.Pool.LearnLimits(now, asked, answer.Limits) {
 		r.logger.Info("another process told the limit of a backend server", "event", 355, "server", change.Server,
@@ -385,10 +354,7 @@
 
 	r.prepare(now, holder.Number)
 	r.heard[report.Node] = true
-
-	if report.LastUsage != nil {
-		r.duty.LearnUsage(*report.LastUsage)
-	}
+	r.duty.LearnWindow(report.LastWindow)
 
 	r.collector.Report(report.Node, report.Counts)
 
@@ -397,15 +363,11 @@
 	r.limits.Add(now, report.Limits)
 
 	answer := Answer{
-		Holding: true, Era: r.eras.Current(), Limits: r.limits.Statements(now), Verdict: suspect.Judge(now, r.crashes, report.Crashes),
+		Holding: true, Era: r.eras.Current(), LastWindow: r.duty.LastWindow(), Limits: r.limits.Statements(now), Verdict: suspect.Judge(now, r.crashes, report.Crashes),
 		Credit: r.center.Report(now, report.Node, report.Elapsed, report.Accounts),
 		Others: r.board.Report(now, report.Node, report.Work),
 	}
 
-	if last := r.duty.LastUsage(); last != nil && last.Window > report.KnownWindow {
-		answer.LastUsage = last
-	}
-
 	if self := r.membership.Self().Node; report.Node != self {
 		answer.News = r.Catalog.News(self, report.Known)
 	}
--- a/coordination/rollup/settle.go
+++ b/coordination/rollup/settle.go
@@ -14,8 +14,8 @@
 func (r *Rollup) firstWindow(now time.Time) int64 {
 	first := r.Tally.Window(now) - backfillWindows
 
-	if last := r.duty.LastUsage(); last != nil && last.Window >= first-backfillWindows {
-		first = last.Window + 1
+	if last := r.duty.LastWindow(); last >= first-backfillWindows {
+		first = last + 1
 	}
 
 	return max(first, r.duty.Skipped()+1)
@@ -39,7 +39,7 @@
 		return false
 	}
 
-	first := max(r.firstWindow(now), r.nextWindow)
+	first, pending := max(r.firstWindow(now), r.nextWindow), r.pendingReport
 	next := first
 
 	for len(unheard) > 0 && !r.Tally.End(next).Add(windowGrace).After(r.claimedAt) {
@@ -48,45 +48,27 @@
 
 	r.mu.Unlock()
 
-	if err := r.recordSettled(ctx, first, next); err != nil {
+	err := r.duty.RecordSkip(ctx, next-1)
+	if err == nil && pending != nil {
+		// This holder recorded it before, and has not sent it yet.
+		err = r.duty.RecordUsage(ctx, *pending)
+	}
+
+	if err != nil {
 		r.logger.Info("failed to record which usage was reported", "event", 364, "error", err.Error())
 		return false
 	}
 
+	r.mu.Lock()
+	r.nextWindow = next
+	r.mu.Unlock()
+
 	r.logger.Info("settled from which window on usage is reported", "event", 363, "window", next, "skipped", next-first,
 		"unheard", unheard, "number", number)
 
 	return true
 }
 
-// recordSettled records the last report again, and that the windows from first up to next are skipped.
-func (r *Rollup) recordSettled(ctx context.Context, first, next int64) error {
-	last := r.duty.LastUsage()
-	repeat := last != nil && last.Window == first-1
-
-	if next > first || !repeat {
-		if err := r.duty.RecordSkip(ctx, next-1); err != nil {
-			return err
-		}
-	}
-
-	if repeat {
-		if err := r.duty.RecordUsage(ctx, *last); err != nil {
-			return err
-		}
-	}
-
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	r.nextWindow = next
-	if repeat {
-		r.pendingReport = last
-	}
-
-	return nil
-}
-
 // unheardMembers returns the members that have not reported since this process claimed. The caller holds r.mu.
 func (r *Rollup) unheardMembers() []apricotway.NodeID {
 	var unheard []apricotway.NodeID
--- /dev/null
+++ b/coordination/rollup/settle_test.go
@@ -0,0 +1,412 @@
+package rollup_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/catalog"
+	"github.com/apricotway/apricotway/coordination/duty"
+	"github.com/apricotway/apricotway/coordination/era"
+	"github.com/apricotway/apricotway/coordination/rollup"
+	"github.com/apricotway/apricotway/coordination/suspect"
+	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/quota"
+	"github.com/apricotway/apricotway/state/retrybudget"
+	"github.com/apricotway/apricotway/state/route"
+	"github.com/apricotway/apricotway/state/tally"
+)
+
+const (
+	window = 5 * time.Second
+	// reportTime is the longest time from the end of a window to its report when no process fails.
+	reportTime = 10 * time.Second
+	// processes is the number of processes of a system.
+	processes = 4
+)
+
+// system is a duty log and a platform with several processes, some of which may be cut off from each other or stopped.
+type system struct {
+	t *testing.T
+
+	mu      sync.Mutex
+	records [][]byte
+	trimmed int
+	era     apricotway.StoreEra
+	state   map[apricotway.StatePart][]byte
+	// reports holds the accepted usage reports, and holders the process that used each fencing number.
+	reports map[int64]map[apricotway.Workspace]int64
+	holders map[apricotway.Offset]apricotway.NodeID
+	highest apricotway.Offset
+	nodes   []*node
+}
+
+// node is one process.
+type node struct {
+	*system
+
+	name     apricotway.NodeID
+	address  netip.AddrPort
+	eras     *era.Tracker
+	tally    *tally.Counter
+	handlers map[apricotway.Method]apricotway.PeerHandler
+	hear     []func(key string, version uint64, payload []byte)
+	// isolated cuts the process off from the others, stopped from the log and the platform as well.
+	isolated, stopped bool
+}
+
+func newSystem(t *testing.T) *system {
+	t.Helper()
+
+	s := &system{
+		t: t, era: 1, state: map[apricotway.StatePart][]byte{}, reports: map[int64]map[apricotway.Workspace]int64{},
+		holders: map[apricotway.Offset]apricotway.NodeID{},
+	}
+
+	for i := range processes {
+		s.nodes = append(s.nodes, &node{
+			system: s, name: apricotway.NodeID(fmt.Sprint("n", i)), eras: era.New(), tally: tally.New(window),
+			address:  netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)),
+			handlers: map[apricotway.Method]apricotway.PeerHandler{},
+		})
+	}
+
+	for _, n := range s.nodes {
+		n.start()
+	}
+
+	return s
+}
+
+func (n *node) start() {
+	supervisor := suture.NewSimple(string(n.name))
+	duties := duty.New(supervisor, n, n, n, duty.WithEras(n.eras))
+	rollup.New(supervisor, rollup.Parts{
+		Catalog: noCatalog{}, Pool: dispatch.New(), Limiter: quota.New(), Tally: n.tally, Suspects: suspect.New(),
+		Budget: retrybudget.New(retrybudget.Limits{Ratio: 1, Window: time.Second, Slack: 1}),
+	}, duties, n, n, n, n, rollup.WithEras(n.eras))
+
+	ctx, cancel := context.WithCancel(n.t.Context())
+	done := supervisor.ServeBackground(ctx)
+
+	n.t.Cleanup(func() {
+		cancel()
+
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			n.t.Errorf("supervisor stopped with error %v, want %v", err, context.Canceled)
+		}
+	})
+}
+
+func (s *system) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	change()
+}
+
+// run lets all processes that are not stopped count calls for some time.
+func (s *system) run(duration time.Duration) {
+	for end := time.Now().Add(duration); time.Now().Before(end); {
+		<-time.After(100 * time.Millisecond)
+		synctest.Wait()
+
+		s.set(func() {
+			for _, n := range s.nodes {
+				if !n.stopped {
+					n.tally.Add(time.Now(), "w")
+				}
+			}
+		})
+	}
+}
+
+// restore makes the log go back by some records.
+func (s *system) restore(lost int) {
+	s.set(func() {
+		s.era++
+		s.records = slices.Clone(s.records[:max(len(s.records)-lost, 0)])
+		s.trimmed = min(s.trimmed, len(s.records))
+	})
+}
+
+// holder returns the process that used the highest fencing number.
+func (s *system) holder() *node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, n := range s.nodes {
+		if n.name == s.holders[s.highest] {
+			return n
+		}
+	}
+
+	return s.nodes[0]
+}
+
+// wantReported checks that the windows that ended within the given time are reported, except those too young.
+func (s *system) wantReported(within time.Duration) {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	now := time.Now()
+	counter := tally.New(window)
+
+	for w := counter.Window(now.Add(-within)) + 1; counter.End(w).Add(reportTime).Before(now); w++ {
+		if _, ok := s.reports[w]; !ok {
+			s.t.Errorf("got no report of window %d, which ended %s ago", w, now.Sub(counter.End(w)))
+		}
+	}
+}
+
+func (n *node) AppendAt(_ context.Context, at apricotway.Offset, record []byte) (apricotway.StoreEra, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.stopped {
+		return 0, apricotway.ErrLogUnavailable
+	}
+
+	n.eras.Observe(n.era)
+
+	if int(at) != len(n.records)+1 {
+		return n.era, apricotway.ErrConflict
+	}
+
+	n.records = append(n.records, record)
+
+	return n.era, nil
+}
+
+func (n *node) ReadFrom(_ context.Context, from apricotway.Offset) (apricotway.DutyRecords, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.stopped {
+		return apricotway.DutyRecords{}, apricotway.ErrLogUnavailable
+	}
+
+	n.eras.Observe(n.era)
+
+	end := apricotway.Offset(len(n.records) + 1)
+	from = max(from, apricotway.Offset(n.trimmed+1))
+
+	if from > end {
+		return apricotway.DutyRecords{Era: n.era}, apricotway.ErrTrimmed
+	}
+
+	return apricotway.DutyRecords{Records: n.records[from-1:], First: from, End: end, Era: n.era}, nil
+}
+
+func (n *node) SaveState(_ context.Context, part apricotway.StatePart, state []byte) error {
+	n.set(func() { n.state[part] = state })
+	return nil
+}
+
+func (n *node) State(context.Context) (map[apricotway.StatePart][]byte, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	return maps.Clone(n.state), nil
+}
+
+func (n *node) ReportUsage(_ context.Context, holder apricotway.DutyHolder, report apricotway.UsageReport) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	if n.stopped {
+		return apricotway.ErrPlatformUnavailable
+	}
+
+	if holder.Number < n.highest {
+		return apricotway.ErrOrderFenced
+	}
+
+	if before, ok := n.holders[holder.Number]; ok && before != n.name {
+		n.t.Errorf("fencing number %d: got holders %s and %s, want one", holder.Number, before, n.name)
+	}
+
+	n.highest, n.holders[holder.Number] = holder.Number, n.name
+
+	if before, ok := n.reports[report.Window]; ok && !maps.Equal(before, report.Calls) {
+		n.t.Errorf("window %d: got a second report %v by %s, want %v", report.Window, report.Calls, n.name, before)
+	}
+
+	n.reports[report.Window] = report.Calls
+
+	return nil
+}
+
+func (n *node) OrderCapacity(context.Context, apricotway.DutyHolder, apricotway.CapacityOrder) error {
+	return nil
+}
+
+func (n *node) member() apricotway.Member {
+	return apricotway.Member{Node: n.name, State: apricotway.MemberAlive, Ready: true, Peers: n.address, Capacity: 1}
+}
+
+func (n *node) Self() apricotway.Member { return n.member() }
+
+func (n *node) Members() []apricotway.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	var members []apricotway.Member
+
+	for _, other := range n.nodes {
+		if other == n {
+			continue
+		}
+
+		member := other.member()
+		if n.apart(other) {
+			member.State = apricotway.MemberDead
+		}
+
+		members = append(members, member)
+	}
+
+	return members
+}
+
+// apart reports whether two processes can't reach each other. The caller holds the system's lock.
+func (n *node) apart(other *node) bool {
+	return n.isolated || n.stopped || other.isolated || other.stopped
+}
+
+func (n *node) Publish(entry apricotway.BroadcastEntry) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	for _, other := range n.nodes {
+		if other != n && !n.apart(other) {
+			for _, hear := range other.hear {
+				hear(entry.Key, entry.Version, entry.Payload)
+			}
+		}
+	}
+
+	return nil
+}
+
+func (n *node) Subscribe(_ apricotway.Topic, hear func(key string, version uint64, payload []byte)) {
+	n.hear = append(n.hear, hear)
+}
+
+func (n *node) Latest(apricotway.Topic) []apricotway.BroadcastEntry { return nil }
+
+func (n *node) Register(method apricotway.Method, handler apricotway.PeerHandler) {
+	n.handlers[method] = handler
+}
+
+func (n *node) Call(ctx context.Context, address netip.AddrPort, method apricotway.Method, payload []byte) ([]byte, error) {
+	n.mu.Lock()
+
+	var handler apricotway.PeerHandler
+
+	for _, other := range n.nodes {
+		if other.address == address && !n.apart(other) {
+			handler = other.handlers[method]
+		}
+	}
+	n.mu.Unlock()
+
+	if handler == nil {
+		return nil, errors.Wrap(apricotway.ErrNotSent, "cut off")
+	}
+
+	return handler(ctx, payload)
+}
+
+type noCatalog struct{}
+
+func (noCatalog) Table() *route.Table                                   { return nil }
+func (noCatalog) Position() catalog.Position                            { return catalog.Position{} }
+func (noCatalog) BootTime() time.Duration                               { return 0 }
+func (noCatalog) News(apricotway.NodeID, catalog.Position) catalog.News { return catalog.News{} }
+func (noCatalog) ApplyNews(time.Duration, catalog.News)                 {}
+func (noCatalog) SetReader(bool, time.Duration)                         {}
+
+// TestReportLostWithItsRecord guards against a successor that reports a window again with what it counts itself, since the record of its
+// predecessor's report was lost and the predecessor can't be asked.
+func TestReportLostWithItsRecord(t *testing.T) {
+	for name, lose := range map[string]func(s *system){
+		"restore": func(s *system) { s.restore(1) },
+		"trim":    func(s *system) { s.set(func() { s.trimmed = len(s.records) }) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := newSystem(t)
+				s.run(30 * time.Second)
+
+				holder, before := s.holder(), len(s.reports)
+				for len(s.reports) == before {
+					s.run(100 * time.Millisecond)
+				}
+
+				// No other process hears of the report.
+				s.set(func() { holder.stopped = true })
+				lose(s)
+				s.run(10 * time.Second)
+				s.set(func() { holder.stopped = false })
+				s.run(30 * time.Second)
+				s.wantReported(20 * time.Second)
+			})
+		})
+	}
+}
+
+// TestRandomRestores guards against two counts of one window, two holders with one number, and reports that end, while the log goes back
+// or is trimmed and processes are stopped and cut off at random.
+func TestRandomRestores(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 0))
+				s := newSystem(t)
+				s.run(15 * time.Second)
+
+				for range 30 {
+					n := s.nodes[random.IntN(processes)]
+					if random.IntN(2) == 0 {
+						n = s.holder()
+					}
+
+					switch random.IntN(6) {
+					case 0, 1:
+						s.restore(random.IntN(4))
+					case 2:
+						s.set(func() { s.trimmed = len(s.records) })
+					case 3:
+						s.set(func() { n.isolated = !n.isolated })
+					default:
+						s.set(func() { n.stopped = !n.stopped })
+					}
+
+					s.run(time.Duration(random.IntN(4000)) * time.Millisecond)
+				}
+
+				s.set(func() {
+					for _, n := range s.nodes {
+						n.isolated, n.stopped = false, false
+					}
+				})
+				s.run(60 * time.Second)
+				s.wantReported(40 * time.Second)
+			})
+		})
+	}
+}
