Acquit no content by an answer that ends with its connection

An answer without length and chunks that ended with its connection counted as proof that its call crashes no server, also when the connection ended because the server crashed: between two events, or behind a part of a plain answer, the end looks orderly. Each such answer freed a content that crashes servers from suspicion.

Such answers are passed on as before, and tell the quarantine nothing. Streams acquit with their second event, as they did.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -198,7 +198,11 @@
 	default:
 		send.RecordFirstEvent(now, metadata.Load)
 		send.End(now, dispatch.OutcomeDone)
-		c.reportAnswered()
+
+		// The connection may have ended because the server crashed.
+		if !answer.CloseDelimited {
+			c.reportAnswered()
+		}
 	}
 
 	c.writeWhole(answer, content)
@@ -227,7 +231,11 @@
 	}
 
 	send.End(c.relay.now(), dispatch.OutcomeDone)
-	c.reportAnswered()
+
+	if !answer.CloseDelimited {
+		c.reportAnswered()
+	}
+
 	c.recordEnd(resultAnswered, answer.Status)
 
 	return answered
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -239,7 +239,11 @@
 
 		if reason == "" {
 			run.send.End(c.relay.now(), dispatch.OutcomeDone)
-			c.reportAnswered()
+
+			if !run.closeDelimited {
+				c.reportAnswered()
+			}
+
 			c.recordEnd(resultAnswered, http.StatusOK)
 
 			return answered
--- a/transport/upstream/brokenoff_test.go
+++ b/transport/upstream/brokenoff_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/protocol/relay"
+	"github.com/apricotway/apricotway/state/quarantine"
 )
 
 // TestBrokenOffStreams guards against streams that a server breaks off and that reach the caller as complete, or that are not continued
@@ -109,3 +112,76 @@
 		t.Errorf("got %q and %v, want %q", got, err, want)
 	}
 }
+
+// recorder is a quarantine that counts what it is told.
+type recorder struct {
+	mu               sync.Mutex
+	broken, answered int
+}
+
+func (r *recorder) HasSuspects() bool                     { return true }
+func (r *recorder) Refuses([]quarantine.Fingerprint) bool { return false }
+
+func (r *recorder) RecordBroken([]quarantine.Fingerprint, apricotway.BackendServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.broken++
+}
+
+func (r *recorder) RecordAnswered([]quarantine.Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.answered++
+}
+
+// TestCrashIsNoAnswer guards against answers that acquit a content although they ended with the connection of a server that may have
+// crashed, and against broken ones that raise no suspicion.
+func TestCrashIsNoAnswer(t *testing.T) {
+	const (
+		head   = "HTTP/1.1 200 OK\r\nAttempt: 1\r\n"
+		stream = head + "Content-Type: text/event-stream\r\n"
+	)
+
+	framed := func(head, content string) string {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(content), content)
+	}
+
+	for name, test := range map[string]struct {
+		path, answer     string
+		broken, answered int
+	}{
+		"no head":                          {"/stream/", "", 1, 0},
+		"head only":                        {"/stream/", stream + "\r\n", 1, 0},
+		"inside the first event":           {"/stream/", stream + "\r\nid: 1\n", 1, 0},
+		"inside a chunk":                   {"/stream/", stream + "Transfer-Encoding: chunked\r\n\r\n20\r\nid: 1\n", 1, 0},
+		"inside the second event":          {"/stream/", stream + "\r\n" + event(1) + "id: 2", 1, 0},
+		"behind an event without length":   {"/stream/", stream + "\r\n" + event(1), 0, 0},
+		"whole stream":                     {"/stream/", framed(stream, event(1)), 0, 1},
+		"plain answer without length":      {"/unsafe/", head + "\r\nfine", 0, 0},
+		"plain answer with less than said": {"/unsafe/", head + "Content-Length: 9\r\n\r\nfine", 1, 0},
+		"whole plain answer":               {"/unsafe/", framed(head, "fine"), 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &recorder{}
+			h := newHarness(t)
+			h.replaceRelay(relay.WithQuarantine(r))
+			h.pool.Update(apricotway.Backend{
+				ID: "raw", Service: "s", Slots: 8, Address: newBackend(t, func(conn net.Conn, _ string) bool {
+					write(conn, test.answer)
+					return false
+				}).address,
+			}, time.Now())
+
+			_, _, _ = h.call(test.path, nil) //nolint:bodyclose // The call has read and closed it.
+
+			r.mu.Lock()
+			defer r.mu.Unlock()
+
+			if r.broken != test.broken || r.answered != test.answered {
+				t.Errorf("got %d broken and %d answered, want %d and %d", r.broken, r.answered, test.broken, test.answered)
+			}
+		})
+	}
+}
--- a/transport/upstream/relay_test.go
+++ b/transport/upstream/relay_test.go
@@ -141,14 +141,18 @@
 		}, time.Now())
 	}
 
-	budget := retrybudget.New(retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 100})
-	h.front = httptest.NewServer(relay.New(testDialect{}, upstream.New(), h.catalog, h.pool, h.limiter, budget, h.tally,
-		relay.WithMover(h)))
-	t.Cleanup(h.front.Close)
+	h.replaceRelay(relay.WithMover(h))
 
 	return h
 }
 
+// replaceRelay starts a relay with the given options in front of the servers.
+func (h *harness) replaceRelay(options ...relay.Option) {
+	budget := retrybudget.New(retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 100})
+	h.front = httptest.NewServer(relay.New(testDialect{}, upstream.New(), h.catalog, h.pool, h.limiter, budget, h.tally, options...))
+	h.t.Cleanup(h.front.Close)
+}
+
 // call sends one call and returns the response, its body and an error of sending or reading.
 func (h *harness) call(path string, header map[string]string) (*http.Response, string, error) {
 	h.t.Helper()
