Read the saved refusals when a process starts

The refusals were saved, but only a new holder read them.

Each process now reads them when it starts. They are kept in a topic of their own, so that a start doesn't read the counts of all processes, which are large.

--- a/cmd/scenario/crashingpart_test.go
+++ b/cmd/scenario/crashingpart_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,17 +83,18 @@
 	return &group
 }
 
-// setCrashingPart makes all engines of the model crash on a part; an empty one ends that.
+// setCrashingPart makes all engines of the model crash on a part, before calls have it; an empty one ends that.
 func (s *entrySystem) setCrashingPart(part string) {
 	s.mu.Lock()
-	s.crashPart = part
-	s.mu.Unlock()
+	defer s.mu.Unlock()
 
-	for _, e := range s.engineList() {
+	for _, e := range s.engines {
 		if e.Service() == "model" {
 			e.CrashOnPart(part)
 		}
 	}
+
+	s.crashPart = part
 }
 
 // checkCrashingPart checks how many calls with the crashing part reached engines after its fifth crash, and returns the number of its
@@ -269,3 +271,42 @@
 		})
 	}
 }
+
+// TestRefusalsOutliveAllProcesses guards against calls that crash engines again when all processes have been killed, and nobody holds the
+// duties yet.
+func TestRefusalsOutliveAllProcesses(t *testing.T) {
+	const after = 3 * time.Second
+
+	s := newEntrySystem(t, 4)
+	for range 3 {
+		s.startEngine("model")
+	}
+
+	s.awaitRecovery("start")
+
+	ctx, cancel := context.WithCancel(t.Context())
+	began := time.Now()
+	calling := s.startPromptCallers(ctx, func() bool { return true })
+
+	s.setCrashingPart("bad")
+	<-time.After(2 * crashContact)
+
+	before := s.checkCrashingPart(began)
+
+	for _, e := range s.entries {
+		e.end(syscall.SIGKILL)
+	}
+
+	for _, e := range s.entries {
+		s.start(e)
+	}
+
+	<-time.After(after)
+	cancel()
+	calling.Wait()
+	s.check()
+
+	if got := s.checkCrashingPart(began) - before; got > 0 || before == 0 {
+		t.Errorf("got %d crashes before and %d within %s after all processes were killed, want some and none", before, got, after)
+	}
+}
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -80,12 +80,16 @@
 		return apricotway.ErrLogUnavailable
 	}
 
-	l.state = map[apricotway.StatePart][]byte{part: state}
+	if l.state == nil {
+		l.state = map[apricotway.StatePart][]byte{}
+	}
+
+	l.state[part] = state
 
 	return nil
 }
 
-func (l *log) State(context.Context) (map[apricotway.StatePart][]byte, error) {
+func (l *log) State(_ context.Context, part apricotway.StatePart) ([]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -93,7 +97,7 @@
 		return nil, apricotway.ErrLogUnavailable
 	}
 
-	return l.state, nil
+	return l.state[part], nil
 }
 
 func (l *log) set(change func(l *log)) {
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -107,9 +107,15 @@
 	ctx, cancel := context.WithTimeout(ctx, logTimeout)
 	defer cancel()
 
-	state, err := d.log.State(ctx)
-	if err != nil {
-		return errors.Wrap(err, "read the state of the previous duty holder")
+	state := map[apricotway.StatePart][]byte{}
+
+	for _, part := range []apricotway.StatePart{apricotway.StateCounts, apricotway.StateCrashes} {
+		content, err := d.log.State(ctx, part)
+		if err != nil {
+			return errors.Wrap(err, "read the state of the previous duty holder")
+		}
+
+		state[part] = content
 	}
 
 	d.mu.Lock()
@@ -120,6 +126,19 @@
 	return nil
 }
 
+// ReadState reads a part of the state that the holder saved last.
+func (d *Duty) ReadState(ctx context.Context, part apricotway.StatePart) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+
+	state, err := d.log.State(ctx, part)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the duty holder's state")
+	}
+
+	return state, nil
+}
+
 // RecordUsage appends a usage report to the log. It fails if this process is not the holder or if another record has been appended
 // since this process last read the log.
 func (d *Duty) RecordUsage(ctx context.Context, report apricotway.UsageReport) error {
--- a/coordination/rollup/crashes.go
+++ b/coordination/rollup/crashes.go
@@ -7,7 +7,10 @@
 	"slices"
 	"time"
 
+	"github.com/thejerf/suture/v4"
+
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/quarantine"
 )
 
@@ -18,15 +21,41 @@
 		return
 	}
 
+	r.crashes.Adopt(now, r.decodeCrashes(content))
+}
+
+func (r *Rollup) decodeCrashes(content []byte) []quarantine.Finding {
 	var findings []quarantine.Finding
 	if err := json.Unmarshal(content, &findings); err != nil {
 		r.logger.Info("failed to decode the refusals saved by the previous duty holder", "event", 359, "error", err.Error())
-		return
+		return nil
 	}
 
-	r.crashes.Adopt(now, findings)
+	return findings
+}
+
+// learnCrashes reads the saved refusals when the process starts. When all processes were killed, nobody holds the duties for some seconds
+// and could tell them.
+func (r *Rollup) learnCrashes(ctx context.Context) error {
+	for {
+		content, err := r.duty.ReadState(ctx, apricotway.StateCrashes)
+		if err == nil {
+			if content != nil {
+				r.Suspects.Learn(r.decodeCrashes(content))
+			}
+
+			return suture.ErrDoNotRestart
+		}
+
+		if !pause.For(ctx, learnPause) {
+			return ctx.Err()
+		}
+	}
 }
 
+// learnPause is the pause between two attempts to read the saved refusals.
+const learnPause = 300 * time.Millisecond
+
 // saveCrashes saves the refusals for a successor if they have changed since the last save. Only the holder does so.
 func (r *Rollup) saveCrashes(ctx context.Context, now time.Time) {
 	holder, held := r.duty.HeldEvenIfLeaving()
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -191,6 +191,7 @@
 		})
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "report", Func: r.runReports})
+	supervisor.Add(apricotway.ServiceFunc{Name: "saved refusals", Func: r.learnCrashes})
 	supervisor.Add(apricotway.Periodic("state of the duties", stateSavePeriod, func(ctx context.Context, now time.Time) {
 		r.saveState(ctx)
 		r.saveCrashes(ctx, now)
--- a/coordination/rollup/settle_test.go
+++ b/coordination/rollup/settle_test.go
@@ -227,11 +227,11 @@
 	return nil
 }
 
-func (n *node) State(context.Context) (map[apricotway.StatePart][]byte, error) {
+func (n *node) State(_ context.Context, part apricotway.StatePart) ([]byte, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 
-	return maps.Clone(n.state), nil
+	return n.state[part], nil
 }
 
 func (n *node) ReportUsage(_ context.Context, holder apricotway.DutyHolder, report apricotway.UsageReport) error {
--- a/coordination/suspect/suspect.go
+++ b/coordination/suspect/suspect.go
@@ -324,6 +324,21 @@
 	}
 }
 
+// Learn takes over the refusals that a holder has saved, unless a holder has told some already.
+func (s *Suspects) Learn(findings []quarantine.Finding) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.findings != nil {
+		return
+	}
+
+	s.findings = map[quarantine.Fingerprint]quarantine.Finding{}
+	for _, finding := range findings {
+		s.findings[finding.Fingerprint] = finding
+	}
+}
+
 // Findings returns the findings of the holder's last answer.
 func (s *Suspects) Findings() []quarantine.Finding {
 	s.mu.Lock()
--- a/operatorstore.go
+++ b/operatorstore.go
@@ -41,8 +41,8 @@
 	// SaveState replaces a part of the state that the holder of the duties saves for its successor. It is stored outside the log, so
 	// that reading the log does not mean reading every state ever saved.
 	SaveState(ctx context.Context, part StatePart, state []byte) error
-	// State returns the parts of the newest saved state.
-	State(ctx context.Context) (map[StatePart][]byte, error)
+	// State returns a part of the newest saved state, nil when there is none.
+	State(ctx context.Context, part StatePart) ([]byte, error)
 }
 
 // DutyRecords are the records of one read of a DutyLog.
