Ignore duty log records of an era that the store has not reached

A record of another writer with a high era would have voided all later records of the duty log, so that nobody could hold the duties. Found by reading; TestRecordOfFutureEra fails without the check. Three constants now stand before their use.

--- a/coordination/catalog/restore.go
+++ b/coordination/catalog/restore.go
@@ -6,6 +6,9 @@
 	"github.com/apricotway/apricotway"
 )
 
+// removalMemory is the time for which the last entry of a removed server is known. The store's copy is some seconds old.
+const removalMemory = time.Minute
+
 // noteRestore records that the store has come back from an older copy. Entries that are missing from it are removed only after the time
 // that servers need to register again.
 func (c *Catalog) noteRestore() {
@@ -58,9 +61,6 @@
 	c.removed[entry.ID] = removal{entry, now}
 }
 
-// removalMemory is the time for which the last entry of a removed server is known. The store's copy is some seconds old.
-const removalMemory = time.Minute
-
 // endRestore requests the whole list once restoreTime is over, if entries were ignored: what a server has not written again by then is
 // taken as it is.
 func (c *Catalog) endRestore(now time.Time) {
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -779,3 +779,16 @@
 		}
 	})
 }
+
+// TestRecordOfFutureEra guards against a record of another writer that voids all later ones.
+func TestRecordOfFutureEra(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{era: 2, records: [][]byte{[]byte(`{"kind":"claim","node":"y","era":9}`)}}
+		a := c.start(t, l, "a")
+		wait(3 * time.Second)
+
+		if holder, ok := a.Held(); !ok || holder.Node != "a" {
+			t.Errorf("got holder %v and held: %t, want a", holder, ok)
+		}
+	})
+}
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -210,9 +210,9 @@
 func (d *Duty) apply(at apricotway.Offset, r record) {
 	d.next = at + 1
 
-	// The writer didn't know of the restore after which the records before were written.
-	if r.Era < d.recordEra {
-		d.logger.Info("ignored a duty log record of an earlier era", "event", 362, "offset", at, "kind", r.Kind, "node", r.Node, "era",
+	// The writer didn't know of the restore after which the records before were written. No process knows an era before the store.
+	if r.Era < d.recordEra || r.Era > d.era {
+		d.logger.Info("ignored a duty log record of another era", "event", 362, "offset", at, "kind", r.Kind, "node", r.Node, "era",
 			r.Era, "current", d.recordEra)
 
 		return
--- a/coordination/rollup/crashes.go
+++ b/coordination/rollup/crashes.go
@@ -14,6 +14,9 @@
 	"github.com/apricotway/apricotway/state/quarantine"
 )
 
+// learnPause is the pause between two attempts to read the saved refusals.
+const learnPause = 300 * time.Millisecond
+
 // restoreCrashes loads the refusals that the previous holder saved, for the case that all processes have ended. The caller holds r.mu.
 func (r *Rollup) restoreCrashes(now time.Time) {
 	content := r.duty.LastState(apricotway.StateCrashes)
@@ -53,9 +56,6 @@
 	}
 }
 
-// learnPause is the pause between two attempts to read the saved refusals.
-const learnPause = 300 * time.Millisecond
-
 // saveCrashes saves the refusals for a successor if they have changed since the last save. Only the holder does so.
 func (r *Rollup) saveCrashes(ctx context.Context, now time.Time) {
 	holder, held := r.duty.HeldEvenIfLeaving()
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -18,6 +18,9 @@
 // events of 5 to 12 tokens, well below 1 KiB.
 const maxPending = 32 << 10
 
+// acquittingEvents is the number of events from which a stream has certainly begun without crashing its engine.
+const acquittingEvents = 2
+
 // eventSplitter splits the bytes of a server-sent event stream into complete events, so that another engine can continue after
 // the last one.
 type eventSplitter struct {
@@ -150,9 +153,6 @@
 	return c.passStream(ctx, splitter, &current, buffer, first, err)
 }
 
-// acquittingEvents is the number of events from which a stream has certainly begun without crashing its engine.
-const acquittingEvents = 2
-
 // countEvent counts a read of the stream that had a complete event.
 func (c *call) countEvent() {
 	if c.events++; c.events >= acquittingEvents {
