--- a/coordination/suspect/suspect_test.go
+++ b/coordination/suspect/suspect_test.go
@@ -64,8 +64,9 @@
 		successor.exchange(s, 2, false)
 	}
 
-	if got, want := len(successor.crashes.Findings(time.Now())), 1; got != want {
-		t.Errorf("got %d findings at the next holder, want %d", got, want)
+	found := successor.crashes.Findings(time.Now())
+	if len(found) != 1 || found[0].Fingerprint != d || found[0].Crashes < quarantine.CrashLimit {
+		t.Errorf("got findings %v at the next holder, want one of the content with %d crashes at least", found, quarantine.CrashLimit)
 	}
 
 	processes = append(processes, suspect.New())
--- a/state/quarantine/crashes_test.go
+++ b/state/quarantine/crashes_test.go
@@ -125,6 +125,14 @@
 	if got := c.Suspects(); got > 5000 {
 		t.Errorf("got %d suspects tracked, want at most 5000", got)
 	}
+
+	c.now = c.now.Add(11 * time.Minute)
+	c.Findings(c.now)
+	c.crash("late", content(6))
+
+	if got, want := c.Suspects(), 1; got != want {
+		t.Errorf("got %d suspects after the others had expired, want the new one", got)
+	}
 }
 
 // Fingerprints of the cases below: all calls share first, many share common, and each call has a whole content of its own.
