Log each call that a planned stop leaves unfinished, and what it waits for

Change: an entry host keeps a list of its calls in flight. At the stop limit event 370 names each of them, at most 200, with the time at which it arrived and was read whole, the server it was sent to last, how much of a stream its caller has, and what it waits for. Event 107 has their number. No decision changes.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -101,6 +101,7 @@
 	limiter    *quota.Limiter
 	suspects   *suspect.Suspects
 	rollup     *rollup.Rollup
+	relay      *relay.Relay
 
 	// content is the last content of the settings file. Only the goroutine that reloads the settings may access it.
 	content []byte
@@ -177,15 +178,15 @@
 		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: e.suspects,
 	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger), rollup.WithEras(e.eras))
 
-	forward := relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
+	e.relay = relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithLeaving(e.leaving.Load),
 		relay.WithQuarantine(e.suspects))
 
-	return e.serveAll(ctx, forward, counters)
+	return e.serveAll(ctx, counters)
 }
 
 // serveAll starts the HTTP servers.
-func (e *Entry) serveAll(ctx context.Context, forward http.Handler, counters *counters) error {
+func (e *Entry) serveAll(ctx context.Context, counters *counters) error {
 	addresses := e.settings.Listen
 
 	listener, err := listen(ctx, "callers", addresses.Callers)
@@ -193,7 +194,7 @@
 		return err
 	}
 
-	e.callers = callers.New(e.server("callers", forward), listener, callers.WithAccepted(counters.accepted.Inc))
+	e.callers = callers.New(e.server("callers", e.relay), listener, callers.WithAccepted(counters.accepted.Inc))
 	e.serve("callers", e.callers.Serve)
 
 	operators := operator.New(e.registry, func() error {
@@ -348,7 +349,8 @@
 	pause.For(ctx, time.Duration(e.settings.AddressValidity)+leaveNoticeTime)
 
 	if err := e.callers.Drain(ctx); err != nil {
-		e.logger.Info("requests in flight aborted at the stop limit", "event", 107, "error", err.Error())
+		e.logger.Info("requests in flight aborted at the stop limit", "event", 107, "error", err.Error(),
+			"calls", e.relay.LogUnfinished())
 	}
 
 	// The deadline of ctx may have passed already, so the final usage counts are sent with a deadline of their own.
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -19,6 +19,7 @@
 	}
 
 	c.metadata = metadata
+	c.progress.identify(metadata.Attempt)
 
 	c.table = r.catalog.Table()
 	if c.table == nil {
@@ -128,6 +129,7 @@
 	}
 
 	c.body = []byte(body.String())
+	c.progress.bodyRead(c.relay.now())
 
 	return nil
 }
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -215,6 +215,7 @@
 	ctx context.Context, send *dispatch.Send, answer *apricotway.ForwardedAnswer, content []byte,
 ) attemptResult {
 	c.writeHeader(answer, answer.Length)
+	c.progress.enter(stageCaller, c.relay.now())
 
 	_, err := c.writer.Write(content)
 	body := &errorRecorder{reader: answer.Body}
@@ -282,6 +283,7 @@
 
 func (c *call) writeWhole(answer *apricotway.ForwardedAnswer, content []byte) {
 	c.writeHeader(answer, int64(len(content)))
+	c.progress.enter(stageCaller, c.relay.now())
 	// A write fails only when the caller has left.
 	_, _ = c.writer.Write(content)
 
--- /dev/null
+++ b/protocol/relay/inflight.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apricotway/apricotway"
+)
+
+// stage is what a call in flight waits for.
+type stage string
+
+const (
+	// stageBody is the wait for the rest of the caller's request.
+	stageBody stage = "callerBody"
+	// stageLimit is the wait for credit of the workspace's rate limit.
+	stageLimit stage = "limit"
+	// stageAnswer is the wait for the header or the first event of a server's answer.
+	stageAnswer stage = "answerBegin"
+	// stageNextPart is the wait for the next part of an answer of which a part was passed on.
+	stageNextPart stage = "answerPart"
+	// stageCaller is the wait until the caller has read enough for the next write.
+	stageCaller stage = "callerRead"
+)
+
+// maxUnfinishedLines bounds the log lines of LogUnfinished.
+const maxUnfinishedLines = 200
+
+// progress is how far a call has come, for the log. Other goroutines may read it while the call runs.
+type progress struct {
+	mu      sync.Mutex
+	attempt apricotway.AttemptID
+	stage   stage
+	since   time.Time
+	server  apricotway.BackendServerID
+	// read is the time at which the whole request had been read; zero before.
+	read time.Time
+	// bytes is the size of the part of a stream that was written to the caller.
+	bytes int
+}
+
+func (p *progress) identify(attempt apricotway.AttemptID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.attempt = attempt
+}
+
+// bodyRead records that the whole request has been read.
+func (p *progress) bodyRead(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.read = now
+	p.stage, p.since = stageLimit, now
+}
+
+func (p *progress) enter(stage stage, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.stage, p.since = stage, now
+}
+
+// sent records that the call is sent to a server.
+func (p *progress) sent(server apricotway.BackendServerID, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.server = server
+	p.stage, p.since = stageAnswer, now
+
+	if p.bytes > 0 {
+		p.stage = stageNextPart
+	}
+}
+
+// passed records that a part of a stream was written to the caller.
+func (p *progress) passed(bytes int, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.bytes += bytes
+	p.stage, p.since = stageNextPart, now
+}
+
+// inFlight holds the calls that have no final answer yet.
+type inFlight struct {
+	mu    sync.Mutex
+	calls map[*call]struct{}
+}
+
+func (f *inFlight) add(c *call) {
+	c.progress.enter(stageBody, c.arrived)
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.calls[c] = struct{}{}
+}
+
+func (f *inFlight) remove(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	delete(f.calls, c)
+}
+
+// byArrival returns the calls in flight, the oldest first.
+func (f *inFlight) byArrival() []*call {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	calls := make([]*call, 0, len(f.calls))
+	for c := range f.calls {
+		calls = append(calls, c)
+	}
+
+	slices.SortFunc(calls, func(a, b *call) int { return a.arrived.Compare(b.arrived) })
+
+	return calls
+}
+
+// LogUnfinished logs the calls that have no final answer yet, the oldest first, and what each of them waits for. It returns their
+// number.
+func (r *Relay) LogUnfinished() int {
+	now := r.now()
+	calls := r.inFlight.byArrival()
+
+	for _, c := range calls[:min(len(calls), maxUnfinishedLines)] {
+		c.progress.mu.Lock()
+		r.logger.Info("call unfinished at the stop limit", "event", 370, "attempt", c.progress.attempt, "host", c.request.Host,
+			"path", c.path(), "caller", c.request.RemoteAddr, "arrived", c.arrived, "read", c.progress.read, "stage", c.progress.stage,
+			"inStage", now.Sub(c.progress.since), "server", c.progress.server, "bytes", c.progress.bytes)
+		c.progress.mu.Unlock()
+	}
+
+	return len(calls)
+}
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -92,6 +92,7 @@
 	leaving      func() bool
 	now          func() time.Time
 	bufferBudget bufferBudget
+	inFlight     inFlight
 }
 
 var _ http.Handler = (*Relay)(nil)
@@ -125,7 +126,7 @@
 	r := &Relay{
 		dialect: dialect, upstream: upstream, catalog: catalog, pool: pool, limiter: limiter, budget: budget, tally: began,
 		quarantine: noQuarantine{}, metrics: noMetrics{}, logger: logr.Discard(),
-		leaving: func() bool { return false }, now: time.Now,
+		leaving: func() bool { return false }, now: time.Now, inFlight: inFlight{calls: map[*call]struct{}{}},
 	}
 	for _, option := range options {
 		option(r)
@@ -184,6 +185,7 @@
 	// expectedWait is the estimate, made at the last attempt, of the time until the answer begins. beganAt is when it began.
 	expectedWait time.Duration
 	beganAt      time.Time
+	progress     progress
 }
 
 // ServeHTTP forwards one call and writes its answer or refusal. It implements http.Handler.
@@ -191,6 +193,9 @@
 	c := &call{relay: r, writer: w, request: request, arrived: r.now(), buffer: answerBuffer{budget: &r.bufferBudget}}
 	defer c.buffer.release()
 
+	r.inFlight.add(c)
+	defer r.inFlight.remove(c)
+
 	c.boundWrites(defaultTimeout)
 
 	if r.leaving() {
--- a/protocol/relay/send.go
+++ b/protocol/relay/send.go
@@ -22,6 +22,8 @@
 		c.relay.metrics.LimitedSend(c.service)
 	}
 
+	c.progress.sent(to.Backend.ID, now)
+
 	answer, err := c.relay.upstream.Send(ctx, to.Backend.Address, c.forwardedCall(header, to))
 	if err != nil {
 		return nil, apricotway.AnswerMetadata{}, err
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -313,12 +313,15 @@
 		}
 
 		if len(ready) > 0 {
+			c.progress.enter(stageCaller, c.relay.now())
+
 			if _, writeErr := c.writer.Write(ready); writeErr != nil {
 				return reasonCallerLeft, dispatch.OutcomeLeft
 			}
 
 			// A flush fails only when the caller has left; the next write then fails too.
 			_ = flusher.Flush()
+			c.progress.passed(len(ready), c.relay.now())
 		}
 
 		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.closeDelimited && !current.began && !splitter.plain) {
