Reproduce calls that a planned stop cuts, with real processes

TestPlannedStop stops one entry process and judges calls by the operators' rule: first requests, bodies and headers that arrive late, calls in the queue of an engine, streams whose engine pauses while another one is free, and callers that read slowly.

--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -77,8 +77,12 @@
 	directory string
 	platform  *standin.Platform
 	store     netip.AddrPort
-	version   int
-	entries   []*entryProgram
+	// config is the format of the operators' configuration; its argument is the version.
+	config string
+	// environment is added to that of the processes.
+	environment []string
+	version     int
+	entries     []*entryProgram
 
 	// storeDown holds the outages of the store.
 	storeDown []interval
@@ -94,29 +98,32 @@
 func newEntrySystem(t *testing.T, seed uint64) *entrySystem {
 	t.Helper()
 
-	s := &entrySystem{t: t, random: newRandom(seed), directory: t.TempDir(), platform: standin.New()}
-	server := httptest.NewServer(s.platform)
-	t.Cleanup(server.Close)
-
-	s.store = netip.MustParseAddrPort(server.Listener.Addr().String())
-	s.publish()
-
+	s := newEntryPlatform(t, seed, entryConfig)
 	for _, service := range []string{"model", "model", "model", "ledger", "ledger"} {
 		s.startEngine(service)
 	}
 
-	peers := freeport.Address(t)
-	for i := range entryCount {
-		s.addEntry(fmt.Sprint("n", i), peers, i == 0)
-	}
+	s.startEntries(entryCount)
 
-	for _, e := range s.entries {
-		s.start(e)
-	}
+	return s
+}
+
+// newEntryPlatform returns a system with a configuration, and without engines and entry hosts.
+func newEntryPlatform(t *testing.T, seed uint64, config string) *entrySystem {
+	t.Helper()
+
+	s := &entrySystem{t: t, random: newRandom(seed), directory: t.TempDir(), platform: standin.New(), config: config}
+	server := httptest.NewServer(s.platform)
+	t.Cleanup(server.Close)
+
+	s.store = netip.MustParseAddrPort(server.Listener.Addr().String())
+	s.publish()
 
 	t.Cleanup(func() {
 		for _, e := range s.entries {
-			e.end(syscall.SIGKILL)
+			if e.running() {
+				e.end(syscall.SIGKILL)
+			}
 		}
 
 		for _, e := range s.engines {
@@ -131,25 +138,39 @@
 	return s
 }
 
+// startEntries adds and starts entry hosts.
+func (s *entrySystem) startEntries(count int) {
+	peers := freeport.Address(s.t)
+	for i := range count {
+		s.addEntry(fmt.Sprint("n", i), peers, i == 0)
+	}
+
+	for _, e := range s.entries {
+		s.start(e)
+	}
+}
+
 func (s *entrySystem) publish() {
 	s.version++
 
-	if err := s.platform.PutConfig(json.RawMessage(fmt.Sprintf(entryConfig, s.version))); err != nil {
+	if err := s.platform.PutConfig(json.RawMessage(fmt.Sprintf(s.config, s.version))); err != nil {
 		s.t.Fatal(err)
 	}
 }
 
-func (s *entrySystem) startEngine(service string) {
+func (s *entrySystem) startEngine(service string, options ...standin.EngineOption) *standin.Engine {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	s.engineCount++
-	e := standin.NewEngine(s.platform, fmt.Sprint("i-", s.engineCount), service, "a")
+	e := standin.NewEngine(s.platform, fmt.Sprint("i-", s.engineCount), service, "a", options...)
 	if service == "model" {
 		e.CrashOnPart(s.crashPart)
 	}
 
 	s.engines = append(s.engines, e)
+
+	return e
 }
 
 // addEntry writes the settings of an entry host and opens its link. The first host listens at the seed address of all hosts.
@@ -201,6 +222,7 @@
 
 	command := exec.Command(program, "entry", "--settings", e.settings)
 	command.Stdout, command.Stderr = output, output
+	command.Env = append(os.Environ(), s.environment...)
 
 	if err := command.Start(); err != nil {
 		s.t.Fatal(err)
--- /dev/null
+++ b/cmd/scenario/plannedstop_test.go
@@ -0,0 +1,459 @@
+package scenario
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway/platform/standin"
+)
+
+// The operators' rule for planned stops: from SIGTERM until stopWatch after it, a request that the process has read is answered
+// completely, unless a server was still at work on it after stopWork and it was sent within stopSent.
+const (
+	stopGrace = 8 * time.Second
+	stopWatch = stopGrace + time.Second
+	stopWork  = stopGrace * 5 / 6
+	stopSent  = 3 * time.Second
+	// stopSlack is the time after its last byte from which a request counts as read.
+	stopSlack = 200 * time.Millisecond
+	// stopTimeout is the timeout of callers and routes. It does not end before a process is gone.
+	stopTimeout = 20 * time.Second
+
+	stopConfig = `{"version":%d,"routes":[
+{"name":"chat","host":"h.example","path_prefix":"/chat/","kind":"streaming","timeout_ms":20000,"service":"model","max_attempts":3,"resumable":true},
+{"name":"queued-stream","host":"h.example","path_prefix":"/queued-stream/","kind":"streaming","timeout_ms":20000,"service":"queue","max_attempts":1},
+{"name":"queued-safe","host":"h.example","path_prefix":"/queued-safe/","kind":"safe","timeout_ms":20000,"service":"queue","max_attempts":2},
+{"name":"queued-unsafe","host":"h.example","path_prefix":"/queued-unsafe/","kind":"unsafe","timeout_ms":20000,"service":"queue","max_attempts":1},
+{"name":"pause","host":"h.example","path_prefix":"/pause/","kind":"streaming","timeout_ms":20000,"service":"pause","max_attempts":3,"resumable":true},
+{"name":"large","host":"h.example","path_prefix":"/large/","kind":"safe","timeout_ms":20000,"service":"large","max_attempts":2},
+{"name":"large-stream","host":"h.example","path_prefix":"/large-stream/","kind":"streaming","timeout_ms":20000,"service":"large-stream","max_attempts":1},
+{"name":"book","host":"h.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":20000,"service":"ledger","max_attempts":1}],
+"services":[{"name":"model","engine":{"slots":200,"kv_capacity":1000000}},{"name":"queue"},{"name":"pause"},{"name":"large"},
+{"name":"large-stream"},{"name":"ledger"}],
+"limits":{"max_body_bytes":1000000},"tenants":[{"name":"w","api_keys":["secret"]}]}`
+)
+
+// stopCall is a request around a planned stop.
+type stopCall struct {
+	// group is the variant that the request belongs to.
+	group, path, attempt string
+	entry                *entryProgram
+	// sent is the time at which the last byte was sent, zero if that failed. ended is when the answer or the connection ended.
+	sent, ended time.Time
+	status      int
+	body        string
+	// err is the reason why the answer is not complete.
+	err error
+}
+
+// stopSystem is an entry system whose callers keep using their connections until the processes are gone.
+type stopSystem struct {
+	*entrySystem
+
+	attempts atomic.Int64
+	calling  sync.WaitGroup
+
+	mu    sync.Mutex
+	calls []*stopCall
+	terms map[*entryProgram][]time.Time
+}
+
+func newStopSystem(t *testing.T, entries int) *stopSystem {
+	s := &stopSystem{entrySystem: newEntryPlatform(t, 1, stopConfig), terms: map[*entryProgram][]time.Time{}}
+	// A process with the race detector would end a second later, with its connections.
+	s.environment = []string{"GORACE=atexit_sleep_ms=0"}
+	s.startEngine("model", standin.WithStream(30, 100*time.Millisecond), standin.WithSlots(200))
+	s.startEngine("ledger", standin.WithSlots(200))
+	s.startEntries(entries)
+
+	return s
+}
+
+// stopConnection is an open connection of a caller.
+type stopConnection struct {
+	net.Conn
+
+	reader *bufio.Reader
+	entry  *entryProgram
+}
+
+// connect opens a connection, whose receive buffer has the given size in bytes; 0 for the default.
+func (s *stopSystem) connect(e *entryProgram, buffer int) *stopConnection {
+	connection, err := net.Dial("tcp", e.callers.String())
+	if err != nil {
+		return nil // The process accepts no connections any more.
+	}
+
+	if buffer > 0 {
+		_ = connection.(*net.TCPConn).SetReadBuffer(buffer)
+	}
+
+	return &stopConnection{Conn: connection, reader: bufio.NewReader(connection), entry: e}
+}
+
+// stopRequest describes how a caller sends a request and reads its answer.
+type stopRequest struct {
+	group, path string
+	body        string
+	// pauseAt is the text in whose middle the caller stops sending until the time resume; empty for a request that is sent at once.
+	pauseAt string
+	resume  time.Time
+	// perTick is the number of bytes that the caller reads every readTick until the process is gone; 0 for a fast caller.
+	perTick int
+}
+
+const readTick = 50 * time.Millisecond
+
+// isStream reports whether a path leads to a route of streams.
+func isStream(path string) bool {
+	return strings.Contains(path, "stream") || strings.HasPrefix(path, "/chat/") || strings.HasPrefix(path, "/pause/")
+}
+
+// send sends a request on a connection and reads its answer. It reports whether the connection can be used again.
+func (s *stopSystem) send(connection *stopConnection, r stopRequest) bool {
+	call := &stopCall{
+		group: r.group, path: r.path, entry: connection.entry, attempt: fmt.Sprintf("%s-%d", r.group, s.attempts.Add(1)),
+	}
+	again := s.exchange(connection, r, call)
+	call.ended = time.Now()
+
+	s.mu.Lock()
+	s.calls = append(s.calls, call)
+	s.mu.Unlock()
+
+	return again
+}
+
+func (s *stopSystem) exchange(connection *stopConnection, r stopRequest, call *stopCall) bool {
+	c := standin.Call{
+		Address: connection.entry.callers, Host: "h.example", Path: r.path, Attempt: call.attempt, Key: "secret", Timeout: stopTimeout,
+		Body: strings.NewReader(r.body),
+	}
+	if isStream(r.path) {
+		c.Tokens = "100,20"
+	}
+
+	request, err := c.Request(s.t.Context())
+	if err != nil {
+		s.t.Error(err)
+		return false
+	}
+
+	var content bytes.Buffer
+	if err := request.Write(&content); err != nil {
+		s.t.Error(err)
+		return false
+	}
+
+	if r.pauseAt != "" {
+		at := bytes.Index(content.Bytes(), []byte(r.pauseAt)) + len(r.pauseAt)/2
+		if _, call.err = connection.Write(content.Next(at)); call.err != nil {
+			return false
+		}
+
+		<-time.After(time.Until(r.resume))
+	}
+
+	if _, call.err = connection.Write(content.Bytes()); call.err != nil {
+		return false
+	}
+
+	call.sent = time.Now()
+
+	response, err := http.ReadResponse(connection.reader, request)
+	if err != nil {
+		call.err = err
+		return false
+	}
+	defer response.Body.Close()
+
+	body, err := readSlowly(response.Body, r.perTick, connection.entry.done)
+	call.status, call.body, call.err = response.StatusCode, string(body), err
+
+	return err == nil && !response.Close
+}
+
+// readSlowly reads a number of bytes each readTick until done is closed, and then the rest.
+func readSlowly(body io.Reader, perTick int, done <-chan struct{}) ([]byte, error) {
+	var content bytes.Buffer
+
+	for perTick > 0 {
+		if _, err := io.CopyN(&content, body, int64(perTick)); errors.Is(err, io.EOF) {
+			return content.Bytes(), nil
+		} else if err != nil {
+			return content.Bytes(), err
+		}
+
+		select {
+		case <-time.After(readTick):
+		case <-done:
+			perTick = 0
+		}
+	}
+
+	_, err := io.Copy(&content, body)
+
+	return content.Bytes(), err
+}
+
+// at calls a function at a time, in a goroutine that finish waits for.
+func (s *stopSystem) at(when time.Time, call func()) {
+	s.calling.Go(func() {
+		<-time.After(time.Until(when))
+		call()
+	})
+}
+
+// callAt opens a connection at one time and sends a request on it at another.
+func (s *stopSystem) callAt(e *entryProgram, opened, sent time.Time, r stopRequest) {
+	s.at(opened, func() {
+		buffer := 0
+		if r.perTick > 0 {
+			buffer = 64 << 10
+		}
+
+		connection := s.connect(e, buffer)
+		if connection == nil {
+			return
+		}
+
+		<-time.After(time.Until(sent))
+		s.send(connection, r)
+
+		_ = connection.Close()
+	})
+}
+
+// stop sends SIGTERM to a process at a time.
+func (s *stopSystem) stop(e *entryProgram, when time.Time) {
+	s.at(when, func() {
+		s.mu.Lock()
+		s.terms[e] = append(s.terms[e], time.Now())
+		s.mu.Unlock()
+
+		_ = e.command.Process.Signal(syscall.SIGTERM)
+		<-e.done
+	})
+}
+
+// lost returns how the call broke the rule, and "" if it did not.
+func (s *stopSystem) lost(call *stopCall, works map[string][]standin.Work) string {
+	if call.err == nil || call.sent.IsZero() || call.ended.Sub(call.sent) > stopTimeout-stopSlack {
+		return ""
+	}
+
+	for _, term := range s.terms[call.entry] {
+		if call.ended.Before(term) || call.ended.After(term.Add(stopWatch)) {
+			continue
+		}
+
+		passedOn, atWork := false, false
+
+		for _, work := range works[call.attempt] {
+			passedOn = passedOn || work.Arrived.Before(call.ended)
+			atWork = atWork || !work.Begun.IsZero() && work.Begun.Before(call.ended) && work.Last.After(term.Add(stopWork))
+		}
+
+		if (passedOn || call.ended.Sub(call.sent) > stopSlack) && (!atWork || call.sent.After(term.Add(stopSent))) {
+			return fmt.Sprintf("%s: sent %.3f s and ended %.3f s after SIGTERM, passed on %t, at work in the last sixth %t, status %d and %d bytes: %v",
+				call.attempt, call.sent.Sub(term).Seconds(), call.ended.Sub(term).Seconds(), passedOn, atWork, call.status, len(call.body), call.err)
+		}
+	}
+
+	return ""
+}
+
+// judge reports the calls of a group that broke the rules. An empty group stands for all.
+func (s *stopSystem) judge(t *testing.T, group string) {
+	t.Helper()
+
+	works, runs := map[string][]standin.Work{}, map[string]int{}
+
+	for _, e := range s.engineList() {
+		for _, work := range e.Works() {
+			works[work.Attempt] = append(works[work.Attempt], work)
+		}
+
+		for attempt, count := range e.RunsByAttempt() {
+			runs[attempt] += count
+		}
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var (
+		total, complete, passed int
+		lost                    []string
+	)
+
+	for _, call := range s.calls {
+		if group != "" && call.group != group {
+			continue
+		}
+
+		total++
+
+		if call.err == nil {
+			complete++
+		}
+
+		if len(works[call.attempt]) > 0 {
+			passed++
+		}
+
+		if why := s.lost(call, works); why != "" {
+			lost = append(lost, why)
+		}
+
+		unsafe := strings.Contains(call.path, "unsafe") || strings.HasPrefix(call.path, "/book/")
+		notRun := call.status == http.StatusServiceUnavailable || call.status == http.StatusTooManyRequests
+
+		switch {
+		case unsafe && runs[call.attempt] > 1:
+			t.Errorf("%s: got %d runs, want at most 1", call.attempt, runs[call.attempt])
+		case unsafe && notRun && runs[call.attempt] > 0:
+			t.Errorf("%s: got status %d and %d runs, want none", call.attempt, call.status, runs[call.attempt])
+		case call.err == nil && call.status == http.StatusOK && isStream(call.path) && !s.wholeStream(call.body):
+			t.Errorf("%s: got a stream of %d bytes that ends as if it were complete, want every event once", call.attempt, len(call.body))
+		}
+	}
+
+	t.Logf("%d calls, %d passed on, %d complete answers, %d lost", total, passed, complete, len(lost))
+
+	for i, why := range lost {
+		if i == 5 {
+			t.Logf("and %d more", len(lost)-i)
+			break
+		}
+
+		t.Log(why)
+	}
+
+	if len(lost) > 0 {
+		t.Errorf("got %d of %d calls without a complete answer, want none", len(lost), total)
+	}
+
+	if total == 0 {
+		t.Error("got no calls, want some")
+	}
+}
+
+// wholeStream reports whether a stream has the events from 1 on in order, and as many as the engines send.
+func (s *stopSystem) wholeStream(body string) bool {
+	events := 0
+
+	for line := range strings.Lines(body) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			if events++; strings.TrimSpace(id) != fmt.Sprint(events) {
+				return false
+			}
+		}
+	}
+
+	return events == stopEvents
+}
+
+// stopEvents is the number of events of all streams.
+const stopEvents = 30
+
+// TestPlannedStop guards against calls whose connection ends without a complete answer around a planned stop.
+func TestPlannedStop(t *testing.T) {
+	t.Parallel()
+
+	s := newStopSystem(t, 1)
+	e := s.entries[0]
+	queue := s.startEngine("queue", standin.WithSlots(200), standin.WithStream(stopEvents, 50*time.Millisecond))
+	pausing := s.startEngine("pause", standin.WithSlots(200), standin.WithStream(stopEvents, 200*time.Millisecond))
+	s.startEngine("large", standin.WithSlots(200), standin.WithSize(6<<20))
+	s.startEngine("large-stream", standin.WithSlots(200), standin.WithStream(stopEvents, 50*time.Millisecond), standin.WithSize(200<<10))
+	s.awaitReady(e)
+
+	term := time.Now().Add(2 * time.Second)
+	after := func(seconds float64) time.Time { return term.Add(time.Duration(seconds * float64(time.Second))) }
+
+	s.stop(e, term)
+	queue.Hold()
+
+	for i := range 60 {
+		spread := float64(i) / 60
+		// A connection that has sent nothing is closed after 3 s.
+		opened := -0.5 + 2.9*spread
+		for _, idle := range []float64{0.5, 1.5, 2.5, 2.9} {
+			s.callAt(e, after(opened), after(opened+idle), stopRequest{group: "first request late", path: "/chat/x"})
+		}
+
+		s.callAt(e, after(-1+3*spread), after(-1+3*spread), stopRequest{
+			group: "body complete late", path: "/chat/x", body: "first half, second half", pauseAt: "half, second", resume: after(3 + 4*spread),
+		})
+		s.callAt(e, after(2.4*spread), after(2.4*spread), stopRequest{
+			group: "header complete late", path: "/chat/x", pauseAt: "Authorization", resume: after(2.4*spread + 2.9),
+		})
+
+		for _, path := range []string{"queued-stream", "queued-safe", "queued-unsafe"} {
+			s.callAt(e, after(-1+3.4*spread), after(-1+3.4*spread), stopRequest{group: path, path: "/" + path + "/x"})
+		}
+
+		s.callAt(e, after(-1+3.4*spread), after(-1+3.4*spread), stopRequest{group: "engine paused", path: "/pause/x"})
+	}
+
+	for i := range 8 {
+		spread := float64(i) / 8
+		s.callAt(e, after(-1+3*spread), after(-1+3*spread), stopRequest{group: "long answer read slowly", path: "/large/x", perTick: 20 << 10})
+		s.callAt(e, after(-1+3*spread), after(-1+3*spread), stopRequest{
+			group: "stream read slowly", path: "/large-stream/x", perTick: 20 << 10,
+		})
+	}
+
+	s.at(after(3), func() {
+		s.startEngine("pause", standin.WithSlots(200), standin.WithStream(stopEvents, 100*time.Millisecond))
+	})
+	s.at(after(4), pausing.Pause)
+	s.at(after(10), func() { queue.Release(); pausing.Resume() })
+	s.calling.Wait()
+	<-time.After(time.Second)
+
+	for _, group := range []string{
+		"first request late", "body complete late", "header complete late", "queued-stream", "queued-safe", "queued-unsafe",
+		"engine paused", "long answer read slowly", "stream read slowly",
+	} {
+		t.Run(group, func(t *testing.T) { s.judge(t, group) })
+	}
+}
+
+// awaitReady waits until a process answers calls of all services.
+func (s *stopSystem) awaitReady(e *entryProgram) {
+	s.t.Helper()
+
+	for begin := time.Now(); ; <-time.After(50 * time.Millisecond) {
+		if time.Since(begin) > recoverTime {
+			s.t.Fatalf("%s did not serve within %s", e.name, recoverTime)
+		}
+
+		if connection := s.connect(e, 0); connection != nil {
+			request := stopRequest{group: "ready", path: "/book/x"}
+			s.send(connection, request)
+			_ = connection.Close()
+
+			s.mu.Lock()
+			ready := s.calls[len(s.calls)-1].status == http.StatusOK
+			s.mu.Unlock()
+
+			if ready {
+				return
+			}
+		}
+	}
+}
