Reproduce calls that are passed on after their connection is closed as idle

TestPlannedStopIdleConnections stops four processes with 400 kept connections each, which send a request at about the time at which idle connections are closed.

--- a/cmd/scenario/plannedstop_test.go
+++ b/cmd/scenario/plannedstop_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -62,8 +63,10 @@
 type stopSystem struct {
 	*entrySystem
 
-	attempts atomic.Int64
-	calling  sync.WaitGroup
+	// onlyPassedOn is set when a request counts only if it was passed on, since the caller can't tell whether it was read.
+	onlyPassedOn bool
+	attempts     atomic.Int64
+	calling      sync.WaitGroup
 
 	mu    sync.Mutex
 	calls []*stopCall
@@ -250,7 +253,8 @@
 
 // lost returns how the call broke the rule, and "" if it did not.
 func (s *stopSystem) lost(call *stopCall, works map[string][]standin.Work) string {
-	if call.err == nil || call.sent.IsZero() || call.ended.Sub(call.sent) > stopTimeout-stopSlack {
+	passedOn := len(works[call.attempt]) > 0
+	if call.err == nil || call.sent.IsZero() && !passedOn || call.ended.Sub(call.sent) > stopTimeout-stopSlack {
 		return ""
 	}
 
@@ -259,14 +263,13 @@
 			continue
 		}
 
-		passedOn, atWork := false, false
+		atWork := false
 
 		for _, work := range works[call.attempt] {
-			passedOn = passedOn || work.Arrived.Before(call.ended)
 			atWork = atWork || !work.Begun.IsZero() && work.Begun.Before(call.ended) && work.Last.After(term.Add(stopWork))
 		}
 
-		if (passedOn || call.ended.Sub(call.sent) > stopSlack) && (!atWork || call.sent.After(term.Add(stopSent))) {
+		if (passedOn || !s.onlyPassedOn && call.ended.Sub(call.sent) > stopSlack) && (!atWork || call.sent.After(term.Add(stopSent))) {
 			return fmt.Sprintf("%s: sent %.3f s and ended %.3f s after SIGTERM, passed on %t, at work in the last sixth %t, status %d and %d bytes: %v",
 				call.attempt, call.sent.Sub(term).Seconds(), call.ended.Sub(term).Seconds(), passedOn, atWork, call.status, len(call.body), call.err)
 		}
@@ -457,3 +460,55 @@
 		}
 	}
 }
+
+// TestPlannedStopIdleConnections guards against requests that are passed on although their connection is closed as idle.
+func TestPlannedStopIdleConnections(t *testing.T) {
+	t.Parallel()
+
+	const (
+		connections = 400
+		// idleClosed is when a process closes its idle connections after SIGTERM.
+		idleClosed = 2500 * time.Millisecond
+	)
+
+	s := newStopSystem(t, 4)
+	s.onlyPassedOn = true
+	s.startEngine("ledger", standin.WithSlots(4*connections))
+
+	for _, e := range s.entries {
+		s.awaitReady(e)
+	}
+
+	term := time.Now().Add(3 * time.Second)
+
+	for i, e := range s.entries {
+		s.stop(e, term)
+
+		random := rand.New(rand.NewPCG(uint64(i), 0))
+
+		for n := range connections {
+			opened := term.Add(-2*time.Second + time.Duration(n)*time.Millisecond)
+			sent := term.Add(idleClosed + time.Duration(random.IntN(20_000)-15_000)*time.Microsecond)
+			// A longer body and header take longer to read.
+			body := strings.Repeat("x", 1+random.IntN(2)*20_000)
+
+			s.at(opened, func() {
+				connection := s.connect(e, 0)
+				if connection == nil {
+					t.Error("got no connection before SIGTERM")
+					return
+				}
+
+				if s.send(connection, stopRequest{group: "before", path: "/book/x"}) {
+					<-time.After(time.Until(sent))
+					s.send(connection, stopRequest{group: "idle", path: "/book/x", body: body})
+				}
+
+				_ = connection.Close()
+			})
+		}
+	}
+
+	s.calling.Wait()
+	s.judge(t, "idle")
+}
