Close a caller's idle connection only if its next request has not been read

Callers saw: a request is passed on to a server and its connection ends without an answer, 2.5 s after SIGTERM of an entry host, or after the withdrawal of an address of apricotway serve. Nothing is logged, since the connection counts as closed.

Cause: Drain called http.Server.SetKeepAlivesEnabled, which closes each connection whose last state is idle. A connection stays idle until the header of its next request has been parsed, so requests that had been read were run on closed connections. Connections that had sent no request were served for up to 5 s more, and held up the stop.

Change: the server tracks for each connection whether a byte of the next request has been read. To close an idle connection it interrupts its read; if bytes have arrived by then they are served, else the HTTP server closes the connection by itself. The one goroutine that reads the connection decides, so a request is either not read or answered. TLS is added above the tracked connection. Abort, for what follows, ends the contexts of unfinished requests.

--- a/cmd/internal/callers/callers.go
+++ b/cmd/internal/callers/callers.go
@@ -3,13 +3,16 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/internal/pause"
 )
 
@@ -18,14 +21,20 @@
 const drainPollInterval = 10 * time.Millisecond
 
 // Server is an HTTP server for callers. http.Server.Shutdown drops the requests that it reads after its start, even on
-// connections that were accepted before; Drain answers these requests.
+// connections that were accepted before; Drain answers these requests. http.Server.SetKeepAlivesEnabled closes connections whose
+// next request it has already read; Drain doesn't.
 type Server struct {
-	server   *http.Server
-	listener net.Listener
-	accepted func()
-	draining atomic.Bool
-	// openConnections counts the connections that are neither closed nor hijacked.
-	openConnections atomic.Int64
+	server    *http.Server
+	listener  net.Listener
+	tlsConfig *tls.Config
+	accepted  func()
+	draining  atomic.Bool
+	// abort ends the contexts of all requests.
+	abort context.CancelCauseFunc
+
+	mu sync.Mutex
+	// open holds the connections that are neither closed nor hijacked.
+	open map[*connection]struct{}
 }
 
 // Option configures a Server.
@@ -34,26 +43,76 @@
 // WithAccepted sets a function that is called for each accepted connection.
 func WithAccepted(accepted func()) Option { return func(s *Server) { s.accepted = accepted } }
 
-// New returns a server for connections of the listener. It sets the ConnState hook of the HTTP server, which must be unused.
+// WithTLS encrypts the connections.
+func WithTLS(config *tls.Config) Option { return func(s *Server) { s.tlsConfig = config } }
+
+// New returns a server for connections of the listener. It sets the BaseContext and ConnState hooks of the HTTP server, which must
+// be unused.
 func New(server *http.Server, listener net.Listener, options ...Option) *Server {
-	s := &Server{server: server, listener: listener, accepted: func() {}}
+	s := &Server{server: server, accepted: func() {}, open: map[*connection]struct{}{}}
 	for _, option := range options {
 		option(s)
 	}
 
+	var base context.Context
+
+	base, s.abort = context.WithCancelCause(context.Background())
+	server.BaseContext = func(net.Listener) context.Context { return base }
 	server.ConnState = s.trackConnection
 
+	s.listener = trackingListener{Listener: listener, encrypted: s.tlsConfig != nil}
+	if s.tlsConfig != nil {
+		s.listener = tls.NewListener(s.listener, s.tlsConfig)
+	}
+
 	return s
 }
 
-func (s *Server) trackConnection(_ net.Conn, state http.ConnState) {
+// trackingListener wraps each connection that it accepts in a connection.
+type trackingListener struct {
+	net.Listener
+
+	encrypted bool
+}
+
+// Accept implements net.Listener.
+func (l trackingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+
+	return &connection{Conn: conn, encrypted: l.encrypted, accepted: time.Now(), waiting: true}, nil
+}
+
+func (s *Server) trackConnection(conn net.Conn, state http.ConnState) {
+	if encrypted, ok := conn.(*tls.Conn); ok {
+		conn = encrypted.NetConn()
+	}
+
+	c, ok := conn.(*connection)
+	if !ok {
+		return
+	}
+
 	switch state {
 	case http.StateNew:
 		s.accepted()
-		s.openConnections.Add(1)
+		s.mu.Lock()
+		s.open[c] = struct{}{}
+		s.mu.Unlock()
+	case http.StateActive:
+		c.use()
+	case http.StateIdle:
+		c.wait()
+
+		if s.draining.Load() {
+			c.closeUnused()
+		}
 	case http.StateClosed, http.StateHijacked:
-		s.openConnections.Add(-1)
-	case http.StateActive, http.StateIdle:
+		s.mu.Lock()
+		delete(s.open, c)
+		s.mu.Unlock()
 	}
 }
 
@@ -67,24 +126,53 @@
 	return err
 }
 
-// Drain stops accepting connections and waits until the open ones are closed, each after its last request is answered. It returns
-// an error if the context ends first.
+// Drain stops accepting connections and waits until the open ones are closed: at once if they wait for a request, the others after
+// their answer. It returns an error if the context ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
 
 	// If closing the listener fails, it is closed when the process exits.
 	_ = s.listener.Close()
 
+	if open := s.awaitClosed(ctx); open > 0 {
+		return errors.Wrapf(ctx.Err(), "%d connections still open", open)
+	}
+
+	return nil
+}
+
+// Abort ends the contexts of the unfinished requests with the cause apricotway.ErrStopping, and reading their bodies, and waits until
+// their handlers have ended them. It returns an error if the context ends first.
+func (s *Server) Abort(ctx context.Context) error {
+	s.abort(apricotway.ErrStopping)
+
+	s.mu.Lock()
+	for c := range s.open {
+		c.abortReading()
+	}
+	s.mu.Unlock()
+
+	if open := s.awaitClosed(ctx); open > 0 {
+		return errors.Wrapf(ctx.Err(), "%d connections still open", open)
+	}
+
+	return nil
+}
+
+// awaitClosed closes the connections that wait for a request and waits until no connection is open. It returns the number of open
+// connections, which is 0 unless the context ended first.
+func (s *Server) awaitClosed(ctx context.Context) int {
 	for {
-		// This closes idle connections, and the others after their next response.
-		s.server.SetKeepAlivesEnabled(false)
+		s.mu.Lock()
+		open := len(s.open)
 
-		if s.openConnections.Load() == 0 {
-			return nil
+		for c := range s.open {
+			c.closeUnused()
 		}
+		s.mu.Unlock()
 
-		if !pause.For(ctx, drainPollInterval) {
-			return errors.Wrapf(ctx.Err(), "%d connections still open", s.openConnections.Load())
+		if open == 0 || !pause.For(ctx, drainPollInterval) {
+			return open
 		}
 	}
 }
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -184,11 +184,12 @@
 	d.registerTimeline(operatorAPI)
 	d.registerMembers(operatorAPI)
 
-	if err := d.encryptCallers(); err != nil {
+	options, err := d.callersOptions()
+	if err != nil {
 		return err
 	}
 
-	d.callersServer = d.serve("callers", d.callers, d.closeWhenLeaving(callersAPI))
+	d.callersServer = d.serve("callers", d.callers, d.closeWhenLeaving(callersAPI), options...)
 	d.serve("operator", d.operator, operator.Authorise(operatorAPI, operatorDigests(s.Operators)))
 
 	return nil
@@ -215,14 +216,14 @@
 }
 
 // serve adds an HTTP server for the listener to the supervisor.
-func (d *Daemon) serve(name string, l *listener, handler http.Handler) *callers.Server {
+func (d *Daemon) serve(name string, l *listener, handler http.Handler, options ...callers.Option) *callers.Server {
 	l.server = &http.Server{
 		Handler:           d.panics.Handler(name, handler),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
 	}
 
-	server := callers.New(l.server, l.net)
+	server := callers.New(l.server, l.net, options...)
 
 	d.supervisor.Add(apricotway.ServiceFunc{Name: name, Func: func(context.Context) error {
 		if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
--- a/cmd/internal/daemon/security.go
+++ b/cmd/internal/daemon/security.go
@@ -1,10 +1,9 @@
 package daemon
 
 import (
-	"crypto/tls"
-
 	"github.com/go-faster/errors"
 
+	"github.com/apricotway/apricotway/cmd/internal/callers"
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/transport/certificate"
 	"github.com/apricotway/apricotway/transport/peer"
@@ -34,21 +33,19 @@
 	return nil
 }
 
-// encryptCallers wraps the listener for callers in TLS when the settings name a certificate.
-func (d *Daemon) encryptCallers() error {
+// callersOptions returns the options of the server for callers: TLS when the settings name a certificate.
+func (d *Daemon) callersOptions() ([]callers.Option, error) {
 	files := d.settings.TLS.Callers
 	if files == nil {
-		return nil
+		return nil, nil
 	}
 
 	source, err := certificate.New(d.supervisor, *files, certificate.WithLogger(d.logger))
 	if err != nil {
-		return errors.Wrap(err, "load certificate for callers")
+		return nil, errors.Wrap(err, "load certificate for callers")
 	}
 
-	d.callers.net = tls.NewListener(d.callers.net, source.ServerConfig())
-
-	return nil
+	return []callers.Option{callers.WithTLS(source.ServerConfig())}, nil
 }
 
 func operatorDigests(operators []settings.Operator) []string {
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"mime"
-	"net"
 	"net/http"
 
 	"github.com/go-faster/errors"
@@ -203,7 +202,7 @@
 		return // The caller has left.
 	}
 
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0) // Fails on a closed connection only.
 	}
 
--- a/refusal.go
+++ b/refusal.go
@@ -7,6 +7,10 @@
 	"github.com/go-faster/errors"
 )
 
+// ErrStopping is the cause with which the context of a caller's request ends when its process has to stop before the request has been
+// answered.
+var ErrStopping = errors.New("the process is stopping")
+
 // Execution is what is known about the execution of a failed request.
 type Execution string
 
