Answer the calls that are unfinished when an entry host has to stop

Callers saw: calls in an engine's queue, or whose answer had not begun for another reason, end with a closed connection when their process reaches its stop limit.

Cause: at the limit the process exited; the contexts of the calls never ended, so their handlers did nothing.

Change: at the limit the contexts of all unfinished calls end with the cause ErrStopping. A call that has not been sent, or whose body has not arrived, gets 503 as not run; one that may have run gets 502; a stream that has begun is closed without its end, as before. Calls that do not end even so, since their callers do not read, are logged (event 371). The process now stops waiting 0.75 s before the stop limit in place of 0.5 s: 0.35 s for these answers, the rest as before.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -55,8 +55,11 @@
 	sweepPeriod = 2 * time.Second
 	// leaveNoticeTime is how long a leave notice takes to reach every process.
 	leaveNoticeTime = 500 * time.Millisecond
-	// stopReserve is the part of the stop limit reserved for shutting down after the last request.
-	stopReserve = 500 * time.Millisecond
+	// stopReserve is the part of the stop limit reserved for shutting down after the last request. abortTime and usageTime are the
+	// parts of it in which unfinished requests are answered and the last usage counts are sent.
+	stopReserve = 750 * time.Millisecond
+	abortTime   = 350 * time.Millisecond
+	usageTime   = 250 * time.Millisecond
 	// keyValidityFraction is the fraction of the key revocation time after which API keys are no longer accepted, unless the configuration
 	// has been confirmed as current in the meantime.
 	keyValidityFraction = 0.85
@@ -335,7 +338,8 @@
 }
 
 // Stop shuts the process down gracefully: it announces its leave, keeps serving until the addresses that callers have cached
-// expire, and then waits for the requests in flight until shortly before the stop limit.
+// expire, and then waits for the requests in flight until shortly before the stop limit. Requests that are unfinished by then are
+// answered or aborted.
 func (e *Entry) Stop(ctx context.Context) {
 	process.Stopping(e.logger)
 
@@ -351,10 +355,11 @@
 	if err := e.callers.Drain(ctx); err != nil {
 		e.logger.Info("requests in flight aborted at the stop limit", "event", 107, "error", err.Error(),
 			"calls", e.relay.LogUnfinished())
+		e.abortCalls(ctx)
 	}
 
 	// The deadline of ctx may have passed already, so the final usage counts are sent with a deadline of their own.
-	closing, cancelClosing := context.WithTimeout(context.WithoutCancel(ctx), stopReserve/2)
+	closing, cancelClosing := context.WithTimeout(context.WithoutCancel(ctx), usageTime)
 	defer cancelClosing()
 
 	e.rollup.Stop(closing)
@@ -368,3 +373,13 @@
 	e.cancel()
 	process.Stopped(e.logger, <-e.stopped)
 }
+
+// abortCalls ends the calls in flight: those whose answer has not begun get one.
+func (e *Entry) abortCalls(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortTime)
+	defer cancel()
+
+	if err := e.callers.Abort(ctx); err != nil {
+		e.logger.Info("requests in flight end with the process", "event", 371, "error", err.Error(), "calls", e.relay.LogUnfinished())
+	}
+}
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -124,6 +124,13 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge", message: "the body is too large"}
 	}
 
+	if err != nil && c.aborted() {
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStopping, close: true,
+			message: "the process is stopping; use another address",
+		}
+	}
+
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "bodyTorn", message: "the body could not be read", close: true}
 	}
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -24,6 +24,7 @@
 	reasonResumed     = "resumed"
 	reasonMoved       = "moved"
 	reasonNoTime      = "noTime"
+	reasonStopping    = "stopping"
 )
 
 // refusal is an answer that the relay itself gives in place of a backend server.
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -327,11 +327,20 @@
 // fail refuses a call whose last attempt failed.
 func (c *call) fail(ctx context.Context, last attemptResult) {
 	switch {
+	case c.sends == 0 && c.aborted():
+		c.refuseNotRun(&refusal{
+			status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStopping,
+			message: "the process is stopping; use another address",
+		})
 	case c.sends == 0:
 		c.refuseNotRun(&refusal{
 			status: http.StatusServiceUnavailable, reason: last.reason, retryAfter: retryAfterRejection,
 			message: "no backend server took the call",
 		})
+	case c.aborted():
+		c.refuse(&refusal{
+			status: http.StatusBadGateway, reason: reasonStopping, message: "the process stopped; the outcome of the call is unknown",
+		})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		c.refuse(&refusal{status: http.StatusGatewayTimeout, reason: "timeout", message: "no answer in time"})
 	default:
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -180,7 +180,10 @@
 // abortAnswer closes the caller's connection in the middle of an answer, so that the caller doesn't take it for complete. It panics
 // with http.ErrAbortHandler and doesn't return.
 func (c *call) abortAnswer(ctx context.Context, send *dispatch.Send, reason string, outcome dispatch.Outcome) attemptResult {
-	if ctx.Err() != nil && errors.Is(c.request.Context().Err(), context.Canceled) {
+	switch {
+	case c.aborted():
+		reason = reasonStopping
+	case ctx.Err() != nil && errors.Is(c.request.Context().Err(), context.Canceled):
 		reason = reasonCallerLeft
 	}
 
