Refuse calls that would outlast a planned stop

Callers saw: streams that an entry host reads after SIGTERM are passed on to an engine and cut at the stop limit, though another process could have taken them.

Cause: a call was admitted as at any other time, whatever was left until the limit. Bodies and headers that arrive slowly, and first requests of open connections, bring calls until the end of the process.

Change: state/duration keeps the longest durations of each route's calls of the last 10 to 20 s: until the answer begins, and from then on, per token for streams. While the process stops, a call that has not been sent, and whose caller would wait beyond the limit, is refused with 503 and a Retry-After of 10 ms if 1.25 times the estimate does not fit; running calls of the route count with what they have taken so far. A route without recent calls is taken for 4 s. The call has not run and another process takes it at once.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -109,7 +109,10 @@
 	// content is the last content of the settings file. Only the goroutine that reloads the settings may access it.
 	content []byte
 
-	leaving atomic.Bool
+	// leaving is set when the process begins to stop, and stopLimit holds until when it then waits for calls in flight.
+	leaving   atomic.Bool
+	stopLimit atomic.Pointer[time.Time]
+
 	callers *callers.Server
 	servers []*http.Server
 	cancel  context.CancelFunc
@@ -182,7 +185,7 @@
 	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger), rollup.WithEras(e.eras))
 
 	e.relay = relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
-		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithLeaving(e.leaving.Load),
+		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithStop(e.stopping),
 		relay.WithQuarantine(e.suspects))
 
 	return e.serveAll(ctx, counters)
@@ -337,17 +340,27 @@
 	return addresses, time.Duration(e.settings.AddressValidity)
 }
 
+// stopping reports whether the process is stopping, and until when it waits for calls in flight.
+func (e *Entry) stopping() (limit time.Time, stopping bool) {
+	if at := e.stopLimit.Load(); at != nil {
+		return *at, true
+	}
+
+	return time.Time{}, false
+}
+
 // Stop shuts the process down gracefully: it announces its leave, keeps serving until the addresses that callers have cached
 // expire, and then waits for the requests in flight until shortly before the stop limit. Requests that are unfinished by then are
 // answered or aborted.
 func (e *Entry) Stop(ctx context.Context) {
 	process.Stopping(e.logger)
 
-	limit := time.Duration(e.settings.StopLimit) - stopReserve
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	limit := time.Now().Add(time.Duration(e.settings.StopLimit) - stopReserve)
+	ctx, cancel := context.WithDeadline(ctx, limit)
 
 	defer cancel()
 
+	e.stopLimit.Store(&limit)
 	e.leaving.Store(true)
 	e.membership.AnnounceLeave()
 	pause.For(ctx, time.Duration(e.settings.AddressValidity)+leaveNoticeTime)
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -40,7 +40,7 @@
 		return refused
 	}
 
-	if refused := c.readBody(); refused != nil {
+	if refused := c.readBody(ctx); refused != nil {
 		return refused
 	}
 
@@ -101,7 +101,7 @@
 	return nil
 }
 
-func (c *call) readBody() *refusal {
+func (c *call) readBody(ctx context.Context) *refusal {
 	limit := c.table.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBody
@@ -124,7 +124,7 @@
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge", message: "the body is too large"}
 	}
 
-	if err != nil && c.aborted() {
+	if err != nil && aborted(ctx) {
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStopping, close: true,
 			message: "the process is stopping; use another address",
@@ -136,7 +136,7 @@
 	}
 
 	c.body = []byte(body.String())
-	c.progress.bodyRead(c.relay.now())
+	c.progress.bodyRead(c.relay.now(), c.route.Name, c.answerSize())
 
 	return nil
 }
--- a/protocol/relay/inflight.go
+++ b/protocol/relay/inflight.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/duration"
 )
 
 // stage is what a call in flight waits for.
@@ -34,10 +35,15 @@
 	stage   stage
 	since   time.Time
 	server  apricotway.BackendServerID
-	// read is the time at which the whole request had been read; zero before.
-	read time.Time
+	// read is the time at which the whole request had been read, and route and size are its route and the size of its answer as
+	// answerSize states it. They are zero before.
+	read  time.Time
+	route string
+	size  int
 	// bytes is the size of the part of a stream that was written to the caller.
 	bytes int
+	// begun is the time at which the answer began; zero before.
+	begun time.Time
 }
 
 func (p *progress) identify(attempt apricotway.AttemptID) {
@@ -47,15 +53,27 @@
 	p.attempt = attempt
 }
 
-// bodyRead records that the whole request has been read.
-func (p *progress) bodyRead(now time.Time) {
+// bodyRead records that the whole request of a route has been read, whose answer has the given size.
+func (p *progress) bodyRead(now time.Time, route string, size int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.read = now
+	p.read, p.route, p.size = now, route, size
 	p.stage, p.since = stageLimit, now
 }
 
+// sample returns how long the call has taken since it was read, and its route; an empty route before that.
+func (p *progress) sample(now time.Time) (sample duration.Sample, route string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if p.begun.IsZero() {
+		return duration.Sample{Begin: now.Sub(p.read)}, p.route
+	}
+
+	return duration.Sample{Begin: p.begun.Sub(p.read), Rest: now.Sub(p.begun), Size: p.size}, p.route
+}
+
 func (p *progress) enter(stage stage, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -76,6 +94,13 @@
 	}
 }
 
+func (p *progress) began(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.begun = now
+}
+
 // passed records that a part of a stream was written to the caller.
 func (p *progress) passed(bytes int, now time.Time) {
 	p.mu.Lock()
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -78,7 +78,8 @@
 		name = c.route.Name
 	}
 
-	took := c.relay.now().Sub(c.arrived)
+	now := c.relay.now()
+	took := now.Sub(c.arrived)
 	c.relay.metrics.CallEnded(name, result, took)
 
 	version := uint64(0)
@@ -86,6 +87,10 @@
 		version = c.table.Version
 	}
 
+	if result == resultAnswered {
+		c.recordDuration(now)
+	}
+
 	began := time.Duration(0)
 	if !c.beganAt.IsZero() {
 		began = c.beganAt.Sub(c.arrived)
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/duration"
 	"github.com/apricotway/apricotway/state/quarantine"
 	"github.com/apricotway/apricotway/state/retrybudget"
 	"github.com/apricotway/apricotway/state/route"
@@ -89,10 +90,11 @@
 	quarantine   Quarantine
 	metrics      Metrics
 	logger       logr.Logger
-	leaving      func() bool
+	stop         func() (limit time.Time, stopping bool)
 	now          func() time.Time
 	bufferBudget bufferBudget
 	inFlight     inFlight
+	durations    *duration.Estimator
 }
 
 var _ http.Handler = (*Relay)(nil)
@@ -114,9 +116,11 @@
 // WithMover sets the mover that takes running streams off engines that leave. Without it they run until the engine stops.
 func WithMover(mover apricotway.RunMover) Option { return func(r *Relay) { r.mover = mover } }
 
-// WithLeaving sets the check whether the process is shutting down. Answers then close the connection, so that callers don't reuse
-// it.
-func WithLeaving(leaving func() bool) Option { return func(r *Relay) { r.leaving = leaving } }
+// WithStop sets the check whether the process is stopping, and until when calls may run. Answers then close the connection, so that
+// callers don't reuse it, and calls that would not end in time are refused.
+func WithStop(stop func() (limit time.Time, stopping bool)) Option {
+	return func(r *Relay) { r.stop = stop }
+}
 
 // New returns a relay.
 func New(
@@ -126,7 +130,8 @@
 	r := &Relay{
 		dialect: dialect, upstream: upstream, catalog: catalog, pool: pool, limiter: limiter, budget: budget, tally: began,
 		quarantine: noQuarantine{}, metrics: noMetrics{}, logger: logr.Discard(),
-		leaving: func() bool { return false }, now: time.Now, inFlight: inFlight{calls: map[*call]struct{}{}},
+		stop: func() (time.Time, bool) { return time.Time{}, false }, now: time.Now,
+		inFlight: inFlight{calls: map[*call]struct{}{}}, durations: duration.New(durationWindow),
 	}
 	for _, option := range options {
 		option(r)
@@ -198,7 +203,7 @@
 
 	c.boundWrites(defaultTimeout)
 
-	if r.leaving() {
+	if _, stopping := r.stop(); stopping {
 		w.Header().Set("Connection", "close")
 	}
 
@@ -268,6 +273,13 @@
 		}
 	}
 
+	if c.sends == 0 && c.outlastsStop(now) {
+		return nil, &refusal{
+			status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStopping,
+			message: "the process is stopping and can't finish the call; use another address",
+		}
+	}
+
 	request := dispatch.Request{
 		Service: c.service, Remaining: remaining, Avoid: c.tried, Once: !c.route.Repeatable(), Parts: c.metadata.Parts,
 	}
@@ -327,7 +339,7 @@
 // fail refuses a call whose last attempt failed.
 func (c *call) fail(ctx context.Context, last attemptResult) {
 	switch {
-	case c.sends == 0 && c.aborted():
+	case c.sends == 0 && aborted(ctx):
 		c.refuseNotRun(&refusal{
 			status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStopping,
 			message: "the process is stopping; use another address",
@@ -337,7 +349,7 @@
 			status: http.StatusServiceUnavailable, reason: last.reason, retryAfter: retryAfterRejection,
 			message: "no backend server took the call",
 		})
-	case c.aborted():
+	case aborted(ctx):
 		c.refuse(&refusal{
 			status: http.StatusBadGateway, reason: reasonStopping, message: "the process stopped; the outcome of the call is unknown",
 		})
@@ -383,5 +395,6 @@
 
 	c.usageCounted = true
 	c.beganAt = at
+	c.progress.began(at)
 	c.relay.tally.Add(at, c.workspace.Name)
 }
--- a/protocol/relay/stop.go
+++ b/protocol/relay/stop.go
@@ -7,12 +7,66 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/duration"
 )
 
-// retryAfterStopping is the Retry-After of calls that this process can't finish. Others can take them at once.
-const retryAfterStopping = 10 * time.Millisecond
+const (
+	// durationWindow is the time for which the longest duration of a route's calls is kept.
+	durationWindow = 10 * time.Second
+	// unknownDuration is the assumed duration of a call of a route of which no call has ended recently.
+	unknownDuration = 4 * time.Second
+	// durationMargin times the longest duration is the time that a call is given to end before the process stops.
+	durationMargin = 1.25
+	// retryAfterStopping is the Retry-After of calls that this process can't finish. Others can take them at once.
+	retryAfterStopping = 10 * time.Millisecond
+)
+
+// outlastsStop reports whether the process stops before the call is likely to end.
+func (c *call) outlastsStop(now time.Time) bool {
+	limit, stopping := c.relay.stop()
+	if !stopping || !c.deadline.After(limit) {
+		return false
+	}
+
+	longest, known := c.relay.durations.Longest(now, c.route.Name, c.answerSize(), c.relay.runningSamples(now, c))
+	if !known {
+		longest = unknownDuration
+	}
+
+	return now.Add(scale(longest, durationMargin)).After(limit)
+}
+
+// answerSize returns the number of tokens by which the duration of the answer is estimated; 0 for calls that are not streamed.
+func (c *call) answerSize() int {
+	if c.route.Kind != apricotway.RouteStream || !c.metadata.HasTokens {
+		return 0
+	}
+
+	return max(c.metadata.AnswerTokens, 1)
+}
 
-// aborted reports whether the call ends because its process stops.
-func (c *call) aborted() bool {
-	return errors.Is(context.Cause(c.request.Context()), apricotway.ErrStopping)
+// recordDuration adds the call, which was answered, to the durations of its route.
+func (c *call) recordDuration(now time.Time) {
+	if sample, route := c.progress.sample(now); route != "" {
+		c.relay.durations.Record(now, route, sample)
+	}
 }
+
+// runningSamples returns how long the calls in flight of the call's route have taken.
+func (r *Relay) runningSamples(now time.Time, c *call) []duration.Sample {
+	r.inFlight.mu.Lock()
+	defer r.inFlight.mu.Unlock()
+
+	var samples []duration.Sample
+
+	for other := range r.inFlight.calls {
+		if sample, route := other.progress.sample(now); other != c && route == c.route.Name {
+			samples = append(samples, sample)
+		}
+	}
+
+	return samples
+}
+
+// aborted reports whether the context of a call has ended because its process stops.
+func aborted(ctx context.Context) bool { return errors.Is(context.Cause(ctx), apricotway.ErrStopping) }
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -181,7 +181,7 @@
 // with http.ErrAbortHandler and doesn't return.
 func (c *call) abortAnswer(ctx context.Context, send *dispatch.Send, reason string, outcome dispatch.Outcome) attemptResult {
 	switch {
-	case c.aborted():
+	case aborted(ctx):
 		reason = reasonStopping
 	case ctx.Err() != nil && errors.Is(c.request.Context().Err(), context.Canceled):
 		reason = reasonCallerLeft
