--- a/cmd/scenario/plannedstop_test.go
+++ b/cmd/scenario/plannedstop_test.go
@@ -565,3 +565,64 @@
 	s.calling.Wait()
 	s.judge(t, "idle")
 }
+
+// TestPlannedStopSignals guards against calls that are cut, although they end before the limit, when processes stop at once and get
+// changed settings, SIGHUP, new configurations and a second SIGTERM meanwhile.
+func TestPlannedStopSignals(t *testing.T) {
+	t.Parallel()
+
+	const count = 40
+
+	s := newStopSystem(t, entryCount)
+	for _, e := range s.entries {
+		s.awaitReady(e)
+	}
+
+	term := time.Now().Add(2 * time.Second)
+	after := func(seconds float64) time.Time { return term.Add(time.Duration(seconds * float64(time.Second))) }
+
+	for n, e := range s.entries {
+		for i := range count {
+			// A stream takes 3 s, so the last of them end 7.1 s after SIGTERM.
+			last := -1 + 5.1*float64(i)/count
+
+			s.callAt(e, after(last-1), after(last), stopRequest{group: "stream", path: "/chat/x"})
+			s.callAt(e, after(last-2), after(last), stopRequest{group: "call", path: "/book/x"})
+			s.callAt(e, after(last-2), after(last-2), stopRequest{
+				group: "slow body", path: "/chat/x", body: "first half, second half", pauseAt: "half, second", resume: after(last),
+			})
+		}
+
+		if n > 0 {
+			s.stop(e, term)
+			s.at(after(3), func() { <-s.terminate(e) })
+		}
+
+		process, _ := s.process(e)
+		for _, seconds := range []float64{0.5, 2.6, 5} {
+			s.at(after(seconds), func() {
+				content, err := os.ReadFile(e.settings)
+				if err == nil {
+					err = os.WriteFile(e.settings, append(content, '\n'), 0o600)
+				}
+
+				if err != nil {
+					t.Error(err)
+				}
+
+				_ = process.Signal(syscall.SIGHUP) // The process may have ended.
+			})
+		}
+	}
+
+	for _, seconds := range []float64{-0.5, 0.2, 2.5, 4} {
+		<-time.After(time.Until(after(seconds)))
+		s.publish()
+	}
+
+	s.calling.Wait()
+
+	for _, group := range []string{"stream", "call", "slow body"} {
+		t.Run(group, func(t *testing.T) { s.judge(t, group) })
+	}
+}
