Let callers.New take the context of requests from its caller

The linter asks for it since (contextcheck), which landed with three reports of it; no behaviour changes.

--- a/cmd/internal/callers/callers.go
+++ b/cmd/internal/callers/callers.go
@@ -46,18 +46,16 @@
 // WithTLS encrypts the connections.
 func WithTLS(config *tls.Config) Option { return func(s *Server) { s.tlsConfig = config } }
 
-// New returns a server for connections of the listener. It sets the BaseContext and ConnState hooks of the HTTP server, which must
-// be unused.
-func New(server *http.Server, listener net.Listener, options ...Option) *Server {
+// New returns a server for connections of the listener. The contexts of requests have the values of ctx but do not end with it. New
+// sets the BaseContext and ConnState hooks of the HTTP server, which must be unused.
+func New(ctx context.Context, server *http.Server, listener net.Listener, options ...Option) *Server {
 	s := &Server{server: server, accepted: func() {}, open: map[*connection]struct{}{}}
 	for _, option := range options {
 		option(s)
 	}
 
-	var base context.Context
-
-	base, s.abort = context.WithCancelCause(context.Background())
-	server.BaseContext = func(net.Listener) context.Context { return base }
+	ctx, s.abort = context.WithCancelCause(context.WithoutCancel(ctx))
+	server.BaseContext = func(net.Listener) context.Context { return ctx }
 	server.ConnState = s.trackConnection
 
 	s.listener = trackingListener{Listener: listener, encrypted: s.tlsConfig != nil}
--- a/cmd/internal/callers/callers_test.go
+++ b/cmd/internal/callers/callers_test.go
@@ -89,7 +89,7 @@
 	}
 
 	delayed := delayedListener{listener, make(chan *delayedConn, 1)}
-	server := callers.New(&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, delayed)
+	server := callers.New(t.Context(), &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, delayed)
 
 	go func() { _ = server.Serve() }()
 
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -189,8 +189,8 @@
 		return err
 	}
 
-	d.callersServer = d.serve("callers", d.callers, d.closeWhenLeaving(callersAPI), options...)
-	d.serve("operator", d.operator, operator.Authorise(operatorAPI, operatorDigests(s.Operators)))
+	d.callersServer = d.serve(ctx, "callers", d.callers, d.closeWhenLeaving(callersAPI), options...)
+	d.serve(ctx, "operator", d.operator, operator.Authorise(operatorAPI, operatorDigests(s.Operators)))
 
 	return nil
 }
@@ -216,14 +216,16 @@
 }
 
 // serve adds an HTTP server for the listener to the supervisor.
-func (d *Daemon) serve(name string, l *listener, handler http.Handler, options ...callers.Option) *callers.Server {
+func (d *Daemon) serve(
+	ctx context.Context, name string, l *listener, handler http.Handler, options ...callers.Option,
+) *callers.Server {
 	l.server = &http.Server{
 		Handler:           d.panics.Handler(name, handler),
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
 	}
 
-	server := callers.New(l.server, l.net, options...)
+	server := callers.New(ctx, l.server, l.net, options...)
 
 	d.supervisor.Add(apricotway.ServiceFunc{Name: name, Func: func(context.Context) error {
 		if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -200,7 +200,7 @@
 		return err
 	}
 
-	e.callers = callers.New(e.server("callers", e.relay), listener, callers.WithAccepted(counters.accepted.Inc))
+	e.callers = callers.New(ctx, e.server("callers", e.relay), listener, callers.WithAccepted(counters.accepted.Inc))
 	e.serve("callers", e.callers.Serve)
 
 	operators := operator.New(e.registry, func() error {
