Count each engine that was asked to continue a stream

Callers saw nothing of it; engines did: a stream whose engine broke off was sent to engine after engine, far beyond the route's max_attempts, as long as each of them answered with an error or closed the connection. sendResume counted an attempt only when the engine answered 200, so the bound in mayRetry never took effect and only the retry budget and the deadline ended the loop.

An attempt counts now unless the engine said that it did not run the call or nothing was sent. Runs that continue from a KV cache still count as the same run. A refused resumption also ends its send as full or misdirected, as the first attempt does.

TestResumptionsCount failed before with 71 sends in place of 3 for status 500 and for a closed connection, and passes now.

--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -146,7 +146,8 @@
 	c.writeHeader(answer, -1)
 
 	current := &engineRun{
-		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, end: func() {},
+		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited,
+		end: func() {},
 	}
 	defer func() { current.end() }()
 
@@ -215,7 +216,7 @@
 	send    *dispatch.Send
 	body    io.Reader
 	silence *silenceTimer
-	// end releases the run's resources. It does nothing for the first run, whose resources the attempt releases.
+	// end releases the run's resources; the attempt releases those of the first run.
 	end func()
 	// memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
 	memory *apricotway.RunKVCache
@@ -379,18 +380,23 @@
 	silence := c.startSilenceTimer(send, cancel)
 
 	answer, metadata, err := c.send(attempt, send, apricotway.SendMetadata{Urgency: 0, LastEvent: last, Memory: memory})
-	if err == nil && answer.Status == http.StatusOK {
-		if memory == nil {
-			c.sends++
-		}
 
+	mayHaveRun := err == nil && !metadata.NotRun || err != nil && !errors.Is(err, apricotway.ErrNotSent)
+	// A run that continues from its memory counts as the same run.
+	if mayHaveRun && memory == nil {
+		c.sends++
+	}
+
+	if err == nil && answer.Status == http.StatusOK {
 		send.RecordFirstEvent(c.relay.now(), metadata.Load)
 
-		return &engineRun{send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, end: func() {
-			silence.stop()
-			_ = answer.Body.Close() // The rest of the stream is not needed.
-			cancel()
-		}}
+		return &engineRun{
+			send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, end: func() {
+				silence.stop()
+				_ = answer.Body.Close() // The rest of the stream is not needed.
+				cancel()
+			},
+		}
 	}
 
 	if err == nil {
@@ -405,6 +411,12 @@
 	switch {
 	case ctx.Err() != nil:
 		outcome = dispatch.OutcomeLeft
+	case err == nil && answer.Status == http.StatusMisdirectedRequest:
+		outcome = dispatch.OutcomeMisdirected
+	case err == nil && metadata.NotRun:
+		send.RecordLoad(c.relay.now(), metadata.Load)
+
+		outcome = dispatch.OutcomeFull
 	case err != nil && !errors.Is(err, apricotway.ErrNotSent) && !silence.fired():
 		c.reportBroken(send, c.acquitted, err)
 	}
