Close the connection of a broken stream before another engine continues it

An engine that sent bytes that are no chunk in the middle of its stream, and kept its connection, worked on while the next engine continued the stream, since the connection was closed only after the next engine's head had arrived; that of the first engine even only at the end of the call. The run is ended now before another engine is asked. The body of an answer may therefore be closed twice; the second time has no effect, as its connection may serve another call by then.

TestStoppedBeforeResumption, whose second engine answers once the first connection has ended, failed before with an incomplete stream after 1 s, and passes now.

--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -147,7 +147,7 @@
 
 	current := &engineRun{
 		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited,
-		end: func() {},
+		end: func() { _ = answer.Body.Close() }, // The rest of the stream is not needed.
 	}
 	defer func() { current.end() }()
 
@@ -216,7 +216,7 @@
 	send    *dispatch.Send
 	body    io.Reader
 	silence *silenceTimer
-	// end releases the run's resources; the attempt releases those of the first run.
+	// end releases the run's resources; the attempt releases the rest of those of the first run. Calling it twice has no effect.
 	end func()
 	// memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
 	memory *apricotway.RunKVCache
@@ -262,13 +262,14 @@
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
+		// An engine that still generates must stop before another one continues.
+		run.end()
+
 		next := c.continueRun(ctx, run, splitter, reason)
 		if next == nil {
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
-		run.end()
-
 		*current, first, err = next, nil, nil
 	}
 }
--- a/transport/upstream/resumption_test.go
+++ b/transport/upstream/resumption_test.go
@@ -17,6 +17,44 @@
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(content), content)
 }
 
+func chunk(content string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(content), content) }
+
+// TestStoppedBeforeResumption guards against two engines that work on a stream at a time: the first one sends bytes that are no chunk
+// and goes on, and the second one answers once the connection of the first one has ended.
+func TestStoppedBeforeResumption(t *testing.T) {
+	var sends atomic.Int64
+
+	stopped := make(chan struct{})
+	answer := func(conn net.Conn, _ string) bool {
+		if sends.Add(1) == 1 {
+			write(conn, streamHead+"Transfer-Encoding: chunked\r\n\r\n"+chunk(event(1))+"no chunk\r\n")
+
+			_, _ = conn.Read(make([]byte, 1))
+
+			close(stopped)
+
+			return false
+		}
+
+		<-stopped
+		write(conn, framed(streamHead, event(2)))
+
+		return true
+	}
+
+	h := newHarness(t)
+	for i := range 2 {
+		h.pool.Update(apricotway.Backend{
+			ID: apricotway.BackendServerID(fmt.Sprint(i)), Service: "s", Slots: 8, Address: newBackend(t, answer).address,
+		}, time.Now())
+	}
+
+	_, got, err := h.call("/resumable/", map[string]string{"Wait": "1s"}) //nolint:bodyclose // The call has read and closed it.
+	if want := event(1) + event(2); err != nil || got != want {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+}
+
 // TestResumptionsCount guards against more runs of a stream than its route allows: every engine that was asked to continue it and did
 // not say that it did not run the call counts.
 func TestResumptionsCount(t *testing.T) {
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -323,6 +323,7 @@
 	response   *http.Response
 	reusable   bool
 	sawEOF     bool
+	closed     bool
 }
 
 // Read implements io.Reader.
@@ -337,6 +338,12 @@
 
 // Close implements io.Closer.
 func (b *body) Close() error {
+	// The connection may serve another call by now.
+	if b.closed {
+		return nil
+	}
+
+	b.closed = true
 	running := b.stop()
 
 	// Data after the body belongs to no call, so the connection must not be used again.
