Take no answer of another content type for the rest of a stream

When the next engine answered with status 200 and a JSON error, callers found its text up to the last empty line in the middle of their stream, and a long unfinished event of an engine that failed was written behind the last whole one. A resumed stream must be an event stream now, and what arrived of an unfinished event is dropped, since the answer is aborted anyway.

TestFailedResumption and TestFailedMove failed before for JSON with an empty line: the caller got `{"error":` behind event 2. Both pass now.

--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -86,6 +86,11 @@
 	return ready, progress
 }
 
+// resume prepares the splitter for the events of an engine that continues after the last complete event.
+func (e *eventSplitter) resume() {
+	e.pending, e.passed, e.plain = nil, 0, false
+}
+
 // rest returns the bytes that were not yet passed on.
 func (e *eventSplitter) rest() []byte {
 	e.pending = append(e.pending[:0], e.pending[e.passed:]...)
@@ -276,8 +281,7 @@
 
 // continueRun returns a run that continues after the last complete event, or nil when there is none.
 func (c *call) continueRun(ctx context.Context, run *engineRun, splitter *eventSplitter, reason string) *engineRun {
-	rest := splitter.rest()
-	splitter.pending = nil
+	splitter.resume()
 
 	if run.memory != nil {
 		if moved := c.continueMoved(ctx, run, splitter.last); moved != nil {
@@ -293,9 +297,6 @@
 		return c.resume(ctx, splitter.last)
 	}
 
-	// The stream breaks off here; the caller still gets what arrived of the last event.
-	_, _ = c.writer.Write(rest)
-
 	return nil
 }
 
@@ -388,7 +389,8 @@
 		c.sends++
 	}
 
-	if err == nil && answer.Status == http.StatusOK {
+	// An error may come with status 200 and another content type.
+	if err == nil && answer.Status == http.StatusOK && isEventStream(answer.Header) {
 		send.RecordFirstEvent(c.relay.now(), metadata.Load)
 
 		return &engineRun{
