Take no empty answer for the end of a resumed stream

A stream that had broken off ended as if it were complete when the next engine answered 200 with a proper end and no event, or with comments only. A run that continues another one must have an event now; otherwise the next engine is tried, and the answer stays incomplete when there is none. The first engine may still send an empty stream of a stated length.

TestFailedResumption and TestFailedMove failed before for three empty answers (length 0, no chunk, only comments) with a complete answer of two events, and TestResumptionsCount with 2 sends in place of 3. They pass now.

--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -226,14 +226,21 @@
 	// memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
 	memory *apricotway.RunKVCache
 	next   *dispatch.Send
-	// closeDelimited is that of the answer, and began is set once the run's first event has arrived.
-	closeDelimited, began bool
+	// closeDelimited is that of the answer, and began is set once the run's first event has arrived. resumed is set when the run
+	// continues that of another engine.
+	closeDelimited, began, resumed bool
 	// err is the error with which reading the body failed.
 	err error
 	// noMove is set when moving the run was tried in vain; it is not tried again.
 	noMove bool
 }
 
+// lacksEvents reports whether the run must not end yet. The first engine may send an empty stream of a stated length, but a stream
+// that broke off has at least one more event.
+func (r *engineRun) lacksEvents(plain bool) bool {
+	return !r.began && (r.resumed || r.closeDelimited && !plain)
+}
+
 // passStream passes on a stream in complete events. When the engine leaves, or breaks off and the stream may be resumed, the stream
 // continues at another engine, and the current run is replaced.
 func (c *call) passStream(
@@ -327,7 +334,7 @@
 			c.progress.passed(len(ready), c.relay.now())
 		}
 
-		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.closeDelimited && !current.began && !splitter.plain) {
+		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.lacksEvents(splitter.plain)) {
 			err = io.ErrUnexpectedEOF
 		}
 
@@ -394,7 +401,7 @@
 		send.RecordFirstEvent(c.relay.now(), metadata.Load)
 
 		return &engineRun{
-			send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, end: func() {
+			send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, resumed: true, end: func() {
 				silence.stop()
 				_ = answer.Body.Close() // The rest of the stream is not needed.
 				cancel()
--- a/transport/upstream/resumption_test.go
+++ b/transport/upstream/resumption_test.go
@@ -37,6 +37,9 @@
 	"JSON":                 {answer: framed("HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: application/json\r\n", `{"error":"foreign"}`)},
 	"JSON with empty line": {answer: framed("HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: application/json\r\n", "{\"error\":\n\n\"foreign\"}")},
 	"JSON as events":       {answer: framed(streamHead, `{"error":"foreign"}`)},
+	"no event":             {answer: framed(streamHead, "")},
+	"no event, in chunks":  {answer: streamHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+	"only comments":        {answer: framed(streamHead, ": waiting\n\n"), passed: ": waiting\n\n", again: ": waiting\n\n"},
 	"closed at once":       {answer: ""},
 	"half a head":          {answer: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nX: foreign"},
 	"head only":            {answer: streamHead + "\r\n"},
@@ -203,7 +206,7 @@
 func TestResumptionsCount(t *testing.T) {
 	for name, answer := range map[string]string{
 		"status 500": framed("HTTP/1.1 500 Internal Server Error\r\nAttempt: 1\r\n", "failed"), "closed": "",
-		"JSON": framed("HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: application/json\r\n", "{}"),
+		"no event": framed(streamHead, ""), "JSON": framed("HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: application/json\r\n", "{}"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var sends atomic.Int64
