Pass on only events that continue a resumed stream

Events of the next engine were passed on as they came. When it began from the start, repeated or skipped an event, or sent the text or the whole head of an error within its event stream, callers got events twice or not at all, or that text between their events, and the stream then looked complete.

In a resumed stream, each event must have an identifier now that is greater than the last one, and the next number if the stream has counted its events so far. A stream whose last event has no identifier is neither resumed nor moved. The events of the first engine are passed on as before.

TestFailedResumption and TestFailedMove failed before for 12 and 9 more kinds of answers, among them a repeated and a skipped event, the whole stream from the start, an error event, and the head of another answer behind an event and in a chunk. They pass now.

--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -21,7 +21,7 @@
 // moveIfLeaving moves the run to another engine when its engine is leaving: the engine stops within seconds, whatever still runs
 // there.
 func (c *call) moveIfLeaving(ctx context.Context, current *engineRun, splitter *eventSplitter) {
-	if c.relay.mover == nil || current.memory != nil || current.noMove || splitter.last == "" || splitter.passedPart ||
+	if c.relay.mover == nil || current.memory != nil || current.noMove || splitter.last == "" || splitter.passedPart || splitter.unnumbered ||
 		!c.relay.pool.Leaving(current.send.Backend.ID) || c.deadline.Sub(c.relay.now()) < minMoveRemaining {
 		return
 	}
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -23,7 +23,9 @@
 	reasonServerError = "serverError"
 	reasonResumed     = "resumed"
 	reasonMoved       = "moved"
-	reasonNoTime      = "noTime"
+	// reasonNotContinued is that of an engine whose events don't follow those before them.
+	reasonNotContinued = "notContinued"
+	reasonNoTime       = "noTime"
 )
 
 // refusal is an answer that the relay itself gives in place of a backend server.
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -7,6 +7,7 @@
 	"mime"
 	"net"
 	"net/http"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -35,6 +36,14 @@
 	passedPart bool
 	// open is set while an event of which a part was passed on has not ended.
 	open bool
+	// unnumbered is set while the last complete event has no identifier, so that no engine can continue after it.
+	unnumbered bool
+	// steps is set once an identifier was the number after the one before it, gaps once one was not.
+	steps, gaps bool
+	// resumed is set while the events must continue after the last one.
+	resumed bool
+	// foreign is set when an event did not continue the stream. Neither that event nor what follows it is passed on.
+	foreign bool
 }
 
 var (
@@ -43,6 +52,9 @@
 	eventID   = []byte("id:")
 )
 
+// errNotContinued reports an answer that does not continue the stream after its last event.
+var errNotContinued = errors.New("the stream is not continued after its last event")
+
 // completeSize returns the size in bytes of the complete events at the beginning of content.
 func completeSize(content []byte) int {
 	size := 0
@@ -56,6 +68,20 @@
 	return size
 }
 
+// firstEventSize returns the size in bytes of the first event of complete events.
+func firstEventSize(events []byte) int {
+	size := 0
+
+	for line := range bytes.Lines(events) {
+		// An empty line at the beginning belongs to the event before it.
+		if size += len(line); size > len(line) && len(bytes.TrimRight(line, "\r\n")) == 0 {
+			break
+		}
+	}
+
+	return size
+}
+
 // add appends a chunk and returns the bytes that can be passed on: complete events, or a part of one that is too long to be
 // buffered. They are valid until the next call. progress is true when they contain a complete line other than a comment or an
 // empty one; parts of events are no progress.
@@ -64,31 +90,107 @@
 
 	size := completeSize(e.pending)
 	if size == 0 {
-		if len(e.pending) > maxPending {
-			e.passed, e.passedPart, e.open = len(e.pending), true, true
+		e.passPart()
+		return e.pending[:e.passed], false
+	}
+
+	for e.passed < size {
+		event := e.pending[e.passed : e.passed+firstEventSize(e.pending[e.passed:size])]
+
+		id, fields := eventFields(event)
+		if !e.continues(id, fields) {
+			e.foreign = true
+			break
 		}
 
-		return e.pending[:e.passed], false
+		e.passed += len(event)
+		e.record(id, fields)
+		progress = progress || fields
+	}
+
+	return e.pending[:e.passed], progress
+}
+
+// passPart passes on the pending part of an event if it is too long to be buffered.
+func (e *eventSplitter) passPart() {
+	if len(e.pending) <= maxPending {
+		return
+	}
+
+	if id, _ := eventFields(e.pending); !e.continues(id, true) {
+		e.foreign = true
+		return
 	}
 
-	e.passed, e.open = size, false
-	ready = e.pending[:size]
+	e.passed, e.passedPart, e.open = len(e.pending), true, true
+}
 
-	for line := range bytes.Lines(ready) {
-		if id, ok := bytes.CutPrefix(line, eventID); ok {
-			e.last = string(bytes.TrimSpace(id))
+// eventFields returns the identifier of an event, empty if it has none, and whether it has any line other than comments and empty
+// ones.
+func eventFields(event []byte) (id string, fields bool) {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, eventID); ok && bytes.HasSuffix(line, []byte("\n")) {
+			id = string(bytes.TrimSpace(value))
 		}
 
 		line = bytes.TrimRight(line, "\r\n")
-		progress = progress || len(line) > 0 && line[0] != ':'
+		fields = fields || len(line) > 0 && line[0] != ':'
+	}
+
+	return id, fields
+}
+
+// continues reports whether an event with the given identifier may follow the last one. Only the events of a resumed stream are
+// checked; those of the first engine are passed on as they are.
+func (e *eventSplitter) continues(id string, fields bool) bool {
+	if !e.resumed || !fields || e.open {
+		return true
+	}
+
+	last, lastErr := strconv.ParseUint(e.last, 10, 64)
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+
+	switch {
+	case id == "" || id == e.last:
+		return false
+	case lastErr != nil || nextErr != nil:
+		return true
+	case e.steps && !e.gaps:
+		return next == last+1
+	default:
+		return next > last
+	}
+}
+
+// record records a complete event that is passed on.
+func (e *eventSplitter) record(id string, fields bool) {
+	e.open = false
+
+	if !fields {
+		return
+	}
+
+	e.unnumbered = id == ""
+	if e.unnumbered {
+		return
 	}
 
-	return ready, progress
+	last, lastErr := strconv.ParseUint(e.last, 10, 64)
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+
+	// A stream that was not resumed by its caller begins with 0 or 1 if its events are counted.
+	if nextErr == nil && (lastErr == nil || e.last == "" && next > 0) {
+		e.steps = e.steps || next == last+1
+		e.gaps = e.gaps || next != last+1
+	}
+
+	e.last = id
 }
 
 // resume prepares the splitter for the events of an engine that continues after the last complete event.
 func (e *eventSplitter) resume() {
-	e.pending, e.passed, e.plain = nil, 0, false
+	e.pending, e.passed, e.foreign, e.plain = nil, 0, false, false
+	e.resumed = e.last != ""
 }
 
 // rest returns the bytes that were not yet passed on.
@@ -300,7 +402,7 @@
 		c.reportBroken(run.send, c.acquitted, run.err)
 	}
 
-	if c.route.Resumable && !splitter.passedPart {
+	if c.route.Resumable && !splitter.passedPart && !splitter.unnumbered {
 		return c.resume(ctx, splitter.last)
 	}
 
@@ -338,6 +440,10 @@
 			err = io.ErrUnexpectedEOF
 		}
 
+		if splitter.foreign {
+			err = errNotContinued
+		}
+
 		switch {
 		case errors.Is(err, io.EOF) && current.memory == nil:
 			// Empty lines at the end. A write fails only when the caller has left.
@@ -350,6 +456,8 @@
 			return reasonMoved, dispatch.OutcomeDone
 		case err != nil && current.silence.fired():
 			return reasonSilent, dispatch.OutcomeFailed
+		case splitter.foreign:
+			return reasonNotContinued, dispatch.OutcomeFailed
 		case err != nil:
 			current.err = err
 			return reasonBroken, dispatch.OutcomeFailed
--- a/transport/upstream/resumption_test.go
+++ b/transport/upstream/resumption_test.go
@@ -37,6 +37,8 @@
 	"JSON":                 {answer: framed("HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: application/json\r\n", `{"error":"foreign"}`)},
 	"JSON with empty line": {answer: framed("HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Type: application/json\r\n", "{\"error\":\n\n\"foreign\"}")},
 	"JSON as events":       {answer: framed(streamHead, `{"error":"foreign"}`)},
+	"text as events":       {answer: framed(streamHead, "foreign\n\n")},
+	"error event":          {answer: framed(streamHead, "event: error\ndata: foreign\n\n")},
 	"no event":             {answer: framed(streamHead, "")},
 	"no event, in chunks":  {answer: streamHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
 	"only comments":        {answer: framed(streamHead, ": waiting\n\n"), passed: ": waiting\n\n", again: ": waiting\n\n"},
@@ -44,6 +46,28 @@
 	"half a head":          {answer: "HTTP/1.1 200 OK\r\nAttempt: 1\r\nX: foreign"},
 	"head only":            {answer: streamHead + "\r\n"},
 	"another attempt":      {answer: framed(strings.Replace(streamHead, "1\r\n", "2\r\n", 1), "id: 3\ndata: foreign\n\n")},
+	"from the start":       {answer: framed(streamHead, event(1)+event(2)+event(3)+event(4))},
+	"repeated event":       {answer: framed(streamHead, event(2)+event(3)+event(4))},
+	"skipped event":        {answer: framed(streamHead, event(4))},
+	"skipped later":        {answer: framed(streamHead, event(3)+"id: 5\ndata: foreign\n\n"), passed: event(3)},
+	"head behind an event": {
+		answer: streamHead + "\r\n" + event(3) + "HTTP/1.1 500 No\r\nX: foreign\r\n\r\nforeign",
+		passed: event(3),
+	},
+	"head in a chunk": {
+		answer: streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(3)) + chunk("HTTP/1.1 500 No\r\n\r\nforeign\r\n\r\n") + "0\r\n\r\n",
+		passed: event(3),
+	},
+	"head in place of a chunk": {
+		answer: streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(3)) + "HTTP/1.1 500 No\r\n\r\nforeign",
+		passed: event(3),
+	},
+	"broken chunk size": {
+		answer: streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(3)) + "1",
+		passed: event(3),
+	},
+	"half an event": {answer: streamHead + "\r\n" + event(3) + "id: 4\ndata: fore", passed: event(3)},
+	"long text":     {answer: framed(streamHead, strings.Repeat("foreign ", 8<<10))},
 }
 
 func chunk(content string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(content), content) }
