Send no attempt twice on one connection to a backend server

A caller that sends an attempt again after a refusal, or resumes a stream with the attempt of its first run, could get its call run twice: the call went out on the pooled connection that had carried the first one, and a copy of the refusal, which names the same attempt, was taken for the answer while the server ran the call. Only the sends of one and the same call were kept apart, by the servers that it had tried.

Each connection remembers the attempts that it has carried, as hashes of 8 bytes, and is not used for them again; it is closed after 256 calls, which bounds the memory. This replaces ForwardedCall.NewConnection: a call that tries a server again may use another pooled connection now.

--- a/forwarding.go
+++ b/forwarding.go
@@ -136,9 +136,9 @@
 	Body   []byte
 	// IsAnswer reports whether an answer belongs to this call. Other answers on the connection are skipped.
 	IsAnswer func(status int, header http.Header) bool
-	// NewConnection forbids the use of a connection that was used before. On such a connection, a late second answer to an
-	// earlier send of the same call could not be told from the answer to this send.
-	NewConnection bool
+	// Attempt is the attempt that the answer names. The call is not sent on a connection that has carried the same attempt before:
+	// a late second answer to that send could not be told from the answer to this one. If it is empty, any connection is used.
+	Attempt AttemptID
 }
 
 // ForwardedAnswer is the answer of a backend server. The receiver must close its body.
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -102,12 +101,11 @@
 
 // forwardedCall returns the call as it is sent to the server, and adds the server to those that were tried.
 func (c *call) forwardedCall(header http.Header, send *dispatch.Send) apricotway.ForwardedCall {
-	again := slices.Contains(c.tried, send.Backend.ID)
 	c.tried = append(c.tried, send.Backend.ID)
 
 	return apricotway.ForwardedCall{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
-		NewConnection: again,
+		Attempt: c.metadata.Attempt,
 		// An answer without an attempt identifier may be a late answer to an earlier call on the connection, even when it says
 		// that the call was not run.
 		IsAnswer: func(status int, header http.Header) bool {
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -6,11 +6,13 @@
 	"bufio"
 	"bytes"
 	"context"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +33,8 @@
 	idleMargin = 500 * time.Millisecond
 	// maxIdle is the maximum number of idle connections per server.
 	maxIdle = 32
+	// maxCalls is the maximum number of calls on one connection, which remembers the attempt of each of them in 8 bytes.
+	maxCalls = 256
 	// maxForeignAnswers is the maximum number of answers to other calls that are skipped on a connection before the expected one.
 	maxForeignAnswers = 2
 	// maxInformational is the maximum number of informational (1xx) answers before a final one.
@@ -55,6 +59,7 @@
 	dialTimeout time.Duration
 	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	onDial      func()
+	seed        maphash.Seed
 
 	mu   sync.Mutex
 	idle map[netip.AddrPort][]*connection
@@ -78,7 +83,7 @@
 	}}
 	p := &Pool{
 		dialTimeout: defaultDialTimeout, dial: dialer.DialContext, onDial: func() {},
-		idle: map[netip.AddrPort][]*connection{},
+		seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*connection{},
 	}
 
 	for _, option := range options {
@@ -97,8 +102,14 @@
 	headBytesLeft int64
 	// expires is the time after which the server may close the connection.
 	expires time.Time
+	// calls is the number of calls that were sent, attempts the hashes of their attempts.
+	calls    int
+	attempts []uint64
 }
 
+// carried reports whether the connection has carried a call with the attempt. Different attempts may have the same hash.
+func (c *connection) carried(attempt uint64) bool { return slices.Contains(c.attempts, attempt) }
+
 // Read implements io.Reader for the buffered reader and enforces the size limit of a head.
 func (c *connection) Read(buffer []byte) (int, error) {
 	if c.headBytesLeft <= 0 {
@@ -120,7 +131,7 @@
 func (p *Pool) Send(
 	ctx context.Context, address netip.AddrPort, call apricotway.ForwardedCall,
 ) (*apricotway.ForwardedAnswer, error) {
-	c, err := p.connect(ctx, address, call.NewConnection)
+	c, err := p.connect(ctx, address, call.Attempt)
 	if err != nil {
 		return nil, errors.Wrap(apricotway.ErrNotSent, err.Error())
 	}
@@ -161,14 +172,29 @@
 	}, nil
 }
 
-// connect returns an idle connection of the pool, or a new one if there is none or the caller asks for an unused one.
-func (p *Pool) connect(ctx context.Context, address netip.AddrPort, unused bool) (*connection, error) {
-	if !unused {
-		if c := p.takeIdle(address); c != nil {
-			return c, nil
+// connect returns an idle connection that has not carried the attempt, or a new one if the pool has none.
+func (p *Pool) connect(ctx context.Context, address netip.AddrPort, attempt apricotway.AttemptID) (*connection, error) {
+	hash := maphash.String(p.seed, string(attempt))
+
+	c := p.takeIdle(address, hash)
+	if c == nil {
+		var err error
+		if c, err = p.open(ctx, address); err != nil {
+			return nil, err
 		}
 	}
 
+	c.calls++
+
+	if attempt != "" {
+		c.attempts = append(c.attempts, hash)
+	}
+
+	return c, nil
+}
+
+// open opens a connection.
+func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
 
@@ -185,20 +211,26 @@
 	return c, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection that has not expired, that the server has not closed and
-// that has no unread data. It closes the others that it meets and returns nil if none is left.
-func (p *Pool) takeIdle(address netip.AddrPort) *connection {
+// takeIdle removes and returns the most recently used idle connection that has not carried the attempt, has not expired, that the
+// server has not closed and that has no unread data. It closes the others that it meets, other than those that have carried the
+// attempt, and returns nil if none is left.
+func (p *Pool) takeIdle(address netip.AddrPort, attempt uint64) *connection {
 	for {
 		p.mu.Lock()
 		list := p.idle[address]
 
-		if len(list) == 0 {
+		index := len(list) - 1
+		for index >= 0 && list[index].carried(attempt) {
+			index--
+		}
+
+		if index < 0 {
 			p.mu.Unlock()
 			return nil
 		}
 
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
+		c := list[index]
+		p.idle[address] = slices.Delete(list, index, index+1)
 		p.mu.Unlock()
 
 		if time.Now().Before(c.expires) && idleAndOpen(c.Conn) {
@@ -347,7 +379,7 @@
 	running := b.stop()
 
 	// Data after the body belongs to no call, so the connection must not be used again.
-	if !b.sawEOF || !b.reusable || !running || b.connection.reader.Buffered() > 0 {
+	if !b.sawEOF || !b.reusable || !running || b.connection.reader.Buffered() > 0 || b.connection.calls >= maxCalls {
 		return b.connection.Close()
 	}
 
