Open a new connection for each generation of an engine

An engine that wrote an earlier refusal again on a kept connection made the next generation count as refused: callers of `apricotway serve` were told that their request had not started, or it was started at a second engine, while the first engine ran it. Unlike tokens, refusals (400, 409, 429, 503) name no attempt, and net/http closes a connection only for bytes that arrive while it is idle.

Generations use a new connection now, as exports do. A generation takes seconds, so one connection for each costs little; the load reports and cache events, several hundred a second, stay on kept ones.

TestRefusalWrittenAgain in transport/engine failed before for all four statuses and passes now; cmd/resumption and protocol/completion pass.

--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -29,9 +29,11 @@
 
 // Client implements apricotway.EngineClient over the engines' HTTP API.
 type Client struct {
+	// transport carries the calls that only read, load reports and cache events.
 	transport http.RoundTripper
-	// unpooled opens a new connection for each call. On a reused connection, a late duplicate of the answer to an earlier export
-	// would be taken for the current one and name the KV cache of another request.
+	// unpooled opens a new connection for each generation and export. On a reused connection, a late duplicate of the answer to an
+	// earlier export would be taken for the current one and name the KV cache of another request, and that of a refusal, which names
+	// no attempt, would say that a generation did not run.
 	unpooled http.RoundTripper
 }
 
@@ -90,7 +92,7 @@
 
 	call.Header.Set("Content-Type", "application/json")
 
-	response, err := httpjson.Send(c.transport, call)
+	response, err := httpjson.Send(c.unpooled, call)
 	if err != nil {
 		cancel()
 
