--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -23,8 +23,10 @@
 	reasonServerError = "serverError"
 	reasonResumed     = "resumed"
 	reasonMoved       = "moved"
-	reasonNoTime      = "noTime"
-	reasonStopping    = "stopping"
+	// reasonNotContinued is that of an engine whose events don't follow those before them.
+	reasonNotContinued = "notContinued"
+	reasonNoTime       = "noTime"
+	reasonStopping     = "stopping"
 )
 
 // refusal is an answer that the relay itself gives in place of a backend server.
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strconv"
 
 	"github.com/go-faster/errors"
 
@@ -34,6 +35,14 @@
 	passedPart bool
 	// open is set while an event of which a part was passed on has not ended.
 	open bool
+	// unnumbered is set while the last complete event has no identifier, so that no engine can continue after it.
+	unnumbered bool
+	// steps is set once an identifier was the number after the one before it, gaps once one was not.
+	steps, gaps bool
+	// resumed is set while the events must continue after the last one.
+	resumed bool
+	// foreign is set when an event did not continue the stream. Neither that event nor what follows it is passed on.
+	foreign bool
 }
 
 var (
@@ -42,6 +51,9 @@
 	eventID   = []byte("id:")
 )
 
+// errNotContinued reports an answer that does not continue the stream after its last event.
+var errNotContinued = errors.New("the stream is not continued after its last event")
+
 // completeSize returns the size in bytes of the complete events at the beginning of content.
 func completeSize(content []byte) int {
 	size := 0
@@ -55,6 +67,20 @@
 	return size
 }
 
+// firstEventSize returns the size in bytes of the first event of complete events.
+func firstEventSize(events []byte) int {
+	size := 0
+
+	for line := range bytes.Lines(events) {
+		// An empty line at the beginning belongs to the event before it.
+		if size += len(line); size > len(line) && len(bytes.TrimRight(line, "\r\n")) == 0 {
+			break
+		}
+	}
+
+	return size
+}
+
 // add appends a chunk and returns the bytes that can be passed on: complete events, or a part of one that is too long to be
 // buffered. They are valid until the next call. progress is true when they contain a complete line other than a comment or an
 // empty one; parts of events are no progress.
@@ -63,26 +89,107 @@
 
 	size := completeSize(e.pending)
 	if size == 0 {
-		if len(e.pending) > maxPending {
-			e.passed, e.passedPart, e.open = len(e.pending), true, true
+		e.passPart()
+		return e.pending[:e.passed], false
+	}
+
+	for e.passed < size {
+		event := e.pending[e.passed : e.passed+firstEventSize(e.pending[e.passed:size])]
+
+		id, fields := eventFields(event)
+		if !e.continues(id, fields) {
+			e.foreign = true
+			break
 		}
 
-		return e.pending[:e.passed], false
+		e.passed += len(event)
+		e.record(id, fields)
+		progress = progress || fields
 	}
 
-	e.passed, e.open = size, false
-	ready = e.pending[:size]
+	return e.pending[:e.passed], progress
+}
 
-	for line := range bytes.Lines(ready) {
-		if id, ok := bytes.CutPrefix(line, eventID); ok {
-			e.last = string(bytes.TrimSpace(id))
+// passPart passes on the pending part of an event if it is too long to be buffered.
+func (e *eventSplitter) passPart() {
+	if len(e.pending) <= maxPending {
+		return
+	}
+
+	if id, _ := eventFields(e.pending); !e.continues(id, true) {
+		e.foreign = true
+		return
+	}
+
+	e.passed, e.passedPart, e.open = len(e.pending), true, true
+}
+
+// eventFields returns the identifier of an event, empty if it has none, and whether it has any line other than comments and empty
+// ones.
+func eventFields(event []byte) (id string, fields bool) {
+	for line := range bytes.Lines(event) {
+		if value, ok := bytes.CutPrefix(line, eventID); ok && bytes.HasSuffix(line, []byte("\n")) {
+			id = string(bytes.TrimSpace(value))
 		}
 
 		line = bytes.TrimRight(line, "\r\n")
-		progress = progress || len(line) > 0 && line[0] != ':'
+		fields = fields || len(line) > 0 && line[0] != ':'
+	}
+
+	return id, fields
+}
+
+// continues reports whether an event with the given identifier may follow the last one. Only the events of a resumed stream are
+// checked; those of the first engine are passed on as they are.
+func (e *eventSplitter) continues(id string, fields bool) bool {
+	if !e.resumed || !fields || e.open {
+		return true
+	}
+
+	last, lastErr := strconv.ParseUint(e.last, 10, 64)
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+
+	switch {
+	case id == "" || id == e.last:
+		return false
+	case lastErr != nil || nextErr != nil:
+		return true
+	case e.steps && !e.gaps:
+		return next == last+1
+	default:
+		return next > last
+	}
+}
+
+// record records a complete event that is passed on.
+func (e *eventSplitter) record(id string, fields bool) {
+	e.open = false
+
+	if !fields {
+		return
 	}
 
-	return ready, progress
+	e.unnumbered = id == ""
+	if e.unnumbered {
+		return
+	}
+
+	last, lastErr := strconv.ParseUint(e.last, 10, 64)
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+
+	// A stream that was not resumed by its caller begins with 0 or 1 if its events are counted.
+	if nextErr == nil && (lastErr == nil || e.last == "" && next > 0) {
+		e.steps = e.steps || next == last+1
+		e.gaps = e.gaps || next != last+1
+	}
+
+	e.last = id
+}
+
+// resume prepares the splitter for the events of an engine that continues after the last complete event.
+func (e *eventSplitter) resume() {
+	e.pending, e.passed, e.foreign, e.plain = nil, 0, false, false
+	e.resumed = e.last != ""
 }
 
 // rest returns the bytes that were not yet passed on.
@@ -145,7 +252,8 @@
 	c.writeHeader(answer, -1)
 
 	current := &engineRun{
-		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, end: func() {},
+		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited,
+		end: func() { _ = answer.Body.Close() }, // The rest of the stream is not needed.
 	}
 	defer func() { current.end() }()
 
@@ -217,19 +325,26 @@
 	send    *dispatch.Send
 	body    io.Reader
 	silence *silenceTimer
-	// end releases the run's resources. It does nothing for the first run, whose resources the attempt releases.
+	// end releases the run's resources; the attempt releases the rest of those of the first run. Calling it twice has no effect.
 	end func()
 	// memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
 	memory *apricotway.RunKVCache
 	next   *dispatch.Send
-	// closeDelimited is that of the answer, and began is set once the run's first event has arrived.
-	closeDelimited, began bool
+	// closeDelimited is that of the answer, and began is set once the run's first event has arrived. resumed is set when the run
+	// continues that of another engine.
+	closeDelimited, began, resumed bool
 	// err is the error with which reading the body failed.
 	err error
 	// noMove is set when moving the run was tried in vain; it is not tried again.
 	noMove bool
 }
 
+// lacksEvents reports whether the run must not end yet. The first engine may send an empty stream of a stated length, but a stream
+// that broke off has at least one more event.
+func (r *engineRun) lacksEvents(plain bool) bool {
+	return !r.began && (r.resumed || r.closeDelimited && !plain)
+}
+
 // passStream passes on a stream in complete events. When the engine leaves, or breaks off and the stream may be resumed, the stream
 // continues at another engine, and the current run is replaced.
 func (c *call) passStream(
@@ -263,21 +378,21 @@
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
+		// An engine that still generates must stop before another one continues.
+		run.end()
+
 		next := c.continueRun(ctx, run, splitter, reason)
 		if next == nil {
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
-		run.end()
-
 		*current, first, err = next, nil, nil
 	}
 }
 
 // continueRun returns a run that continues after the last complete event, or nil when there is none.
 func (c *call) continueRun(ctx context.Context, run *engineRun, splitter *eventSplitter, reason string) *engineRun {
-	rest := splitter.rest()
-	splitter.pending = nil
+	splitter.resume()
 
 	if run.memory != nil {
 		if moved := c.continueMoved(ctx, run, splitter.last); moved != nil {
@@ -289,13 +404,10 @@
 		c.reportBroken(run.send, c.acquitted, run.err)
 	}
 
-	if c.route.Resumable && !splitter.passedPart {
+	if c.route.Resumable && !splitter.passedPart && !splitter.unnumbered {
 		return c.resume(ctx, splitter.last)
 	}
 
-	// The stream breaks off here; the caller still gets what arrived of the last event.
-	_, _ = c.writer.Write(rest)
-
 	return nil
 }
 
@@ -326,10 +438,14 @@
 			c.progress.passed(len(ready), c.relay.now())
 		}
 
-		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.closeDelimited && !current.began && !splitter.plain) {
+		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.lacksEvents(splitter.plain)) {
 			err = io.ErrUnexpectedEOF
 		}
 
+		if splitter.foreign {
+			err = errNotContinued
+		}
+
 		switch {
 		case errors.Is(err, io.EOF) && current.memory == nil:
 			// Empty lines at the end. A write fails only when the caller has left.
@@ -342,6 +458,8 @@
 			return reasonMoved, dispatch.OutcomeDone
 		case err != nil && current.silence.fired():
 			return reasonSilent, dispatch.OutcomeFailed
+		case splitter.foreign:
+			return reasonNotContinued, dispatch.OutcomeFailed
 		case err != nil:
 			current.err = err
 			return reasonBroken, dispatch.OutcomeFailed
@@ -381,18 +499,24 @@
 	silence := c.startSilenceTimer(send, cancel)
 
 	answer, metadata, err := c.send(attempt, send, apricotway.SendMetadata{Urgency: 0, LastEvent: last, Memory: memory})
-	if err == nil && answer.Status == http.StatusOK {
-		if memory == nil {
-			c.sends++
-		}
 
+	mayHaveRun := err == nil && !metadata.NotRun || err != nil && !errors.Is(err, apricotway.ErrNotSent)
+	// A run that continues from its memory counts as the same run.
+	if mayHaveRun && memory == nil {
+		c.sends++
+	}
+
+	// An error may come with status 200 and another content type.
+	if err == nil && answer.Status == http.StatusOK && isEventStream(answer.Header) {
 		send.RecordFirstEvent(c.relay.now(), metadata.Load)
 
-		return &engineRun{send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, end: func() {
-			silence.stop()
-			_ = answer.Body.Close() // The rest of the stream is not needed.
-			cancel()
-		}}
+		return &engineRun{
+			send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, resumed: true, end: func() {
+				silence.stop()
+				_ = answer.Body.Close() // The rest of the stream is not needed.
+				cancel()
+			},
+		}
 	}
 
 	if err == nil {
@@ -407,6 +531,12 @@
 	switch {
 	case ctx.Err() != nil:
 		outcome = dispatch.OutcomeLeft
+	case err == nil && answer.Status == http.StatusMisdirectedRequest:
+		outcome = dispatch.OutcomeMisdirected
+	case err == nil && metadata.NotRun:
+		send.RecordLoad(c.relay.now(), metadata.Load)
+
+		outcome = dispatch.OutcomeFull
 	case err != nil && !errors.Is(err, apricotway.ErrNotSent) && !silence.fired():
 		c.reportBroken(send, c.acquitted, err)
 	}
