Keep the call at a silent server until another one can take it

Callers saw: a stream whose engine is silent for 2.5 times the longest pause of its route ends, though the engine goes on a moment later; plain calls get 502. It happens when no other server can take the call or the retry budget is used up, as during restarts under load.

Cause: the timer of an attempt cancelled it first, and only then were the retry budget and the servers asked.

Evidence: TestSilentServerGivenUpWithoutReplacement, servers that are silent for 0.6 s at an objective of 0.1 s: 'unexpected EOF' and 502 before, and further sends that a server did not need.

Change: the timer places the call on another server and takes the retry from the budget before it cancels the attempt, and looks again every 0.25 s while that fails. A call without any event may still go to a server that was tried, since its connection may be dead. A replacement that is not needed is given back. Streams that nobody could continue at present (a part of an event or an event without identifier was passed on) have no timer.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -49,6 +49,9 @@
 	reason string
 	// arrived is set when the call may have reached a server, mayHaveRun when it may have run there.
 	arrived, mayHaveRun bool
+	// next is the server on which the call was placed already because the one of the attempt was silent; nil otherwise. The call has to
+	// be sent there.
+	next *dispatch.Send
 }
 
 var answered = attemptResult{step: stepAnswered}
@@ -87,7 +90,7 @@
 		return c.passAnswerStream(ctx, send, answer, metadata, silence)
 	}
 
-	return c.passWhole(ctx, send, answer, metadata, now)
+	return c.passWhole(ctx, send, answer, metadata, now, silence)
 }
 
 // drain reads a short body, so that its connection can be used again. A body that does not end ends the attempt.
@@ -151,7 +154,7 @@
 	send.End(now, dispatch.OutcomeFailed)
 
 	if silence.fired() {
-		return attemptResult{step: stepRetry, reason: reasonSilent, arrived: true, mayHaveRun: true}
+		return silent(silence)
 	}
 
 	c.reportBroken(send, false, err)
@@ -159,10 +162,15 @@
 	return attemptResult{step: stepRetry, reason: reasonBroken, arrived: true, mayHaveRun: true}
 }
 
+// silent returns the result of an attempt that its timer has cancelled.
+func silent(silence *silenceTimer) attemptResult {
+	return attemptResult{step: stepRetry, reason: reasonSilent, arrived: true, mayHaveRun: true, next: silence.takeReplacement()}
+}
+
 // passWhole reads an answer to its end before it passes it on, so that a truncated answer never reaches the caller.
 func (c *call) passWhole(
 	ctx context.Context, send *dispatch.Send, answer *apricotway.ForwardedAnswer, metadata apricotway.AnswerMetadata,
-	sent time.Time,
+	sent time.Time, silence *silenceTimer,
 ) attemptResult {
 	content, complete, err := c.buffer.read(answer.Body)
 	now := c.relay.now()
@@ -177,6 +185,9 @@
 	case err != nil && ctx.Err() != nil:
 		send.End(now, dispatch.OutcomeLeft)
 		return attemptResult{step: stepFail, reason: reasonEnded, arrived: true, mayHaveRun: true}
+	case err != nil && silence.fired():
+		send.End(now, dispatch.OutcomeFailed)
+		return silent(silence)
 	case err != nil:
 		send.End(now, dispatch.OutcomeFailed)
 		c.reportBroken(send, false, err)
@@ -270,6 +281,11 @@
 	}
 
 	result := c.attempt(ctx, send)
+	if result.next != nil {
+		c.relay.giveBack(c.service, result.next)
+		result.next = nil
+	}
+
 	if result.step == stepAnswered || ctx.Err() != nil {
 		return result
 	}
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -232,21 +232,36 @@
 	c.service = route.Target(c.route, rand.Float64())
 	c.relay.budget.AddCall(c.arrived, c.service)
 
+	var next *dispatch.Send
+
 	for {
-		send, refused := c.chooseServer()
-		if refused != nil {
-			c.refuseNotRun(refused)
-			return
+		send := next
+		if send == nil {
+			var refused *refusal
+			if send, refused = c.chooseServer(); refused != nil {
+				c.refuseNotRun(refused)
+				return
+			}
 		}
 
+		c.expectedWait = send.Expected
+
 		result := c.attempt(ctx, send)
+		next = result.next
 		c.steps = append(c.steps, result.reason)
 
 		switch result.step {
 		case stepAnswered:
 			return
 		case stepRetry:
-			if c.mayRetry(ctx, result) {
+			if next != nil && c.quarantined() {
+				c.relay.giveBack(c.service, next)
+				c.fail(ctx, result)
+
+				return
+			}
+
+			if next != nil || c.mayRetry(ctx, result) {
 				c.relay.metrics.CallRetried(c.service, result.reason)
 				continue
 			}
@@ -280,18 +295,13 @@
 		}
 	}
 
-	request := dispatch.Request{
-		Service: c.service, Remaining: remaining, Avoid: c.tried, Once: !c.route.Repeatable(), Parts: c.metadata.Parts,
-	}
+	request := c.placement(c.tried)
+	request.Remaining = remaining
 
 	if c.sends == 0 {
 		request.Objective = c.route.Objective
 	}
 
-	if c.metadata.HasTokens {
-		request.PromptTokens, request.AnswerTokens = c.metadata.PromptTokens, c.metadata.AnswerTokens
-	}
-
 	send, why, wait := c.relay.pool.Place(now, request)
 	if send == nil && len(c.tried) > 0 {
 		// No untried server can take the call, so the tried ones may get it again.
@@ -306,11 +316,19 @@
 		}
 	}
 
-	c.expectedWait = send.Expected
-
 	return send, nil
 }
 
+// placement returns the request for a server other than those to avoid.
+func (c *call) placement(avoid []apricotway.BackendServerID) dispatch.Request {
+	request := dispatch.Request{Service: c.service, Avoid: avoid, Once: !c.route.Repeatable(), Parts: c.metadata.Parts}
+	if c.metadata.HasTokens {
+		request.PromptTokens, request.AnswerTokens = c.metadata.PromptTokens, c.metadata.AnswerTokens
+	}
+
+	return request
+}
+
 // mayRetry reports whether the call may be sent again after an attempt. It takes the retry from the retry budget.
 func (c *call) mayRetry(ctx context.Context, result attemptResult) bool {
 	if ctx.Err() != nil || c.deadline.Sub(c.relay.now()) < minRemaining {
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -278,10 +278,12 @@
 
 	send.End(now, dispatch.OutcomeFailed)
 
-	if !silence.fired() {
-		c.reportBroken(send, false, err)
+	if silence.fired() {
+		return silent(silence)
 	}
 
+	c.reportBroken(send, false, err)
+
 	return attemptResult{step: stepRetry, reason: reasonBroken, arrived: true, mayHaveRun: true}
 }
 
@@ -378,10 +380,12 @@
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
+		replacement := run.silence.takeReplacement()
+
 		// An engine that still generates must stop before another one continues.
 		run.end()
 
-		next := c.continueRun(ctx, run, splitter, reason)
+		next := c.continueRun(ctx, run, splitter, reason, replacement)
 		if next == nil {
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
@@ -390,16 +394,32 @@
 	}
 }
 
-// continueRun returns a run that continues after the last complete event, or nil when there is none.
-func (c *call) continueRun(ctx context.Context, run *engineRun, splitter *eventSplitter, reason string) *engineRun {
+// continueRun returns a run that continues after the last complete event, or nil when there is none. If the engine was silent, the
+// call was placed on the replacement already.
+func (c *call) continueRun(
+	ctx context.Context, run *engineRun, splitter *eventSplitter, reason string, replacement *dispatch.Send,
+) *engineRun {
 	splitter.resume()
 
+	if replacement != nil && (run.memory != nil || c.quarantined()) {
+		c.relay.giveBack(c.service, replacement)
+		replacement = nil
+	}
+
 	if run.memory != nil {
 		if moved := c.continueMoved(ctx, run, splitter.last); moved != nil {
 			return moved
 		}
 	}
 
+	if replacement != nil {
+		c.relay.metrics.CallRetried(c.service, reasonResumed)
+
+		if resumed := c.sendResume(ctx, replacement, splitter.last, nil); resumed != nil {
+			return resumed
+		}
+	}
+
 	if reason == reasonBroken && run.memory == nil {
 		c.reportBroken(run.send, c.acquitted, run.err)
 	}
@@ -426,6 +446,10 @@
 			c.countEvent()
 		}
 
+		if !c.route.Resumable || splitter.passedPart || splitter.unnumbered {
+			current.silence.hold()
+		}
+
 		if len(ready) > 0 {
 			c.progress.enter(stageCaller, c.relay.now())
 
--- a/state/retrybudget/retrybudget.go
+++ b/state/retrybudget/retrybudget.go
@@ -86,6 +86,15 @@
 	w.calls[index]++
 }
 
+// Return takes back a repeat that was counted and not sent.
+func (b *Budget) Return(now time.Time, service apricotway.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	w, index := b.window(now, service)
+	w.repeats[index]--
+}
+
 // Take counts a repeat and returns true if the budget allows it.
 func (b *Budget) Take(now time.Time, service apricotway.Service) bool {
 	b.mu.Lock()
