Continue paused streams elsewhere on routes without an objective

Callers saw: a resumable stream whose engine stops in the middle waits until its timeout, or until the stop of its process cuts it, though another engine is free.

Cause: the pause between two events was bounded only where the route states an objective.

Evidence: TestPausedStreamWithoutObjective ended with 'unexpected EOF' after 5.01 s, the timeout of the route; TestPlannedStop/engine_paused.

Change: a resumable stream has a timeout of 1 s between two events if its route states neither objective nor longest pause. Callers leave after a pause of 2 s at the earliest. The first event has no timeout on such a route, as before.

TestPlannedStop/engine_paused still fails: 60 streams pause at once, and the retry budget of the test's settings (10 and a tenth of the calls) lets about 15 go on elsewhere.

--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -11,8 +11,13 @@
 	"github.com/apricotway/apricotway/state/dispatch"
 )
 
-// replacementInterval is the interval at which another server is looked for while a server is silent.
-const replacementInterval = 250 * time.Millisecond
+const (
+	// defaultPause is the timeout between two events of a resumable stream whose route states neither objective nor pause. Callers
+	// abandon a stream after a pause of 2 s at the earliest.
+	defaultPause = time.Second
+	// replacementInterval is the interval at which another server is looked for while a server is silent.
+	replacementInterval = 250 * time.Millisecond
+)
 
 // silenceTimer cancels an attempt whose server has not answered or sent an event in time, once another server can take the call. Until
 // then the silent server keeps it, since no other one would answer sooner.
@@ -56,11 +61,13 @@
 	if c.route.Kind == apricotway.RouteStream {
 		first = scale(c.route.Objective, streamTimeoutFactor)
 		t.pause = max(scale(c.route.LongestPause, pauseTimeoutFactor), scale(c.route.Objective, 1))
+
+		if t.pause <= 0 {
+			t.pause = defaultPause
+		}
 	}
 
-	if first <= 0 {
-		t.pause = 0
-	} else {
+	if first > 0 {
 		t.start(max(first, expectedTimeoutFactor*send.Expected, minTimeout))
 	}
 
--- a/transport/upstream/silence_test.go
+++ b/transport/upstream/silence_test.go
@@ -74,3 +74,26 @@
 		}
 	}
 }
+
+// TestPausedStreamWithoutObjective guards against waiting until the timeout for an engine that stops in the middle of a resumable
+// stream, when the route states neither an objective nor a longest pause.
+func TestPausedStreamWithoutObjective(t *testing.T) {
+	answer := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") == "" {
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(w, event(1))
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+
+			return
+		}
+
+		streamOf(3, 0)(w, r)
+	}
+	h := newHarness(t, answer, answer)
+
+	_, got, err := h.call("/resumable/", nil) //nolint:bodyclose // The call has read and closed it.
+	if want := event(1) + event(2) + event(3); err != nil || got != want {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+}
