Answer the requests that are unfinished when apricotway serve has to stop

Callers saw: calls of plain services and, in some runs, completions end with a closed connection at the end of a planned stop.

Cause: as at entry hosts, the process exited with its handlers still waiting. Model requests were handed over, but the process did not wait until their readers had been told. A call with an idempotency key goes on until its outcome is recorded, and its caller waited with it.

Change: after the hand-over the process aborts what is left with the cause ErrStopping and waits up to 1 s for the answers. What has not begun is refused as not started ('leaving', 503), what may have run gets an unknown outcome; a stream ends with an error event. The first call with a key returns to its caller when the process stops, and runs on.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -39,6 +39,9 @@
 // closeLimit bounds the write of the last usage batch when the process stops.
 const closeLimit = 5 * time.Second
 
+// abortLimit bounds the time in which unfinished requests are answered when the process stops.
+const abortLimit = time.Second
+
 // headerTimeout bounds the time for reading the header of an HTTP request.
 const headerTimeout = 10 * time.Second
 
@@ -283,6 +286,11 @@
 
 	// Peers take over the requests of a stopped member on their own, so the hand-over has to come before Stopped.
 	d.handOver(ctx)
+
+	if err != nil {
+		d.abortRequests(ctx)
+	}
+
 	d.membership.AnnounceStop()
 
 	_ = d.operator.server.Close()
@@ -305,3 +313,13 @@
 
 	return nil
 }
+
+// abortRequests ends the requests in flight with an answer, and waits until the answers of requests that were handed over are written.
+func (d *Daemon) abortRequests(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), abortLimit)
+	defer cancel()
+
+	if err := d.callersServer.Abort(ctx); err != nil {
+		d.logger.Info("requests without an answer end with the process", "event", 372, "error", err.Error())
+	}
+}
--- a/protocol/call/ledger.go
+++ b/protocol/call/ledger.go
@@ -10,6 +10,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/internal/guard"
 	"github.com/apricotway/apricotway/state/ledger"
 	"github.com/apricotway/apricotway/state/routing"
 )
@@ -81,7 +82,7 @@
 
 func (l *Ledger) callOwner(ctx context.Context, owner apricotway.NodeID, message onceMessage) (onceAnswer, error) {
 	if owner == l.membership.Self().Node {
-		return l.runHere(ctx, message)
+		return l.runUntilStop(ctx, message)
 	}
 
 	address, ok := l.address(owner)
@@ -112,6 +113,41 @@
 	}
 }
 
+// runUntilStop runs the call as runHere does. It returns when the context ends because the process stops, although the call goes on
+// until its outcome is recorded.
+func (l *Ledger) runUntilStop(ctx context.Context, message onceMessage) (onceAnswer, error) {
+	ended := make(chan struct{})
+
+	var (
+		result onceAnswer
+		failed error
+	)
+
+	go func() {
+		defer close(ended)
+
+		failed = guard.Call(func() (err error) {
+			result, err = l.runHere(ctx, message)
+			return err
+		})
+	}()
+
+	stop := ctx.Done()
+
+	for {
+		select {
+		case <-ended:
+			return result, failed
+		case <-stop:
+			if errors.Is(context.Cause(ctx), apricotway.ErrStopping) {
+				return onceAnswer{}, shard.UncertainRefusal("the process stopped")
+			}
+
+			stop = nil
+		}
+	}
+}
+
 // runHere runs the call if this process owns the shard, and otherwise returns the owner.
 func (l *Ledger) runHere(ctx context.Context, message onceMessage) (onceAnswer, error) {
 	answer, err := l.shards.Run(ctx, shard.Request{
--- a/transport/api/answer.go
+++ b/transport/api/answer.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -165,14 +166,33 @@
 // errCallerGone reports that the caller disconnected before its answer was complete.
 var errCallerGone = errors.New("caller gone")
 
-// orCallerGone returns err, converted to errCallerGone if the request's context has ended. Call it only after the body has been
-// read: before that, the context also ends for other reasons.
+// orCallerGone returns err, converted to errCallerGone if the request's context has ended, or to a refusal if it has ended because the
+// process stops. Call it only after the body has been read: before that, the context also ends for other reasons.
 func orCallerGone(r *http.Request, err error) error {
-	if r.Context().Err() != nil && !errors.Is(err, errCallerGone) {
+	switch {
+	case r.Context().Err() == nil || errors.Is(err, errCallerGone):
+		return err
+	case stopping(r):
+		return orUnknownOutcome(err)
+	default:
 		return callerGone(err)
 	}
+}
+
+// stopping reports whether the request ends because the process stops.
+func stopping(r *http.Request) bool { return errors.Is(context.Cause(r.Context()), apricotway.ErrStopping) }
 
-	return err
+// orUnknownOutcome returns err if it is a refusal, else that of a request that the process could not finish before it stopped.
+func orUnknownOutcome(err error) error {
+	var refusal *apricotway.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+
+	return &apricotway.Refusal{
+		Code: apricotway.CodeOutcomeUnknown, Execution: apricotway.ExecutionUnknown,
+		Message: "the process stopped before the request was answered",
+	}
 }
 
 func callerGone(err error) error { return errors.Wrap(errCallerGone, err.Error()) }
--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -36,6 +36,9 @@
 	headerLastEvent = "Last-Event-ID"
 )
 
+// retryAfterStopping is the Retry-After of requests that could not be read before the process stopped. Other processes take them.
+const retryAfterStopping = time.Second
+
 // Limits holds the limits for one request of a caller.
 type Limits struct {
 	// BodyBytes is the maximum size of a request body.
@@ -230,6 +233,13 @@
 	_ = controller.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))
 
 	body, err := readBody(http.MaxBytesReader(w, r.Body, s.limits.BodyBytes), r.ContentLength)
+	if err != nil && stopping(r) {
+		return nil, &apricotway.Refusal{
+			Code: apricotway.CodeLeaving, Execution: apricotway.ExecutionNotStarted, RetryAfter: retryAfterStopping,
+			Message: "the process is stopping; use another address",
+		}
+	}
+
 	if err != nil {
 		return nil, err
 	}
