Log an entry that cannot be used once, not with each read

An entry of another writer was logged (event 285) each time that it was read or written again: with each read of the whole list, as after a loss of history, and with each heartbeat of its writer. The catalog now remembers which servers' newest entries are invalid and logs the next one only after a valid entry or a removal in between. What a whole list lacks is forgotten, so this holds no more identifiers than the list.

The server of an earlier valid entry under the same identifier gets no calls from then on, as before: the newest entry names no engine to use. TestInvalidEntryLoggedOnce checks this as well; before, it counted 6 and 5 lines where one was expected.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -111,6 +111,8 @@
 	lapsed map[apricotway.BackendServerID]bool
 	// entries holds the newest usable entry of each server.
 	entries map[apricotway.BackendServerID]apricotway.Backend
+	// invalid holds the servers whose newest entries cannot be used.
+	invalid map[apricotway.BackendServerID]bool
 	// removed holds the last entries of the servers that were removed within restoreTime, with the times of their removal.
 	removed map[apricotway.BackendServerID]removal
 	// restoredAt is the time at which the store was first seen to have come back from an older copy; zero before that. ignored is set
@@ -158,7 +160,7 @@
 	c := &Catalog{
 		store: store, servers: servers, logger: logr.Discard(), changed: func(*route.Table) {}, boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
 		entries: map[apricotway.BackendServerID]apricotway.Backend{}, removed: map[apricotway.BackendServerID]removal{},
-		refresh: make(chan struct{}, 1),
+		invalid: map[apricotway.BackendServerID]bool{}, refresh: make(chan struct{}, 1),
 	}
 	c.SetKeyValidity(DefaultKeyValidity)
 
--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/go-logr/logr/funcr"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
@@ -25,6 +27,8 @@
 	changes     []apricotway.BackendChange
 	// whole is the list that a read without a position returns.
 	whole map[apricotway.BackendServerID]apricotway.Backend
+	// invalid holds the servers whose entries cannot be used.
+	invalid map[apricotway.BackendServerID]bool
 	// down fails all reads; trimmedConfig and trimmedList fail the next read after a position with ErrTrimmed.
 	down, trimmedConfig, trimmedList bool
 	// hanging makes the reads of changes of the list hang.
@@ -34,7 +38,11 @@
 	reads int
 }
 
-func newStore() *store { return &store{whole: map[apricotway.BackendServerID]apricotway.Backend{}} }
+func newStore() *store {
+	return &store{
+		whole: map[apricotway.BackendServerID]apricotway.Backend{}, invalid: map[apricotway.BackendServerID]bool{},
+	}
+}
 
 func (s *store) set(change func(s *store)) {
 	s.mu.Lock()
@@ -51,6 +59,7 @@
 	s.set(func(s *store) {
 		backend := apricotway.Backend{ID: id, Service: "s", Leaving: leaving}
 		s.whole[id] = backend
+		delete(s.invalid, id)
 		s.changes = append(s.changes, apricotway.BackendChange{ID: id, Backend: &backend})
 	})
 }
@@ -58,10 +67,20 @@
 func (s *store) drop(id apricotway.BackendServerID) {
 	s.set(func(s *store) {
 		delete(s.whole, id)
+		delete(s.invalid, id)
 		s.changes = append(s.changes, apricotway.BackendChange{ID: id})
 	})
 }
 
+// spoil replaces the entry of a server by one that cannot be used.
+func (s *store) spoil(id apricotway.BackendServerID) {
+	s.set(func(s *store) {
+		delete(s.whole, id)
+		s.invalid[id] = true
+		s.changes = append(s.changes, apricotway.BackendChange{ID: id, Problem: "odd"})
+	})
+}
+
 func (s *store) Deployment(context.Context) (*apricotway.Deployment, apricotway.StorePosition, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -123,6 +142,10 @@
 		changes = append(changes, apricotway.BackendChange{ID: id, Backend: &backend})
 	}
 
+	for id := range s.invalid {
+		changes = append(changes, apricotway.BackendChange{ID: id, Problem: "odd"})
+	}
+
 	return changes, s.position(len(s.changes)), nil
 }
 
@@ -312,6 +335,80 @@
 	})
 }
 
+// TestInvalidEntryLoggedOnce guards against a line of the log for each read of an entry that cannot be used, and against using the server of
+// an earlier entry.
+func TestInvalidEntryLoggedOnce(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		var (
+			mu    sync.Mutex
+			lines = map[string]int{}
+		)
+
+		logged := func(id string) int {
+			mu.Lock()
+			defer mu.Unlock()
+
+			return lines[id]
+		}
+		logger := funcr.New(func(_, line string) {
+			mu.Lock()
+			defer mu.Unlock()
+
+			for _, id := range []string{"odd", "was valid"} {
+				if strings.Contains(line, `"event"=285`) && strings.Contains(line, `"server"="`+id+`"`) {
+					lines[id]++
+				}
+			}
+		}, funcr.Options{})
+
+		s := newStore()
+		s.publish(1)
+		s.register("valid", false)
+		s.register("was valid", false)
+		s.spoil("odd")
+
+		_, pool := start(t, s, catalog.WithLogger(logger))
+		wait(time.Second)
+
+		for range 5 {
+			s.spoil("odd")
+			s.spoil("was valid")
+			s.set(func(s *store) { s.trimmedList = true })
+			wait(2 * time.Second)
+		}
+
+		for id, want := range map[apricotway.BackendServerID]bool{"odd": false, "was valid": false, "valid": true} {
+			if got := knows(pool, id); got != want {
+				t.Errorf("got server %s known: %t, want %t", id, got, want)
+			}
+		}
+
+		for _, id := range []string{"odd", "was valid"} {
+			if got, want := logged(id), 1; got != want {
+				t.Errorf("server %s: got %d lines, want %d", id, got, want)
+			}
+		}
+
+		s.register("was valid", false)
+		s.drop("odd")
+		wait(time.Second)
+
+		if !knows(pool, "was valid") {
+			t.Error("got no server after its next valid entry, want it")
+		}
+
+		s.spoil("was valid")
+		s.spoil("odd")
+		wait(time.Second)
+
+		for _, id := range []string{"odd", "was valid"} {
+			if got, want := logged(id), 2; got != want {
+				t.Errorf("server %s: got %d lines after another odd entry, want %d", id, got, want)
+			}
+		}
+	})
+}
+
 // TestLeaving guards against new calls to servers that leave. Without an outage, leave notices and removals take effect at once,
 // also those that only show in a whole list after a loss of history.
 func TestLeaving(t *testing.T) {
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -60,9 +60,7 @@
 		c.recordListRead()
 
 		if whole {
-			c.mu.Lock()
-			changes = append(changes, c.missing(changes)...)
-			c.mu.Unlock()
+			changes = c.completeList(changes)
 		}
 
 		c.applyChanges(changes)
@@ -86,6 +84,39 @@
 	return min(max(reregistrationTime-time.Since(c.outageEnd), minListWait), longest)
 }
 
+// completeList adds the removals of known servers that a whole list does not contain, and forgets the invalid entries that it does not
+// contain.
+func (c *Catalog) completeList(changes []apricotway.BackendChange) []apricotway.BackendChange {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	still := map[apricotway.BackendServerID]bool{}
+
+	for _, change := range changes {
+		if c.invalid[change.ID] {
+			still[change.ID] = true
+		}
+	}
+
+	c.invalid = still
+
+	return append(changes, c.missing(changes)...)
+}
+
+// noteInvalid logs an entry that cannot be used, unless the last entry under its identifier was invalid as well. The caller holds c.mu.
+func (c *Catalog) noteInvalid(change apricotway.BackendChange) {
+	if c.invalid[change.ID] {
+		return
+	}
+
+	// A record without a readable key is not part of the list and is read only once.
+	if change.ID != "" {
+		c.invalid[change.ID] = true
+	}
+
+	c.logger.Info("ignored an invalid entry of a backend server", "event", 285, "server", change.ID, "problem", change.Problem)
+}
+
 // missing returns the removal of every known server that a whole list does not contain. The caller holds c.mu.
 func (c *Catalog) missing(changes []apricotway.BackendChange) []apricotway.BackendChange {
 	named := make(map[apricotway.BackendServerID]bool, len(changes))
@@ -114,6 +145,12 @@
 	waiting := now.Sub(c.outageEnd) < reregistrationTime
 
 	for _, change := range changes {
+		if change.Problem != "" {
+			c.noteInvalid(change)
+		} else {
+			delete(c.invalid, change.ID)
+		}
+
 		if change.Backend != nil {
 			delete(c.lapsed, change.ID)
 			c.update(*change.Backend)
@@ -121,10 +158,6 @@
 			continue
 		}
 
-		if change.Problem != "" {
-			c.logger.Info("ignored an invalid entry of a backend server", "event", 285, "server", change.ID, "problem", change.Problem)
-		}
-
 		if waiting && change.Problem == "" {
 			c.lapsed[change.ID] = true
 			continue
