Ignore odd hosts of the host list instead of the whole list

One host that could not be decoded made the whole list unreadable for as long as it was there: no server came or went any more, and no host was ordered.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -153,8 +153,8 @@
 	}
 
 	d.startConfig(log)
-	d.inventory = inventory.New(d.supervisor, platform.NewHosts(s.Platform.Hosts), inventory.WithLogger(d.logger),
-		inventory.WithBroadcasts(d.membership), inventory.WithMembership(d.membership))
+	hosts := platform.NewHosts(s.Platform.Hosts, platform.WithLogger(d.logger))
+	d.inventory = inventory.New(d.supervisor, hosts, inventory.WithLogger(d.logger), inventory.WithBroadcasts(d.membership), inventory.WithMembership(d.membership))
 
 	if err := d.startUsage(log); err != nil {
 		return err
--- a/transport/httpjson/httpjson.go
+++ b/transport/httpjson/httpjson.go
@@ -96,7 +96,7 @@
 }
 
 // Do sends a request with body encoded as JSON, unless body is nil, and decodes the JSON answer into result, unless result is nil.
-// A status other than 2xx is returned as a StatusError.
+// A *json.RawMessage gets the answer as it is, without a check. A status other than 2xx is returned as a StatusError.
 func Do(ctx context.Context, transport http.RoundTripper, method, url string, body, result any) error {
 	var reader io.Reader
 
@@ -141,6 +141,11 @@
 		return nil
 	}
 
+	if raw, ok := result.(*json.RawMessage); ok {
+		*raw = content
+		return nil
+	}
+
 	if err := json.Unmarshal(content, result); err != nil {
 		return errors.Wrap(err, "decode answer")
 	}
