Read past records of the log service that cannot be decoded

A read returned an error when one of its records could not be decoded, and the reader then read the same records again: it never got past them, and neither did any other process. Every stream is read this way on the path of serve (configuration, ledger, leases, usage). A payload of 9,998 levels was enough, which is valid by itself but not within a batch, since Go's decoder allows 10,000 levels in all.

If a batch cannot be decoded, its records are now decoded one by one. One that can't keeps its offset and has an empty kind, as with the platform's store, and readers ignore it. Whether a record can be decoded doesn't depend on the others of its batch, so all processes agree. An answer whose records can't be told apart, or without a position, is an error as before.

--- a/transport/logservice/client.go
+++ b/transport/logservice/client.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/rawjson"
 	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
@@ -78,7 +79,7 @@
 	return 0, errors.Wrap(apricotway.ErrAppendUnknown, err.Error())
 }
 
-// Read implements apricotway.Log.
+// Read implements apricotway.Log. Records that cannot be decoded keep their offsets and have an empty kind.
 func (c *Client) Read(
 	ctx context.Context, stream apricotway.Stream, from apricotway.Offset, limit int, wait time.Duration,
 ) (apricotway.Batch, error) {
@@ -91,9 +92,16 @@
 		"wait":  {wait.String()},
 	}
 
-	var batch apricotway.Batch
+	var (
+		content json.RawMessage
+		batch   apricotway.Batch
+	)
+
+	err := httpjson.Do(ctx, c.transport, http.MethodGet, c.url(stream)+"?"+query.Encode(), nil, &content)
+	if err == nil {
+		batch, err = decodeBatch(content, from)
+	}
 
-	err := httpjson.Do(ctx, c.transport, http.MethodGet, c.url(stream)+"?"+query.Encode(), nil, &batch)
 	if err == nil {
 		return batch, nil
 	}
@@ -112,6 +120,61 @@
 	return apricotway.Batch{}, errors.Wrap(apricotway.ErrLogUnavailable, err.Error())
 }
 
+// decodeBatch decodes the answer to a read from an offset. If that fails, it decodes each record by itself: a reader that got an error would
+// read the same records again and never get past them.
+func decodeBatch(content []byte, from apricotway.Offset) (apricotway.Batch, error) {
+	var batch apricotway.Batch
+	if json.Unmarshal(content, &batch) == nil {
+		return batch, nil
+	}
+
+	members, err := rawjson.Members(content)
+	if err != nil {
+		return apricotway.Batch{}, errors.Wrap(err, "decode answer")
+	}
+
+	var next, oldest apricotway.Offset
+	if err := errors.Join(json.Unmarshal(members["next"], &next), json.Unmarshal(members["oldest"], &oldest)); err != nil {
+		return apricotway.Batch{}, errors.Wrap(err, "decode position of the answer")
+	}
+
+	records, err := rawjson.Elements(members["records"])
+	if err != nil {
+		return apricotway.Batch{}, errors.Wrap(err, "decode records of the answer")
+	}
+
+	batch = apricotway.Batch{Records: make([]apricotway.StoredRecord, len(records)), Next: next, Oldest: oldest}
+	expected := from
+
+	for i, record := range records {
+		batch.Records[i] = decodeRecord(record, expected, next)
+		expected = batch.Records[i].Offset + 1
+	}
+
+	return batch, nil
+}
+
+// decodeRecord decodes a record whose offset is at least expected and below next. Of one that cannot be decoded it returns only the offset, or
+// the expected one if that cannot be decoded either.
+func decodeRecord(content []byte, expected, next apricotway.Offset) apricotway.StoredRecord {
+	var record apricotway.StoredRecord
+	if json.Unmarshal(content, &record) == nil && record.Offset >= expected && record.Offset < next {
+		return record
+	}
+
+	members, err := rawjson.Members(content)
+	if err != nil {
+		return apricotway.StoredRecord{Offset: expected}
+	}
+
+	var offset apricotway.Offset
+	if json.Unmarshal(members["offset"], &offset) != nil || offset < expected || offset >= next {
+		offset = expected
+	}
+
+	return apricotway.StoredRecord{Offset: offset}
+}
+
 func (c *Client) url(stream apricotway.Stream) string {
 	return httpjson.URL(c.address, "/streams/"+url.PathEscape(string(stream))+"/records")
 }
