Ignore duty log records that are only partly decoded

A record with one odd field was logged as ignored, but took effect with the fields that had been decoded: a claim whose era, window or claim number is out of range, or whose usage is a text, deposed the holder, which then waited and claimed the duties anew.

Such a record now has no effect, as the comment says. TestOddRecords failed before with 5 of its 11 records (holder a with number 5 instead of 3). Records that are nested 100,000 levels deep, or that are no JSON, had no effect before either.

--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -311,6 +311,45 @@
 	})
 }
 
+// TestOddRecords guards against the effect of a record that is only partly decoded, such as a claim whose era is too large a number.
+func TestOddRecords(t *testing.T) {
+	const depth = 100_000
+
+	nested := strings.Repeat("[", depth) + strings.Repeat("]", depth)
+
+	for name, odd := range map[string]string{
+		"large era": `{"kind":"claim","node":"z","era":1e400}`, "negative era": `{"kind":"claim","node":"z","era":-1}`,
+		"large window": `{"kind":"claim","node":"z","window":9e99}`, "large claim": `{"kind":"claim","node":"z","claim":18446744073709551616}`,
+		"nested": nested, "nested usage": `{"kind":"claim","node":"z","usage":` + nested + `}`,
+		"nested unknown field": `{"kind":"claim","node":"z","x":` + nested + `}`, "brackets": strings.Repeat("[", 256<<10),
+		"text as usage": `{"kind":"claim","node":"z","usage":"odd"}`, "bytes": "\x00\xff", "nothing": "",
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c, l := newCluster(), &log{}
+				l.records = append(l.records, []byte(`{"kind":"claim","node":"y"}`), []byte(odd))
+
+				a := c.start(t, l, "a")
+				wait(3 * time.Second)
+
+				if got := held(a); len(got) != 1 || got[0].Number != 3 {
+					t.Errorf("got holders %v, want a with number 3", got)
+				}
+
+				first := a.Holder()
+
+				l.set(func(l *log) { l.records = append(l.records, []byte(odd)) })
+				a.RequestRefresh()
+				wait(10 * time.Second)
+
+				if got := a.Holder(); got != first {
+					t.Errorf("after another odd record: got holder %v, want %v", got, first)
+				}
+			})
+		})
+	}
+}
+
 // TestClaimAnswerLost guards against repeating a claim that took effect although its answer was lost.
 func TestClaimAnswerLost(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -348,6 +348,9 @@
 		var r record
 		if err := json.Unmarshal(content, &r); err != nil {
 			d.logger.Info("ignored an undecodable duty log record", "event", 294, "offset", at, "error", err.Error())
+
+			// Of a record with one odd field, the others have been decoded.
+			r = record{}
 		}
 
 		d.apply(at, r)
