Refuse configuration changes that no checkpoint can hold

A change nested between 9,996 and 10,000 levels deep was accepted, since Go's decoder allows 10,000 levels. A checkpoint holds it a few levels further down, so it was written but could not be restored: a process that starts after the records before it have been trimmed would not have got the configuration at all.

Changes whose payload is nested more than 9,000 levels deep are now malformed. Processes of an older release accept such a change, so the two would differ in it; the checkpoint of the older one is the one that can't be restored.

--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -45,6 +45,26 @@
 	return members, nil
 }
 
+// Depth returns how deeply the arrays and objects of a valid document are nested.
+func Depth(document []byte) int {
+	depth, deepest := 0, 0
+
+	for i := 0; i < len(document); i++ {
+		switch document[i] {
+		case '"':
+			// In a valid document every string ends.
+			i += max(endOfString(document[i:]), 1) - 1
+		case '[', '{':
+			depth++
+			deepest = max(deepest, depth)
+		case ']', '}':
+			depth--
+		}
+	}
+
+	return deepest
+}
+
 // endOfString returns the length of the string with which a text begins, or -1 if the string does not end.
 func endOfString(text []byte) int {
 	for i := 1; i < len(text); i++ {
--- a/internal/rawjson/rawjson_test.go
+++ b/internal/rawjson/rawjson_test.go
@@ -32,6 +32,17 @@
 	}
 }
 
+// TestDepth checks the nesting of documents with brackets in strings.
+func TestDepth(t *testing.T) {
+	for document, want := range map[string]int{
+		"1": 0, `"[\"["`: 0, "[]": 1, `{"a[":[{}],"b":[]}`: 3, strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000): 20_000, `"`: 0,
+	} {
+		if got := rawjson.Depth([]byte(document)); got != want {
+			t.Errorf("%.20q: got %d, want %d", document, got, want)
+		}
+	}
+}
+
 // TestMalformed checks that documents whose parts cannot be told apart are errors, and that empty ones are not.
 func TestMalformed(t *testing.T) {
 	for _, document := range []string{"", "[", "]", "{}", `"[]"`, "[[]", "[]]", `["]`, "[1]x", strings.Repeat("[", 100_000)} {
--- a/state/config/fold.go
+++ b/state/config/fold.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/rawjson"
 )
 
 // keptPerVersion is the number of accepted changes that are kept for each schema version of an object. If the newest change
@@ -15,6 +16,10 @@
 // are valid in it, so it has to keep several.
 const keptPerVersion = 4
 
+// maxDepth bounds how deeply the payload of a change is nested. Package encoding/json decodes 10,000 levels, and checkpoints hold payloads some
+// levels down.
+const maxDepth = 9_000
+
 // Name identifies a configuration object.
 type Name struct {
 	Kind   Kind   `json:"kind"`
@@ -128,7 +133,7 @@
 
 func (f *Fold) applyChange(record apricotway.StoredRecord) Verdict {
 	var change Change
-	if err := json.Unmarshal(record.Payload, &change); err != nil || change.Object == "" {
+	if err := json.Unmarshal(record.Payload, &change); err != nil || change.Object == "" || rawjson.Depth(record.Payload) > maxDepth {
 		return VerdictMalformed
 	}
 
