Take a wait out of range as no answer of the weight store

The wait in an answer was multiplied to nanoseconds without a check. One of 2^63-1 or of 2^64/10^6 ms overflowed to a negative or tiny duration, and one of -1 was passed on: the caller took them for the permission to transfer the weights.

--- a/transport/platform/weights.go
+++ b/transport/platform/weights.go
@@ -12,6 +12,9 @@
 	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
+// maxWait is the longest wait that an answer of the weight store may state.
+const maxWait = 24 * time.Hour
+
 // Weights implements apricotway.WeightStore over HTTP: POST /transfers with a Transfer returns a TransferAnswer.
 type Weights struct {
 	address   netip.AddrPort
@@ -52,5 +55,10 @@
 		return 0, errors.Wrap(apricotway.ErrPlatformUnavailable, err.Error())
 	}
 
+	// A longer wait would overflow, and a negative one would be taken for a permission.
+	if answer.WaitMillis < 0 || answer.WaitMillis > maxWait.Milliseconds() {
+		return 0, errors.Wrapf(apricotway.ErrPlatformUnavailable, "wait of %d ms", answer.WaitMillis)
+	}
+
 	return time.Duration(answer.WaitMillis) * time.Millisecond, nil
 }
