Test odd join records and odd saved counts

Join records that are nested, have ports or numbers out of range, or are no JSON don't keep four processes from finding each other. Saved counts that are nested 262,144 levels deep, state lengths up to 2^64-1, or have floats for integers are errors; none takes 64 MB or 5 s.

--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -329,6 +330,38 @@
 	}
 }
 
+// TestJoinBesideOddRecords checks that processes find each other by their join records among those that another writer may have left.
+func TestJoinBesideOddRecords(t *testing.T) {
+	const depth = 100_000
+
+	bubble.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		putOdd := func() {
+			for _, payload := range []string{
+				"", "null", "\x00\xff", strings.Repeat("[", 256<<10), strings.Repeat("[", depth) + strings.Repeat("]", depth),
+				`{"x":` + strings.Repeat(`{"a":`, depth) + "1" + strings.Repeat("}", depth) + `,"peers":"10.0.0.9:1"}`, `{"peers":""}`,
+				`{"peers":"10.0.0.9:0"}`, `{"peers":"10.0.0.9:65536"}`, `{"peers":"10.0.0.9:99999999999"}`, `{"peers":1e400}`,
+				`{"peers":"0.0.0.0:1"}`, `{"peers":"[fe80::1%eth0]:1"}`, `{"capacity":1e400,"peers":"10.0.0.9:1"}`, `{"node":[],"peers":"10.0.0.9:1"}`,
+			} {
+				record := apricotway.Record{SchemaVersion: 1, Kind: membership.KindJoin, Payload: []byte(payload)}
+				if _, err := n.log.Append(t.Context(), apricotway.StreamControl, []apricotway.Record{record, {Kind: "", SchemaVersion: -1}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+
+		for range 4 {
+			putOdd()
+			n.start("r")
+		}
+
+		<-time.After(20 * time.Second)
+		n.wantAlive(t, "after the start")
+	})
+}
+
 // TestJoinAfterRestore guards against processes that a later one can't find, since the log has come back from a copy without their join
 // records.
 func TestJoinAfterRestore(t *testing.T) {
--- a/state/tally/encode_test.go
+++ b/state/tally/encode_test.go
@@ -3,7 +3,12 @@
 import (
 	"fmt"
 	"reflect"
+	"runtime"
+	"strings"
 	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/tally"
@@ -56,6 +61,42 @@
 	}
 }
 
+// TestDecodeOdd checks that content which another writer may have left is an error, and that it takes no memory or time to speak of.
+func TestDecodeOdd(t *testing.T) {
+	const (
+		size    = 256 << 10
+		longest = 5 * time.Second
+		// maxAllocated is far below what the stated lengths would take.
+		maxAllocated = 64 << 20
+	)
+
+	for name, content := range map[string]string{
+		"nested arrays": strings.Repeat("\x81", size), "nested maps": strings.Repeat("\xa1\x01", size), "nested tags": strings.Repeat("\xc1", size),
+		"nested arrays without a length": strings.Repeat("\x9f", size), "long array": "\x9a\xff\xff\xff\xff", "longer array": "\x9b\x7f" + strings.Repeat("\xff", 7),
+		"longest array": "\x9b" + strings.Repeat("\xff", 8), "long text": "\x82\x81\x7b\x7f" + strings.Repeat("\xff", 7), "NaN": "\x82\x81\x61w\x81\x82\x61n\x81\x82\xf9\x7e\x00\x80",
+		"infinity": "\x82\x81\x61w\x81\x82\x61n\x81\x82\xf9\x7c\x00\x80", "large window": "\x82\x81\x61w\x81\x82\x61n\x81\x82\x1b" + strings.Repeat("\xff", 8) + "\x80",
+		"large index": "\x82\x81\x61w\x81\x82\x61n\x81\x82\x07\x82\x1b\x7f" + strings.Repeat("\xff", 7) + "\x01", "JSON": strings.Repeat("[", size), "nothing": "",
+	} {
+		var before, after runtime.MemStats
+
+		runtime.ReadMemStats(&before)
+
+		began := time.Now()
+		got, err := tally.Decode([]byte(content))
+		took := time.Since(began)
+
+		runtime.ReadMemStats(&after)
+
+		if !errors.Is(err, tally.ErrMalformed) || got != nil {
+			t.Errorf("%s: got %v and %v, want %v", name, got, err, tally.ErrMalformed)
+		}
+
+		if allocated := after.TotalAlloc - before.TotalAlloc; took > longest || allocated > maxAllocated {
+			t.Errorf("%s: took %s and %d bytes, want less than %s and %d", name, took, allocated, longest, maxAllocated)
+		}
+	}
+}
+
 // FuzzDecode guards a new collecting process against a panic on corrupt content from another writer.
 func FuzzDecode(f *testing.F) {
 	content, err := tally.Encode(map[apricotway.NodeID]tally.Counts{"n": {7: {"w": 3}}})
@@ -65,6 +106,8 @@
 
 	f.Add(content)
 	f.Add([]byte("{}"))
+	f.Add([]byte(strings.Repeat("\x81", 100)))
+	f.Add([]byte("\x9b\xff\xff\xff\xff\xff\xff\xff\xff"))
 	f.Add([]byte{0x82, 0x81, 0x61, 0x77, 0x81, 0x82, 0x61, 0x6e, 0x81, 0x82, 0x07, 0x82, 0x05, 0x01})
 	f.Fuzz(func(_ *testing.T, content []byte) {
 		_, _ = tally.Decode(content) // Must not panic.
