Pass on no promise that a server has not made

An unsafe call was answered with 408, 429 or 503 when its server answered so without saying that it did not run the call. To callers these statuses promise that the call has not run and never will, so they sent it again. The platform's protocol says that only the header states that. Such a call, and a stream that may not be resumed, gets 502 now; calls that may be repeated get the server's answer unchanged, as before.

TestPromiseOfServer failed before for all three statuses on unsafe and stream routes, and passes now.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -182,6 +182,12 @@
 		c.reportBroken(send, false, err)
 
 		return attemptResult{step: stepRetry, reason: reasonCut, arrived: true, mayHaveRun: true}
+	case !c.route.Repeatable() && promisesNotRun(answer.Status):
+		// The server has not said that it did not run the call.
+		send.RecordLoad(now, metadata.Load)
+		send.End(now, dispatch.OutcomeFailed)
+
+		return attemptResult{step: stepFail, reason: reasonServerError, arrived: true, mayHaveRun: true}
 	case answer.Status >= http.StatusInternalServerError:
 		send.RecordLoad(now, metadata.Load)
 		send.End(now, dispatch.OutcomeFailed)
@@ -208,6 +214,11 @@
 	return answered
 }
 
+// promisesNotRun reports whether callers take the status to mean that their call did not run and may be sent again.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // passLong passes on an answer that is too long to be buffered. When the server breaks off, the caller's connection is closed.
 func (c *call) passLong(
 	ctx context.Context, send *dispatch.Send, answer *apricotway.ForwardedAnswer, content []byte,
--- a/transport/upstream/refusal_test.go
+++ b/transport/upstream/refusal_test.go
@@ -1,6 +1,7 @@
 package upstream_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -103,3 +104,21 @@
 		}
 	}
 }
+
+// TestPromiseOfServer guards against statuses which tell the caller that its call did not run, from a server that has not said so. A
+// call that may be repeated gets them unchanged.
+func TestPromiseOfServer(t *testing.T) {
+	for _, status := range []int{
+		http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	} {
+		for path, want := range map[string]int{
+			"/safe/": status, "/unsafe/": http.StatusBadGateway, "/stream/": http.StatusBadGateway, "/resumable/": status,
+		} {
+			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
+				answer := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }
+				h := newHarness(t, answer, answer, answer)
+				h.wantStatus(path, nil, want)
+			})
+		}
+	}
+}
