Send nothing to a server that says in an answer that it is leaving

Callers' requests went on to servers that were leaving by their own answers for as long as the store said that they were ready or could not be read: the relay read no such statement. The adapter now translates it, the one place through which all sends of calls go records it, and the pool keeps it with what it knows of the server. Choice, retries, resumed streams and targets of moves pass over such a server, and running streams are moved off it, as for a draining entry. A denial (421) counts for the server that it names, if that is known at the address; answers to other calls on a connection count for none.

The belief belongs to one start of the server. The catalog ends it by an entry that says ready, if the order of the list shows that it was written after the answer: the first entry read after an outage of the store may be older than the answer.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -59,6 +59,9 @@
 	Update(backend apricotway.Backend, now time.Time)
 	Remove(id apricotway.BackendServerID)
 	Backends() []apricotway.Backend
+	// EndLeaveStatement ends the belief that a server is leaving because its answers said so, if its entry says that it is ready and was
+	// written after the answer. It returns the age of the belief and whether it has ended.
+	EndLeaveStatement(now time.Time, entry apricotway.Backend, writtenAfter time.Time) (age time.Duration, ended bool)
 }
 
 // Catalog reads the operators' store for one process. It is safe for concurrent use.
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -16,6 +16,8 @@
 	var (
 		position apricotway.StorePosition
 		known    bool
+		// asOf is the boot time as of which the changes up to position are known.
+		asOf time.Duration
 	)
 
 	return func(ctx context.Context, fromScratch bool) error {
@@ -66,6 +68,12 @@
 		}
 
 		c.applyChanges(changes)
+
+		if !whole {
+			c.endLeaveStatements(changes, asOf)
+		}
+
+		asOf = began
 		c.recordListApplied(began)
 		pause.For(ctx, c.limitWait(gap))
 
@@ -159,9 +167,16 @@
 		return
 	}
 
-	wasLeaving := c.entries[backend.ID].Leaving
+	before, known := c.entries[backend.ID]
+	wasLeaving := before.Leaving
 	c.entries[backend.ID] = backend
 	c.servers.Update(backend, time.Now())
+
+	// Every process gets entries with changes, so this one was written after the time as of which the list is known.
+	if known {
+		c.endLeaveStatement(backend, c.listAsOf)
+	}
+
 	c.journal.add(apricotway.BackendChange{ID: backend.ID, Backend: &backend})
 
 	if backend.Leaving && !wasLeaving {
@@ -170,6 +185,31 @@
 	}
 }
 
+// endLeaveStatements ends the belief of leaving, taken from answers, about servers whose entries are read as changes after those known as
+// of the given boot time.
+func (c *Catalog) endLeaveStatements(changes []apricotway.BackendChange, asOf time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	for _, change := range changes {
+		// An entry that was ignored as older is not the newest one.
+		if change.Backend != nil && c.entries[change.ID] == *change.Backend {
+			c.endLeaveStatement(*change.Backend, asOf)
+		}
+	}
+}
+
+// endLeaveStatement ends the belief that a server is leaving, taken from its answers before the given boot time, by an entry that was
+// written later. The caller holds c.mu.
+func (c *Catalog) endLeaveStatement(entry apricotway.Backend, writtenAfter time.Duration) {
+	now := time.Now()
+
+	if age, ended := c.servers.EndLeaveStatement(now, entry, now.Add(writtenAfter-c.boot())); ended {
+		c.logger.Info("backend server is ready again after it said that it was leaving", "event", 368, "server", entry.ID,
+			"service", entry.Service, "source", "entry", "age", age, "sequence", entry.Sequence)
+	}
+}
+
 // remove drops a server. The caller holds c.mu.
 func (c *Catalog) remove(id apricotway.BackendServerID) {
 	delete(c.lapsed, id)
--- a/forwarding.go
+++ b/forwarding.go
@@ -108,6 +108,8 @@
 	Load *BackendLoad
 	// Limit is the limit that the server states for the time until its next answer.
 	Limit RequestLimit
+	// Leaving is set when the server says that it is leaving and wants no further calls.
+	Leaving bool
 }
 
 // Dialect reads and writes the HTTP headers of calls and answers. Only its implementation knows the names of the header fields.
--- a/protocol/relay/send.go
+++ b/protocol/relay/send.go
@@ -8,7 +8,7 @@
 	"github.com/apricotway/apricotway/state/dispatch"
 )
 
-// send sends the call to the chosen server, and records the limit that the answer states. Every send of a call goes through it.
+// send sends the call to the chosen server, and records what the answer states about it. Every send of a call goes through it.
 func (c *call) send(
 	ctx context.Context, to *dispatch.Send, metadata apricotway.SendMetadata,
 ) (*apricotway.ForwardedAnswer, apricotway.AnswerMetadata, error) {
@@ -30,10 +30,13 @@
 	stated := c.relay.dialect.ReadAnswer(answer.Status, answer.Header)
 
 	// Another server sent a misdirected answer.
-	if answer.Status != http.StatusMisdirectedRequest {
+	misdirected := answer.Status == http.StatusMisdirectedRequest
+	if !misdirected {
 		c.recordLimit(to, stated.Limit)
 	}
 
+	c.recordStatements(to, stated, misdirected)
+
 	return answer, stated, nil
 }
 
@@ -48,3 +51,13 @@
 		"service", c.service, "statement", limit.Statement, "perSecond", limit.PerSecond, "before", before.PerSecond,
 		"attempt", c.metadata.Attempt)
 }
+
+// recordStatements records what the server of an answer says of itself, and logs what that changes.
+func (c *call) recordStatements(to *dispatch.Send, stated apricotway.AnswerMetadata, misdirected bool) {
+	change := to.RecordStatements(c.relay.now(), stated, misdirected)
+
+	if change.Leaving {
+		c.relay.logger.Info("backend server says that it is leaving", "event", 366, "server", change.Server, "service", change.Service,
+			"source", "answer", "age", change.Age, "attempt", c.metadata.Attempt)
+	}
+}
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -183,14 +183,14 @@
 	return backends
 }
 
-// Leaving reports whether a server is leaving or no longer known.
+// Leaving reports whether a server is leaving, by its entry or its answers, or no longer known.
 func (p *Pool) Leaving(id apricotway.BackendServerID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	s := p.servers[id]
 
-	return s == nil || s.backend.Leaving
+	return s == nil || s.leaving()
 }
 
 // Send is one call that was placed on a server.
@@ -280,8 +280,8 @@
 	}
 }
 
-// PlaceAt places a call on the given server, even one that is leaving. It returns nil when the server is not known, or when its
-// limit leaves no request to this process.
+// PlaceAt places a call on the given server, even one that is leaving: a run that stopped there was placed before this process knew of
+// the leaving. It returns nil when the server is not known, or when its limit leaves no request to this process.
 func (p *Pool) PlaceAt(now time.Time, id apricotway.BackendServerID, request Request) *Send {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -383,7 +383,7 @@
 	rank := -1
 
 	for _, s := range all {
-		if s.backend.Leaving {
+		if s.leaving() {
 			continue
 		}
 
--- a/state/dispatch/lane.go
+++ b/state/dispatch/lane.go
@@ -84,7 +84,7 @@
 	usable := 0
 
 	for _, s := range p.services[request.Service] {
-		if !s.backend.Leaving {
+		if !s.leaving() {
 			usable++
 		}
 	}
--- a/state/dispatch/limits.go
+++ b/state/dispatch/limits.go
@@ -51,7 +51,7 @@
 	var shortest time.Duration
 
 	for _, s := range p.services[request.Service] {
-		if s.backend.Leaving || contains(request.Avoid, s.backend.ID) {
+		if s.leaving() || contains(request.Avoid, s.backend.ID) {
 			continue
 		}
 
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -71,6 +71,7 @@
 	added   time.Time
 	// hash identifies the server in rendezvous hashing.
 	hash uint64
+	said statements
 
 	// own is the work of this process that is in flight on the server.
 	own Work
@@ -175,7 +176,7 @@
 	rank := -1
 
 	for _, s := range p.services[service] {
-		if s.backend.Leaving {
+		if s.leaving() {
 			continue
 		}
 
