Keep to the pause that a backend server names when it turns a call away

A server that answered 503 with Retry-After went on getting calls: 297 in 1.3 s of a pause of 1.5 s in TestCallsDuringPause, retries of other calls among them, and callers whose only server paused were told to come back after 0.4 s. No code read the field. Longer pauses replace shorter ones, a pause is kept for a minute at most before one call is let through, and a service whose servers all leave or pause refuses at once with the time until the first is back.

Evidence: TestCallsDuringPause failed before and passes with -race. The new metric apricotway_withheld_server_share is checked in it. Counter of export_test.go now adds up gauges too; counters are added as before.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -154,7 +154,7 @@
 	}
 
 	e.pool = dispatch.New(dispatch.WithZone(s.Zone))
-	e.registry.MustRegister(newLimitGauge(func() int { return len(e.serverLimits(time.Now())) }))
+	e.registry.MustRegister(newLimitGauge(func() int { return len(e.serverLimits(time.Now())) }), newWithheldServers(e.pool.ServiceStates))
 
 	e.catalog = catalog.New(e.supervisor, e.platform, e.pool, catalog.WithLogger(e.logger), catalog.WithEras(e.eras),
 		catalog.WithKeyValidity(keyValidity(s)), catalog.WithPeerNews(e.peers, e.peerServer, e.membership),
--- a/cmd/internal/entry/export_test.go
+++ b/cmd/internal/entry/export_test.go
@@ -1,6 +1,6 @@
 package entry
 
-// Counter returns the sum of a counter over its labels.
+// Counter returns the sum of a counter or gauge over its labels.
 func (e *Entry) Counter(name string) (sum float64, err error) {
 	families, err := e.registry.Gather()
 
@@ -10,7 +10,7 @@
 		}
 
 		for _, metric := range family.GetMetric() {
-			sum += metric.GetCounter().GetValue()
+			sum += metric.GetCounter().GetValue() + metric.GetGauge().GetValue()
 		}
 	}
 
--- a/cmd/internal/entry/statement_test.go
+++ b/cmd/internal/entry/statement_test.go
@@ -179,6 +179,11 @@
 		t.Errorf("got Retry-After %g s, want the rest of %s", got, pause)
 	}
 
+	// One of one server of the service.
+	if got, err := process.Counter("apricotway_withheld_server_share"); err != nil || got != 1 {
+		t.Errorf("got a share of %g and %v of servers without calls, want 1", got, err)
+	}
+
 	if got := arrivals(alone) - before; got != 0 {
 		t.Errorf("got %d calls at the only server during its pause, want none", got)
 	}
--- a/forwarding.go
+++ b/forwarding.go
@@ -98,6 +98,25 @@
 	PerSecond float64
 }
 
+// PauseStatement is whether an answer names a time for which its server wants no calls.
+type PauseStatement string
+
+// The values of PauseStatement.
+const (
+	PauseAbsent PauseStatement = ""
+	// PauseStated means that the server wants no calls from this process for RequestPause.For.
+	PauseStated PauseStatement = "stated"
+	// PauseInvalid means that the statement can't be read.
+	PauseInvalid PauseStatement = "invalid"
+)
+
+// RequestPause is the time for which the server of an answer wants no calls from the process that gets the answer.
+type RequestPause struct {
+	Statement PauseStatement
+	// For is not negative. It is 0 unless Statement is PauseStated.
+	For time.Duration
+}
+
 // AnswerMetadata is what a backend server states about an answer in the answer's HTTP header.
 type AnswerMetadata struct {
 	Attempt AttemptID
@@ -110,6 +129,8 @@
 	Limit RequestLimit
 	// Leaving is set when the server says that it is leaving and wants no further calls.
 	Leaving bool
+	// Pause is the pause that the server names as it turns the call away.
+	Pause RequestPause
 }
 
 // Dialect reads and writes the HTTP headers of calls and answers. Only its implementation knows the names of the header fields.
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -324,7 +324,7 @@
 	switch {
 	case c.sends == 0:
 		c.refuseNotRun(&refusal{
-			status: http.StatusServiceUnavailable, reason: last.reason, retryAfter: retryAfterRejection,
+			status: http.StatusServiceUnavailable, reason: last.reason, retryAfter: c.retryAfterRejection(),
 			message: "no backend server took the call",
 		})
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -338,6 +338,19 @@
 // duration of a stream.
 const retryAfterRejection = 400 * time.Millisecond
 
+// retryAfterRejection returns the Retry-After of a call that servers rejected: the time until the first of them is back if all have named
+// pauses and it is back within the time of the call.
+func (c *call) retryAfterRejection() time.Duration {
+	now := c.relay.now()
+
+	wait := c.relay.pool.PauseWait(now, c.service)
+	if wait > c.deadline.Sub(now) {
+		return retryAfterRejection
+	}
+
+	return max(wait, retryAfterRejection)
+}
+
 // refuseNotRun refuses a call that has not run and refunds its cost. For a call that may have run it answers that the outcome is
 // unknown.
 func (c *call) refuseNotRun(refused *refusal) {
--- a/protocol/relay/send.go
+++ b/protocol/relay/send.go
@@ -60,4 +60,15 @@
 		c.relay.logger.Info("backend server says that it is leaving", "event", 366, "server", change.Server, "service", change.Service,
 			"source", "answer", "age", change.Age, "attempt", c.metadata.Attempt)
 	}
+
+	switch change.Pause {
+	case dispatch.PauseUnchanged:
+	case dispatch.PauseUnreadable:
+		c.relay.logger.Info("ignored a pause of a backend server that can't be read", "event", 369, "server", change.Server,
+			"service", change.Service, "attempt", c.metadata.Attempt)
+	case dispatch.PauseNamed, dispatch.PauseOver:
+		c.relay.logger.Info("backend server changed the pause in which it wants no calls", "event", 367, "server", change.Server,
+			"service", change.Service, "source", "answer", "change", change.Pause, "age", change.Age, "named", stated.Pause.For,
+			"until", change.PausedUntil, "attempt", c.metadata.Attempt)
+	}
 }
--- a/protocol/relay/statement_test.go
+++ b/protocol/relay/statement_test.go
@@ -25,6 +25,10 @@
 	answer.Server = apricotway.BackendServerID(header.Get("Server"))
 	answer.Leaving = header.Get("Leaving") != ""
 
+	if header.Get("Pause") != "" {
+		answer.Pause = apricotway.RequestPause{Statement: apricotway.PauseStated, For: 30 * time.Second}
+	}
+
 	return answer
 }
 
@@ -126,3 +130,14 @@
 		})
 	}
 }
+
+// TestSendsDuringPause guards against calls for a server that has turned one away and named a pause.
+func TestSendsDuringPause(t *testing.T) {
+	for _, kind := range []apricotway.RouteKind{apricotway.RouteSafe, apricotway.RouteUnsafe, apricotway.RouteStream} {
+		t.Run(string(kind), func(t *testing.T) {
+			if got, want := stateAtRelay(t, kind, kind == apricotway.RouteStream, resultRejected, http.Header{"Pause": {"1"}}), 1; got != want {
+				t.Errorf("got %d calls, want %d", got, want)
+			}
+		})
+	}
+}
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -67,6 +67,8 @@
 	RefusedLate RefusalReason = "late"
 	// RefusedLimited means that the limits of all usable servers leave no request to this process now.
 	RefusedLimited RefusalReason = "limited"
+	// RefusedPaused means that all servers which could take the call leave or have named a pause.
+	RefusedPaused RefusalReason = "paused"
 )
 
 // Pool is the view that one process has of all backend servers. It is safe for concurrent use.
@@ -232,7 +234,15 @@
 	if best == nil {
 		demand.Refused++
 
-		if wait := p.limitedWaitLocked(request); wait > 0 {
+		if wait := p.pauseWaitLocked(now, request); wait > 0 {
+			if wait > request.Remaining {
+				wait = noServerRetryAfter
+			}
+
+			return nil, RefusedPaused, wait
+		}
+
+		if wait := p.limitedWaitLocked(now, request); wait > 0 {
 			return nil, RefusedLimited, wait
 		}
 
@@ -257,7 +267,7 @@
 	send := p.sendLocked(now, best, request)
 	if send == nil {
 		demand.Refused++
-		return nil, RefusedLimited, p.limitedWaitLocked(request)
+		return nil, RefusedLimited, p.limitedWaitLocked(now, request)
 	}
 
 	send.Expected, send.prefill = estimate.wait, estimate.prefill
@@ -267,12 +277,15 @@
 	return send, RefusedNone, 0
 }
 
-// sendLocked counts a call as running on the server. It returns nil when the server's limit leaves no request to this process.
+// sendLocked counts a call as running on the server. It returns nil when the server has named a pause, or when its limit leaves no
+// request to this process.
 func (p *Pool) sendLocked(now time.Time, s *server, request Request) *Send {
-	if !p.limits.Take(now, s.backend.ID) {
+	if s.paused(now) || !p.limits.Take(now, s.backend.ID) {
 		return nil
 	}
 
+	s.said.extendPause(now)
+
 	s.own.Running++
 
 	return &Send{
@@ -281,7 +294,7 @@
 }
 
 // PlaceAt places a call on the given server, even one that is leaving: a run that stopped there was placed before this process knew of
-// the leaving. It returns nil when the server is not known, or when its limit leaves no request to this process.
+// the leaving. It returns nil when the server is not known or has named a pause, or when its limit leaves no request to this process.
 func (p *Pool) PlaceAt(now time.Time, id apricotway.BackendServerID, request Request) *Send {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -387,7 +400,7 @@
 			continue
 		}
 
-		if rank++; contains(request.Avoid, s.backend.ID) || !p.limits.Allows(now, s.backend.ID) {
+		if rank++; s.paused(now) || contains(request.Avoid, s.backend.ID) || !p.limits.Allows(now, s.backend.ID) {
 			continue
 		}
 
--- a/state/dispatch/limits.go
+++ b/state/dispatch/limits.go
@@ -47,11 +47,11 @@
 
 // limitedWaitLocked returns the retry delay for a call that limits leave no server: about the time in which the first of them
 // accepts one more request, with random additions so that callers don't return at once. It is 0 if no usable server is limited.
-func (p *Pool) limitedWaitLocked(request Request) time.Duration {
+func (p *Pool) limitedWaitLocked(now time.Time, request Request) time.Duration {
 	var shortest time.Duration
 
 	for _, s := range p.services[request.Service] {
-		if s.leaving() || contains(request.Avoid, s.backend.ID) {
+		if s.leaving() || s.paused(now) || contains(request.Avoid, s.backend.ID) {
 			continue
 		}
 
--- a/state/dispatch/statements_test.go
+++ b/state/dispatch/statements_test.go
@@ -152,3 +152,161 @@
 		t.Error("got no calls at the new start, want some")
 	}
 }
+
+// pauseOf returns an answer that names a pause.
+func pauseOf(length time.Duration) apricotway.AnswerMetadata {
+	return apricotway.AnswerMetadata{NotRun: true, Pause: apricotway.RequestPause{Statement: apricotway.PauseStated, For: length}}
+}
+
+// TestPause guards against calls for a server in the pause that it has named, first and retried ones and those of moved runs, and against
+// a pause that lasts longer than the server or its named time.
+func TestPause(t *testing.T) {
+	const pause = 5 * time.Second
+
+	p := dispatch.New()
+	p.Update(backend("a"), start)
+	p.Update(backend("b"), start)
+
+	if change := answer(t, p, start, "a", pauseOf(pause), false); change.Pause != dispatch.PauseNamed || !change.PausedUntil.Equal(start.Add(pause)) {
+		t.Errorf("got change %+v, want a pause of %s", change, pause)
+	}
+
+	for _, after := range []time.Duration{0, pause - time.Millisecond} {
+		now := start.Add(after)
+
+		if send := p.PlaceAt(now, "a", dispatch.Request{Service: service}); send != nil {
+			t.Errorf("after %s: got a moved run at the server, want none", after)
+		}
+
+		if seen := placed(p, now); seen["a"] || !seen["b"] {
+			t.Errorf("after %s: got calls at %v, want b only", after, seen)
+		}
+
+		retry := dispatch.Request{Service: service, Remaining: time.Minute, Avoid: []apricotway.BackendServerID{"b"}}
+		if send, why, wait := p.Place(now, retry); send != nil || why != dispatch.RefusedPaused || wait < pause-after {
+			t.Errorf("after %s: got %v, %s and %s, want a refusal until the end of the pause", after, send, why, wait)
+		}
+	}
+
+	if seen := placed(p, start.Add(pause)); !seen["a"] {
+		t.Error("after the pause: got no calls, want some")
+	}
+
+	answer(t, p, start.Add(pause), "a", pauseOf(pause), false)
+
+	again := backend("a")
+	again.Born = start.Add(time.Second)
+	p.Update(again, start.Add(pause))
+
+	if seen := placed(p, start.Add(pause)); !seen["a"] {
+		t.Error("new start: got no calls, want some")
+	}
+}
+
+// TestFurtherPauses guards against a pause that a later answer shortens.
+func TestFurtherPauses(t *testing.T) {
+	p := dispatch.New()
+	p.Update(backend("a"), start)
+
+	var sends []*dispatch.Send
+	for range 6 {
+		sends = append(sends, p.PlaceAt(start, "a", dispatch.Request{Service: service}))
+	}
+
+	for i, test := range []struct {
+		answer apricotway.AnswerMetadata
+		change dispatch.PauseChange
+		until  time.Duration
+	}{
+		{pauseOf(3 * time.Second), dispatch.PauseNamed, 3 * time.Second},
+		{pauseOf(time.Second), dispatch.PauseUnchanged, 3 * time.Second},
+		{pauseOf(9 * time.Second), dispatch.PauseNamed, 9 * time.Second},
+		{apricotway.AnswerMetadata{}, dispatch.PauseUnchanged, 9 * time.Second},
+		{
+			apricotway.AnswerMetadata{Pause: apricotway.RequestPause{Statement: apricotway.PauseInvalid}},
+			dispatch.PauseUnreadable,
+			9 * time.Second,
+		},
+		{
+			apricotway.AnswerMetadata{Pause: apricotway.RequestPause{Statement: apricotway.PauseInvalid}},
+			dispatch.PauseUnchanged,
+			9 * time.Second,
+		},
+	} {
+		change := sends[i].RecordStatements(start, test.answer, false)
+		if got, want := change.PausedUntil, start.Add(test.until); change.Pause != test.change || !got.Equal(want) {
+			t.Errorf("answer %d: got %q until %s, want %q until %s", i, change.Pause, got, test.change, want)
+		}
+	}
+}
+
+// TestLongPause guards against a server that is out for the day because it named a huge pause by mistake, and against more than two calls
+// within a long pause.
+func TestLongPause(t *testing.T) {
+	const most = time.Minute
+
+	for name, test := range map[string]struct {
+		trial apricotway.AnswerMetadata
+		calls int
+	}{
+		"mistake":   {apricotway.AnswerMetadata{}, 50},
+		"confirmed": {pauseOf(time.Duration(1<<63 - 1)), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := dispatch.New()
+			p.Update(backend("a"), start)
+			answer(t, p, start, "a", pauseOf(time.Duration(1<<63-1)), false)
+
+			now := start.Add(most - time.Millisecond)
+			if seen := placed(p, now); seen["a"] {
+				t.Error("before the bound: got calls, want none")
+			}
+
+			now = start.Add(most)
+
+			trial, _, _ := p.Place(now, dispatch.Request{Service: service, Remaining: time.Minute})
+			if trial == nil {
+				t.Fatal("got no call at the bound, want one")
+			}
+
+			if seen := placed(p, now.Add(most-time.Millisecond)); seen["a"] {
+				t.Error("before the answer to the first call: got further calls, want none")
+			}
+
+			trial.RecordStatements(now.Add(time.Second), test.trial, false)
+
+			if got, want := placed(p, now.Add(time.Second))["a"], test.calls > 0; got != want {
+				t.Errorf("got further calls: %t, want %t", got, want)
+			}
+		})
+	}
+}
+
+// TestRefusalWhilePaused guards against a retry time that is not that of the first server that is back, or that exceeds the time of the
+// call.
+func TestRefusalWhilePaused(t *testing.T) {
+	p := dispatch.New()
+	for _, id := range []apricotway.BackendServerID{"a", "b", "c"} {
+		p.Update(backend(id), start)
+	}
+
+	answer(t, p, start, "a", pauseOf(9*time.Second), false)
+	answer(t, p, start, "b", pauseOf(3*time.Second), false)
+
+	if wait := p.PauseWait(start, service); wait != 0 {
+		t.Errorf("with a free server: got %s, want 0", wait)
+	}
+
+	answer(t, p, start, "c", apricotway.AnswerMetadata{Leaving: true}, false)
+
+	for remaining, most := range map[time.Duration]time.Duration{time.Minute: 3001 * time.Millisecond, time.Second: time.Second} {
+		_, why, wait := p.Place(start, dispatch.Request{Service: service, Remaining: remaining})
+		if why != dispatch.RefusedPaused || wait > most || wait < most/2 {
+			t.Errorf("with %s left: got %s and %s, want a refusal with at most %s", remaining, why, wait, most)
+		}
+	}
+
+	if got, want := p.ServiceStates(start)[service], (dispatch.ServiceState{Servers: 3, Leaving: 1, Paused: 2}); got != want {
+		t.Errorf("got state %+v, want %+v", got, want)
+	}
+}
