--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -71,7 +71,8 @@
 	added   time.Time
 	// hash identifies the server in rendezvous hashing.
 	hash uint64
-	said statements
+	// said is what the server has said of itself; nil while it has said nothing.
+	said *statements
 
 	// own is the work of this process that is in flight on the server.
 	own Work
--- a/state/dispatch/statements.go
+++ b/state/dispatch/statements.go
@@ -44,7 +44,7 @@
 
 // statements is what a server has said of itself in its answers. It belongs to one start of the server and ends with it.
 type statements struct {
-	// leavingAt is the time of the first answer which said that the server is leaving; zero before that.
+	// leavingAt is the time of the last answer which said that the server is leaving; zero without one.
 	leavingAt time.Time
 	// namedAt is the time of the last answer that named a pause, and namedUntil the latest end of a pause that was named.
 	namedAt, namedUntil time.Time
@@ -84,17 +84,19 @@
 }
 
 // paused reports whether the server has named a pause that has not ended.
-func (s *server) paused(now time.Time) bool { return now.Before(s.said.pausedUntil) }
+func (s *server) paused(now time.Time) bool { return s.said != nil && now.Before(s.said.pausedUntil) }
 
 // extendPause records a call after maxPause, before the end of the named pause. No other follows until it is answered, or for maxPause.
 func (s *statements) extendPause(now time.Time) {
-	if now.Before(s.namedUntil) {
+	if s != nil && now.Before(s.namedUntil) {
 		s.pausedUntil = now.Add(min(s.namedUntil.Sub(now), maxPause))
 	}
 }
 
 // leaving reports whether the server's entry or one of its answers says that it is leaving.
-func (s *server) leaving() bool { return s.backend.Leaving || !s.said.leavingAt.IsZero() }
+func (s *server) leaving() bool {
+	return s.backend.Leaving || s.said != nil && !s.said.leavingAt.IsZero()
+}
 
 // RecordStatements records what the server of an answer says of itself. misdirected is set for an answer by which a server denies to be
 // the expected one.
@@ -103,14 +105,18 @@
 	defer s.pool.mu.Unlock()
 
 	from := s.senderLocked(answer.Server, misdirected)
-	if from == nil {
+	if from == nil || from.said == nil && !answer.Leaving && answer.Pause.Statement == apricotway.PauseAbsent {
 		return StatementChange{}
 	}
 
+	if from.said == nil {
+		from.said = &statements{}
+	}
+
 	change := StatementChange{Server: from.backend.ID, Service: from.backend.Service, Age: now.Sub(s.sent)}
 
-	if answer.Leaving && from.said.leavingAt.IsZero() {
-		change.Leaving = !from.backend.Leaving
+	if answer.Leaving {
+		change.Leaving = !from.leaving()
 		from.said.leavingAt = now
 	}
 
@@ -207,7 +213,7 @@
 	defer p.mu.Unlock()
 
 	s := p.servers[entry.ID]
-	if s == nil || entry.Leaving || s.said.leavingAt.IsZero() || !writtenAfter.After(s.said.leavingAt) {
+	if s == nil || entry.Leaving || s.said == nil || s.said.leavingAt.IsZero() || !writtenAfter.After(s.said.leavingAt) {
 		return 0, false
 	}
 
