Keep what the new start of a server says before its entry is read

A server that started again under its identifier and address and then named a pause got calls in the pause: its entry was read up to 1.5 s later, with another start time, and the pause was dropped with the earlier start. What was said after the start time of the new entry is now kept. The comparison is of two hosts' clocks. TestStatementBeforeEntry failed before.

--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -139,11 +139,16 @@
 		return
 	}
 
+	added := newServer(backend, now)
+
 	if known != nil {
 		p.removeLocked(known)
+
+		if known.backend.Service == backend.Service && known.backend.Address == backend.Address {
+			added.said = known.said.since(backend.Born)
+		}
 	}
 
-	added := newServer(backend, now)
 	p.servers[backend.ID] = added
 	list := p.services[backend.Service]
 	at, _ := slices.BinarySearchFunc(list, added.hash, func(s *server, hash uint64) int { return cmp.Compare(s.hash, hash) })
--- a/state/dispatch/statements.go
+++ b/state/dispatch/statements.go
@@ -83,6 +83,26 @@
 	return PauseUnchanged
 }
 
+// since returns what the start of the server at the given time has said, nil if nothing. An answer of a new start may arrive before its
+// entry.
+func (s *statements) since(born time.Time) *statements {
+	if s == nil || !s.leavingAt.After(born) && !s.namedAt.After(born) {
+		return nil
+	}
+
+	kept := *s
+
+	if !s.leavingAt.After(born) {
+		kept.leavingAt = time.Time{}
+	}
+
+	if !s.namedAt.After(born) {
+		kept.namedAt, kept.namedUntil, kept.pausedUntil = time.Time{}, time.Time{}, time.Time{}
+	}
+
+	return &kept
+}
+
 // paused reports whether the server has named a pause that has not ended.
 func (s *server) paused(now time.Time) bool { return s.said != nil && now.Before(s.said.pausedUntil) }
 
--- a/state/dispatch/statements_test.go
+++ b/state/dispatch/statements_test.go
@@ -137,6 +137,25 @@
 	}
 }
 
+// TestStatementBeforeEntry guards against losing what a new start of a server has said before its entry was read.
+func TestStatementBeforeEntry(t *testing.T) {
+	for name, stated := range map[string]apricotway.AnswerMetadata{"leaving": {Leaving: true}, "pause": pauseOf(time.Minute)} {
+		t.Run(name, func(t *testing.T) {
+			p := dispatch.New()
+			p.Update(backend("a"), start)
+			answer(t, p, start, "a", stated, false)
+
+			again := backend("a")
+			again.Born = start.Add(-time.Millisecond)
+			p.Update(again, start)
+
+			if seen := placed(p, start); seen["a"] {
+				t.Error("got calls at the new start, want none")
+			}
+		})
+	}
+}
+
 // TestStatementOfEarlierStart guards against taking the answer of a server's earlier start for one of the new start.
 func TestStatementOfEarlierStart(t *testing.T) {
 	p := dispatch.New()
