Play statements of servers with real processes in the soak

TestStatementFailures: engines of the stand-in say that they are leaving, turn requests away with seconds, a date, or a readable and an unreadable value, start again at their address under the same or another identifier, while the hosts, their links and the store fail as in the other soaks and callers keep their connections. The operators' two rules are checked over all arrivals.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 SEEDS ?= 10
 DURATION ?= 1m
 FIRST ?= 1000
-.PHONY: soak soak-entry soak-limits soak-crashes soak-restores
+.PHONY: soak soak-entry soak-limits soak-crashes soak-restores soak-statements
 soak-entry:
 	go test -race -count=1 -timeout 0 -run 'TestEntryFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
 
@@ -42,6 +42,9 @@
 soak-restores:
 	go test -race -count=1 -timeout 0 -parallel 3 -run 'TestRestoreFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
 
+soak-statements:
+	go test -race -count=1 -timeout 0 -parallel 3 -run 'TestStatementFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
+
 soak:
 	go test -race -count=1 -timeout 0 -run 'TestRandomFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
 
--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -44,6 +44,8 @@
 	done     chan struct{}
 	// impaired holds the times in which the process was stopped, ended or cut off from the platform.
 	impaired []interval
+	// interrupted holds those of them in which it was stopped or ended.
+	interrupted []interval
 }
 
 // interval is a span of time; end is zero while it lasts.
@@ -57,6 +59,15 @@
 	return func() { e.impaired[at].end = time.Now() }
 }
 
+// interrupt records the beginning of an impairment that stops or ends the process, and returns the function that records its end.
+func (e *entryProgram) interrupt() (heal func()) {
+	healed := e.impair()
+	e.interrupted = append(e.interrupted, interval{begin: time.Now()})
+	at := len(e.interrupted) - 1
+
+	return func() { healed(); e.interrupted[at].end = time.Now() }
+}
+
 // attemptResult is the response, or the error, that a caller got for one attempt.
 type attemptResult struct {
 	attempt, path, body string
@@ -68,6 +79,8 @@
 	// engine is the engine that answered, and limited tells whether the answer states a limit.
 	engine  string
 	limited bool
+	// leaving tells whether the answer says that the engine is leaving.
+	leaving bool
 }
 
 // entrySystem is a system under test: the platform and the engines run in this process, each entry host in its own.
@@ -267,6 +280,7 @@
 
 		a.begun = time.Now()
 		a.engine, a.limited = standin.StatedLimit(response.Header)
+		_, a.leaving = standin.StatedLeaving(response.Header)
 
 		content, err = io.ReadAll(response.Body)
 		_ = response.Body.Close()
@@ -316,18 +330,18 @@
 
 	switch s.random.IntN(hostFailures) {
 	case 0:
-		healed := e.impair()
+		healed := e.interrupt()
 		e.end(syscall.SIGKILL)
 
 		return func() { s.start(e); healed() }
 	case 1:
-		healed := e.impair()
+		healed := e.interrupt()
 		// The process may already have ended.
 		_ = e.command.Process.Signal(syscall.SIGSTOP)
 
 		return func() { _ = e.command.Process.Signal(syscall.SIGCONT); healed() }
 	case 2:
-		healed := e.impair()
+		healed := e.interrupt()
 		e.end(syscall.SIGTERM)
 
 		return func() { s.start(e); healed() }
