--- a/coordination/inventory/oddhosts_test.go
+++ b/cmd/internal/daemon/oddhosts_test.go
@@ -1,4 +1,4 @@
-package inventory_test
+package daemon_test
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
@@ -65,7 +66,10 @@
 
 	defer func() {
 		cancel()
-		<-done
+
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Errorf("got end %v, want %v", err, context.Canceled)
+		}
 	}()
 
 	for _, step := range []struct{ put, want []string }{
