--- a/transport/upstream/resumption_test.go
+++ b/transport/upstream/resumption_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -259,3 +261,74 @@
 		})
 	}
 }
+
+// TestFailedResumptionOfOldCaller guards against an incomplete stream that looks complete to an HTTP/1.0 caller, for whom closing the
+// connection ends the answer.
+func TestFailedResumptionOfOldCaller(t *testing.T) {
+	for name, test := range failedResumptions {
+		t.Run(name, func(t *testing.T) {
+			var sends atomic.Int64
+
+			h := newHarness(t)
+			for i := range 2 {
+				h.pool.Update(apricotway.Backend{
+					ID: apricotway.BackendServerID(fmt.Sprint(i)), Service: "s", Slots: 8,
+					Address: newBackend(t, func(conn net.Conn, _ string) bool {
+						if sends.Add(1) == 1 {
+							write(conn, streamHead+"\r\n"+event(1)+event(2)+"id: 3\ndata: tok")
+						} else {
+							write(conn, test.answer)
+						}
+
+						return false
+					}).address,
+				}, time.Now())
+			}
+
+			conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", h.front.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+
+			write(conn, "POST /resumable/ HTTP/1.0\r\nHost: h.example\r\nAttempt: 1\r\nKey: secret\r\nWait: 1s\r\nContent-Length: 0\r\n\r\n")
+
+			if got, err := io.ReadAll(conn); err == nil {
+				t.Errorf("got %q as a complete answer, want a reset", got)
+			}
+		})
+	}
+}
+
+// TestResumedAtSameServer guards against a second copy of a stream's beginning being taken for its rest when its own server continues
+// it: both answers name the same attempt.
+func TestResumedAtSameServer(t *testing.T) {
+	first := streamHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1)+"id: 2\n") + "0\r\n\r\n"
+
+	var used sync.Map
+
+	b := newBackend(t, func(conn net.Conn, head string) bool {
+		if _, again := used.LoadOrStore(conn, true); again {
+			write(conn, first)
+		}
+
+		if strings.Contains(head, "Last-Event-Id: 1\r\n") {
+			write(conn, framed(streamHead, event(2)))
+		} else {
+			write(conn, first)
+		}
+
+		return true
+	})
+	h := newHarness(t)
+	h.pool.Update(apricotway.Backend{ID: "b", Service: "s", Slots: 8, Address: b.address}, time.Now())
+
+	_, got, err := h.call("/resumable/", nil) //nolint:bodyclose // The call has read and closed it.
+	if want := event(1) + event(2); err != nil || got != want {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+
+	if got, want := b.requests.Load(), int64(2); got != want {
+		t.Errorf("got %d sends, want %d", got, want)
+	}
+}
