Keep pauses of plain servers and engines in apricotway serve

A plain server or engine that answered 503 with Retry-After got the next calls at once, and callers were told to come back after 1 s whatever it had said. The inventory, which decides there which servers may be used, now holds the end of the pause, and a service whose servers all pause refuses with the time until the first is back, if that is within the caller's time. The reading of the field moves from the adapter to internal/retryafter, which both paths use. Servers there have no header for leaving. The polls of load and cache events go on during a pause, and no line is logged yet.

--- a/backend.go
+++ b/backend.go
@@ -134,3 +134,15 @@
 	// ErrStreamBroken reports that a generation ended before its last token.
 	ErrStreamBroken = errors.New("token stream broken")
 )
+
+// PauseError is the error of a backend server that turned a call away and named a time for which it wants no calls.
+type PauseError struct {
+	Pause RequestPause
+	Err   error
+}
+
+// Error implements the error interface.
+func (e *PauseError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the error without the pause.
+func (e *PauseError) Unwrap() error { return e.Err }
--- a/coordination/inventory/inventory.go
+++ b/coordination/inventory/inventory.go
@@ -41,6 +41,8 @@
 	// the lagging list still shows them. Entries are removed once they no longer have an effect.
 	observations map[apricotway.BackendServerID]inventory.Observation
 	notices      map[apricotway.BackendServerID]inventory.Known
+	// pauses holds the ends of the pauses that servers have named in answers to this process.
+	pauses map[apricotway.BackendServerID]time.Time
 	// changes holds the published changes of the host list, own ones included. current is the listing with the changes applied.
 	changes map[apricotway.BackendServerID]inventory.KnownChange
 	current inventory.Listing
@@ -105,6 +107,7 @@
 		period:       DefaultPeriod,
 		observations: map[apricotway.BackendServerID]inventory.Observation{},
 		notices:      map[apricotway.BackendServerID]inventory.Known{},
+		pauses:       map[apricotway.BackendServerID]time.Time{},
 		changes:      map[apricotway.BackendServerID]inventory.KnownChange{},
 		received:     make(chan struct{}, 1),
 		reread:       make(chan struct{}, 1),
@@ -276,13 +279,20 @@
 	i.subset = inventory.Subset(i.current.Servers, members[1:], members[0])
 }
 
-// Usable returns the servers of a service that may receive new work: those of the own subset that are live and not known to be
-// dead. The caller may modify the result.
+// Usable returns the servers of a service that may receive new work: those of the own subset that are live, not known to be dead and
+// want no pause. The caller may modify the result.
 func (i *Inventory) Usable(service apricotway.Service) []apricotway.BackendServer {
 	i.mu.RLock()
 	defer i.mu.RUnlock()
 
-	return slices.Clone(i.view.Usable[service])
+	usable := slices.Clone(i.view.Usable[service])
+	if len(i.pauses) == 0 {
+		return usable
+	}
+
+	now := time.Now()
+
+	return slices.DeleteFunc(usable, func(s apricotway.BackendServer) bool { return now.Before(i.pauses[s.ID]) })
 }
 
 // All returns every known server of the host list, marked as leaving if a notice says so. The caller must not modify the result.
--- a/protocol/call/caller.go
+++ b/protocol/call/caller.go
@@ -13,6 +13,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
+	"github.com/apricotway/apricotway/internal/retryafter"
 	"github.com/apricotway/apricotway/state/routing"
 )
 
@@ -149,6 +150,8 @@
 		c.policy.Release(candidates[index].ID)
 
 		if err == nil {
+			c.inventory.RecordPause(candidates[index].ID, time.Now(), retryafter.Read(answer.Status, answer.Header))
+
 			return answer, nil
 		}
 
@@ -167,7 +170,14 @@
 		excluded = append(excluded, candidates[index].ID)
 	}
 
-	return apricotway.ServiceAnswer{}, refuse(ctx, sent, last)
+	refusal := refuse(ctx, sent, last)
+
+	now := time.Now()
+	if wait := c.inventory.PauseWait(request.Service, now); !sent && wait > 0 && now.Add(wait).Before(request.Deadline) {
+		refusal.RetryAfter = wait
+	}
+
+	return apricotway.ServiceAnswer{}, refusal
 }
 
 // repeatable reports whether calls with the method may be retried: the safe methods of RFC 9110 other than TRACE.
--- a/protocol/call/ledger.go
+++ b/protocol/call/ledger.go
@@ -10,6 +10,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/coordination/shard"
+	"github.com/apricotway/apricotway/internal/retryafter"
 	"github.com/apricotway/apricotway/state/ledger"
 	"github.com/apricotway/apricotway/state/routing"
 )
@@ -163,6 +164,7 @@
 
 			answer, err := services.Call(ctx, candidates[index], call)
 			policy.Release(candidates[index].ID)
+			inventory.RecordPause(candidates[index].ID, time.Now(), retryafter.Read(answer.Status, answer.Header))
 
 			if err == nil || ctx.Err() != nil || !errors.Is(err, apricotway.ErrNotSent) {
 				return answer, err
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -286,7 +286,14 @@
 		}
 	}
 
-	return done.server, refuse(ctx, done, last)
+	refusal := refuse(ctx, done, last)
+
+	now := time.Now()
+	if wait := r.inventory.PauseWait(request.Service, now); !done.started && wait > 0 && now.Add(wait).Before(request.Deadline) {
+		refusal.RetryAfter = wait
+	}
+
+	return done.server, refusal
 }
 
 // moving reports whether an attempt ended because its generation continues elsewhere, which is no failure: it was moved, its host
@@ -345,6 +352,11 @@
 		done.prefilled = done.tokens > 0
 	case errors.Is(err, apricotway.ErrBackendRefused):
 		done.prefilled = done.tokens > 0
+
+		var turnedAway *apricotway.PauseError
+		if errors.As(err, &turnedAway) {
+			r.inventory.RecordPause(place.server.ID, time.Now(), turnedAway.Pause)
+		}
 	case errors.Is(err, apricotway.ErrStreamBroken):
 		done.started = true
 
--- a/transport/engine/client.go
+++ b/transport/engine/client.go
@@ -16,6 +16,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/retryafter"
 	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
@@ -107,7 +108,10 @@
 
 		reason, _ := io.ReadAll(io.LimitReader(response.Body, maxEventBytes))
 
-		return nil, errors.Wrapf(statusError(response.StatusCode), "status %d: %s", response.StatusCode, reason)
+		return nil, &apricotway.PauseError{
+			Pause: retryafter.Read(response.StatusCode, response.Header),
+			Err:   errors.Wrapf(statusError(response.StatusCode), "status %d: %s", response.StatusCode, reason),
+		}
 	}
 
 	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](sse.Read(response.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes})))
