--- a/transport/api/answer.go
+++ b/transport/api/answer.go
@@ -180,7 +180,9 @@
 }
 
 // stopping reports whether the request ends because the process stops.
-func stopping(r *http.Request) bool { return errors.Is(context.Cause(r.Context()), apricotway.ErrStopping) }
+func stopping(r *http.Request) bool {
+	return errors.Is(context.Cause(r.Context()), apricotway.ErrStopping)
+}
 
 // orUnknownOutcome returns err if it is a refusal, else that of a request that the process could not finish before it stopped.
 func orUnknownOutcome(err error) error {
