Note for the linter that a request outlives the call that starts it

Merging serve's pauses and the answers at a stop made contextcheck follow Requests.Start into run, whose context is that of all requests on purpose. The other callers of it have the same note.

--- a/transport/api/completions.go
+++ b/transport/api/completions.go
@@ -155,7 +155,7 @@
 	request.Form = completion.Form{
 		Chat: dialect == dialectChat, Stream: body.Stream, IncludeUsage: body.StreamOptions.IncludeUsage, Created: time.Now(),
 	}
-	running := s.completions.Start(request)
+	running := s.completions.Start(request) //nolint:contextcheck // the request outlives this call
 
 	if body.Stream {
 		return s.streamAnswer(w, r, running, 0)
