Look less often for a replacement of a silent server

Each look that finds no server counts as demand that was refused, by which engines are ordered. Twice a second is often enough for callers that wait for a silent server; no test depends on it.

--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -16,7 +16,7 @@
 	// abandon a stream after a pause of 2 s at the earliest.
 	defaultPause = time.Second
 	// replacementInterval is the interval at which another server is looked for while a server is silent.
-	replacementInterval = 250 * time.Millisecond
+	replacementInterval = 500 * time.Millisecond
 )
 
 // silenceTimer cancels an attempt whose server has not answered or sent an event in time, once another server can take the call. Until
