Use a server again that is ready after all where the list comes from another process

A process that gets the list from another one sees entries with changes only. If a server's answers said that it was leaving while its entry said ready throughout, as when the store was away meanwhile, that process never used the server again. It now reads the list itself for a few seconds while the entry contradicts the answers for more than 5 s, and again every 30 s; two readings decide by the entries' order. The pool keeps the servers that said so in a map of their own, which ends with them.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -62,6 +62,9 @@
 	// EndLeaveStatement ends the belief that a server is leaving because its answers said so, if its entry says that it is ready and was
 	// written after the answer. It returns the age of the belief and whether it has ended.
 	EndLeaveStatement(now time.Time, entry apricotway.Backend, writtenAfter time.Time) (age time.Duration, ended bool)
+	// Doubted reports whether the list has to be read here because of what servers said in their answers: other processes pass on only
+	// entries with changes.
+	Doubted(now time.Time) bool
 }
 
 // Catalog reads the operators' store for one process. It is safe for concurrent use.
@@ -172,10 +175,10 @@
 	}
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "configuration", Func: func(ctx context.Context) error {
-		return c.poll(ctx, "configuration", c.readDeployment())
+		return c.poll(ctx, "configuration", c.readDeployment(), func(time.Time) bool { return false })
 	}})
 	supervisor.Add(apricotway.ServiceFunc{Name: "list of backend servers", Func: func(ctx context.Context) error {
-		return c.poll(ctx, "list of backend servers", c.readBackends())
+		return c.poll(ctx, "list of backend servers", c.readBackends(), c.servers.Doubted)
 	}})
 
 	supervisor.Add(apricotway.Periodic("entries of a restored list", restoreCheckPeriod, func(_ context.Context, now time.Time) {
@@ -268,12 +271,15 @@
 }
 
 // poll repeats a read until the context ends, and pauses while another process passes on what it reads. The first read after such
-// a pause starts from scratch, since the position of the last one is outdated.
-func (c *Catalog) poll(ctx context.Context, name string, read func(ctx context.Context, fromScratch bool) error) error {
+// a pause starts from scratch, since the position of the last one is outdated. needed reports whether what another process passes on is not
+// enough.
+func (c *Catalog) poll(
+	ctx context.Context, name string, read func(ctx context.Context, fromScratch bool) error, needed func(now time.Time) bool,
+) error {
 	failing, outdated := false, false
 
 	for {
-		if c.hasFreshNews() && !c.isReader.Load() {
+		if c.hasFreshNews() && !c.isReader.Load() && !needed(time.Now()) {
 			if !pause.For(ctx, newsCheckPeriod) {
 				return ctx.Err()
 			}
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -86,6 +86,8 @@
 	demand      map[apricotway.Service]*Demand
 	callRates   map[callKind]*callRate
 	engineTimes map[apricotway.Service]*engineTime
+	// stated holds the servers whose answers said that they are leaving.
+	stated map[apricotway.BackendServerID]*server
 	// limits decides whether a server may get one more request of this process. Every Send takes its request from it.
 	limits *intake.Limits
 }
@@ -117,6 +119,7 @@
 		demand:      map[apricotway.Service]*Demand{},
 		callRates:   map[callKind]*callRate{},
 		engineTimes: map[apricotway.Service]*engineTime{},
+		stated:      map[apricotway.BackendServerID]*server{},
 		limits:      intake.New(),
 	}
 	for _, option := range options {
@@ -147,6 +150,10 @@
 		if known.backend.Service == backend.Service && known.backend.Address == backend.Address {
 			added.said = known.said.since(backend.Born)
 		}
+
+		if added.said != nil && !added.said.leavingAt.IsZero() {
+			p.stated[backend.ID] = added
+		}
 	}
 
 	p.servers[backend.ID] = added
@@ -167,6 +174,7 @@
 
 func (p *Pool) removeLocked(gone *server) {
 	delete(p.servers, gone.backend.ID)
+	delete(p.stated, gone.backend.ID)
 
 	list := p.services[gone.backend.Service]
 	for i, other := range list {
--- a/state/dispatch/statements.go
+++ b/state/dispatch/statements.go
@@ -13,6 +13,8 @@
 	maxPause = time.Minute
 	// pauseStep is the least extension of a pause that counts as a change. Answers to several calls on their way name nearly the same end.
 	pauseStep = 250 * time.Millisecond
+	// doubtAge, doubtTime and doubtPeriod: see Doubted. Servers write their entries about every 1.2 s.
+	doubtAge, doubtTime, doubtPeriod = 5 * time.Second, 4 * time.Second, 30 * time.Second
 )
 
 // StatementChange is what an answer changed in the belief about the server that it came from.
@@ -138,6 +140,10 @@
 	if answer.Leaving {
 		change.Leaving = !from.leaving()
 		from.said.leavingAt = now
+
+		if s.pool.servers[from.backend.ID] == from {
+			s.pool.stated[from.backend.ID] = from
+		}
 	}
 
 	change.Pause = from.said.pause(now, s.sent, answer.Pause)
@@ -240,5 +246,23 @@
 	age = now.Sub(s.said.leavingAt)
 	s.said.leavingAt = time.Time{}
 
+	delete(p.stated, entry.ID)
+
 	return age, true
 }
+
+// Doubted reports whether the entry of a server says that it is ready although its answers said that it is leaving, so that its next
+// entries have to be read. Entries usually follow the answers within doubtAge. The reading is tried for doubtTime, every doubtPeriod.
+func (p *Pool) Doubted(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	for _, s := range p.stated {
+		age := now.Sub(s.said.leavingAt)
+		if !s.backend.Leaving && age >= doubtAge && (age-doubtAge)%doubtPeriod < doubtTime {
+			return true
+		}
+	}
+
+	return false
+}
--- a/state/dispatch/statements_test.go
+++ b/state/dispatch/statements_test.go
@@ -104,6 +104,40 @@
 	}
 }
 
+// TestDoubted guards against reading the list for a server whose entry follows its answers, and against reading it without end.
+func TestDoubted(t *testing.T) {
+	p := dispatch.New()
+	p.Update(backend("a"), start)
+	answer(t, p, start, "a", apricotway.AnswerMetadata{Leaving: true}, false)
+
+	for after, want := range map[time.Duration]bool{
+		0: false, 4 * time.Second: false, 6 * time.Second: true, 10 * time.Second: false, 36 * time.Second: true,
+	} {
+		if got := p.Doubted(start.Add(after)); got != want {
+			t.Errorf("after %s: got %t, want %t", after, got, want)
+		}
+	}
+
+	leaving := backend("a")
+	leaving.Leaving = true
+	p.Update(leaving, start)
+
+	// A new start in the time of which the statement falls, and which leaves by its entry, too.
+	leaving.Born = start.Add(-time.Second)
+	p.Update(leaving, start)
+	answer(t, p, start, "a", apricotway.AnswerMetadata{Leaving: true}, false)
+
+	if p.Doubted(start.Add(6 * time.Second)) {
+		t.Error("leaving by the entry: got doubts, want none")
+	}
+
+	p.Remove("a")
+
+	if p.Doubted(start.Add(6 * time.Second)) {
+		t.Error("removed: got doubts, want none")
+	}
+}
+
 // TestStatementsOfOthers guards against taking the statement of another server at the address for one of the expected server.
 func TestStatementsOfOthers(t *testing.T) {
 	address := netip.MustParseAddrPort("127.0.0.1:1")
