--- a/state/dispatch/statements.go
+++ b/state/dispatch/statements.go
@@ -9,7 +9,7 @@
 const (
 	// maxPause bounds the time for which a server is not used because it named a pause. The operators expect that service is back 12 s
 	// after an impairment (recover_s) and let at most two requests come before the end of a pause. A server that named a longer one by
-	// mistake is thus out for five times recover_s at most, and one that means it gets a single request a minute, two within three minutes.
+	// mistake is thus out for five times recover_s, and one that means it gets a single request a minute: two in three minutes.
 	maxPause = time.Minute
 	// pauseStep is the least extension of a pause that counts as a change. Answers to several calls on their way name nearly the same end.
 	pauseStep = 250 * time.Millisecond
