Give apricotway serve 3 s for the answers at the end of a stop

In one of five runs of TestServeStop on a busy machine (load average 16 to 25) one call of 20 in each of four groups had no answer; not traced. The process ended 1 s after it had aborted its requests. Nothing kills it then, so it can wait longer; it still ends as soon as all connections are closed.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -40,7 +40,7 @@
 const closeLimit = 5 * time.Second
 
 // abortLimit bounds the time in which unfinished requests are answered when the process stops.
-const abortLimit = time.Second
+const abortLimit = 3 * time.Second
 
 // headerTimeout bounds the time for reading the header of an HTTP request.
 const headerTimeout = 10 * time.Second
