Close the connections of calls that were read before a planned stop

Callers saw: the answer to a call that was read before SIGTERM, and written later, keeps the connection open; the process closes it when it drains, and a request of the caller crosses the close.

Cause: 'Connection: close' was set when the handler began. http.Server.SetKeepAlivesEnabled used to add it when a header was written during the drain; since it is not called any more.

Change: the header is set when the header of the answer is written, in both programs, from the SIGTERM on.

--- a/cmd/internal/daemon/membership.go
+++ b/cmd/internal/daemon/membership.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -103,10 +104,41 @@
 			w.Header().Set("Connection", "close")
 		}
 
-		handler.ServeHTTP(w, r)
+		handler.ServeHTTP(&leavingWriter{ResponseWriter: w, leaving: &d.leaving}, r)
 	})
 }
 
+// leavingWriter sets "Connection: close" also on the response to a request that was read before the process began to leave.
+type leavingWriter struct {
+	http.ResponseWriter
+
+	leaving *atomic.Bool
+	// headerSent is set once the header is on its way.
+	headerSent bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *leavingWriter) WriteHeader(status int) {
+	if w.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+
+	w.headerSent = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *leavingWriter) Write(content []byte) (int, error) {
+	if !w.headerSent {
+		w.WriteHeader(http.StatusOK)
+	}
+
+	return w.ResponseWriter.Write(content)
+}
+
+// Unwrap lets http.ResponseController find the connection's own writer.
+func (w *leavingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // withdraw announces that the process leaves, then waits, still serving, until no caller can hold an unexpired address of it.
 func (d *Daemon) withdraw(ctx context.Context) {
 	d.membership.AnnounceLeave()
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -317,6 +317,8 @@
 
 // writeHeader passes on the header of an answer. A negative length means that the length is unknown.
 func (c *call) writeHeader(answer *apricotway.ForwardedAnswer, length int64) {
+	c.closeIfStopping()
+
 	header := c.writer.Header()
 	closing := header.Get("Connection")
 
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -51,6 +51,8 @@
 
 // refuse writes the refusal as a JSON answer and records the end of the call.
 func (c *call) refuse(refused *refusal) {
+	c.closeIfStopping()
+
 	header := c.writer.Header()
 	header.Set("Content-Type", "application/json")
 
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -203,10 +203,6 @@
 
 	c.boundWrites(defaultTimeout)
 
-	if _, stopping := r.stop(); stopping {
-		w.Header().Set("Connection", "close")
-	}
-
 	if refusal := c.admit(request.Context()); refusal != nil {
 		c.refuse(refusal)
 		return
--- a/protocol/relay/stop.go
+++ b/protocol/relay/stop.go
@@ -68,5 +68,12 @@
 	return samples
 }
 
+// closeIfStopping makes the answer close the connection if the process is stopping, so that the caller does not reuse it.
+func (c *call) closeIfStopping() {
+	if _, stopping := c.relay.stop(); stopping {
+		c.writer.Header().Set("Connection", "close")
+	}
+}
+
 // aborted reports whether the context of a call has ended because its process stops.
 func aborted(ctx context.Context) bool { return errors.Is(context.Cause(ctx), apricotway.ErrStopping) }
