Bound the estimates by which calls are refused during a stop

Found by the review, by reading: a stream of a few tokens gave a time for each token that refused all long streams, and a huge estimate overflowed, on arm64 to another value than on x86-64. Streams below 32 tokens count as 32, and an estimate is at most an hour.

--- a/state/duration/duration.go
+++ b/state/duration/duration.go
@@ -15,20 +15,27 @@
 	Size int
 }
 
-// longest is the longest of some samples.
-type longest struct {
+const (
+	// minSize is the size in tokens below which a stream tells nothing about the time for each token.
+	minSize = 32
+	// maxEstimate bounds estimates.
+	maxEstimate = time.Hour
+)
+
+// maxima are the longest durations of some samples.
+type maxima struct {
 	begin, rest time.Duration
 	// perToken is the rest for each token of the answer, in seconds.
 	perToken float64
 }
 
-func (l *longest) add(s Sample) {
-	l.begin = max(l.begin, s.Begin)
+func (m *maxima) add(s Sample) {
+	m.begin = max(m.begin, s.Begin)
 
 	if s.Size > 0 {
-		l.perToken = max(l.perToken, s.Rest.Seconds()/float64(s.Size))
+		m.perToken = max(m.perToken, s.Rest.Seconds()/float64(max(s.Size, minSize)))
 	} else {
-		l.rest = max(l.rest, s.Rest)
+		m.rest = max(m.rest, s.Rest)
 	}
 }
 
@@ -39,12 +46,12 @@
 	mu sync.Mutex
 	// begun is the time at which the current window began; the previous one ended then.
 	begun             time.Time
-	current, previous map[string]*longest
+	current, previous map[string]*maxima
 }
 
 // New returns an estimator without samples. Samples count for at least one window and at most two.
 func New(window time.Duration) *Estimator {
-	return &Estimator{window: window, current: map[string]*longest{}, previous: map[string]*longest{}}
+	return &Estimator{window: window, current: map[string]*maxima{}, previous: map[string]*maxima{}}
 }
 
 // Record adds a call of the route that has ended.
@@ -55,7 +62,7 @@
 	e.rotateLocked(now)
 
 	if e.current[route] == nil {
-		e.current[route] = &longest{}
+		e.current[route] = &maxima{}
 	}
 
 	e.current[route].add(s)
@@ -69,17 +76,17 @@
 
 	e.rotateLocked(now)
 
-	var known longest
+	var known maxima
 
-	for _, window := range []map[string]*longest{e.current, e.previous} {
-		if l := window[route]; l != nil {
-			known.begin = max(known.begin, l.begin)
-			known.rest = max(known.rest, l.rest)
-			known.perToken = max(known.perToken, l.perToken)
+	for _, window := range []map[string]*maxima{e.current, e.previous} {
+		if m := window[route]; m != nil {
+			known.begin = max(known.begin, m.begin)
+			known.rest = max(known.rest, m.rest)
+			known.perToken = max(known.perToken, m.perToken)
 		}
 	}
 
-	if known == (longest{}) {
+	if known == (maxima{}) {
 		return 0, false
 	}
 
@@ -87,15 +94,17 @@
 		known.add(s)
 	}
 
-	return known.begin + known.rest + time.Duration(known.perToken*float64(size)*float64(time.Second)), true
+	tokens := min(known.perToken*float64(size), maxEstimate.Seconds())
+
+	return min(known.begin+known.rest+time.Duration(tokens*float64(time.Second)), maxEstimate), true
 }
 
 func (e *Estimator) rotateLocked(now time.Time) {
 	switch age := now.Sub(e.begun); {
 	case age < e.window:
 	case age < 2*e.window:
-		e.current, e.previous, e.begun = map[string]*longest{}, e.current, now
+		e.current, e.previous, e.begun = map[string]*maxima{}, e.current, now
 	default:
-		e.current, e.previous, e.begun = map[string]*longest{}, map[string]*longest{}, now
+		e.current, e.previous, e.begun = map[string]*maxima{}, map[string]*maxima{}, now
 	}
 }
