Keep the read deadlines of the HTTP server on connections that are closed as unused

Found by the review, by reading: a deadline for the header that the HTTP server set while a connection was being closed, or before, was lost if a request then arrived, so that a slow header was waited for until the stop limit. The deadline is restored. The last look for bytes takes 10 ms, since a deadline of 1 ms can pass before the read begins. A call with an idempotency key that is running when its process stops gets outcomeUnknown in place of ledgerUnavailable, which spoke of an earlier call.

--- a/cmd/internal/callers/connection.go
+++ b/cmd/internal/callers/connection.go
@@ -7,7 +7,7 @@
 )
 
 // lastRead is how long an interrupted connection is read once more, for a request that has arrived meanwhile.
-const lastRead = time.Millisecond
+const lastRead = 10 * time.Millisecond
 
 // firstRequestTime is how long a new connection may stay without a request. Its first request is usually on its way when it is
 // accepted.
@@ -35,6 +35,8 @@
 	closing bool
 	// aborted is set once reads fail for good.
 	aborted bool
+	// readDeadline is the last read deadline that the HTTP server has set.
+	readDeadline time.Time
 }
 
 // closeUnused makes the HTTP server close the connection if it waits for a request, a new one only after firstRequestTime. A request
@@ -77,7 +79,7 @@
 
 	if c.closing && !c.aborted {
 		c.closing = false
-		_ = c.Conn.SetReadDeadline(time.Time{}) // Fails on a closed connection only.
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // Fails on a closed connection only.
 	}
 }
 
@@ -108,6 +110,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	c.readDeadline = deadline
+
 	if c.closing || c.aborted {
 		return nil
 	}
--- a/protocol/call/ledger.go
+++ b/protocol/call/ledger.go
@@ -141,7 +141,10 @@
 			return result, failed
 		case <-stop:
 			if errors.Is(context.Cause(ctx), apricotway.ErrStopping) {
-				return onceAnswer{}, shard.UncertainRefusal("the process stopped")
+				return onceAnswer{}, &apricotway.Refusal{
+					Code: apricotway.CodeOutcomeUnknown, Execution: apricotway.ExecutionUnknown, RetryAfter: retryAfter,
+					Message: "the process stopped before the call had ended; a repeat with the same key gets the outcome",
+				}
 			}
 
 			stop = nil
