Hold one replacement for a silent server, and only while it is needed

A caller that read slowly made its engine look silent.

Cause: the timer lived as long as the attempt and not as the engine's part of it; it could fire again after it had cancelled the attempt, or while an event arrived; plain answers never stopped it. Retries that were given back counted in the present bucket of the budget, which allowed more than the budget later.

Change: the end of an engine's part stops its timer; an expiry of an earlier round has no effect; after it has cancelled the attempt the timer is never started again. It rests while an event is written to the caller, and ends when a plain answer has been read or is passed on. A replacement is used only if the stream can be continued. A retry is given back to the bucket that it was taken from.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -49,9 +49,9 @@
 	reason string
 	// arrived is set when the call may have reached a server, mayHaveRun when it may have run there.
 	arrived, mayHaveRun bool
-	// next is the server on which the call was placed already because the one of the attempt was silent; nil otherwise. The call has to
-	// be sent there.
-	next *dispatch.Send
+	// next is the place of the call at another server because that of the attempt was silent; nil otherwise. The call has to be sent there
+	// unless next is released.
+	next *replacement
 }
 
 var answered = attemptResult{step: stepAnswered}
@@ -175,6 +175,12 @@
 	content, complete, err := c.buffer.read(answer.Body)
 	now := c.relay.now()
 	c.countUsage(sent)
+	silence.hold()
+
+	if err == nil && !complete && silence.fired() {
+		send.End(now, dispatch.OutcomeFailed)
+		return silent(silence)
+	}
 
 	if err == nil && !complete {
 		send.RecordFirstEvent(now, metadata.Load)
@@ -292,9 +298,8 @@
 	}
 
 	result := c.attempt(ctx, send)
-	if result.next != nil {
-		c.relay.giveBack(c.service, result.next)
-		result.next = nil
+	for result.next != nil {
+		result = c.attempt(ctx, result.next.send)
 	}
 
 	if result.step == stepAnswered || ctx.Err() != nil {
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -228,11 +228,14 @@
 	c.service = route.Target(c.route, rand.Float64())
 	c.relay.budget.AddCall(c.arrived, c.service)
 
-	var next *dispatch.Send
+	var next *replacement
 
 	for {
-		send := next
-		if send == nil {
+		var send *dispatch.Send
+
+		if next != nil {
+			send = next.send
+		} else {
 			var refused *refusal
 			if send, refused = c.chooseServer(); refused != nil {
 				c.refuseNotRun(refused)
@@ -251,7 +254,7 @@
 			return
 		case stepRetry:
 			if next != nil && c.quarantined() {
-				c.relay.giveBack(c.service, next)
+				c.relay.release(c.service, next)
 				c.fail(ctx, result)
 
 				return
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -192,6 +192,9 @@
 	e.resumed = e.last != ""
 }
 
+// continuable reports whether another engine can continue the stream after the last complete event.
+func (e *eventSplitter) continuable() bool { return !e.passedPart && !e.unnumbered }
+
 // rest returns the bytes that were not yet passed on.
 func (e *eventSplitter) rest() []byte {
 	e.pending = append(e.pending[:0], e.pending[e.passed:]...)
@@ -253,7 +256,10 @@
 
 	current := &engineRun{
 		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited,
-		end: func() { _ = answer.Body.Close() }, // The rest of the stream is not needed.
+		end: func() {
+			silence.stop()
+			_ = answer.Body.Close() // The rest of the stream is not needed.
+		},
 	}
 	defer func() { current.end() }()
 
@@ -397,12 +403,13 @@
 // continueRun returns a run that continues after the last complete event, or nil when there is none. If the engine was silent, the
 // call was placed on the replacement already.
 func (c *call) continueRun(
-	ctx context.Context, run *engineRun, splitter *eventSplitter, reason string, replacement *dispatch.Send,
+	ctx context.Context, run *engineRun, splitter *eventSplitter, reason string, replacement *replacement,
 ) *engineRun {
 	splitter.resume()
 
-	if replacement != nil && (run.memory != nil || c.quarantined()) {
-		c.relay.giveBack(c.service, replacement)
+	resumable := c.route.Resumable && splitter.continuable()
+	if replacement != nil && (run.memory != nil || !resumable || c.quarantined()) {
+		c.relay.release(c.service, replacement)
 		replacement = nil
 	}
 
@@ -415,7 +422,7 @@
 	if replacement != nil {
 		c.relay.metrics.CallRetried(c.service, reasonResumed)
 
-		if resumed := c.sendResume(ctx, replacement, splitter.last, nil); resumed != nil {
+		if resumed := c.sendResume(ctx, replacement.send, splitter.last, nil); resumed != nil {
 			return resumed
 		}
 	}
@@ -424,7 +431,7 @@
 		c.reportBroken(run.send, c.acquitted, run.err)
 	}
 
-	if c.route.Resumable && !splitter.passedPart && !splitter.unnumbered {
+	if resumable {
 		return c.resume(ctx, splitter.last)
 	}
 
@@ -436,30 +443,9 @@
 func (c *call) passRun(
 	ctx context.Context, splitter *eventSplitter, current *engineRun, buffer, chunk []byte, err error,
 ) (reason string, outcome dispatch.Outcome) {
-	flusher := http.NewResponseController(c.writer)
-
 	for {
-		ready, progress := splitter.add(chunk)
-		if progress {
-			current.began = true
-			current.silence.progress()
-			c.countEvent()
-		}
-
-		if !c.route.Resumable || splitter.passedPart || splitter.unnumbered {
-			current.silence.hold()
-		}
-
-		if len(ready) > 0 {
-			c.progress.enter(stageCaller, c.relay.now())
-
-			if _, writeErr := c.writer.Write(ready); writeErr != nil {
-				return reasonCallerLeft, dispatch.OutcomeLeft
-			}
-
-			// A flush fails only when the caller has left; the next write then fails too.
-			_ = flusher.Flush()
-			c.progress.passed(len(ready), c.relay.now())
+		if !c.passEvents(splitter, current, chunk) {
+			return reasonCallerLeft, dispatch.OutcomeLeft
 		}
 
 		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.lacksEvents(splitter.plain)) {
@@ -498,6 +484,39 @@
 	}
 }
 
+// passEvents passes on the complete events of a chunk. It returns false if the caller has left.
+func (c *call) passEvents(splitter *eventSplitter, current *engineRun, chunk []byte) bool {
+	ready, progress := splitter.add(chunk)
+	if progress {
+		current.began = true
+		c.countEvent()
+	}
+
+	// The time in which the caller does not read is no silence of the engine, and a stream that nobody can continue has no timeout.
+	resumable := c.route.Resumable && splitter.continuable()
+	if progress || !resumable {
+		current.silence.hold()
+	}
+
+	if len(ready) > 0 {
+		c.progress.enter(stageCaller, c.relay.now())
+
+		if _, err := c.writer.Write(ready); err != nil {
+			return false
+		}
+
+		// A flush fails only when the caller has left; the next write then fails too.
+		_ = http.NewResponseController(c.writer).Flush()
+		c.progress.passed(len(ready), c.relay.now())
+	}
+
+	if progress && resumable {
+		current.silence.restart()
+	}
+
+	return true
+}
+
 // resume sends the call to another engine, to continue after the given event. It returns nil when no engine takes the call.
 func (c *call) resume(ctx context.Context, last string) *engineRun {
 	for c.mayRetry(ctx, attemptResult{step: stepRetry, arrived: true, mayHaveRun: true}) {
--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -4,7 +4,6 @@
 	"context"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apricotway/apricotway"
@@ -23,34 +22,41 @@
 // then the silent server keeps it, since no other one would answer sooner.
 type silenceTimer struct {
 	// pause is the timeout between two events of a stream; 0 for other calls, whose timer isn't restarted.
-	pause   time.Duration
-	expired atomic.Bool
+	pause time.Duration
 	// cancel ends the attempt.
 	cancel context.CancelFunc
-	// replace places the call on another server and takes the retry from the retry budget; it returns nil if that is not possible. begun
-	// tells whether the server has sent an event.
-	replace func(begun bool) *dispatch.Send
-	// giveBack ends a replacement that is not used.
-	giveBack func(*dispatch.Send)
+	// replace places the call on another server; it returns nil if that is not possible. begun tells whether the server has sent an
+	// event.
+	replace func(begun bool) *replacement
+	// release ends a replacement that is not used.
+	release func(*replacement)
 
 	mu    sync.Mutex
 	timer *time.Timer
-	// begun is set once the server has sent an event, held while no other server could continue the stream, and stopped once the
-	// attempt has ended.
-	begun, held, stopped bool
-	// next is the replacement while nobody has taken it.
-	next *dispatch.Send
+	// round counts the restarts and stops of the timer. An expiry of an earlier round has no effect.
+	round int
+	// begun is set once the server has sent an event, expired once the timer has cancelled the attempt, and stopped once the attempt
+	// needs no timer any more.
+	begun, expired, stopped bool
+	// next is the replacement while nobody has taken it. It is set only together with expired.
+	next *replacement
+}
+
+// replacement is the place of a call at another server, with a retry from the retry budget.
+type replacement struct {
+	send *dispatch.Send
+	// takenAt is the time at which the retry was taken from the budget.
+	takenAt time.Time
 }
 
 // startSilenceTimer starts the timer of an attempt. Calls that may not be retried have no timeout, since a silent server may still
 // be running the call, and neither has the last attempt of a call.
 func (c *call) startSilenceTimer(send *dispatch.Send, cancel context.CancelFunc) *silenceTimer {
-	avoid := append(slices.Clone(c.tried), send.Backend.ID)
-	request := c.placement(avoid)
+	request := c.placement(append(slices.Clone(c.tried), send.Backend.ID))
 	t := &silenceTimer{
-		cancel:   cancel,
-		replace:  func(begun bool) *dispatch.Send { return c.relay.replace(c.deadline, request, begun) },
-		giveBack: func(unused *dispatch.Send) { c.relay.giveBack(request.Service, unused) },
+		cancel:  cancel,
+		replace: func(begun bool) *replacement { return c.relay.replace(c.deadline, request, begun) },
+		release: func(unused *replacement) { c.relay.release(request.Service, unused) },
 	}
 
 	if !c.route.Repeatable() || c.sends+1 >= c.route.MaxAttempts {
@@ -68,7 +74,9 @@
 	}
 
 	if first > 0 {
-		t.start(max(first, expectedTimeoutFactor*send.Expected, minTimeout))
+		t.mu.Lock()
+		t.startLocked(max(first, expectedTimeoutFactor*send.Expected, minTimeout))
+		t.mu.Unlock()
 	}
 
 	return t
@@ -78,7 +86,7 @@
 
 // replace places a call whose server is silent on another one. A call without any event may go to a server that was tried, because its
 // connection may be broken.
-func (r *Relay) replace(deadline time.Time, request dispatch.Request, begun bool) *dispatch.Send {
+func (r *Relay) replace(deadline time.Time, request dispatch.Request, begun bool) *replacement {
 	now := r.now()
 	if request.Remaining = deadline.Sub(now); request.Remaining < minRemaining || !r.budget.Take(now, request.Service) {
 		return nil
@@ -92,111 +100,112 @@
 
 	if send == nil {
 		r.budget.Return(now, request.Service)
+		return nil
 	}
 
-	return send
+	return &replacement{send: send, takenAt: now}
 }
 
-// giveBack ends a replacement to which nothing was sent.
-func (r *Relay) giveBack(service apricotway.Service, unused *dispatch.Send) {
-	now := r.now()
-	unused.End(now, dispatch.OutcomeLeft)
-	r.budget.Return(now, service)
+// release ends a replacement to which nothing was sent.
+func (r *Relay) release(service apricotway.Service, unused *replacement) {
+	unused.send.End(r.now(), dispatch.OutcomeLeft)
+	r.budget.Return(unused.takenAt, service)
 }
 
-func (t *silenceTimer) start(timeout time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// startLocked starts the timer anew. The caller holds t.mu.
+func (t *silenceTimer) startLocked(timeout time.Duration) {
+	if t.expired || t.stopped {
+		return
+	}
+
+	t.round++
+	round := t.round
 
-	if t.timer == nil {
-		t.timer = time.AfterFunc(timeout, t.fire)
-	} else {
-		t.timer.Reset(timeout)
+	if t.timer != nil {
+		t.timer.Stop()
 	}
+
+	t.timer = time.AfterFunc(timeout, func() { t.expire(round) })
 }
 
-func (t *silenceTimer) fire() {
+// expire cancels the attempt if another server can take the call, and else tries again after a while.
+func (t *silenceTimer) expire(round int) {
 	t.mu.Lock()
-	begun := t.begun
+	current, begun := t.round == round, t.begun
 	t.mu.Unlock()
 
-	next := t.replace(begun)
-	if next == nil {
-		t.retry()
+	if !current {
 		return
 	}
 
+	next := t.replace(begun)
+
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if t.stopped || t.held {
-		t.giveBack(next)
-		return
+	switch {
+	case t.round != round:
+		// The server has sent something meanwhile, or the attempt has ended.
+		if next != nil {
+			t.release(next)
+		}
+	case next == nil:
+		t.startLocked(replacementInterval)
+	default:
+		t.next, t.expired = next, true
+		t.cancel()
 	}
-
-	t.next = next
-	t.expired.Store(true)
-	t.cancel()
 }
 
-// retry looks for another server again after a while.
-func (t *silenceTimer) retry() {
+// restart starts the timer of a stream anew after an event.
+func (t *silenceTimer) restart() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if !t.stopped && !t.held {
-		t.timer.Reset(replacementInterval)
+	if t.pause > 0 {
+		t.begun = true
+		t.startLocked(t.pause)
 	}
 }
 
-// progress restarts the timer after an event.
-func (t *silenceTimer) progress() {
-	if t.pause <= 0 {
-		return
-	}
-
-	t.mu.Lock()
-	t.begun, t.held = true, false
-	t.mu.Unlock()
-
-	t.start(t.pause)
-}
-
-// hold stops the timer until the next event, because no other server could continue the stream at present.
+// hold stops the timer until restart is called.
 func (t *silenceTimer) hold() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.held = true
+	t.round++
 
 	if t.timer != nil {
 		t.timer.Stop()
 	}
 }
 
-// stop stops the timer at the end of the attempt.
+// stop stops the timer for good and ends a replacement that nobody has taken.
 func (t *silenceTimer) stop() {
+	t.hold()
+
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	t.stopped = true
 
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-
 	if t.next != nil {
-		t.giveBack(t.next)
+		t.release(t.next)
 		t.next = nil
 	}
 }
 
 // fired reports whether the timer cancelled the attempt.
-func (t *silenceTimer) fired() bool { return t.expired.Load() }
+func (t *silenceTimer) fired() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	return t.expired
+}
 
-// takeReplacement returns the server on which the call was placed when the timer cancelled the attempt, nil if there is none. The
-// caller has to send the call there.
-func (t *silenceTimer) takeReplacement() *dispatch.Send {
+// takeReplacement returns the place of the call at another server if the timer cancelled the attempt, else nil. The caller has to send
+// the call there or release it.
+func (t *silenceTimer) takeReplacement() *replacement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
--- a/state/retrybudget/retrybudget.go
+++ b/state/retrybudget/retrybudget.go
@@ -86,13 +86,19 @@
 	w.calls[index]++
 }
 
-// Return takes back a repeat that was counted and not sent.
-func (b *Budget) Return(now time.Time, service apricotway.Service) {
+// Return takes back a repeat that was counted at the given time and not sent.
+func (b *Budget) Return(taken time.Time, service apricotway.Service) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	w, index := b.window(now, service)
-	w.repeats[index]--
+	w := b.services[service]
+	number := b.bucketNumber(taken)
+	index := int(number % bucketsPerWindow)
+
+	// A bucket that has left the window counts no more.
+	if w != nil && w.bucketNumbers[index] == number && w.repeats[index] > 0 {
+		w.repeats[index]--
+	}
 }
 
 // Take counts a repeat and returns true if the budget allows it.
