Estimate small streams by the same size as they are recorded

Callers saw, since: streams of fewer than 32 tokens that are read late in a stop are passed on and cut at its limit.

Cause: their time for each token was taken as if they had 32, and the estimate multiplied it by their own size.

TestLongest/few_tokens got 2.875 s, want 4 s.

Change: the estimate counts at least 32 tokens too.

--- a/state/duration/duration.go
+++ b/state/duration/duration.go
@@ -16,7 +16,7 @@
 }
 
 const (
-	// minSize is the size in tokens below which a stream tells nothing about the time for each token.
+	// minSize is the size in tokens as which smaller streams count, since they tell little about the time for each token.
 	minSize = 32
 	// maxEstimate bounds estimates.
 	maxEstimate = time.Hour
@@ -94,6 +94,10 @@
 		known.add(s)
 	}
 
+	if size > 0 {
+		size = max(size, minSize)
+	}
+
 	tokens := min(known.perToken*float64(size), maxEstimate.Seconds())
 
 	return min(known.begin+known.rest+time.Duration(tokens*float64(time.Second)), maxEstimate), true
