Log the software versions of a call's servers and the stream that it takes up

The logs could not tell whether a stream was joined by the process itself or by its caller: event 351 named the servers of a call without their versions, and not the attempt that a call continues. Entries of backend servers are read with their software version, and Resumes with the other metadata of a call. No decision uses them yet.

--- a/deployment.go
+++ b/deployment.go
@@ -128,9 +128,11 @@
 	// Sequence rises with each entry that the server registers after a start; 0 when unknown.
 	Sequence uint64
 	Service  Service
-	Address  netip.AddrPort
-	Zone     Zone
-	Slots    int
+	// Version is empty when the entry does not state it.
+	Version SoftwareVersion
+	Address netip.AddrPort
+	Zone    Zone
+	Slots   int
 	// Leaving is set when the server must get no new calls.
 	Leaving bool
 	// LeavesIn is the time from the registration until the announced removal of the server; 0 when unknown.
--- a/forwarding.go
+++ b/forwarding.go
@@ -34,6 +34,8 @@
 	Parts          []PromptPart
 	// LastEvent is the identifier of the last event that the caller received; empty when the stream starts at its beginning.
 	LastEvent string
+	// Resumes is the attempt that brought the first event of the stream that the caller takes up; empty when it takes up none.
+	Resumes AttemptID
 }
 
 // SendMetadata is what the system states in the HTTP header of one send of a call to a backend server.
--- a/identifiers.go
+++ b/identifiers.go
@@ -30,5 +30,9 @@
 // AttemptID identifies one attempt to run a request on one backend server. The server echoes it.
 type AttemptID string
 
+// SoftwareVersion is the version of the software of a backend server; empty when it is not known. What servers of different versions
+// generate does not fit together, whatever model they run.
+type SoftwareVersion string
+
 // ModelVersion is the version of the model and adapter that generated a text. Only the version that began a text may continue it.
 type ModelVersion string
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -105,6 +105,7 @@
 // forwardedCall returns the call as it is sent to the server, and adds the server to those that were tried.
 func (c *call) forwardedCall(header http.Header, send *dispatch.Send) apricotway.ForwardedCall {
 	c.tried = append(c.tried, send.Backend.ID)
+	c.versions = append(c.versions, send.Backend.Version)
 
 	return apricotway.ForwardedCall{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -181,6 +181,8 @@
 	// sends counts the attempts in which the call may have run. tried lists every server to which it was sent.
 	sends int
 	tried []apricotway.BackendServerID
+	// versions lists the software version of each server in tried.
+	versions []apricotway.SoftwareVersion
 	// steps lists for the log how each attempt ended.
 	steps []string
 	// buffer holds an answer until it is complete.
