Show streams that two software versions wrote, by every way a stream reaches a second server

Failing tests, on the logic of: in one answer after a crash, a silence or a move; over a caller's attempts at one process, at another one, after one and after all processes were killed, and after the servers of the first version have left; in apricotway serve, also after a take-over by another process.

--- a/cmd/resumption/engines_test.go
+++ b/cmd/resumption/engines_test.go
@@ -1,6 +1,7 @@
 package resumption
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -141,6 +142,51 @@
 	})
 }
 
+// TestSoftwareVersion guards against answers that mix tokens of two software versions of an engine, also after their process was killed and
+// another one has taken them over.
+func TestSoftwareVersion(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("process killed %t", killed), func(t *testing.T) {
+			run(t, func(h *harness) {
+				h.startEngine("a", "a")
+				h.setSoftware("a", "v1")
+
+				n, other := h.startNode("x", "a"), h.startNode("y", "b")
+				c := newCaller("request", "prompt", 400)
+				answer := n.requests.Start(c.request)
+
+				_ = c.read(answer, 20) // Ends with the cancelled context.
+
+				if killed {
+					h.sleep(time.Second)
+					n.kill()
+					n.setState(apricotway.MemberDead)
+
+					taken, err := other.requests.Resume(context.Background(), c.request.Workspace, c.request.ID)
+					if err != nil {
+						t.Fatal(err)
+					}
+
+					answer = taken
+				}
+
+				newer := h.startEngine("b", "b")
+				h.setSoftware("b", "v2")
+				h.killEngine("a")
+				h.sleep(10 * time.Second)
+
+				if got := newer.Counters().Started; got != 0 {
+					t.Errorf("got %d generations on an engine of another software version, want none", got)
+				}
+
+				h.startEngine("c", "c")
+				h.setSoftware("c", "v1")
+				c.check(t, c.read(answer, 0))
+			})
+		})
+	}
+}
+
 // TestDeathWithoutNotice guards against late or refused answers after the crash of an engine. Every request on it becomes
 // a suspect and is tried alone on an engine. Harmless requests must not stay suspect, wait until each other's answers
 // end, or be refused because the other engines are busy for long.
--- a/cmd/resumption/harness_test.go
+++ b/cmd/resumption/harness_test.go
@@ -152,6 +152,13 @@
 	return e
 }
 
+// setSoftware sets the software version in the entry of an engine.
+func (h *harness) setSoftware(id apricotway.BackendServerID, version apricotway.SoftwareVersion) {
+	entry := h.server(id)
+	entry.Software = version
+	h.hosts.Add(entry)
+}
+
 // killEngine stops an engine without a reclaim notice. The host list still contains it.
 func (h *harness) killEngine(id apricotway.BackendServerID) {
 	at := h.server(id).Address.String()
--- /dev/null
+++ b/cmd/scenario/versions_test.go
@@ -0,0 +1,306 @@
+package scenario
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway/platform/standin"
+)
+
+const (
+	versionEvents  = 30
+	versionCallers = 24
+	// versionTimeout is the timeout of a caller for a stream over all its attempts.
+	versionTimeout = 8 * time.Second
+	versionConfig  = `{"version":%d,"routes":[
+{"name":"chat","host":"h.example","path_prefix":"/chat/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"gap_aim_ms":400,
+"service":"model","max_attempts":2,"resumable":true}],
+"services":[{"name":"model","engine":{"slots":64,"kv_capacity":1000000}}],"limits":{"max_body_bytes":10000},
+"tenants":[{"name":"w","api_keys":["secret"]}]}`
+)
+
+// versionedStream is a stream of a caller over all its attempts.
+type versionedStream struct {
+	begun, takenUp, wentOn, complete bool
+	// last is the last event that the caller has, and first the attempt that brought the first one.
+	last, first string
+	// versions are the software versions whose events the caller has.
+	versions map[string]bool
+}
+
+// versionSystem is an entry system before engines of several software versions, with callers that take up broken streams.
+type versionSystem struct {
+	*entrySystem
+
+	mu      sync.Mutex
+	streams []*versionedStream
+}
+
+func newVersionSystem(t *testing.T, seed uint64, entries int) *versionSystem {
+	s := &versionSystem{entrySystem: newEntryPlatform(t, seed, versionConfig)}
+	s.retrySlack = 1000
+	s.startVersion("v1", 3)
+	s.startEntries(entries)
+
+	return s
+}
+
+func (s *versionSystem) startVersion(version string, count int) (started []*standin.Engine) {
+	for range count {
+		started = append(started, s.startEngine("model", standin.WithVersion(version), standin.WithSlots(64),
+			standin.WithStream(versionEvents, 25*time.Millisecond)))
+	}
+
+	return started
+}
+
+// awaitServing waits until every process serves streams.
+func (s *versionSystem) awaitServing() {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	end := time.Now().Add(recoverTime)
+
+	for _, e := range s.entries {
+		for n := 0; !s.call(s.t.Context(), client, e.callers, fmt.Sprint("ready-", e.name, n), true); n++ {
+			if time.Now().After(end) {
+				s.t.Fatalf("%s did not serve a stream within %s", e.name, recoverTime)
+			}
+
+			<-time.After(50 * time.Millisecond)
+		}
+	}
+}
+
+// killAll kills all processes at once and starts them again.
+func (s *versionSystem) killAll() {
+	for _, e := range s.entries {
+		_ = e.command.Process.Signal(syscall.SIGKILL) // The process may have ended already.
+	}
+
+	for _, e := range s.entries {
+		<-e.done
+	}
+
+	for _, e := range s.entries {
+		s.start(e)
+	}
+}
+
+// callers sends streams until the context ends, and returns when all of them have ended.
+func (s *versionSystem) callers(ctx context.Context) *sync.WaitGroup {
+	var group sync.WaitGroup
+
+	for i := range versionCallers {
+		random := rand.New(rand.NewPCG(s.random.Uint64(), 0))
+
+		group.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				stream := s.stream(random, fmt.Sprintf("c%d-%d", i, n))
+
+				s.mu.Lock()
+				s.streams = append(s.streams, stream)
+				s.mu.Unlock()
+			}
+		})
+	}
+
+	return &group
+}
+
+// stream requests one stream, and takes it up at random hosts until it is complete or the caller's time is used up.
+func (s *versionSystem) stream(random *rand.Rand, name string) *versionedStream {
+	ctx, cancel := context.WithTimeout(s.t.Context(), versionTimeout)
+	defer cancel()
+
+	stream := &versionedStream{versions: map[string]bool{}}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+	for n := 0; ctx.Err() == nil && !stream.complete; n++ {
+		s.attempt(ctx, client, stream, standin.Call{
+			Address: s.entries[random.IntN(len(s.entries))].callers, Host: "h.example", Path: "/chat/x", Attempt: fmt.Sprintf("%s-%d", name, n),
+			Key: "secret", Tokens: "100,20", LastEvent: stream.last, Resumes: stream.first,
+		})
+
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+
+	return stream
+}
+
+// attempt sends one attempt of a stream and reads its events.
+func (s *versionSystem) attempt(ctx context.Context, client *http.Client, stream *versionedStream, c standin.Call) {
+	request, err := c.Request(ctx)
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+
+	stream.takenUp = stream.takenUp || stream.first != ""
+
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+
+	if response.StatusCode != http.StatusOK {
+		return
+	}
+
+	var id string
+
+	for lines := bufio.NewScanner(response.Body); lines.Scan(); {
+		if value, ok := strings.CutPrefix(lines.Text(), "id: "); ok {
+			id = value
+		}
+
+		if data, ok := strings.CutPrefix(lines.Text(), "data: "+id); ok {
+			stream.wentOn = stream.wentOn || stream.first != ""
+			stream.begun, stream.last, stream.versions[data] = true, id, true
+		}
+	}
+
+	if stream.begun && stream.first == "" {
+		stream.first = c.Attempt
+	}
+
+	stream.complete = stream.last == fmt.Sprint(versionEvents)
+}
+
+// check checks that no stream holds events of two versions, and that streams which were taken up went on at least half as often as new
+// ones began.
+func (s *versionSystem) check(minTakenUp int) {
+	s.t.Helper()
+
+	var begun, takenUp, wentOn, joined int
+
+	for _, stream := range s.streams {
+		if stream.begun {
+			begun++
+		}
+
+		if stream.takenUp {
+			takenUp++
+		}
+
+		if stream.wentOn {
+			wentOn++
+		}
+
+		if len(stream.versions) > 1 {
+			joined++
+		}
+	}
+
+	s.t.Logf("%d streams, %d began, %d taken up, %d of them went on, %d of two versions", len(s.streams), begun, takenUp, wentOn, joined)
+
+	if joined > 0 {
+		s.t.Errorf("got %d streams of two versions, want 0", joined)
+	}
+
+	if takenUp < minTakenUp {
+		s.t.Errorf("got %d streams that were taken up, want at least %d", takenUp, minTakenUp)
+	}
+
+	if got, want := float64(wentOn)/float64(max(takenUp, 1)), float64(begun)/float64(max(len(s.streams), 1))/2; got < want {
+		s.t.Errorf("got %.2f of the streams that were taken up going on, want at least %.2f", got, want)
+	}
+}
+
+// TestTakeUpAtAnotherVersion guards against streams that their callers take up, at any process, being continued by an engine of another
+// software version, and against such streams being refused while engines of their version serve.
+func TestTakeUpAtAnotherVersion(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		fail func(s *versionSystem)
+		// takenUp is the least number of streams that the callers have to take up.
+		takenUp int
+	}{
+		{"no process killed", func(*versionSystem) {}, 0},
+		{"one process killed", func(s *versionSystem) {
+			s.entries[0].end(syscall.SIGKILL)
+			s.start(s.entries[0])
+		}, 12},
+		{"all processes killed", (*versionSystem).killAll, 12},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			s := newVersionSystem(t, 1, 3)
+			s.awaitServing()
+
+			ctx, cancel := context.WithCancel(t.Context())
+			group := s.callers(ctx)
+
+			<-time.After(time.Second)
+
+			newer := s.startVersion("v2", 3)
+
+			for round := range 4 {
+				<-time.After(1500 * time.Millisecond)
+				test.fail(s)
+
+				s.engines[round%2].Crash()
+				newer[round%2].Crash()
+			}
+
+			<-time.After(2 * time.Second)
+			cancel()
+			group.Wait()
+			s.check(test.takenUp)
+		})
+	}
+}
+
+// TestTakeUpAfterVersionLeft guards against streams being continued by an engine of another software version when all processes are
+// killed as the last engines of the version that began them leave.
+func TestTakeUpAfterVersionLeft(t *testing.T) {
+	s := newVersionSystem(t, 2, 3)
+	s.awaitServing()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	group := s.callers(ctx)
+
+	<-time.After(time.Second)
+
+	s.startVersion("v2", 3)
+
+	<-time.After(1500 * time.Millisecond)
+
+	for _, e := range s.engines[:3] {
+		e.Register("draining")
+	}
+
+	<-time.After(200 * time.Millisecond)
+	s.killAll()
+
+	for _, e := range s.engines[:3] {
+		e.Close()
+	}
+
+	<-time.After(4 * time.Second)
+	cancel()
+	group.Wait()
+
+	for _, stream := range s.streams {
+		if len(stream.versions) > 1 {
+			t.Errorf("got a stream of the versions %v, want one version", slices.Collect(maps.Keys(stream.versions)))
+		}
+	}
+
+	if last := s.streams[len(s.streams)-1]; !last.complete {
+		t.Error("got an incomplete stream at the end, want new streams to be served")
+	}
+}
--- a/platform.go
+++ b/platform.go
@@ -25,8 +25,10 @@
 	Zone         Zone            `json:"zone"`
 	MachineClass MachineClass    `json:"machineClass"`
 	Version      ModelVersion    `json:"version,omitempty"`
-	Address      netip.AddrPort  `json:"address"`
-	State        HostState       `json:"state"`
+	// Software is the version of the software of the server.
+	Software SoftwareVersion `json:"software,omitempty"`
+	Address  netip.AddrPort  `json:"address"`
+	State    HostState       `json:"state"`
 	// Deadline is the time at which the platform removes the host; zero unless the state is HostLeaving.
 	Deadline time.Time `json:"deadline,omitzero"`
 	// ClientToken is the token of the order that created the host; empty for hosts that were not ordered through Cloud.
--- a/transport/upstream/dialect_test.go
+++ b/transport/upstream/dialect_test.go
@@ -21,6 +21,7 @@
 	call := apricotway.CallMetadata{
 		Attempt: apricotway.AttemptID(header.Get("Attempt")), Timeout: wait, Key: header.Get("Key"),
 		PromptTokens: prompt, AnswerTokens: 10, HasTokens: err == nil, LastEvent: header.Get("Last-Event-Id"),
+		Resumes: apricotway.AttemptID(header.Get("Resumes")),
 	}
 
 	if call.Attempt == "" {
