Continue a stream within its answer only at the software version that began it

Cause: the server for the rest of a stream was chosen by load alone. A resumption, the replacement of a silent server and the move off a leaving one all asked the pool for any server of the service.

Each placement carries the origin of the stream, and package state/origin decides which servers it allows. Where none is left, the answer breaks off, so that the caller sees that it is incomplete.

--- a/deployment.go
+++ b/deployment.go
@@ -142,6 +142,9 @@
 	ColdFor time.Duration
 }
 
+// Lineage returns the lineage of the streams that the server generates.
+func (b *Backend) Lineage() Lineage { return Lineage{Software: b.Version} }
+
 // BackendChange is one change of the list of backend servers.
 type BackendChange struct {
 	ID BackendServerID
--- a/identifiers.go
+++ b/identifiers.go
@@ -34,5 +34,11 @@
 // generate does not fit together, whatever model they run.
 type SoftwareVersion string
 
+// Lineage is what the servers that may generate parts of one stream have in common.
+type Lineage struct {
+	Model    ModelVersion
+	Software SoftwareVersion
+}
+
 // ModelVersion is the version of the model and adapter that generated a text. Only the version that began a text may continue it.
 type ModelVersion string
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -29,7 +29,7 @@
 	// The KV cache is copied, so the target doesn't prefill the prompt and the request counts as one with a prompt of 1 token.
 	target, _, _ := c.relay.pool.Place(c.relay.now(), dispatch.Request{
 		Service: c.service, PromptTokens: 1, AnswerTokens: c.metadata.AnswerTokens, Remaining: c.deadline.Sub(c.relay.now()),
-		Avoid: []apricotway.BackendServerID{current.send.Backend.ID},
+		Avoid: []apricotway.BackendServerID{current.send.Backend.ID}, Origin: c.origin,
 	})
 	if target == nil {
 		current.noMove = true
@@ -74,7 +74,7 @@
 	}
 
 	source := c.relay.pool.PlaceAt(c.relay.now(), stopped.send.Backend.ID, dispatch.Request{
-		Service: c.service, PromptTokens: 1, AnswerTokens: c.metadata.AnswerTokens,
+		Service: c.service, PromptTokens: 1, AnswerTokens: c.metadata.AnswerTokens, Origin: c.origin,
 	})
 	if source == nil {
 		return nil
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/dispatch"
 	"github.com/apricotway/apricotway/state/duration"
+	"github.com/apricotway/apricotway/state/origin"
 	"github.com/apricotway/apricotway/state/quarantine"
 	"github.com/apricotway/apricotway/state/retrybudget"
 	"github.com/apricotway/apricotway/state/route"
@@ -180,6 +181,8 @@
 
 	// sends counts the attempts in which the call may have run. tried lists every server to which it was sent.
 	sends int
+	// origin is the beginning of the stream that a further server has to continue. It is the zero value before the answer has begun.
+	origin origin.Origin
 	tried []apricotway.BackendServerID
 	// versions lists the software version of each server in tried.
 	versions []apricotway.SoftwareVersion
@@ -322,7 +325,9 @@
 
 // placement returns the request for a server other than those to avoid.
 func (c *call) placement(avoid []apricotway.BackendServerID) dispatch.Request {
-	request := dispatch.Request{Service: c.service, Avoid: avoid, Once: !c.route.Repeatable(), Parts: c.metadata.Parts}
+	request := dispatch.Request{
+		Service: c.service, Avoid: avoid, Once: !c.route.Repeatable(), Parts: c.metadata.Parts, Origin: c.origin,
+	}
 	if c.metadata.HasTokens {
 		request.PromptTokens, request.AnswerTokens = c.metadata.PromptTokens, c.metadata.AnswerTokens
 	}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/origin"
 )
 
 // maxPending bounds in bytes the part of one event that is buffered. A longer event is passed on in parts. Engines usually send
@@ -252,6 +253,8 @@
 	}
 
 	send.RecordFirstEvent(now, metadata.Load)
+
+	c.origin = origin.At(send.Backend.Lineage())
 	c.writeHeader(answer, -1)
 
 	current := &engineRun{
@@ -408,7 +411,10 @@
 	splitter.resume()
 
 	resumable := c.route.Resumable && splitter.continuable()
-	if replacement != nil && (run.memory != nil || !resumable || c.quarantined()) {
+
+	// The server may have sent its first event while the replacement was chosen.
+	fits := replacement != nil && c.origin.Allows(replacement.send.Backend.Lineage())
+	if replacement != nil && (run.memory != nil || !resumable || !fits || c.quarantined()) {
 		c.relay.release(c.service, replacement)
 		replacement = nil
 	}
--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/origin"
 )
 
 const (
@@ -55,7 +56,13 @@
 	request := c.placement(append(slices.Clone(c.tried), send.Backend.ID))
 	t := &silenceTimer{
 		cancel:  cancel,
-		replace: func(begun bool) *replacement { return c.relay.replace(c.deadline, request, begun) },
+		replace: func(begun bool) *replacement {
+			if begun {
+				request.Origin = origin.At(send.Backend.Lineage())
+			}
+
+			return c.relay.replace(c.deadline, request, begun)
+		},
 		release: func(unused *replacement) { c.relay.release(request.Service, unused) },
 	}
 
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -14,6 +14,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/intake"
+	"github.com/apricotway/apricotway/state/origin"
 )
 
 // Outcome is how one attempt to run a call on a server ended.
@@ -49,6 +50,8 @@
 	Objective time.Duration
 	// Avoid lists the servers that this call was already sent to.
 	Avoid []apricotway.BackendServerID
+	// Origin is the beginning of the stream that the call continues.
+	Origin origin.Origin
 	// Once means that the call must not run twice. The failure rate of a server then counts more in the choice.
 	Once bool
 }
@@ -69,6 +72,8 @@
 	RefusedLimited RefusalReason = "limited"
 	// RefusedPaused means that all servers which could take the call leave or have named a pause.
 	RefusedPaused RefusalReason = "paused"
+	// RefusedOrigin means that no server may continue the stream.
+	RefusedOrigin RefusalReason = "origin"
 )
 
 // Pool is the view that one process has of all backend servers. It is safe for concurrent use.
@@ -247,6 +252,10 @@
 	if best == nil {
 		demand.Refused++
 
+		if !p.continuableLocked(request) {
+			return nil, RefusedOrigin, 0
+		}
+
 		if wait := p.pauseWaitLocked(now, request); wait > 0 {
 			if wait > request.Remaining {
 				wait = noServerRetryAfter
@@ -313,7 +322,7 @@
 	defer p.mu.Unlock()
 
 	s := p.servers[id]
-	if s == nil {
+	if s == nil || !request.mayUse(s) {
 		return nil
 	}
 
@@ -413,7 +422,7 @@
 			continue
 		}
 
-		if rank++; s.paused(now) || contains(request.Avoid, s.backend.ID) || !p.limits.Allows(now, s.backend.ID) {
+		if rank++; s.paused(now) || !request.mayUse(s) || !p.limits.Allows(now, s.backend.ID) {
 			continue
 		}
 
@@ -517,6 +526,18 @@
 	s.server.recordOutcome(now, outcome)
 }
 
+// mayUse reports whether a server may get the call, whatever its state is.
+func (r *Request) mayUse(s *server) bool {
+	return r.Origin.Allows(s.backend.Lineage()) && !contains(r.Avoid, s.backend.ID)
+}
+
+// continuableLocked reports whether a server that is not leaving may continue the stream of the request.
+func (p *Pool) continuableLocked(request Request) bool {
+	return !request.Origin.Begun() || slices.ContainsFunc(p.services[request.Service], func(s *server) bool {
+		return !s.leaving() && request.Origin.Allows(s.backend.Lineage())
+	})
+}
+
 func contains(ids []apricotway.BackendServerID, id apricotway.BackendServerID) bool {
 	for _, other := range ids {
 		if other == id {
--- a/state/dispatch/limits.go
+++ b/state/dispatch/limits.go
@@ -51,7 +51,7 @@
 	var shortest time.Duration
 
 	for _, s := range p.services[request.Service] {
-		if s.leaving() || s.paused(now) || contains(request.Avoid, s.backend.ID) {
+		if s.leaving() || s.paused(now) || !request.mayUse(s) {
 			continue
 		}
 
--- a/state/dispatch/statements.go
+++ b/state/dispatch/statements.go
@@ -166,7 +166,7 @@
 
 	for _, s := range p.services[request.Service] {
 		switch {
-		case s.leaving() || contains(request.Avoid, s.backend.ID):
+		case s.leaving() || !request.mayUse(s):
 		case !s.paused(now):
 			return 0
 		case first.IsZero() || s.said.pausedUntil.Before(first):
--- /dev/null
+++ b/state/origin/origin.go
@@ -0,0 +1,27 @@
+// Package origin decides which backend servers may continue a stream: those of the lineage that began it. It keeps the lineages of streams
+// and the software versions that are in service. It performs no I/O; callers pass in the current time.
+package origin
+
+import "github.com/apricotway/apricotway"
+
+// Origin is what is known about the beginning of a stream. The zero value stands for a stream that has not begun, which every server may
+// begin.
+type Origin struct {
+	begun, known bool
+	lineage      apricotway.Lineage
+}
+
+// At returns the origin of a stream that a server of the lineage began.
+func At(lineage apricotway.Lineage) Origin { return Origin{begun: true, known: true, lineage: lineage} }
+
+// Unknown returns the origin of a stream that has begun at a server of which nothing is known. No server may continue it.
+func Unknown() Origin { return Origin{begun: true} }
+
+// Begun reports whether the stream has begun.
+func (o Origin) Begun() bool { return o.begun }
+
+// Known reports whether the lineage of a stream that has begun is known.
+func (o Origin) Known() bool { return o.known }
+
+// Allows reports whether a server of the lineage may generate the rest of the stream.
+func (o Origin) Allows(server apricotway.Lineage) bool { return !o.begun || o.known && o.lineage == server }
