--- a/cmd/internal/entry/counters.go
+++ b/cmd/internal/entry/counters.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/origin"
 )
 
 // counters are the metrics of one entry host.
@@ -18,6 +19,8 @@
 	calls    *prometheus.CounterVec
 	opened   prometheus.Counter
 	accepted prometheus.Counter
+	found    *prometheus.CounterVec
+	written  prometheus.Counter
 }
 
 // latencyBuckets are the histogram buckets of call latencies in seconds.
@@ -47,7 +50,14 @@
 	c.accepted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "apricotway_caller_connections_total", Help: "Connections of callers that were accepted.",
 	})
-	registry.MustRegister(c.ended, c.took, c.repeated, c.limited, c.calls, c.opened, c.accepted)
+	c.found = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "apricotway_stream_origins_found_total",
+		Help: "Streams taken up by their callers, by what their origin is known from; none: refused.",
+	}, []string{"evidence"})
+	c.written = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "apricotway_stream_origins_written_total", Help: "Beginnings of streams written to the store.",
+	})
+	registry.MustRegister(c.ended, c.took, c.repeated, c.limited, c.calls, c.opened, c.accepted, c.found, c.written)
 
 	return c
 }
@@ -68,6 +78,14 @@
 	c.limited.WithLabelValues(string(service)).Inc()
 }
 
+// OriginFound implements origins.Metrics.
+func (c *counters) OriginFound(evidence origin.Evidence) {
+	c.found.WithLabelValues(string(evidence)).Inc()
+}
+
+// OriginsWritten implements origins.Metrics.
+func (c *counters) OriginsWritten(count int) { c.written.Add(float64(count)) }
+
 func (c *counters) platformCall(call string, status int) {
 	c.calls.WithLabelValues(call, strconv.Itoa(status)).Inc()
 }
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/apricotway/apricotway/coordination/duty"
 	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/coordination/membership"
+	"github.com/apricotway/apricotway/coordination/origins"
 	"github.com/apricotway/apricotway/coordination/rollup"
 	"github.com/apricotway/apricotway/coordination/suspect"
 	"github.com/apricotway/apricotway/internal/pause"
@@ -165,7 +166,10 @@
 
 	e.catalog = catalog.New(e.supervisor, e.platform, e.pool, catalog.WithLogger(e.logger), catalog.WithEras(e.eras),
 		catalog.WithKeyValidity(keyValidity(s)), catalog.WithPeerNews(e.peers, e.peerServer, e.membership),
-		catalog.WithChanged(func(t *route.Table) { e.limiter.SetLimits(time.Now(), t.Workspaces()) }))
+		catalog.WithChanged(func(t *route.Table) {
+			e.limiter.SetLimits(time.Now(), t.Workspaces())
+			e.pool.Origins().SetLifetime(t.LongestStream())
+		}))
 
 	connections := upstream.New(upstream.WithDialHook(counters.opened.Inc))
 	e.supervisor.Add(apricotway.Periodic("unused connections", sweepPeriod, func(_ context.Context, now time.Time) {
@@ -184,9 +188,13 @@
 		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: e.suspects,
 	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger), rollup.WithEras(e.eras))
 
+	streams := origins.New(e.supervisor, e.pool.Origins(), e.platform, origins.WithLogger(e.logger), origins.WithEras(e.eras),
+		origins.WithMetrics(counters), origins.WithMembers(func() int { return len(e.membership.Members()) + 1 }),
+		origins.WithWriteRate(s.Platform.WritesPerSecond))
+
 	e.relay = relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithStop(e.stopping),
-		relay.WithQuarantine(e.suspects))
+		relay.WithQuarantine(e.suspects), relay.WithOrigins(streams))
 
 	return e.serveAll(ctx, counters)
 }
--- a/cmd/internal/settings/entry.go
+++ b/cmd/internal/settings/entry.go
@@ -62,6 +62,9 @@
 	Store netip.AddrPort `json:"store"`
 	// Cloud receives usage reports and capacity orders.
 	Cloud netip.AddrPort `json:"cloud"`
+	// WritesPerSecond is the number of write calls that the store accepts from all processes together; 0 for the least that any store
+	// accepts.
+	WritesPerSecond float64 `json:"writesPerSecond"`
 }
 
 // Retries limits how often calls are sent again, counted over all processes.
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -57,7 +57,7 @@
 // Servers receives the changes of the list of backend servers.
 type Servers interface {
 	Update(backend apricotway.Backend, now time.Time)
-	Remove(id apricotway.BackendServerID)
+	Remove(id apricotway.BackendServerID, now time.Time)
 	Backends() []apricotway.Backend
 	// EndLeaveStatement ends the belief that a server is leaving because its answers said so, if its entry says that it is ready and was
 	// written after the answer. It returns the age of the belief and whether it has ended.
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -254,7 +254,7 @@
 
 	delete(c.entries, id)
 	c.recordRemoval(entry)
-	c.servers.Remove(id)
+	c.servers.Remove(id, time.Now())
 	c.journal.add(apricotway.BackendChange{ID: id})
 	c.logger.Info("backend server removed from the list", "event", 286, "server", id)
 }
--- /dev/null
+++ b/coordination/origins/origins.go
@@ -0,0 +1,429 @@
+// Package origins shares the origins of streams between processes through the operators' store, which outlives all of them: the software
+// versions that are in service, and, while that are several, the version at which each stream began.
+package origins
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/era"
+	"github.com/apricotway/apricotway/internal/pause"
+	"github.com/apricotway/apricotway/state/origin"
+)
+
+const (
+	// StreamOrigins is the log with the beginnings of streams.
+	StreamOrigins apricotway.Stream = "origins"
+	// kindBeginnings is the kind of its records.
+	kindBeginnings = "beginnings"
+	schemaVersion  = 1
+
+	// minAppendInterval is the shortest time between two appends of one process.
+	minAppendInterval = 100 * time.Millisecond
+	// appendShare is the share of the store's write calls that the appends of all processes take.
+	appendShare = 0.25
+	// defaultWritesPerSecond is the smallest number of write calls that the operators' stores accept.
+	defaultWritesPerSecond = 400
+	// maxBeginnings bounds the beginnings in one append; 20 bytes each.
+	maxBeginnings = 4000
+	// callTimeout bounds one call of the store.
+	callTimeout = time.Second
+	// readLimit bounds the records of one read.
+	readLimit = 10000
+	// readPause is the pause after a read that failed.
+	readPause = 50 * time.Millisecond
+	// confirmTimeout bounds the wait for a read that may contradict the only version known.
+	confirmTimeout = 300 * time.Millisecond
+	// retryPause is the pause after an append that failed.
+	retryPause = 250 * time.Millisecond
+)
+
+// Store is the part of the operators' store that keeps origins.
+type Store interface {
+	apricotway.Log
+	versionStore
+}
+
+// Origins shares the origins of streams. It is safe for concurrent use.
+type Origins struct {
+	register *origin.Register
+	store    Store
+	logger   logr.Logger
+	metrics  Metrics
+	// members returns the number of processes that share the store.
+	members         func() int
+	writesPerSecond float64
+
+	// wake has an element when the reader has to read.
+	wake chan struct{}
+
+	mu sync.Mutex
+	// waiting counts the calls that wait for reads.
+	waiting int
+	// reads counts the reads that began. done is the last one that succeeded, and wanted the last one that calls wait for. ended is closed
+	// and replaced when a read ends.
+	reads, done, wanted int
+	ended               chan struct{}
+	// next is the offset to read from next.
+	next apricotway.Offset
+}
+
+// Metrics counts what is shared.
+type Metrics interface {
+	// OriginFound counts a lookup of the origin of a stream by its evidence.
+	OriginFound(evidence origin.Evidence)
+	// OriginsWritten counts beginnings that were written to the store.
+	OriginsWritten(count int)
+}
+
+type noMetrics struct{}
+
+func (noMetrics) OriginFound(origin.Evidence) {}
+func (noMetrics) OriginsWritten(int)          {}
+
+// Option configures Origins in New.
+type Option func(*Origins)
+
+// WithLogger sets the logger.
+func WithLogger(logger logr.Logger) Option { return func(o *Origins) { o.logger = logger } }
+
+// WithMetrics sets the recorder of counts.
+func WithMetrics(metrics Metrics) Option { return func(o *Origins) { o.metrics = metrics } }
+
+// WithMembers sets the function that returns the number of processes, which share the store's write calls.
+func WithMembers(members func() int) Option { return func(o *Origins) { o.members = members } }
+
+// WithWriteRate sets the number of write calls per second that the store accepts from all processes, if that is more than the least that any
+// store accepts.
+func WithWriteRate(perSecond float64) Option {
+	return func(o *Origins) { o.writesPerSecond = max(perSecond, defaultWritesPerSecond) }
+}
+
+// WithEras makes the process write again what the store lost when it came back from an older copy.
+func WithEras(eras *era.Tracker) Option {
+	return func(o *Origins) {
+		eras.Subscribe(func() {
+			o.mu.Lock()
+			o.next = 0
+			o.mu.Unlock()
+
+			o.register.TellAgain(time.Now())
+		})
+	}
+}
+
+// New returns Origins and adds its goroutines to the supervisor.
+func New(supervisor *suture.Supervisor, register *origin.Register, store Store, options ...Option) *Origins {
+	o := &Origins{
+		register: register, store: store, logger: logr.Discard(), metrics: noMetrics{}, members: func() int { return 1 },
+		writesPerSecond: defaultWritesPerSecond, wake: make(chan struct{}, 1), ended: make(chan struct{}),
+	}
+	for _, option := range options {
+		option(o)
+	}
+
+	register.AwaitHistory()
+
+	supervisor.Add(apricotway.ServiceFunc{Name: "origins of streams", Func: o.appendPending})
+	supervisor.Add(apricotway.ServiceFunc{Name: "origins of other processes", Func: o.readOnRequest})
+
+	versions := &versions{register: register, store: store, logger: o.logger}
+	supervisor.Add(apricotway.ServiceFunc{Name: "software versions in service", Func: versions.share})
+
+	return o
+}
+
+// Began records that a server sent the first event of the stream that an attempt began.
+func (o *Origins) Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) {
+	o.register.Begin(now, origin.StreamOf(attempt), server)
+}
+
+// Find returns the origin of the stream that an attempt of another call began. An empty attempt means that the caller doesn't name it.
+func (o *Origins) Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
+	found, evidence := o.find(ctx, service, attempt)
+	o.metrics.OriginFound(evidence)
+
+	return found
+}
+
+func (o *Origins) find(
+	ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID,
+) (origin.Origin, origin.Evidence) {
+	stream := origin.StreamOf(attempt)
+
+	found, evidence := o.register.Find(time.Now(), service, stream)
+	if evidence == origin.EvidenceRecord || attempt == "" {
+		return found, evidence
+	}
+
+	// Another process that has seen a second version has recorded the stream. What it has just begun is in the store soon.
+	limit := confirmTimeout
+	if evidence == origin.EvidenceNone {
+		limit = 2*o.appendInterval() + confirmTimeout
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+
+	for o.awaitRead(ctx) == nil {
+		if found, evidence = o.register.Find(time.Now(), service, stream); evidence != origin.EvidenceNone {
+			return found, evidence
+		}
+
+		if !pause.For(ctx, readPause) {
+			break
+		}
+	}
+
+	return o.register.Find(time.Now(), service, stream)
+}
+
+// appendInterval returns the time between two appends of this process.
+func (o *Origins) appendInterval() time.Duration {
+	shared := float64(o.members()) / (o.writesPerSecond * appendShare)
+	return max(minAppendInterval, time.Duration(shared*float64(time.Second)))
+}
+
+// beginnings is the payload of a record: streams of one service that began at servers of one version.
+type beginnings struct {
+	Service apricotway.Service         `json:"service"`
+	Version apricotway.SoftwareVersion `json:"version,omitempty"`
+	// Uncertain is set when the version at which the streams began is not known.
+	Uncertain bool `json:"uncertain,omitempty"`
+	// At is the time of the append. It is only used to drop old records.
+	At time.Time `json:"at"`
+	// Streams holds the streams in hexadecimal.
+	Streams []string `json:"streams"`
+}
+
+// appendPending writes the beginnings that other processes have to know until the context ends.
+func (o *Origins) appendPending(ctx context.Context) error {
+	failing := false
+
+	for pause.For(ctx, o.appendInterval()) {
+		taken := o.register.TakePending(maxBeginnings)
+		if len(taken) == 0 {
+			continue
+		}
+
+		err := o.write(ctx, taken)
+		if err != nil {
+			o.register.ReturnPending(taken)
+			pause.For(ctx, retryPause)
+		} else {
+			o.metrics.OriginsWritten(len(taken))
+		}
+
+		if failed := err != nil; failed != failing {
+			failing = failed
+			if failing {
+				o.logger.Info("writing the origins of streams fails", "event", 373, "error", err.Error(), "streams", len(taken))
+			} else {
+				o.logger.Info("writing the origins of streams works again", "event", 374)
+			}
+		}
+	}
+
+	return ctx.Err()
+}
+
+func (o *Origins) write(ctx context.Context, taken []origin.Beginning) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	type group struct {
+		service   apricotway.Service
+		version   apricotway.SoftwareVersion
+		uncertain bool
+	}
+
+	groups := map[group][]string{}
+
+	for _, beginning := range taken {
+		key := group{beginning.Service, beginning.Version, beginning.Uncertain}
+		groups[key] = append(groups[key], strconv.FormatUint(uint64(beginning.Stream), hexadecimal))
+	}
+
+	records := make([]apricotway.Record, 0, len(groups))
+
+	for key, streams := range groups {
+		payload, err := json.Marshal(beginnings{key.service, key.version, key.uncertain, time.Now(), streams})
+		if err != nil {
+			return errors.Wrap(err, "encode the origins of streams")
+		}
+
+		records = append(records, apricotway.Record{
+			SchemaVersion: schemaVersion, Kind: kindBeginnings, ID: uuid.NewString(), Payload: payload,
+		})
+	}
+
+	// An append that has taken effect without an answer is repeated; a second copy says the same.
+	if _, err := o.store.Append(ctx, StreamOrigins, records); err != nil {
+		return errors.Wrap(err, "append the origins of streams")
+	}
+
+	return nil
+}
+
+const hexadecimal = 16
+
+// awaitRead waits until a read of the log that begins after this call has ended.
+func (o *Origins) awaitRead(ctx context.Context) error {
+	o.mu.Lock()
+	o.waiting++
+	wanted := o.reads + 1
+	o.wanted = max(o.wanted, wanted)
+	o.mu.Unlock()
+
+	defer func() {
+		o.mu.Lock()
+		o.waiting--
+		o.mu.Unlock()
+	}()
+
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+
+	for {
+		o.mu.Lock()
+		done, ended := o.done, o.ended
+		o.mu.Unlock()
+
+		if done >= wanted {
+			return nil
+		}
+
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// readOnRequest reads the log while calls wait for it, until the context ends.
+func (o *Origins) readOnRequest(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.wake:
+		}
+
+		o.mu.Lock()
+		o.reads++
+		read := o.reads
+		o.mu.Unlock()
+
+		err := o.readAll(ctx)
+		if err != nil {
+			o.logger.V(1).Info("failed to read the origins of streams", "event", 375, "error", err.Error())
+			pause.For(ctx, readPause)
+		}
+
+		o.mu.Lock()
+		if err == nil {
+			o.done = read
+		}
+
+		// Calls that began to wait during the read need another one.
+		again := o.waiting > 0 && o.wanted > o.done
+
+		close(o.ended)
+		o.ended = make(chan struct{})
+		o.mu.Unlock()
+
+		if again {
+			select {
+			case o.wake <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// readAll reads the log to its end.
+func (o *Origins) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	for {
+		o.mu.Lock()
+		from := o.next
+		o.mu.Unlock()
+
+		batch, err := o.store.Read(ctx, StreamOrigins, max(from, 1), readLimit, 0)
+		if errors.Is(err, apricotway.ErrTrimmed) {
+			if batch.Oldest == from {
+				return errors.Wrap(err, "read the origins of streams")
+			}
+
+			o.advance(from, batch.Oldest)
+
+			continue
+		}
+
+		if err != nil {
+			return errors.Wrap(err, "read the origins of streams")
+		}
+
+		o.learn(batch.Records)
+		o.advance(from, batch.Next)
+
+		if len(batch.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+// advance sets the offset to read from next, unless the store has come back from an older copy meanwhile.
+func (o *Origins) advance(from, next apricotway.Offset) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	if o.next == from {
+		o.next = next
+	}
+}
+
+func (o *Origins) learn(records []apricotway.StoredRecord) {
+	now := time.Now()
+
+	for _, record := range records {
+		var payload beginnings
+		if record.Kind != kindBeginnings || record.SchemaVersion != schemaVersion || json.Unmarshal(record.Payload, &payload) != nil {
+			o.logger.V(1).Info("ignored a record of the origins of streams", "event", 376, "offset", record.Offset, "kind", record.Kind)
+			continue
+		}
+
+		if now.Sub(payload.At) > o.register.Lifetime() {
+			continue
+		}
+
+		told := make([]origin.Beginning, 0, len(payload.Streams))
+
+		for _, text := range payload.Streams {
+			stream, err := strconv.ParseUint(text, hexadecimal, 64)
+			if err != nil {
+				continue
+			}
+
+			told = append(told, origin.Beginning{
+				Stream: origin.Stream(stream), Service: payload.Service, Version: payload.Version, Uncertain: payload.Uncertain,
+			})
+		}
+
+		o.register.Learn(now, told)
+	}
+}
--- /dev/null
+++ b/coordination/origins/origins_test.go
@@ -0,0 +1,265 @@
+package origins_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/origins"
+	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/memorylog"
+	"github.com/apricotway/apricotway/state/origin"
+)
+
+const service = "s"
+
+var errDown = errors.New("down")
+
+// store is a fake of the operators' store that outlives the processes of a test.
+type store struct {
+	*memorylog.Log
+
+	mu     sync.Mutex
+	down   bool
+	states map[apricotway.StatePart][]byte
+	saves  int
+	reads  int
+}
+
+func newStore() *store {
+	return &store{Log: memorylog.New(), states: map[apricotway.StatePart][]byte{}}
+}
+
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.down = down
+}
+
+func (s *store) Append(ctx context.Context, stream apricotway.Stream, records []apricotway.Record) (apricotway.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.down {
+		return 0, errDown
+	}
+
+	return s.Log.Append(ctx, stream, records)
+}
+
+func (s *store) Read(
+	ctx context.Context, stream apricotway.Stream, from apricotway.Offset, limit int, wait time.Duration,
+) (apricotway.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.reads++
+
+	if s.down {
+		return apricotway.Batch{}, errDown
+	}
+
+	return s.Log.Read(ctx, stream, from, limit, wait)
+}
+
+func (s *store) SaveState(_ context.Context, part apricotway.StatePart, state []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.down {
+		return errDown
+	}
+
+	s.states[part] = state
+	s.saves++
+
+	return nil
+}
+
+func (s *store) State(_ context.Context, part apricotway.StatePart) ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.down {
+		return nil, errDown
+	}
+
+	return s.states[part], nil
+}
+
+// process is one process with its register.
+type process struct {
+	*origins.Origins
+
+	register *origin.Register
+	kill     func()
+}
+
+func start(t *testing.T, s *store, versions ...string) *process {
+	supervisor := suture.NewSimple("process")
+	p := &process{register: origin.NewRegister()}
+	p.list(versions...)
+	p.Origins = origins.New(supervisor, p.register, s)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := supervisor.ServeBackground(ctx)
+	p.kill = sync.OnceFunc(func() {
+		cancel()
+
+		if err := <-ended; !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v, want %v", err, context.Canceled)
+		}
+	})
+
+	return p
+}
+
+func server(version string) apricotway.Backend {
+	return apricotway.Backend{
+		ID: apricotway.BackendServerID("server-" + version), Service: service, Version: apricotway.SoftwareVersion(version),
+	}
+}
+
+// list puts a server of each version on the list of the process.
+func (p *process) list(versions ...string) {
+	for _, version := range versions {
+		p.register.Update(time.Now(), server(version))
+	}
+}
+
+// wantVersion checks the version that may continue the stream of an attempt; "" for none.
+func (p *process) wantVersion(t *testing.T, attempt apricotway.AttemptID, want apricotway.SoftwareVersion) {
+	t.Helper()
+
+	var got apricotway.SoftwareVersion
+
+	found := p.Find(t.Context(), service, attempt)
+
+	for _, version := range []apricotway.SoftwareVersion{"v1", "v2"} {
+		if found.Allows(apricotway.Lineage{Software: version}) {
+			got += version
+		}
+	}
+
+	if got != want {
+		t.Errorf("stream of %q: got version %q, want %q", attempt, got, want)
+	}
+}
+
+// TestOriginsAfterKillOfAll guards against a process that has just started continuing a stream at another version than the killed process
+// that began it, or refusing it although the store tells its version.
+func TestOriginsAfterKillOfAll(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		before, after []string
+		// first and second are the versions that the streams of the first and the second version may go on at; other is that of a
+		// stream that no process recorded.
+		first, second, other apricotway.SoftwareVersion
+	}{
+		{"both versions serve", []string{"v1", "v2"}, []string{"v1", "v2"}, "v1", "v2", ""},
+		{"one version left meanwhile", []string{"v1", "v2"}, []string{"v2"}, "v1", "v2", ""},
+		{"all servers replaced meanwhile", []string{"v1"}, []string{"v2"}, "", "", ""},
+		{"one version only", []string{"v1"}, []string{"v1"}, "v1", "v1", "v1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := newStore()
+				p := start(t, s, test.before[0])
+				<-time.After(time.Second)
+
+				p.Began(time.Now(), "first", server(test.before[0]))
+				p.list(test.before...)
+				p.Began(time.Now(), "second", server(test.before[len(test.before)-1]))
+				<-time.After(time.Second)
+				p.kill()
+
+				again := start(t, s, test.after...)
+				<-time.After(time.Second)
+				again.wantVersion(t, "first", test.first)
+				again.wantVersion(t, "second", test.second)
+				again.wantVersion(t, "other", test.other)
+				again.wantVersion(t, "", test.other)
+				again.kill()
+			})
+		})
+	}
+}
+
+// TestOriginsOfRunningProcess guards against a stream being refused, or continued at the wrong version, while the process that began it has
+// not told it yet, and another one has not yet seen its version.
+func TestOriginsOfRunningProcess(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		p, behind := start(t, s, "v1"), start(t, s, "v1")
+		<-time.After(time.Second)
+
+		p.list("v2")
+		p.Began(time.Now(), "new", server("v2"))
+		<-time.After(150 * time.Millisecond)
+		behind.wantVersion(t, "new", "v2")
+
+		behind.list("v2")
+		p.Began(time.Now(), "newest", server("v1"))
+		behind.wantVersion(t, "newest", "v1")
+
+		p.kill()
+		behind.kill()
+	})
+}
+
+// TestOriginsWithoutStore guards against waiting long for a store that is away, and against forgetting what it could not take.
+func TestOriginsWithoutStore(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		p := start(t, s, "v1", "v2")
+		other := start(t, s, "v1", "v2")
+		<-time.After(time.Second)
+
+		s.setDown(true)
+		p.Began(time.Now(), "x", server("v1"))
+		p.wantVersion(t, "x", "v1")
+
+		asked := time.Now()
+		other.wantVersion(t, "x", "")
+
+		if got, want := time.Since(asked), time.Second; got > want {
+			t.Errorf("got an answer after %s, want it within %s", got, want)
+		}
+
+		<-time.After(3 * time.Second)
+		s.setDown(false)
+		<-time.After(time.Second)
+		other.wantVersion(t, "x", "v1")
+
+		p.kill()
+		other.kill()
+	})
+}
+
+// TestOneVersionCostsNothing guards against calls of the store while one version serves and no caller takes a stream up.
+func TestOneVersionCostsNothing(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		p := start(t, s, "v1")
+		<-time.After(3 * time.Second)
+
+		saves := s.saves
+
+		for range 100 {
+			p.Began(time.Now(), apricotway.AttemptID(time.Now().String()), server("v1"))
+			<-time.After(100 * time.Millisecond)
+		}
+
+		if got, want := s.saves-saves+s.reads, 0; got != want {
+			t.Errorf("got %d calls of the store, want %d", got, want)
+		}
+
+		p.kill()
+	})
+}
--- a/operatorstore.go
+++ b/operatorstore.go
@@ -63,6 +63,8 @@
 	StateCounts StatePart = "state"
 	// StateCrashes holds the refusals of contents that crash backend servers.
 	StateCrashes StatePart = "crashes"
+	// StateVersions holds the software versions of backend servers that are or lately were in service. Every process may save it.
+	StateVersions StatePart = "versions"
 )
 
 // UsageReport holds the number of calls in one window by workspace.
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -3,9 +3,11 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -77,6 +79,14 @@
 	LimitedSend(service apricotway.Service)
 }
 
+// Origins tells where streams began, so that only servers that fit continue them.
+type Origins interface {
+	// Began records that a server sent the first event of the stream that an attempt began.
+	Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend)
+	// Find returns the origin of a stream that its caller takes up. The attempt is empty if the caller doesn't name it.
+	Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin
+}
+
 // Relay forwards calls. It is safe for concurrent use.
 type Relay struct {
 	dialect  apricotway.Dialect
@@ -88,6 +98,7 @@
 	tally    *tally.Counter
 
 	mover        apricotway.RunMover
+	origins      Origins
 	quarantine   Quarantine
 	metrics      Metrics
 	logger       logr.Logger
@@ -117,6 +128,9 @@
 // WithMover sets the mover that takes running streams off engines that leave. Without it they run until the engine stops.
 func WithMover(mover apricotway.RunMover) Option { return func(r *Relay) { r.mover = mover } }
 
+// WithOrigins sets what tells where streams began. Without it the relay knows only its own streams.
+func WithOrigins(origins Origins) Option { return func(r *Relay) { r.origins = origins } }
+
 // WithStop sets the check whether the process is stopping, and until when calls may run. Answers then close the connection, so that
 // callers don't reuse it, and calls that would not end in time are refused.
 func WithStop(stop func() (limit time.Time, stopping bool)) Option {
@@ -132,7 +146,7 @@
 		dialect: dialect, upstream: upstream, catalog: catalog, pool: pool, limiter: limiter, budget: budget, tally: began,
 		quarantine: noQuarantine{}, metrics: noMetrics{}, logger: logr.Discard(),
 		stop: func() (time.Time, bool) { return time.Time{}, false }, now: time.Now,
-		inFlight: inFlight{calls: map[*call]struct{}{}}, durations: duration.New(durationWindow),
+		inFlight: inFlight{calls: map[*call]struct{}{}}, durations: duration.New(durationWindow), origins: localOrigins{pool.Origins()},
 	}
 	for _, option := range options {
 		option(r)
@@ -141,6 +155,18 @@
 	return r
 }
 
+// localOrigins are the origins that this process has seen.
+type localOrigins struct{ register *origin.Register }
+
+func (o localOrigins) Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) {
+	o.register.Begin(now, origin.StreamOf(attempt), server)
+}
+
+func (o localOrigins) Find(_ context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
+	found, _ := o.register.Find(time.Now(), service, origin.StreamOf(attempt))
+	return found
+}
+
 type noQuarantine struct{}
 
 func (noQuarantine) HasSuspects() bool { return false }
@@ -183,7 +209,7 @@
 	sends int
 	// origin is the beginning of the stream that a further server has to continue. It is the zero value before the answer has begun.
 	origin origin.Origin
-	tried []apricotway.BackendServerID
+	tried  []apricotway.BackendServerID
 	// versions lists the software version of each server in tried.
 	versions []apricotway.SoftwareVersion
 	// steps lists for the log how each attempt ended.
@@ -230,7 +256,7 @@
 
 // forward sends the call, with retries, until it has a final answer.
 func (c *call) forward(ctx context.Context) {
-	c.service = route.Target(c.route, rand.Float64())
+	c.chooseService(ctx)
 	c.relay.budget.AddCall(c.arrived, c.service)
 
 	var next *replacement
@@ -280,6 +306,25 @@
 	}
 }
 
+// chooseService chooses the service of the call. A stream that its caller takes up stays at the service that began it if the route still
+// leads there.
+func (c *call) chooseService(ctx context.Context) {
+	c.service = route.Target(c.route, rand.Float64())
+
+	if !c.route.Resumable || c.metadata.LastEvent == "" && c.metadata.Resumes == "" {
+		return
+	}
+
+	c.origin = c.relay.origins.Find(ctx, c.service, c.metadata.Resumes)
+
+	if slices.ContainsFunc(c.route.Targets, func(t apricotway.RouteTarget) bool { return t.Service == c.origin.Service() }) {
+		c.service = c.origin.Service()
+	}
+}
+
+// stream returns the attempt that began the stream of the call.
+func (c *call) stream() apricotway.AttemptID { return cmp.Or(c.metadata.Resumes, c.metadata.Attempt) }
+
 // chooseServer chooses the next server, or returns the refusal of a call that no server can take.
 func (c *call) chooseServer() (*dispatch.Send, *refusal) {
 	now := c.relay.now()
@@ -313,6 +358,10 @@
 		send, why, wait = c.relay.pool.Place(now, request)
 	}
 
+	if why == dispatch.RefusedOrigin {
+		return nil, c.refusalOfOrigin()
+	}
+
 	if send == nil {
 		return nil, &refusal{
 			status: http.StatusServiceUnavailable, reason: string(why), retryAfter: wait,
@@ -323,6 +372,24 @@
 	return send, nil
 }
 
+// retryAfterOrigin is the Retry-After of a stream while no server of its version is there. A crashed server is back after some seconds.
+const retryAfterOrigin = time.Second
+
+// refusalOfOrigin returns the refusal of a stream that no server may continue.
+func (c *call) refusalOfOrigin() *refusal {
+	if !c.origin.Known() {
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: "originUnknown",
+			message: "the software version that began the stream is not known; begin the stream again without the events received",
+		}
+	}
+
+	return &refusal{
+		status: http.StatusServiceUnavailable, reason: string(dispatch.RefusedOrigin), retryAfter: retryAfterOrigin,
+		message: "no backend server of the software version that began the stream is there; begin the stream again or retry later",
+	}
+}
+
 // placement returns the request for a server other than those to avoid.
 func (c *call) placement(avoid []apricotway.BackendServerID) dispatch.Request {
 	request := dispatch.Request{
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -255,6 +255,10 @@
 	send.RecordFirstEvent(now, metadata.Load)
 
 	c.origin = origin.At(send.Backend.Lineage())
+	if c.route.Resumable {
+		c.relay.origins.Began(now, c.stream(), send.Backend)
+	}
+
 	c.writeHeader(answer, -1)
 
 	current := &engineRun{
--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -55,7 +55,7 @@
 func (c *call) startSilenceTimer(send *dispatch.Send, cancel context.CancelFunc) *silenceTimer {
 	request := c.placement(append(slices.Clone(c.tried), send.Backend.ID))
 	t := &silenceTimer{
-		cancel:  cancel,
+		cancel: cancel,
 		replace: func(begun bool) *replacement {
 			if begun {
 				request.Origin = origin.At(send.Backend.Lineage())
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -95,6 +95,8 @@
 	stated map[apricotway.BackendServerID]*server
 	// limits decides whether a server may get one more request of this process. Every Send takes its request from it.
 	limits *intake.Limits
+	// origins holds the versions of the servers and the origins of streams.
+	origins *origin.Register
 }
 
 // Demand is what the callers of one process requested of a service since the last report.
@@ -126,6 +128,7 @@
 		engineTimes: map[apricotway.Service]*engineTime{},
 		stated:      map[apricotway.BackendServerID]*server{},
 		limits:      intake.New(),
+		origins:     origin.NewRegister(),
 	}
 	for _, option := range options {
 		option(p)
@@ -134,6 +137,9 @@
 	return p
 }
 
+// Origins returns the register of the origins of streams at the pool's servers.
+func (p *Pool) Origins() *origin.Register { return p.origins }
+
 // Update stores the newest entry of a server. An entry with the same ID but another service, address or start time is a new
 // server, whose statistics start from scratch.
 func (p *Pool) Update(backend apricotway.Backend, now time.Time) {
@@ -141,6 +147,12 @@
 	defer p.mu.Unlock()
 
 	known := p.servers[backend.ID]
+	if known != nil && known.backend.Service != backend.Service {
+		p.origins.Remove(now, known.backend)
+	}
+
+	p.origins.Update(now, backend)
+
 	if known != nil && known.backend.Service == backend.Service && known.backend.Address == backend.Address &&
 		known.backend.Born.Equal(backend.Born) {
 		known.backend = backend
@@ -168,11 +180,12 @@
 }
 
 // Remove removes a server. Its calls in flight continue.
-func (p *Pool) Remove(id apricotway.BackendServerID) {
+func (p *Pool) Remove(id apricotway.BackendServerID, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	if known := p.servers[id]; known != nil {
+		p.origins.Remove(now, known.backend)
 		p.removeLocked(known)
 	}
 }
--- a/state/origin/origin.go
+++ b/state/origin/origin.go
@@ -9,6 +9,8 @@
 type Origin struct {
 	begun, known bool
 	lineage      apricotway.Lineage
+	// service is empty unless a record states it.
+	service apricotway.Service
 }
 
 // At returns the origin of a stream that a server of the lineage began.
@@ -17,6 +19,9 @@
 // Unknown returns the origin of a stream that has begun at a server of which nothing is known. No server may continue it.
 func Unknown() Origin { return Origin{begun: true} }
 
+// Service returns the service at which the stream began; empty if that is not known.
+func (o Origin) Service() apricotway.Service { return o.service }
+
 // Begun reports whether the stream has begun.
 func (o Origin) Begun() bool { return o.begun }
 
@@ -24,4 +29,6 @@
 func (o Origin) Known() bool { return o.known }
 
 // Allows reports whether a server of the lineage may generate the rest of the stream.
-func (o Origin) Allows(server apricotway.Lineage) bool { return !o.begun || o.known && o.lineage == server }
+func (o Origin) Allows(server apricotway.Lineage) bool {
+	return !o.begun || o.known && o.lineage == server
+}
--- /dev/null
+++ b/state/origin/register.go
@@ -0,0 +1,391 @@
+package origin
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/apricotway/apricotway"
+)
+
+const (
+	// MinLifetime is the least time for which the origin of a stream is kept: callers may wait longer than the timeout of a route.
+	MinLifetime = 30 * time.Second
+	// ClockTolerance is added to lifetimes, since the clocks of processes differ.
+	ClockTolerance = 5 * time.Second
+	// maxStreams bounds the streams that are remembered. Beyond it the oldest are forgotten.
+	maxStreams = 1 << 16
+	// bornTolerance is the time before the stated start of a server from which its streams may belong to that start.
+	bornTolerance = 2 * time.Second
+)
+
+// Stream identifies a stream by a hash of the attempt that brought its first event.
+type Stream uint64
+
+// StreamOf returns the stream that an attempt began.
+func StreamOf(attempt apricotway.AttemptID) Stream {
+	return Stream(xxhash.Sum64String(string(attempt)))
+}
+
+// Beginning is the beginning of a stream at a server.
+type Beginning struct {
+	Stream  Stream
+	Service apricotway.Service
+	// Version is meaningless if Uncertain is set: the server may have been of another version when the stream began.
+	Version   apricotway.SoftwareVersion
+	Uncertain bool
+}
+
+// Evidence is what the origin of a stream is known from.
+type Evidence string
+
+// The values of Evidence.
+const (
+	// EvidenceNone means that the origin is not known here; another process may know it.
+	EvidenceNone Evidence = "none"
+	// EvidenceRecord means that a process recorded the first event of the stream.
+	EvidenceRecord Evidence = "record"
+	// EvidenceOnlyVersion means that, as far as this process knows, only one version was in service when the stream can have begun.
+	EvidenceOnlyVersion Evidence = "onlyVersion"
+)
+
+// Versions holds, for the software versions of one service, the time at which the last server of the version left the list; zero while one is
+// on the list.
+type Versions map[apricotway.SoftwareVersion]time.Time
+
+// Register keeps the origins of streams, and the versions that are or lately were in service. It is safe for concurrent use.
+type Register struct {
+	mu       sync.Mutex
+	lifetime time.Duration
+	// awaitsHistory is set while the versions that were in service before this process started are not known.
+	awaitsHistory bool
+	services      map[apricotway.Service]*service
+	streams       map[Stream]record
+	// order holds the streams by the time of their beginning. An entry whose time is not that of the record is outdated.
+	order []aged
+	// pending are the beginnings that other processes have to know.
+	pending []Beginning
+}
+
+// service is the state of one service.
+type service struct {
+	servers  map[apricotway.BackendServerID]apricotway.Backend
+	versions Versions
+}
+
+// record is the beginning of a stream with the server and the time.
+type record struct {
+	Beginning
+
+	// server is empty if the beginning was learned from another process.
+	server apricotway.BackendServerID
+	at     time.Time
+}
+
+type aged struct {
+	stream Stream
+	at     time.Time
+}
+
+// NewRegister returns a register that knows no server yet.
+func NewRegister() *Register {
+	return &Register{
+		lifetime: MinLifetime + ClockTolerance, services: map[apricotway.Service]*service{}, streams: map[Stream]record{},
+	}
+}
+
+// SetLifetime sets the longest time between the beginning of a stream and the last call that may continue it. It is never shortened, since
+// older streams may still need it.
+func (r *Register) SetLifetime(lifetime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.lifetime = max(r.lifetime, lifetime+ClockTolerance)
+}
+
+// Lifetime returns the time for which the origin of a stream is needed.
+func (r *Register) Lifetime() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.lifetime
+}
+
+// AwaitHistory makes the register answer only for streams that it knows until AddHistory is called.
+func (r *Register) AwaitHistory() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.awaitsHistory = true
+}
+
+// AddHistory adds the versions that other processes saw in service. Those that have no server on the list of this process have left at the
+// latest now.
+func (r *Register) AddHistory(now time.Time, history map[apricotway.Service]Versions) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.awaitsHistory = false
+
+	for name, versions := range history {
+		s := r.serviceLocked(name)
+
+		for version, left := range versions {
+			if left.IsZero() || left.After(now) {
+				left = now
+			}
+
+			if known, ok := s.versions[version]; !ok || !known.IsZero() && left.After(known) {
+				r.setVersionLocked(now, name, version, left)
+			}
+		}
+	}
+}
+
+func (r *Register) serviceLocked(name apricotway.Service) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{servers: map[apricotway.BackendServerID]apricotway.Backend{}, versions: Versions{}}
+		r.services[name] = s
+	}
+
+	return s
+}
+
+// setVersionLocked records when a version left, zero if it is in service. If it is the second version of the service, the streams that began
+// before become pending.
+func (r *Register) setVersionLocked(now time.Time, name apricotway.Service, version apricotway.SoftwareVersion, left time.Time) {
+	s := r.serviceLocked(name)
+	before := r.mixedLocked(now, s)
+	s.versions[version] = left
+
+	if before || !r.mixedLocked(now, s) {
+		return
+	}
+
+	for _, known := range r.streams {
+		if known.Service == name && known.server != "" && now.Sub(known.at) < r.lifetime {
+			r.pending = append(r.pending, known.Beginning)
+		}
+	}
+}
+
+// mixedLocked reports whether streams of a service that are still needed may have begun at different versions.
+func (r *Register) mixedLocked(now time.Time, s *service) bool {
+	count := 0
+
+	for _, left := range s.versions {
+		if left.IsZero() || now.Sub(left) < r.lifetime {
+			count++
+		}
+	}
+
+	return count > 1
+}
+
+// Update records the entry of a server.
+func (r *Register) Update(now time.Time, backend apricotway.Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	s := r.serviceLocked(backend.Service)
+
+	before, known := s.servers[backend.ID]
+	if known && before.Version != backend.Version {
+		r.doubtLocked(backend)
+	}
+
+	s.servers[backend.ID] = backend
+
+	if known && before.Version != backend.Version {
+		r.leaveLocked(now, s, backend.Service, before.Version)
+	}
+
+	if left, ok := s.versions[backend.Version]; !ok || !left.IsZero() {
+		r.setVersionLocked(now, backend.Service, backend.Version, time.Time{})
+	}
+}
+
+// doubtLocked marks the streams of a server that started again with another version. They may have begun before its entry was read.
+func (r *Register) doubtLocked(backend apricotway.Backend) {
+	for stream, known := range r.streams {
+		if known.server == backend.ID && !known.at.Before(backend.Born.Add(-bornTolerance)) {
+			known.Uncertain = true
+			r.streams[stream] = known
+			r.pending = append(r.pending, known.Beginning)
+		}
+	}
+}
+
+// Remove records that a server left the list.
+func (r *Register) Remove(now time.Time, backend apricotway.Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	s := r.serviceLocked(backend.Service)
+	delete(s.servers, backend.ID)
+	r.leaveLocked(now, s, backend.Service, backend.Version)
+}
+
+// leaveLocked records that a version left if no server of it is on the list.
+func (r *Register) leaveLocked(now time.Time, s *service, name apricotway.Service, version apricotway.SoftwareVersion) {
+	for _, other := range s.servers {
+		if other.Version == version {
+			return
+		}
+	}
+
+	r.setVersionLocked(now, name, version, now)
+
+	for version, left := range s.versions {
+		if !left.IsZero() && now.Sub(left) >= r.lifetime {
+			delete(s.versions, version)
+		}
+	}
+}
+
+// Versions returns the versions of each service that are in service or have left within the lifetime of a stream.
+func (r *Register) Versions(now time.Time) map[apricotway.Service]Versions {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	all := map[apricotway.Service]Versions{}
+
+	for name, s := range r.services {
+		versions := Versions{}
+
+		for version, left := range s.versions {
+			if left.IsZero() || now.Sub(left) < r.lifetime {
+				versions[version] = left
+			}
+		}
+
+		if len(versions) > 0 {
+			all[name] = versions
+		}
+	}
+
+	return all
+}
+
+// Begin records that a server sent the first event of a stream.
+func (r *Register) Begin(now time.Time, stream Stream, server apricotway.Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	beginning := Beginning{Stream: stream, Service: server.Service, Version: server.Version}
+	if known, ok := r.streams[stream]; ok && known.Beginning == beginning {
+		return
+	}
+
+	r.addLocked(now, record{Beginning: beginning, server: server.ID, at: now})
+
+	if r.mixedLocked(now, r.serviceLocked(server.Service)) {
+		r.pending = append(r.pending, beginning)
+	}
+}
+
+// Learn records beginnings that other processes told. What this process saw itself is kept.
+func (r *Register) Learn(now time.Time, told []Beginning) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for _, beginning := range told {
+		if known, ok := r.streams[beginning.Stream]; !ok || known.server == "" {
+			r.addLocked(now, record{Beginning: beginning, at: now})
+		}
+	}
+}
+
+func (r *Register) addLocked(now time.Time, added record) {
+	r.streams[added.Stream] = added
+	r.order = append(r.order, aged{added.Stream, now})
+
+	for len(r.order) > 0 && (len(r.order) > maxStreams || now.Sub(r.order[0].at) >= r.lifetime) {
+		oldest := r.order[0]
+		r.order = r.order[1:]
+
+		if r.streams[oldest.stream].at.Equal(oldest.at) {
+			delete(r.streams, oldest.stream)
+		}
+	}
+}
+
+// Find returns the origin of a stream of a service, and what it rests on.
+func (r *Register) Find(now time.Time, name apricotway.Service, stream Stream) (Origin, Evidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if known, ok := r.streams[stream]; ok {
+		if known.Uncertain {
+			return Unknown(), EvidenceRecord
+		}
+
+		found := At(apricotway.Lineage{Software: known.Version})
+		found.service = known.Service
+
+		return found, EvidenceRecord
+	}
+
+	s := r.serviceLocked(name)
+	if r.awaitsHistory || r.mixedLocked(now, s) {
+		return Unknown(), EvidenceNone
+	}
+
+	for version, left := range s.versions {
+		if left.IsZero() || now.Sub(left) < r.lifetime {
+			return At(apricotway.Lineage{Software: version}), EvidenceOnlyVersion
+		}
+	}
+
+	return Unknown(), EvidenceNone
+}
+
+// TakePending returns the beginnings that other processes have to know, up to a number of them, and forgets them.
+func (r *Register) TakePending(limit int) []Beginning {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	taken := r.pending[:min(limit, len(r.pending))]
+	r.pending = r.pending[len(taken):]
+
+	if len(r.pending) == 0 {
+		r.pending = nil
+	}
+
+	return taken
+}
+
+// ReturnPending makes beginnings pending again that could not be told.
+func (r *Register) ReturnPending(taken []Beginning) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	// The oldest ones are no longer needed after a long outage.
+	kept := slices.Concat(taken, r.pending)
+	r.pending = kept[max(len(kept)-maxStreams, 0):]
+}
+
+// TellAgain makes the beginnings at mixed services pending again, for processes that may have lost them.
+func (r *Register) TellAgain(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.pending = nil
+
+	for _, known := range r.streams {
+		if known.server != "" && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
+			r.pending = append(r.pending, known.Beginning)
+		}
+	}
+}
+
+// Size returns the number of streams that are remembered.
+func (r *Register) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return len(r.streams)
+}
--- /dev/null
+++ b/state/origin/register_test.go
@@ -0,0 +1,154 @@
+package origin_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/origin"
+)
+
+const service = "s"
+
+// start is the time at which the tests begin.
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func server(id, version string) apricotway.Backend {
+	return apricotway.Backend{
+		ID: apricotway.BackendServerID(id), Service: service, Version: apricotway.SoftwareVersion(version), Born: start.Add(-time.Hour),
+	}
+}
+
+// wantOrigin checks the version that may continue a stream, "" for none, and what that is known from.
+func wantOrigin(t *testing.T, r *origin.Register, now time.Time, attempt, version string, want origin.Evidence) {
+	t.Helper()
+
+	found, evidence := r.Find(now, service, origin.StreamOf(apricotway.AttemptID(attempt)))
+	if evidence != want {
+		t.Errorf("stream %s: got evidence %q, want %q", attempt, evidence, want)
+	}
+
+	got := ""
+
+	for _, v := range []string{"v1", "v2", "v3"} {
+		if found.Allows(apricotway.Lineage{Software: apricotway.SoftwareVersion(v)}) {
+			got += v
+		}
+	}
+
+	if got != version {
+		t.Errorf("stream %s: got %q as the versions that may continue it, want %q", attempt, got, version)
+	}
+}
+
+// TestRegister guards against a stream going on at a version that may not have begun it, and against refusing one whose version is certain.
+func TestRegister(t *testing.T) {
+	r := origin.NewRegister()
+	lifetime := r.Lifetime()
+	old := server("a", "v1")
+
+	wantOrigin(t, r, start, "x", "", origin.EvidenceNone)
+	r.Update(start, old)
+	r.Begin(start, origin.StreamOf("begun"), old)
+	wantOrigin(t, r, start, "begun", "v1", origin.EvidenceRecord)
+	wantOrigin(t, r, start, "other", "v1", origin.EvidenceOnlyVersion)
+
+	if got := r.TakePending(10); len(got) != 0 {
+		t.Errorf("got %v to tell while one version serves, want nothing", got)
+	}
+
+	// A second version: who began an unknown stream can't be told any more, and what is known is told.
+	now := start.Add(time.Second)
+	r.Update(now, server("b", "v2"))
+	wantOrigin(t, r, now, "begun", "v1", origin.EvidenceRecord)
+	wantOrigin(t, r, now, "other", "", origin.EvidenceNone)
+
+	r.Begin(now, origin.StreamOf("new"), server("b", "v2"))
+
+	if got, want := len(r.TakePending(10)), 2; got != want {
+		t.Errorf("got %d beginnings to tell, want %d", got, want)
+	}
+
+	r.Learn(now, []origin.Beginning{{Stream: origin.StreamOf("told"), Service: service, Version: "v2"}})
+	wantOrigin(t, r, now, "told", "v2", origin.EvidenceRecord)
+
+	// The first version leaves: its streams are needed for their lifetime, and can't be told from those of the other one until then.
+	r.Remove(now, old)
+	wantOrigin(t, r, now.Add(lifetime-time.Millisecond), "other", "", origin.EvidenceNone)
+	wantOrigin(t, r, now.Add(lifetime), "other", "v2", origin.EvidenceOnlyVersion)
+}
+
+// TestHistory guards against a process that has just started taking the only version on its list for the one that began every stream.
+func TestHistory(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		history origin.Versions
+		version string
+		want    origin.Evidence
+	}{
+		{"same version", origin.Versions{"v2": {}}, "v2", origin.EvidenceOnlyVersion},
+		{"nothing saved", nil, "v2", origin.EvidenceOnlyVersion},
+		{"another version that was in service", origin.Versions{"v1": {}}, "", origin.EvidenceNone},
+		{"another version that has just left", origin.Versions{"v1": start.Add(-time.Second), "v2": {}}, "", origin.EvidenceNone},
+		{"another version that left long ago", origin.Versions{"v1": start.Add(-time.Hour), "v2": {}}, "v2", origin.EvidenceOnlyVersion},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := origin.NewRegister()
+			r.AwaitHistory()
+			r.Update(start, server("b", "v2"))
+			wantOrigin(t, r, start, "x", "", origin.EvidenceNone)
+			r.AddHistory(start, map[apricotway.Service]origin.Versions{service: test.history})
+			wantOrigin(t, r, start, "x", test.version, test.want)
+		})
+	}
+}
+
+// TestRestartAtAnotherVersion guards against the version of an old entry being taken for that of a server which started again under its name.
+func TestRestartAtAnotherVersion(t *testing.T) {
+	r := origin.NewRegister()
+	r.Update(start, server("a", "v1"))
+	r.Begin(start, origin.StreamOf("before"), server("a", "v1"))
+
+	born := start.Add(time.Minute / 4)
+	r.Begin(born.Add(time.Second), origin.StreamOf("between"), server("a", "v1"))
+
+	again := server("a", "v2")
+	again.Born = born
+	r.Update(born.Add(2*time.Second), again)
+
+	now := born.Add(3 * time.Second)
+	wantOrigin(t, r, now, "before", "v1", origin.EvidenceRecord)
+	wantOrigin(t, r, now, "between", "", origin.EvidenceRecord)
+}
+
+// TestRegisterIsBounded guards against a register that grows with the streams of the whole life of the process.
+func TestRegisterIsBounded(t *testing.T) {
+	r := origin.NewRegister()
+	r.Update(start, server("a", "v1"))
+
+	for i := range 3000 {
+		at := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		r.Begin(at, origin.Stream(i), server("a", "v1"))
+	}
+
+	if got, want := r.Size(), int(r.Lifetime()/(100*time.Millisecond)); got > want {
+		t.Errorf("got %d streams, want at most %d", got, want)
+	}
+}
+
+// BenchmarkFind measures the decision on a stream that its caller takes up.
+func BenchmarkFind(b *testing.B) {
+	r := origin.NewRegister()
+	r.Update(start, server("a", "v1"))
+	r.Update(start, server("b", "v2"))
+
+	for i := range 10000 {
+		r.Begin(start, origin.Stream(i), server("a", "v1"))
+	}
+
+	b.ReportAllocs()
+
+	for i := 0; b.Loop(); i++ {
+		r.Find(start, service, origin.Stream(i%20000))
+	}
+}
--- a/state/route/route.go
+++ b/state/route/route.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/apricotway/apricotway"
 )
@@ -95,6 +96,21 @@
 // Services returns all services by name. The caller must not modify the result.
 func (t *Table) Services() map[apricotway.Service]*apricotway.ServiceRule { return t.services }
 
+// LongestStream returns the longest timeout of a stream that another server may continue.
+func (t *Table) LongestStream() time.Duration {
+	var longest time.Duration
+
+	for _, routes := range t.routes {
+		for _, route := range routes {
+			if route.Kind == apricotway.RouteStream && route.Resumable {
+				longest = max(longest, route.Timeout)
+			}
+		}
+	}
+
+	return longest
+}
+
 // RequiresKeys reports whether the configuration has workspaces. Calls then need a key unless their route is public.
 func (t *Table) RequiresKeys() bool { return len(t.workspaces) > 0 }
 
