Continue a generation of apricotway serve only at the software version that began it

Callers of serve got answers that two software versions wrote, within one process and after another one had taken the request over.

Evidence: TestSoftwareVersion failed in both cases; the newer engine ran a generation.

Model and software form the lineage of a text, which travels with the copies of a request, and package state/origin decides for both programs which servers may continue it. A request whose lineage has no engine waits as before.

Measured: TestSoftwareVersion passes, and the tests of resumption, moves and take-overs as before.

--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -104,7 +104,7 @@
 
 		group.Go(func() {
 			for n := 0; ctx.Err() == nil; n++ {
-				stream := s.stream(random, fmt.Sprintf("c%d-%d", i, n))
+				stream := s.stream(context.WithoutCancel(ctx), random, fmt.Sprintf("c%d-%d", i, n))
 
 				s.mu.Lock()
 				s.streams = append(s.streams, stream)
@@ -117,8 +117,8 @@
 }
 
 // stream requests one stream, and takes it up at random hosts until it is complete or the caller's time is used up.
-func (s *versionSystem) stream(random *rand.Rand, name string) *versionedStream {
-	ctx, cancel := context.WithTimeout(s.t.Context(), versionTimeout)
+func (s *versionSystem) stream(ctx context.Context, random *rand.Rand, name string) *versionedStream {
+	ctx, cancel := context.WithTimeout(ctx, versionTimeout)
 	defer cancel()
 
 	stream := &versionedStream{versions: map[string]bool{}}
--- a/platform.go
+++ b/platform.go
@@ -35,6 +35,9 @@
 	ClientToken string `json:"clientToken,omitempty"`
 }
 
+// Lineage returns the lineage of the texts that the server generates.
+func (s *BackendServer) Lineage() Lineage { return Lineage{Model: s.Version, Software: s.Software} }
+
 // HostList is the platform's list of live and leaving hosts, which lags behind the actual state.
 type HostList interface {
 	Hosts(ctx context.Context) ([]BackendServer, error)
--- a/protocol/completion/attempt.go
+++ b/protocol/completion/attempt.go
@@ -29,7 +29,7 @@
 	request Request
 	server  apricotway.BackendServer
 	done    *progress
-	sink    VersionedSink
+	sink    LineageSink
 	// trial is set while the request is suspected of crashing engines and must run alone on its engine.
 	trial bool
 	// passedTrial is set once the request passed its trial on this engine.
@@ -305,11 +305,11 @@
 func (a *attempt) deliver(token apricotway.Token) error {
 	a.runner.policy.Token(time.Now(), a.server.ID, a.id, 1)
 
-	if err := a.sink(token, a.server.Version); err != nil {
+	if err := a.sink(token, a.server.Lineage()); err != nil {
 		return errors.Wrap(errSink, err.Error())
 	}
 
-	a.done.version = a.server.Version
+	a.done.lineage = a.server.Lineage()
 	a.done.tokens++
 	a.done.text.WriteString(token.Text)
 	a.done.finished = token.Finish != ""
@@ -321,7 +321,7 @@
 	return nil
 }
 
-func newAttempt(r *Runner, request Request, server apricotway.BackendServer, done *progress, sink VersionedSink) *attempt {
+func newAttempt(r *Runner, request Request, server apricotway.BackendServer, done *progress, sink LineageSink) *attempt {
 	a := &attempt{
 		runner: r, id: apricotway.AttemptID(uuid.NewString()), request: request, server: server, done: done, sink: sink,
 		moves: make(chan resume.Move, 1),
--- a/protocol/completion/copies.go
+++ b/protocol/completion/copies.go
@@ -50,6 +50,8 @@
 	// Finish is set when Tokens is the complete answer.
 	Finish  apricotway.FinishReason
 	Version apricotway.ModelVersion
+	// Software is the software version of the engines that generated Tokens.
+	Software apricotway.SoftwareVersion
 }
 
 // replica is a copy that this process holds for the process that runs the request.
@@ -74,6 +76,8 @@
 	Tokens  []string
 	Finish  apricotway.FinishReason
 	Version apricotway.ModelVersion
+	// Software is the software version of the engines that generated Tokens.
+	Software apricotway.SoftwareVersion
 }
 
 // progressMessage is the message of methodCopyProgress.
@@ -205,7 +209,7 @@
 			}
 
 			held.Tokens = append(held.Tokens, entry.Tokens...)
-			held.Finish, held.Version, held.Term = entry.Finish, entry.Version, entry.Term
+			held.Finish, held.Version, held.Software, held.Term = entry.Finish, entry.Version, entry.Software, entry.Term
 		}
 	}
 
@@ -232,7 +236,7 @@
 	return requestCopy{
 		Request: a.request, Remaining: time.Until(a.request.Deadline), Origin: self.Node, OriginPeers: self.Peers,
 		Term:   a.term,
-		Tokens: a.tokens.textsFrom(0), Finish: a.tokens.finish, Version: a.version,
+		Tokens: a.tokens.textsFrom(0), Finish: a.tokens.finish, Version: a.lineage.Model, Software: a.lineage.Software,
 	}
 }
 
@@ -439,7 +443,7 @@
 				a.holder = apricotway.Member{}
 			} else {
 				b.progress.Entries = append(b.progress.Entries, progressEntry{
-					ID: id, Term: a.term, From: a.copiedTokens, Version: a.version,
+					ID: id, Term: a.term, From: a.copiedTokens, Version: a.lineage.Model, Software: a.lineage.Software,
 					Tokens: a.tokens.textsFrom(a.copiedTokens), Finish: a.tokens.finish,
 				})
 			}
--- a/protocol/completion/moves.go
+++ b/protocol/completion/moves.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/origin"
 	"github.com/apricotway/apricotway/state/resume"
 )
 
@@ -111,7 +112,7 @@
 		tokens := int(a.tokens.Load())
 		running[a.request.Service] = append(running[a.request.Service], resume.Generation{
 			Attempt:   a.id,
-			Version:   a.server.Version,
+			Origin:    origin.At(a.server.Lineage()),
 			Deadline:  a.request.Deadline,
 			Leaves:    deadline,
 			Context:   apricotway.EstimateTokens(a.request.Prompt) + tokens,
@@ -157,7 +158,7 @@
 	for _, server := range r.inventory.Usable(service) {
 		if !r.suspects.set.Reserved(now, server.ID) {
 			targets = append(targets, resume.Target{
-				Server: server.ID, Version: server.Version, Free: r.engineLimit - used[server.ID],
+				Server: server.ID, Lineage: server.Lineage(), Free: r.engineLimit - used[server.ID],
 			})
 		}
 	}
--- a/protocol/completion/placement.go
+++ b/protocol/completion/placement.go
@@ -9,6 +9,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/internal/pause"
+	"github.com/apricotway/apricotway/state/origin"
 	"github.com/apricotway/apricotway/state/quarantine"
 )
 
@@ -63,24 +64,26 @@
 	}
 }
 
-// candidates returns the engines that can run the request: those of the version that generated its first tokens, or, before the
-// first token, those of the version that the service's release rule assigns to it.
+// candidates returns the engines that can run the request: those that may continue its first tokens, or, before the first token, those of
+// the version that the service's release rule assigns to it.
 func (r *Runner) candidates(request Request, done *progress) []apricotway.BackendServer {
 	candidates := r.inventory.Usable(request.Service)
-	version := done.version
 
-	if done.tokens == 0 {
-		rule, ok := r.release(request.Service)
-		if !ok {
-			return candidates
-		}
+	if done.tokens > 0 {
+		began := origin.At(done.lineage)
+		return slices.DeleteFunc(candidates, func(s apricotway.BackendServer) bool { return !began.Allows(s.Lineage()) })
+	}
 
-		version, ok = rule.Version(request.ID, request.Workspace, func(version apricotway.ModelVersion) bool {
-			return slices.ContainsFunc(candidates, func(s apricotway.BackendServer) bool { return s.Version == version })
-		})
-		if !ok {
-			return nil
-		}
+	rule, ok := r.release(request.Service)
+	if !ok {
+		return candidates
+	}
+
+	version, ok := rule.Version(request.ID, request.Workspace, func(version apricotway.ModelVersion) bool {
+		return slices.ContainsFunc(candidates, func(s apricotway.BackendServer) bool { return s.Version == version })
+	})
+	if !ok {
+		return nil
 	}
 
 	return slices.DeleteFunc(candidates, func(s apricotway.BackendServer) bool { return s.Version != version })
--- a/protocol/completion/request.go
+++ b/protocol/completion/request.go
@@ -39,15 +39,15 @@
 // Sink receives the answer's tokens in order, each index exactly once. An error ends the delivery.
 type Sink func(token apricotway.Token) error
 
-// VersionedSink receives tokens like a Sink, with the model version that generated them.
-type VersionedSink func(token apricotway.Token, version apricotway.ModelVersion) error
+// LineageSink receives tokens like a Sink, with the lineage of the engine that generated them.
+type LineageSink func(token apricotway.Token, lineage apricotway.Lineage) error
 
 // Delivered is the part of an answer that was generated before, here or in another process.
 type Delivered struct {
 	Text   string
 	Tokens int
-	// Version is the model version that generated the text; empty before the first token.
-	Version apricotway.ModelVersion
+	// Lineage is that of the engines that generated the text; the zero value before the first token.
+	Lineage apricotway.Lineage
 	// Admitted is set when the request has passed admission before.
 	Admitted bool
 }
--- a/protocol/completion/requests.go
+++ b/protocol/completion/requests.go
@@ -138,7 +138,7 @@
 	mu sync.Mutex
 	// tokens are the answer's tokens so far, from index 0.
 	tokens  transcript
-	version apricotway.ModelVersion
+	lineage apricotway.Lineage
 	// err is the refusal of a request that ended without a complete answer.
 	err   *apricotway.Refusal
 	ended time.Time
@@ -199,7 +199,7 @@
 	a.cancel = cancel
 
 	delivered := Delivered{
-		Text: string(a.tokens.text), Tokens: a.tokens.len(), Version: a.version, Admitted: !a.fresh,
+		Text: string(a.tokens.text), Tokens: a.tokens.len(), Lineage: a.lineage, Admitted: !a.fresh,
 	}
 
 	go func() {
@@ -227,11 +227,11 @@
 }
 
 // append is the sink of the request's run.
-func (a *Answer) append(token apricotway.Token, version apricotway.ModelVersion) error {
+func (a *Answer) append(token apricotway.Token, lineage apricotway.Lineage) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
-	a.version = version
+	a.lineage = lineage
 	a.tokens.append(token)
 	a.signal()
 
--- a/protocol/completion/runner.go
+++ b/protocol/completion/runner.go
@@ -184,8 +184,8 @@
 type progress struct {
 	text   strings.Builder
 	tokens int
-	// version is the model version that generated the text so far; empty before the first token.
-	version apricotway.ModelVersion
+	// lineage is that of the engines that generated the text so far; the zero value before the first token.
+	lineage apricotway.Lineage
 	// started is set once an engine may have begun to run the request.
 	started bool
 	// prefilled is set once an engine has begun to prefill the prompt. From then on the prefill of a new attempt counts as
@@ -212,7 +212,7 @@
 // Run runs the request and passes its tokens to the sink. It returns nil once the complete answer was delivered, and a Refusal
 // otherwise.
 func (r *Runner) Run(ctx context.Context, request Request, sink Sink) error {
-	_, err := r.Continue(ctx, request, Delivered{}, func(token apricotway.Token, _ apricotway.ModelVersion) error {
+	_, err := r.Continue(ctx, request, Delivered{}, func(token apricotway.Token, _ apricotway.Lineage) error {
 		return sink(token)
 	})
 
@@ -221,12 +221,12 @@
 
 // Continue runs the rest of a request after the delivered part. It returns the engine of the last attempt that was sent.
 func (r *Runner) Continue(
-	ctx context.Context, request Request, delivered Delivered, sink VersionedSink,
+	ctx context.Context, request Request, delivered Delivered, sink LineageSink,
 ) (apricotway.BackendServer, error) {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 
-	done := &progress{tokens: delivered.Tokens, version: delivered.Version, prefilled: delivered.Tokens > 0}
+	done := &progress{tokens: delivered.Tokens, lineage: delivered.Lineage, prefilled: delivered.Tokens > 0}
 	done.started = delivered.Tokens > 0
 	done.text.WriteString(delivered.Text)
 
@@ -316,7 +316,7 @@
 }
 
 // attempt runs one attempt, counts its usage, and reports the engine as lost or the request as a suspect if the attempt ended so.
-func (r *Runner) attempt(ctx context.Context, request Request, place placement, done *progress, sink VersionedSink) error {
+func (r *Runner) attempt(ctx context.Context, request Request, place placement, done *progress, sink LineageSink) error {
 	a := newAttempt(r, request, place.server, done, sink)
 	a.trial = place.trial
 	done.next = target{}
--- a/protocol/completion/takeover.go
+++ b/protocol/completion/takeover.go
@@ -93,7 +93,7 @@
 // the request is copied again.
 func (s *Requests) adopt(from requestCopy, holder apricotway.Member, copied int) *Answer {
 	a := s.newAnswer(from.Request)
-	a.version, a.holder, a.copiedTokens = from.Version, holder, min(copied, len(from.Tokens))
+	a.lineage, a.holder, a.copiedTokens = apricotway.Lineage{Model: from.Version, Software: from.Software}, holder, min(copied, len(from.Tokens))
 	a.term = from.Term + 1
 	// A reader at the former process may know the request's id and reconnect.
 	a.known = true
--- a/state/resume/resume.go
+++ b/state/resume/resume.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/origin"
 )
 
 // Choice is a way to handle a generation whose host is reclaimed.
@@ -49,7 +50,8 @@
 // Generation is a running generation on a host that is about to be taken away.
 type Generation struct {
 	Attempt apricotway.AttemptID
-	Version apricotway.ModelVersion
+	// Origin is the beginning of the generation.
+	Origin origin.Origin
 	// Deadline is the deadline of the request.
 	Deadline time.Time
 	// Leaves is the time at which the host is taken away.
@@ -64,7 +66,7 @@
 // Target is an engine that can continue generations.
 type Target struct {
 	Server  apricotway.BackendServerID
-	Version apricotway.ModelVersion
+	Lineage apricotway.Lineage
 	// Free is the number of generations that the engine can still take.
 	Free int
 }
@@ -98,7 +100,7 @@
 }
 
 // Plan returns the moves of the generations that cannot finish on their hosts, those with the earliest deadlines first. Each
-// goes to the engine of its model version with the highest Free. If all are full, the generation is left out and stays
+// goes to the engine that may continue it with the highest Free. If all are full, the generation is left out and stays
 // on its host until the next plan.
 func Plan(now time.Time, running []Generation, targets []Target, costs Costs) []Move {
 	running = slices.SortedFunc(slices.Values(running), func(a, b Generation) int {
@@ -117,7 +119,7 @@
 		best := -1
 
 		for i, target := range targets {
-			if target.Version == generation.Version && target.Free > 0 && (best < 0 || target.Free > targets[best].Free) {
+			if generation.Origin.Allows(target.Lineage) && target.Free > 0 && (best < 0 || target.Free > targets[best].Free) {
 				best = i
 			}
 		}
--- a/state/resume/resume_test.go
+++ b/state/resume/resume_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/origin"
 	"github.com/apricotway/apricotway/state/resume"
 )
 
@@ -46,7 +47,7 @@
 	now := time.Unix(1000, 0)
 	generation := func(id string, version apricotway.ModelVersion, deadline int) resume.Generation {
 		return resume.Generation{
-			Attempt: apricotway.AttemptID(id), Version: version, Deadline: now.Add(time.Duration(deadline) * time.Second),
+			Attempt: apricotway.AttemptID(id), Origin: origin.At(apricotway.Lineage{Model: version}), Deadline: now.Add(time.Duration(deadline) * time.Second),
 			Leaves: now.Add(5 * time.Second), Context: 5000, Remaining: 2000,
 		}
 	}
@@ -54,7 +55,7 @@
 	got := resume.Plan(now, []resume.Generation{
 		generation("late", "1", 90), generation("soon", "1", 10), generation("middle", "1", 50), generation("other", "2", 5),
 	}, []resume.Target{
-		{Server: "full", Version: "1", Free: 0}, {Server: "x", Version: "1", Free: 1}, {Server: "y", Version: "1", Free: 1},
+		{Server: "full", Lineage: apricotway.Lineage{Model: "1"}, Free: 0}, {Server: "x", Lineage: apricotway.Lineage{Model: "1"}, Free: 1}, {Server: "y", Lineage: apricotway.Lineage{Model: "1"}, Free: 1},
 	}, resume.DefaultCosts())
 	want := []resume.Move{
 		{Attempt: "soon", Choice: resume.ChoiceExport, Target: "x"},
