--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -3,8 +3,10 @@
 package origins
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -21,16 +23,20 @@
 )
 
 const (
-	// StreamOrigins is the log with the beginnings of streams.
-	StreamOrigins apricotway.Stream = "origins"
-	// kindBeginnings is the kind of its records.
+	// streamPrefix begins the names of the logs with the beginnings of streams, and logs is their number. Each process appends to one of
+	// them and reads all: a log takes its appends one at a time.
+	streamPrefix = "origins-"
+	logs         = 4
+	// kindBeginnings is the kind of their records.
 	kindBeginnings = "beginnings"
 	schemaVersion  = 1
 
 	// minAppendInterval is the shortest time between two appends of one process.
 	minAppendInterval = 100 * time.Millisecond
-	// appendShare is the share of the store's write calls that the appends of all processes take.
-	appendShare = 0.25
+	// appendShare is the share of the store's write calls that the appends of all processes take, and maxLogAppends bounds the appends per
+	// second to one log, each of which takes the operators' stores 2 ms.
+	appendShare   = 0.25
+	maxLogAppends = 250
 	// defaultWritesPerSecond is the smallest number of write calls that the operators' stores accept.
 	defaultWritesPerSecond = 400
 	// maxBeginnings bounds the beginnings in one append; 20 bytes each.
@@ -62,6 +68,8 @@
 	// members returns the number of processes that share the store.
 	members         func() int
 	writesPerSecond float64
+	// log is the log that this process appends to.
+	log int
 
 	// wake has an element when the reader has to read.
 	wake chan struct{}
@@ -73,8 +81,8 @@
 	// and replaced when a read ends.
 	reads, done, wanted int
 	ended               chan struct{}
-	// next is the offset to read from next.
-	next apricotway.Offset
+	// next holds the offsets to read from next.
+	next [logs]apricotway.Offset
 }
 
 // Metrics counts what is shared.
@@ -113,7 +121,7 @@
 	return func(o *Origins) {
 		eras.Subscribe(func() {
 			o.mu.Lock()
-			o.next = 0
+			o.next = [logs]apricotway.Offset{}
 			o.mu.Unlock()
 
 			o.register.TellAgain(time.Now())
@@ -125,7 +133,7 @@
 func New(supervisor *suture.Supervisor, register *origin.Register, store Store, options ...Option) *Origins {
 	o := &Origins{
 		register: register, store: store, logger: logr.Discard(), metrics: noMetrics{}, members: func() int { return 1 },
-		writesPerSecond: defaultWritesPerSecond, wake: make(chan struct{}, 1), ended: make(chan struct{}),
+		writesPerSecond: defaultWritesPerSecond, wake: make(chan struct{}, 1), ended: make(chan struct{}), log: rand.IntN(logs),
 	}
 	for _, option := range options {
 		option(o)
@@ -189,7 +197,7 @@
 
 // appendInterval returns the time between two appends of this process.
 func (o *Origins) appendInterval() time.Duration {
-	shared := float64(o.members()) / (o.writesPerSecond * appendShare)
+	shared := float64(o.members()) / min(o.writesPerSecond*appendShare, logs*maxLogAppends)
 	return max(minAppendInterval, time.Duration(shared*float64(time.Second)))
 }
 
@@ -267,7 +275,7 @@
 	}
 
 	// An append that has taken effect without an answer is repeated; a second copy says the same.
-	if _, err := o.store.Append(ctx, StreamOrigins, records); err != nil {
+	if _, err := o.store.Append(ctx, streamOf(o.log), records); err != nil {
 		return errors.Wrap(err, "append the origins of streams")
 	}
 
@@ -276,7 +284,11 @@
 
 const hexadecimal = 16
 
-// awaitRead waits until a read of the log that begins after this call has ended.
+func streamOf(log int) apricotway.Stream {
+	return apricotway.Stream(streamPrefix + strconv.Itoa(log))
+}
+
+// awaitRead waits until a read of the logs that begins after this call has ended.
 func (o *Origins) awaitRead(ctx context.Context) error {
 	o.mu.Lock()
 	o.waiting++
@@ -312,7 +324,7 @@
 	}
 }
 
-// readOnRequest reads the log while calls wait for it, until the context ends.
+// readOnRequest reads the logs while calls wait for it, until the context ends.
 func (o *Origins) readOnRequest(ctx context.Context) error {
 	for {
 		select {
@@ -353,24 +365,33 @@
 	}
 }
 
-// readAll reads the log to its end.
+// readAll reads the logs to their ends.
 func (o *Origins) readAll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
+	var results [logs]error
+
+	var group sync.WaitGroup
+
+	for log := range logs {
+		group.Go(func() { results[log] = o.readLog(ctx, log) })
+	}
+
+	group.Wait()
+
+	return cmp.Or(results[:]...)
+}
+
+func (o *Origins) readLog(ctx context.Context, log int) error {
 	for {
 		o.mu.Lock()
-		from := o.next
+		from := o.next[log]
 		o.mu.Unlock()
 
-		batch, err := o.store.Read(ctx, StreamOrigins, max(from, 1), readLimit, 0)
-		if errors.Is(err, apricotway.ErrTrimmed) {
-			if batch.Oldest == from {
-				return errors.Wrap(err, "read the origins of streams")
-			}
-
-			o.advance(from, batch.Oldest)
-
+		batch, err := o.store.Read(ctx, streamOf(log), max(from, 1), readLimit, 0)
+		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest != from {
+			o.advance(log, from, batch.Oldest)
 			continue
 		}
 
@@ -379,7 +400,7 @@
 		}
 
 		o.learn(batch.Records)
-		o.advance(from, batch.Next)
+		o.advance(log, from, batch.Next)
 
 		if len(batch.Records) == 0 {
 			return nil
@@ -388,12 +409,12 @@
 }
 
 // advance sets the offset to read from next, unless the store has come back from an older copy meanwhile.
-func (o *Origins) advance(from, next apricotway.Offset) {
+func (o *Origins) advance(log int, from, next apricotway.Offset) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	if o.next == from {
-		o.next = next
+	if o.next[log] == from {
+		o.next[log] = next
 	}
 }
 
