Log why a backend server could not be connected to

A step 'unreachable' in event 351 did not tell whether connecting hung, was refused or was reset, nor for how long, so that the hypotheses on processes that are cut from the servers could not be told apart.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -68,7 +68,7 @@
 
 	answer, metadata, err := c.send(attempt, send, apricotway.SendMetadata{Urgency: c.urgency()})
 	if err != nil {
-		return c.sendFailed(ctx, send, err, silence)
+		return c.sendFailed(ctx, send, now, err, silence)
 	}
 	defer answer.Body.Close()
 
@@ -136,10 +136,14 @@
 }
 
 // sendFailed returns the result of a send that ended without an answer.
-func (c *call) sendFailed(ctx context.Context, send *dispatch.Send, err error, silence *silenceTimer) attemptResult {
+func (c *call) sendFailed(
+	ctx context.Context, send *dispatch.Send, sent time.Time, err error, silence *silenceTimer,
+) attemptResult {
 	now := c.relay.now()
 
 	if errors.Is(err, apricotway.ErrNotSent) {
+		c.relay.logger.Info("failed to connect to a backend server", "event", 380, "attempt", c.metadata.Attempt, "server", send.Backend.ID,
+			"service", c.service, "zone", send.Backend.Zone, "took", now.Sub(sent), "error", err.Error())
 		send.End(now, dispatch.OutcomeUnreachable)
 		return attemptResult{step: stepRetry, reason: reasonUnreachable}
 	}
