--- a/cmd/internal/faultproxy/faultproxy.go
+++ b/cmd/internal/faultproxy/faultproxy.go
@@ -41,6 +41,9 @@
 	LoseAnswer bool `json:"loseAnswer"`
 	// HalfClose closes one direction of a TCP connection after the first forwarded bytes; the other direction stays open.
 	HalfClose Direction `json:"halfClose"`
+	// RejectNew resets new TCP connections, while open ones live on. Reset resets open ones too.
+	RejectNew bool `json:"rejectNew"`
+	Reset     bool `json:"reset"`
 }
 
 const (
@@ -56,10 +59,15 @@
 
 	mu    sync.Mutex
 	fault Fault
-	// changed is closed and replaced when the fault changes.
+	// changed is closed and replaced when a fault changes.
 	changed chan struct{}
 	closers map[io.Closer]struct{}
 	closed  bool
+	// groupOf names the group of a TCP client; nil without groups. groups holds the faults of groups that have one of their own, and members
+	// the open connections of clients by group.
+	groupOf func(client netip.AddrPort) string
+	groups  map[string]Fault
+	members map[*net.TCPConn]string
 }
 
 // Set replaces the fault of the link, also for open connections. These keep their target; UDP packets go to the new one.
@@ -68,17 +76,70 @@
 	defer l.mu.Unlock()
 
 	l.fault = fault
+	l.signalLocked()
+}
+
+// SetGroups divides the TCP clients into groups.
+func (l *Link) SetGroups(of func(client netip.AddrPort) string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.groupOf = of
+}
+
+// SetGroup replaces the fault for the clients of a group, also for their open connections.
+func (l *Link) SetGroup(group string, fault Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.groups[group] = fault
+	l.signalLocked()
+
+	for client, member := range l.members {
+		if member == group && fault.Reset {
+			_ = client.SetLinger(0) // Fails on a closed connection only.
+			_ = client.Close()
+		}
+	}
+}
+
+func (l *Link) signalLocked() {
 	close(l.changed)
 	l.changed = make(chan struct{})
 }
 
-func (l *Link) current() (Fault, <-chan struct{}) {
+// current returns the fault for the clients of a group.
+func (l *Link) current(group string) (Fault, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	if fault, ok := l.groups[group]; ok {
+		return fault, l.changed
+	}
+
 	return l.fault, l.changed
 }
 
+// join returns the group of a client, and registers its connection.
+func (l *Link) join(client *net.TCPConn) string {
+	l.mu.Lock()
+	of := l.groupOf
+	l.mu.Unlock()
+
+	if of == nil {
+		return ""
+	}
+
+	group := of(client.RemoteAddr().(*net.TCPAddr).AddrPort())
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.members[client] = group
+
+	return group
+}
+
 // track registers a socket that Close closes. If the link is already closed, it closes the socket and returns false.
 func (l *Link) track(closer io.Closer) bool {
 	l.mu.Lock()
@@ -97,6 +158,10 @@
 func (l *Link) release(closer io.Closer) {
 	l.mu.Lock()
 	delete(l.closers, closer)
+
+	if client, ok := closer.(*net.TCPConn); ok {
+		delete(l.members, client)
+	}
 	l.mu.Unlock()
 
 	_ = closer.Close()
@@ -112,6 +177,7 @@
 		_ = closer.Close()
 	}
 
+	clear(l.groups)
 	l.mu.Unlock()
 	l.Set(Fault{})
 }
@@ -120,7 +186,7 @@
 func Listen(ctx context.Context, network string) (*Link, error) {
 	var config net.ListenConfig
 
-	l := &Link{changed: make(chan struct{}), closers: map[io.Closer]struct{}{}}
+	l := &Link{changed: make(chan struct{}), closers: map[io.Closer]struct{}{}, groups: map[string]Fault{}, members: map[*net.TCPConn]string{}}
 
 	if network == "udp" {
 		conn, err := config.ListenPacket(ctx, network, "127.0.0.1:0")
@@ -159,28 +225,35 @@
 	}
 	defer l.release(client)
 
-	fault, _ := l.current()
+	group := l.join(client)
+
+	fault, _ := l.current(group)
+	if fault.RejectNew || fault.Reset {
+		_ = client.SetLinger(0) // Fails on a closed connection only.
+		return
+	}
 
 	target, err := net.DialTCP("tcp", nil, net.TCPAddrFromAddrPort(fault.Target))
 	if err != nil || !l.track(target) {
 		return
 	}
 	defer l.release(target)
-	var group sync.WaitGroup
 
-	group.Go(func() { l.forwardTCP(target, client, Forward) })
-	l.forwardTCP(client, target, Backward)
-	group.Wait()
+	var forwarding sync.WaitGroup
+
+	forwarding.Go(func() { l.forwardTCP(group, target, client, Forward) })
+	l.forwardTCP(group, client, target, Backward)
+	forwarding.Wait()
 }
 
 // forwardTCP forwards one direction of a TCP connection until that direction is closed.
-func (l *Link) forwardTCP(to, from *net.TCPConn, direction Direction) {
+func (l *Link) forwardTCP(group string, to, from *net.TCPConn, direction Direction) {
 	buffer := make([]byte, bufferSize)
 
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			fault := l.delay(direction, n)
+			fault := l.delay(group, direction, n)
 			if fault.LoseAnswer && direction == Backward {
 				_ = to.SetLinger(0)
 				_, _ = to.Close(), from.Close()
@@ -198,7 +271,7 @@
 			}
 		}
 		if err != nil {
-			l.delay(direction, 0)
+			l.delay(group, direction, 0)
 			_ = to.CloseWrite()
 
 			return
@@ -208,12 +281,12 @@
 
 // delay waits while the direction is cut, then for the delay and rate limit of the fault. It returns the fault that applied when
 // the cut ended.
-func (l *Link) delay(direction Direction, n int) Fault {
-	fault, changed := l.current()
+func (l *Link) delay(group string, direction Direction, n int) Fault {
+	fault, changed := l.current(group)
 	for fault.Cut.covers(direction) {
 		<-changed
 
-		fault, changed = l.current()
+		fault, changed = l.current(group)
 	}
 
 	wait := time.Duration(fault.DelayMillis) * time.Millisecond
@@ -238,7 +311,7 @@
 			return
 		}
 
-		fault, _ := l.current()
+		fault, _ := l.current("")
 		if err != nil || fault.Cut.covers(Forward) || !fault.Target.IsValid() || len(sessions) > maxUDPSessions {
 			continue
 		}
@@ -276,7 +349,7 @@
 			return
 		}
 
-		if fault, _ := l.current(); err == nil && !fault.Cut.covers(Backward) && !fault.LoseAnswer {
+		if fault, _ := l.current(""); err == nil && !fault.Cut.covers(Backward) && !fault.LoseAnswer {
 			l.sendDelayed(fault, conn, buffer[:n], client)
 		}
 	}
--- /dev/null
+++ b/cmd/scenario/cutoff_test.go
@@ -0,0 +1,297 @@
+package scenario
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway/cmd/internal/faultproxy"
+	"github.com/apricotway/apricotway/platform/standin"
+)
+
+const (
+	cutEntries = 4
+	cutCallers = 24
+	// cutContact is the time after the beginning of a cut from which the operators' rule counts (contact_ms).
+	cutContact = 3 * time.Second
+	// cutLength is the time for which calls are counted from then on.
+	cutLength = 4 * time.Second
+	cutConfig = `{"version":%d,"routes":[
+{"name":"chat","host":"h.example","path_prefix":"/chat/","kind":"streaming","timeout_ms":8000,"target_latency_ms":500,"gap_aim_ms":400,
+"service":"model","max_attempts":2,"resumable":true},
+{"name":"look","host":"h.example","path_prefix":"/look/","kind":"safe","timeout_ms":3000,"target_latency_ms":300,"service":"ledger","max_attempts":2},
+{"name":"book","host":"h.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":300,"service":"ledger","max_attempts":1}],
+"services":[{"name":"model","health_path":"/healthz","engine":{"slots":64,"kv_capacity":1000000}},{"name":"ledger","health_path":"/healthz"}],
+"limits":{"max_body_bytes":10000},"tenants":[{"name":"w","api_keys":["secret"]}]}`
+)
+
+// cutSystem is an entry system whose paths to the engines can be cut for each process.
+type cutSystem struct {
+	*entrySystem
+
+	links   []*faultproxy.Link
+	targets []netip.AddrPort
+}
+
+func newCutSystem(t *testing.T) *cutSystem {
+	s := &cutSystem{entrySystem: newEntryPlatform(t, 1, cutConfig)}
+	s.retrySlack = 100
+
+	for service, count := range map[string]int{"model": 6, "ledger": 3} {
+		for range count {
+			s.startEngine(service, standin.WithSlots(64), standin.WithStream(10, 20*time.Millisecond), standin.WithWork(20*time.Millisecond),
+				standin.WithLink(s.link), standin.WithCallsPerConnection(4))
+		}
+	}
+
+	s.startEntries(cutEntries)
+
+	return s
+}
+
+// link opens a link to an engine.
+func (s *cutSystem) link(own netip.AddrPort) netip.AddrPort {
+	link, err := faultproxy.Listen(s.t.Context(), "tcp")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	s.t.Cleanup(link.Close)
+	link.Set(faultproxy.Fault{Target: own})
+	link.SetGroups(func(client netip.AddrPort) string { return s.processOf(client, link.Address) })
+
+	s.links, s.targets = append(s.links, link), append(s.targets, own)
+
+	return link.Address
+}
+
+// processOf returns the name of the process that has the loopback connection between two addresses, as Linux tells it.
+func (s *cutSystem) processOf(client, server netip.AddrPort) string {
+	inode := socketInode(client.Port(), server.Port())
+
+	for _, e := range s.entries {
+		open, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", e.command.Process.Pid))
+		for _, file := range open {
+			if target, err := os.Readlink(file); err == nil && target == "socket:["+inode+"]" {
+				return e.name
+			}
+		}
+	}
+
+	return ""
+}
+
+// socketInode returns the inode of the TCP socket with a local and a remote port.
+func socketInode(local, remote uint16) string {
+	const localField, inodeField = 1, 9
+
+	ports := []string{fmt.Sprintf(":%04X", local), fmt.Sprintf(":%04X", remote)}
+
+	table, err := os.Open("/proc/net/tcp")
+	if err != nil {
+		return ""
+	}
+	defer table.Close()
+
+	for lines := bufio.NewScanner(table); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) > inodeField && strings.HasSuffix(fields[localField], ports[0]) && strings.HasSuffix(fields[localField+1], ports[1]) &&
+			fields[inodeField] != "0" {
+			return fields[inodeField]
+		}
+	}
+
+	return ""
+}
+
+// cut sets the fault on the paths of a process to all engines.
+func (s *cutSystem) cut(e *entryProgram, fault faultproxy.Fault) {
+	for i, link := range s.links {
+		fault.Target = s.targets[i]
+		link.SetGroup(e.name, fault)
+	}
+}
+
+// cutCall is the first try of a call.
+type cutCall struct {
+	entry   *entryProgram
+	route   string
+	attempt string
+	sent    time.Time
+	status  int
+	served  bool
+}
+
+// cutResult counts first tries.
+type cutResult struct{ tries, served int }
+
+func (r cutResult) share() float64 { return float64(r.served) / float64(max(r.tries, 1)) }
+
+// callers sends first tries to all processes in turn until the context ends.
+func (s *cutSystem) callers(ctx context.Context) (wait func() []cutCall) {
+	var (
+		group sync.WaitGroup
+		mu    sync.Mutex
+		calls []cutCall
+	)
+
+	for i := range cutCallers {
+		random := rand.New(rand.NewPCG(s.random.Uint64(), 0))
+
+		group.Go(func() {
+			client := &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+
+			for n := 0; ctx.Err() == nil; n++ {
+				call := s.try(context.WithoutCancel(ctx), client, s.entries[random.IntN(len(s.entries))], random.IntN(3), fmt.Sprintf("c%d-%d", i, n))
+
+				mu.Lock()
+				calls = append(calls, call)
+				mu.Unlock()
+
+				select {
+				case <-time.After(time.Duration(50+random.IntN(100)) * time.Millisecond):
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+
+	return func() []cutCall {
+		group.Wait()
+		return calls
+	}
+}
+
+// try sends one call of a kind to a process.
+func (s *cutSystem) try(ctx context.Context, client *http.Client, e *entryProgram, kind int, attempt string) cutCall {
+	route := []string{"chat", "look", "book"}[kind]
+	call := cutCall{entry: e, route: route, attempt: attempt, sent: time.Now()}
+	c := standin.Call{Address: e.callers, Host: "h.example", Path: "/" + route + "/x", Attempt: attempt, Key: "secret", Timeout: 3 * time.Second}
+
+	if route == "chat" {
+		c.Tokens = "100,20"
+	}
+
+	request, err := c.Request(ctx)
+	if err != nil {
+		s.t.Error(err)
+		return call
+	}
+
+	request.GetBody = nil
+
+	response, err := client.Do(request)
+	if err != nil {
+		return call
+	}
+	defer response.Body.Close()
+
+	content, err := io.ReadAll(response.Body)
+	call.status = response.StatusCode
+	call.served = err == nil && call.status == http.StatusOK && (route != "chat" || strings.Contains(string(content), "id: 10\n"))
+
+	return call
+}
+
+// checkOnce checks that no call of an unsafe route ran twice, or ran although the answer says that it did not.
+func (s *cutSystem) checkOnce(calls []cutCall) {
+	s.t.Helper()
+
+	runs := map[string]int{}
+
+	for _, e := range s.engines {
+		for attempt, count := range e.RunsByAttempt() {
+			runs[attempt] += count
+		}
+	}
+
+	for _, call := range calls {
+		refused := call.status == http.StatusServiceUnavailable || call.status == http.StatusTooManyRequests
+		if call.route == "book" && (runs[call.attempt] > 1 || refused && runs[call.attempt] > 0) {
+			s.t.Errorf("attempt %s: got status %d and %d runs", call.attempt, call.status, runs[call.attempt])
+		}
+	}
+}
+
+// TestCutFromAllServers guards against callers of processes that have lost their paths to all servers being served far worse than those of
+// the others, which still reach both the servers and the cut processes.
+func TestCutFromAllServers(t *testing.T) {
+	for name, fault := range map[string]faultproxy.Fault{
+		"all hang": {Cut: faultproxy.Both}, "all reset": {Reset: true}, "new refused": {RejectNew: true},
+	} {
+		for _, cut := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%s/%d of %d", name, cut, cutEntries), func(t *testing.T) {
+				t.Parallel()
+
+				s := newCutSystem(t)
+				s.awaitServing()
+
+				ctx, cancel := context.WithCancel(t.Context())
+				wait := s.callers(ctx)
+
+				<-time.After(2 * time.Second)
+
+				for _, e := range s.entries[:cut] {
+					s.cut(e, fault)
+				}
+
+				begin := time.Now().Add(cutContact)
+
+				<-time.After(time.Until(begin.Add(cutLength)))
+				cancel()
+
+				calls := wait()
+				s.checkShares(calls, begin, cut)
+				s.checkOnce(calls)
+			})
+		}
+	}
+}
+
+// checkShares checks that first tries at the cut processes are served at least two thirds as often as those at the others, from the given
+// time on.
+func (s *cutSystem) checkShares(calls []cutCall, begin time.Time, cut int) {
+	s.t.Helper()
+
+	var at, others cutResult
+
+	for _, call := range calls {
+		if call.sent.Before(begin) {
+			continue
+		}
+
+		result := &others
+		for _, e := range s.entries[:cut] {
+			if call.entry == e {
+				result = &at
+			}
+		}
+
+		result.tries++
+
+		if call.served {
+			result.served++
+		}
+	}
+
+	s.t.Logf("served %d of %d at the cut processes, %d of %d at the others", at.served, at.tries, others.served, others.tries)
+
+	if got, want := at.share(), others.share()*2/3; got < want {
+		s.t.Errorf("got a share of %.2f served at the cut processes, want at least %.2f", got, want)
+	}
+
+	if got, want := others.share(), 0.9; got < want {
+		s.t.Errorf("got a share of %.2f served at the other processes, want at least %.2f", got, want)
+	}
+}
--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -488,6 +488,24 @@
 	}
 }
 
+// awaitServing waits until every process serves streams.
+func (s *entrySystem) awaitServing() {
+	s.t.Helper()
+
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	end := time.Now().Add(recoverTime)
+
+	for _, e := range s.entries {
+		for n := 0; !s.call(s.t.Context(), client, e.callers, fmt.Sprint("ready-", e.name, n), true); n++ {
+			if time.Now().After(end) {
+				s.t.Fatalf("%s did not serve a stream within %s", e.name, recoverTime)
+			}
+
+			<-time.After(50 * time.Millisecond)
+		}
+	}
+}
+
 // awaitRecovery waits until every process serves calls of both routes.
 func (s *entrySystem) awaitRecovery(when string) {
 	s.t.Helper()
--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -64,22 +64,6 @@
 	return started
 }
 
-// awaitServing waits until every process serves streams.
-func (s *versionSystem) awaitServing() {
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	end := time.Now().Add(recoverTime)
-
-	for _, e := range s.entries {
-		for n := 0; !s.call(s.t.Context(), client, e.callers, fmt.Sprint("ready-", e.name, n), true); n++ {
-			if time.Now().After(end) {
-				s.t.Fatalf("%s did not serve a stream within %s", e.name, recoverTime)
-			}
-
-			<-time.After(50 * time.Millisecond)
-		}
-	}
-}
-
 // killAll kills all processes at once and starts them again.
 func (s *versionSystem) killAll() {
 	for _, e := range s.entries {
