Pass calls on through other processes while the own paths to the servers are lost

Callers of processes that were partitioned from all servers were served at 0 to 9 of 138 first tries, those of the others at nearly all.

Cause: each failed connection counted as a failure of its server. Nothing looked at all servers together, so a call tried up to four of them, 0.4 s each, and was refused, while other processes reached the servers and the callers kept being sent to the cut ones.

state/reach asks four servers over new connections when several connections fail or nothing answers, and believes that the paths are lost only while none of them answers. The process tells the others with its membership entry; the directory then names those that reach the servers. Calls that still come are sent to one of these as their caller would send them, and that process charges the limit, counts usage and sends, and retries, so that each of these is counted once. It names the server, so that what the server says of its leaving holds here too, and the version that began a stream is known. A call is passed on once only, so there are no loops. A process that is asked and has lost its paths as well says so, and the next one is asked; without any, the call is refused after one try. Streams go on through another process after their last event.

--- a/addresses.go
+++ b/addresses.go
@@ -47,6 +47,8 @@
 	Operator    netip.AddrPort `json:"operator"`
 	// Capacity is the processor capacity of the member's host in thousandths of a core; 0 when it is not known.
 	Capacity int `json:"capacity,omitempty"`
+	// Isolated is set while the member has lost its paths to the backend servers and passes calls on through others.
+	Isolated bool `json:"isolated,omitempty"`
 }
 
 // Membership provides the known processes of the system.
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/process"
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/coordination/catalog"
+	"github.com/apricotway/apricotway/coordination/detours"
 	"github.com/apricotway/apricotway/coordination/duty"
 	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/coordination/membership"
@@ -35,6 +36,7 @@
 	"github.com/apricotway/apricotway/state/dispatch"
 	"github.com/apricotway/apricotway/state/member"
 	"github.com/apricotway/apricotway/state/quota"
+	"github.com/apricotway/apricotway/state/reach"
 	"github.com/apricotway/apricotway/state/retrybudget"
 	"github.com/apricotway/apricotway/state/route"
 	"github.com/apricotway/apricotway/state/tally"
@@ -106,6 +108,8 @@
 	suspects   *suspect.Suspects
 	rollup     *rollup.Rollup
 	relay      *relay.Relay
+	// detours is nil until the process is assembled.
+	detours atomic.Pointer[detours.Detours]
 
 	// content is the last content of the settings file. Only the goroutine that reloads the settings may access it.
 	content []byte
@@ -171,11 +175,19 @@
 			e.pool.Origins().SetLifetime(t.LongestStream())
 		}))
 
-	connections := upstream.New(upstream.WithDialHook(counters.opened.Inc))
+	monitor := reach.New()
+	connections := upstream.New(upstream.WithDialHook(counters.opened.Inc), upstream.WithObserver(monitor))
+	processes := upstream.New()
 	e.supervisor.Add(apricotway.Periodic("unused connections", sweepPeriod, func(_ context.Context, now time.Time) {
 		connections.Sweep(now)
+		processes.Sweep(now)
 	}))
 
+	ways := detours.New(e.supervisor, monitor, e.pool, &healthChecker{e.catalog, connections}, e.membership,
+		detours.WithLogger(e.logger), detours.WithChanged(e.membership.Announce))
+	e.detours.Store(ways)
+	e.registry.MustRegister(newPathGauge(ways.Lost))
+
 	usageTally := tally.New(time.Duration(s.UsageWindow))
 	budget := retrybudget.New(retrybudget.Limits{
 		Ratio: s.Retries.Ratio, Window: time.Duration(s.Retries.Window), Slack: s.Retries.Slack,
@@ -194,7 +206,7 @@
 
 	e.relay = relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithStop(e.stopping),
-		relay.WithQuarantine(e.suspects), relay.WithOrigins(streams))
+		relay.WithQuarantine(e.suspects), relay.WithOrigins(streams), relay.WithDetours(ways, processes))
 
 	return e.serveAll(ctx, counters)
 }
@@ -274,7 +286,7 @@
 	}
 	e.membership = membership.New(e.supervisor, self, socket, e.peers, e.peerServer, e.platform,
 		membership.WithLogger(e.logger), membership.WithEras(e.eras), membership.WithSeeds(s.Seeds), membership.WithConfig(probeConfig()),
-		membership.WithValidity(time.Duration(s.AddressValidity)), membership.WithReady(e.ready))
+		membership.WithValidity(time.Duration(s.AddressValidity)), membership.WithReady(e.ready), membership.WithIsolated(e.isolated))
 	e.membership.Register(e.registry)
 	socket.Receive(e.supervisor, e.membership.Receive)
 
@@ -336,6 +348,12 @@
 	return !e.leaving.Load() && e.catalog != nil && e.catalog.Ready()
 }
 
+// isolated reports whether the process has lost its paths to the backend servers. It is called before the process is assembled.
+func (e *Entry) isolated() bool {
+	detours := e.detours.Load()
+	return detours != nil && detours.Lost()
+}
+
 // addresses returns the caller addresses of all ready processes and how long callers may cache them.
 func (e *Entry) addresses(apricotway.Zone) ([]netip.AddrPort, time.Duration) {
 	available := e.membership.Available()
--- a/cmd/scenario/cutoff_test.go
+++ b/cmd/scenario/cutoff_test.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return ""
 	}
-	defer table.Close()
+	defer func() { _ = table.Close() }()
 
 	for lines := bufio.NewScanner(table); lines.Scan(); {
 		fields := strings.Fields(lines.Text())
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,7 @@
 	random   *rand.Rand
 	validity time.Duration
 	ready    func() bool
+	isolated func() bool
 
 	// wake makes the timer loop read the machine's next deadline again.
 	wake chan struct{}
@@ -89,6 +91,9 @@
 // WithReady sets the function that reports whether callers may be sent to this process.
 func WithReady(ready func() bool) Option { return func(d *Driver) { d.ready = ready } }
 
+// WithIsolated sets the function that reports whether this process has lost its paths to the backend servers.
+func WithIsolated(isolated func() bool) Option { return func(d *Driver) { d.isolated = isolated } }
+
 // WithConfig sets the timing parameters of the protocol.
 func WithConfig(config member.Config) Option { return func(d *Driver) { d.config = config } }
 
@@ -109,7 +114,7 @@
 	d := &Driver{
 		sender: sender, peers: peers, log: log, logger: logr.Discard(),
 		config: member.DefaultConfig(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		validity: 5 * time.Second, ready: func() bool { return true },
+		validity: 5 * time.Second, ready: func() bool { return true }, isolated: func() bool { return false },
 		wake: make(chan struct{}, 1), exchanges: make(chan netip.AddrPort, 1), broadcastsReady: make(chan struct{}, 1),
 		joinAgain: make(chan struct{}, 1),
 		handlers:  map[apricotway.Topic][]broadcastHandler{},
@@ -196,8 +201,8 @@
 func (d *Driver) runTimers(ctx context.Context) error {
 	for {
 		// Call ready without holding the lock, since it belongs to other components.
-		ready := d.ready()
-		d.do(func(now time.Time) member.Output { return d.machine.SetReady(now, ready) })
+		ready, isolated := d.ready(), d.isolated()
+		d.do(func(now time.Time) member.Output { return d.machine.SetReady(now, ready, isolated) })
 
 		if !d.waitNext(ctx) {
 			return ctx.Err()
@@ -377,8 +382,24 @@
 	return addresses, d.validity
 }
 
-// Available returns the members that callers may be sent to, this process included.
-func (d *Driver) Available() []apricotway.Member { return d.available(d.Self()) }
+// Announce tells the others at once what has changed about this process.
+func (d *Driver) Announce() {
+	ready, isolated := d.ready(), d.isolated()
+	d.do(func(now time.Time) member.Output { return d.machine.SetReady(now, ready, isolated) })
+}
+
+// Available returns the members that callers may be sent to, this process included. Members that reach the backend servers only through
+// others are left out unless all do.
+func (d *Driver) Available() []apricotway.Member {
+	available := d.available(d.Self())
+
+	direct := slices.DeleteFunc(slices.Clone(available), func(m apricotway.Member) bool { return m.Isolated })
+	if len(direct) > 0 {
+		return direct
+	}
+
+	return available
+}
 
 // available returns the members that callers may be sent to. Suspected members are included only if they are the majority: then
 // it is more likely that this process is cut off than that all of them are dead.
--- a/forwarding.go
+++ b/forwarding.go
@@ -143,6 +143,10 @@
 	// ForwardHeader returns the header for a backend server: the caller's header without the fields that concern one connection
 	// only and those that the system sets itself.
 	ForwardHeader(header http.Header) http.Header
+	// DetourHeader returns the header with which another process gets the call as its caller would send it, with the time that is left.
+	DetourHeader(header http.Header, remaining time.Duration) http.Header
+	// WriteTakeUp sets the fields by which a caller takes a stream up after an event that an attempt brought.
+	WriteTakeUp(header http.Header, last string, attempt AttemptID)
 	// WriteSend sets the header fields of the metadata of one send.
 	WriteSend(header http.Header, send SendMetadata)
 	// ReadAnswer returns the metadata in an answer's header.
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -21,6 +21,10 @@
 	c.metadata = metadata
 	c.progress.identify(metadata.Attempt)
 
+	if refused := c.acceptDetour(); refused != nil {
+		return refused
+	}
+
 	c.table = r.catalog.Table()
 	if c.table == nil {
 		return &refusal{
@@ -165,5 +169,7 @@
 		}
 	}
 
+	c.charged = true
+
 	return nil
 }
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -145,6 +145,7 @@
 		c.relay.logger.Info("failed to connect to a backend server", "event", 380, "attempt", c.metadata.Attempt, "server", send.Backend.ID,
 			"service", c.service, "zone", send.Backend.Zone, "took", now.Sub(sent), "error", err.Error())
 		send.End(now, dispatch.OutcomeUnreachable)
+
 		return attemptResult{step: stepRetry, reason: reasonUnreachable}
 	}
 
@@ -159,7 +160,7 @@
 	send.End(now, dispatch.OutcomeFailed)
 
 	if silence.fired() {
-		return silent(silence)
+		return c.silent(silence)
 	}
 
 	c.reportBroken(send, false, err)
@@ -168,7 +169,9 @@
 }
 
 // silent returns the result of an attempt that its timer has cancelled.
-func silent(silence *silenceTimer) attemptResult {
+func (c *call) silent(silence *silenceTimer) attemptResult {
+	c.relay.detours.Silent(c.relay.now())
+
 	return attemptResult{step: stepRetry, reason: reasonSilent, arrived: true, mayHaveRun: true, next: silence.takeReplacement()}
 }
 
@@ -184,7 +187,7 @@
 
 	if err == nil && !complete && silence.fired() {
 		send.End(now, dispatch.OutcomeFailed)
-		return silent(silence)
+		return c.silent(silence)
 	}
 
 	if err == nil && !complete {
@@ -198,7 +201,7 @@
 		return attemptResult{step: stepFail, reason: reasonEnded, arrived: true, mayHaveRun: true}
 	case err != nil && silence.fired():
 		send.End(now, dispatch.OutcomeFailed)
-		return silent(silence)
+		return c.silent(silence)
 	case err != nil:
 		send.End(now, dispatch.OutcomeFailed)
 		c.reportBroken(send, false, err)
@@ -332,6 +335,10 @@
 	header := c.writer.Header()
 	closing := header.Get("Connection")
 
+	if c.detoured && len(c.tried) > 0 {
+		header.Set(headerDetour, string(c.tried[len(c.tried)-1]))
+	}
+
 	for name, values := range c.relay.dialect.AnswerHeader(answer.Header) {
 		header[name] = values
 	}
--- a/protocol/relay/outcome_test.go
+++ b/protocol/relay/outcome_test.go
@@ -33,7 +33,12 @@
 	return apricotway.CallMetadata{Attempt: "1", Timeout: 250 * time.Millisecond}, nil
 }
 
-func (dialect) ForwardHeader(header http.Header) http.Header            { return header.Clone() }
+func (dialect) ForwardHeader(header http.Header) http.Header { return header.Clone() }
+
+func (dialect) DetourHeader(header http.Header, _ time.Duration) http.Header { return header.Clone() }
+
+func (dialect) WriteTakeUp(http.Header, string, apricotway.AttemptID) {}
+
 func (dialect) WriteSend(header http.Header, _ apricotway.SendMetadata) { header.Set("Sent", "1") }
 func (dialect) AnswerHeader(header http.Header) http.Header             { return header.Clone() }
 
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -27,6 +27,9 @@
 	reasonNotContinued = "notContinued"
 	reasonNoTime       = "noTime"
 	reasonStopping     = "stopping"
+	// reasonDetour is that of a call that another process passes on, and reasonLost that of one that no known process can.
+	reasonDetour = "detour"
+	reasonLost   = "pathsLost"
 )
 
 // refusal is an answer that the relay itself gives in place of a backend server.
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -87,6 +87,18 @@
 	Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin
 }
 
+// Detours tells whether this process has lost its paths to the backend servers, and which other process reaches them.
+type Detours interface {
+	// Lost reports whether the paths are lost.
+	Lost() bool
+	// Silent records that a server did not answer a call in time.
+	Silent(now time.Time)
+	// Next returns a process that reaches the servers, other than those to avoid.
+	Next(avoid []apricotway.NodeID) (apricotway.Member, bool)
+	// Failed records that a process could not pass a call on.
+	Failed(node apricotway.NodeID)
+}
+
 // Relay forwards calls. It is safe for concurrent use.
 type Relay struct {
 	dialect  apricotway.Dialect
@@ -99,6 +111,8 @@
 
 	mover        apricotway.RunMover
 	origins      Origins
+	detours      Detours
+	processes    apricotway.Upstream
 	quarantine   Quarantine
 	metrics      Metrics
 	logger       logr.Logger
@@ -131,6 +145,11 @@
 // WithOrigins sets what tells where streams began. Without it the relay knows only its own streams.
 func WithOrigins(origins Origins) Option { return func(r *Relay) { r.origins = origins } }
 
+// WithDetours sets what tells when calls have to go through other processes, and the connections to these. Without it none do.
+func WithDetours(detours Detours, processes apricotway.Upstream) Option {
+	return func(r *Relay) { r.detours, r.processes = detours, processes }
+}
+
 // WithStop sets the check whether the process is stopping, and until when calls may run. Answers then close the connection, so that
 // callers don't reuse it, and calls that would not end in time are refused.
 func WithStop(stop func() (limit time.Time, stopping bool)) Option {
@@ -147,6 +166,7 @@
 		quarantine: noQuarantine{}, metrics: noMetrics{}, logger: logr.Discard(),
 		stop: func() (time.Time, bool) { return time.Time{}, false }, now: time.Now,
 		inFlight: inFlight{calls: map[*call]struct{}{}}, durations: duration.New(durationWindow), origins: localOrigins{pool.Origins()},
+		detours: noDetours{},
 	}
 	for _, option := range options {
 		option(r)
@@ -167,6 +187,15 @@
 	return found
 }
 
+type noDetours struct{}
+
+func (noDetours) Lost() bool       { return false }
+func (noDetours) Silent(time.Time) {}
+func (noDetours) Next([]apricotway.NodeID) (apricotway.Member, bool) {
+	return apricotway.Member{}, false
+}
+func (noDetours) Failed(apricotway.NodeID) {}
+
 type noQuarantine struct{}
 
 func (noQuarantine) HasSuspects() bool { return false }
@@ -205,6 +234,12 @@
 	// cost is what the call was charged against its workspace's limit.
 	cost float64
 
+	// detoured is set when another process passed the call on to this one. helpers lists the processes that got the call from this one.
+	detoured bool
+	helpers  []apricotway.NodeID
+	// charged is set while the workspace's limit is charged with cost.
+	charged bool
+
 	// sends counts the attempts in which the call may have run. tried lists every server to which it was sent.
 	sends int
 	// origin is the beginning of the stream that a further server has to continue. It is the zero value before the answer has begun.
@@ -256,6 +291,10 @@
 
 // forward sends the call, with retries, until it has a final answer.
 func (c *call) forward(ctx context.Context) {
+	if c.detour(ctx) {
+		return
+	}
+
 	c.chooseService(ctx)
 	c.relay.budget.AddCall(c.arrived, c.service)
 
@@ -291,6 +330,10 @@
 				return
 			}
 
+			if next == nil && c.detour(ctx) {
+				return
+			}
+
 			if next != nil || c.mayRetry(ctx, result) {
 				c.relay.metrics.CallRetried(c.service, result.reason)
 				continue
@@ -418,7 +461,7 @@
 
 	// A send that reached no server adds no load to the service, so it doesn't count against the retry budget.
 	if !result.arrived {
-		return len(c.tried) < maxUnreachable
+		return len(c.tried) < maxUnreachable && !c.relay.detours.Lost()
 	}
 
 	return c.relay.budget.Take(c.relay.now(), c.service)
@@ -476,13 +519,22 @@
 		return
 	}
 
-	if c.workspace != nil {
-		c.relay.limiter.Return(c.workspace.Name, c.cost)
+	if c.detoured && c.relay.detours.Lost() {
+		c.writer.Header().Set(headerDetour, detourLost)
 	}
 
+	c.refund()
 	c.refuse(refused)
 }
 
+// refund returns what the call was charged.
+func (c *call) refund() {
+	if c.charged {
+		c.charged = false
+		c.relay.limiter.Return(c.workspace.Name, c.cost)
+	}
+}
+
 func (c *call) workspaceName() apricotway.Workspace {
 	if c.workspace == nil {
 		return ""
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -12,7 +12,6 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/state/dispatch"
-	"github.com/apricotway/apricotway/state/origin"
 )
 
 // maxPending bounds in bytes the part of one event that is buffered. A longer event is passed on in parts. Engines usually send
@@ -254,16 +253,12 @@
 
 	send.RecordFirstEvent(now, metadata.Load)
 
-	c.origin = origin.At(send.Backend.Lineage())
-	if c.route.Resumable {
-		c.relay.origins.Began(now, c.stream(), send.Backend)
-	}
-
+	c.beginStream(now, send)
 	c.writeHeader(answer, -1)
 
 	current := &engineRun{
 		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited,
-		end: func() {
+		noMove: send.Detour(), detour: send.Detour(), end: func() {
 			silence.stop()
 			_ = answer.Body.Close() // The rest of the stream is not needed.
 		},
@@ -292,10 +287,12 @@
 	send.End(now, dispatch.OutcomeFailed)
 
 	if silence.fired() {
-		return silent(silence)
+		return c.silent(silence)
 	}
 
-	c.reportBroken(send, false, err)
+	if !send.Detour() {
+		c.reportBroken(send, false, err)
+	}
 
 	return attemptResult{step: stepRetry, reason: reasonBroken, arrived: true, mayHaveRun: true}
 }
@@ -350,6 +347,8 @@
 	closeDelimited, began, resumed bool
 	// err is the error with which reading the body failed.
 	err error
+	// detour is set when another process passes the run on.
+	detour bool
 	// noMove is set when moving the run was tried in vain; it is not tried again.
 	noMove bool
 }
@@ -429,6 +428,17 @@
 		}
 	}
 
+	if resumable && c.relay.detours.Lost() {
+		if replacement != nil {
+			c.relay.release(c.service, replacement)
+			replacement = nil
+		}
+
+		if next := c.continueDetour(ctx, splitter.last); next != nil {
+			return next
+		}
+	}
+
 	if replacement != nil {
 		c.relay.metrics.CallRetried(c.service, reasonResumed)
 
@@ -437,7 +447,7 @@
 		}
 	}
 
-	if reason == reasonBroken && run.memory == nil {
+	if reason == reasonBroken && run.memory == nil && !run.detour {
 		c.reportBroken(run.send, c.acquitted, run.err)
 	}
 
@@ -477,6 +487,7 @@
 		case err != nil && current.memory != nil:
 			return reasonMoved, dispatch.OutcomeDone
 		case err != nil && current.silence.fired():
+			c.relay.detours.Silent(c.relay.now())
 			return reasonSilent, dispatch.OutcomeFailed
 		case splitter.foreign:
 			return reasonNotContinued, dispatch.OutcomeFailed
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -237,6 +238,8 @@
 	pool    *Pool
 	server  *server
 	request Request
+	// detour is set for a send to another process. server is then that of no pool.
+	detour bool
 	// prefill is the number of prompt tokens that the server has to process because they are not cached.
 	prefill      float64
 	sent         time.Time
@@ -245,6 +248,26 @@
 	ended        bool
 }
 
+// NewDetour returns a send to another process, which passes the call on to a server. It counts nowhere: that process counts its own send.
+func (p *Pool) NewDetour(now time.Time, process netip.AddrPort) *Send {
+	return &Send{
+		Backend: apricotway.Backend{Address: process}, pool: p, server: newServer(apricotway.Backend{}, now), sent: now, detour: true,
+	}
+}
+
+// Detour reports whether the call is sent to another process.
+func (s *Send) Detour() bool { return s.detour }
+
+// SetServer records which server answered through another process.
+func (s *Send) SetServer(id apricotway.BackendServerID) {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+
+	if known := s.pool.servers[id]; known != nil {
+		s.Backend = known.backend
+	}
+}
+
 // Place chooses the server for a call and counts the call as running there. If it chooses none, it returns the reason and the
 // time after which a slot may be free.
 func (p *Pool) Place(now time.Time, request Request) (*Send, RefusalReason, time.Duration) {
--- a/state/dispatch/statements.go
+++ b/state/dispatch/statements.go
@@ -220,6 +220,10 @@
 
 // senderLocked returns the server that an answer comes from, given the name that it states. It returns nil if that is not certain.
 func (s *Send) senderLocked(named apricotway.BackendServerID, misdirected bool) *server {
+	if s.detour {
+		return s.pool.servers[s.Backend.ID]
+	}
+
 	if named == s.Backend.ID || named == "" && !misdirected {
 		return s.server
 	}
--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -675,10 +675,10 @@
 	m.scheduleUrgent(now)
 }
 
-// SetReady announces whether this process may be offered to callers.
-func (m *Machine) SetReady(now time.Time, ready bool) Output {
-	if m.self.Ready != ready && m.self.State == apricotway.MemberAlive {
-		m.self.Ready = ready
+// SetReady announces whether this process may be offered to callers, and whether it has lost its paths to the backend servers.
+func (m *Machine) SetReady(now time.Time, ready, isolated bool) Output {
+	if (m.self.Ready != ready || m.self.Isolated != isolated) && m.self.State == apricotway.MemberAlive {
+		m.self.Ready, m.self.Isolated = ready, isolated
 		m.self.Incarnation++
 		m.announceSelf(now)
 	}
--- a/state/member/message.go
+++ b/state/member/message.go
@@ -22,13 +22,14 @@
 	Probes      netip.AddrPort         `cbor:"9,keyasint"`
 	Operator    netip.AddrPort         `cbor:"10,keyasint"`
 	Capacity    int                    `cbor:"11,keyasint,omitempty"`
+	Isolated    bool                   `cbor:"12,keyasint,omitempty"`
 }
 
 // NewEntry converts a member to an entry.
 func NewEntry(m apricotway.Member) Entry {
 	return Entry{
 		Node: m.Node, Region: m.Region, Zone: m.Zone, State: m.State, Incarnation: m.Incarnation, Ready: m.Ready,
-		Callers: m.Callers, Peers: m.Peers, Probes: m.Probes, Operator: m.Operator, Capacity: m.Capacity,
+		Callers: m.Callers, Peers: m.Peers, Probes: m.Probes, Operator: m.Operator, Capacity: m.Capacity, Isolated: m.Isolated,
 	}
 }
 
@@ -36,7 +37,7 @@
 func (e Entry) Member() apricotway.Member {
 	return apricotway.Member{
 		Node: e.Node, Region: e.Region, Zone: e.Zone, State: e.State, Incarnation: e.Incarnation, Ready: e.Ready,
-		Callers: e.Callers, Peers: e.Peers, Probes: e.Probes, Operator: e.Operator, Capacity: e.Capacity,
+		Callers: e.Callers, Peers: e.Peers, Probes: e.Probes, Operator: e.Operator, Capacity: e.Capacity, Isolated: e.Isolated,
 	}
 }
 
--- /dev/null
+++ b/state/reach/reach.go
@@ -0,0 +1,163 @@
+// Package reach decides whether a process has lost its own paths to the backend servers, rather than some servers having failed: it asks
+// several servers at a time, and believes so only while none of them answers. It performs no I/O; callers pass in the current time.
+package reach
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apricotway/apricotway"
+)
+
+const (
+	// CheckTimeout bounds the time for which a check waits for answers.
+	CheckTimeout = 400 * time.Millisecond
+	// checkedServers is the number of servers that a check asks. All of them have failed by chance, where a quarter of the servers has, in
+	// one of 256 checks.
+	checkedServers = 4
+	// minServers is the number of known servers from which one failed server can be told from lost paths.
+	minServers = 2
+	// recheckPause is the pause between two checks while the paths are lost, and calmPause that after a check that found them in order.
+	recheckPause, calmPause = 300 * time.Millisecond, time.Second
+	// silenceTime is the time without any answer after which a silent server counts as a sign.
+	silenceTime = 300 * time.Millisecond
+	// signTime is the time for which a sign counts.
+	signTime = 2 * time.Second
+)
+
+// Monitor decides whether the paths are lost. It is safe for concurrent use.
+type Monitor struct {
+	mu sync.Mutex
+	// unconnected holds the servers to which no connection could be opened since one last could, with the times.
+	unconnected map[netip.AddrPort]time.Time
+	// silentAt is the time of the last call that broke off or was not answered, and answeredAt that of the last answer of any server.
+	silentAt, answeredAt time.Time
+	// checking is set during a check, and nextCheck the earliest time of the next one.
+	checking  bool
+	nextCheck time.Time
+	// lostAt is the time at which the paths were found lost; zero while they are not.
+	lostAt time.Time
+}
+
+// New returns a monitor that believes the paths to be in order.
+func New() *Monitor { return &Monitor{unconnected: map[netip.AddrPort]time.Time{}} }
+
+// Unconnected records that no connection to a server could be opened.
+func (m *Monitor) Unconnected(now time.Time, server netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.unconnected[server] = now
+}
+
+// Silent records that a server broke off a call, or did not answer it in time.
+func (m *Monitor) Silent(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.silentAt = now
+}
+
+// Answered records an answer of a server. connected tells whether it came over a new connection.
+func (m *Monitor) Answered(now time.Time, connected bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.answeredAt = now
+
+	if connected {
+		clear(m.unconnected)
+	}
+}
+
+// Lost reports whether the paths to the servers are lost.
+func (m *Monitor) Lost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return !m.lostAt.IsZero()
+}
+
+// Check returns the servers to ask now, and none if no check is due. Done has to be called after a check.
+func (m *Monitor) Check(now time.Time, servers []apricotway.Backend) []apricotway.Backend {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	if m.checking || now.Before(m.nextCheck) || m.lostAt.IsZero() && !m.signsLocked(now) {
+		return nil
+	}
+
+	if len(servers) < minServers {
+		m.lostAt = time.Time{}
+		return nil
+	}
+
+	// Servers whose connections failed say least, as long as there are others.
+	chosen := make([]apricotway.Backend, 0, checkedServers)
+	rest := make([]apricotway.Backend, 0, len(servers))
+
+	for _, i := range rand.Perm(len(servers)) {
+		if _, failed := m.unconnected[servers[i].Address]; !failed && len(chosen) < checkedServers {
+			chosen = append(chosen, servers[i])
+		} else {
+			rest = append(rest, servers[i])
+		}
+	}
+
+	chosen = append(chosen, rest[:min(len(rest), checkedServers-len(chosen))]...)
+	m.checking = true
+
+	return chosen
+}
+
+// signsLocked reports whether there are signs that the paths may be lost: connections to several servers fail and none succeeds, or a
+// server is silent while none answers.
+func (m *Monitor) signsLocked(now time.Time) bool {
+	failed := 0
+
+	for server, at := range m.unconnected {
+		if now.Sub(at) > signTime {
+			delete(m.unconnected, server)
+		} else {
+			failed++
+		}
+	}
+
+	silent := now.Sub(m.silentAt) < signTime && m.silentAt.Sub(m.answeredAt) > 0 && now.Sub(m.answeredAt) >= silenceTime
+
+	return failed >= minServers || silent || failed > 0 && now.Sub(m.answeredAt) >= silenceTime
+}
+
+// Done records how many servers answered a check. It reports whether the belief has changed, and for how long the paths were lost if they
+// are in order again.
+func (m *Monitor) Done(now time.Time, answered int) (changed bool, lostFor time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	m.checking = false
+	m.nextCheck = now.Add(recheckPause)
+
+	if answered == 0 {
+		changed = m.lostAt.IsZero()
+		if changed {
+			m.lostAt = now
+		}
+
+		return changed, 0
+	}
+
+	m.nextCheck = now.Add(calmPause)
+	m.answeredAt = now
+	clear(m.unconnected)
+
+	if m.lostAt.IsZero() {
+		return false, 0
+	}
+
+	lostFor = now.Sub(m.lostAt)
+	m.lostAt = time.Time{}
+
+	return true, lostFor
+}
--- a/transport/upstream/dialect_test.go
+++ b/transport/upstream/dialect_test.go
@@ -61,3 +61,15 @@
 }
 
 func (testDialect) AnswerHeader(header http.Header) http.Header { return header.Clone() }
+
+func (testDialect) DetourHeader(header http.Header, remaining time.Duration) http.Header {
+	forwarded := header.Clone()
+	forwarded.Set("Wait", remaining.String())
+
+	return forwarded
+}
+
+func (testDialect) WriteTakeUp(header http.Header, last string, attempt apricotway.AttemptID) {
+	header.Set("Last-Event-Id", last)
+	header.Set("Resumes", string(attempt))
+}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -59,6 +59,7 @@
 	dialTimeout time.Duration
 	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	onDial      func()
+	observer    Observer
 	seed        maphash.Seed
 
 	mu   sync.Mutex
@@ -67,6 +68,22 @@
 
 var _ apricotway.Upstream = (*Pool)(nil)
 
+// Observer sees whether servers can be reached.
+type Observer interface {
+	// Unconnected is called when no connection to a server could be opened, or a new one broke off before any answer.
+	Unconnected(now time.Time, server netip.AddrPort)
+	// Silent is called when a connection that was used before broke off.
+	Silent(now time.Time)
+	// Answered is called when an answer begins; connected tells whether it is the first one on its connection.
+	Answered(now time.Time, connected bool)
+}
+
+type noObserver struct{}
+
+func (noObserver) Unconnected(time.Time, netip.AddrPort) {}
+func (noObserver) Silent(time.Time)                      {}
+func (noObserver) Answered(time.Time, bool)              {}
+
 // Option configures a Pool.
 type Option func(*Pool)
 
@@ -76,13 +93,16 @@
 // WithDialHook sets a function that is called for each new connection.
 func WithDialHook(onDial func()) Option { return func(p *Pool) { p.onDial = onDial } }
 
+// WithObserver sets the observer of connections and answers.
+func WithObserver(observer Observer) Option { return func(p *Pool) { p.observer = observer } }
+
 // New returns a pool without connections.
 func New(options ...Option) *Pool {
 	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
 	}}
 	p := &Pool{
-		dialTimeout: defaultDialTimeout, dial: dialer.DialContext, onDial: func() {},
+		dialTimeout: defaultDialTimeout, dial: dialer.DialContext, onDial: func() {}, observer: noObserver{},
 		seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*connection{},
 	}
 
@@ -139,6 +159,7 @@
 	stop := context.AfterFunc(ctx, c.closeQuietly)
 
 	if n, err := c.Write(encode(call)); err != nil {
+		p.observeBroken(ctx, address, c)
 		stop()
 		c.closeQuietly()
 
@@ -151,6 +172,7 @@
 
 	response, foreign, err := c.answer(call) //nolint:bodyclose // Closing the ForwardedAnswer's body closes the connection or returns it to the pool.
 	if err != nil {
+		p.observeBroken(ctx, address, c)
 		stop()
 		c.closeQuietly()
 
@@ -161,6 +183,8 @@
 		return nil, err
 	}
 
+	p.observer.Answered(time.Now(), c.calls == 1)
+
 	closeDelimited := response.ContentLength < 0 && len(response.TransferEncoding) == 0
 
 	return &apricotway.ForwardedAnswer{
@@ -172,6 +196,40 @@
 	}, nil
 }
 
+// observeBroken tells the observer that a connection broke off, unless the call was given up.
+func (p *Pool) observeBroken(ctx context.Context, address netip.AddrPort, c *connection) {
+	switch {
+	case ctx.Err() != nil:
+	case c.calls == 1:
+		p.observer.Unconnected(time.Now(), address)
+	default:
+		p.observer.Silent(time.Now())
+	}
+}
+
+// CheckHealth reports whether a server sends an answer to a GET of the target over a new connection. A connection that opens alone proves
+// nothing: something before the server may have accepted it.
+func (p *Pool) CheckHealth(ctx context.Context, address netip.AddrPort, target string) bool {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return false
+	}
+	defer c.closeQuietly()
+
+	defer context.AfterFunc(ctx, c.closeQuietly)()
+
+	check := apricotway.ForwardedCall{
+		Method: http.MethodGet, Target: target, Host: address.String(), Header: http.Header{"Connection": {"close"}},
+	}
+	if _, err := c.Write(encode(check)); err != nil {
+		return false
+	}
+
+	_, err = c.head(&http.Request{Method: http.MethodGet}) //nolint:bodyclose // The connection is closed.
+
+	return err == nil
+}
+
 // connect returns an idle connection that has not carried the attempt, or a new one if the pool has none.
 func (p *Pool) connect(ctx context.Context, address netip.AddrPort, attempt apricotway.AttemptID) (*connection, error) {
 	hash := maphash.String(p.seed, string(attempt))
@@ -195,11 +253,15 @@
 
 // open opens a connection.
 func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, p.dialTimeout)
+	limited, cancel := context.WithTimeout(ctx, p.dialTimeout)
 	defer cancel()
 
-	conn, err := p.dial(ctx, "tcp", address.String())
+	conn, err := p.dial(limited, "tcp", address.String())
 	if err != nil {
+		if ctx.Err() == nil {
+			p.observer.Unconnected(time.Now(), address)
+		}
+
 		return nil, errors.Wrap(err, "dial backend server")
 	}
 
