Blame servers for broken calls only once the own paths have proved to be in order

Callers of all processes were refused (quarantined) when the connections of one process to all servers were reset: with one of four processes cut, 291 of 416 first tries at the others were served.

Cause: each broken call was reported at once as a sign that its content crashes servers. A reset of all connections looks like several servers that crash on the same content, and the holder of the duties makes every process refuse that.

Evidence: all_reset of TestCutFromAllServers, where the refusals at the others were 'quarantined'.

The report waits half a second, in which the paths are checked (a reset is noticed within about 0.1 s), and is dropped if they were lost.

--- a/coordination/detours/detours.go
+++ b/coordination/detours/detours.go
@@ -19,6 +19,8 @@
 const (
 	// checkPeriod is the time between two looks whether a check is due.
 	checkPeriod = 50 * time.Millisecond
+	// evidenceTime is the time within which a check after a sign has usually ended.
+	evidenceTime = 500 * time.Millisecond
 	// avoidTime is the time for which a process is not used after it could not pass a call on.
 	avoidTime = time.Second
 )
@@ -115,6 +117,19 @@
 	d.changed()
 }
 
+// Blame calls a function that blames servers for what has just happened, once a check could tell that it was not the own paths.
+func (d *Detours) Blame(now time.Time, blame func()) {
+	if d.Lost() {
+		return
+	}
+
+	time.AfterFunc(evidenceTime, func() {
+		if !d.LostSince(now) {
+			blame()
+		}
+	})
+}
+
 // Next returns a process that reaches the servers, at random so that the load spreads, other than those to avoid.
 func (d *Detours) Next(avoid []apricotway.NodeID) (apricotway.Member, bool) {
 	helpers := d.helpers(time.Now(), avoid)
--- a/protocol/relay/quarantine.go
+++ b/protocol/relay/quarantine.go
@@ -61,7 +61,8 @@
 		"error", err.Error())
 
 	if !began {
-		c.relay.quarantine.RecordBroken(content, send.Backend.ID)
+		server := send.Backend.ID
+		c.relay.detours.Blame(c.relay.now(), func() { c.relay.quarantine.RecordBroken(content, server) })
 	}
 }
 
--- a/state/reach/reach.go
+++ b/state/reach/reach.go
@@ -37,8 +37,8 @@
 	// checking is set during a check, and nextCheck the earliest time of the next one.
 	checking  bool
 	nextCheck time.Time
-	// lostAt is the time at which the paths were found lost; zero while they are not.
-	lostAt time.Time
+	// lostAt is the time at which the paths were found lost; zero while they are not. foundLostAt is that of the last time.
+	lostAt, foundLostAt time.Time
 }
 
 // New returns a monitor that believes the paths to be in order.
@@ -80,6 +80,14 @@
 	return !m.lostAt.IsZero()
 }
 
+// LostSince reports whether the paths are lost, or were found lost since a time.
+func (m *Monitor) LostSince(since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return !m.lostAt.IsZero() || m.foundLostAt.After(since)
+}
+
 // Check returns the servers to ask now, and none if no check is due. Done has to be called after a check.
 func (m *Monitor) Check(now time.Time, servers []apricotway.Backend) []apricotway.Backend {
 	m.mu.Lock()
@@ -142,7 +150,7 @@
 	if answered == 0 {
 		changed = m.lostAt.IsZero()
 		if changed {
-			m.lostAt = now
+			m.lostAt, m.foundLostAt = now, now
 		}
 
 		return changed, 0
--- a/transport/upstream/detour_test.go
+++ b/transport/upstream/detour_test.go
@@ -25,6 +25,7 @@
 
 func (d *detours) Lost() bool               { return d.lost.Load() }
 func (d *detours) Silent(time.Time)         {}
+func (d *detours) Blame(time.Time, func())  {}
 func (d *detours) Failed(apricotway.NodeID) {}
 
 func (d *detours) Next(avoid []apricotway.NodeID) (apricotway.Member, bool) {
