Test the reports of half heads and of late calls in a planned stop

Operators of similar systems saw answers whose server stopped in the middle of the head reach clients as a 200 with an empty body, and calls that came late in the grace of a planned stop cut without an answer, among them such as must not be repeated.

--- a/cmd/scenario/plannedstop_test.go
+++ b/cmd/scenario/plannedstop_test.go
@@ -48,9 +48,10 @@
 {"name":"huge","host":"h.example","path_prefix":"/huge/","kind":"safe","timeout_ms":20000,"service":"huge","max_attempts":2},
 {"name":"huge-stream","host":"h.example","path_prefix":"/huge-stream/","kind":"streaming","timeout_ms":20000,"service":"huge-stream","max_attempts":1},
 {"name":"large-stream","host":"h.example","path_prefix":"/large-stream/","kind":"streaming","timeout_ms":20000,"service":"large-stream","max_attempts":1},
+{"name":"slow-unsafe","host":"h.example","path_prefix":"/slow-unsafe/","kind":"unsafe","timeout_ms":20000,"service":"slow","max_attempts":1},
 {"name":"book","host":"h.example","path_prefix":"/book/","kind":"unsafe","timeout_ms":20000,"service":"ledger","max_attempts":1}],
 "services":[{"name":"model","engine":{"slots":200,"kv_capacity":1000000}},{"name":"queue"},{"name":"pause"},{"name":"pause-only"},{"name":"large"},
-{"name":"large-stream"},{"name":"huge"},{"name":"huge-stream"},{"name":"ledger"}],
+{"name":"large-stream"},{"name":"huge"},{"name":"slow"},{"name":"huge-stream"},{"name":"ledger"}],
 "limits":{"max_body_bytes":1000000},"tenants":[{"name":"w","api_keys":["secret"]}]}`
 )
 
@@ -440,6 +441,7 @@
 		s.startEngine(name, standin.WithSlots(200), standin.WithStream(stopEvents, 50*time.Millisecond), standin.WithSize(size))
 	}
 
+	s.startEngine("slow", standin.WithSlots(400), standin.WithWork(3*time.Second))
 	s.awaitReady(e)
 
 	term := time.Now().Add(2 * time.Second)
@@ -454,11 +456,17 @@
 		opened := -0.5 + 2.9*spread
 		for _, idle := range []float64{0.5, 1.5, 2.5, 2.9} {
 			s.callAt(e, after(opened), after(opened+idle), stopRequest{group: "first request late", path: "/chat/x"})
+			s.callAt(e, after(opened), after(opened+idle), stopRequest{group: "first unsafe request late", path: "/slow-unsafe/x"})
+			s.callAt(e, after(opened), after(opened+idle), stopRequest{group: "first unsafe request late, queued", path: "/queued-unsafe/x"})
 		}
 
 		s.callAt(e, after(-1+3*spread), after(-1+3*spread), stopRequest{
 			group: "body complete late", path: "/chat/x", body: "first half, second half", pauseAt: "half, second", resume: after(3 + 4*spread),
 		})
+		s.callAt(e, after(-1+3*spread), after(-1+3*spread), stopRequest{
+			group: "unsafe body complete late", path: "/slow-unsafe/x", body: "first half, second half", pauseAt: "half, second",
+			resume: after(3 + 4*spread),
+		})
 		s.callAt(e, after(2.4*spread), after(2.4*spread), stopRequest{
 			group: "header complete late", path: "/chat/x", pauseAt: "Authorization", resume: after(2.4*spread + 2.9),
 		})
@@ -490,7 +498,7 @@
 	<-time.After(time.Second)
 
 	for _, group := range []string{
-		"first request late", "body complete late", "header complete late", "queued-stream", "queued-safe", "queued-unsafe",
+		"first unsafe request late", "first unsafe request late, queued", "unsafe body complete late", "first request late", "body complete late", "header complete late", "queued-stream", "queued-safe", "queued-unsafe",
 		"engine paused", "answer read slowly", "short stream read slowly", "long answer read slowly", "stream read slowly",
 	} {
 		t.Run(group, func(t *testing.T) { s.judge(t, group) })
--- a/transport/engine/client_test.go
+++ b/transport/engine/client_test.go
@@ -58,6 +58,46 @@
 	return apricotway.BackendServer{Address: netip.MustParseAddrPort(listener.Addr().String())}
 }
 
+// TestHalfHead guards against a head that its engine did not finish before it closed the connection being taken for a generation, or for a
+// request that was not sent.
+func TestHalfHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 22\r\n\r"
+
+	for size := range len(head) + 1 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+
+			if request, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(conn, head[:size])
+			}
+
+			_ = conn.Close()
+		}()
+
+		server := apricotway.BackendServer{Address: listener.Addr().(*net.TCPAddr).AddrPort()}
+
+		stream, err := engine.New().Generate(t.Context(), server, apricotway.GenerateRequest{Attempt: "x"})
+		if err == nil {
+			stream.Close()
+		}
+
+		if err == nil || errors.Is(err, apricotway.ErrNotSent) || errors.Is(err, apricotway.ErrBackendRefused) {
+			t.Errorf("head of %d bytes: got error %v, want one that leaves open whether the request ran", size, err)
+		}
+
+		_ = listener.Close()
+	}
+}
+
 // TestRefusalWrittenAgain guards against a refusal that an engine writes again, after the next request has arrived on the connection,
 // being taken for the answer to that request, which the engine runs.
 func TestRefusalWrittenAgain(t *testing.T) {
