Share the room of brittle servers over all processes

Server-Brittle was not read.

Each process now begins calls at such servers in its own slots of state/intake only, at a rate that fills the servers less what varies by chance, and gives none to one that it knows to be full. A call without room is held for 0.4 of its objective and then refused with a Retry-After; it never goes to a server again that turned it away. Processes tell each other through the reports to the holder of the duties. The knowledge belongs to a start of a server; one that has not answered yet counts like its service.

--- a/cmd/internal/entry/counters.go
+++ b/cmd/internal/entry/counters.go
@@ -21,6 +21,7 @@
 	accepted prometheus.Counter
 	found    *prometheus.CounterVec
 	written  prometheus.Counter
+	held     *prometheus.CounterVec
 }
 
 // latencyBuckets are the histogram buckets of call latencies in seconds.
@@ -57,7 +58,10 @@
 	c.written = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "apricotway_stream_origins_written_total", Help: "Beginnings of streams written to the store.",
 	})
-	registry.MustRegister(c.ended, c.took, c.repeated, c.limited, c.calls, c.opened, c.accepted, c.found, c.written)
+	c.held = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "apricotway_held_calls_total", Help: "Calls that were held because the servers are brittle, by whether they were sent then.",
+	}, []string{"service", "sent"})
+	registry.MustRegister(c.ended, c.took, c.repeated, c.limited, c.calls, c.opened, c.accepted, c.found, c.written, c.held)
 
 	return c
 }
@@ -86,6 +90,11 @@
 // OriginsWritten implements origins.Metrics.
 func (c *counters) OriginsWritten(count int) { c.written.Add(float64(count)) }
 
+// CallHeld implements relay.Metrics.
+func (c *counters) CallHeld(service apricotway.Service, sent bool) {
+	c.held.WithLabelValues(string(service), strconv.FormatBool(sent)).Inc()
+}
+
 func (c *counters) platformCall(call string, status int) {
 	c.calls.WithLabelValues(call, strconv.Itoa(status)).Inc()
 }
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -71,6 +71,8 @@
 	LastWindow int64
 	// Limits holds what the process knows about the limits of backend servers and the last answer did not have.
 	Limits []intake.Statement
+	// Brittle holds the services whose servers are brittle.
+	Brittle []dispatch.BrittleService
 }
 
 // Answer is the holder's answer to a Report.
@@ -91,6 +93,8 @@
 	Era apricotway.StoreEra
 	// Limits holds the newest statement about the limit of each backend server that stated one.
 	Limits []intake.Statement
+	// Brittle holds the services whose servers are brittle, as far as the holder has heard.
+	Brittle []dispatch.BrittleService
 }
 
 // Catalog gives the newest known configuration and exchanges news of the operators' store; catalog.Catalog implements it.
@@ -270,7 +274,7 @@
 		Accounts: r.Limiter.Accounts(),
 		Known:    r.Catalog.Position(),
 		Work:     r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
-		Limits: r.Pool.UncollectedLimits(now), LastWindow: r.duty.LastWindow(),
+		Limits: r.Pool.UncollectedLimits(now), Brittle: r.Pool.BrittleServices(now), LastWindow: r.duty.LastWindow(),
 	}
 
 	suspects, markReported := r.Suspects.Report(r.duty.Holder().Number)
@@ -338,11 +342,20 @@
 			"statement", change.Limit.Statement, "perSecond", change.Limit.PerSecond, "from", change.Observation.Node)
 	}
 
+	r.learnBrittle(now, asked, answer.Brittle)
 	r.Limiter.AddCredit(now, answer.Credit)
 	r.Pool.SetOthersWork(now, answer.Others)
 	r.Suspects.Apply(answer.Verdict)
 }
 
+// learnBrittle records which services other processes have heard to be brittle, with ages as of the given time.
+func (r *Rollup) learnBrittle(now, asOf time.Time, told []dispatch.BrittleService) {
+	for _, change := range r.Pool.LearnBrittle(now, asOf, told) {
+		r.logger.Info("another process told that the servers of a service are brittle", "event", 385, "service", change.Service,
+			"rejections", change.Rejections, "age", change.Age)
+	}
+}
+
 // receive aggregates the report of a process and returns the answer to it, which is empty if this process is not the holder.
 func (r *Rollup) receive(now time.Time, report Report) Answer {
 	holder, held := r.duty.Held()
@@ -362,11 +375,12 @@
 	r.loads[report.Node] = load{at: now, demand: r.smoothDemand(report)}
 
 	r.limits.Add(now, report.Limits)
+	r.learnBrittle(now, now, report.Brittle)
 
 	answer := Answer{
 		Holding: true, Era: r.eras.Current(), LastWindow: r.duty.LastWindow(), Limits: r.limits.Statements(now), Verdict: suspect.Judge(now, r.crashes, report.Crashes),
 		Credit: r.center.Report(now, report.Node, report.Elapsed, report.Accounts),
-		Others: r.board.Report(now, report.Node, report.Work),
+		Others: r.board.Report(now, report.Node, report.Work), Brittle: r.Pool.BrittleServices(now),
 	}
 
 	if self := r.membership.Self().Node; report.Node != self {
--- a/forwarding.go
+++ b/forwarding.go
@@ -119,6 +119,25 @@
 	For time.Duration
 }
 
+// BrittleStatement is whether an answer says that its server is brittle: that it falls over when it has to turn away many requests.
+type BrittleStatement string
+
+// The values of BrittleStatement.
+const (
+	BrittleAbsent BrittleStatement = ""
+	// BrittleStated means that the server falls over when it turns away more than Brittleness.Rejections requests in a second.
+	BrittleStated BrittleStatement = "stated"
+	// BrittleInvalid means that the statement can't be read.
+	BrittleInvalid BrittleStatement = "invalid"
+)
+
+// Brittleness is what an answer states about the requests that its server can turn away.
+type Brittleness struct {
+	Statement BrittleStatement
+	// Rejections is not negative. It is 0 unless Statement is BrittleStated.
+	Rejections int
+}
+
 // AnswerMetadata is what a backend server states about an answer in the answer's HTTP header.
 type AnswerMetadata struct {
 	Attempt AttemptID
@@ -133,6 +152,8 @@
 	Leaving bool
 	// Pause is the pause that the server names as it turns the call away.
 	Pause RequestPause
+	// Brittle is what the server says of its brittleness.
+	Brittle Brittleness
 }
 
 // Dialect reads and writes the HTTP headers of calls and answers. Only its implementation knows the names of the header fields.
--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -79,6 +79,11 @@
 	case metadata.NotRun:
 		send.RecordLoad(c.relay.now(), metadata.Load)
 		send.End(c.relay.now(), dispatch.OutcomeFull)
+
+		if metadata.Brittle.Statement == apricotway.BrittleStated {
+			c.turnedAway = append(c.turnedAway, send.Backend.ID)
+		}
+
 		drain(answer.Body, cancel)
 
 		return attemptResult{step: stepRetry, reason: reasonRejected, arrived: true}
@@ -299,7 +304,7 @@
 ) attemptResult {
 	c.relay.metrics.CallRetried(c.service, reason.reason)
 
-	send, refused := c.chooseServer()
+	send, refused := c.chooseServer(ctx)
 	if refused != nil {
 		c.writeWhole(answer, content)
 		return answered
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/dispatch"
 	"github.com/apricotway/apricotway/state/duration"
 	"github.com/apricotway/apricotway/state/origin"
@@ -75,6 +76,8 @@
 	CallEnded(route string, result string, took time.Duration)
 	// CallRetried counts a retry of a call by its reason.
 	CallRetried(service apricotway.Service, reason string)
+	// CallHeld counts a call that was held because the servers are brittle, and whether it was sent then.
+	CallHeld(service apricotway.Service, sent bool)
 	// LimitedSend counts a send to a server that states a limit on its requests.
 	LimitedSend(service apricotway.Service)
 }
@@ -214,6 +217,7 @@
 func (noMetrics) CallEnded(string, string, time.Duration) {}
 func (noMetrics) CallRetried(apricotway.Service, string)  {}
 func (noMetrics) LimitedSend(apricotway.Service)          {}
+func (noMetrics) CallHeld(apricotway.Service, bool)       {}
 
 // call is the state of one call while it is forwarded.
 type call struct {
@@ -250,6 +254,8 @@
 	// origin is the beginning of the stream that a further server has to continue. It is the zero value before the answer has begun.
 	origin origin.Origin
 	tried  []apricotway.BackendServerID
+	// turnedAway lists those that turned the call away for want of room. They don't get it again.
+	turnedAway []apricotway.BackendServerID
 	// versions lists the software version of each server in tried.
 	versions []apricotway.SoftwareVersion
 	// steps lists for the log how each attempt ended.
@@ -312,7 +318,7 @@
 			send = next.send
 		} else {
 			var refused *refusal
-			if send, refused = c.chooseServer(); refused != nil {
+			if send, refused = c.chooseServer(ctx); refused != nil {
 				c.refuseNotRun(refused)
 				return
 			}
@@ -374,7 +380,7 @@
 func (c *call) stream() apricotway.AttemptID { return cmp.Or(c.metadata.Resumes, c.metadata.Attempt) }
 
 // chooseServer chooses the next server, or returns the refusal of a call that no server can take.
-func (c *call) chooseServer() (*dispatch.Send, *refusal) {
+func (c *call) chooseServer(ctx context.Context) (*dispatch.Send, *refusal) {
 	now := c.relay.now()
 
 	remaining := c.deadline.Sub(now)
@@ -399,11 +405,11 @@
 		request.Objective = c.route.Objective
 	}
 
-	send, why, wait := c.relay.pool.Place(now, request)
-	if send == nil && len(c.tried) > 0 {
+	send, why, wait := c.place(ctx, request)
+	if send == nil && why != dispatch.RefusedBrittle && len(c.tried) > 0 {
 		// No untried server can take the call, so the tried ones may get it again.
-		request.Avoid = nil
-		send, why, wait = c.relay.pool.Place(now, request)
+		request.Avoid = c.turnedAway
+		send, why, wait = c.place(ctx, request)
 	}
 
 	if why == dispatch.RefusedOrigin {
@@ -420,6 +426,41 @@
 	return send, nil
 }
 
+const (
+	// holdPeriod is the time between two tries to place a call that is held, and holdShare the share of its objective, or of its time if it
+	// has none, for which it is held: it can still be answered in time then.
+	holdPeriod = 20 * time.Millisecond
+	holdShare  = 0.4
+)
+
+// place places the call on a server. While the servers are brittle and have no room for this process, it holds the call.
+func (c *call) place(ctx context.Context, request dispatch.Request) (*dispatch.Send, dispatch.RefusalReason, time.Duration) {
+	began := c.relay.now()
+
+	longest := c.route.Objective
+	if longest <= 0 || longest > request.Remaining {
+		longest = request.Remaining
+	}
+
+	until := began.Add(scale(longest, holdShare))
+
+	for held := false; ; held = true {
+		now := c.relay.now()
+		request.Remaining = c.deadline.Sub(now)
+
+		request.Again = held
+
+		send, why, wait := c.relay.pool.Place(now, request)
+		if held && (send != nil || why != dispatch.RefusedBrittle || !now.Before(until)) {
+			c.relay.metrics.CallHeld(c.service, send != nil)
+		}
+
+		if why != dispatch.RefusedBrittle || !now.Before(until) || !pause.For(ctx, holdPeriod) {
+			return send, why, wait
+		}
+	}
+}
+
 // retryAfterOrigin is the Retry-After of a stream while no server of its version is there. A crashed server is back after some seconds.
 const retryAfterOrigin = time.Second
 
--- a/protocol/relay/send.go
+++ b/protocol/relay/send.go
@@ -63,6 +63,16 @@
 			"source", "answer", "age", change.Age, "attempt", c.metadata.Attempt)
 	}
 
+	switch change.Brittle {
+	case dispatch.BrittleUnchanged:
+	case dispatch.BrittleUnreadable:
+		c.relay.logger.Info("ignored a statement of a brittle backend server that can't be read", "event", 386, "server", change.Server,
+			"service", change.Service, "attempt", c.metadata.Attempt)
+	case dispatch.BrittleBegan, dispatch.BrittleEnded:
+		c.relay.logger.Info("backend server changed whether it is brittle", "event", 384, "server", change.Server, "service", change.Service,
+			"change", change.Brittle, "rejections", stated.Brittle.Rejections, "age", change.Age, "attempt", c.metadata.Attempt)
+	}
+
 	switch change.Pause {
 	case dispatch.PauseUnchanged:
 	case dispatch.PauseUnreadable:
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -541,7 +541,7 @@
 // resume sends the call to another engine, to continue after the given event. It returns nil when no engine takes the call.
 func (c *call) resume(ctx context.Context, last string) *engineRun {
 	for c.mayRetry(ctx, attemptResult{step: stepRetry, arrived: true, mayHaveRun: true}) {
-		send, refused := c.chooseServer()
+		send, refused := c.chooseServer(ctx)
 		if refused != nil {
 			return nil
 		}
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -53,6 +53,8 @@
 	Avoid []apricotway.BackendServerID
 	// Origin is the beginning of the stream that the call continues.
 	Origin origin.Origin
+	// Again is set for a further try to place a call that is held. It does not count as demand once more.
+	Again bool
 	// Once means that the call must not run twice. The failure rate of a server then counts more in the choice.
 	Once bool
 }
@@ -75,6 +77,8 @@
 	RefusedPaused RefusalReason = "paused"
 	// RefusedOrigin means that no server may continue the stream.
 	RefusedOrigin RefusalReason = "origin"
+	// RefusedBrittle means that the servers which could take the call are brittle and have no room for this process now.
+	RefusedBrittle RefusalReason = "brittle"
 )
 
 // Pool is the view that one process has of all backend servers. It is safe for concurrent use.
@@ -96,6 +100,11 @@
 	stated map[apricotway.BackendServerID]*server
 	// limits decides whether a server may get one more request of this process. Every Send takes its request from it.
 	limits *intake.Limits
+	// brittleLimits shares the room of brittle servers over the processes. brittleServices holds what the answers of the servers of each
+	// service said last of their brittleness, and durations the mean durations of calls.
+	brittleLimits   *intake.Limits
+	brittleServices map[apricotway.Service]*brittleness
+	durations       map[apricotway.Service]time.Duration
 	// origins holds the versions of the servers and the origins of streams.
 	origins *origin.Register
 }
@@ -130,6 +139,9 @@
 		stated:      map[apricotway.BackendServerID]*server{},
 		limits:      intake.New(),
 		origins:     origin.NewRegister(),
+
+		brittleLimits: newBrittleLimits(), brittleServices: map[apricotway.Service]*brittleness{},
+		durations: map[apricotway.Service]time.Duration{},
 	}
 	for _, option := range options {
 		option(p)
@@ -275,14 +287,18 @@
 	defer p.mu.Unlock()
 
 	demand := p.demandLocked(request.Service)
-	demand.Calls++
+	if request.Again {
+		demand.Refused--
+	} else {
+		demand.Calls++
 
-	kind := callKind{request.Service, SizeOf(request.PromptTokens) >= longPromptClass}
-	if p.callRates[kind] == nil {
-		p.callRates[kind] = &callRate{}
-	}
+		kind := callKind{request.Service, SizeOf(request.PromptTokens) >= longPromptClass}
+		if p.callRates[kind] == nil {
+			p.callRates[kind] = &callRate{}
+		}
 
-	p.callRates[kind].add(now)
+		p.callRates[kind].add(now)
+	}
 
 	best, estimate := p.chooseLocked(now, request)
 	if best == nil {
@@ -304,6 +320,10 @@
 			return nil, RefusedLimited, wait
 		}
 
+		if wait := p.brittleWaitLocked(now, request); wait > 0 {
+			return nil, RefusedBrittle, wait
+		}
+
 		return nil, RefusedNoServer, noServerRetryAfter
 	}
 
@@ -338,7 +358,7 @@
 // sendLocked counts a call as running on the server. It returns nil when the server has named a pause, or when its limit leaves no
 // request to this process.
 func (p *Pool) sendLocked(now time.Time, s *server, request Request) *Send {
-	if s.paused(now) || !p.limits.Take(now, s.backend.ID) {
+	if s.paused(now) || !p.roomyLocked(now, s) || !p.limits.Take(now, s.backend.ID) || !p.brittleLimits.Take(now, s.backend.ID) {
 		return nil
 	}
 
@@ -458,7 +478,7 @@
 			continue
 		}
 
-		if rank++; s.paused(now) || !request.mayUse(s) || !p.limits.Allows(now, s.backend.ID) {
+		if rank++; s.paused(now) || !request.mayUse(s) || !p.limits.Allows(now, s.backend.ID) || !p.roomyLocked(now, s) {
 			continue
 		}
 
@@ -552,6 +572,10 @@
 	s.ended = true
 	s.server.own.Running--
 
+	if outcome == OutcomeDone && !s.detour {
+		s.pool.recordDurationLocked(s.request.Service, now.Sub(s.sent))
+	}
+
 	if s.started {
 		took := float64(now.Sub(s.firstEventAt)) / float64(time.Millisecond) / runningPerEngine
 		s.pool.engineTimeLocked(s.request.Service).add(now, s.request.PromptTokens, 0, took)
--- a/state/dispatch/limits.go
+++ b/state/dispatch/limits.go
@@ -18,6 +18,7 @@
 	defer p.mu.Unlock()
 
 	p.limits.SetMembers(now, members)
+	p.brittleLimits.SetMembers(now, members)
 }
 
 // UncollectedLimits returns what this process knows about the limits of servers and the last answer to its reports did not have.
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -73,6 +73,10 @@
 	hash uint64
 	// said is what the server has said of itself; nil while it has said nothing.
 	said *statements
+	// brittle is what this start of the server has said of its brittleness.
+	brittle brittleness
+	// ratedAt is the time at which the rate for a brittle server was determined.
+	ratedAt time.Time
 
 	// own is the work of this process that is in flight on the server.
 	own Work
--- a/state/dispatch/statements.go
+++ b/state/dispatch/statements.go
@@ -26,6 +26,8 @@
 	// Pause is what changed about the pause of the server, and PausedUntil the time until which it gets no calls.
 	Pause       PauseChange
 	PausedUntil time.Time
+	// Brittle is set when the belief whether the server is brittle has changed, or it said so unreadably for the first time.
+	Brittle BrittleChange
 	// Age is the longest time that the statement can be old: the time since the call was sent.
 	Age time.Duration
 }
@@ -127,16 +129,23 @@
 	defer s.pool.mu.Unlock()
 
 	from := s.senderLocked(answer.Server, misdirected)
-	if from == nil || from.said == nil && !answer.Leaving && answer.Pause.Statement == apricotway.PauseAbsent {
+	if from == nil {
 		return StatementChange{}
 	}
 
+	change := StatementChange{Server: from.backend.ID, Service: from.backend.Service, Age: now.Sub(s.sent)}
+	if !s.detour {
+		change.Brittle = s.pool.recordBrittleLocked(now, s.sent, from, answer.Brittle)
+	}
+
+	if from.said == nil && !answer.Leaving && answer.Pause.Statement == apricotway.PauseAbsent {
+		return change
+	}
+
 	if from.said == nil {
 		from.said = &statements{}
 	}
 
-	change := StatementChange{Server: from.backend.ID, Service: from.backend.Service, Age: now.Sub(s.sent)}
-
 	if answer.Leaving {
 		change.Leaving = !from.leaving()
 		from.said.leavingAt = now
--- a/state/intake/intake.go
+++ b/state/intake/intake.go
@@ -41,10 +41,33 @@
 	// ready is set while this process may use its slots. The slots that begin before are nobody's.
 	ready   bool
 	servers map[apricotway.BackendServerID]*server
+	// lifetime is the time from the beginning of a slot during which its owner may use it, at least the length of the slot. alone is the
+	// time after its start during which a process that knows no other one sends nothing to limited servers.
+	lifetime, aloneTime time.Duration
+}
+
+// Option configures Limits in New.
+type Option func(*Limits)
+
+// WithSlotLifetime sets the time for which a slot can be used. What a process does not use in it does not add to a later burst.
+func WithSlotLifetime(lifetime time.Duration) Option {
+	return func(l *Limits) { l.lifetime = lifetime }
+}
+
+// WithAloneTime sets the time after its start during which a process that knows no other one sends nothing to limited servers.
+func WithAloneTime(aloneTime time.Duration) Option {
+	return func(l *Limits) { l.aloneTime = aloneTime }
 }
 
 // New returns limits without any server.
-func New() *Limits { return &Limits{servers: map[apricotway.BackendServerID]*server{}} }
+func New(options ...Option) *Limits {
+	l := &Limits{servers: map[apricotway.BackendServerID]*server{}, lifetime: slotLifetime, aloneTime: aloneTime}
+	for _, option := range options {
+		option(l)
+	}
+
+	return l
+}
 
 // Members is what a process knows of the processes that share limits.
 type Members struct {
@@ -75,7 +98,7 @@
 
 	settled := settleTime
 	if alone {
-		settled = aloneTime
+		settled = l.aloneTime
 	}
 
 	ready := now.Sub(l.since) >= settled
--- a/state/intake/slots.go
+++ b/state/intake/slots.go
@@ -57,7 +57,7 @@
 
 // advance determines the owners of the slots that have begun, and drops the slots that are too old to be used.
 func (l *Limits) advance(now time.Time, s *server) {
-	lifetime := max(slotLifetime, seconds(1/s.slotRate()))
+	lifetime := max(l.lifetime, seconds(1/s.slotRate()))
 	oldest := now.Add(-lifetime)
 	last := s.slotAt(now)
 
