Pass a call on only if it may run once more

A call that must not be repeated ran twice: its server broke it off after it had begun, the paths were found lost meanwhile, and another process got it.

Cause: before a detour only the paths were looked at, not whether the attempt before may have run.

TestDetourAfterSend failed on unsafe calls, streams that can't be resumed, and calls whose route allows one run; it passes now. Whether a further run is allowed is decided in one place, for retries and detours. The tests of cut paths also read the list of processes under its lock (a race that -race reported beside strangers' connections).

--- a/cmd/scenario/cutoff_test.go
+++ b/cmd/scenario/cutoff_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -86,7 +87,11 @@
 func (s *cutSystem) processOf(client, server netip.AddrPort) string {
 	inode := socketInode(client.Port(), server.Port())
 
-	for _, e := range s.entries {
+	s.mu.Lock()
+	entries := slices.Clone(s.entries)
+	s.mu.Unlock()
+
+	for _, e := range entries {
 		open, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", e.pid.Load()))
 		for _, file := range open {
 			if target, err := os.Readlink(file); err == nil && target == "socket:["+inode+"]" {
--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -219,6 +219,9 @@
 		s.t.Fatal(err)
 	}
 
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
 	s.entries = append(s.entries, e)
 }
 
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -341,7 +341,7 @@
 				return
 			}
 
-			if next == nil && c.detour(ctx) {
+			if next == nil && c.mayRunAgain(result) && c.detour(ctx) {
 				return
 			}
 
@@ -497,11 +497,7 @@
 		return false
 	}
 
-	if result.mayHaveRun && (!c.route.Repeatable() || c.sends >= c.route.MaxAttempts) {
-		return false
-	}
-
-	if result.mayHaveRun && c.quarantined() {
+	if !c.mayRunAgain(result) {
 		return false
 	}
 
@@ -513,6 +509,11 @@
 	return c.relay.budget.Take(c.relay.now(), c.service)
 }
 
+// mayRunAgain reports whether the route and the content of the call allow another run after an attempt.
+func (c *call) mayRunAgain(result attemptResult) bool {
+	return !result.mayHaveRun || c.route.Repeatable() && c.sends < c.route.MaxAttempts && !c.quarantined()
+}
+
 // maxUnreachable bounds the servers that one call tries while they cannot be reached.
 const maxUnreachable = 4
 
--- a/transport/upstream/detour_test.go
+++ b/transport/upstream/detour_test.go
@@ -108,6 +108,31 @@
 	}
 }
 
+// TestDetourAfterSend guards against a call that must not be repeated being passed on after its server may have run it, and against passing
+// on one that may have run as often as its route allows.
+func TestDetourAfterSend(t *testing.T) {
+	for path, want := range map[string]int64{"/unsafe/": 0, "/stream/": 0, "/public/": 0, "/safe/": 1} {
+		t.Run(path, func(t *testing.T) {
+			other := newHarness(t, ok)
+			h, d := newDetouring(t, other.address())
+			d.lost.Store(false)
+			h.pool.Remove("b0", time.Now())
+			h.addServer("broken", "v1", 8, func(net.Conn, string) bool {
+				d.lost.Store(true)
+				return false
+			})
+
+			status := http.StatusBadGateway
+			if want > 0 {
+				status = http.StatusOK
+			}
+
+			h.wantStatus(path, nil, status)
+			other.wantRuns(want)
+		})
+	}
+}
+
 // TestDetourLoops guards against calls that processes without paths pass on to each other, and against a refusal that costs the caller time.
 func TestDetourLoops(t *testing.T) {
 	other, lost := newDetouring(t)
