Watch paths and versions by events in place of timers

Each process woke up 40 times a second more than before to look for signs that did not come: every 50 ms for lost paths, every 100 ms for beginnings of streams and versions to write. Processor time is what hosts of 0.4 cores have least of.

Without any sign nothing runs now. The tests of versions and cut paths pass.

--- a/coordination/detours/detours.go
+++ b/coordination/detours/detours.go
@@ -13,11 +13,12 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/reach"
 )
 
 const (
-	// checkPeriod is the time between two looks whether a check is due.
+	// checkPeriod is the time between two looks whether a check is due, while there are signs that the paths may be lost.
 	checkPeriod = 50 * time.Millisecond
 	// evidenceTime is the time within which a check after a sign has usually ended.
 	evidenceTime = 500 * time.Millisecond
@@ -72,7 +73,20 @@
 		option(d)
 	}
 
-	supervisor.Add(apricotway.Periodic("paths to backend servers", checkPeriod, d.check))
+	supervisor.Add(apricotway.ServiceFunc{Name: "paths to backend servers", Func: func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-d.Signs():
+			}
+
+			for now := time.Now(); d.Watched(now) && ctx.Err() == nil; now = time.Now() {
+				d.check(ctx, now)
+				pause.For(ctx, checkPeriod)
+			}
+		}
+	}})
 
 	return d
 }
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -217,12 +217,25 @@
 func (o *Origins) appendPending(ctx context.Context) error {
 	failing := false
 
-	for pause.For(ctx, o.appendInterval()) {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.register.ToTell():
+		}
+
+		// What becomes pending meanwhile goes into the same append.
+		pause.For(ctx, o.appendInterval())
+
 		taken := o.register.TakePending(maxBeginnings)
 		if len(taken) == 0 {
 			continue
 		}
 
+		if len(taken) == maxBeginnings {
+			o.register.ReturnPending(nil)
+		}
+
 		err := o.write(ctx, taken)
 		if err != nil {
 			o.register.ReturnPending(taken)
@@ -240,8 +253,6 @@
 			}
 		}
 	}
-
-	return ctx.Err()
 }
 
 func (o *Origins) write(ctx context.Context, taken []origin.Beginning) error {
--- a/coordination/origins/versions.go
+++ b/coordination/origins/versions.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// versionCheckPeriod is the time between two checks whether the versions in service have changed.
-	versionCheckPeriod = 100 * time.Millisecond
+	// historyPause is the pause after the saved versions could not be read.
+	historyPause = 100 * time.Millisecond
 	// maxWriteDelay is the longest random delay of a write, since all processes see a change at about the same time and one write is enough.
 	maxWriteDelay = 200 * time.Millisecond
 	// verifyDelay is the time after which a process checks that no concurrent write has replaced its own.
@@ -44,49 +44,31 @@
 // share reads the versions that earlier processes saw, and writes those that this process sees, until the context ends.
 func (v *versions) share(ctx context.Context) error {
 	for !v.readHistory(ctx) {
-		if !pause.For(ctx, versionCheckPeriod) {
+		if !pause.For(ctx, historyPause) {
 			return ctx.Err()
 		}
 	}
 
-	var (
-		settled  string
-		verifyAt time.Time
-	)
-
-	for pause.For(ctx, versionCheckPeriod) {
-		now := time.Now()
-		seen := summary(v.register.Versions(now))
-
-		if seen == settled && (verifyAt.IsZero() || now.Before(verifyAt)) {
-			continue
-		}
-
-		if seen != settled && !pause.For(ctx, rand.N(maxWriteDelay)) {
+	for verify := (<-chan time.Time)(nil); ; {
+		select {
+		case <-ctx.Done():
 			return ctx.Err()
+		case <-verify:
+		case <-v.register.Changed():
+			pause.For(ctx, rand.N(maxWriteDelay))
 		}
 
-		wrote, err := v.merge(ctx)
-		if err != nil {
-			v.logger.V(1).Info("failed to save the software versions in service", "event", 377, "error", err.Error())
-			pause.For(ctx, retryPause)
+		verify = nil
 
-			continue
-		}
+		switch wrote, err := v.merge(ctx); {
+		case err != nil:
+			v.logger.V(1).Info("failed to save the software versions in service", "event", 377, "error", err.Error())
 
-		settled, verifyAt = seen, time.Time{}
-		if wrote {
-			verifyAt = time.Now().Add(verifyDelay)
+			verify = time.After(retryPause)
+		case wrote:
+			verify = time.After(verifyDelay)
 		}
 	}
-
-	return ctx.Err()
-}
-
-// summary returns a text that differs when other versions are in service.
-func summary(versions map[apricotway.Service]origin.Versions) string {
-	content, _ := json.Marshal(encode(versions)) // A map of numbers can always be encoded.
-	return string(content)
 }
 
 func encode(versions map[apricotway.Service]origin.Versions) savedVersions {
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -57,6 +57,9 @@
 
 // Register keeps the origins of streams, and the versions that are or lately were in service. It is safe for concurrent use.
 type Register struct {
+	// changed has an element after the versions in service have changed, and toTell after a beginning has become pending.
+	changed, toTell chan struct{}
+
 	mu       sync.Mutex
 	lifetime time.Duration
 	// awaitsHistory is set while the versions that were in service before this process started are not known.
@@ -92,10 +95,30 @@
 // NewRegister returns a register that knows no server yet.
 func NewRegister() *Register {
 	return &Register{
+		changed: make(chan struct{}, 1), toTell: make(chan struct{}, 1),
 		lifetime: MinLifetime + ClockTolerance, services: map[apricotway.Service]*service{}, streams: map[Stream]record{},
 	}
 }
 
+// Changed returns a channel that has an element after the versions in service have changed.
+func (r *Register) Changed() <-chan struct{} { return r.changed }
+
+// ToTell returns a channel that has an element after beginnings have become pending.
+func (r *Register) ToTell() <-chan struct{} { return r.toTell }
+
+func signal(channel chan struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
+// tellLocked makes beginnings pending.
+func (r *Register) tellLocked(beginnings ...Beginning) {
+	r.pending = append(r.pending, beginnings...)
+	signal(r.toTell)
+}
+
 // SetLifetime sets the longest time between the beginning of a stream and the last call that may continue it. It is never shortened, since
 // older streams may still need it.
 func (r *Register) SetLifetime(lifetime time.Duration) {
@@ -161,13 +184,15 @@
 	before := r.mixedLocked(now, s)
 	s.versions[version] = left
 
+	signal(r.changed)
+
 	if before || !r.mixedLocked(now, s) {
 		return
 	}
 
 	for _, known := range r.streams {
 		if known.Service == name && known.server != "" && now.Sub(known.at) < r.lifetime {
-			r.pending = append(r.pending, known.Beginning)
+			r.tellLocked(known.Beginning)
 		}
 	}
 }
@@ -214,7 +239,7 @@
 		if known.server == backend.ID && !known.at.Before(backend.Born.Add(-bornTolerance)) {
 			known.Uncertain = true
 			r.streams[stream] = known
-			r.pending = append(r.pending, known.Beginning)
+			r.tellLocked(known.Beginning)
 		}
 	}
 }
@@ -283,7 +308,7 @@
 	r.addLocked(now, record{Beginning: beginning, server: server.ID, at: now})
 
 	if r.mixedLocked(now, r.serviceLocked(server.Service)) {
-		r.pending = append(r.pending, beginning)
+		r.tellLocked(beginning)
 	}
 }
 
@@ -366,6 +391,7 @@
 	// The oldest ones are no longer needed after a long outage.
 	kept := slices.Concat(taken, r.pending)
 	r.pending = kept[max(len(kept)-maxStreams, 0):]
+	signal(r.toTell)
 }
 
 // TellAgain makes the beginnings at mixed services pending again, for processes that may have lost them.
@@ -377,7 +403,7 @@
 
 	for _, known := range r.streams {
 		if known.server != "" && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
-			r.pending = append(r.pending, known.Beginning)
+			r.tellLocked(known.Beginning)
 		}
 	}
 }
--- a/state/reach/reach.go
+++ b/state/reach/reach.go
@@ -29,6 +29,9 @@
 
 // Monitor decides whether the paths are lost. It is safe for concurrent use.
 type Monitor struct {
+	// signs has an element after a sign that the paths may be lost.
+	signs chan struct{}
+
 	mu sync.Mutex
 	// unconnected holds the servers to which no connection could be opened since one last could, with the times.
 	unconnected map[netip.AddrPort]time.Time
@@ -42,10 +45,32 @@
 }
 
 // New returns a monitor that believes the paths to be in order.
-func New() *Monitor { return &Monitor{unconnected: map[netip.AddrPort]time.Time{}} }
+func New() *Monitor {
+	return &Monitor{signs: make(chan struct{}, 1), unconnected: map[netip.AddrPort]time.Time{}}
+}
+
+// Signs returns a channel that has an element after a sign that the paths may be lost. Checks may be due from then on for a while.
+func (m *Monitor) Signs() <-chan struct{} { return m.signs }
+
+func (m *Monitor) sign() {
+	select {
+	case m.signs <- struct{}{}:
+	default:
+	}
+}
+
+// Watched reports whether checks may be due without a further sign.
+func (m *Monitor) Watched(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+
+	return !m.lostAt.IsZero() || len(m.unconnected) > 0 || now.Sub(m.silentAt) < signTime
+}
 
 // Unconnected records that no connection to a server could be opened.
 func (m *Monitor) Unconnected(now time.Time, server netip.AddrPort) {
+	defer m.sign()
+
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
@@ -54,6 +79,8 @@
 
 // Silent records that a server broke off a call, or did not answer it in time.
 func (m *Monitor) Silent(now time.Time) {
+	defer m.sign()
+
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
