Don't refuse a stream as late that its caller takes up

After a kill of all processes, streams that callers took up at loaded servers were refused because the first event would come late, which the caller already has.

TestTakeUpRefusedAsLate guards against it. Placing a call has a file of its own, as relay.go had grown.

--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -3,18 +3,14 @@
 package relay
 
 import (
-	"cmp"
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/apricotway/apricotway"
-	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/dispatch"
 	"github.com/apricotway/apricotway/state/duration"
 	"github.com/apricotway/apricotway/state/origin"
@@ -114,9 +110,10 @@
 	budget   *retrybudget.Budget
 	tally    *tally.Counter
 
-	mover        apricotway.RunMover
-	origins      Origins
-	detours      Detours
+	mover   apricotway.RunMover
+	origins Origins
+	detours Detours
+	// processes holds the connections to other processes, which pass calls on.
 	processes    apricotway.Upstream
 	quarantine   Quarantine
 	metrics      Metrics
@@ -249,15 +246,15 @@
 	// charged is set while the workspace's limit is charged with cost.
 	charged bool
 
-	// sends counts the attempts in which the call may have run. tried lists every server to which it was sent.
-	sends int
+	// sends counts the attempts in which the call may have run. tried lists every server to which it was sent, and versions their software
+	// versions.
+	sends    int
+	tried    []apricotway.BackendServerID
+	versions []apricotway.SoftwareVersion
+	// turnedAway lists the brittle servers that turned the call away for want of room. They don't get it again.
+	turnedAway []apricotway.BackendServerID
 	// origin is the beginning of the stream that a further server has to continue. It is the zero value before the answer has begun.
 	origin origin.Origin
-	tried  []apricotway.BackendServerID
-	// turnedAway lists those that turned the call away for want of room. They don't get it again.
-	turnedAway []apricotway.BackendServerID
-	// versions lists the software version of each server in tried.
-	versions []apricotway.SoftwareVersion
 	// steps lists for the log how each attempt ended.
 	steps []string
 	// buffer holds an answer until it is complete.
@@ -360,137 +357,6 @@
 	}
 }
 
-// chooseService chooses the service of the call. A stream that its caller takes up stays at the service that began it if the route still
-// leads there.
-func (c *call) chooseService(ctx context.Context) {
-	c.service = route.Target(c.route, rand.Float64())
-
-	if !c.route.Resumable || c.metadata.LastEvent == "" && c.metadata.Resumes == "" {
-		return
-	}
-
-	c.origin = c.relay.origins.Find(ctx, c.service, c.metadata.Resumes)
-
-	if slices.ContainsFunc(c.route.Targets, func(t apricotway.RouteTarget) bool { return t.Service == c.origin.Service() }) {
-		c.service = c.origin.Service()
-	}
-}
-
-// stream returns the attempt that began the stream of the call.
-func (c *call) stream() apricotway.AttemptID { return cmp.Or(c.metadata.Resumes, c.metadata.Attempt) }
-
-// chooseServer chooses the next server, or returns the refusal of a call that no server can take.
-func (c *call) chooseServer(ctx context.Context) (*dispatch.Send, *refusal) {
-	now := c.relay.now()
-
-	remaining := c.deadline.Sub(now)
-	if remaining < minRemaining {
-		return nil, &refusal{
-			status: http.StatusServiceUnavailable, reason: reasonNoTime, retryAfter: retryAfterUnavailable,
-			message: "the time is used up",
-		}
-	}
-
-	if c.sends == 0 && c.outlastsStop(now) {
-		return nil, &refusal{
-			status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStopping,
-			message: "the process is stopping and can't finish the call; use another address",
-		}
-	}
-
-	request := c.placement(c.tried)
-	request.Remaining = remaining
-
-	if c.sends == 0 {
-		request.Objective = c.route.Objective
-	}
-
-	send, why, wait := c.place(ctx, request)
-	if send == nil && why != dispatch.RefusedBrittle && len(c.tried) > 0 {
-		// No untried server can take the call, so the tried ones may get it again.
-		request.Avoid = c.turnedAway
-		send, why, wait = c.place(ctx, request)
-	}
-
-	if why == dispatch.RefusedOrigin {
-		return nil, c.refusalOfOrigin()
-	}
-
-	if send == nil {
-		return nil, &refusal{
-			status: http.StatusServiceUnavailable, reason: string(why), retryAfter: wait,
-			message: "no backend server can take the call in time",
-		}
-	}
-
-	return send, nil
-}
-
-const (
-	// holdPeriod is the time between two tries to place a call that is held, and holdShare the share of its objective, or of its time if it
-	// has none, for which it is held: it can still be answered in time then.
-	holdPeriod = 20 * time.Millisecond
-	holdShare  = 0.4
-)
-
-// place places the call on a server. While the servers are brittle and have no room for this process, it holds the call.
-func (c *call) place(ctx context.Context, request dispatch.Request) (*dispatch.Send, dispatch.RefusalReason, time.Duration) {
-	began := c.relay.now()
-
-	longest := c.route.Objective
-	if longest <= 0 || longest > request.Remaining {
-		longest = request.Remaining
-	}
-
-	until := began.Add(scale(longest, holdShare))
-
-	for held := false; ; held = true {
-		now := c.relay.now()
-		request.Remaining = c.deadline.Sub(now)
-
-		request.Again = held
-
-		send, why, wait := c.relay.pool.Place(now, request)
-		if held && (send != nil || why != dispatch.RefusedBrittle || !now.Before(until)) {
-			c.relay.metrics.CallHeld(c.service, send != nil)
-		}
-
-		if why != dispatch.RefusedBrittle || !now.Before(until) || !pause.For(ctx, holdPeriod) {
-			return send, why, wait
-		}
-	}
-}
-
-// retryAfterOrigin is the Retry-After of a stream while no server of its version is there. A crashed server is back after some seconds.
-const retryAfterOrigin = time.Second
-
-// refusalOfOrigin returns the refusal of a stream that no server may continue.
-func (c *call) refusalOfOrigin() *refusal {
-	if !c.origin.Known() {
-		return &refusal{
-			status: http.StatusServiceUnavailable, reason: "originUnknown",
-			message: "the software version that began the stream is not known; begin the stream again without the events received",
-		}
-	}
-
-	return &refusal{
-		status: http.StatusServiceUnavailable, reason: string(dispatch.RefusedOrigin), retryAfter: retryAfterOrigin,
-		message: "no backend server of the software version that began the stream is there; begin the stream again or retry later",
-	}
-}
-
-// placement returns the request for a server other than those to avoid.
-func (c *call) placement(avoid []apricotway.BackendServerID) dispatch.Request {
-	request := dispatch.Request{
-		Service: c.service, Avoid: avoid, Once: !c.route.Repeatable(), Parts: c.metadata.Parts, Origin: c.origin,
-	}
-	if c.metadata.HasTokens {
-		request.PromptTokens, request.AnswerTokens = c.metadata.PromptTokens, c.metadata.AnswerTokens
-	}
-
-	return request
-}
-
 // mayRetry reports whether the call may be sent again after an attempt. It takes the retry from the retry budget.
 func (c *call) mayRetry(ctx context.Context, result attemptResult) bool {
 	if ctx.Err() != nil || c.deadline.Sub(c.relay.now()) < minRemaining {
--- a/transport/upstream/softwareversion_test.go
+++ b/transport/upstream/softwareversion_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/route"
 )
 
 // versionEvents is the number of events of a stream in the tests of this file.
@@ -157,3 +159,30 @@
 		})
 	}
 }
+
+// TestTakeUpRefusedAsLate guards against refusing a stream that its caller takes up because its first event, which the caller has, would be
+// late at servers that are busy.
+func TestTakeUpRefusedAsLate(t *testing.T) {
+	h := newHarness(t)
+	h.catalog.table = route.New(deploymentWith(func(r *apricotway.Route) { r.Objective = time.Millisecond }))
+	h.addVersion("a", "v1", 8)
+
+	// The work of other processes delays the first event.
+	h.pool.SetOthersWork(time.Now(), map[apricotway.BackendServerID]dispatch.Work{
+		"a": {Running: 4, Prefill: [dispatch.Sizes]float64{50000}, Prompts: [dispatch.Sizes]int{9}},
+	})
+
+	tokens := map[string]string{"Prompt": "100"}
+	h.wantStatus("/resumable/", tokens, http.StatusServiceUnavailable)
+	h.wantStatus("/resumable/", map[string]string{"Prompt": "100", "Last-Event-Id": "2", "Resumes": "1"}, http.StatusOK)
+}
+
+// deploymentWith returns the configuration of the tests with changed routes.
+func deploymentWith(change func(r *apricotway.Route)) *apricotway.Deployment {
+	d := deployment()
+	for i := range d.Routes {
+		change(&d.Routes[i])
+	}
+
+	return d
+}
