Refuse calls that outlast a stop also while the paths are lost

A stopping process that had lost its paths passed calls on to others and cut them at its stop limit. Found by reading; TestDetourOutlastsStop failed before (the call reached the other process).

--- a/protocol/relay/detour.go
+++ b/protocol/relay/detour.go
@@ -44,7 +44,8 @@
 // yet. The other process does with the call what it does with one of its own callers: it charges the limit, counts the usage and the sends,
 // and retries.
 func (c *call) detour(ctx context.Context) bool {
-	if c.detoured || !c.relay.detours.Lost() || ctx.Err() != nil || c.deadline.Sub(c.relay.now()) < minRemaining {
+	now := c.relay.now()
+	if c.detoured || !c.relay.detours.Lost() || ctx.Err() != nil || c.deadline.Sub(now) < minRemaining || c.outlastsStop(now) {
 		return false
 	}
 
--- a/transport/upstream/detour_test.go
+++ b/transport/upstream/detour_test.go
@@ -133,6 +133,15 @@
 	}
 }
 
+// TestDetourOutlastsStop guards against a call that a stopping process passes on and that then ends with the process.
+func TestDetourOutlastsStop(t *testing.T) {
+	other := newHarness(t, ok)
+	h, d := newDetouring(t, other.address())
+	h.replaceRelay(relay.WithDetours(d, upstream.New()), relay.WithStop(func() (time.Time, bool) { return time.Now().Add(time.Second), true }))
+	h.wantStatus("/unsafe/", nil, http.StatusServiceUnavailable)
+	other.wantRuns(0)
+}
+
 // TestDetourLoops guards against calls that processes without paths pass on to each other, and against a refusal that costs the caller time.
 func TestDetourLoops(t *testing.T) {
 	other, lost := newDetouring(t)
