--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -232,10 +232,6 @@
 			continue
 		}
 
-		if len(taken) == maxBeginnings {
-			o.register.ReturnPending(nil)
-		}
-
 		err := o.write(ctx, taken)
 		if err != nil {
 			o.register.ReturnPending(taken)
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -378,6 +378,8 @@
 
 	if len(r.pending) == 0 {
 		r.pending = nil
+	} else {
+		signal(r.toTell)
 	}
 
 	return taken
