Look at origins and brittleness of servers only when there are any

Each placement looked up the brittleness of all servers, and built the lineage of each, also when no service is brittle and no stream continues.

--- a/state/dispatch/brittle.go
+++ b/state/dispatch/brittle.go
@@ -122,6 +122,10 @@
 // roomyLocked reports whether a server may get a call as far as its brittleness is concerned: the rate at which it can begin calls is
 // shared over the processes by slots, and it gets none while it is known to be full.
 func (p *Pool) roomyLocked(now time.Time, s *server) bool {
+	if len(p.brittleServices) == 0 {
+		return true
+	}
+
 	if !p.brittleLocked(now, s) {
 		if p.brittleLimits.Limited(s.backend.ID) {
 			p.brittleLimits.Observe(now, now, s.backend.ID, apricotway.RequestLimit{})
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -588,7 +588,7 @@
 
 // mayUse reports whether a server may get the call, whatever its state is.
 func (r *Request) mayUse(s *server) bool {
-	return r.Origin.Allows(s.backend.Lineage()) && !contains(r.Avoid, s.backend.ID)
+	return !contains(r.Avoid, s.backend.ID) && (!r.Origin.Begun() || r.Origin.Allows(s.backend.Lineage()))
 }
 
 // continuableLocked reports whether a server that is not leaving may continue the stream of the request.
