Settle the model of brittle servers under little load

Its first four seconds only let the processes settle; half of the load there made the test of 300 processes slow with -race (300 s for the package beside other tests).

--- a/state/dispatch/brittle_test.go
+++ b/state/dispatch/brittle_test.go
@@ -293,7 +293,7 @@
 					}
 				}
 
-				m.run(4*time.Second, rate(0.5))
+				m.run(4*time.Second, rate(0.1))
 
 				m.begin = m.now
 				m.run(brittleContact, rate(0.5))
