Don't take a server's header for the word of another process that a call has not run

A call that must not be repeated could run twice during a detour: a server whose answer has the header Apricotway-Detour, or whose identifier is the word 'lost', made the first process believe that the other one had not sent the call.

It now deletes that header and sets its own behind the others, and the word has a space, which identifiers don't have. TestDetourHeaderOfServer failed before (1 run at the second process, want 0) and passes.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -340,14 +340,16 @@
 	header := c.writer.Header()
 	closing := header.Get("Connection")
 
-	if c.detoured && len(c.tried) > 0 {
-		header.Set(headerDetour, string(c.tried[len(c.tried)-1]))
-	}
-
 	for name, values := range c.relay.dialect.AnswerHeader(answer.Header) {
 		header[name] = values
 	}
 
+	header.Del(headerDetour)
+
+	if c.detoured && len(c.tried) > 0 {
+		header.Set(headerDetour, string(c.tried[len(c.tried)-1]))
+	}
+
 	// net/http would add these to an answer that has none; a nil value prevents that.
 	for _, name := range []string{"Date", "Content-Type"} {
 		if _, ok := header[name]; !ok {
--- a/protocol/relay/detour.go
+++ b/protocol/relay/detour.go
@@ -16,8 +16,9 @@
 	// headerDetour marks a call that another process passes on. It is never passed on again, so there are no loops. Whoever sets it only
 	// gives that up. In an answer it names the server that answered, or is detourLost.
 	headerDetour = "Apricotway-Detour"
-	// detourLost is the answer of a process that has lost its own paths to the servers. The call has not run.
-	detourLost = "lost"
+	// detourLost is the answer of a process that has lost its own paths to the servers. The call has not run. No server has such a name, as
+	// identifiers hold no spaces.
+	detourLost = "paths lost"
 	// maxDetours bounds the processes to which one call is passed on.
 	maxDetours = 3
 	// retryAfterLost is the Retry-After of calls while neither this process nor another one that it knows reaches the servers.
--- a/transport/upstream/detour_test.go
+++ b/transport/upstream/detour_test.go
@@ -142,6 +142,24 @@
 	other.wantRuns(0)
 }
 
+// TestDetourHeaderOfServer guards against a server whose answer has the header by which processes say that a call has not run: the call would
+// run once more.
+func TestDetourHeaderOfServer(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		odd := newHarness(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Apricotway-Detour", "paths lost")
+			w.WriteHeader(status)
+		})
+		second := newHarness(t, ok)
+		h, _ := newDetouring(t, odd.address(), second.address())
+
+		_, _, _ = h.call("/unsafe/", nil) //nolint:bodyclose // The call has read and closed it.
+
+		odd.wantRuns(1)
+		second.wantRuns(0)
+	}
+}
+
 // TestDetourLoops guards against calls that processes without paths pass on to each other, and against a refusal that costs the caller time.
 func TestDetourLoops(t *testing.T) {
 	other, lost := newDetouring(t)
