Name pending records, health checks and failure reports by the usual terms

Read as a newcomer, names such as blame, toTell, tellLocked, roomyLocked and calmAt hid what they hold: reports of failures, queued records, the admission of a call to a server, the end of a statement. No change of behaviour; the tests of these packages pass.

--- a/coordination/detours/detours.go
+++ b/coordination/detours/detours.go
@@ -20,8 +20,8 @@
 const (
 	// checkPeriod is the time between two looks whether a check is due, while there are signs that the paths may be lost.
 	checkPeriod = 50 * time.Millisecond
-	// evidenceTime is the time within which a check after a sign has usually ended.
-	evidenceTime = 500 * time.Millisecond
+	// checkWindow is the time within which a check after a sign has usually ended.
+	checkWindow = 500 * time.Millisecond
 	// avoidTime is the time for which a process is not used after it could not pass a call on.
 	avoidTime = time.Second
 )
@@ -131,15 +131,15 @@
 	d.changed()
 }
 
-// Blame calls a function that blames servers for what has just happened, once a check could tell that it was not the own paths.
-func (d *Detours) Blame(now time.Time, blame func()) {
+// ReportFailure calls a function that blames servers for what has just happened, once a check could tell that it was not the own paths.
+func (d *Detours) ReportFailure(now time.Time, report func()) {
 	if d.Lost() {
 		return
 	}
 
-	time.AfterFunc(evidenceTime, func() {
+	time.AfterFunc(checkWindow, func() {
 		if !d.LostSince(now) {
-			blame()
+			report()
 		}
 	})
 }
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -124,7 +124,7 @@
 			o.next = [logs]apricotway.Offset{}
 			o.mu.Unlock()
 
-			o.register.TellAgain(time.Now())
+			o.register.Republish(time.Now())
 		})
 	}
 }
@@ -221,7 +221,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-o.register.ToTell():
+		case <-o.register.Enqueued():
 		}
 
 		// What becomes pending meanwhile goes into the same append.
--- a/protocol/relay/quarantine.go
+++ b/protocol/relay/quarantine.go
@@ -62,7 +62,7 @@
 
 	if !began {
 		server := send.Backend.ID
-		c.relay.detours.Blame(c.relay.now(), func() { c.relay.quarantine.RecordBroken(content, server) })
+		c.relay.detours.ReportFailure(c.relay.now(), func() { c.relay.quarantine.RecordBroken(content, server) })
 	}
 }
 
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -92,8 +92,8 @@
 	Lost() bool
 	// Silent records that a server did not answer a call in time.
 	Silent(now time.Time)
-	// Blame calls a function that blames servers for what has just happened, unless the own paths were lost.
-	Blame(now time.Time, blame func())
+	// ReportFailure calls a function that blames servers for what has just happened, unless the own paths were lost.
+	ReportFailure(now time.Time, report func())
 	// Next returns a process that reaches the servers, other than those to avoid.
 	Next(avoid []apricotway.NodeID) (apricotway.Member, bool)
 	// Failed records that a process could not pass a call on.
@@ -194,7 +194,7 @@
 func (noDetours) Lost() bool       { return false }
 func (noDetours) Silent(time.Time) {}
 
-func (noDetours) Blame(_ time.Time, blame func()) { blame() }
+func (noDetours) ReportFailure(_ time.Time, report func()) { report() }
 
 func (noDetours) Next([]apricotway.NodeID) (apricotway.Member, bool) {
 	return apricotway.Member{}, false
--- a/state/dispatch/brittle.go
+++ b/state/dispatch/brittle.go
@@ -32,8 +32,8 @@
 type brittleness struct {
 	at         time.Time
 	rejections int
-	// calmAt is the time of the last answer that did not say so, to a call that was sent after the last one which did.
-	calmAt time.Time
+	// endedAt is the time of the last answer that did not say so, to a call that was sent after the last one which did.
+	endedAt time.Time
 	// unreadable is set once a statement could not be read.
 	unreadable bool
 }
@@ -50,13 +50,13 @@
 	case apricotway.BrittleInvalid:
 	case apricotway.BrittleAbsent:
 		if sent.After(b.at) {
-			b.calmAt = now
+			b.endedAt = now
 		}
 	}
 }
 
 func (b *brittleness) holds(now time.Time) bool {
-	return b != nil && !b.at.IsZero() && b.at.After(b.calmAt) && now.Sub(b.at) < brittleMemory
+	return b != nil && !b.at.IsZero() && b.at.After(b.endedAt) && now.Sub(b.at) < brittleMemory
 }
 
 // brittle reports whether a server is brittle by its own answers, or, while it has given none, by those of other servers of its service: the
@@ -65,7 +65,7 @@
 	switch {
 	case s.brittle.holds(now):
 		return true
-	case now.Sub(s.brittle.calmAt) < brittleMemory:
+	case now.Sub(s.brittle.endedAt) < brittleMemory:
 		return false
 	default:
 		return p.brittleServices[s.backend.Service].holds(now)
@@ -119,9 +119,9 @@
 	}
 }
 
-// roomyLocked reports whether a server may get a call as far as its brittleness is concerned: the rate at which it can begin calls is
+// admitsLocked reports whether a server may get a call as far as its brittleness is concerned: the rate at which it can begin calls is
 // shared over the processes by slots, and it gets none while it is known to be full.
-func (p *Pool) roomyLocked(now time.Time, s *server) bool {
+func (p *Pool) admitsLocked(now time.Time, s *server) bool {
 	if len(p.brittleServices) == 0 {
 		return true
 	}
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -358,7 +358,7 @@
 // sendLocked counts a call as running on the server. It returns nil when the server has named a pause, or when its limit leaves no
 // request to this process.
 func (p *Pool) sendLocked(now time.Time, s *server, request Request) *Send {
-	if s.paused(now) || !p.roomyLocked(now, s) || !p.limits.Take(now, s.backend.ID) || !p.brittleLimits.Take(now, s.backend.ID) {
+	if s.paused(now) || !p.admitsLocked(now, s) || !p.limits.Take(now, s.backend.ID) || !p.brittleLimits.Take(now, s.backend.ID) {
 		return nil
 	}
 
@@ -478,7 +478,7 @@
 			continue
 		}
 
-		if rank++; s.paused(now) || !request.mayUse(s) || !p.limits.Allows(now, s.backend.ID) || !p.roomyLocked(now, s) {
+		if rank++; s.paused(now) || !request.mayUse(s) || !p.limits.Allows(now, s.backend.ID) || !p.admitsLocked(now, s) {
 			continue
 		}
 
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -57,8 +57,8 @@
 
 // Register keeps the origins of streams, and the versions that are or lately were in service. It is safe for concurrent use.
 type Register struct {
-	// changed has an element after the versions in service have changed, and toTell after a beginning has become pending.
-	changed, toTell chan struct{}
+	// changed has an element after the versions in service have changed, and enqueued after a beginning has become pending.
+	changed, enqueued chan struct{}
 
 	mu       sync.Mutex
 	lifetime time.Duration
@@ -95,7 +95,7 @@
 // NewRegister returns a register that knows no server yet.
 func NewRegister() *Register {
 	return &Register{
-		changed: make(chan struct{}, 1), toTell: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), enqueued: make(chan struct{}, 1),
 		lifetime: MinLifetime + ClockTolerance, services: map[apricotway.Service]*service{}, streams: map[Stream]record{},
 	}
 }
@@ -103,8 +103,8 @@
 // Changed returns a channel that has an element after the versions in service have changed.
 func (r *Register) Changed() <-chan struct{} { return r.changed }
 
-// ToTell returns a channel that has an element after beginnings have become pending.
-func (r *Register) ToTell() <-chan struct{} { return r.toTell }
+// Enqueued returns a channel that has an element after beginnings have become pending.
+func (r *Register) Enqueued() <-chan struct{} { return r.enqueued }
 
 func signal(channel chan struct{}) {
 	select {
@@ -113,10 +113,10 @@
 	}
 }
 
-// tellLocked makes beginnings pending.
-func (r *Register) tellLocked(beginnings ...Beginning) {
+// enqueueLocked makes beginnings pending.
+func (r *Register) enqueueLocked(beginnings ...Beginning) {
 	r.pending = append(r.pending, beginnings...)
-	signal(r.toTell)
+	signal(r.enqueued)
 }
 
 // SetLifetime sets the longest time between the beginning of a stream and the last call that may continue it. It is never shortened, since
@@ -192,7 +192,7 @@
 
 	for _, known := range r.streams {
 		if known.Service == name && known.server != "" && now.Sub(known.at) < r.lifetime {
-			r.tellLocked(known.Beginning)
+			r.enqueueLocked(known.Beginning)
 		}
 	}
 }
@@ -239,7 +239,7 @@
 		if known.server == backend.ID && !known.at.Before(backend.Born.Add(-bornTolerance)) {
 			known.Uncertain = true
 			r.streams[stream] = known
-			r.tellLocked(known.Beginning)
+			r.enqueueLocked(known.Beginning)
 		}
 	}
 }
@@ -308,7 +308,7 @@
 	r.addLocked(now, record{Beginning: beginning, server: server.ID, at: now})
 
 	if r.mixedLocked(now, r.serviceLocked(server.Service)) {
-		r.tellLocked(beginning)
+		r.enqueueLocked(beginning)
 	}
 }
 
@@ -379,7 +379,7 @@
 	if len(r.pending) == 0 {
 		r.pending = nil
 	} else {
-		signal(r.toTell)
+		signal(r.enqueued)
 	}
 
 	return taken
@@ -393,11 +393,11 @@
 	// The oldest ones are no longer needed after a long outage.
 	kept := slices.Concat(taken, r.pending)
 	r.pending = kept[max(len(kept)-maxStreams, 0):]
-	signal(r.toTell)
+	signal(r.enqueued)
 }
 
-// TellAgain makes the beginnings at mixed services pending again, for processes that may have lost them.
-func (r *Register) TellAgain(now time.Time) {
+// Republish makes the beginnings at mixed services pending again, for processes that may have lost them.
+func (r *Register) Republish(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
@@ -405,7 +405,7 @@
 
 	for _, known := range r.streams {
 		if known.server != "" && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
-			r.tellLocked(known.Beginning)
+			r.enqueueLocked(known.Beginning)
 		}
 	}
 }
--- a/transport/upstream/detour_test.go
+++ b/transport/upstream/detour_test.go
@@ -23,10 +23,10 @@
 	members []apricotway.Member
 }
 
-func (d *detours) Lost() bool               { return d.lost.Load() }
-func (d *detours) Silent(time.Time)         {}
-func (d *detours) Blame(time.Time, func())  {}
-func (d *detours) Failed(apricotway.NodeID) {}
+func (d *detours) Lost() bool                      { return d.lost.Load() }
+func (d *detours) Silent(time.Time)                {}
+func (d *detours) ReportFailure(time.Time, func()) {}
+func (d *detours) Failed(apricotway.NodeID)        {}
 
 func (d *detours) Next(avoid []apricotway.NodeID) (apricotway.Member, bool) {
 	for _, member := range d.members {
