--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -47,7 +47,7 @@
 	readLimit = 10000
 	// readPause is the pause after a read that failed.
 	readPause = 50 * time.Millisecond
-	// confirmTimeout bounds the wait for a read that may contradict the only version known.
+	// confirmTimeout bounds the wait for a record of a stream, if two appends don't take longer.
 	confirmTimeout = 300 * time.Millisecond
 	// retryPause is the pause after an append that failed.
 	retryPause = 250 * time.Millisecond
@@ -174,12 +174,7 @@
 	}
 
 	// Another process that has seen a second version has recorded the stream. What it has just begun is in the store soon.
-	limit := confirmTimeout
-	if evidence == origin.EvidenceNone {
-		limit = 2*o.appendInterval() + confirmTimeout
-	}
-
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(ctx, max(2*o.appendInterval(), confirmTimeout))
 	defer cancel()
 
 	for o.awaitRead(ctx) == nil {
