--- a/cmd/scenario/cutoff_test.go
+++ b/cmd/scenario/cutoff_test.go
@@ -328,3 +328,63 @@
 		s.t.Errorf("got a share of %.2f served at the other processes, want at least %.2f", got, want)
 	}
 }
+
+// TestSilentServersStayInUse guards against taking sound servers that are silent for a while for failed ones, or for lost paths: streams that
+// they run go on there, and nobody passes calls on through other processes.
+func TestSilentServersStayInUse(t *testing.T) {
+	t.Parallel()
+
+	s := newCutSystem(t, 1)
+	streams := &versionSystem{entrySystem: s.entrySystem}
+
+	s.awaitServing()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	wait, streaming := s.callers(ctx), streams.callers(ctx)
+
+	for range 2 {
+		<-time.After(1500 * time.Millisecond)
+
+		for _, e := range s.engines {
+			e.Pause()
+		}
+
+		<-time.After(1200 * time.Millisecond)
+
+		for _, e := range s.engines {
+			e.Resume()
+		}
+	}
+
+	<-time.After(time.Second)
+	cancel()
+
+	calls := wait()
+
+	streaming.Wait()
+	s.checkOnce(calls)
+	streams.checkJoined()
+
+	complete := 0
+
+	for _, stream := range streams.streams {
+		if stream.complete && !stream.takenUp {
+			complete++
+		}
+	}
+
+	if got, want := complete, len(streams.streams); got != want {
+		t.Errorf("got %d complete streams in one answer, want all %d", got, want)
+	}
+
+	for _, e := range s.entries {
+		log, err := os.ReadFile(e.settings + ".log")
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		if strings.Contains(string(log), `"event":381`) {
+			t.Errorf("%s: got event 381 (paths lost), want none", e.name)
+		}
+	}
+}
--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -267,6 +267,8 @@
 // TestTakeUpAfterVersionLeft guards against streams being continued by an engine of another software version when all processes are
 // killed as the last engines of the version that began them leave.
 func TestTakeUpAfterVersionLeft(t *testing.T) {
+	t.Parallel()
+
 	s := newVersionSystem(t, 2, 3)
 	s.awaitServing()
 
