Take paths for lost only after two silent checks of servers

A process beside other work passed calls on through others for 0.4 s although its paths were in order: all four servers that it asked, or the host itself, were busy for longer than one check.

A check ends before the dial timeout, so that a connection that hangs is not taken for a refused one.

--- a/cmd/internal/entry/health.go
+++ b/cmd/internal/entry/health.go
@@ -17,7 +17,7 @@
 }
 
 // CheckHealth implements detours.Checker.
-func (c *healthChecker) CheckHealth(ctx context.Context, server apricotway.Backend) bool {
+func (c *healthChecker) CheckHealth(ctx context.Context, server apricotway.Backend) error {
 	target := "/"
 
 	if table := c.catalog.Table(); table != nil {
--- a/coordination/detours/detours.go
+++ b/coordination/detours/detours.go
@@ -28,8 +28,9 @@
 
 // Checker asks a backend server for its health.
 type Checker interface {
-	// CheckHealth reports whether the server has sent anything in answer to a check over a new connection.
-	CheckHealth(ctx context.Context, server apricotway.Backend) bool
+	// CheckHealth returns nil if the server has sent anything in answer to a check over a new connection. An error before the context ends
+	// means that it has refused or broken off the connection.
+	CheckHealth(ctx context.Context, server apricotway.Backend) error
 }
 
 // Servers provides the backend servers that are known.
@@ -101,23 +102,27 @@
 	ctx, cancel := context.WithTimeout(ctx, reach.CheckTimeout)
 	defer cancel()
 
-	answers := make(chan bool, len(asked))
+	answers := make(chan error, len(asked))
 
 	for _, server := range asked {
 		go func() { answers <- d.checker.CheckHealth(ctx, server) }()
 	}
 
-	answered := 0
+	result := reach.ResultRefused
 
 	for range asked {
-		if <-answers {
-			answered++
-			// One answer proves that the paths are not lost.
+		// One answer proves that the paths are not lost.
+		if <-answers == nil {
+			result = reach.ResultAnswered
 			break
 		}
+
+		if ctx.Err() != nil {
+			result = reach.ResultSilent
+		}
 	}
 
-	changed, lostFor := d.Done(time.Now(), answered)
+	changed, lostFor := d.Done(time.Now(), result)
 	if !changed {
 		return
 	}
--- a/state/reach/reach.go
+++ b/state/reach/reach.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// CheckTimeout bounds the time for which a check waits for answers.
-	CheckTimeout = 400 * time.Millisecond
+	// CheckTimeout bounds the time for which a check waits for answers. It is shorter than the timeout for opening a connection, so that a
+	// connection that hangs is not taken for a refused one.
+	CheckTimeout = 350 * time.Millisecond
 	// checkedServers is the number of servers that a check asks. All of them have failed by chance, where a quarter of the servers has, in
 	// one of 256 checks.
 	checkedServers = 4
@@ -37,6 +38,8 @@
 	unconnected map[netip.AddrPort]time.Time
 	// silentAt is the time of the last call that broke off or was not answered, and answeredAt that of the last answer of any server.
 	silentAt, answeredAt time.Time
+	// silentChecks counts the checks in a row in which no server answered in time. Servers may be silent for about a second, or the host busy.
+	silentChecks int
 	// checking is set during a check, and nextCheck the earliest time of the next one.
 	checking  bool
 	nextCheck time.Time
@@ -124,6 +127,10 @@
 		return nil
 	}
 
+	if now.Sub(m.nextCheck) > signTime {
+		m.silentChecks = 0
+	}
+
 	if len(servers) < minServers {
 		m.lostAt = time.Time{}
 		return nil
@@ -165,16 +172,42 @@
 	return failed >= minServers || silent || failed > 0 && now.Sub(m.answeredAt) >= silenceTime
 }
 
-// Done records how many servers answered a check. It reports whether the belief has changed, and for how long the paths were lost if they
-// are in order again.
-func (m *Monitor) Done(now time.Time, answered int) (changed bool, lostFor time.Duration) {
+// Result is how a check of several servers ended.
+type Result string
+
+// The values of Result.
+const (
+	// ResultAnswered means that a server answered.
+	ResultAnswered Result = "answered"
+	// ResultRefused means that no server answered, and that no connection was still being set up or waiting at the end.
+	ResultRefused Result = "refused"
+	// ResultSilent means that no server answered in time.
+	ResultSilent Result = "silent"
+)
+
+// maxSilentChecks is the number of silent checks in a row after which the paths count as lost.
+const maxSilentChecks = 2
+
+// Done records how a check ended. It reports whether the belief has changed, and for how long the paths were lost if they are in order again.
+func (m *Monitor) Done(now time.Time, result Result) (changed bool, lostFor time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 
 	m.checking = false
 	m.nextCheck = now.Add(recheckPause)
 
-	if answered == 0 {
+	if result == ResultSilent {
+		m.silentChecks++
+	}
+
+	if result == ResultSilent && m.silentChecks < maxSilentChecks && m.lostAt.IsZero() {
+		// The sign that led to the check counts until the next one.
+		m.silentAt = now
+
+		return false, 0
+	}
+
+	if result != ResultAnswered {
 		changed = m.lostAt.IsZero()
 		if changed {
 			m.lostAt, m.foundLostAt = now, now
@@ -184,6 +217,7 @@
 	}
 
 	m.nextCheck = now.Add(calmPause)
+	m.silentChecks = 0
 	m.answeredAt = now
 	clear(m.unconnected)
 
--- a/state/reach/reach_test.go
+++ b/state/reach/reach_test.go
@@ -95,7 +95,7 @@
 		t.Error("got a second check during the first one, want none")
 	}
 
-	if changed, _ := m.Done(now, 1); changed || m.Lost() {
+	if changed, _ := m.Done(now, reach.ResultAnswered); changed || m.Lost() {
 		t.Error("got lost paths though a server answered, want none")
 	}
 
@@ -106,7 +106,7 @@
 		t.Fatal("got no check, want one")
 	}
 
-	if changed, _ := m.Done(now, 0); !changed || !m.Lost() {
+	if changed, _ := m.Done(now, reach.ResultRefused); !changed || !m.Lost() {
 		t.Error("got paths in order though no server answered, want them lost")
 	}
 
@@ -115,7 +115,7 @@
 		t.Fatal("got no check of lost paths, want one")
 	}
 
-	if changed, lostFor := m.Done(now, 1); !changed || m.Lost() || lostFor != 500*time.Millisecond {
+	if changed, lostFor := m.Done(now, reach.ResultAnswered); !changed || m.Lost() || lostFor != 500*time.Millisecond {
 		t.Errorf("got changed %t and lost %t for %s, want paths in order after 500ms", changed, m.Lost(), lostFor)
 	}
 }
@@ -130,3 +130,26 @@
 		t.Errorf("got a check of %v, want none", asked)
 	}
 }
+
+// TestSilentCheck guards against taking servers that are silent for a second, or a busy host, for lost paths, and against never taking paths
+// for lost on which everything hangs.
+func TestSilentCheck(t *testing.T) {
+	m := reach.New()
+	now := start
+
+	m.Silent(now)
+
+	for check, want := range []bool{false, true} {
+		if len(m.Check(now, servers(8))) == 0 {
+			t.Fatalf("check %d: got none, want one", check)
+		}
+
+		m.Done(now.Add(reach.CheckTimeout), reach.ResultSilent)
+
+		if got := m.Lost(); got != want {
+			t.Errorf("check %d: got lost paths: %t, want %t", check, got, want)
+		}
+
+		now = now.Add(reach.CheckTimeout + 300*time.Millisecond)
+	}
+}
--- a/transport/upstream/observer_test.go
+++ b/transport/upstream/observer_test.go
@@ -109,7 +109,7 @@
 				t.Errorf("got %d signs, want 1", got)
 			}
 
-			if pool.CheckHealth(t.Context(), address, "/healthz") {
+			if pool.CheckHealth(t.Context(), address, "/healthz") == nil {
 				t.Error("got an answer to the health check, want none")
 			}
 		})
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -207,12 +207,12 @@
 	}
 }
 
-// CheckHealth reports whether a server sends an answer to a GET of the target over a new connection. A connection that opens alone proves
+// CheckHealth returns nil if a server sends an answer to a GET of the target over a new connection. A connection that opens alone proves
 // nothing: something before the server may have accepted it.
-func (p *Pool) CheckHealth(ctx context.Context, address netip.AddrPort, target string) bool {
+func (p *Pool) CheckHealth(ctx context.Context, address netip.AddrPort, target string) error {
 	c, err := p.open(ctx, address)
 	if err != nil {
-		return false
+		return err
 	}
 	defer c.closeQuietly()
 
@@ -222,12 +222,14 @@
 		Method: http.MethodGet, Target: target, Host: address.String(), Header: http.Header{"Connection": {"close"}},
 	}
 	if _, err := c.Write(encode(check)); err != nil {
-		return false
+		return errors.Wrap(err, "send health check")
 	}
 
-	_, err = c.head(&http.Request{Method: http.MethodGet}) //nolint:bodyclose // The connection is closed.
+	if _, err = c.head(&http.Request{Method: http.MethodGet}); err != nil { //nolint:bodyclose // The connection is closed.
+		return errors.Wrap(err, "read answer to health check")
+	}
 
-	return err == nil
+	return nil
 }
 
 // connect returns an idle connection that has not carried the attempt, or a new one if the pool has none.
