Log what the origin of a stream that a caller takes up rests on

Event 387 tells the evidence, the version, how long the lookup took and how old the list of backend servers was. No decision changes.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -170,6 +170,7 @@
 
 	e.catalog = catalog.New(e.supervisor, e.platform, e.pool, catalog.WithLogger(e.logger), catalog.WithEras(e.eras),
 		catalog.WithKeyValidity(keyValidity(s)), catalog.WithPeerNews(e.peers, e.peerServer, e.membership),
+		catalog.WithListRead(e.pool.Origins().SetListed),
 		catalog.WithChanged(func(t *route.Table) {
 			e.limiter.SetLimits(time.Now(), t.Workspaces())
 			e.pool.Origins().SetLifetime(t.LongestStream())
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -75,6 +75,7 @@
 	// keyValidity is in nanoseconds.
 	keyValidity atomic.Int64
 	changed     func(*route.Table)
+	listRead    func(asOf time.Duration)
 	// boot reads a clock that also advances while the machine is suspended.
 	boot func() time.Duration
 
@@ -159,12 +160,19 @@
 // WithChanged sets a function that is called with each new version of the configuration. It must not block.
 func WithChanged(changed func(*route.Table)) Option { return func(c *Catalog) { c.changed = changed } }
 
+// WithListRead sets a function that is called with the boot time as of which the list of backend servers is known, each time that it
+// advances. It must not block.
+func WithListRead(read func(asOf time.Duration)) Option {
+	return func(c *Catalog) { c.listRead = read }
+}
+
 // New returns a Catalog and adds its goroutines to the supervisor.
 func New(
 	supervisor *suture.Supervisor, store apricotway.OperatorStore, servers Servers, options ...Option,
 ) *Catalog {
 	c := &Catalog{
-		store: store, servers: servers, logger: logr.Discard(), changed: func(*route.Table) {}, boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
+		store: store, servers: servers, logger: logr.Discard(), changed: func(*route.Table) {}, listRead: func(time.Duration) {},
+		boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
 		entries: map[apricotway.BackendServerID]apricotway.Backend{}, removed: map[apricotway.BackendServerID]removal{},
 		invalid: map[apricotway.BackendServerID]bool{}, refresh: make(chan struct{}, 1),
 	}
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -153,7 +153,7 @@
 
 	c.peerPosition, c.listed = news.Position, true
 	c.newsAsOf = max(c.newsAsOf, sent-news.ListAge)
-	c.listAsOf = max(c.listAsOf, c.newsAsOf)
+	c.advanceListLocked(c.newsAsOf)
 }
 
 // applyProof uses the news as a proof of this process's configuration, or requests a read if the news name a newer version.
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -287,5 +287,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.listAsOf = max(c.listAsOf, began)
+	c.advanceListLocked(began)
+}
+
+// advanceListLocked records that the list is known as of a boot time.
+func (c *Catalog) advanceListLocked(asOf time.Duration) {
+	if asOf > c.listAsOf {
+		c.listAsOf = asOf
+		c.listRead(asOf)
+	}
 }
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -18,6 +18,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/era"
+	"github.com/apricotway/apricotway/internal/boottime"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/origin"
 )
@@ -68,6 +69,8 @@
 	// members returns the number of processes that share the store.
 	members         func() int
 	writesPerSecond float64
+	// boot reads a clock that also advances while the machine is suspended.
+	boot func() time.Duration
 	// log is the log that this process appends to.
 	log int
 
@@ -133,7 +136,7 @@
 func New(supervisor *suture.Supervisor, register *origin.Register, store Store, options ...Option) *Origins {
 	o := &Origins{
 		register: register, store: store, logger: logr.Discard(), metrics: noMetrics{}, members: func() int { return 1 },
-		writesPerSecond: defaultWritesPerSecond, wake: make(chan struct{}, 1), ended: make(chan struct{}), log: rand.IntN(logs),
+		writesPerSecond: defaultWritesPerSecond, boot: boottime.Now, wake: make(chan struct{}, 1), ended: make(chan struct{}), log: rand.IntN(logs),
 	}
 	for _, option := range options {
 		option(o)
@@ -157,8 +160,11 @@
 
 // Find returns the origin of the stream that an attempt of another call began. An empty attempt means that the caller doesn't name it.
 func (o *Origins) Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
+	began := o.boot()
 	found, evidence := o.find(ctx, service, attempt)
 	o.metrics.OriginFound(evidence)
+	o.logger.Info("looked up where a stream began", "event", 387, "resumes", attempt, "service", service, "evidence", evidence,
+		"known", found.Known(), "version", found.Version(), "took", o.boot()-began, "listAge", o.boot()-o.register.Listed())
 
 	return found
 }
--- a/state/origin/origin.go
+++ b/state/origin/origin.go
@@ -22,6 +22,9 @@
 // Service returns the service at which the stream began; empty if that is not known.
 func (o Origin) Service() apricotway.Service { return o.service }
 
+// Version returns the software version at which the stream began; empty if that is not known.
+func (o Origin) Version() apricotway.SoftwareVersion { return o.lineage.Software }
+
 // Begun reports whether the stream has begun.
 func (o Origin) Begun() bool { return o.begun }
 
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -62,6 +62,8 @@
 
 	mu       sync.Mutex
 	lifetime time.Duration
+	// listedAt is the boot time as of which the list of backend servers is known; 0 while it is not known.
+	listedAt time.Duration
 	// awaitsHistory is set while the versions that were in service before this process started are not known.
 	awaitsHistory bool
 	services      map[apricotway.Service]*service
@@ -167,6 +169,22 @@
 	}
 }
 
+// SetListed records the boot time as of which Update and Remove have told the list of backend servers.
+func (r *Register) SetListed(asOf time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.listedAt = max(r.listedAt, asOf)
+}
+
+// Listed returns the boot time as of which the list of backend servers is known; 0 while it is not known.
+func (r *Register) Listed() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.listedAt
+}
+
 func (r *Register) serviceLocked(name apricotway.Service) *service {
 	s := r.services[name]
 	if s == nil {
