Don't take the only version on an outdated list for that of a stream

Callers got streams with events of two software versions (ORDER): a process that was cut off from the store and the others while servers of a new version joined continued streams that had begun there at the old version, the only one that it knew.

Cause: the lookup of an origin fell back on 'one version is in service' whatever the age of the list that this was read from.

Class: a statement that is only true as of a time was used without that time. The register now knows as of when its list is, and answers onlyVersion only for calls that arrived before that. A stream has begun before its caller takes it up, and whoever began it had read the entry of its server; so a list that was read after the call arrived has every version at which the stream can have begun. The catalog reads the list at once when such a call needs it (1 call more for all calls that wait at the same time), also at a process that otherwise gets its list from others. If the list can't be read the call is refused at once with a Retry-After that leads it to another process.

Without the check of the age TestOnlyVersionOfOutdatedList fails in state/origin ('got evidence "onlyVersion", want "outdated"') and in coordination/origins ('got version "v1", want ""'); without the read at once TestRefreshOfOutdatedList fails.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -201,7 +201,7 @@
 		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: e.suspects,
 	}, duties, e.platform, e.membership, e.peers, e.peerServer, rollup.WithLogger(e.logger), rollup.WithEras(e.eras))
 
-	streams := origins.New(e.supervisor, e.pool.Origins(), e.platform, origins.WithLogger(e.logger), origins.WithEras(e.eras),
+	streams := origins.New(e.supervisor, e.pool.Origins(), e.platform, e.catalog, origins.WithLogger(e.logger), origins.WithEras(e.eras),
 		origins.WithMetrics(counters), origins.WithMembers(func() int { return len(e.membership.Members()) + 1 }),
 		origins.WithWriteRate(s.Platform.WritesPerSecond))
 
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -110,6 +110,7 @@
 	journal      journal
 	peerPosition Position
 	newsAsOf     time.Duration
+	refreshing   listRefresh
 	// isReader is set while this process reads the store on behalf of the others.
 	isReader atomic.Bool
 	// newsInterval is the time between two requests of another process for the news, in nanoseconds.
@@ -174,7 +175,7 @@
 		store: store, servers: servers, logger: logr.Discard(), changed: func(*route.Table) {}, listRead: func(time.Duration) {},
 		boot: boottime.Now, lapsed: map[apricotway.BackendServerID]bool{},
 		entries: map[apricotway.BackendServerID]apricotway.Backend{}, removed: map[apricotway.BackendServerID]removal{},
-		invalid: map[apricotway.BackendServerID]bool{}, refresh: make(chan struct{}, 1),
+		invalid: map[apricotway.BackendServerID]bool{}, refresh: make(chan struct{}, 1), refreshing: newListRefresh(),
 	}
 	c.SetKeyValidity(DefaultKeyValidity)
 
@@ -183,10 +184,12 @@
 	}
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "configuration", Func: func(ctx context.Context) error {
-		return c.poll(ctx, "configuration", c.readDeployment(), func(time.Time) bool { return false })
+		return c.poll(ctx, "configuration", c.readDeployment(), pause.For, func(time.Time) bool { return false })
 	}})
 	supervisor.Add(apricotway.ServiceFunc{Name: "list of backend servers", Func: func(ctx context.Context) error {
-		return c.poll(ctx, "list of backend servers", c.readBackends(), c.servers.Doubted)
+		return c.poll(ctx, "list of backend servers", c.readBackends(), c.pauseUnlessWanted, func(now time.Time) bool {
+			return c.listWanted() || c.servers.Doubted(now)
+		})
 	}})
 
 	supervisor.Add(apricotway.Periodic("entries of a restored list", restoreCheckPeriod, func(_ context.Context, now time.Time) {
@@ -280,15 +283,16 @@
 
 // poll repeats a read until the context ends, and pauses while another process passes on what it reads. The first read after such
 // a pause starts from scratch, since the position of the last one is outdated. needed reports whether what another process passes on is not
-// enough.
+// enough, and wait pauses until it may be.
 func (c *Catalog) poll(
-	ctx context.Context, name string, read func(ctx context.Context, fromScratch bool) error, needed func(now time.Time) bool,
+	ctx context.Context, name string, read func(ctx context.Context, fromScratch bool) error,
+	wait func(ctx context.Context, d time.Duration) bool, needed func(now time.Time) bool,
 ) error {
 	failing, outdated := false, false
 
 	for {
 		if c.hasFreshNews() && !c.isReader.Load() && !needed(time.Now()) {
-			if !pause.For(ctx, newsCheckPeriod) {
+			if !wait(ctx, newsCheckPeriod) {
 				return ctx.Err()
 			}
 
--- /dev/null
+++ b/coordination/catalog/refresh_test.go
@@ -0,0 +1,78 @@
+package catalog_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/catalog"
+	"github.com/apricotway/apricotway/internal/bubble"
+)
+
+// refreshTimeout is far below the time between two reads of the list.
+const refreshTimeout = 50 * time.Millisecond
+
+// TestRefreshOfOutdatedList guards against a call that needs a newer list waiting for the next regular read of it.
+func TestRefreshOfOutdatedList(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s, passed := newStore(), newStore()
+		s.publish(1)
+		passed.publish(1)
+
+		reader, _ := start(t, passed)
+		c, pool := start(t, s)
+		wait(2 * time.Second)
+
+		refresh := func(id apricotway.BackendServerID) {
+			s.register(id, false)
+
+			ctx, cancel := context.WithTimeout(t.Context(), refreshTimeout)
+			defer cancel()
+
+			since := c.BootTime()
+			c.RefreshList(since)
+
+			if err := c.AwaitList(ctx, since); err != nil {
+				t.Errorf("server %s: got %v, want no error", id, err)
+			}
+
+			wantKnown(t, pool, map[apricotway.BackendServerID]bool{id: true})
+		}
+
+		// The list is read in turns of waiting for changes and pausing.
+		for _, id := range []apricotway.BackendServerID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+			wait(130 * time.Millisecond)
+			refresh(id)
+		}
+
+		relay(reader, c, time.Second)
+		refresh("while another process passes its news on")
+	})
+}
+
+// TestRefreshOfListWhileStoreIsAway guards against calls waiting for a list that can't be read.
+func TestRefreshOfListWhileStoreIsAway(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		c, _ := start(t, s)
+		wait(2 * time.Second)
+		s.set(func(s *store) { s.down = true })
+		wait(2 * time.Second)
+
+		began, since := time.Now(), c.BootTime()
+		c.RefreshList(since)
+
+		if got, want := c.AwaitList(t.Context(), since), catalog.ErrStoreAway; !errors.Is(got, want) {
+			t.Errorf("got %v, want %v", got, want)
+		}
+
+		if got, want := time.Since(began), refreshTimeout; got > want {
+			t.Errorf("got an answer after %s, want it within %s", got, want)
+		}
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -8,7 +8,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
-	"github.com/apricotway/apricotway/internal/pause"
 )
 
 // readBackends returns a function that reads the list of backend servers once and remembers the position between calls.
@@ -31,16 +30,23 @@
 			err     error
 		)
 
-		began := c.boot()
 		wait, gap := c.listTiming()
+		began := c.boot()
 		whole := !known
+
 		if whole {
 			changes, position, err = c.store.Backends(limited)
 			known = err == nil
 		} else {
 			era := position.Era
+			before := position
+
+			changes, position, err = c.readChanges(limited, position, c.limitWait(wait))
+			if errors.Is(err, errInterrupted) {
+				position = before
+				return nil
+			}
 
-			changes, position, err = c.store.BackendsAfter(limited, position, c.limitWait(wait))
 			if err == nil && position.Era != era {
 				c.noteRestore()
 
@@ -73,12 +79,37 @@
 
 		asOf = began
 		c.recordListApplied(began)
-		pause.For(ctx, c.limitWait(gap))
+
+		if !c.listWanted() {
+			c.pauseUnlessWanted(ctx, c.limitWait(gap))
+		}
 
 		return nil
 	}
 }
 
+// errInterrupted reports that a read was ended because calls need a newer list.
+var errInterrupted = errors.New("calls need a newer list of backend servers")
+
+// readChanges reads the changes of the list after a position. It waits for changes unless calls need a newer list.
+func (c *Catalog) readChanges(
+	ctx context.Context, after apricotway.StorePosition, wait time.Duration,
+) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	waiting, end, mayWait := c.interruptible(ctx)
+	defer end()
+
+	if !mayWait {
+		wait = 0
+	}
+
+	changes, position, err := c.store.BackendsAfter(waiting, after, wait)
+	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		err = errInterrupted
+	}
+
+	return changes, position, err
+}
+
 // limitWait returns the longest time to wait. It is shorter while lapsed servers are due for removal, which must not wait for
 // changes.
 func (c *Catalog) limitWait(longest time.Duration) time.Duration {
@@ -289,11 +320,3 @@
 
 	c.advanceListLocked(began)
 }
-
-// advanceListLocked records that the list is known as of a boot time.
-func (c *Catalog) advanceListLocked(asOf time.Duration) {
-	if asOf > c.listAsOf {
-		c.listAsOf = asOf
-		c.listRead(asOf)
-	}
-}
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -50,6 +50,8 @@
 	readPause = 50 * time.Millisecond
 	// confirmTimeout bounds the wait for a record of a stream, if two appends don't take longer.
 	confirmTimeout = 300 * time.Millisecond
+	// listTimeout bounds the wait for a list of backend servers that is newer than the stream.
+	listTimeout = time.Second
 	// retryPause is the pause after an append that failed.
 	retryPause = 250 * time.Millisecond
 )
@@ -60,10 +62,19 @@
 	versionStore
 }
 
+// List is the list of backend servers that the register is told.
+type List interface {
+	// RefreshList makes the process read the list at once if it is not known as of the boot time.
+	RefreshList(since time.Duration)
+	// AwaitList waits until the list is known as of the boot time or later.
+	AwaitList(ctx context.Context, since time.Duration) error
+}
+
 // Origins shares the origins of streams. It is safe for concurrent use.
 type Origins struct {
 	register *origin.Register
 	store    Store
+	list     List
 	logger   logr.Logger
 	metrics  Metrics
 	// members returns the number of processes that share the store.
@@ -133,9 +144,9 @@
 }
 
 // New returns Origins and adds its goroutines to the supervisor.
-func New(supervisor *suture.Supervisor, register *origin.Register, store Store, options ...Option) *Origins {
+func New(supervisor *suture.Supervisor, register *origin.Register, store Store, list List, options ...Option) *Origins {
 	o := &Origins{
-		register: register, store: store, logger: logr.Discard(), metrics: noMetrics{}, members: func() int { return 1 },
+		register: register, store: store, list: list, logger: logr.Discard(), metrics: noMetrics{}, members: func() int { return 1 },
 		writesPerSecond: defaultWritesPerSecond, boot: boottime.Now, wake: make(chan struct{}, 1), ended: make(chan struct{}), log: rand.IntN(logs),
 	}
 	for _, option := range options {
@@ -172,19 +183,42 @@
 func (o *Origins) find(
 	ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID,
 ) (origin.Origin, origin.Evidence) {
-	stream := origin.StreamOf(attempt)
+	stream, since := origin.StreamOf(attempt), o.boot()
+	look := func() (origin.Origin, origin.Evidence) { return o.register.Find(time.Now(), since, service, stream) }
 
-	found, evidence := o.register.Find(time.Now(), service, stream)
-	if evidence == origin.EvidenceRecord || attempt == "" {
+	found, evidence := look()
+	if evidence == origin.EvidenceRecord || evidence == origin.EvidenceNone && attempt == "" {
 		return found, evidence
 	}
 
-	// Another process that has seen a second version has recorded the stream. What it has just begun is in the store soon.
+	o.list.RefreshList(since)
+
+	if attempt != "" {
+		if found, evidence = o.awaitRecord(ctx, look); evidence != origin.EvidenceOutdated {
+			return found, evidence
+		}
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, listTimeout-(o.boot()-since))
+	defer cancel()
+
+	if err := o.list.AwaitList(ctx, since); err != nil {
+		o.logger.V(1).Info("the list of backend servers is too old to tell where a stream began", "event", 388, "error", err.Error())
+	}
+
+	return look()
+}
+
+// awaitRecord reads what other processes recorded until that tells the origin of a stream, as look returns it. A process that has seen a second
+// version has recorded the stream; what it has just begun is in the store soon.
+func (o *Origins) awaitRecord(
+	ctx context.Context, look func() (origin.Origin, origin.Evidence),
+) (origin.Origin, origin.Evidence) {
 	ctx, cancel := context.WithTimeout(ctx, max(2*o.appendInterval(), confirmTimeout))
 	defer cancel()
 
 	for o.awaitRead(ctx) == nil {
-		if found, evidence = o.register.Find(time.Now(), service, stream); evidence != origin.EvidenceNone {
+		if found, evidence := look(); evidence == origin.EvidenceRecord || evidence == origin.EvidenceOnlyVersion {
 			return found, evidence
 		}
 
@@ -193,7 +227,7 @@
 		}
 	}
 
-	return o.register.Find(time.Now(), service, stream)
+	return look()
 }
 
 // appendInterval returns the time between two appends of this process.
--- a/coordination/origins/origins_test.go
+++ b/coordination/origins/origins_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/origins"
+	"github.com/apricotway/apricotway/internal/boottime"
 	"github.com/apricotway/apricotway/internal/bubble"
 	"github.com/apricotway/apricotway/memorylog"
 	"github.com/apricotway/apricotway/state/origin"
@@ -99,13 +100,31 @@
 
 	register *origin.Register
 	kill     func()
+	// cut is set while the process can't read the list of backend servers.
+	cut bool
+}
+
+// RefreshList implements origins.List.
+func (p *process) RefreshList(time.Duration) {
+	if !p.cut {
+		p.register.SetListed(boottime.Now())
+	}
+}
+
+// AwaitList implements origins.List.
+func (p *process) AwaitList(context.Context, time.Duration) error {
+	if p.cut {
+		return errDown
+	}
+
+	return nil
 }
 
 func start(t *testing.T, s *store, versions ...string) *process {
 	supervisor := suture.NewSimple("process")
 	p := &process{register: origin.NewRegister()}
 	p.list(versions...)
-	p.Origins = origins.New(supervisor, p.register, s)
+	p.Origins = origins.New(supervisor, p.register, s, p)
 
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := supervisor.ServeBackground(ctx)
@@ -242,6 +261,29 @@
 	})
 }
 
+// TestOnlyVersionOfOutdatedList guards against a process that is cut off from the store taking the only version that it knows for the one that
+// began a stream elsewhere.
+func TestOnlyVersionOfOutdatedList(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		p, away := start(t, s, "v1"), start(t, s, "v1")
+		<-time.After(time.Second)
+
+		away.cut = true
+		s.setDown(true)
+		p.list("v2")
+		p.Began(time.Now(), "x", server("v2"))
+		away.Began(time.Now(), "own", server("v1"))
+
+		away.wantVersion(t, "x", "")
+		away.wantVersion(t, "", "")
+		away.wantVersion(t, "own", "v1")
+
+		p.kill()
+		away.kill()
+	})
+}
+
 // TestOneVersionCostsNothing guards against calls of the store while one version serves and no caller takes a stream up.
 func TestOneVersionCostsNothing(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/protocol/relay/placing.go
+++ b/protocol/relay/placing.go
@@ -119,8 +119,18 @@
 // retryAfterOrigin is the Retry-After of a stream while no server of its version is there. A crashed server is back after some seconds.
 const retryAfterOrigin = time.Second
 
+// retryAfterOutdated is the Retry-After of a stream whose origin other processes can tell at once.
+const retryAfterOutdated = 10 * time.Millisecond
+
 // refusalOfOrigin returns the refusal of a stream that no server may continue.
 func (c *call) refusalOfOrigin() *refusal {
+	if c.origin.IsOutdated() {
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: "originOutdated", retryAfter: retryAfterOutdated,
+			message: "this process can't tell at present which software version began the stream; use another address",
+		}
+	}
+
 	if !c.origin.Known() {
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: "originUnknown",
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -185,7 +185,7 @@
 }
 
 func (o localOrigins) Find(_ context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
-	found, _ := o.register.Find(time.Now(), service, origin.StreamOf(attempt))
+	found, _ := o.register.Find(time.Now(), 0, service, origin.StreamOf(attempt))
 	return found
 }
 
--- a/state/origin/origin.go
+++ b/state/origin/origin.go
@@ -8,7 +8,9 @@
 // begin.
 type Origin struct {
 	begun, known bool
-	lineage      apricotway.Lineage
+	// outdated is set if this process could not learn in time whether other versions are in service.
+	outdated bool
+	lineage  apricotway.Lineage
 	// service is empty unless a record states it.
 	service apricotway.Service
 }
@@ -19,6 +21,12 @@
 // Unknown returns the origin of a stream that has begun at a server of which nothing is known. No server may continue it.
 func Unknown() Origin { return Origin{begun: true} }
 
+// Outdated returns the origin of a stream that has begun at a server of which this process knows nothing, though others may.
+func Outdated() Origin { return Origin{begun: true, outdated: true} }
+
+// IsOutdated reports whether another process may know the origin because its list of backend servers is newer.
+func (o Origin) IsOutdated() bool { return o.outdated }
+
 // Service returns the service at which the stream began; empty if that is not known.
 func (o Origin) Service() apricotway.Service { return o.service }
 
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -47,8 +47,10 @@
 	EvidenceNone Evidence = "none"
 	// EvidenceRecord means that a process recorded the first event of the stream.
 	EvidenceRecord Evidence = "record"
-	// EvidenceOnlyVersion means that, as far as this process knows, only one version was in service when the stream can have begun.
+	// EvidenceOnlyVersion means that only one version was in service until after the stream has begun.
 	EvidenceOnlyVersion Evidence = "onlyVersion"
+	// EvidenceOutdated means that one version is known, but the list of backend servers may be older than the stream.
+	EvidenceOutdated Evidence = "outdated"
 )
 
 // Versions holds, for the software versions of one service, the time at which the last server of the version left the list; zero while one is
@@ -356,8 +358,9 @@
 	}
 }
 
-// Find returns the origin of a stream of a service, and what it rests on.
-func (r *Register) Find(now time.Time, name apricotway.Service, stream Stream) (Origin, Evidence) {
+// Find returns the origin of a stream of a service, and what it rests on. Since is a boot time after the beginning of the stream, such as that
+// of the call which takes it up.
+func (r *Register) Find(now time.Time, since time.Duration, name apricotway.Service, stream Stream) (Origin, Evidence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
@@ -377,6 +380,11 @@
 		return Unknown(), EvidenceNone
 	}
 
+	// Another process may have read the entry of a second version and begun the stream there.
+	if r.listedAt < since {
+		return Outdated(), EvidenceOutdated
+	}
+
 	for version, left := range s.versions {
 		if left.IsZero() || now.Sub(left) < r.lifetime {
 			return At(apricotway.Lineage{Software: version}), EvidenceOnlyVersion
--- a/state/origin/register_test.go
+++ b/state/origin/register_test.go
@@ -23,7 +23,7 @@
 func wantOrigin(t *testing.T, r *origin.Register, now time.Time, attempt, version string, want origin.Evidence) {
 	t.Helper()
 
-	found, evidence := r.Find(now, service, origin.StreamOf(apricotway.AttemptID(attempt)))
+	found, evidence := r.Find(now, 0, service, origin.StreamOf(apricotway.AttemptID(attempt)))
 	if evidence != want {
 		t.Errorf("stream %s: got evidence %q, want %q", attempt, evidence, want)
 	}
@@ -103,6 +103,36 @@
 	}
 }
 
+// TestOnlyVersionOfOutdatedList guards against taking the only version on a list that is older than a stream for the one that began it.
+func TestOnlyVersionOfOutdatedList(t *testing.T) {
+	const listed = 10 * time.Second
+
+	for _, test := range []struct {
+		name  string
+		since time.Duration
+		want  origin.Evidence
+	}{
+		{"read before the call", listed + 1, origin.EvidenceOutdated},
+		{"read as the call arrived", listed, origin.EvidenceOnlyVersion},
+		{"read after the call", listed - 1, origin.EvidenceOnlyVersion},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := origin.NewRegister()
+			r.Update(start, server("a", "v1"))
+			r.SetListed(listed)
+
+			found, got := r.Find(start, test.since, service, origin.StreamOf("x"))
+			if got != test.want {
+				t.Errorf("got evidence %q, want %q", got, test.want)
+			}
+
+			if got, want := found.Allows(apricotway.Lineage{Software: "v1"}), test.want == origin.EvidenceOnlyVersion; got != want {
+				t.Errorf("got %t for a server of the only version known, want %t", got, want)
+			}
+		})
+	}
+}
+
 // TestRestartAtAnotherVersion guards against the version of an old entry being taken for that of a server which started again under its name.
 func TestRestartAtAnotherVersion(t *testing.T) {
 	r := origin.NewRegister()
@@ -149,6 +179,6 @@
 	b.ReportAllocs()
 
 	for i := 0; b.Loop(); i++ {
-		r.Find(start, service, origin.Stream(i%20000))
+		r.Find(start, 0, service, origin.Stream(i%20000))
 	}
 }
