Give copies of the beginnings of streams to another process

Cause: while one version serves, where a stream began is known to the process that began it alone, and is written to the store only once that process sees a second version.

Class: state that others need to take over is kept only by the one whose failure makes them need it. Each process now sends its new beginnings in one message per 100 ms to another process, of another availability zone if it can. That one writes them to the store once it sees a second version, unless the sender does. So no stream costs a message or a call of the store, and nothing more is written than before but for copies of the streams of the last lifetime when a second version joins. A process that can't write to the store hands over what it could not write.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -203,7 +203,7 @@
 
 	streams := origins.New(e.supervisor, e.pool.Origins(), e.platform, e.catalog, origins.WithLogger(e.logger), origins.WithEras(e.eras),
 		origins.WithMetrics(counters), origins.WithMembers(func() int { return len(e.membership.Members()) + 1 }),
-		origins.WithWriteRate(s.Platform.WritesPerSecond))
+		origins.WithWriteRate(s.Platform.WritesPerSecond), origins.WithCopies(e.peers, e.peerServer, e.membership))
 
 	e.relay = relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithStop(e.stopping),
--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -43,6 +43,11 @@
 type versionSystem struct {
 	*entrySystem
 
+	// patience is the time without an event after which callers give an attempt up; 0 for none.
+	patience time.Duration
+	// attempts bounds the attempts of a stream; 0 for no bound.
+	attempts int
+
 	mu      sync.Mutex
 	streams []*versionedStream
 }
@@ -109,7 +114,7 @@
 	stream := &versionedStream{versions: map[string]bool{}}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-	for n := 0; ctx.Err() == nil && !stream.complete; n++ {
+	for n := 0; ctx.Err() == nil && !stream.complete && (s.attempts == 0 || n < s.attempts); n++ {
 		s.attempt(ctx, client, stream, standin.Call{
 			Address: s.entries[random.IntN(len(s.entries))].callers, Host: "h.example", Path: "/chat/x", Attempt: fmt.Sprintf("%s-%d", name, n),
 			Key: "secret", Tokens: "100,20", LastEvent: stream.last, Resumes: stream.first,
@@ -134,6 +139,16 @@
 
 	stream.takenUp = stream.takenUp || stream.first != ""
 
+	progress := func() {}
+
+	if s.patience > 0 {
+		limited, cancel := context.WithCancel(ctx)
+		defer cancel()
+
+		timer := time.AfterFunc(s.patience, cancel)
+		request, progress = request.WithContext(limited), func() { timer.Reset(s.patience) }
+	}
+
 	response, err := client.Do(request)
 	if err != nil {
 		return
@@ -154,6 +169,8 @@
 		if data, ok := strings.CutPrefix(lines.Text(), "data: "+id); ok {
 			stream.wentOn = stream.wentOn || stream.first != ""
 			stream.begun, stream.last, stream.versions[data] = true, id, true
+
+			progress()
 		}
 	}
 
@@ -264,6 +281,43 @@
 	}
 }
 
+// TestTakeUpOfStoppedProcess guards against streams being refused because the process that began them stands still as engines of a second
+// software version join.
+func TestTakeUpOfStoppedProcess(t *testing.T) {
+	t.Parallel()
+
+	s := newVersionSystem(t, 3, 3)
+	s.patience, s.attempts = 2*time.Second, 2
+	s.awaitServing()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	groups := []*sync.WaitGroup{s.callers(ctx), s.callers(ctx)}
+
+	<-time.After(2 * time.Second)
+
+	stopped := s.entries[0].command.Process
+	if err := stopped.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+
+	<-time.After(300 * time.Millisecond)
+	s.startVersion("v2", 3)
+	<-time.After(3500 * time.Millisecond)
+
+	if err := stopped.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+
+	<-time.After(time.Second)
+	cancel()
+
+	for _, group := range groups {
+		group.Wait()
+	}
+
+	s.check(minShareOf)
+}
+
 // TestTakeUpAfterVersionLeft guards against streams being continued by an engine of another software version when all processes are
 // killed as the last engines of the version that began them leave.
 func TestTakeUpAfterVersionLeft(t *testing.T) {
--- /dev/null
+++ b/coordination/origins/copies_test.go
@@ -0,0 +1,226 @@
+package origins_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/origins"
+	"github.com/apricotway/apricotway/internal/bubble"
+)
+
+// network connects the processes of a test.
+type network struct {
+	members  []apricotway.Member
+	handlers map[netip.AddrPort]apricotway.PeerHandler
+
+	mu sync.Mutex
+	// stopped holds the processes that don't answer, and sent counts the messages.
+	stopped map[netip.AddrPort]bool
+	sent    int
+}
+
+// stop makes the calls from and to a process hang.
+func (n *network) stop(process int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.stopped[n.members[process].Peers] = true
+}
+
+// host is the place of one process in the network.
+type host struct {
+	*network
+
+	self apricotway.Member
+}
+
+// Self implements apricotway.Membership.
+func (h *host) Self() apricotway.Member { return h.self }
+
+// Members implements apricotway.Membership.
+func (h *host) Members() []apricotway.Member {
+	var others []apricotway.Member
+
+	for _, m := range h.members {
+		if m.Node != h.self.Node {
+			others = append(others, m)
+		}
+	}
+
+	return others
+}
+
+// Register implements apricotway.PeerRegistry.
+func (h *host) Register(_ apricotway.Method, handler apricotway.PeerHandler) {
+	h.handlers[h.self.Peers] = handler
+}
+
+// Call implements apricotway.Peers.
+func (h *host) Call(ctx context.Context, to netip.AddrPort, _ apricotway.Method, payload []byte) ([]byte, error) {
+	h.mu.Lock()
+	h.sent++
+	hangs := h.stopped[to] || h.stopped[h.self.Peers]
+	h.mu.Unlock()
+
+	if hangs {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+
+	return h.handlers[to](ctx, payload)
+}
+
+// startNetwork starts processes that hold copies for each other. The first store is that of the first process.
+func startNetwork(t *testing.T, stores ...origins.Store) (*network, []*process) {
+	n := &network{handlers: map[netip.AddrPort]apricotway.PeerHandler{}, stopped: map[netip.AddrPort]bool{}}
+
+	for i := range stores {
+		n.members = append(n.members, apricotway.Member{
+			Node: apricotway.NodeID(fmt.Sprint("n", i)), Zone: apricotway.Zone(fmt.Sprint("z", i)), State: apricotway.MemberAlive,
+			Peers: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1),
+		})
+	}
+
+	var processes []*process
+
+	for i, s := range stores {
+		h := &host{n, n.members[i]}
+		processes = append(processes, startWith(t, s, origins.WithCopies(h, h, h)))
+	}
+
+	return n, processes
+}
+
+// awayStore is a store that one process can't reach.
+type awayStore struct {
+	origins.Store
+
+	away atomic.Bool
+}
+
+// Append implements apricotway.Log.
+func (s *awayStore) Append(ctx context.Context, stream apricotway.Stream, records []apricotway.Record) (apricotway.Offset, error) {
+	if s.away.Load() {
+		return 0, errDown
+	}
+
+	return s.Store.Append(ctx, stream, records)
+}
+
+// TestStreamsOfProcessOutOfStep guards against refusing streams because the process that began them can't tell the others where: it stands
+// still or ended before it saw the second version, has not read it, or can't reach the store.
+func TestStreamsOfProcessOutOfStep(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// before puts the process out of step before the second version joins, and after then.
+		before, after func(n *network, out *process, s *awayStore)
+		// began is the version of the stream that the process begins after the second version has joined; "" for none.
+		began apricotway.SoftwareVersion
+	}{
+		{
+			name:   "stands still",
+			before: func(n *network, _ *process, _ *awayStore) { n.stop(0) },
+		},
+		{
+			name:   "ended",
+			before: func(_ *network, out *process, _ *awayStore) { out.kill() },
+		},
+		{
+			name:  "has an old list",
+			began: "v1",
+		},
+		{
+			name:  "is cut off from the store",
+			after: func(_ *network, out *process, s *awayStore) { s.away.Store(true); out.list("v2") },
+			began: "v2",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := newStore()
+				away := &awayStore{Store: s}
+				n, processes := startNetwork(t, away, s, s)
+				out, others := processes[0], processes[1:]
+
+				for _, p := range processes {
+					p.list("v1")
+				}
+
+				<-time.After(time.Second)
+				out.Began(time.Now(), "before", server("v1"))
+				<-time.After(200 * time.Millisecond)
+
+				if test.before != nil {
+					test.before(n, out, away)
+				}
+
+				for _, p := range others {
+					p.list("v2")
+				}
+
+				if test.after != nil {
+					test.after(n, out, away)
+				}
+
+				if test.began != "" {
+					out.Began(time.Now(), "after", server(string(test.began)))
+				}
+
+				<-time.After(500 * time.Millisecond)
+
+				for _, p := range others {
+					p.wantVersion(t, "before", "v1")
+
+					if test.began != "" {
+						p.wantVersion(t, "after", test.began)
+					}
+				}
+
+				for _, p := range processes {
+					p.kill()
+				}
+			})
+		})
+	}
+}
+
+// TestCopiesCost guards against a message for each stream, and against writing what the process that began a stream writes itself.
+func TestCopiesCost(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		n, processes := startNetwork(t, s, s, s)
+
+		for _, p := range processes {
+			p.list("v1", "v2")
+		}
+
+		<-time.After(time.Second)
+
+		for i := range 1000 {
+			processes[0].Began(time.Now(), apricotway.AttemptID(fmt.Sprint(i)), server("v1"))
+			<-time.After(time.Millisecond)
+		}
+
+		<-time.After(time.Second)
+
+		if got, want := n.sent, 11; got > want {
+			t.Errorf("got %d messages within a second, want at most %d", got, want)
+		}
+
+		for _, p := range processes[1:] {
+			if got, want := len(p.register.TakePending(1)), 0; got != want {
+				t.Errorf("got %d beginnings to write at another process, want %d", got, want)
+			}
+		}
+
+		for _, p := range processes {
+			p.kill()
+		}
+	})
+}
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -75,8 +75,10 @@
 	register *origin.Register
 	store    Store
 	list     List
-	logger   logr.Logger
-	metrics  Metrics
+	// copies is nil if no other process holds copies of the beginnings.
+	copies  *copies
+	logger  logr.Logger
+	metrics Metrics
 	// members returns the number of processes that share the store.
 	members         func() int
 	writesPerSecond float64
@@ -158,6 +160,10 @@
 	supervisor.Add(apricotway.ServiceFunc{Name: "origins of streams", Func: o.appendPending})
 	supervisor.Add(apricotway.ServiceFunc{Name: "origins of other processes", Func: o.readOnRequest})
 
+	if o.copies != nil {
+		supervisor.Add(apricotway.ServiceFunc{Name: "copies of the origins of streams", Func: o.copies.share})
+	}
+
 	versions := &versions{register: register, store: store, logger: o.logger}
 	supervisor.Add(apricotway.ServiceFunc{Name: "software versions in service", Func: versions.share})
 
@@ -251,6 +257,8 @@
 // appendPending writes the beginnings that other processes have to know until the context ends.
 func (o *Origins) appendPending(ctx context.Context) error {
 	failing := false
+	// handedOver is the number of pending beginnings that another process tries to write too.
+	handedOver := 0
 
 	for {
 		select {
@@ -270,8 +278,14 @@
 		err := o.write(ctx, taken)
 		if err != nil {
 			o.register.ReturnPending(taken)
+
+			if o.copies != nil && len(taken) > handedOver && o.copies.send(ctx, taken[handedOver:], false) {
+				handedOver = len(taken)
+			}
+
 			pause.For(ctx, retryPause)
 		} else {
+			handedOver = 0
 			o.metrics.OriginsWritten(len(taken))
 		}
 
--- a/coordination/origins/origins_test.go
+++ b/coordination/origins/origins_test.go
@@ -120,11 +120,18 @@
 	return nil
 }
 
+// start starts a process on whose list there are servers of some versions.
 func start(t *testing.T, s *store, versions ...string) *process {
+	p := startWith(t, s)
+	p.list(versions...)
+
+	return p
+}
+
+func startWith(t *testing.T, s origins.Store, options ...origins.Option) *process {
 	supervisor := suture.NewSimple("process")
 	p := &process{register: origin.NewRegister()}
-	p.list(versions...)
-	p.Origins = origins.New(supervisor, p.register, s, p)
+	p.Origins = origins.New(supervisor, p.register, s, p, options...)
 
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := supervisor.ServeBackground(ctx)
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -59,8 +59,9 @@
 
 // Register keeps the origins of streams, and the versions that are or lately were in service. It is safe for concurrent use.
 type Register struct {
-	// changed has an element after the versions in service have changed, and enqueued after a beginning has become pending.
-	changed, enqueued chan struct{}
+	// changed has an element after the versions in service have changed, enqueued after a beginning has become pending, and copied after one
+	// that another process should hold a copy of.
+	changed, enqueued, copied chan struct{}
 
 	mu       sync.Mutex
 	lifetime time.Duration
@@ -74,6 +75,8 @@
 	order []aged
 	// pending are the beginnings that other processes have to know.
 	pending []Beginning
+	// copies are the beginnings that another process should hold a copy of.
+	copies []Beginning
 }
 
 // service is the state of one service.
@@ -88,7 +91,9 @@
 
 	// server is empty if the beginning was learned from another process.
 	server apricotway.BackendServerID
-	at     time.Time
+	// held is set if this process holds the beginning for the process that recorded it.
+	held bool
+	at   time.Time
 }
 
 type aged struct {
@@ -99,7 +104,7 @@
 // NewRegister returns a register that knows no server yet.
 func NewRegister() *Register {
 	return &Register{
-		changed: make(chan struct{}, 1), enqueued: make(chan struct{}, 1),
+		changed: make(chan struct{}, 1), enqueued: make(chan struct{}, 1), copied: make(chan struct{}, 1),
 		lifetime: MinLifetime + ClockTolerance, services: map[apricotway.Service]*service{}, streams: map[Stream]record{},
 	}
 }
@@ -110,6 +115,9 @@
 // Enqueued returns a channel that has an element after beginnings have become pending.
 func (r *Register) Enqueued() <-chan struct{} { return r.enqueued }
 
+// Copied returns a channel that has an element after there are beginnings of which another process should hold a copy.
+func (r *Register) Copied() <-chan struct{} { return r.copied }
+
 func signal(channel chan struct{}) {
 	select {
 	case channel <- struct{}{}:
@@ -211,7 +219,7 @@
 	}
 
 	for _, known := range r.streams {
-		if known.Service == name && known.server != "" && now.Sub(known.at) < r.lifetime {
+		if known.Service == name && (known.server != "" || known.held) && now.Sub(known.at) < r.lifetime {
 			r.enqueueLocked(known.Beginning)
 		}
 	}
@@ -327,6 +335,10 @@
 
 	r.addLocked(now, record{Beginning: beginning, server: server.ID, at: now})
 
+	r.copies = append(r.copies, beginning)
+	r.copies = r.copies[max(len(r.copies)-maxStreams, 0):]
+	signal(r.copied)
+
 	if r.mixedLocked(now, r.serviceLocked(server.Service)) {
 		r.enqueueLocked(beginning)
 	}
@@ -344,6 +356,25 @@
 	}
 }
 
+// Hold keeps copies of the beginnings that another process recorded. They become pending once there is a second version, unless that process
+// writes them to the store itself.
+func (r *Register) Hold(now time.Time, copies []Beginning, written bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for _, beginning := range copies {
+		if known, ok := r.streams[beginning.Stream]; ok && known.server != "" {
+			continue
+		}
+
+		r.addLocked(now, record{Beginning: beginning, held: !written, at: now})
+
+		if !written && r.mixedLocked(now, r.serviceLocked(beginning.Service)) {
+			r.enqueueLocked(beginning)
+		}
+	}
+}
+
 func (r *Register) addLocked(now time.Time, added record) {
 	r.streams[added.Stream] = added
 	r.order = append(r.order, aged{added.Stream, now})
@@ -411,6 +442,26 @@
 	return taken
 }
 
+// TakeCopies returns beginnings of one service of which another process should hold a copy, up to a number of them, and forgets them. It
+// reports whether this process writes them to the store.
+func (r *Register) TakeCopies(now time.Time, limit int) (taken []Beginning, written bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for len(r.copies) > 0 && len(taken) < limit && (len(taken) == 0 || taken[0].Service == r.copies[0].Service) {
+		taken = append(taken, r.copies[0])
+		r.copies = r.copies[1:]
+	}
+
+	if len(r.copies) == 0 {
+		r.copies = nil
+	} else {
+		signal(r.copied)
+	}
+
+	return taken, len(taken) > 0 && r.mixedLocked(now, r.serviceLocked(taken[0].Service))
+}
+
 // ReturnPending makes beginnings pending again that could not be told.
 func (r *Register) ReturnPending(taken []Beginning) {
 	r.mu.Lock()
