Wait for a proof of the configuration that the first calls after a suspension request

Cause: a call whose keys could not be checked requested a new proof of the configuration, which takes some milliseconds, and was refused without waiting for it. It now waits for up to 0.3 s, unless the process knows that it can't get a proof.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -43,6 +43,8 @@
 	newsCheckPeriod = 200 * time.Millisecond
 	// retryPause is the pause after a read that failed.
 	retryPause = 150 * time.Millisecond
+	// proofTimeout bounds the wait of a call for a proof that it requests.
+	proofTimeout = 300 * time.Millisecond
 	// minProofInterval is the shortest time between two reads of the configuration that calls request.
 	minProofInterval = 250 * time.Millisecond
 	// entryLapseAge is the age of the list above which entries may have lapsed in the meantime: servers register about every 1.2
@@ -93,6 +95,9 @@
 	// provenAt is the boot time at which the newest successful read of the configuration began; 0 before the first.
 	provenAt atomic.Int64
 
+	// proven is closed and replaced when provenAt advances.
+	proven atomic.Pointer[chan struct{}]
+
 	// applying serialises the changes of table.
 	applying sync.Mutex
 
@@ -179,6 +184,9 @@
 	}
 	c.SetKeyValidity(DefaultKeyValidity)
 
+	proven := make(chan struct{})
+	c.proven.Store(&proven)
+
 	for _, option := range options {
 		option(c)
 	}
@@ -242,7 +250,14 @@
 
 	for {
 		known := c.provenAt.Load()
-		if int64(began) <= known || c.provenAt.CompareAndSwap(known, int64(began)) {
+		if int64(began) <= known {
+			return
+		}
+
+		if c.provenAt.CompareAndSwap(known, int64(began)) {
+			next := make(chan struct{})
+			close(*c.proven.Swap(&next))
+
 			return
 		}
 	}
@@ -273,6 +288,31 @@
 	return false
 }
 
+// AwaitKeys reports whether the configuration was proven to be the newest one within the key validity. If it was not, as after a
+// suspension, AwaitKeys waits a little for a new proof unless the process can't get one at present.
+func (c *Catalog) AwaitKeys(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, proofTimeout)
+	defer cancel()
+
+	for {
+		proven := *c.proven.Load()
+
+		if c.KeysFresh() {
+			return true
+		}
+
+		if c.configFailing.Load() && !c.hasFreshNews() {
+			return false
+		}
+
+		select {
+		case <-proven:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // Ready reports whether the configuration and the list of backend servers are known.
 func (c *Catalog) Ready() bool {
 	c.mu.Lock()
--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -300,6 +300,39 @@
 	})
 }
 
+// TestKeysOfFirstCallAfterSuspension guards against refusing the calls that arrive just after a suspension, although a proof takes no time.
+func TestKeysOfFirstCallAfterSuspension(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		var suspended atomic.Int64
+
+		begin := time.Now()
+		c, _ := start(t, s, catalog.WithKeyValidity(4*time.Second), catalog.WithBootClock(func() time.Duration {
+			return time.Hour + time.Since(begin) + time.Duration(suspended.Load())
+		}))
+		wait(2 * time.Second)
+		suspended.Store(int64(5 * time.Second))
+
+		if got, want := c.AwaitKeys(t.Context()), true; got != want {
+			t.Errorf("after a suspension: got fresh: %t, want %t", got, want)
+		}
+
+		s.set(func(s *store) { s.down = true })
+		wait(10 * time.Second)
+
+		began := time.Now()
+		if got, want := c.AwaitKeys(t.Context()), false; got != want {
+			t.Errorf("in an outage: got fresh: %t, want %t", got, want)
+		}
+
+		if got, want := time.Since(began), 50*time.Millisecond; got > want {
+			t.Errorf("in an outage: got an answer after %s, want it within %s", got, want)
+		}
+	})
+}
+
 // TestLapsed guards both sides of an outage: servers whose entries lapsed are kept until they have had time to register again,
 // and those that don't are removed in time although nothing else changes.
 func TestLapsed(t *testing.T) {
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -40,7 +40,7 @@
 
 	c.setDeadline()
 
-	if refused := c.authenticate(); refused != nil {
+	if refused := c.authenticate(ctx); refused != nil {
 		return refused
 	}
 
@@ -85,12 +85,12 @@
 }
 
 // authenticate finds the workspace of the caller's key.
-func (c *call) authenticate() *refusal {
+func (c *call) authenticate(ctx context.Context) *refusal {
 	if c.route.Public || !c.table.RequiresKeys() {
 		return nil
 	}
 
-	if !c.relay.catalog.KeysFresh() {
+	if !c.relay.catalog.AwaitKeys(ctx) {
 		return &refusal{
 			status: http.StatusServiceUnavailable, reason: "staleKeys", retryAfter: retryAfterStaleKeys,
 			message: "the validity of keys cannot be checked at present",
--- a/protocol/relay/outcome_test.go
+++ b/protocol/relay/outcome_test.go
@@ -48,8 +48,8 @@
 
 type catalog struct{ table *route.Table }
 
-func (c catalog) Table() *route.Table { return c.table }
-func (catalog) KeysFresh() bool       { return true }
+func (c catalog) Table() *route.Table          { return c.table }
+func (catalog) AwaitKeys(context.Context) bool { return true }
 
 type noLimits struct{}
 
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -41,8 +41,9 @@
 type Catalog interface {
 	// Table returns the newest route table, nil while none is known.
 	Table() *route.Table
-	// KeysFresh reports whether the configuration was confirmed recently enough to decide whether a key is valid.
-	KeysFresh() bool
+	// AwaitKeys reports whether the configuration was confirmed recently enough to decide whether a key is valid. It may wait a little
+	// until it is.
+	AwaitKeys(ctx context.Context) bool
 }
 
 // Limiter enforces the rate limits of workspaces over all processes.
