Keep the copies of the beginnings of streams at two processes

A second holder keeps them then.

With one holder TestStreamsOfTwoProcessesOutOfStep fails ('stream of "before": got version "", want "v1"').

--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apricotway/apricotway"
@@ -14,9 +16,10 @@
 	methodCopies apricotway.Method = "copyOrigins"
 	// copyInterval is the time between two messages with copies. What a process began since its last message is lost with it.
 	copyInterval = 100 * time.Millisecond
-	// copyTimeout bounds one message with copies, and maxHolders the processes that are tried.
+	// copyTimeout bounds one message with copies.
 	copyTimeout = 500 * time.Millisecond
-	maxHolders  = 2
+	// copyHolders is the number of processes that hold copies: one of them may be out of step together with the sender.
+	copyHolders = 2
 )
 
 // copiesMessage gives another process copies of beginnings.
@@ -29,7 +32,7 @@
 // copiesAnswer is the answer to a copiesMessage.
 type copiesAnswer struct{}
 
-// copies gives the beginnings of streams to another process, which writes them to the store if this process can't: it may stand still, be cut
+// copies gives the beginnings of streams to other processes, which write them to the store if this process can't: it may stand still, be cut
 // off or end before it sees the second version that makes them needed.
 type copies struct {
 	register   *origin.Register
@@ -54,20 +57,28 @@
 	}
 }
 
-// send sends copies to the first of the holders that takes them, and reports whether one did.
+// send sends copies to the holders, and reports whether one took them.
 func (c *copies) send(ctx context.Context, beginnings []origin.Beginning, written bool) bool {
-	for _, holder := range c.holders() {
-		limited, cancel := context.WithTimeout(ctx, copyTimeout)
-		_, err := apricotway.CallPeer[copiesAnswer](limited, c.peers, holder.Peers, methodCopies, copiesMessage{beginnings, written})
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
 
-		cancel()
+	var (
+		group sync.WaitGroup
+		taken atomic.Bool
+	)
 
-		if err == nil {
-			return true
-		}
+	for _, holder := range c.holders() {
+		group.Go(func() {
+			_, err := apricotway.CallPeer[copiesAnswer](ctx, c.peers, holder.Peers, methodCopies, copiesMessage{beginnings, written})
+			if err == nil {
+				taken.Store(true)
+			}
+		})
 	}
 
-	return false
+	group.Wait()
+
+	return taken.Load()
 }
 
 // holders returns the processes that hold the copies of this one, those of other availability zones first: a zone may be lost as a whole.
@@ -89,10 +100,10 @@
 	name := func(m apricotway.Member) string { return string(m.Node) }
 	ranked := append(placement.Rank(far, name, string(self.Node)), placement.Rank(near, name, string(self.Node))...)
 
-	return ranked[:min(len(ranked), maxHolders)]
+	return ranked[:min(len(ranked), copyHolders)]
 }
 
-// WithCopies makes the process give copies of the beginnings of its streams to another one, and hold those of others.
+// WithCopies makes the process give copies of the beginnings of its streams to others, and hold theirs.
 func WithCopies(peers apricotway.Peers, registry apricotway.PeerRegistry, membership apricotway.Membership) Option {
 	return func(o *Origins) {
 		o.copies = &copies{register: o.register, peers: peers, membership: membership}
