Don't trust the version of an outdated entry in a copy of a beginning

A process whose list is outdated records the beginning of a stream at the version of the entry that it knows, though the server has started again under its identifier at another version. Once it reads the new entry it marks the beginning as uncertain, but the copy that another process holds of it stayed as it was: that process let the stream go on at the old version (ORDER), and wrote the old version to the store, where it overrode the doubt.

Cause: a copy bore the version without what tells whether it is true. It now bears the server and the start that the sender's entry stated; the holder doubts the beginning if its own list has a later start at another version from before the stream can have begun, also if it reads that later. A doubt is not overridden by a record without one, and a copy is taken from the record as it is when it is sent.

--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -21,7 +21,7 @@
 
 // copiesMessage gives another process copies of beginnings.
 type copiesMessage struct {
-	Beginnings []origin.Beginning
+	Copies []origin.Copy
 	// Written is set if the sender writes the beginnings to the store itself.
 	Written bool
 }
@@ -55,10 +55,10 @@
 }
 
 // send sends copies to the first of the holders that takes them, and reports whether one did.
-func (c *copies) send(ctx context.Context, beginnings []origin.Beginning, written bool) bool {
+func (c *copies) send(ctx context.Context, copies []origin.Copy, written bool) bool {
 	for _, holder := range c.holders() {
 		limited, cancel := context.WithTimeout(ctx, copyTimeout)
-		_, err := apricotway.CallPeer[copiesAnswer](limited, c.peers, holder.Peers, methodCopies, copiesMessage{beginnings, written})
+		_, err := apricotway.CallPeer[copiesAnswer](limited, c.peers, holder.Peers, methodCopies, copiesMessage{copies, written})
 
 		cancel()
 
@@ -98,7 +98,7 @@
 		o.copies = &copies{register: o.register, peers: peers, membership: membership}
 
 		apricotway.HandlePeer(registry, methodCopies, func(_ context.Context, message copiesMessage) (copiesAnswer, error) {
-			o.register.Hold(time.Now(), message.Beginnings, message.Written)
+			o.register.Hold(time.Now(), message.Copies, message.Written)
 
 			return copiesAnswer{}, nil
 		})
--- a/coordination/origins/copies_test.go
+++ b/coordination/origins/copies_test.go
@@ -224,3 +224,64 @@
 		}
 	})
 }
+
+// TestCopyOfStreamOfRestartedServer guards against a copy naming the old version of a server that had started again with another one before
+// the process that began the stream there learned of it.
+func TestCopyOfStreamOfRestartedServer(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// early and late are set if the other process and the one that began the stream read the new entry before and after the copy was
+		// sent.
+		early, late bool
+		// entry is the version that the process which began the stream knew, and want the one that may continue it.
+		entry, want string
+	}{
+		{"the holder knows first", true, false, "v1", ""},
+		{"the holder knows first, then the sender", true, true, "v1", ""},
+		{"both learn it later", false, true, "v1", ""},
+		{"the holder learns it later", false, false, "v1", ""},
+		{"the sender knew", false, false, "v2", "v2"},
+		{"both knew", true, true, "v2", "v2"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := newStore()
+				_, processes := startNetwork(t, s, s)
+				out, holder := processes[0], processes[1]
+
+				before, after := server("v1"), server("v2")
+				after.ID, after.Born = before.ID, time.Now().Add(time.Second)
+
+				for _, p := range processes {
+					p.list("v1")
+				}
+
+				<-time.After(time.Second)
+
+				if test.early {
+					holder.register.Update(time.Now(), after)
+				}
+
+				if test.entry == "v2" {
+					before = after
+					out.register.Update(time.Now(), after)
+				}
+
+				out.Began(time.Now(), "x", before)
+				<-time.After(500 * time.Millisecond)
+
+				if test.late {
+					out.register.Update(time.Now(), after)
+				}
+
+				holder.register.Update(time.Now(), after)
+				<-time.After(500 * time.Millisecond)
+				holder.wantVersion(t, "x", apricotway.SoftwareVersion(test.want))
+
+				for _, p := range processes {
+					p.kill()
+				}
+			})
+		})
+	}
+}
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -279,7 +279,7 @@
 		if err != nil {
 			o.register.ReturnPending(taken)
 
-			if o.copies != nil && len(taken) > handedOver && o.copies.send(ctx, taken[handedOver:], false) {
+			if o.copies != nil && len(taken) > handedOver && o.copies.send(ctx, o.register.Copies(taken[handedOver:]), false) {
 				handedOver = len(taken)
 			}
 
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -38,6 +38,15 @@
 	Uncertain bool
 }
 
+// Copy is a beginning that one process gives another one. Server and Born, the start that its entry stated, let that one tell whether the
+// entry was outdated.
+type Copy struct {
+	Beginning
+
+	Server apricotway.BackendServerID
+	Born   time.Time
+}
+
 // Evidence is what the origin of a stream is known from.
 type Evidence string
 
@@ -75,8 +84,8 @@
 	order []aged
 	// pending are the beginnings that other processes have to know.
 	pending []Beginning
-	// copies are the beginnings that another process should hold a copy of.
-	copies []Beginning
+	// copies are the streams whose beginnings another process should hold a copy of.
+	copies []Stream
 }
 
 // service is the state of one service.
@@ -89,13 +98,22 @@
 type record struct {
 	Beginning
 
-	// server is empty if the beginning was learned from another process.
+	// server is empty if the beginning was read from the store.
 	server apricotway.BackendServerID
-	// held is set if this process holds the beginning for the process that recorded it.
-	held bool
-	at   time.Time
+	// born is the start that the entry of the server stated.
+	born time.Time
+	// copied is set if this process holds the beginning for the process that recorded it, and written if that one writes it to the store.
+	copied, written bool
+	// at is the time of the beginning, or a later one if another process recorded it.
+	at time.Time
 }
 
+// own reports whether this process recorded the beginning.
+func (r record) own() bool { return r.server != "" && !r.copied }
+
+// told reports whether this process writes the beginning to the store when other processes have to know it.
+func (r record) told() bool { return r.server != "" && !r.written }
+
 type aged struct {
 	stream Stream
 	at     time.Time
@@ -219,7 +237,7 @@
 	}
 
 	for _, known := range r.streams {
-		if known.Service == name && (known.server != "" || known.held) && now.Sub(known.at) < r.lifetime {
+		if known.Service == name && known.told() && now.Sub(known.at) < r.lifetime {
 			r.enqueueLocked(known.Beginning)
 		}
 	}
@@ -264,7 +282,7 @@
 // doubtLocked marks the streams of a server that started again with another version. They may have begun before its entry was read.
 func (r *Register) doubtLocked(backend apricotway.Backend) {
 	for stream, known := range r.streams {
-		if known.server == backend.ID && !known.at.Before(backend.Born.Add(-bornTolerance)) {
+		if known.server == backend.ID && known.doubtful(backend) {
 			known.Uncertain = true
 			r.streams[stream] = known
 			r.enqueueLocked(known.Beginning)
@@ -272,6 +290,15 @@
 	}
 }
 
+// doubtful reports whether the stream may have begun after the start that an entry of its server states, at another version than recorded.
+func (r record) doubtful(server apricotway.Backend) bool {
+	if r.copied && (r.Version == server.Version || server.Born.Before(r.born)) {
+		return false
+	}
+
+	return !r.at.Before(server.Born.Add(-bornTolerance))
+}
+
 // Remove records that a server left the list.
 func (r *Register) Remove(now time.Time, backend apricotway.Backend) {
 	r.mu.Lock()
@@ -333,9 +360,9 @@
 		return
 	}
 
-	r.addLocked(now, record{Beginning: beginning, server: server.ID, at: now})
+	r.addLocked(now, record{Beginning: beginning, server: server.ID, born: server.Born, at: now})
 
-	r.copies = append(r.copies, beginning)
+	r.copies = append(r.copies, stream)
 	r.copies = r.copies[max(len(r.copies)-maxStreams, 0):]
 	signal(r.copied)
 
@@ -344,13 +371,13 @@
 	}
 }
 
-// Learn records beginnings that other processes told. What this process saw itself is kept.
+// Learn records beginnings that other processes told. What this process saw itself is kept, and a doubt stays.
 func (r *Register) Learn(now time.Time, told []Beginning) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	for _, beginning := range told {
-		if known, ok := r.streams[beginning.Stream]; !ok || known.server == "" {
+		if known, ok := r.streams[beginning.Stream]; !ok || !known.own() && !known.Uncertain {
 			r.addLocked(now, record{Beginning: beginning, at: now})
 		}
 	}
@@ -358,19 +385,28 @@
 
 // Hold keeps copies of the beginnings that another process recorded. They become pending once there is a second version, unless that process
 // writes them to the store itself.
-func (r *Register) Hold(now time.Time, copies []Beginning, written bool) {
+func (r *Register) Hold(now time.Time, copies []Copy, written bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	for _, beginning := range copies {
-		if known, ok := r.streams[beginning.Stream]; ok && known.server != "" {
+	for _, c := range copies {
+		if known, ok := r.streams[c.Stream]; ok && (known.own() || known.Uncertain) {
 			continue
 		}
 
-		r.addLocked(now, record{Beginning: beginning, held: !written, at: now})
+		s := r.serviceLocked(c.Service)
+		added := record{Beginning: c.Beginning, server: c.Server, born: c.Born, copied: true, written: written, at: now}
+
+		doubted := false
+		if server, ok := s.servers[c.Server]; ok && !c.Uncertain {
+			doubted = added.doubtful(server)
+			added.Uncertain = doubted
+		}
+
+		r.addLocked(now, added)
 
-		if !written && r.mixedLocked(now, r.serviceLocked(beginning.Service)) {
-			r.enqueueLocked(beginning)
+		if doubted || !written && r.mixedLocked(now, s) {
+			r.enqueueLocked(added.Beginning)
 		}
 	}
 }
@@ -442,14 +478,21 @@
 	return taken
 }
 
-// TakeCopies returns beginnings of one service of which another process should hold a copy, up to a number of them, and forgets them. It
-// reports whether this process writes them to the store.
-func (r *Register) TakeCopies(now time.Time, limit int) (taken []Beginning, written bool) {
+// TakeCopies returns beginnings of one service of which another process should hold a copy, up to a number of them, and forgets that it
+// should. It reports whether this process writes them to the store.
+func (r *Register) TakeCopies(now time.Time, limit int) (taken []Copy, written bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	for len(r.copies) > 0 && len(taken) < limit && (len(taken) == 0 || taken[0].Service == r.copies[0].Service) {
-		taken = append(taken, r.copies[0])
+	for len(r.copies) > 0 && len(taken) < limit {
+		if known, ok := r.streams[r.copies[0]]; ok {
+			if len(taken) > 0 && taken[0].Service != known.Service {
+				break
+			}
+
+			taken = append(taken, Copy{known.Beginning, known.server, known.born})
+		}
+
 		r.copies = r.copies[1:]
 	}
 
@@ -462,6 +505,20 @@
 	return taken, len(taken) > 0 && r.mixedLocked(now, r.serviceLocked(taken[0].Service))
 }
 
+// Copies returns beginnings as another process should hold them.
+func (r *Register) Copies(beginnings []Beginning) []Copy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	copies := make([]Copy, len(beginnings))
+	for i, beginning := range beginnings {
+		known := r.streams[beginning.Stream]
+		copies[i] = Copy{beginning, known.server, known.born}
+	}
+
+	return copies
+}
+
 // ReturnPending makes beginnings pending again that could not be told.
 func (r *Register) ReturnPending(taken []Beginning) {
 	r.mu.Lock()
@@ -481,7 +538,7 @@
 	r.pending = nil
 
 	for _, known := range r.streams {
-		if known.server != "" && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
+		if known.own() && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
 			r.enqueueLocked(known.Beginning)
 		}
 	}
