Write copies of beginnings again to a restored store

When the store comes back from an older copy, each process writes again the beginnings that it recorded, but not those that it holds for others. If the process that recorded them has ended, its streams are refused as originUnknown though another process knows where they began (LOST).

TestRepublishOfCopies failed before ('got 0 beginnings to write again, want 1' in both cases). After a restore beginnings are written up to twice.

--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -112,7 +112,10 @@
 func (r record) own() bool { return r.server != "" && !r.copied }
 
 // told reports whether this process writes the beginning to the store when other processes have to know it.
-func (r record) told() bool { return r.server != "" && !r.written }
+func (r record) told() bool { return !r.stored() && !r.written }
+
+// stored reports whether the beginning was read from the store.
+func (r record) stored() bool { return r.server == "" && !r.copied }
 
 type aged struct {
 	stream Stream
@@ -530,7 +533,8 @@
 	signal(r.enqueued)
 }
 
-// Republish makes the beginnings at mixed services pending again, for processes that may have lost them.
+// Republish makes the beginnings at mixed services pending again, for processes that may have lost them. The process that recorded one of
+// which this process has a copy may have ended.
 func (r *Register) Republish(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -538,7 +542,7 @@
 	r.pending = nil
 
 	for _, known := range r.streams {
-		if known.own() && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
+		if !known.stored() && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
 			r.enqueueLocked(known.Beginning)
 		}
 	}
--- a/state/origin/register_test.go
+++ b/state/origin/register_test.go
@@ -151,6 +151,33 @@
 	wantOrigin(t, r, now, "between", "", origin.EvidenceRecord)
 }
 
+// TestRepublishOfCopies guards against a restored store lacking the beginnings that a process which has ended had given this one.
+func TestRepublishOfCopies(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// written is set if the process that began the stream wrote it before.
+		written bool
+	}{
+		{"written by the holder", false},
+		{"written by the process that began it", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := origin.NewRegister()
+			r.Update(start, server("a", "v1"))
+			r.Update(start, server("b", "v2"))
+
+			beginning := origin.Beginning{Stream: origin.StreamOf("x"), Service: service, Version: "v1"}
+			r.Hold(start, []origin.Copy{{Beginning: beginning, Server: "a"}}, test.written)
+			r.TakePending(10)
+			r.Republish(start.Add(time.Second))
+
+			if got, want := len(r.TakePending(10)), 1; got != want {
+				t.Errorf("got %d beginnings to write again, want %d", got, want)
+			}
+		})
+	}
+}
+
 // TestRegisterIsBounded guards against a register that grows with the streams of the whole life of the process.
 func TestRegisterIsBounded(t *testing.T) {
 	r := origin.NewRegister()
