--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -24,7 +24,7 @@
 
 // copiesMessage gives another process copies of beginnings.
 type copiesMessage struct {
-	Beginnings []origin.Beginning
+	Copies []origin.Copy
 	// Written is set if the sender writes the beginnings to the store itself.
 	Written bool
 }
@@ -58,7 +58,7 @@
 }
 
 // send sends copies to the holders, and reports whether one took them.
-func (c *copies) send(ctx context.Context, beginnings []origin.Beginning, written bool) bool {
+func (c *copies) send(ctx context.Context, copies []origin.Copy, written bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 
@@ -69,7 +69,7 @@
 
 	for _, holder := range c.holders() {
 		group.Go(func() {
-			_, err := apricotway.CallPeer[copiesAnswer](ctx, c.peers, holder.Peers, methodCopies, copiesMessage{beginnings, written})
+			_, err := apricotway.CallPeer[copiesAnswer](ctx, c.peers, holder.Peers, methodCopies, copiesMessage{copies, written})
 			if err == nil {
 				taken.Store(true)
 			}
@@ -109,7 +109,7 @@
 		o.copies = &copies{register: o.register, peers: peers, membership: membership}
 
 		apricotway.HandlePeer(registry, methodCopies, func(_ context.Context, message copiesMessage) (copiesAnswer, error) {
-			o.register.Hold(time.Now(), message.Beginnings, message.Written)
+			o.register.Hold(time.Now(), message.Copies, message.Written)
 
 			return copiesAnswer{}, nil
 		})
