Bound what the copies of beginnings cost at hundreds of hosts

A message per 100 ms to each of two holders, with service and version for each stream, comes to more than the control traffic that a host may spend at 390 hosts. Streams of one version share its name now, and the time between messages grows by 2 ms a process.

--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -14,8 +14,10 @@
 
 const (
 	methodCopies apricotway.Method = "copyOrigins"
-	// copyInterval is the time between two messages with copies. What a process began since its last message is lost with it.
-	copyInterval = 100 * time.Millisecond
+	// minCopyInterval is the shortest time between two messages with copies. What a process began since its last message is lost with it.
+	minCopyInterval = 100 * time.Millisecond
+	// memberCopyInterval times the number of processes is that time, so that the messages of many processes stay within what they may spend.
+	memberCopyInterval = 2 * time.Millisecond
 	// copyTimeout bounds one message with copies.
 	copyTimeout = 500 * time.Millisecond
 	// copyHolders is the number of processes that hold copies: one of them may be out of step together with the sender.
@@ -24,11 +26,67 @@
 
 // copiesMessage gives another process copies of beginnings.
 type copiesMessage struct {
-	Copies []origin.Copy
+	Groups []copiesGroup
 	// Written is set if the sender writes the beginnings to the store itself.
 	Written bool
 }
 
+// copiesGroup holds the copies of streams that began at servers of one version.
+type copiesGroup struct {
+	Service   apricotway.Service
+	Version   apricotway.SoftwareVersion
+	Uncertain bool
+	Streams   []copiedStream
+}
+
+// copiedStream is a stream with the server that began it, and the start of the server in Unix milliseconds.
+type copiedStream struct {
+	Stream origin.Stream
+	Server apricotway.BackendServerID
+	Born   int64
+}
+
+func newCopiesMessage(copies []origin.Copy, written bool) copiesMessage {
+	message := copiesMessage{Written: written}
+	groups := map[copiesGroupKey]int{}
+
+	for _, c := range copies {
+		key := copiesGroupKey{c.Service, c.Version, c.Uncertain}
+
+		at, ok := groups[key]
+		if !ok {
+			at = len(message.Groups)
+			groups[key] = at
+			message.Groups = append(message.Groups, copiesGroup{Service: c.Service, Version: c.Version, Uncertain: c.Uncertain})
+		}
+
+		message.Groups[at].Streams = append(message.Groups[at].Streams, copiedStream{c.Stream, c.Server, c.Born.UnixMilli()})
+	}
+
+	return message
+}
+
+type copiesGroupKey struct {
+	service   apricotway.Service
+	version   apricotway.SoftwareVersion
+	uncertain bool
+}
+
+func (m copiesMessage) copies() []origin.Copy {
+	var copies []origin.Copy
+
+	for _, group := range m.Groups {
+		for _, s := range group.Streams {
+			copies = append(copies, origin.Copy{
+				Beginning: origin.Beginning{Stream: s.Stream, Service: group.Service, Version: group.Version, Uncertain: group.Uncertain},
+				Server:    s.Server, Born: time.UnixMilli(s.Born),
+			})
+		}
+	}
+
+	return copies
+}
+
 // copiesAnswer is the answer to a copiesMessage.
 type copiesAnswer struct{}
 
@@ -49,7 +107,7 @@
 		case <-c.register.Copied():
 		}
 
-		pause.For(ctx, copyInterval)
+		pause.For(ctx, max(minCopyInterval, time.Duration(len(c.membership.Members()))*memberCopyInterval))
 
 		if taken, written := c.register.TakeCopies(time.Now(), maxBeginnings); len(taken) > 0 {
 			c.send(ctx, taken, written)
@@ -62,6 +120,8 @@
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 
+	message := newCopiesMessage(copies, written)
+
 	var (
 		group sync.WaitGroup
 		taken atomic.Bool
@@ -69,7 +129,7 @@
 
 	for _, holder := range c.holders() {
 		group.Go(func() {
-			_, err := apricotway.CallPeer[copiesAnswer](ctx, c.peers, holder.Peers, methodCopies, copiesMessage{copies, written})
+			_, err := apricotway.CallPeer[copiesAnswer](ctx, c.peers, holder.Peers, methodCopies, message)
 			if err == nil {
 				taken.Store(true)
 			}
@@ -109,7 +169,7 @@
 		o.copies = &copies{register: o.register, peers: peers, membership: membership}
 
 		apricotway.HandlePeer(registry, methodCopies, func(_ context.Context, message copiesMessage) (copiesAnswer, error) {
-			o.register.Hold(time.Now(), message.Copies, message.Written)
+			o.register.Hold(time.Now(), message.copies(), message.Written)
 
 			return copiesAnswer{}, nil
 		})
