Don't undo newer news of the list with a slow read

A process that gets the list of backend servers from another one reads the store too when a call needs a newer list. If that read began before news that were applied while its answer was under way, the answer took the list back: a server that had just joined was removed, and one that had said that it was leaving was ready again. The news tell changes once, so that lasted until the next whole read, though the list was said to be new.

Cause: two sources of the list were applied in the order of their arrival. An answer that is older than the news now changes only entries with a lower sequence than its own; what can't be compared is settled by whole news and a whole read.

The store of the tests gives entries a sequence, as servers do.

--- a/coordination/catalog/catalog_test.go
+++ b/coordination/catalog/catalog_test.go
@@ -57,7 +57,7 @@
 
 func (s *store) register(id apricotway.BackendServerID, leaving bool) {
 	s.set(func(s *store) {
-		backend := apricotway.Backend{ID: id, Service: "s", Leaving: leaving}
+		backend := apricotway.Backend{ID: id, Service: "s", Leaving: leaving, Sequence: uint64(len(s.changes) + 1)}
 		s.whole[id] = backend
 		delete(s.invalid, id)
 		s.changes = append(s.changes, apricotway.BackendChange{ID: id, Backend: &backend})
@@ -181,7 +181,7 @@
 	}
 }
 
-func start(t *testing.T, s *store, options ...catalog.Option) (*catalog.Catalog, *dispatch.Pool) {
+func start(t *testing.T, s apricotway.OperatorStore, options ...catalog.Option) (*catalog.Catalog, *dispatch.Pool) {
 	t.Helper()
 
 	supervisor := suture.NewSimple("test")
--- a/coordination/catalog/refresh_test.go
+++ b/coordination/catalog/refresh_test.go
@@ -76,3 +76,57 @@
 		}
 	})
 }
+
+// slowStore is a store whose answers about the list take some time to arrive.
+type slowStore struct {
+	*store
+
+	delay time.Duration
+}
+
+func (s *slowStore) Backends(ctx context.Context) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	changes, position, err := s.store.Backends(ctx)
+	<-time.After(s.delay)
+
+	return changes, position, err
+}
+
+func (s *slowStore) BackendsAfter(
+	ctx context.Context, position apricotway.StorePosition, wait time.Duration,
+) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	changes, position, err := s.store.BackendsAfter(ctx, position, wait)
+	<-time.After(s.delay)
+
+	return changes, position, err
+}
+
+// TestReadOlderThanNews guards against a slow read of the list undoing newer changes that another process passed on meanwhile.
+func TestReadOlderThanNews(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+		s.register("old", false)
+
+		reader, _ := start(t, s)
+		reader.SetReader(true, 100*time.Millisecond)
+
+		c, pool := start(t, &slowStore{s, 300 * time.Millisecond})
+		wait(2 * time.Second)
+		relay(reader, c, 2*time.Second)
+
+		// The read and the news meet at different moments.
+		for i, id := range []apricotway.BackendServerID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+			relay(reader, c, time.Duration(i)*130*time.Millisecond)
+			c.RefreshList(c.BootTime())
+			wait(50 * time.Millisecond)
+			s.register(id, false)
+			s.register("old", i%2 == 0)
+			relay(reader, c, 3*time.Second)
+			wantKnown(t, pool, map[apricotway.BackendServerID]bool{id: true})
+
+			if got, want := pool.Leaving("old"), i%2 == 0; got != want {
+				t.Errorf("server %s: got old server leaving: %t, want %t", id, got, want)
+			}
+		}
+	})
+}
--- a/coordination/catalog/restore.go
+++ b/coordination/catalog/restore.go
@@ -36,9 +36,7 @@
 		known = gone.backend
 	}
 
-	older := known.Sequence > 0 && backend.Sequence > 0 &&
-		(backend.Born.Before(known.Born) || backend.Born.Equal(known.Born) && backend.Sequence < known.Sequence)
-
+	older := isOlder(backend, known)
 	if older {
 		c.ignored = true
 		c.logger.Info("ignored an entry of a backend server that is older than a known one", "event", 365, "server", backend.ID,
@@ -48,6 +46,12 @@
 	return older
 }
 
+// isOlder reports whether an entry of a server was written before another one.
+func isOlder(entry, known apricotway.Backend) bool {
+	return known.Sequence > 0 && entry.Sequence > 0 &&
+		(entry.Born.Before(known.Born) || entry.Born.Equal(known.Born) && entry.Sequence < known.Sequence)
+}
+
 // recordRemoval remembers the last entry of a server for restoreTime. The caller holds c.mu.
 func (c *Catalog) recordRemoval(entry apricotway.Backend) {
 	now := time.Now()
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -71,7 +72,7 @@
 			changes = c.completeList(changes)
 		}
 
-		c.applyChanges(changes)
+		c.applyChanges(changes, began)
 
 		if !whole {
 			c.endLeaveStatements(changes, asOf)
@@ -174,12 +175,16 @@
 	return gone
 }
 
-// applyChanges applies changes of the list. Removals soon after an outage are postponed, since entries that lapsed during it
+// applyChanges applies changes of the list from a read that began at the given boot time. Removals soon after an outage are postponed, since entries that lapsed during it
 // belong to servers that may register again.
-func (c *Catalog) applyChanges(changes []apricotway.BackendChange) {
+func (c *Catalog) applyChanges(changes []apricotway.BackendChange, began time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	if c.listAsOf > began {
+		changes = c.dropOlderLocked(changes)
+	}
+
 	now := time.Now()
 	waiting := now.Sub(c.outageEnd) < reregistrationTime
 
@@ -214,6 +219,16 @@
 	}
 }
 
+// dropOlderLocked returns the changes that are not older than news which were applied during the read. Removals can't be compared: the next
+// news and the next read tell the whole list.
+func (c *Catalog) dropOlderLocked(changes []apricotway.BackendChange) []apricotway.BackendChange {
+	c.peerPosition, c.rereadList = Position{}, true
+
+	return slices.DeleteFunc(changes, func(change apricotway.BackendChange) bool {
+		return change.Backend == nil || isOlder(*change.Backend, c.entries[change.ID])
+	})
+}
+
 // update applies the entry of a server; an unchanged entry has no effect. The caller holds c.mu.
 func (c *Catalog) update(backend apricotway.Backend) {
 	if c.ignoresOlder(backend) {
