Read the list at most ten times a second for calls that need a newer one

Each read of the list that calls asked for served only those that had arrived before it began; under a storm of streams that are taken up a process read the list back to back, at the rate that the store answers, and a process that has the list from others each time in whole. Callers would have seen refusals of the store's limit: of streams, and of keys that can't be confirmed.

Reads for calls now begin minListPause apart; a call waits that much longer at most. TestRefreshStorm, 1000 calls in a second and answers after 1 ms, failed before ('got 1000 reads of the list within a second, want at most 11').

--- a/coordination/catalog/refresh_test.go
+++ b/coordination/catalog/refresh_test.go
@@ -130,3 +130,25 @@
 		}
 	})
 }
+
+// TestRefreshStorm guards against many calls that need a newer list making a process read it without a pause.
+func TestRefreshStorm(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		c, _ := start(t, &slowStore{s, time.Millisecond})
+		wait(2 * time.Second)
+
+		before := s.reads
+
+		for range 1000 {
+			c.RefreshList(c.BootTime())
+			wait(time.Millisecond)
+		}
+
+		if got, want := s.reads-before, 11; got > want {
+			t.Errorf("got %d reads of the list within a second, want at most %d", got, want)
+		}
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 )
 
 // readBackends returns a function that reads the list of backend servers once and remembers the position between calls.
@@ -16,11 +17,18 @@
 	var (
 		position apricotway.StorePosition
 		known    bool
-		// asOf is the boot time as of which the changes up to position are known.
-		asOf time.Duration
+		// asOf is the boot time as of which the changes up to position are known, and requested that of the last read for calls.
+		asOf, requested time.Duration
 	)
 
 	return func(ctx context.Context, fromScratch bool) error {
+		if c.listWanted() {
+			// One read serves all calls that arrive meanwhile.
+			pause.For(ctx, requested+minListPause-c.boot())
+
+			requested = c.boot()
+		}
+
 		known = known && !fromScratch && !c.takeReread()
 
 		limited, cancel := context.WithTimeout(ctx, listWait+answerMargin)
