Don't read the list for streams of services with several versions

Found by review. While several versions serve, a newer list can't tell where a stream began, but each lookup without a record asked for it: during a release, when most streams are taken up, one read of the list each time, of the whole list at a process that has it from others.

TestMixedVersionsNeedNoList failed before ('got 1 reads of the list, want 0').

--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -198,12 +198,17 @@
 		return found, evidence
 	}
 
-	o.list.RefreshList(since)
+	// While several versions serve, a newer list tells nothing more.
+	if evidence == origin.EvidenceOutdated {
+		o.list.RefreshList(since)
+	}
 
 	if found, evidence = o.awaitRecord(ctx, look); evidence != origin.EvidenceOutdated {
 		return found, evidence
 	}
 
+	o.list.RefreshList(since)
+
 	ctx, cancel := context.WithTimeout(ctx, listTimeout-(o.boot()-since))
 	defer cancel()
 
--- a/coordination/origins/origins_test.go
+++ b/coordination/origins/origins_test.go
@@ -102,10 +102,14 @@
 	kill     func()
 	// cut is set while the process can't read the list of backend servers.
 	cut bool
+	// refreshed counts the reads of the list that calls asked for.
+	refreshed int
 }
 
 // RefreshList implements origins.List.
 func (p *process) RefreshList(time.Duration) {
+	p.refreshed++
+
 	if !p.cut {
 		p.register.SetListed(boottime.Now())
 	}
@@ -291,6 +295,21 @@
 	})
 }
 
+// TestMixedVersionsNeedNoList guards against reading the list of backend servers for streams that it can tell nothing about.
+func TestMixedVersionsNeedNoList(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		p := start(t, newStore(), "v1", "v2")
+		<-time.After(time.Second)
+		p.wantVersion(t, "x", "")
+
+		if got, want := p.refreshed, 0; got != want {
+			t.Errorf("got %d reads of the list, want %d", got, want)
+		}
+
+		p.kill()
+	})
+}
+
 // TestVersionThatLeftUnseen guards against a process that was out of step while a version joined and left taking the only version on its
 // newest list for the one that began a stream.
 func TestVersionThatLeftUnseen(t *testing.T) {
