Save the versions in service again in a restored store

When the store came back from an older copy, the versions that the processes had saved since were gone until the next version joined or left. A process that started meanwhile took the only version on its list for the one that began each stream without a record (ORDER).

TestVersionsAfterRestore failed before ('stream of "x": got version "v1", want ""').

--- a/coordination/origins/origins_test.go
+++ b/coordination/origins/origins_test.go
@@ -10,6 +10,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/coordination/origins"
 	"github.com/apricotway/apricotway/internal/boottime"
 	"github.com/apricotway/apricotway/internal/bubble"
@@ -332,6 +333,41 @@
 	})
 }
 
+// TestVersionsAfterRestore guards against a process that starts after a restore of the store taking the only version on its list for the one
+// that began every stream.
+func TestVersionsAfterRestore(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s, eras := newStore(), era.New()
+		eras.Observe(1)
+
+		p := startWith(t, s, origins.WithEras(eras))
+		p.list("v1")
+		<-time.After(time.Second)
+
+		s.mu.Lock()
+		older := s.states[apricotway.StateVersions]
+		s.mu.Unlock()
+
+		p.list("v2")
+		p.register.Remove(time.Now(), server("v2"))
+		<-time.After(3 * time.Second)
+
+		s.mu.Lock()
+		s.states[apricotway.StateVersions] = older
+		s.mu.Unlock()
+
+		eras.Observe(2)
+		<-time.After(3 * time.Second)
+
+		late := start(t, s, "v1")
+		<-time.After(time.Second)
+		late.wantVersion(t, "x", "")
+
+		p.kill()
+		late.kill()
+	})
+}
+
 // TestOneVersionCostsNothing guards against calls of the store while one version serves and no caller takes a stream up.
 func TestOneVersionCostsNothing(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -533,14 +533,16 @@
 	signal(r.enqueued)
 }
 
-// Republish makes the beginnings at mixed services pending again, for processes that may have lost them. The process that recorded one of
-// which this process has a copy may have ended.
+// Republish makes the versions in service and the beginnings at mixed services known again to processes that may have lost them. The process
+// that recorded a beginning of which this process has a copy may have ended.
 func (r *Register) Republish(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	r.pending = nil
 
+	signal(r.changed)
+
 	for _, known := range r.streams {
 		if !known.stored() && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
 			r.enqueueLocked(known.Beginning)
