Don't take an incomplete read of the list for a new one

A read of the changes of the list takes several calls of the store if there are many, as after a process stood still. If a later call failed, met another era or the calls were used up, what had been read was returned like a complete read: the list counted as known as of its beginning, though newer entries were missing. That age decides whether the only version on the list is that of a stream (ORDER), and whether other processes take the list over.

BackendsAfter now says that there are more changes; the catalog applies those it has and reads on.

--- a/coordination/catalog/refresh_test.go
+++ b/coordination/catalog/refresh_test.go
@@ -152,3 +152,41 @@
 		}
 	})
 }
+
+// partialStore is a store whose answers have one change of the list each.
+type partialStore struct{ *store }
+
+func (s partialStore) BackendsAfter(
+	ctx context.Context, position apricotway.StorePosition, wait time.Duration,
+) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	changes, next, err := s.store.BackendsAfter(ctx, position, wait)
+	if len(changes) > 1 {
+		changes, next.Offset, err = changes[:1], position.Offset+1, apricotway.ErrMoreChanges
+	}
+
+	return changes, next, err
+}
+
+// TestRefreshHasAllChanges guards against a list being taken for new while changes of it are still to be read.
+func TestRefreshHasAllChanges(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		c, pool := start(t, partialStore{s})
+		wait(2 * time.Second)
+
+		for _, id := range []apricotway.BackendServerID{"a", "b", "c"} {
+			s.register(id, false)
+		}
+
+		since := c.BootTime()
+		c.RefreshList(since)
+
+		if err := c.AwaitList(t.Context(), since); err != nil {
+			t.Errorf("got %v, want no error", err)
+		}
+
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": true, "b": true, "c": true})
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -22,13 +22,7 @@
 	)
 
 	return func(ctx context.Context, fromScratch bool) error {
-		if c.listWanted() {
-			// One read serves all calls that arrive meanwhile.
-			pause.For(ctx, requested+minListPause-c.boot())
-
-			requested = c.boot()
-		}
-
+		requested = c.paceRequested(ctx, requested)
 		known = known && !fromScratch && !c.takeReread()
 
 		limited, cancel := context.WithTimeout(ctx, listWait+answerMargin)
@@ -41,6 +35,7 @@
 
 		wait, gap := c.listTiming()
 		began := c.boot()
+		more := false
 		whole := !known
 
 		if whole {
@@ -48,11 +43,9 @@
 			known = err == nil
 		} else {
 			era := position.Era
-			before := position
 
-			changes, position, err = c.readChanges(limited, position, c.limitWait(wait))
+			changes, position, more, err = c.readChanges(limited, position, c.limitWait(wait))
 			if errors.Is(err, errInterrupted) {
-				position = before
 				return nil
 			}
 
@@ -86,6 +79,10 @@
 			c.endLeaveStatements(changes, asOf)
 		}
 
+		if more {
+			return nil
+		}
+
 		asOf = began
 		c.recordListApplied(began)
 
@@ -97,13 +94,26 @@
 	}
 }
 
+// paceRequested pauses before a read that calls wait for, if the last one began just before: one read serves all calls that arrive meanwhile.
+// It returns when the last one begins.
+func (c *Catalog) paceRequested(ctx context.Context, last time.Duration) time.Duration {
+	if !c.listWanted() {
+		return last
+	}
+
+	pause.For(ctx, last+minListPause-c.boot())
+
+	return c.boot()
+}
+
 // errInterrupted reports that a read was ended because calls need a newer list.
 var errInterrupted = errors.New("calls need a newer list of backend servers")
 
-// readChanges reads the changes of the list after a position. It waits for changes unless calls need a newer list.
+// readChanges reads the changes of the list after a position, and reports whether there may be more. It waits for changes unless calls need a
+// newer list.
 func (c *Catalog) readChanges(
 	ctx context.Context, after apricotway.StorePosition, wait time.Duration,
-) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+) (changes []apricotway.BackendChange, position apricotway.StorePosition, more bool, err error) {
 	waiting, end, mayWait := c.interruptible(ctx)
 	defer end()
 
@@ -111,12 +121,16 @@
 		wait = 0
 	}
 
-	changes, position, err := c.store.BackendsAfter(waiting, after, wait)
-	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
-		err = errInterrupted
-	}
+	changes, position, err = c.store.BackendsAfter(waiting, after, wait)
 
-	return changes, position, err
+	switch {
+	case errors.Is(err, apricotway.ErrMoreChanges):
+		return changes, position, true, nil
+	case err != nil && waiting.Err() != nil && ctx.Err() == nil:
+		return nil, after, false, errInterrupted
+	default:
+		return changes, position, false, err
+	}
 }
 
 // limitWait returns the longest time to wait. It is shorter while lapsed servers are due for removal, which must not wait for
--- a/operatorstore.go
+++ b/operatorstore.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // StoreEra counts how often the operators' store has come back from an older copy. It is 0 for a store that doesn't tell.
@@ -24,10 +26,14 @@
 	DeploymentAfter(ctx context.Context, position StorePosition, wait time.Duration) (*Deployment, StorePosition, error)
 	// Backends returns all entries of the list.
 	Backends(ctx context.Context) ([]BackendChange, StorePosition, error)
-	// BackendsAfter waits for changes after the position and returns none when none arrives in time.
+	// BackendsAfter waits for changes after the position and returns none when none arrives in time. It fails with ErrMoreChanges if there
+	// may be changes after those that it returns and the position that goes with them.
 	BackendsAfter(ctx context.Context, position StorePosition, wait time.Duration) ([]BackendChange, StorePosition, error)
 }
 
+// ErrMoreChanges reports that a read ended before the newest changes.
+var ErrMoreChanges = errors.New("there are more changes")
+
 // DutyLog is the log with which the processes elect the one that performs a duty: a task that one process does for all. Offsets
 // count from 1.
 type DutyLog interface {
