Write the copies of streams whose process ended before it wrote them

Beside a second version each process writes its own beginnings to the store, at intervals that grow with the number of processes (1 s at 100, 3 s at 295). One that stood still or ended within that time had given a copy of them to another process, but that one held them as written: callers that took the streams up elsewhere were refused as originUnknown (LOST).

Cause: the sender's intention to write stood for the write. The sender now confirms what it has written, in the message that it sends anyway; the holder writes what is not confirmed within the time between two appends and half a second.

TestEndBeforeWrite failed before ('stream of "x": got version "", want "v1"').

--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -17,6 +17,8 @@
 	// copyTimeout bounds one message with copies, and maxHolders the processes that are tried.
 	copyTimeout = 500 * time.Millisecond
 	maxHolders  = 2
+	// confirmMargin is the time that a write to the store and its confirmation may take beyond the time between two appends.
+	confirmMargin = 500 * time.Millisecond
 )
 
 // copiesMessage gives another process copies of beginnings.
@@ -24,6 +26,8 @@
 	Copies []origin.Copy
 	// Written is set if the sender writes the beginnings to the store itself.
 	Written bool
+	// Stored are the streams whose beginnings the sender has written.
+	Stored []origin.Stream
 }
 
 // copiesAnswer is the answer to a copiesMessage.
@@ -48,17 +52,18 @@
 
 		pause.For(ctx, copyInterval)
 
-		if taken, written := c.register.TakeCopies(time.Now(), maxBeginnings); len(taken) > 0 {
-			c.send(ctx, taken, written)
+		taken, written := c.register.TakeCopies(time.Now(), maxBeginnings)
+		if stored := c.register.TakeStored(); len(taken)+len(stored) > 0 {
+			c.send(ctx, copiesMessage{taken, written, stored})
 		}
 	}
 }
 
-// send sends copies to the first of the holders that takes them, and reports whether one did.
-func (c *copies) send(ctx context.Context, copies []origin.Copy, written bool) bool {
+// send sends a message to the first of the holders that takes it, and reports whether one did.
+func (c *copies) send(ctx context.Context, message copiesMessage) bool {
 	for _, holder := range c.holders() {
 		limited, cancel := context.WithTimeout(ctx, copyTimeout)
-		_, err := apricotway.CallPeer[copiesAnswer](limited, c.peers, holder.Peers, methodCopies, copiesMessage{copies, written})
+		_, err := apricotway.CallPeer[copiesAnswer](limited, c.peers, holder.Peers, methodCopies, message)
 
 		cancel()
 
@@ -70,6 +75,11 @@
 	return false
 }
 
+// takeOver makes this process write the copies whose senders have not confirmed that they did.
+func (o *Origins) takeOver(_ context.Context, now time.Time) {
+	o.register.TakeOver(now, o.appendInterval()+confirmMargin)
+}
+
 // holders returns the processes that hold the copies of this one, those of other availability zones first: a zone may be lost as a whole.
 func (c *copies) holders() []apricotway.Member {
 	self := c.membership.Self()
@@ -99,6 +109,7 @@
 
 		apricotway.HandlePeer(registry, methodCopies, func(_ context.Context, message copiesMessage) (copiesAnswer, error) {
 			o.register.Hold(time.Now(), message.Copies, message.Written)
+			o.register.Confirm(message.Stored)
 
 			return copiesAnswer{}, nil
 		})
--- a/coordination/origins/copies_test.go
+++ b/coordination/origins/copies_test.go
@@ -78,6 +78,11 @@
 
 // startNetwork starts processes that hold copies for each other. The first store is that of the first process.
 func startNetwork(t *testing.T, stores ...origins.Store) (*network, []*process) {
+	return startNetworkOf(t, len(stores), stores...)
+}
+
+// startNetworkOf starts those of a number of processes that have one of the stores.
+func startNetworkOf(t *testing.T, members int, stores ...origins.Store) (*network, []*process) {
 	n := &network{handlers: map[netip.AddrPort]apricotway.PeerHandler{}, stopped: map[netip.AddrPort]bool{}}
 
 	for i := range stores {
@@ -91,7 +96,8 @@
 
 	for i, s := range stores {
 		h := &host{n, n.members[i]}
-		processes = append(processes, startWith(t, s, origins.WithCopies(h, h, h)))
+		processes = append(processes, startWith(t, s, origins.WithCopies(h, h, h),
+			origins.WithMembers(func() int { return members })))
 	}
 
 	return n, processes
@@ -285,3 +291,30 @@
 		})
 	}
 }
+
+// TestEndBeforeWrite guards against refusing the streams that a process began just before it ended, beside a second version: it had not yet
+// written them, but another process had copies.
+func TestEndBeforeWrite(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		away := &awayStore{Store: s}
+		n, processes := startNetworkOf(t, 100, away, s, s)
+
+		for _, p := range processes {
+			p.list("v1", "v2")
+		}
+
+		<-time.After(2 * time.Second)
+		processes[0].Began(time.Now(), "x", server("v1"))
+		<-time.After(500 * time.Millisecond)
+		away.away.Store(true)
+		n.stop(0)
+		processes[0].kill()
+		<-time.After(4 * time.Second)
+
+		for _, p := range processes[1:] {
+			p.wantVersion(t, "x", "v1")
+			p.kill()
+		}
+	})
+}
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -163,6 +163,7 @@
 
 	if o.copies != nil {
 		supervisor.Add(apricotway.ServiceFunc{Name: "copies of the origins of streams", Func: o.copies.share})
+		supervisor.Add(apricotway.Periodic("copies that were not written", copyInterval, o.takeOver))
 	}
 
 	o.versions = &versions{register: register, store: store, logger: o.logger}
@@ -283,13 +284,18 @@
 		if err != nil {
 			o.register.ReturnPending(taken)
 
-			if o.copies != nil && len(taken) > handedOver && o.copies.send(ctx, o.register.Copies(taken[handedOver:]), false) {
+			if o.copies != nil && len(taken) > handedOver && o.copies.send(ctx, copiesMessage{Copies: o.register.Copies(taken[handedOver:])}) {
 				handedOver = len(taken)
 			}
 
 			pause.For(ctx, retryPause)
 		} else {
 			handedOver = 0
+
+			if o.copies != nil {
+				o.register.Stored(taken)
+			}
+
 			o.metrics.OriginsWritten(len(taken))
 		}
 
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -86,6 +86,10 @@
 	pending []Beginning
 	// copies are the streams whose beginnings another process should hold a copy of.
 	copies []Stream
+	// stored are the streams whose beginnings this process wrote to the store, for the process that holds copies of them.
+	stored []Stream
+	// unconfirmed are the copies that came while the process that recorded them was to write them to the store, by the time of their coming.
+	unconfirmed []aged
 }
 
 // service is the state of one service.
@@ -102,8 +106,9 @@
 	server apricotway.BackendServerID
 	// born is the start that the entry of the server stated.
 	born time.Time
-	// copied is set if this process holds the beginning for the process that recorded it, and written if that one writes it to the store.
-	copied, written bool
+	// copied is set if this process holds the beginning for the process that recorded it, written if that one writes it to the store, and
+	// confirmed once it has.
+	copied, written, confirmed bool
 	// at is the time of the beginning, or a later one if another process recorded it.
 	at time.Time
 }
@@ -136,7 +141,7 @@
 // Enqueued returns a channel that has an element after beginnings have become pending.
 func (r *Register) Enqueued() <-chan struct{} { return r.enqueued }
 
-// Copied returns a channel that has an element after there are beginnings of which another process should hold a copy.
+// Copied returns a channel that has an element after there are beginnings of which another process should hold a copy, or that were stored.
 func (r *Register) Copied() <-chan struct{} { return r.copied }
 
 func signal(channel chan struct{}) {
@@ -387,7 +392,7 @@
 }
 
 // Hold keeps copies of the beginnings that another process recorded. They become pending once there is a second version, unless that process
-// writes them to the store itself.
+// writes them to the store itself and confirms that.
 func (r *Register) Hold(now time.Time, copies []Copy, written bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -408,12 +413,81 @@
 
 		r.addLocked(now, added)
 
+		if written {
+			r.unconfirmed = append(r.unconfirmed, aged{c.Stream, now})
+			r.unconfirmed = r.unconfirmed[max(len(r.unconfirmed)-maxStreams, 0):]
+		}
+
 		if doubted || !written && r.mixedLocked(now, s) {
 			r.enqueueLocked(added.Beginning)
 		}
 	}
 }
 
+// Confirm records that another process has written beginnings to the store of which this one holds copies.
+func (r *Register) Confirm(streams []Stream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for _, stream := range streams {
+		if known, ok := r.streams[stream]; ok && known.copied {
+			known.confirmed = true
+			r.streams[stream] = known
+		}
+	}
+}
+
+// TakeOver makes those copies pending that another process was to write to the store, but has not confirmed within a time.
+func (r *Register) TakeOver(now time.Time, within time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for len(r.unconfirmed) > 0 && now.Sub(r.unconfirmed[0].at) >= within {
+		oldest := r.unconfirmed[0]
+		r.unconfirmed = r.unconfirmed[1:]
+
+		known := r.streams[oldest.stream]
+		if !known.copied || known.confirmed || !known.at.Equal(oldest.at) {
+			continue
+		}
+
+		known.written = false
+		r.streams[oldest.stream] = known
+
+		if r.mixedLocked(now, r.serviceLocked(known.Service)) {
+			r.enqueueLocked(known.Beginning)
+		}
+	}
+
+	if len(r.unconfirmed) == 0 {
+		r.unconfirmed = nil
+	}
+}
+
+// Stored records that this process has written beginnings to the store.
+func (r *Register) Stored(beginnings []Beginning) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	for _, beginning := range beginnings {
+		r.stored = append(r.stored, beginning.Stream)
+	}
+
+	r.stored = r.stored[max(len(r.stored)-maxStreams, 0):]
+	signal(r.copied)
+}
+
+// TakeStored returns the streams whose beginnings this process has written to the store, and forgets them.
+func (r *Register) TakeStored() []Stream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	taken := r.stored
+	r.stored = nil
+
+	return taken
+}
+
 func (r *Register) addLocked(now time.Time, added record) {
 	r.streams[added.Stream] = added
 	r.order = append(r.order, aged{added.Stream, now})
