Don't resume a stream whose server turned out to have restarted at another version

A process whose list is outdated begins a stream at a server that has started again under its identifier at another version. Once it reads the new entry it marks the beginning as uncertain for callers that take the stream up, but the call itself kept the old version: if the server broke off, the stream went on at another server of that version (ORDER).

Cause: the origin that a call keeps was never compared with the record of it. It is now read again before a run is continued or moved.

TestResumeAfterRestartAtAnotherVersion failed before ('got 2 sends, want 1'). It remains possible while the process has not read the new entry.

--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -177,6 +177,11 @@
 	o.register.Begin(now, origin.StreamOf(attempt), server)
 }
 
+// Recorded returns the origin of a stream that this process has recorded, as far as it knows now.
+func (o *Origins) Recorded(attempt apricotway.AttemptID) (origin.Origin, bool) {
+	return o.register.Recorded(origin.StreamOf(attempt))
+}
+
 // Find returns the origin of the stream that an attempt of another call began. An empty attempt means that the caller doesn't name it.
 func (o *Origins) Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
 	began := o.boot()
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -26,6 +26,8 @@
 		return
 	}
 
+	c.recheckOrigin()
+
 	// The KV cache is copied, so the target doesn't prefill the prompt and the request counts as one with a prompt of 1 token.
 	target, _, _ := c.relay.pool.Place(c.relay.now(), dispatch.Request{
 		Service: c.service, PromptTokens: 1, AnswerTokens: c.metadata.AnswerTokens, Remaining: c.deadline.Sub(c.relay.now()),
--- a/protocol/relay/placing.go
+++ b/protocol/relay/placing.go
@@ -33,6 +33,13 @@
 // stream returns the attempt that began the stream of the call.
 func (c *call) stream() apricotway.AttemptID { return cmp.Or(c.metadata.Resumes, c.metadata.Attempt) }
 
+// recheckOrigin takes a doubt over that came after the stream began: its server may have started again at another version before that.
+func (c *call) recheckOrigin() {
+	if recorded, ok := c.relay.origins.Recorded(c.stream()); ok {
+		c.origin = recorded
+	}
+}
+
 // chooseServer chooses the next server, or returns the refusal of a call that no server can take.
 func (c *call) chooseServer(ctx context.Context) (*dispatch.Send, *refusal) {
 	now := c.relay.now()
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -84,6 +84,8 @@
 	Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend)
 	// Find returns the origin of a stream that its caller takes up. The attempt is empty if the caller doesn't name it.
 	Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin
+	// Recorded returns the origin of a stream that this process has recorded, as far as it knows now.
+	Recorded(attempt apricotway.AttemptID) (origin.Origin, bool)
 }
 
 // Detours tells whether this process has lost its paths to the backend servers, and which other process reaches them.
@@ -189,6 +191,10 @@
 	return found
 }
 
+func (o localOrigins) Recorded(attempt apricotway.AttemptID) (origin.Origin, bool) {
+	return o.register.Recorded(origin.StreamOf(attempt))
+}
+
 type noDetours struct{}
 
 func (noDetours) Lost() bool       { return false }
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -412,6 +412,7 @@
 	ctx context.Context, run *engineRun, splitter *eventSplitter, reason string, replacement *replacement,
 ) *engineRun {
 	splitter.resume()
+	c.recheckOrigin()
 
 	resumable := c.route.Resumable && splitter.continuable()
 
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -502,6 +502,31 @@
 	}
 }
 
+// origin returns the origin that the record states.
+func (r record) origin() Origin {
+	if r.Uncertain {
+		return Unknown()
+	}
+
+	found := At(apricotway.Lineage{Software: r.Version})
+	found.service = r.Service
+
+	return found
+}
+
+// Recorded returns the origin of a stream of which there is a record.
+func (r *Register) Recorded(stream Stream) (Origin, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	known, ok := r.streams[stream]
+	if !ok {
+		return Origin{}, false
+	}
+
+	return known.origin(), true
+}
+
 // Find returns the origin of a stream of a service, and what it rests on. Since is a boot time after the beginning of the stream, such as that
 // of the call which takes it up.
 func (r *Register) Find(now time.Time, since time.Duration, name apricotway.Service, stream Stream) (Origin, Evidence) {
@@ -509,14 +534,7 @@
 	defer r.mu.Unlock()
 
 	if known, ok := r.streams[stream]; ok {
-		if known.Uncertain {
-			return Unknown(), EvidenceRecord
-		}
-
-		found := At(apricotway.Lineage{Software: known.Version})
-		found.service = known.Service
-
-		return found, EvidenceRecord
+		return known.origin(), EvidenceRecord
 	}
 
 	s := r.serviceLocked(name)
