Keep the server of a copy when the store tells the same beginning

A process that read from the store a beginning of which it held a copy forgot at which server the stream began, so that it could not doubt the version any more when it learned that the server had started again at another one (ORDER). The record now confirms the copy instead of replacing it.

TestCopyIsKeptBesideRecord failed before ('got "v1" as the versions that may continue it, want ""').

--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -379,13 +379,21 @@
 	}
 }
 
-// Learn records beginnings that other processes told. What this process saw itself is kept, and a doubt stays.
+// Learn records beginnings that other processes told. What this process saw itself is kept, and a doubt stays. A copy that says the same is
+// kept too, since it names the server.
 func (r *Register) Learn(now time.Time, told []Beginning) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	for _, beginning := range told {
-		if known, ok := r.streams[beginning.Stream]; !ok || !known.own() && !known.Uncertain {
+		known, ok := r.streams[beginning.Stream]
+
+		switch {
+		case ok && (known.own() || known.Uncertain):
+		case ok && known.copied && known.Beginning == beginning:
+			known.confirmed = true
+			r.streams[beginning.Stream] = known
+		default:
 			r.addLocked(now, record{Beginning: beginning, at: now})
 		}
 	}
--- a/state/origin/register_test.go
+++ b/state/origin/register_test.go
@@ -151,6 +151,25 @@
 	wantOrigin(t, r, now, "between", "", origin.EvidenceRecord)
 }
 
+// TestCopyIsKeptBesideRecord guards against forgetting at which server a stream began once the store tells the same version: the server may turn
+// out to have started again at another one before.
+func TestCopyIsKeptBesideRecord(t *testing.T) {
+	r := origin.NewRegister()
+	r.Update(start, server("a", "v1"))
+	r.Update(start, server("b", "v2"))
+
+	now := start.Add(time.Second)
+	beginning := origin.Beginning{Stream: origin.StreamOf("x"), Service: service, Version: "v1"}
+	r.Hold(now, []origin.Copy{{Beginning: beginning, Server: "a", Born: start.Add(-time.Hour)}}, true)
+	r.Learn(now, []origin.Beginning{beginning})
+	wantOrigin(t, r, now, "x", "v1", origin.EvidenceRecord)
+
+	again := server("a", "v2")
+	again.Born = start
+	r.Update(now, again)
+	wantOrigin(t, r, now, "x", "", origin.EvidenceRecord)
+}
+
 // TestRepublishOfCopies guards against a restored store lacking the beginnings that a process which has ended had given this one.
 func TestRepublishOfCopies(t *testing.T) {
 	for _, test := range []struct {
