--- a/coordination/catalog/refresh_test.go
+++ b/coordination/catalog/refresh_test.go
@@ -76,3 +76,117 @@
 		}
 	})
 }
+
+// slowStore is a store whose answers about the list take some time to arrive.
+type slowStore struct {
+	*store
+
+	delay time.Duration
+}
+
+func (s *slowStore) Backends(ctx context.Context) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	changes, position, err := s.store.Backends(ctx)
+	<-time.After(s.delay)
+
+	return changes, position, err
+}
+
+func (s *slowStore) BackendsAfter(
+	ctx context.Context, position apricotway.StorePosition, wait time.Duration,
+) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	changes, position, err := s.store.BackendsAfter(ctx, position, wait)
+	<-time.After(s.delay)
+
+	return changes, position, err
+}
+
+// TestReadOlderThanNews guards against a slow read of the list undoing newer changes that another process passed on meanwhile.
+func TestReadOlderThanNews(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+		s.register("old", false)
+
+		reader, _ := start(t, s)
+		reader.SetReader(true, 100*time.Millisecond)
+
+		c, pool := start(t, &slowStore{s, 300 * time.Millisecond})
+		wait(2 * time.Second)
+		relay(reader, c, 2*time.Second)
+
+		// The read and the news meet at different moments.
+		for i, id := range []apricotway.BackendServerID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+			relay(reader, c, time.Duration(i)*130*time.Millisecond)
+			c.RefreshList(c.BootTime())
+			wait(50 * time.Millisecond)
+			s.register(id, false)
+			s.register("old", i%2 == 0)
+			relay(reader, c, 3*time.Second)
+			wantKnown(t, pool, map[apricotway.BackendServerID]bool{id: true})
+
+			if got, want := pool.Leaving("old"), i%2 == 0; got != want {
+				t.Errorf("server %s: got old server leaving: %t, want %t", id, got, want)
+			}
+		}
+	})
+}
+
+// TestRefreshStorm guards against many calls that need a newer list making a process read it without a pause.
+func TestRefreshStorm(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		c, _ := start(t, &slowStore{s, time.Millisecond})
+		wait(2 * time.Second)
+
+		before := s.reads
+
+		for range 1000 {
+			c.RefreshList(c.BootTime())
+			wait(time.Millisecond)
+		}
+
+		if got, want := s.reads-before, 11; got > want {
+			t.Errorf("got %d reads of the list within a second, want at most %d", got, want)
+		}
+	})
+}
+
+// partialStore is a store whose answers have one change of the list each.
+type partialStore struct{ *store }
+
+func (s partialStore) BackendsAfter(
+	ctx context.Context, position apricotway.StorePosition, wait time.Duration,
+) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	changes, next, err := s.store.BackendsAfter(ctx, position, wait)
+	if len(changes) > 1 {
+		changes, next.Offset, err = changes[:1], position.Offset+1, apricotway.ErrMoreChanges
+	}
+
+	return changes, next, err
+}
+
+// TestRefreshHasAllChanges guards against a list being taken for new while changes of it are still to be read.
+func TestRefreshHasAllChanges(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		c, pool := start(t, partialStore{s})
+		wait(2 * time.Second)
+
+		for _, id := range []apricotway.BackendServerID{"a", "b", "c"} {
+			s.register(id, false)
+		}
+
+		since := c.BootTime()
+		c.RefreshList(since)
+
+		if err := c.AwaitList(t.Context(), since); err != nil {
+			t.Errorf("got %v, want no error", err)
+		}
+
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": true, "b": true, "c": true})
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
 )
 
 // readBackends returns a function that reads the list of backend servers once and remembers the position between calls.
@@ -15,11 +17,12 @@
 	var (
 		position apricotway.StorePosition
 		known    bool
-		// asOf is the boot time as of which the changes up to position are known.
-		asOf time.Duration
+		// asOf is the boot time as of which the changes up to position are known, and requested that of the last read for calls.
+		asOf, requested time.Duration
 	)
 
 	return func(ctx context.Context, fromScratch bool) error {
+		requested = c.paceRequested(ctx, requested)
 		known = known && !fromScratch && !c.takeReread()
 
 		limited, cancel := context.WithTimeout(ctx, listWait+answerMargin)
@@ -32,6 +35,7 @@
 
 		wait, gap := c.listTiming()
 		began := c.boot()
+		more := false
 		whole := !known
 
 		if whole {
@@ -39,11 +43,9 @@
 			known = err == nil
 		} else {
 			era := position.Era
-			before := position
 
-			changes, position, err = c.readChanges(limited, position, c.limitWait(wait))
+			changes, position, more, err = c.readChanges(limited, position, c.limitWait(wait))
 			if errors.Is(err, errInterrupted) {
-				position = before
 				return nil
 			}
 
@@ -71,12 +73,16 @@
 			changes = c.completeList(changes)
 		}
 
-		c.applyChanges(changes)
+		c.applyChanges(changes, began)
 
 		if !whole {
 			c.endLeaveStatements(changes, asOf)
 		}
 
+		if more {
+			return nil
+		}
+
 		asOf = began
 		c.recordListApplied(began)
 
@@ -88,13 +94,26 @@
 	}
 }
 
+// paceRequested pauses before a read that calls wait for, if the last one began just before: one read serves all calls that arrive meanwhile.
+// It returns when the last one begins.
+func (c *Catalog) paceRequested(ctx context.Context, last time.Duration) time.Duration {
+	if !c.listWanted() {
+		return last
+	}
+
+	pause.For(ctx, last+minListPause-c.boot())
+
+	return c.boot()
+}
+
 // errInterrupted reports that a read was ended because calls need a newer list.
 var errInterrupted = errors.New("calls need a newer list of backend servers")
 
-// readChanges reads the changes of the list after a position. It waits for changes unless calls need a newer list.
+// readChanges reads the changes of the list after a position, and reports whether there may be more. It waits for changes unless calls need a
+// newer list.
 func (c *Catalog) readChanges(
 	ctx context.Context, after apricotway.StorePosition, wait time.Duration,
-) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+) (changes []apricotway.BackendChange, position apricotway.StorePosition, more bool, err error) {
 	waiting, end, mayWait := c.interruptible(ctx)
 	defer end()
 
@@ -102,12 +121,16 @@
 		wait = 0
 	}
 
-	changes, position, err := c.store.BackendsAfter(waiting, after, wait)
-	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
-		err = errInterrupted
-	}
+	changes, position, err = c.store.BackendsAfter(waiting, after, wait)
 
-	return changes, position, err
+	switch {
+	case errors.Is(err, apricotway.ErrMoreChanges):
+		return changes, position, true, nil
+	case err != nil && waiting.Err() != nil && ctx.Err() == nil:
+		return nil, after, false, errInterrupted
+	default:
+		return changes, position, false, err
+	}
 }
 
 // limitWait returns the longest time to wait. It is shorter while lapsed servers are due for removal, which must not wait for
@@ -174,12 +197,16 @@
 	return gone
 }
 
-// applyChanges applies changes of the list. Removals soon after an outage are postponed, since entries that lapsed during it
+// applyChanges applies changes of the list from a read that began at the given boot time. Removals soon after an outage are postponed, since entries that lapsed during it
 // belong to servers that may register again.
-func (c *Catalog) applyChanges(changes []apricotway.BackendChange) {
+func (c *Catalog) applyChanges(changes []apricotway.BackendChange, began time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	if c.listAsOf > began {
+		changes = c.dropOlderLocked(changes)
+	}
+
 	now := time.Now()
 	waiting := now.Sub(c.outageEnd) < reregistrationTime
 
@@ -214,6 +241,16 @@
 	}
 }
 
+// dropOlderLocked returns the changes that are not older than news which were applied during the read. Removals can't be compared: the next
+// news and the next read tell the whole list.
+func (c *Catalog) dropOlderLocked(changes []apricotway.BackendChange) []apricotway.BackendChange {
+	c.peerPosition, c.rereadList = Position{}, true
+
+	return slices.DeleteFunc(changes, func(change apricotway.BackendChange) bool {
+		return change.Backend == nil || isOlder(*change.Backend, c.entries[change.ID])
+	})
+}
+
 // update applies the entry of a server; an unchanged entry has no effect. The caller holds c.mu.
 func (c *Catalog) update(backend apricotway.Backend) {
 	if c.ignoresOlder(backend) {
--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -22,6 +22,8 @@
 	copyTimeout = 500 * time.Millisecond
 	// copyHolders is the number of processes that hold copies: one of them may be out of step together with the sender.
 	copyHolders = 2
+	// confirmMargin is the time that a write to the store and its confirmation may take beyond the time between two appends.
+	confirmMargin = 500 * time.Millisecond
 )
 
 // copiesMessage gives another process copies of beginnings.
@@ -29,6 +31,8 @@
 	Groups []copiesGroup
 	// Written is set if the sender writes the beginnings to the store itself.
 	Written bool
+	// Stored are the streams whose beginnings the sender has written.
+	Stored []origin.Stream
 }
 
 // copiesGroup holds the copies of streams that began at servers of one version.
@@ -46,8 +50,8 @@
 	Born   int64
 }
 
-func newCopiesMessage(copies []origin.Copy, written bool) copiesMessage {
-	message := copiesMessage{Written: written}
+func newCopiesMessage(copies []origin.Copy, written bool, stored []origin.Stream) copiesMessage {
+	message := copiesMessage{Written: written, Stored: stored}
 	groups := map[copiesGroupKey]int{}
 
 	for _, c := range copies {
@@ -109,19 +113,18 @@
 
 		pause.For(ctx, max(minCopyInterval, time.Duration(len(c.membership.Members()))*memberCopyInterval))
 
-		if taken, written := c.register.TakeCopies(time.Now(), maxBeginnings); len(taken) > 0 {
-			c.send(ctx, taken, written)
+		taken, written := c.register.TakeCopies(time.Now(), maxBeginnings)
+		if stored := c.register.TakeStored(); len(taken)+len(stored) > 0 {
+			c.send(ctx, newCopiesMessage(taken, written, stored))
 		}
 	}
 }
 
-// send sends copies to the holders, and reports whether one took them.
-func (c *copies) send(ctx context.Context, copies []origin.Copy, written bool) bool {
+// send sends a message to the holders, and reports whether one took it.
+func (c *copies) send(ctx context.Context, message copiesMessage) bool {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
 
-	message := newCopiesMessage(copies, written)
-
 	var (
 		group sync.WaitGroup
 		taken atomic.Bool
@@ -141,6 +144,11 @@
 	return taken.Load()
 }
 
+// takeOver makes this process write the copies whose senders have not confirmed that they did.
+func (o *Origins) takeOver(_ context.Context, now time.Time) {
+	o.register.TakeOver(now, o.appendInterval()+confirmMargin)
+}
+
 // holders returns the processes that hold the copies of this one, those of other availability zones first: a zone may be lost as a whole.
 func (c *copies) holders() []apricotway.Member {
 	self := c.membership.Self()
@@ -170,6 +178,7 @@
 
 		apricotway.HandlePeer(registry, methodCopies, func(_ context.Context, message copiesMessage) (copiesAnswer, error) {
 			o.register.Hold(time.Now(), message.copies(), message.Written)
+			o.register.Confirm(message.Stored)
 
 			return copiesAnswer{}, nil
 		})
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -163,6 +163,7 @@
 
 	if o.copies != nil {
 		supervisor.Add(apricotway.ServiceFunc{Name: "copies of the origins of streams", Func: o.copies.share})
+		supervisor.Add(apricotway.Periodic("copies that were not written", minCopyInterval, o.takeOver))
 	}
 
 	o.versions = &versions{register: register, store: store, logger: o.logger}
@@ -176,6 +177,11 @@
 	o.register.Begin(now, origin.StreamOf(attempt), server)
 }
 
+// Recorded returns the origin of a stream that this process has recorded, as far as it knows now.
+func (o *Origins) Recorded(attempt apricotway.AttemptID) (origin.Origin, bool) {
+	return o.register.Recorded(origin.StreamOf(attempt))
+}
+
 // Find returns the origin of the stream that an attempt of another call began. An empty attempt means that the caller doesn't name it.
 func (o *Origins) Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
 	began := o.boot()
@@ -198,12 +204,17 @@
 		return found, evidence
 	}
 
-	o.list.RefreshList(since)
+	// While several versions serve, a newer list tells nothing more.
+	if evidence == origin.EvidenceOutdated {
+		o.list.RefreshList(since)
+	}
 
 	if found, evidence = o.awaitRecord(ctx, look); evidence != origin.EvidenceOutdated {
 		return found, evidence
 	}
 
+	o.list.RefreshList(since)
+
 	ctx, cancel := context.WithTimeout(ctx, listTimeout-(o.boot()-since))
 	defer cancel()
 
@@ -278,13 +289,20 @@
 		if err != nil {
 			o.register.ReturnPending(taken)
 
-			if o.copies != nil && len(taken) > handedOver && o.copies.send(ctx, o.register.Copies(taken[handedOver:]), false) {
-				handedOver = len(taken)
+			if o.copies != nil && len(taken) > handedOver {
+				if o.copies.send(ctx, newCopiesMessage(o.register.Copies(taken[handedOver:]), false, nil)) {
+					handedOver = len(taken)
+				}
 			}
 
 			pause.For(ctx, retryPause)
 		} else {
 			handedOver = 0
+
+			if o.copies != nil {
+				o.register.Stored(taken)
+			}
+
 			o.metrics.OriginsWritten(len(taken))
 		}
 
