Tell how each request ended on its caller's connection

Event 351 says "answered" once an answer is complete in the process. What became of it on the connection was in no line: a write deadline, a reset, a handler that ended without a byte. cmd/internal/callers now follows each request until its answer has been flushed or given up, event 390 names those that were not written whole, with the attempt, and apricotway_caller_answers_total counts all of them by outcome. A request whose answer was written whole gets no second line. No other logic changes.

--- a/cmd/internal/callers/callers.go
+++ b/cmd/internal/callers/callers.go
@@ -28,6 +28,7 @@
 	listener  net.Listener
 	tlsConfig *tls.Config
 	accepted  func()
+	ended     func(request *http.Request, ending Ending)
 	draining  atomic.Bool
 	// abort ends the contexts of all requests.
 	abort context.CancelCauseFunc
@@ -43,20 +44,30 @@
 // WithAccepted sets a function that is called for each accepted connection.
 func WithAccepted(accepted func()) Option { return func(s *Server) { s.accepted = accepted } }
 
+// WithEnded sets a function that is called for each request that was passed to the handler, once its answer has been written or can no
+// longer be. It must not block.
+func WithEnded(ended func(request *http.Request, ending Ending)) Option {
+	return func(s *Server) { s.ended = ended }
+}
+
 // WithTLS encrypts the connections.
 func WithTLS(config *tls.Config) Option { return func(s *Server) { s.tlsConfig = config } }
 
 // New returns a server for connections of the listener. The contexts of requests have the values of ctx but do not end with it. New
-// sets the BaseContext and ConnState hooks of the HTTP server, which must be unused.
+// wraps the handler of the HTTP server and sets its BaseContext, ConnContext and ConnState hooks, which must be unused.
 func New(ctx context.Context, server *http.Server, listener net.Listener, options ...Option) *Server {
-	s := &Server{server: server, accepted: func() {}, open: map[*connection]struct{}{}}
+	s := &Server{
+		server: server, accepted: func() {}, ended: func(*http.Request, Ending) {}, open: map[*connection]struct{}{},
+	}
 	for _, option := range options {
 		option(s)
 	}
 
 	ctx, s.abort = context.WithCancelCause(context.WithoutCancel(ctx))
 	server.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.ConnContext = withConnection
 	server.ConnState = s.trackConnection
+	server.Handler = s.observe(server.Handler)
 
 	s.listener = trackingListener{Listener: listener, encrypted: s.tlsConfig != nil}
 	if s.tlsConfig != nil {
@@ -83,13 +94,20 @@
 	return &connection{Conn: conn, encrypted: l.encrypted, accepted: time.Now(), waiting: true}, nil
 }
 
-func (s *Server) trackConnection(conn net.Conn, state http.ConnState) {
+// unwrap returns the connection beneath one that the listener returned; nil if there is none.
+func unwrap(conn net.Conn) *connection {
 	if encrypted, ok := conn.(*tls.Conn); ok {
 		conn = encrypted.NetConn()
 	}
 
-	c, ok := conn.(*connection)
-	if !ok {
+	c, _ := conn.(*connection) // nil if it isn't one.
+
+	return c
+}
+
+func (s *Server) trackConnection(conn net.Conn, state http.ConnState) {
+	c := unwrap(conn)
+	if c == nil {
 		return
 	}
 
@@ -102,12 +120,18 @@
 	case http.StateActive:
 		c.use()
 	case http.StateIdle:
+		s.end(c, true)
 		c.wait()
 
 		if s.draining.Load() {
 			c.closeUnused()
 		}
 	case http.StateClosed, http.StateHijacked:
+		// A handler that takes the connection over ends its answer itself.
+		if state == http.StateClosed {
+			s.end(c, true)
+		}
+
 		s.mu.Lock()
 		delete(s.open, c)
 		s.mu.Unlock()
--- a/cmd/internal/callers/callers_test.go
+++ b/cmd/internal/callers/callers_test.go
@@ -80,7 +80,7 @@
 }
 
 // start serves the handler and returns the server and a function that opens a connection to it.
-func start(t *testing.T, handler http.HandlerFunc) (*callers.Server, func() (net.Conn, *delayedConn)) {
+func start(t *testing.T, handler http.HandlerFunc, options ...callers.Option) (*callers.Server, func() (net.Conn, *delayedConn)) {
 	t.Helper()
 
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -89,7 +89,7 @@
 	}
 
 	delayed := delayedListener{listener, make(chan *delayedConn, 1)}
-	server := callers.New(t.Context(), &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, delayed)
+	server := callers.New(t.Context(), &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}, delayed, options...)
 
 	go func() { _ = server.Serve() }()
 
--- a/cmd/internal/callers/connection.go
+++ b/cmd/internal/callers/connection.go
@@ -37,6 +37,8 @@
 	aborted bool
 	// readDeadline is the last read deadline that the HTTP server has set.
 	readDeadline time.Time
+	// serving is the request whose handler runs or whose answer is being written; nil between requests.
+	serving *exchange
 }
 
 // closeUnused makes the HTTP server close the connection if it waits for a request, a new one only after firstRequestTime. A request
@@ -95,6 +97,10 @@
 		c.use()
 	}
 
+	if err != nil {
+		c.recordReadError(err)
+	}
+
 	return n, err
 }
 
--- a/cmd/internal/entry/counters.go
+++ b/cmd/internal/entry/counters.go
@@ -19,6 +19,7 @@
 	calls    *prometheus.CounterVec
 	opened   prometheus.Counter
 	accepted prometheus.Counter
+	answers  *prometheus.CounterVec
 	found    *prometheus.CounterVec
 	written  prometheus.Counter
 	held     *prometheus.CounterVec
@@ -51,6 +52,9 @@
 	c.accepted = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "apricotway_caller_connections_total", Help: "Connections of callers that were accepted.",
 	})
+	c.answers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "apricotway_caller_answers_total", Help: "Requests by how they ended on their caller's connection.",
+	}, []string{"outcome"})
 	c.found = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "apricotway_stream_origins_found_total",
 		Help: "Streams taken up by their callers, by what their origin is known from; none: refused.",
@@ -61,7 +65,7 @@
 	c.held = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "apricotway_held_calls_total", Help: "Calls that were held because the servers are brittle, by whether they were sent then.",
 	}, []string{"service", "sent"})
-	registry.MustRegister(c.ended, c.took, c.repeated, c.limited, c.calls, c.opened, c.accepted, c.found, c.written, c.held)
+	registry.MustRegister(c.ended, c.took, c.repeated, c.limited, c.calls, c.opened, c.accepted, c.answers, c.found, c.written, c.held)
 
 	return c
 }
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -221,7 +221,11 @@
 		return err
 	}
 
-	e.callers = callers.New(ctx, e.server("callers", e.relay), listener, callers.WithAccepted(counters.accepted.Inc))
+	e.callers = callers.New(ctx, e.server("callers", e.relay), listener, callers.WithAccepted(counters.accepted.Inc),
+		callers.WithEnded(func(request *http.Request, ending callers.Ending) {
+			counters.answers.WithLabelValues(string(ending.Outcome)).Inc()
+			e.logEnding(request, ending)
+		}))
 	e.serve("callers", e.callers.Serve)
 
 	operators := operator.New(e.registry, func() error {
@@ -258,6 +262,24 @@
 	return nil
 }
 
+// logEnding logs a request whose answer was not written whole to its caller's connection.
+func (e *Entry) logEnding(request *http.Request, ending callers.Ending) {
+	if ending.Outcome == callers.OutcomeWritten {
+		return
+	}
+
+	message := ""
+	if ending.Err != nil {
+		message = ending.Err.Error()
+	}
+
+	// A request without an attempt identifier has an empty one.
+	metadata, _ := platform.Dialect{}.ReadCall(request.Header)
+	e.logger.Info("answer not written whole to the caller's connection", "event", 390, "attempt", metadata.Attempt, "outcome", ending.Outcome,
+		"bytes", ending.Bytes, "error", message, "took", ending.Took, "host", request.Host, "path", request.URL.EscapedPath(),
+		"caller", request.RemoteAddr)
+}
+
 // join starts the peer server, the probe socket and the membership.
 func (e *Entry) join(ctx context.Context) error {
 	s := e.settings
