Keep a caller's connection for as long as its caller may use it

Callers saw a closed connection in place of an answer when they sent a request on a connection that had been idle for 20 s or more, though the configuration allowed it: they reuse connections that were idle for up to four fifths of idle_timeout_ms. Cause: the process closed idle connections after a constant of 20 s and read the limit of the configuration without using it, so a limit above 25 s, raised while connections are open, made it close connections that their callers still use.

Answers now announce the limit in force in Keep-Alive, which callers honour, also those that know of a newer configuration than this process. A connection lives for the longer of what was announced and the newest limit, and 5 s more. It is closed by the same path as in a planned stop, which serves a request that arrives as it closes, and a standstill of the process doesn't count as idle time. The directory, readiness and operators' addresses go by the same limit.

--- a/cmd/internal/callers/callers.go
+++ b/cmd/internal/callers/callers.go
@@ -29,7 +29,10 @@
 	tlsConfig *tls.Config
 	accepted  func()
 	ended     func(request *http.Request, ending Ending)
-	draining  atomic.Bool
+	// limits is nil when the HTTP server itself limits its callers.
+	limits   func() apricotway.CallerLimits
+	uptime   uptimeClock
+	draining atomic.Bool
 	// abort ends the contexts of all requests.
 	abort context.CancelCauseFunc
 
@@ -69,7 +72,7 @@
 	server.ConnState = s.trackConnection
 	server.Handler = s.observe(server.Handler)
 
-	s.listener = trackingListener{Listener: listener, encrypted: s.tlsConfig != nil}
+	s.listener = trackingListener{Listener: listener, server: s}
 	if s.tlsConfig != nil {
 		s.listener = tls.NewListener(s.listener, s.tlsConfig)
 	}
@@ -81,7 +84,7 @@
 type trackingListener struct {
 	net.Listener
 
-	encrypted bool
+	server *Server
 }
 
 // Accept implements net.Listener.
@@ -91,7 +94,16 @@
 		return nil, err
 	}
 
-	return &connection{Conn: conn, encrypted: l.encrypted, accepted: time.Now(), waiting: true}, nil
+	c := &connection{
+		Conn: conn, encrypted: l.server.tlsConfig != nil, uptime: l.server.uptime.read, accepted: time.Now(), waiting: true,
+		waitingSince: l.server.uptime.read(),
+	}
+
+	if l.server.limits != nil {
+		c.idleLimit = l.server.limits().IdleTimeout
+	}
+
+	return c, nil
 }
 
 // unwrap returns the connection beneath one that the listener returned; nil if there is none.
@@ -120,8 +132,8 @@
 	case http.StateActive:
 		c.use()
 	case http.StateIdle:
-		s.end(c, true)
 		c.wait()
+		s.end(c, true)
 
 		if s.draining.Load() {
 			c.closeUnused()
--- a/cmd/internal/callers/connection.go
+++ b/cmd/internal/callers/connection.go
@@ -23,6 +23,8 @@
 	// encrypted is set when the bytes read may belong to the encryption alone.
 	encrypted bool
 	accepted  time.Time
+	// uptime is the clock of the server's sweeps.
+	uptime func() time.Duration
 
 	mu sync.Mutex
 	// used is set once a byte of a request has been read.
@@ -30,6 +32,10 @@
 	// waiting is set while no byte of a request has been read since the connection was accepted or its last answer was written. If
 	// the connection is encrypted, it is set until the header of the request has been read.
 	waiting bool
+	// waitingSince is the uptime at which waiting was last set.
+	waitingSince time.Duration
+	// idleLimit is the time for which the caller may use the connection again after its last answer, or may begin to after it was accepted.
+	idleLimit time.Duration
 	// closing is set once closeUnused has been called while waiting was set. Until a byte arrives, read deadlines of the HTTP server
 	// have no effect.
 	closing bool
@@ -69,7 +75,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.waiting = true
+	c.waiting, c.waitingSince = true, c.uptime()
 }
 
 // use records that a request has begun to arrive.
--- a/cmd/internal/callers/ending.go
+++ b/cmd/internal/callers/ending.go
@@ -101,6 +101,7 @@
 		}
 
 		c.begin(r)
+		s.announceIdle(c, w, r)
 
 		returned := false
 
--- /dev/null
+++ b/cmd/internal/callers/limits_test.go
@@ -0,0 +1,140 @@
+package callers_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/cmd/internal/callers"
+)
+
+// limited is a server with limits that a test can change, and the clock of its sweeps.
+type limited struct {
+	server *callers.Server
+	dial   func() (net.Conn, *delayedConn)
+	limits atomic.Pointer[apricotway.CallerLimits]
+	ended  chan callers.Ending
+	now    time.Time
+}
+
+func startLimited(t *testing.T, limits apricotway.CallerLimits, handler http.HandlerFunc) *limited {
+	t.Helper()
+
+	l := &limited{ended: make(chan callers.Ending, 1), now: time.Now()}
+	l.limits.Store(&limits)
+	l.server, l.dial = start(t, handler, callers.WithLimits(func() apricotway.CallerLimits { return *l.limits.Load() }),
+		callers.WithEnded(func(_ *http.Request, ending callers.Ending) { l.ended <- ending }))
+	l.server.Sweep(l.now)
+
+	return l
+}
+
+// run lets a time pass for the sweeps.
+func (l *limited) run(d time.Duration) {
+	for end := l.now.Add(d); l.now.Before(end); {
+		l.now = l.now.Add(callers.SweepPeriod)
+		l.server.Sweep(l.now)
+	}
+}
+
+// stand lets a time pass in which the process stands still.
+func (l *limited) stand(d time.Duration) {
+	l.now = l.now.Add(d)
+	l.server.Sweep(l.now)
+}
+
+// closed reports whether the server closes the connection.
+func closed(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond)) // Fails on a closed connection only.
+
+	_, err := conn.Read(make([]byte, 1))
+
+	timeout, ok := err.(interface{ Timeout() bool })
+
+	return err != nil && (!ok || !timeout.Timeout())
+}
+
+// TestConnectionClosedBeforeItsLimit guards against closing a connection that its caller may use by the limit that it was told or by the newest
+// one, and against keeping one for ever.
+func TestConnectionClosedBeforeItsLimit(t *testing.T) {
+	const second = time.Second
+
+	for _, c := range []struct {
+		name        string
+		told, newer time.Duration
+		stand, run  time.Duration
+		want        bool
+	}{
+		{name: "used for the last time", told: 15 * second, newer: 15 * second, run: 15 * second, want: true},
+		{name: "left alone", told: 15 * second, newer: 15 * second, run: 21 * second},
+		{name: "limit lowered", told: 30 * second, newer: 5 * second, run: 30 * second, want: true},
+		{name: "limit lowered, left alone", told: 30 * second, newer: 5 * second, run: 36 * second},
+		{name: "limit raised", told: 5 * second, newer: 30 * second, run: 30 * second, want: true},
+		{name: "process stood still", told: 15 * second, newer: 15 * second, stand: time.Minute, run: 15 * second, want: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := startLimited(t, apricotway.CallerLimits{IdleTimeout: c.told}, writeAll)
+			conn, _ := l.dial()
+
+			if got, want := exchange(t, conn), "200 OK"; got != want {
+				t.Fatalf("got %s, want %s", got, want)
+			}
+
+			<-l.ended
+			l.limits.Store(&apricotway.CallerLimits{IdleTimeout: c.newer})
+
+			if c.stand > 0 {
+				l.stand(c.stand)
+			}
+
+			l.run(c.run)
+
+			if !c.want {
+				if !closed(conn) {
+					t.Error("got an open connection, want a closed one")
+				}
+
+				return
+			}
+
+			if got, want := exchange(t, conn), "200 OK"; got != want {
+				t.Errorf("got %s, want %s", got, want)
+			}
+		})
+	}
+}
+
+// TestKeepAliveUntrue guards against answers that announce another time than that for which the connection can be used again.
+func TestKeepAliveUntrue(t *testing.T) {
+	for _, c := range []struct{ name, request, want string }{
+		{"kept", request, "timeout=15"},
+		{"closed by the caller", strings.Replace(request, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), ""},
+		{"HTTP/1.0", strings.Replace(request, "HTTP/1.1", "HTTP/1.0", 1), ""},
+		{"HTTP/1.0, kept", "GET / HTTP/1.0\r\nHost: h.example\r\nConnection: keep-alive\r\n\r\n", "timeout=15"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := startLimited(t, apricotway.CallerLimits{IdleTimeout: 15 * time.Second}, writeAll)
+			conn, _ := l.dial()
+
+			if _, err := io.WriteString(conn, c.request); err != nil {
+				t.Fatal(err)
+			}
+
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+
+			if got := response.Header.Get("Keep-Alive"); got != c.want {
+				t.Errorf("got Keep-Alive %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -49,11 +49,10 @@
 
 const (
 	// headerTimeout limits the time for reading a request's header; the operators' configuration asks for 3 s.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is longer than the 15 s of the operators' configuration, because callers reuse connections that were idle for
-	// up to four fifths of the configured time.
-	idleTimeout    = 20 * time.Second
+	headerTimeout  = 3 * time.Second
 	maxHeaderBytes = 64 << 10
+	// defaultIdleTimeout applies while no configuration states the limit.
+	defaultIdleTimeout = 15 * time.Second
 	// sweepPeriod is the interval at which unused connections to backend servers are closed.
 	sweepPeriod = 2 * time.Second
 	// leaveNoticeTime is how long a leave notice takes to reach every process.
@@ -119,7 +118,7 @@
 	stopLimit atomic.Pointer[time.Time]
 
 	callers *callers.Server
-	servers []*http.Server
+	servers []*callers.Server
 	cancel  context.CancelFunc
 	stopped <-chan error
 }
@@ -221,12 +220,11 @@
 		return err
 	}
 
-	e.callers = callers.New(ctx, e.server("callers", e.relay), listener, callers.WithAccepted(counters.accepted.Inc),
+	e.callers = e.serve(ctx, "callers", listener, e.relay, callers.WithAccepted(counters.accepted.Inc),
 		callers.WithEnded(func(request *http.Request, ending callers.Ending) {
 			counters.answers.WithLabelValues(string(ending.Outcome)).Inc()
 			e.logEnding(request, ending)
 		}))
-	e.serve("callers", e.callers.Serve)
 
 	operators := operator.New(e.registry, func() error {
 		if !e.ready() {
@@ -254,9 +252,7 @@
 			return err
 		}
 
-		server := e.server(entry.name, entry.handler)
-		e.serve(entry.name, func() error { return server.Serve(listener) })
-		e.servers = append(e.servers, server)
+		e.servers = append(e.servers, e.serve(ctx, entry.name, listener, entry.handler))
 	}
 
 	return nil
@@ -347,23 +343,40 @@
 	return listener, nil
 }
 
-// server returns an HTTP server in which a panic ends only the request that caused it.
-func (e *Entry) server(name string, handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: e.panics.Handler(name, handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
-	}
-}
+// serve starts an HTTP server in which a panic ends only the request that caused it.
+func (e *Entry) serve(
+	ctx context.Context, name string, listener net.Listener, handler http.Handler, options ...callers.Option,
+) *callers.Server {
+	server := callers.New(ctx, &http.Server{
+		Handler: e.panics.Handler(name, handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}, listener, append(options, callers.WithLimits(e.callerLimits))...)
 
-// serve adds an HTTP server's run function to the supervisor.
-func (e *Entry) serve(name string, run func() error) {
 	e.supervisor.Add(apricotway.ServiceFunc{Name: name, Func: func(context.Context) error {
-		if err := run(); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve "+name)
 		}
 
 		return suture.ErrDoNotRestart
 	}})
+	e.supervisor.Add(apricotway.Periodic("connections of "+name, callers.SweepPeriod, func(_ context.Context, now time.Time) {
+		server.Sweep(now)
+	}))
+
+	return server
+}
+
+// callerLimits returns the limits on callers of the newest configuration, with a default for each that it doesn't state.
+func (e *Entry) callerLimits() apricotway.CallerLimits {
+	var limits apricotway.CallerLimits
+	if table := e.catalog.Table(); table != nil {
+		limits = table.Limits
+	}
+
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = defaultIdleTimeout
+	}
+
+	return limits
 }
 
 // ready reports whether the process accepts callers.
@@ -428,7 +441,7 @@
 	e.membership.AnnounceStop()
 
 	for _, server := range e.servers {
-		_ = server.Close() // Aborts only directory, readiness and operator requests.
+		server.Close() // Aborts only directory, readiness and operator requests.
 	}
 
 	e.peers.Close()
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -64,7 +64,7 @@
 	}
 
 	if refused.close {
-		header.Set("Connection", "close")
+		c.closeConnection()
 	}
 
 	c.writer.WriteHeader(refused.status)
--- a/protocol/relay/stop.go
+++ b/protocol/relay/stop.go
@@ -71,9 +71,16 @@
 // closeIfStopping makes the answer close the connection if the process is stopping, so that the caller does not reuse it.
 func (c *call) closeIfStopping() {
 	if _, stopping := c.relay.stop(); stopping {
-		c.writer.Header().Set("Connection", "close")
+		c.closeConnection()
 	}
 }
 
+// closeConnection makes the answer close the caller's connection, and withdraws how long the caller could have used it again.
+func (c *call) closeConnection() {
+	header := c.writer.Header()
+	header.Set("Connection", "close")
+	header.Del("Keep-Alive")
+}
+
 // aborted reports whether the context of a call has ended because its process stops.
 func aborted(ctx context.Context) bool { return errors.Is(context.Cause(ctx), apricotway.ErrStopping) }
