Don't replace a server of a stream that is silent for a second

Cause: the timeout was 2.5 pauses, at least 1 s, between events and 2.5 objectives before the first one. Where several servers are silent at once, each move meets another silent server, until the attempts are used up and the caller's connection is closed.

The timeout now follows from when callers give up (PROTOCOL.md: a gap of 2 s, four objectives or eight pauses, whichever is longest), of which it is 0.6, before the first event as later.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -21,12 +21,6 @@
 	copyBufferBytes = 8 << 10
 	// safeTimeoutFactor times the route's objective is the time after which an unanswered safe call goes to another server.
 	safeTimeoutFactor = 0.6
-	// streamTimeoutFactor times the route's objective is the time without a first event after which a resumable stream goes to
-	// another engine.
-	streamTimeoutFactor = 2.5
-	// pauseTimeoutFactor times the route's longest pause, but at least the objective, is the time without a further event after
-	// which another engine continues a resumable stream.
-	pauseTimeoutFactor = 2.5
 	// expectedTimeoutFactor times the expected wait for the answer's beginning is a lower bound of the first timeout of an
 	// attempt.
 	expectedTimeoutFactor = 3
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -123,6 +123,8 @@
 	bufferBudget bufferBudget
 	inFlight     inFlight
 	durations    *duration.Estimator
+	// patience is the shortest gap in a stream after which callers abandon it.
+	patience time.Duration
 }
 
 var _ http.Handler = (*Relay)(nil)
@@ -152,6 +154,9 @@
 	return func(r *Relay) { r.detours, r.processes = detours, processes }
 }
 
+// WithPatience sets the shortest gap in a stream after which callers abandon it. It is 2 s by default.
+func WithPatience(patience time.Duration) Option { return func(r *Relay) { r.patience = patience } }
+
 // WithStop sets the check whether the process is stopping, and until when calls may run. Answers then close the connection, so that
 // callers don't reuse it, and calls that would not end in time are refused.
 func WithStop(stop func() (limit time.Time, stopping bool)) Option {
@@ -168,7 +173,7 @@
 		quarantine: noQuarantine{}, metrics: noMetrics{}, logger: logr.Discard(),
 		stop: func() (time.Time, bool) { return time.Time{}, false }, now: time.Now,
 		inFlight: inFlight{calls: map[*call]struct{}{}}, durations: duration.New(durationWindow), origins: localOrigins{pool.Origins()},
-		detours: noDetours{},
+		detours: noDetours{}, patience: defaultPatience,
 	}
 	for _, option := range options {
 		option(r)
--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -12,9 +12,14 @@
 )
 
 const (
-	// defaultPause is the timeout between two events of a resumable stream whose route states neither objective nor pause. Callers
-	// abandon a stream after a pause of 2 s at the earliest.
-	defaultPause = time.Second
+	// Callers abandon a stream after a gap of defaultPatience, or of the objective or the longest pause of its route times these factors,
+	// whichever is longest.
+	defaultPatience         = 2 * time.Second
+	patienceObjectiveFactor = 4
+	patiencePauseFactor     = 8
+	// silenceShare is the share of that gap after which another server gets a resumable stream. A sound server may be silent for a second
+	// or so, and the other one needs the rest of the gap for its first event.
+	silenceShare = 0.6
 	// replacementInterval is the interval at which another server is looked for while a server is silent.
 	replacementInterval = 500 * time.Millisecond
 )
@@ -22,8 +27,8 @@
 // silenceTimer cancels an attempt whose server has not answered or sent an event in time, once another server can take the call. Until
 // then the silent server keeps it, since no other one would answer sooner.
 type silenceTimer struct {
-	// pause is the timeout between two events of a stream; 0 for other calls, whose timer isn't restarted.
-	pause time.Duration
+	// gap is the timeout between two events of a stream; 0 for other calls, whose timer isn't restarted.
+	gap time.Duration
 	// cancel ends the attempt.
 	cancel context.CancelFunc
 	// replace places the call on another server; it returns nil if that is not possible. begun tells whether the server has sent an
@@ -72,12 +77,8 @@
 
 	first := scale(c.route.Objective, safeTimeoutFactor)
 	if c.route.Kind == apricotway.RouteStream {
-		first = scale(c.route.Objective, streamTimeoutFactor)
-		t.pause = max(scale(c.route.LongestPause, pauseTimeoutFactor), scale(c.route.Objective, 1))
-
-		if t.pause <= 0 {
-			t.pause = defaultPause
-		}
+		t.gap = c.relay.streamTimeout(c.route)
+		first = t.gap
 	}
 
 	if first > 0 {
@@ -89,6 +90,11 @@
 	return t
 }
 
+// streamTimeout returns the time without an event after which another server gets a resumable stream.
+func (r *Relay) streamTimeout(route *apricotway.Route) time.Duration {
+	return scale(max(r.patience, patienceObjectiveFactor*route.Objective, patiencePauseFactor*route.LongestPause), silenceShare)
+}
+
 func scale(d time.Duration, factor float64) time.Duration { return time.Duration(float64(d) * factor) }
 
 // replace places a call whose server is silent on another one. A call without any event may go to a server that was tried, because its
@@ -169,9 +175,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if t.pause > 0 {
+	if t.gap > 0 {
 		t.begun = true
-		t.startLocked(t.pause)
+		t.startLocked(t.gap)
 	}
 }
 
--- a/transport/upstream/replacement_test.go
+++ b/transport/upstream/replacement_test.go
@@ -50,6 +50,7 @@
 	}
 
 	h.catalog.table = route.New(d)
+	h.replaceRelay(relay.WithPatience(time.Millisecond))
 	h.wantStatus("/resumable/", nil, http.StatusOK)
 
 	if got, want := <-placed, 1; got != want {
