Keep a stream at its silent server until another one accepts it

Callers saw streams cut whose server was only silent for a while: their connection was closed without the end of the answer, although the server would have gone on.

Cause: the silent server was given up as soon as another one had a place for the stream. If that one then turned the stream away, failed, broke off or was another server than the list said, and no attempt or retry was left, abortAnswer ended the caller's connection.

The stream is now offered to the other server while the silent one keeps it. If the silent server goes on first, the offer is withdrawn; if it breaks off, the offered server takes the stream over. deliver takes in a chunk under the timer's mutex, so that no event comes from both servers. Offers count as sends, and as retries in the budget. While a run is moved, the timer rests.

Event 395 tells why a silent server kept its stream.

TestEventTwiceWhileReplaced, TestOfferLostWhenSilentServerBreaksOff and TestTwoServersWorkOnStream passed before; they guard what an offer could break. 6 of 6 runs of these tests and of TestOutcomes with -race pass; both packages pass.

Not covered: calls whose answer has not begun are still given up first; a server that accepts later than 0.25 s and then breaks off, with no attempt left, still costs the stream.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -57,10 +57,12 @@
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	silence := c.startSilenceTimer(send, cancel)
+	silence := c.startSilenceTimer(ctx, send, cancel)
 	defer silence.stop()
 
-	answer, metadata, err := c.send(attempt, send, apricotway.SendMetadata{Urgency: c.urgency()})
+	c.recordTry(send)
+
+	answer, metadata, err := c.sendTo(attempt, send, apricotway.SendMetadata{Urgency: c.urgency()})
 	if err != nil {
 		return c.sendFailed(ctx, send, now, err, silence)
 	}
@@ -101,11 +103,14 @@
 	_, _ = io.CopyN(io.Discard, body, drainBytes)
 }
 
-// forwardedCall returns the call as it is sent to the server, and adds the server to those that were tried.
-func (c *call) forwardedCall(header http.Header, send *dispatch.Send) apricotway.ForwardedCall {
+// recordTry adds a server to those that were tried.
+func (c *call) recordTry(send *dispatch.Send) {
 	c.tried = append(c.tried, send.Backend.ID)
 	c.versions = append(c.versions, send.Backend.Version)
+}
 
+// forwardedCall returns the call as it is sent to a server.
+func (c *call) forwardedCall(header http.Header) apricotway.ForwardedCall {
 	return apricotway.ForwardedCall{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
 		Attempt: c.metadata.Attempt,
--- /dev/null
+++ b/protocol/relay/handover.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/dispatch"
+)
+
+// handoverTimeout bounds the time for which a silent server and the one that is asked to continue its stream may both work on it.
+const handoverTimeout = 250 * time.Millisecond
+
+// resumption is the request to a server to continue a stream. Every resumption is finished by finishResume or endDeclined.
+type resumption struct {
+	send *dispatch.Send
+	// memory is the KV cache of the run that the server continues; nil if the server has to read the prompt.
+	memory *apricotway.RunKVCache
+	// cancel ends the request.
+	cancel context.CancelFunc
+	// done is closed once the server has answered or failed. The fields below are set before that.
+	done     chan struct{}
+	answer   *apricotway.ForwardedAnswer
+	metadata apricotway.AnswerMetadata
+	err      error
+}
+
+// newResumption returns a resumption and the context of its request.
+func newResumption(ctx context.Context, send *dispatch.Send, memory *apricotway.RunKVCache) (context.Context, *resumption) {
+	attempt, cancel := context.WithCancel(ctx)
+
+	return attempt, &resumption{send: send, memory: memory, cancel: cancel, done: make(chan struct{})}
+}
+
+// accepted reports whether the server continues the stream. An error may come with status 200 and another content type.
+func (r *resumption) accepted() bool {
+	return r.err == nil && r.answer.Status == http.StatusOK && isEventStream(r.answer.Header)
+}
+
+// mayHaveRun reports whether the server may have begun to work on the stream. A run that continues from its memory counts as the same run.
+func (r *resumption) mayHaveRun() bool {
+	if r.memory != nil {
+		return false
+	}
+
+	return r.err == nil && !r.metadata.NotRun || r.err != nil && !errors.Is(r.err, apricotway.ErrNotSent)
+}
+
+// requestResume asks the server to continue after the given event and waits for its answer. It may run beside the goroutine of the call.
+func (c *call) requestResume(ctx context.Context, r *resumption, last string) {
+	defer close(r.done)
+
+	r.answer, r.metadata, r.err = c.sendTo(ctx, r.send, apricotway.SendMetadata{Urgency: 0, LastEvent: last, Memory: r.memory})
+}
+
+// sendResume asks an engine to continue after the given event, from the KV cache of a stopped run if memory is set. It returns nil
+// when the engine doesn't.
+func (c *call) sendResume(ctx context.Context, send *dispatch.Send, last string, memory *apricotway.RunKVCache) *engineRun {
+	attempt, r := newResumption(ctx, send, memory)
+	silence := c.startSilenceTimer(ctx, send, r.cancel)
+
+	c.recordTry(send)
+	c.requestResume(attempt, r, last)
+
+	return c.finishResume(ctx, r, silence)
+}
+
+// takeOver continues the stream of a silent server at the one that was asked to. It returns nil when that one doesn't.
+func (c *call) takeOver(ctx context.Context, r *resumption) *engineRun {
+	silence := c.startSilenceTimer(ctx, r.send, r.cancel)
+
+	<-r.done
+
+	return c.finishResume(ctx, r, silence)
+}
+
+// finishResume returns the run of a server that continues the stream, nil if it doesn't.
+func (c *call) finishResume(ctx context.Context, r *resumption, silence *silenceTimer) *engineRun {
+	if r.mayHaveRun() {
+		c.sends++
+	}
+
+	if r.accepted() {
+		r.send.RecordFirstEvent(c.relay.now(), r.metadata.Load)
+
+		return &engineRun{
+			send: r.send, body: r.answer.Body, silence: silence, closeDelimited: r.answer.CloseDelimited, resumed: true, end: func() {
+				silence.stop()
+				_ = r.answer.Body.Close() // The rest of the stream is not needed.
+				r.cancel()
+			},
+		}
+	}
+
+	silence.stop()
+
+	givenUp := dispatch.Outcome("")
+	if silence.fired() {
+		givenUp = dispatch.OutcomeFailed
+	}
+
+	c.endDeclined(ctx, r, givenUp)
+
+	return nil
+}
+
+// endDeclined ends a resumption that is not used. givenUp is the outcome if the relay gave it up and the server did not refuse it, else
+// empty. It may run beside the goroutine of the call.
+func (c *call) endDeclined(ctx context.Context, r *resumption, givenUp dispatch.Outcome) {
+	if r.err == nil {
+		_ = r.answer.Body.Close() // What the server answers instead is not needed.
+	}
+
+	r.cancel()
+
+	outcome := dispatch.OutcomeFailed
+
+	switch {
+	case ctx.Err() != nil:
+		outcome = dispatch.OutcomeLeft
+	case r.err == nil && r.answer.Status == http.StatusMisdirectedRequest:
+		outcome = dispatch.OutcomeMisdirected
+	case r.err == nil && r.metadata.NotRun:
+		r.send.RecordLoad(c.relay.now(), r.metadata.Load)
+
+		outcome = dispatch.OutcomeFull
+	case givenUp != "":
+		outcome = givenUp
+	case r.err != nil && !errors.Is(r.err, apricotway.ErrNotSent):
+		c.reportBroken(r.send, c.acquitted.Load(), r.err)
+	}
+
+	r.send.End(c.relay.now(), outcome)
+}
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -39,9 +39,13 @@
 	limited, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 
+	// Without the end of the move it is not known which server has the stream.
+	restart := current.silence.suspend()
+
 	memory, copied, err := c.relay.mover.Move(limited, current.send.Backend.Address, c.metadata.Attempt, target.Backend.Address)
 	if err != nil {
 		target.End(c.relay.now(), dispatch.OutcomeLeft)
+		restart()
 
 		// When the engine doesn't know the run, the run has ended. After any other error the stream either continues at the source
 		// or breaks off, which passRun handles.
--- a/protocol/relay/quarantine.go
+++ b/protocol/relay/quarantine.go
@@ -33,7 +33,7 @@
 
 // fingerprints returns the fingerprints of the prompt's parts and of the whole content, which a retry by the caller has as well.
 func (c *call) fingerprints() []quarantine.Fingerprint {
-	if c.digest == 0 {
+	c.digestOnce.Do(func() {
 		hash := sha256.New()
 		for _, part := range []string{c.metadata.Key, c.request.Method, c.request.Host, c.request.RequestURI} {
 			// Writes to a hash never fail.
@@ -42,7 +42,7 @@
 
 		_, _ = hash.Write(c.body)
 		c.digest = quarantine.Fingerprint(binary.BigEndian.Uint64(hash.Sum(nil)))
-	}
+	})
 
 	return append(c.partFingerprints(), c.digest)
 }
@@ -79,12 +79,10 @@
 // reportAnswered tells the quarantine that a server has begun to answer the call without crashing. Only the first report has an
 // effect.
 func (c *call) reportAnswered() {
-	if c.acquitted {
+	if c.acquitted.Swap(true) {
 		return
 	}
 
-	c.acquitted = true
-
 	if c.relay.quarantine.HasSuspects() {
 		c.relay.quarantine.RecordAnswered(c.fingerprints())
 	} else if parts := c.partFingerprints(); len(parts) > 0 {
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -228,12 +230,13 @@
 	request  *http.Request
 	metadata apricotway.CallMetadata
 	body     []byte
-	// digest is the fingerprint of the whole content; 0 until it is needed.
-	digest quarantine.Fingerprint
+	// digest is the fingerprint of the whole content. It is computed once it is needed.
+	digest     quarantine.Fingerprint
+	digestOnce sync.Once
 	// events counts the reads of a stream that had a complete event. acquitted is set once the quarantine knows that the call was
 	// answered.
 	events    int
-	acquitted bool
+	acquitted atomic.Bool
 
 	arrived  time.Time
 	deadline time.Time
--- a/protocol/relay/send.go
+++ b/protocol/relay/send.go
@@ -8,8 +8,9 @@
 	"github.com/apricotway/apricotway/state/dispatch"
 )
 
-// send sends the call to the chosen server, and records what the answer states about it. Every send of a call goes through it.
-func (c *call) send(
+// sendTo sends the call to the chosen server, and records what the answer states about it. Every send of a call goes through it. It may
+// run beside the goroutine of the call.
+func (c *call) sendTo(
 	ctx context.Context, to *dispatch.Send, metadata apricotway.SendMetadata,
 ) (*apricotway.ForwardedAnswer, apricotway.AnswerMetadata, error) {
 	now := c.relay.now()
@@ -24,7 +25,7 @@
 
 	c.progress.sent(to.Backend.ID, now)
 
-	answer, err := c.relay.upstream.Send(ctx, to.Backend.Address, c.forwardedCall(header, to))
+	answer, err := c.relay.upstream.Send(ctx, to.Backend.Address, c.forwardedCall(header))
 	if err != nil {
 		return nil, apricotway.AnswerMetadata{}, err
 	}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -368,6 +368,13 @@
 		run := *current
 		reason, outcome := c.passRun(ctx, splitter, run, buffer, first, err)
 
+		var replacement *replacement
+		if reason != "" && outcome != dispatch.OutcomeLeft {
+			replacement = run.silence.takeReplacement()
+		}
+
+		c.countOffers(run.silence)
+
 		if reason == "" {
 			run.send.End(c.relay.now(), dispatch.OutcomeDone)
 
@@ -392,8 +399,6 @@
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
-		replacement := run.silence.takeReplacement()
-
 		// An engine that still generates must stop before another one continues.
 		run.end()
 
@@ -413,6 +418,10 @@
 ) *engineRun {
 	splitter.resume()
 
+	if replacement != nil && replacement.resumption != nil {
+		return c.continueOffered(ctx, run, splitter, reason, replacement.resumption)
+	}
+
 	resumable := c.route.Resumable && splitter.continuable()
 
 	// The server may have sent its first event while the replacement was chosen.
@@ -448,7 +457,7 @@
 	}
 
 	if reason == reasonBroken && run.memory == nil && !run.detour {
-		c.reportBroken(run.send, c.acquitted, run.err)
+		c.reportBroken(run.send, c.acquitted.Load(), run.err)
 	}
 
 	if resumable {
@@ -458,13 +467,39 @@
 	return nil
 }
 
+// continueOffered returns a run that continues after the last complete event at the server to which the stream is offered, else at another
+// one, or nil when there is none.
+func (c *call) continueOffered(
+	ctx context.Context, run *engineRun, splitter *eventSplitter, reason string, offer *resumption,
+) *engineRun {
+	if reason == reasonBroken {
+		c.reportBroken(run.send, c.acquitted.Load(), run.err)
+	}
+
+	if resumed := c.takeOver(ctx, offer); resumed != nil {
+		return resumed
+	}
+
+	return c.continueRun(ctx, run, splitter, reasonSilent, nil)
+}
+
 // passRun passes on the events of one engine, beginning with the chunk that was read last and the error of that read. It returns an
 // empty reason when the stream ended normally.
 func (c *call) passRun(
 	ctx context.Context, splitter *eventSplitter, current *engineRun, buffer, chunk []byte, err error,
 ) (reason string, outcome dispatch.Outcome) {
 	for {
-		if !c.passEvents(splitter, current, chunk) {
+		switch c.passEvents(splitter, current, chunk) {
+		case passed:
+		case passedOver:
+			if ctx.Err() != nil {
+				return reasonEnded, dispatch.OutcomeLeft
+			}
+
+			c.relay.detours.Silent(c.relay.now())
+
+			return reasonSilent, dispatch.OutcomeFailed
+		case notPassed:
 			return reasonCallerLeft, dispatch.OutcomeLeft
 		}
 
@@ -505,25 +540,43 @@
 	}
 }
 
-// passEvents passes on the complete events of a chunk. It returns false if the caller has left.
-func (c *call) passEvents(splitter *eventSplitter, current *engineRun, chunk []byte) bool {
-	ready, progress := splitter.add(chunk)
+// passResult is what became of a chunk of a stream.
+type passResult string
+
+const (
+	passed passResult = "passed"
+	// passedOver is that of a chunk that comes after the stream was handed over to another server, which sends its events as well.
+	passedOver passResult = "passedOver"
+	notPassed  passResult = "notPassed"
+)
+
+// passEvents passes on the complete events of a chunk, unless the stream was handed over to another server. It fails if the caller has left.
+func (c *call) passEvents(splitter *eventSplitter, current *engineRun, chunk []byte) passResult {
+	var (
+		ready               []byte
+		progress, resumable bool
+	)
+
+	// The time in which the caller does not read is no silence of the engine, and a stream that nobody can continue has no timeout.
+	if !current.silence.deliver(func() (hold bool) {
+		ready, progress = splitter.add(chunk)
+		resumable = c.route.Resumable && splitter.continuable()
+
+		return progress || !resumable
+	}) {
+		return passedOver
+	}
+
 	if progress {
 		current.began = true
 		c.countEvent()
 	}
 
-	// The time in which the caller does not read is no silence of the engine, and a stream that nobody can continue has no timeout.
-	resumable := c.route.Resumable && splitter.continuable()
-	if progress || !resumable {
-		current.silence.hold()
-	}
-
 	if len(ready) > 0 {
 		c.progress.enter(stageCaller, c.relay.now())
 
 		if _, err := c.writer.Write(ready); err != nil {
-			return false
+			return notPassed
 		}
 
 		// A flush fails only when the caller has left; the next write then fails too.
@@ -532,10 +585,10 @@
 	}
 
 	if progress && resumable {
-		current.silence.restart()
+		current.silence.restart(splitter.last)
 	}
 
-	return true
+	return passed
 }
 
 // resume sends the call to another engine, to continue after the given event. It returns nil when no engine takes the call.
@@ -555,57 +608,3 @@
 
 	return nil
 }
-
-// sendResume asks an engine to continue after the given event, from the KV cache of a stopped run if memory is set. It returns nil
-// when the engine doesn't.
-func (c *call) sendResume(ctx context.Context, send *dispatch.Send, last string, memory *apricotway.RunKVCache) *engineRun {
-	attempt, cancel := context.WithCancel(ctx)
-	silence := c.startSilenceTimer(send, cancel)
-
-	answer, metadata, err := c.send(attempt, send, apricotway.SendMetadata{Urgency: 0, LastEvent: last, Memory: memory})
-
-	mayHaveRun := err == nil && !metadata.NotRun || err != nil && !errors.Is(err, apricotway.ErrNotSent)
-	// A run that continues from its memory counts as the same run.
-	if mayHaveRun && memory == nil {
-		c.sends++
-	}
-
-	// An error may come with status 200 and another content type.
-	if err == nil && answer.Status == http.StatusOK && isEventStream(answer.Header) {
-		send.RecordFirstEvent(c.relay.now(), metadata.Load)
-
-		return &engineRun{
-			send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited, resumed: true, end: func() {
-				silence.stop()
-				_ = answer.Body.Close() // The rest of the stream is not needed.
-				cancel()
-			},
-		}
-	}
-
-	if err == nil {
-		_ = answer.Body.Close() // The engine refused to continue.
-	}
-
-	silence.stop()
-	cancel()
-
-	outcome := dispatch.OutcomeFailed
-
-	switch {
-	case ctx.Err() != nil:
-		outcome = dispatch.OutcomeLeft
-	case err == nil && answer.Status == http.StatusMisdirectedRequest:
-		outcome = dispatch.OutcomeMisdirected
-	case err == nil && metadata.NotRun:
-		send.RecordLoad(c.relay.now(), metadata.Load)
-
-		outcome = dispatch.OutcomeFull
-	case err != nil && !errors.Is(err, apricotway.ErrNotSent) && !silence.fired():
-		c.reportBroken(send, c.acquitted, err)
-	}
-
-	send.End(c.relay.now(), outcome)
-
-	return nil
-}
--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -25,7 +25,8 @@
 )
 
 // silenceTimer cancels an attempt whose server has not answered or sent an event in time, once another server can take the call. Until
-// then the silent server keeps it, since no other one would answer sooner.
+// then the silent server keeps it, since no other one would answer sooner. A stream that has begun is offered to the other server first,
+// and the silent one keeps it for handoverTimeout if that one does not accept it.
 type silenceTimer struct {
 	// gap is the timeout between two events of a stream; 0 for other calls, whose timer isn't restarted.
 	gap time.Duration
@@ -34,30 +35,60 @@
 	// replace places the call on another server; it returns nil if that is not possible. begun tells whether the server has sent an
 	// event.
 	replace func(begun bool) *replacement
-	// release ends a replacement that is not used.
+	// release ends a replacement that is not used and to which nothing was sent.
 	release func(*replacement)
+	// mayOffer reports whether the stream may be offered to another server.
+	mayOffer func() offering
+	// offer returns the request to a replacement to continue the stream, and a function that sends it and waits for the answer.
+	offer func(next *replacement, last string) (*resumption, func())
+	// discard ends a resumption that is not used. withdrawn is set when the relay gave it up.
+	discard func(r *resumption, withdrawn bool)
 
 	mu    sync.Mutex
 	timer *time.Timer
 	// round counts the restarts and stops of the timer. An expiry of an earlier round has no effect.
 	round int
+	// running is set while the timer runs.
+	running bool
 	// begun is set once the server has sent an event, expired once the timer has cancelled the attempt, and stopped once the attempt
 	// needs no timer any more.
 	begun, expired, stopped bool
+	// last is the last event of a stream that has begun.
+	last string
 	// next is the replacement while nobody has taken it. It is set only together with expired.
 	next *replacement
+	// offered is the replacement that is asked to continue the stream while the silent server keeps it.
+	offered *replacement
+	// offers are the sends of the offers, and runs the number of those that may have run and that nobody has taken. At most spare may.
+	offers      []*dispatch.Send
+	runs, spare int
 }
 
+// offering tells what a silent server's stream may be given to.
+type offering string
+
+const (
+	// offeringServer means that another server may be asked to continue it.
+	offeringServer offering = "server"
+	// offeringProcess means that the paths to the servers are lost, so that the stream is given up for another process to continue it.
+	offeringProcess offering = "process"
+	offeringNone    offering = "none"
+)
+
 // replacement is the place of a call at another server, with a retry from the retry budget.
 type replacement struct {
 	send *dispatch.Send
 	// takenAt is the time at which the retry was taken from the budget.
 	takenAt time.Time
+	// resumption is set once the server was asked to continue the stream. withdrawn is set once nobody needs its answer any more, settled
+	// once it has answered or failed. The timer's mutex protects both.
+	resumption         *resumption
+	withdrawn, settled bool
 }
 
 // startSilenceTimer starts the timer of an attempt. Calls that may not be retried have no timeout, since a silent server may still
 // be running the call, and neither has the last attempt of a call.
-func (c *call) startSilenceTimer(send *dispatch.Send, cancel context.CancelFunc) *silenceTimer {
+func (c *call) startSilenceTimer(ctx context.Context, send *dispatch.Send, cancel context.CancelFunc) *silenceTimer {
 	request := c.placement(append(slices.Clone(c.tried), send.Backend.ID))
 	t := &silenceTimer{
 		cancel: cancel,
@@ -68,10 +99,30 @@
 
 			return c.relay.replace(c.deadline, request, begun)
 		},
-		release: func(unused *replacement) { c.relay.release(request.Service, unused) },
+		release:  func(unused *replacement) { c.relay.release(request.Service, unused) },
+		mayOffer: c.mayOffer,
+		offer: func(next *replacement, last string) (*resumption, func()) {
+			request.Avoid = append(request.Avoid, next.send.Backend.ID)
+			c.relay.metrics.CallRetried(request.Service, reasonResumed)
+
+			attempt, r := newResumption(ctx, next.send, nil)
+
+			return r, func() { c.requestResume(attempt, r, last) }
+		},
+		discard: func(r *resumption, withdrawn bool) {
+			c.logDeclined(send, r, withdrawn)
+
+			givenUp := dispatch.Outcome("")
+			if withdrawn {
+				givenUp = dispatch.OutcomeLeft
+			}
+
+			c.endDeclined(ctx, r, givenUp)
+		},
+		spare: c.route.MaxAttempts - c.sends - 1,
 	}
 
-	if !c.route.Repeatable() || c.sends+1 >= c.route.MaxAttempts {
+	if !c.route.Repeatable() || t.spare <= 0 {
 		return t
 	}
 
@@ -90,6 +141,39 @@
 	return t
 }
 
+// mayOffer reports to whom the stream of a silent server may be given. It may run beside the goroutine of the call.
+func (c *call) mayOffer() offering {
+	switch {
+	case c.quarantined():
+		return offeringNone
+	case c.relay.detours.Lost():
+		return offeringProcess
+	default:
+		return offeringServer
+	}
+}
+
+// logDeclined logs that a silent server keeps its stream.
+func (c *call) logDeclined(silent *dispatch.Send, r *resumption, withdrawn bool) {
+	status := 0
+	if r.err == nil {
+		status = r.answer.Status
+	}
+
+	c.relay.logger.Info("a silent backend server keeps its stream", "event", 395, "attempt", c.metadata.Attempt,
+		"server", silent.Backend.ID, "offeredTo", r.send.Backend.ID, "withdrawn", withdrawn, "status", status)
+}
+
+// countOffers adds the servers to which the stream was offered in an attempt to those that the call was sent to.
+func (c *call) countOffers(silence *silenceTimer) {
+	offers, runs := silence.takeOffers()
+	for _, send := range offers {
+		c.recordTry(send)
+	}
+
+	c.sends += runs
+}
+
 // streamTimeout returns the time without an event after which another server gets a resumable stream.
 func (r *Relay) streamTimeout(route *apricotway.Route) time.Duration {
 	return scale(max(r.patience, patienceObjectiveFactor*route.Objective, patiencePauseFactor*route.LongestPause), silenceShare)
@@ -131,30 +215,62 @@
 		return
 	}
 
-	t.round++
+	t.holdLocked()
+
 	round := t.round
+	t.running = true
+	t.timer = time.AfterFunc(timeout, func() { t.expire(round) })
+}
+
+// holdLocked stops the timer and withdraws the stream from a server to which it is offered. The caller holds t.mu.
+func (t *silenceTimer) holdLocked() {
+	t.round++
+	t.running = false
 
 	if t.timer != nil {
 		t.timer.Stop()
 	}
 
-	t.timer = time.AfterFunc(timeout, func() { t.expire(round) })
+	if t.offered != nil {
+		t.withdrawLocked(t.offered)
+		t.offered = nil
+	}
+}
+
+// withdrawLocked ends the resumption of a replacement. The caller holds t.mu.
+func (t *silenceTimer) withdrawLocked(unused *replacement) {
+	unused.resumption.cancel()
+
+	if unused.settled {
+		t.discard(unused.resumption, true)
+	} else {
+		unused.withdrawn = true
+	}
 }
 
 // expire cancels the attempt if another server can take the call, and else tries again after a while.
 func (t *silenceTimer) expire(round int) {
 	t.mu.Lock()
-	current, begun := t.round == round, t.begun
+	current, begun, last, spare := t.round == round, t.begun, t.last, t.spare > t.runs
 	t.mu.Unlock()
 
-	if !current {
+	if !current || !spare {
 		return
 	}
 
-	next := t.replace(begun)
+	to := offeringServer
+	if begun {
+		to = t.mayOffer()
+	}
+
+	var next *replacement
+	if to != offeringNone {
+		next = t.replace(begun)
+	}
+
+	var request func()
 
 	t.mu.Lock()
-	defer t.mu.Unlock()
 
 	switch {
 	case t.round != round:
@@ -164,48 +280,143 @@
 		}
 	case next == nil:
 		t.startLocked(replacementInterval)
+	case begun && to == offeringServer:
+		next.resumption, request = t.offer(next, last)
+		t.offered = next
+		t.offers = append(t.offers, next.send)
+		t.runs++
 	default:
 		t.next, t.expired = next, true
 		t.cancel()
 	}
+
+	t.mu.Unlock()
+
+	if request != nil {
+		t.await(next, request)
+	}
+}
+
+// await sends the offer of a stream. The stream is handed over once the other server accepts it, or after handoverTimeout.
+func (t *silenceTimer) await(next *replacement, request func()) {
+	handover := time.AfterFunc(handoverTimeout, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+
+		t.handOverLocked(next)
+	})
+	defer handover.Stop()
+
+	request()
+
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	next.settled = true
+
+	switch {
+	case next.withdrawn:
+		t.discard(next.resumption, true)
+	case t.offered != next:
+		// The stream was handed over before.
+	case next.resumption.accepted():
+		t.handOverLocked(next)
+	default:
+		t.offered = nil
+
+		if !next.resumption.mayHaveRun() {
+			t.runs--
+		}
+
+		t.discard(next.resumption, false)
+		t.startLocked(replacementInterval)
+	}
+}
+
+// handOverLocked ends the attempt in favor of a server to which its stream is offered. The caller holds t.mu.
+func (t *silenceTimer) handOverLocked(to *replacement) {
+	if t.offered != to {
+		return
+	}
+
+	t.offered = nil
+	// Whoever takes the replacement counts its run.
+	t.runs--
+	t.next, t.expired = to, true
+	t.cancel()
 }
 
-// restart starts the timer of a stream anew after an event.
-func (t *silenceTimer) restart() {
+// deliver calls a function that takes in a part of the answer, and stops the timer if that returns true. It does nothing and returns false
+// once a stream that has begun was given to another server.
+func (t *silenceTimer) deliver(take func() (hold bool)) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.expired && t.begun {
+		return false
+	}
+
+	if take() {
+		t.holdLocked()
+	}
+
+	return true
+}
+
+// restart starts the timer of a stream anew after an event with the given identifier.
+func (t *silenceTimer) restart(last string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	if t.gap > 0 {
-		t.begun = true
+		t.begun, t.last = true, last
 		t.startLocked(t.gap)
 	}
 }
 
-// hold stops the timer until restart is called.
-func (t *silenceTimer) hold() {
+// suspend stops the timer. The function that it returns starts the timer anew if it ran.
+func (t *silenceTimer) suspend() (restart func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	t.round++
+	running := t.running
+	t.holdLocked()
 
-	if t.timer != nil {
-		t.timer.Stop()
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+
+		if running {
+			t.startLocked(t.gap)
+		}
 	}
 }
 
+// hold stops the timer until restart is called.
+func (t *silenceTimer) hold() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	t.holdLocked()
+}
+
 // stop stops the timer for good and ends a replacement that nobody has taken.
 func (t *silenceTimer) stop() {
-	t.hold()
-
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	t.holdLocked()
 	t.stopped = true
 
-	if t.next != nil {
+	switch {
+	case t.next == nil:
+	case t.next.resumption != nil:
+		t.withdrawLocked(t.next)
+	default:
 		t.release(t.next)
-		t.next = nil
 	}
+
+	t.next = nil
 }
 
 // fired reports whether the timer cancelled the attempt.
@@ -216,14 +427,31 @@
 	return t.expired
 }
 
-// takeReplacement returns the place of the call at another server if the timer cancelled the attempt, else nil. The caller has to send
-// the call there or release it.
+// takeReplacement returns the place of the call at another server if the timer cancelled the attempt or the stream is offered to that
+// server, else nil. The caller has to send the call there, to take the stream over or to release the replacement.
 func (t *silenceTimer) takeReplacement() *replacement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	if t.offered != nil {
+		t.handOverLocked(t.offered)
+	}
+
 	next := t.next
 	t.next = nil
 
 	return next
 }
+
+// takeOffers returns the sends of the offers since it was called last, and the number of those that may have run and were not taken.
+func (t *silenceTimer) takeOffers() (offers []*dispatch.Send, runs int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	offers, runs = t.offers, t.runs
+	t.offers = nil
+	t.spare -= runs
+	t.runs = 0
+
+	return offers, runs
+}
