Don't cut a stream whose server is silent between its last event and its end

Callers saw a stream cut that had all its events: the connection was closed before the end of the answer.

Cause: a server that is silent after the last event, before the end of the answer, looks like one that is silent between events. Another server that is asked to continue has no event left and answers with an empty stream, which counts as broken off, since a stream may not look complete before its last event.

An offered stream is now accepted with its first event, not with the head of the answer. An empty answer declines the offer, and the silent server keeps the stream and ends it.

Remaining: a silence before the end that outlasts the timeout while the paths to all servers seem lost, or with no answer to the offer within 0.25 s, still costs the stream.

--- a/protocol/relay/handover.go
+++ b/protocol/relay/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -26,6 +27,11 @@
 	answer   *apricotway.ForwardedAnswer
 	metadata apricotway.AnswerMetadata
 	err      error
+	// offered is set when the silent server of the stream keeps it meanwhile. The first event is then part of the answer: without one the
+	// silent server may have sent the last. first and firstErr are the result of reading it.
+	offered  bool
+	first    []byte
+	firstErr error
 }
 
 // newResumption returns a resumption and the context of its request.
@@ -37,6 +43,11 @@
 
 // accepted reports whether the server continues the stream. An error may come with status 200 and another content type.
 func (r *resumption) accepted() bool {
+	return r.continued() && (!r.offered || completeSize(r.first) > 0)
+}
+
+// continued reports whether the answer is a stream.
+func (r *resumption) continued() bool {
 	return r.err == nil && r.answer.Status == http.StatusOK && isEventStream(r.answer.Header)
 }
 
@@ -54,6 +65,10 @@
 	defer close(r.done)
 
 	r.answer, r.metadata, r.err = c.sendTo(ctx, r.send, apricotway.SendMetadata{Urgency: 0, LastEvent: last, Memory: r.memory})
+
+	if r.offered && r.continued() {
+		r.first, r.firstErr = readFirstEvent(r.answer.Body, make([]byte, copyBufferBytes))
+	}
 }
 
 // sendResume asks an engine to continue after the given event, from the KV cache of a stopped run if memory is set. It returns nil
@@ -87,7 +102,8 @@
 		r.send.RecordFirstEvent(c.relay.now(), r.metadata.Load)
 
 		return &engineRun{
-			send: r.send, body: r.answer.Body, silence: silence, closeDelimited: r.answer.CloseDelimited, resumed: true, end: func() {
+			send: r.send, body: r.answer.Body, silence: silence, closeDelimited: r.answer.CloseDelimited, resumed: true,
+			first: r.first, firstErr: r.firstErr, end: func() {
 				silence.stop()
 				_ = r.answer.Body.Close() // The rest of the stream is not needed.
 				r.cancel()
@@ -129,6 +145,10 @@
 		outcome = dispatch.OutcomeFull
 	case givenUp != "":
 		outcome = givenUp
+	case errors.Is(r.firstErr, io.EOF) && len(r.first) == 0:
+		outcome = dispatch.OutcomeDone
+	case r.firstErr != nil:
+		c.reportBroken(r.send, c.acquitted.Load(), r.firstErr)
 	case r.err != nil && !errors.Is(r.err, apricotway.ErrNotSent):
 		c.reportBroken(r.send, c.acquitted.Load(), r.err)
 	}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -347,6 +347,9 @@
 	closeDelimited, began, resumed bool
 	// err is the error with which reading the body failed.
 	err error
+	// first and firstErr are what was read of a run that was offered to the engine.
+	first    []byte
+	firstErr error
 	// detour is set when another process passes the run on.
 	detour bool
 	// noMove is set when moving the run was tried in vain; it is not tried again.
@@ -407,7 +410,7 @@
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
-		*current, first, err = next, nil, nil
+		*current, first, err = next, next.first, next.firstErr
 	}
 }
 
--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -106,6 +106,7 @@
 			c.relay.metrics.CallRetried(request.Service, reasonResumed)
 
 			attempt, r := newResumption(ctx, next.send, nil)
+			r.offered = true
 
 			return r, func() { c.requestResume(attempt, r, last) }
 		},
--- a/transport/upstream/handover_test.go
+++ b/transport/upstream/handover_test.go
@@ -146,3 +146,16 @@
 		t.Errorf("got %s with two servers at work, want less than 400ms", both)
 	}
 }
+
+// TestStreamCutForSilenceBeforeItsEnd guards against cutting a stream whose server is silent between the last event and the end, since another
+// server has no event to continue it with.
+func TestStreamCutForSilenceBeforeItsEnd(t *testing.T) {
+	answer := firstThen(silentAfter(2, 2400*time.Millisecond), streamOf(2, 0))
+	h := newHarness(t, answer, answer)
+	h.limitRetries(100, 2)
+
+	_, got, err := h.call("/resumable/", nil) //nolint:bodyclose // The call has read and closed it.
+	if want := event(1) + event(2); err != nil || got != want {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+}
--- a/transport/upstream/shortsilence_test.go
+++ b/transport/upstream/shortsilence_test.go
@@ -15,7 +15,7 @@
 	"github.com/apricotway/apricotway/transport/upstream"
 )
 
-// silentAfter answers with a stream of two events, and is silent for a while before the given one. It ends when its caller leaves.
+// silentAfter answers with a stream of two events, and is silent for a while after the given one. It ends when its caller leaves.
 func silentAfter(id int, silence time.Duration) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -24,17 +24,21 @@
 
 		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
 
-		for next := last + 1; next <= 2; next++ {
-			if next == id+1 {
-				select {
-				case <-time.After(silence):
-				case <-r.Context().Done():
-					return
-				}
+		for next := last; next <= 2; next++ {
+			if next > last {
+				_, _ = io.WriteString(w, event(next))
+				_ = http.NewResponseController(w).Flush()
 			}
 
-			_, _ = io.WriteString(w, event(next))
-			_ = http.NewResponseController(w).Flush()
+			if next != id {
+				continue
+			}
+
+			select {
+			case <-time.After(silence):
+			case <-r.Context().Done():
+				return
+			}
 		}
 	}
 }
