--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -126,6 +128,8 @@
 	bufferBudget bufferBudget
 	inFlight     inFlight
 	durations    *duration.Estimator
+	// patience is the shortest gap in a stream after which callers abandon it.
+	patience time.Duration
 }
 
 var _ http.Handler = (*Relay)(nil)
@@ -155,6 +159,9 @@
 	return func(r *Relay) { r.detours, r.processes = detours, processes }
 }
 
+// WithPatience sets the shortest gap in a stream after which callers abandon it. It is 2 s by default.
+func WithPatience(patience time.Duration) Option { return func(r *Relay) { r.patience = patience } }
+
 // WithStop sets the check whether the process is stopping, and until when calls may run. Answers then close the connection, so that
 // callers don't reuse it, and calls that would not end in time are refused.
 func WithStop(stop func() (limit time.Time, stopping bool)) Option {
@@ -171,7 +178,7 @@
 		quarantine: noQuarantine{}, metrics: noMetrics{}, logger: logr.Discard(),
 		stop: func() (time.Time, bool) { return time.Time{}, false }, now: time.Now,
 		inFlight: inFlight{calls: map[*call]struct{}{}}, durations: duration.New(durationWindow), origins: localOrigins{pool.Origins()},
-		detours: noDetours{},
+		detours: noDetours{}, patience: defaultPatience,
 	}
 	for _, option := range options {
 		option(r)
@@ -230,12 +237,13 @@
 	request  *http.Request
 	metadata apricotway.CallMetadata
 	body     []byte
-	// digest is the fingerprint of the whole content; 0 until it is needed.
-	digest quarantine.Fingerprint
+	// digest is the fingerprint of the whole content. It is computed once it is needed.
+	digest     quarantine.Fingerprint
+	digestOnce sync.Once
 	// events counts the reads of a stream that had a complete event. acquitted is set once the quarantine knows that the call was
 	// answered.
 	events    int
-	acquitted bool
+	acquitted atomic.Bool
 
 	arrived  time.Time
 	deadline time.Time
