Begin a new center of the limits with what the shares have left

After a start of all processes, or the loss of the center, callers were refused as over their limit although their workspace was below it. A new center began with empty buckets, and its first answer made each process drop what was left of its equal share: units that the limit allows, and that nobody had spent, were gone. Until a burst had accrued again, the limit was what the rate gave at that moment.

Processes now report their share and since when it accrues, and a new center adds it to the bucket with the first report of each process. An overdrawn share is taken from the bucket. Only what accrued before the center started counts, so that nothing is granted twice.

--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -271,7 +271,7 @@
 	report := Report{
 		Node:     r.membership.Self().Node,
 		Counts:   r.Tally.Counts(r.Tally.Window(now) - backfillWindows),
-		Accounts: r.Limiter.Accounts(),
+		Accounts: r.Limiter.Accounts(now),
 		Known:    r.Catalog.Position(),
 		Work:     r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
 		Limits: r.Pool.UncollectedLimits(now), Brittle: r.Pool.BrittleServices(now), LastWindow: r.duty.LastWindow(),
--- a/state/quota/center.go
+++ b/state/quota/center.go
@@ -23,6 +23,8 @@
 
 // Center keeps the token bucket of each limit. It is not safe for concurrent use.
 type Center struct {
+	// startedAt is the time from which this center grants.
+	startedAt time.Time
 	buckets   map[apricotway.Workspace]*bucket
 	processes map[apricotway.NodeID]*process
 }
@@ -48,10 +50,15 @@
 
 // SetLimits applies the limits of a configuration.
 func (c *Center) SetLimits(now time.Time, workspaces map[apricotway.Workspace]*apricotway.WorkspaceRule) {
+	if c.startedAt.IsZero() {
+		c.startedAt = now
+	}
+
 	for name, rule := range workspaces {
 		b := c.buckets[name]
 		if b == nil {
-			// The bucket starts empty, because it is unknown how much was spent under the previous center.
+			// The bucket starts empty, because it is unknown how much was spent under the previous center. It gets what the shares of the
+			// processes have left when these first report.
 			b = &bucket{at: now}
 			c.buckets[name] = b
 		}
@@ -107,7 +114,9 @@
 	now time.Time, node apricotway.NodeID, elapsed time.Duration, accounts map[apricotway.Workspace]Account,
 ) map[apricotway.Workspace]float64 {
 	p := c.processes[node]
-	if p == nil {
+	first := p == nil
+
+	if first {
 		p = &process{demand: map[apricotway.Workspace]float64{}}
 		c.processes[node] = p
 	}
@@ -127,6 +136,11 @@
 
 		c.refill(now, b)
 
+		// A share that accrued before this center started was granted to nobody else.
+		if first && now.Add(-account.Unanswered).Before(c.startedAt) {
+			b.level = min(b.level+account.Share, b.limit.Burst)
+		}
+
 		// Credit that a process no longer needs is taken back so that others can have it.
 		units := p.demand[name]*horizon - account.Credit
 		if units > 0 {
--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -52,9 +52,9 @@
 	asked float64
 	// deniedUntil is the time until which the center has nothing to grant.
 	deniedUntil time.Time
-	// level is what was left of the equal share at time at.
-	level float64
-	at    time.Time
+	// level is what was left of the equal share at time at. The share accrues from the time since on.
+	level     float64
+	at, since time.Time
 }
 
 // New returns a limiter without limits.
@@ -70,7 +70,7 @@
 	for name, rule := range workspaces {
 		b := l.buckets[name]
 		if b == nil {
-			b = &localBucket{at: now, level: rule.Limit.Burst / float64(l.processes)}
+			b = &localBucket{at: now, since: now, level: rule.Limit.Burst / float64(l.processes)}
 			l.buckets[name] = b
 		}
 
@@ -134,16 +134,21 @@
 	return Spent, 0
 }
 
-func (b *localBucket) takeShare(now, answeredAt time.Time, cost, processes float64) (Verdict, time.Duration) {
-	rate, burst := b.limit.Rate/processes, b.limit.Burst/processes
-
+// accrueShare adds what has accrued to the equal share.
+func (b *localBucket) accrueShare(now, answeredAt time.Time, processes float64) {
 	// The center has granted the whole limit up to its last answer, so the share accrues only from then on.
-	if b.at.Before(answeredAt) {
-		b.at, b.level = answeredAt, 0
+	if b.since.Before(answeredAt) {
+		b.since, b.at, b.level = answeredAt, answeredAt, 0
 	}
 
-	b.level = min(b.level+max(now.Sub(b.at).Seconds(), 0)*rate, burst)
+	b.level = min(b.level+max(now.Sub(b.at).Seconds(), 0)*b.limit.Rate/processes, b.limit.Burst/processes)
 	b.at = now
+}
+
+func (b *localBucket) takeShare(now, answeredAt time.Time, cost, processes float64) (Verdict, time.Duration) {
+	rate, burst := b.limit.Rate/processes, b.limit.Burst/processes
+
+	b.accrueShare(now, answeredAt, processes)
 
 	// A call that costs more than the whole share needs a full share, whose level then goes below zero.
 	if b.level >= min(cost, burst) {
@@ -202,10 +207,14 @@
 	Asked float64
 	// Credit is the credit that is left.
 	Credit float64
+	// Share is what is left of the equal share, below zero if it is overdrawn.
+	Share float64
+	// Unanswered is the time in which that share accrued: since the center's last answer, or since the process knows the limit.
+	Unanswered time.Duration
 }
 
 // Accounts returns the accounts since its last call.
-func (l *Limiter) Accounts() map[apricotway.Workspace]Account {
+func (l *Limiter) Accounts(now time.Time) map[apricotway.Workspace]Account {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -213,7 +222,9 @@
 
 	for name, b := range l.buckets {
 		if b.limit.Rate > 0 {
-			accounts[name] = Account{Asked: b.asked, Credit: b.credit}
+			b.accrueShare(now, l.answeredAt, float64(l.processes))
+
+			accounts[name] = Account{Asked: b.asked, Credit: b.credit, Share: b.level, Unanswered: now.Sub(b.since)}
 			b.asked = 0
 		}
 	}
--- a/state/quota/quota_test.go
+++ b/state/quota/quota_test.go
@@ -38,20 +38,50 @@
 }
 
 func newFleet(processes int, rate, burst float64) *fleet {
-	f := &fleet{now: time.Unix(1000, 0), center: quota.NewCenter(), disconnected: map[int]bool{}, period: cadence.Period(processes)}
-	f.center.SetLimits(f.now, limits(rate, burst))
+	f := &fleet{now: time.Unix(1000, 0), period: cadence.Period(processes)}
+	f.startProcesses(processes, rate, burst)
+	f.startCenter(rate, burst)
+
+	// A new center starts with empty buckets, so let the burst refill first.
+	f.run(time.Duration(burst/rate*float64(time.Second))+time.Second, func(time.Duration) {})
+
+	return f
+}
+
+// startProcesses replaces all processes by new ones, which can't reach a center.
+func (f *fleet) startProcesses(processes int, rate, burst float64) {
+	f.processes, f.disconnected = nil, map[int]bool{}
 
-	for range processes {
+	for i := range processes {
 		l := quota.New()
 		l.SetMembers(processes, f.period)
 		l.SetLimits(f.now, limits(rate, burst))
 		f.processes = append(f.processes, l)
+		f.disconnected[i] = true
 	}
+}
 
-	// A new center starts with empty buckets, so let the burst refill first.
-	f.run(time.Duration(burst/rate*float64(time.Second))+time.Second, func(time.Duration) {})
+// startCenter replaces the center by a new one, which all processes can reach.
+func (f *fleet) startCenter(rate, burst float64) {
+	f.center, f.disconnected = quota.NewCenter(), map[int]bool{}
+	f.center.SetLimits(f.now, limits(rate, burst))
+}
 
-	return f
+// spread returns a load of random calls at random processes, of the given number of units a second.
+func (f *fleet) spread(random *rand.Rand, perSecond float64) func(time.Duration) {
+	due := 0.0
+
+	return func(time.Duration) {
+		for due += perSecond * step.Seconds(); due > 0; {
+			cost := 300 + 1500*random.Float64()
+			if random.IntN(10) == 0 {
+				cost = 9000
+			}
+
+			f.call(random.IntN(len(f.processes)), cost)
+			due -= cost
+		}
+	}
 }
 
 // call makes one process spend the cost of a call.
@@ -93,7 +123,7 @@
 		if len(f.spent)%int(f.period/step) == 0 {
 			for i, l := range f.processes {
 				if !f.disconnected[i] {
-					l.AddCredit(f.now, f.center.Report(f.now, apricotway.NodeID(fmt.Sprint(i)), f.period, l.Accounts()))
+					l.AddCredit(f.now, f.center.Report(f.now, apricotway.NodeID(fmt.Sprint(i)), f.period, l.Accounts(f.now)))
 				}
 			}
 		}
@@ -265,12 +295,47 @@
 
 	f.run(3*time.Second, load)
 
-	f.disconnected = map[int]bool{}
-	f.center = quota.NewCenter()
-	f.center.SetLimits(f.now, limits(rate, 4*burst))
+	f.startCenter(rate, 4*burst)
 	f.run(10*time.Second, load)
 
 	if got, want := f.maxSpent(window), (rate*window.Seconds()+4*burst)*1.1; got > want {
 		t.Errorf("got %.0f units in a window, want at most %.0f", got, want)
 	}
 }
+
+// startOfAll simulates the start of all processes, which have no center at first, at half of the limit. It returns the shares of the units
+// that are refused before and after the first center.
+func startOfAll(vacant time.Duration) (before, after float64) {
+	const (
+		seeds   = 20
+		settled = 2 * time.Second
+	)
+
+	for seed := range uint64(seeds) {
+		f := &fleet{now: time.Unix(1000, 0), period: cadence.Period(8)}
+		load := f.spread(rand.New(rand.NewPCG(seed, 4)), rate/2)
+
+		f.startProcesses(8, rate, burst)
+		f.run(vacant, load)
+
+		before += f.refused / (seeds * rate / 2 * vacant.Seconds())
+		f.refused = 0
+
+		f.startCenter(rate, burst)
+		f.run(settled, load)
+
+		after += f.refused / (seeds * rate / 2 * settled.Seconds())
+	}
+
+	return before, after
+}
+
+// TestFirstCenter guards against refusals below the limit after the start of all processes, when the first center begins without what
+// their shares have left.
+func TestFirstCenter(t *testing.T) {
+	for _, vacant := range []time.Duration{1600 * time.Millisecond, 3400 * time.Millisecond} {
+		if _, got := startOfAll(vacant); got > 0.02 {
+			t.Errorf("%s without a center: got %.3f of the units refused after it, want at most 0.02", vacant, got)
+		}
+	}
+}
