--- a/state/quota/quota_test.go
+++ b/state/quota/quota_test.go
@@ -339,3 +339,13 @@
 		}
 	}
 }
+
+// TestUnevenShares guards against refusals below the limit while there is no center, when a process gets calls that cost more than is left of
+// its share, and others have some left.
+func TestUnevenShares(t *testing.T) {
+	for _, vacant := range []time.Duration{1600 * time.Millisecond, 3400 * time.Millisecond} {
+		if got, _ := startOfAll(vacant); got > 0.1 {
+			t.Errorf("%s without a center: got %.3f of the units refused, want at most 0.1", vacant, got)
+		}
+	}
+}
