Start a process with half of its share of a burst

When all processes started again while a workspace requested far more than its limit, they granted more than the limit allows (QUOTA): each one began with its full share of the burst, though the burst may have been spent just before. With few processes the tolerance of the operators' rule covers this, with 300 it doesn't.

A process now begins with half of that share. How much was spent before is not known: none would refuse calls of workspaces that are below their limit, and all grants the burst twice.

--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -43,6 +43,9 @@
 // spend the whole limit each.
 const minProcesses = 4
 
+// startShare is the part of its share of the burst that a process begins with. How much of the burst was spent before it started is not known.
+const startShare = 0.5
+
 // localBucket is what a process knows of one limit.
 type localBucket struct {
 	limit apricotway.TokenLimit
@@ -70,7 +73,7 @@
 	for name, rule := range workspaces {
 		b := l.buckets[name]
 		if b == nil {
-			b = &localBucket{at: now, since: now, level: rule.Limit.Burst / float64(l.processes)}
+			b = &localBucket{at: now, since: now, level: rule.Limit.Burst * startShare / float64(l.processes)}
 			l.buckets[name] = b
 		}
 
--- a/state/quota/quota_test.go
+++ b/state/quota/quota_test.go
@@ -349,3 +349,25 @@
 		}
 	}
 }
+
+// TestRestartOfHotWorkspace guards against a burst that is granted anew by processes that all start again, while a workspace requests six
+// times its limit: all of them stay within it, plus a tolerance of a tenth and 140,000 units.
+func TestRestartOfHotWorkspace(t *testing.T) {
+	for _, processes := range []int{8, 80, 300} {
+		for _, vacant := range []time.Duration{1600 * time.Millisecond, 3400 * time.Millisecond} {
+			rate := rate * float64(processes) / 8
+			f := newFleet(processes, rate, rate)
+			load := f.spread(rand.New(rand.NewPCG(5, uint64(processes))), 6*rate)
+
+			f.run(2*time.Second, load)
+			f.startProcesses(processes, rate, rate)
+			f.run(vacant, load)
+			f.startCenter(rate, rate)
+			f.run(window, load)
+
+			if got, want := f.maxSpent(window), (rate*window.Seconds()+rate)*1.1+140000; got > want {
+				t.Errorf("%d processes, %s without a center: got %.0f units in a window, want at most %.0f", processes, vacant, got, want)
+			}
+		}
+	}
+}
