--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -149,8 +149,6 @@
 }
 
 func (b *localBucket) takeShare(now, answeredAt time.Time, cost, processes float64) (Verdict, time.Duration) {
-	rate, burst := b.limit.Rate/processes, b.limit.Burst/processes
-
 	b.accrueShare(now, answeredAt, processes)
 
 	// The calls of a process differ in cost and come unevenly. A share that gets below zero has to accrue again first.
@@ -159,7 +157,7 @@
 		return Spent, 0
 	}
 
-	return Denied, refillTime(min(cost, burst), b.level, rate)
+	return Denied, max(refillTime(0, b.level, b.limit.Rate/processes), time.Millisecond)
 }
 
 // refillTime returns the time until the level reaches the cost.
