Run the tests with several processes beside each other

cmd/scenario took 467 to 542 s of the 600 s that a package has. Nothing is built twice: testscript runs the test binary itself as apricotway and apricotctl.

These tests are parallel now, as are the two seeds of TestRandomFailures. At most half as many run at once as there are processors, by the default of -parallel, which the command line overrides. Tests of one process without waits, those under a virtual clock, and TestPlannedStopIdleConnections, which aims at a window of milliseconds, still run alone, before the others. Tests, seeds, bounds and times in which something is checked are the same. The tests with the shortest bounds (TestPlannedStop, TestPlannedStopSignals, TestServeStop) ran beside all other parallel ones before, up to eight at once; now it is four.

--- a/cmd/scenario/crashingpart_test.go
+++ b/cmd/scenario/crashingpart_test.go
@@ -155,6 +155,8 @@
 
 // TestPartCrashesEnginesAtAllHosts guards against calls that share one prompt part and crash one engine after the other.
 func TestPartCrashesEnginesAtAllHosts(t *testing.T) {
+	t.Parallel()
+
 	const (
 		calm    = 3 * time.Second
 		crashes = 12 * time.Second
@@ -253,6 +255,8 @@
 // TestCrashFailures guards against calls with one prompt part that go on crashing engines, and streams that these break off, while
 // engines crash for other reasons and hosts fail at random. "make soak-crashes" runs other seeds.
 func TestCrashFailures(t *testing.T) {
+	t.Parallel()
+
 	if *soakSeeds == 0 {
 		t.Run("31", func(t *testing.T) {
 			runCrashSchedule(t, 31, func(rounds int) bool { return rounds == crashRounds })
@@ -275,6 +279,8 @@
 // TestRefusalsOutliveAllProcesses guards against calls that crash engines again when all processes have been killed, and nobody holds the
 // duties yet.
 func TestRefusalsOutliveAllProcesses(t *testing.T) {
+	t.Parallel()
+
 	const after = 3 * time.Second
 
 	s := newEntrySystem(t, 4)
--- a/cmd/scenario/cutoff_test.go
+++ b/cmd/scenario/cutoff_test.go
@@ -260,6 +260,8 @@
 // TestCutFromAllServers guards against callers of processes that have lost their paths to all servers being served far worse than those of
 // the others, which still reach both the servers and the cut processes.
 func TestCutFromAllServers(t *testing.T) {
+	t.Parallel()
+
 	for name, fault := range map[string]faultproxy.Fault{
 		"all hang": {Cut: faultproxy.Both}, "all reset": {Reset: true}, "new refused": {RejectNew: true},
 	} {
--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -571,6 +571,8 @@
 // TestEntryFailures guards against entry hosts that break the rules in check, or do not recover, under failures that follow
 // each other and overlap. The entry hosts are real processes; the platform is a stand-in. "make soak-entry" runs other seeds.
 func TestEntryFailures(t *testing.T) {
+	t.Parallel()
+
 	if *soakSeeds == 0 {
 		for _, seed := range entrySeeds {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/cmd/scenario/restore_test.go
+++ b/cmd/scenario/restore_test.go
@@ -87,6 +87,8 @@
 // TestUsageReportsAfterRestore guards against a system that reports no usage, or one window with two counts, after the store has come
 // back from a copy that lacks its last records.
 func TestUsageReportsAfterRestore(t *testing.T) {
+	t.Parallel()
+
 	s := newEntrySystem(t, 2)
 	s.awaitRecovery("start")
 
@@ -107,6 +109,8 @@
 // TestUsageReportsAfterRestoreWithoutHolder guards against a successor that reports a window again with other counts, since the store
 // lost the record of the report while the holder of the duties was stopped.
 func TestUsageReportsAfterRestoreWithoutHolder(t *testing.T) {
+	t.Parallel()
+
 	s := newEntrySystem(t, 3)
 	s.awaitRecovery("start")
 
@@ -193,6 +197,8 @@
 // TestRestoreFailures guards against usage reports that end or contradict each other, and broken promises to callers, when the store
 // comes back from older copies under random failures. "make soak-restores" runs other seeds.
 func TestRestoreFailures(t *testing.T) {
+	t.Parallel()
+
 	if *soakSeeds == 0 {
 		t.Run("41", func(t *testing.T) {
 			runRestoreSchedule(t, 41, func(rounds int) bool { return rounds == restoreRounds })
--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -5,11 +5,14 @@
 
 import (
 	"bufio"
+	"flag"
 	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -26,6 +29,11 @@
 const waitLimit = 60 * time.Second
 
 func TestMain(m *testing.M) {
+	// Each parallel test runs several processes, which need about half of the processors; -parallel overrides this.
+	if err := flag.Set("test.parallel", strconv.Itoa(max(runtime.GOMAXPROCS(0)/2, 1))); err != nil {
+		panic(err)
+	}
+
 	testscript.Main(m, map[string]func(){
 		"apricotway": func() { os.Exit(serve.Run(os.Args[1:])) },
 		"apricotctl": func() { os.Exit(ctl.Run(os.Args[1:])) },
@@ -34,6 +42,8 @@
 
 // TestScenarios runs each script in testdata. The first comment of a script says which failure it guards against.
 func TestScenarios(t *testing.T) {
+	t.Parallel()
+
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
--- a/cmd/scenario/serverlimit_test.go
+++ b/cmd/scenario/serverlimit_test.go
@@ -187,6 +187,8 @@
 
 // TestLimitSummedOverHosts guards against hosts that together send a server more than the limit that it states to all of them.
 func TestLimitSummedOverHosts(t *testing.T) {
+	t.Parallel()
+
 	const perSecond = 2
 
 	s := newEntrySystem(t, 1)
@@ -300,6 +302,8 @@
 // TestLimitFailures guards against hosts that exceed the limits of servers, which change meanwhile, under random failures. "make
 // soak-limits" runs other seeds.
 func TestLimitFailures(t *testing.T) {
+	t.Parallel()
+
 	if *soakSeeds == 0 {
 		t.Run("21", func(t *testing.T) {
 			runLimitSchedule(t, 21, func(rounds int) bool { return rounds == limitRounds })
--- a/cmd/scenario/soak_test.go
+++ b/cmd/scenario/soak_test.go
@@ -661,9 +661,14 @@
 // TestRandomFailures guards against violations of the guarantees (see records.violations) under several failures at once, drawn
 // from fixed seeds. "make soak" runs other seeds.
 func TestRandomFailures(t *testing.T) {
+	t.Parallel()
+
 	if *soakSeeds == 0 {
 		for _, seed := range fixedSeeds {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) { runSchedule(t, seed, func(rounds int) bool { return rounds == soakRounds }) })
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				runSchedule(t, seed, func(rounds int) bool { return rounds == soakRounds })
+			})
 		}
 
 		return
--- a/cmd/scenario/statements_test.go
+++ b/cmd/scenario/statements_test.go
@@ -221,6 +221,8 @@
 // TestStatementFailures guards against hosts that use servers against what these say in their answers, while servers start again at their
 // addresses and hosts, links and the store fail. "make soak-statements" runs other seeds.
 func TestStatementFailures(t *testing.T) {
+	t.Parallel()
+
 	if *soakSeeds == 0 {
 		t.Run("31", func(t *testing.T) {
 			runStatementSchedule(t, 31, func(rounds int) bool { return rounds == limitRounds })
--- a/cmd/scenario/stopped_test.go
+++ b/cmd/scenario/stopped_test.go
@@ -225,6 +225,8 @@
 // TestFleetHolderStopped guards against hosts that are ordered or released twice after the lease holder is stopped while an
 // order is in flight: another process takes over, the order reaches the cloud late, and the former holder resumes.
 func TestFleetHolderStopped(t *testing.T) {
+	t.Parallel()
+
 	for name, test := range map[string]struct {
 		checks standin.CloudChecks
 		// givenUp tells whether the cloud refuses the order to the next holder, which then orders in another zone.
--- a/cmd/scenario/stopsoak_test.go
+++ b/cmd/scenario/stopsoak_test.go
@@ -204,6 +204,8 @@
 // started again, one after the other and at the same time, beside SIGHUP, new configurations, and engines that hold requests, pause
 // and are replaced. "make soak-stops" runs other seeds.
 func TestStopFailures(t *testing.T) {
+	t.Parallel()
+
 	if *soakSeeds == 0 {
 		t.Run("61", func(t *testing.T) {
 			t.Parallel()
--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -222,6 +222,8 @@
 // TestTakeUpAtAnotherVersion guards against streams that their callers take up, at any process, being continued by an engine of another
 // software version, and against such streams being refused while engines of their version serve.
 func TestTakeUpAtAnotherVersion(t *testing.T) {
+	t.Parallel()
+
 	for _, test := range []struct {
 		name string
 		fail func(s *versionSystem)
