Stop at the first process with a higher hash when a slot's owner is determined

Whether a slot belongs to this process took a hash for each process. The first process with a higher hash than the own one decides, after about the logarithm of their number. The owners are the same: TestBrittleServersFallOver has the same counts in all cases as before.

--- a/state/intake/intake.go
+++ b/state/intake/intake.go
@@ -33,6 +33,8 @@
 	selfHash uint64
 	// nodes holds the hashes of the processes that share the limits. It lacks self while this process is leaving.
 	nodes []uint64
+	// sharing is set while nodes has self.
+	sharing bool
 	// alone is set while no other process is known, and holder is the newest known claim of the duties.
 	alone  bool
 	holder apricotway.Offset
@@ -81,10 +83,11 @@
 // SetMembers sets the processes that share the limits. It is called periodically.
 func (l *Limits) SetMembers(now time.Time, members Members) {
 	l.self, l.selfHash = members.Self, xxhash.Sum64String(string(members.Self))
-	l.nodes = l.nodes[:0]
+	l.nodes, l.sharing = l.nodes[:0], false
 	alone := true
 
 	for _, node := range members.Nodes {
+		l.sharing = l.sharing || node == members.Self
 		l.nodes = append(l.nodes, xxhash.Sum64String(string(node)))
 		alone = alone && node == members.Self
 	}
--- a/state/intake/slots.go
+++ b/state/intake/slots.go
@@ -78,17 +78,20 @@
 
 // owns reports whether a slot belongs to this process.
 func (l *Limits) owns(server uint64, number int64) bool {
-	seed := mix(server ^ mix(uint64(number)))
+	if !l.sharing {
+		return false
+	}
 
-	var owner, highest uint64
+	seed := mix(server ^ mix(uint64(number)))
+	own := mix(seed ^ l.selfHash)
 
 	for _, node := range l.nodes {
-		if weight := mix(seed ^ node); weight > highest {
-			owner, highest = node, weight
+		if mix(seed^node) > own {
+			return false
 		}
 	}
 
-	return highest > 0 && owner == l.selfHash
+	return true
 }
 
 // mix returns a hash of the value (the finalizer of SplitMix64).
