Go by the configured time for headers, and answer what takes longer

Callers that took more than 3 s for a header got a closed connection without an answer, also where header_timeout_ms allowed more. Cause: a constant of 3 s; on a new connection it ran from the accept, before any byte of a request.

Before, with the limit raised to 6 s and a header that takes 5 s:

TestConnectionClosedThatItsCallerMayUse/.../header_that_takes_five_sixths_of_its_limit got unexpected EOF, want 200 OK

The time now begins with the first byte of a request, follows the newest configuration also while a header is being read, and has 1 s of reserve. A header that is complete when the time ends is served, a standstill of the process doesn't count, and empty lines between requests begin none. The test passes, as does TestHeaderTimeoutIgnoresLimit with five cases.

--- a/cmd/internal/callers/callers.go
+++ b/cmd/internal/callers/callers.go
@@ -28,6 +28,7 @@
 	listener  net.Listener
 	tlsConfig *tls.Config
 	accepted  func()
+	refused   func(caller net.Addr, reason Refusal)
 	ended     func(request *http.Request, ending Ending)
 	// limits is nil when the HTTP server itself limits its callers.
 	limits   func() apricotway.CallerLimits
@@ -60,7 +61,8 @@
 // wraps the handler of the HTTP server and sets its BaseContext, ConnContext and ConnState hooks, which must be unused.
 func New(ctx context.Context, server *http.Server, listener net.Listener, options ...Option) *Server {
 	s := &Server{
-		server: server, accepted: func() {}, ended: func(*http.Request, Ending) {}, open: map[*connection]struct{}{},
+		server: server, accepted: func() {}, ended: func(*http.Request, Ending) {}, refused: func(net.Addr, Refusal) {},
+		open: map[*connection]struct{}{},
 	}
 	for _, option := range options {
 		option(s)
@@ -95,7 +97,8 @@
 	}
 
 	c := &connection{
-		Conn: conn, encrypted: l.server.tlsConfig != nil, uptime: l.server.uptime.read, accepted: time.Now(), waiting: true,
+		Conn: conn, encrypted: l.server.tlsConfig != nil, uptime: l.server.uptime.read, refused: l.server.refused,
+		accepted: time.Now(), waiting: true,
 		waitingSince: l.server.uptime.read(),
 	}
 
@@ -131,6 +134,7 @@
 		s.mu.Unlock()
 	case http.StateActive:
 		c.use()
+		c.headerRead()
 	case http.StateIdle:
 		c.wait()
 		s.end(c, true)
--- a/cmd/internal/callers/callers_test.go
+++ b/cmd/internal/callers/callers_test.go
@@ -46,10 +46,29 @@
 	delay, delayed atomic.Bool
 	read, closing  chan struct{}
 	once           sync.Once
+	// total is the number of bytes that were read, and reads the number of reads that began.
+	total, reads atomic.Int64
+}
+
+// awaitRead waits until a number of bytes has been read and the server waits for more.
+func (c *delayedConn) awaitRead(t *testing.T, count int64, reads int64) {
+	t.Helper()
+
+	for end := time.Now().Add(10 * time.Second); c.total.Load() < count || c.reads.Load() < reads; {
+		if time.Now().After(end) {
+			t.Fatalf("got %d bytes in %d reads, want %d in %d", c.total.Load(), c.reads.Load(), count, reads)
+		}
+
+		<-time.After(time.Millisecond)
+	}
 }
 
 func (c *delayedConn) Read(buffer []byte) (int, error) {
+	c.reads.Add(1)
+
 	n, err := c.Conn.Read(buffer)
+	c.total.Add(int64(n))
+
 	if n > 0 && c.delay.CompareAndSwap(true, false) {
 		c.delayed.Store(true)
 		close(c.read)
--- a/cmd/internal/callers/connection.go
+++ b/cmd/internal/callers/connection.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -24,7 +25,8 @@
 	encrypted bool
 	accepted  time.Time
 	// uptime is the clock of the server's sweeps.
-	uptime func() time.Duration
+	uptime  func() time.Duration
+	refused func(caller net.Addr, reason Refusal)
 
 	mu sync.Mutex
 	// used is set once a byte of a request has been read.
@@ -36,6 +38,12 @@
 	waitingSince time.Duration
 	// idleLimit is the time for which the caller may use the connection again after its last answer, or may begin to after it was accepted.
 	idleLimit time.Duration
+	// inHeader is set while a part of a request's header has been read, and headerSince is the uptime at which it was set. It is never set if
+	// the connection is encrypted.
+	inHeader    bool
+	headerSince time.Duration
+	// late is set once endLateHeader has made reading fail.
+	late bool
 	// closing is set once closeUnused has been called while waiting was set. Until a byte arrives, read deadlines of the HTTP server
 	// have no effect.
 	closing bool
@@ -83,6 +91,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	if c.waiting {
+		c.inHeader, c.headerSince = !c.encrypted, c.uptime()
+	}
+
 	c.waiting, c.used = false, true
 
 	if c.closing && !c.aborted {
@@ -99,10 +111,15 @@
 		n, err = c.Conn.Read(buffer)
 	}
 
-	if n > 0 && !c.encrypted {
+	// Some callers send empty lines after a body.
+	if !c.encrypted && len(bytes.Trim(buffer[:n], "\r\n")) > 0 {
 		c.use()
 	}
 
+	if n == 0 && err != nil && c.isLate() {
+		c.refuse(RefusalHeaderLate)
+	}
+
 	if err != nil {
 		c.recordReadError(err)
 	}
@@ -124,7 +141,7 @@
 
 	c.readDeadline = deadline
 
-	if c.closing || c.aborted {
+	if c.closing || c.late || c.aborted {
 		return nil
 	}
 
--- a/cmd/internal/callers/limits.go
+++ b/cmd/internal/callers/limits.go
@@ -1,6 +1,8 @@
 package callers
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -15,16 +17,40 @@
 	// idleReserve is the time for which a connection stays open beyond the time for which its caller may use it, for requests that are on
 	// their way.
 	idleReserve = 5 * time.Second
+	// headerReserve is the time that the header of a request may take beyond the limit, for the network and a busy host.
+	headerReserve = time.Second
+	// lingerTime is how long a connection is read after a refusal, so that unread data of the caller does not destroy it.
+	lingerTime = 500 * time.Millisecond
 )
 
-// WithLimits sets what returns the limits in force on callers, each of them above 0. Unused connections are then closed by Sweep, and the
-// IdleTimeout of the HTTP server must be 0. Answers tell callers in Keep-Alive how long they may use the connection again; a longer limit
+// Refusal is the reason why a request is refused before its header has been read.
+type Refusal string
+
+// RefusalHeaderLate requests have a header that took longer than the limit.
+const RefusalHeaderLate Refusal = "headerLate"
+
+// answer returns the answer that refuses a request.
+func (r Refusal) answer() string {
+	const body = `{"code":"headerLate","message":"the header took too long","execution":"notStarted"}` + "\n"
+
+	return "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) +
+		"\r\nConnection: close\r\n\r\n" + body
+}
+
+// WithRefused sets a function that is called for each request that is refused before its header has been read.
+func WithRefused(refused func(caller net.Addr, reason Refusal)) Option {
+	return func(s *Server) { s.refused = refused }
+}
+
+// WithLimits sets what returns the limits in force on callers, each of them above 0. Sweep then closes connections that exceed them, and the
+// timeouts of the HTTP server must be 0. Answers tell callers in Keep-Alive how long they may use the connection again; a longer limit
 // applies to open connections at once, a shorter one with the next answer.
 func WithLimits(limits func() apricotway.CallerLimits) Option {
 	return func(s *Server) { s.limits = limits }
 }
 
-// Sweep closes the connections that have waited for a request for longer than their callers may use them.
+// Sweep closes the connections that have waited for a request for longer than their callers may use them, and those whose next request
+// has a header that takes too long.
 func (s *Server) Sweep(now time.Time) {
 	if s.limits == nil {
 		return
@@ -39,6 +65,7 @@
 
 	for c := range s.open {
 		c.closeIdle(uptime, limits.IdleTimeout)
+		c.endLateHeader(uptime, limits.HeaderTimeout)
 	}
 }
 
@@ -95,3 +122,51 @@
 		c.closeUnused()
 	}
 }
+
+// endLateHeader makes reading fail if the header of a request takes longer than the limit. A header that is complete by then is served.
+func (c *connection) endLateHeader(uptime, limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.inHeader && !c.late && !c.aborted && uptime-c.headerSince > limit+headerReserve {
+		c.late = true
+		_ = c.Conn.SetReadDeadline(past) // Fails on a closed connection only.
+	}
+}
+
+// headerRead records that the HTTP server has read the header of a request.
+func (c *connection) headerRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.inHeader = false
+
+	if c.late && !c.aborted {
+		c.late = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline) // Fails on a closed connection only.
+	}
+}
+
+func (c *connection) isLate() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.late && !c.aborted
+}
+
+// refuse answers a request whose header has not been read whole, and ends the connection.
+func (c *connection) refuse(reason Refusal) {
+	c.refused(c.RemoteAddr(), reason)
+
+	now := time.Now()
+	_ = c.Conn.SetDeadline(now.Add(lingerTime)) // Fails on a closed connection only.
+
+	if _, err := io.WriteString(c.Conn, reason.answer()); err != nil {
+		return
+	}
+
+	if c.CloseWrite() == nil {
+		// The read ends with the caller's close or with the deadline.
+		_, _ = io.Copy(io.Discard, c.Conn)
+	}
+}
--- a/cmd/internal/callers/limits_test.go
+++ b/cmd/internal/callers/limits_test.go
@@ -138,3 +138,64 @@
 		})
 	}
 }
+
+// TestHeaderTimeoutIgnoresLimit guards against ending a header within the limit in force, or with a connection that is closed without an
+// answer after it.
+func TestHeaderTimeoutIgnoresLimit(t *testing.T) {
+	const second = time.Second
+
+	for _, c := range []struct {
+		name          string
+		before, newer time.Duration
+		// part is sent before the time passes.
+		part       string
+		stand, run time.Duration
+		want       string
+	}{
+		{name: "in time", part: request[:20], before: 6 * second, newer: 6 * second, run: 6 * second, want: "200 OK"},
+		{name: "late", part: request[:20], before: 6 * second, newer: 6 * second, run: 8 * second, want: "408 Request Timeout"},
+		{name: "limit raised", part: request[:20], before: 3 * second, newer: 6 * second, run: 6 * second, want: "200 OK"},
+		{name: "process stood still", part: request[:20], before: 3 * second, newer: 3 * second, stand: time.Minute, run: second, want: "200 OK"},
+		{name: "after empty lines", before: 3 * second, newer: 3 * second, part: "\r\n", run: 8 * second, want: "200 OK"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := startLimited(t, apricotway.CallerLimits{IdleTimeout: 15 * second, HeaderTimeout: c.before}, writeAll)
+			conn, accepted := l.dial()
+
+			if _, err := io.WriteString(conn, "POST"+strings.TrimPrefix(request, "GET")); err != nil {
+				t.Fatal(err)
+			}
+
+			if got, want := answer(t, conn), "200 OK"; got != want {
+				t.Fatalf("got %s, want %s", got, want)
+			}
+
+			<-l.ended
+
+			before, reads := accepted.total.Load(), accepted.reads.Load()
+
+			if _, err := io.WriteString(conn, c.part); err != nil {
+				t.Fatal(err)
+			}
+
+			accepted.awaitRead(t, before+int64(len(c.part)), reads+1)
+			l.limits.Store(&apricotway.CallerLimits{IdleTimeout: 15 * second, HeaderTimeout: c.newer})
+
+			if c.stand > 0 {
+				l.stand(c.stand)
+			}
+
+			l.run(c.run)
+
+			if c.want == "200 OK" {
+				if _, err := io.WriteString(conn, strings.TrimPrefix(request, c.part)); err != nil {
+					t.Fatal(err)
+				}
+			}
+
+			if got := answer(t, conn); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/cmd/internal/entry/connection_test.go
+++ b/cmd/internal/entry/connection_test.go
@@ -101,9 +101,9 @@
 		t.Fatalf("got %s, want 200 OK", got)
 	}
 
-	const idle = 26 * time.Second
+	const idle, header = 26 * time.Second, 6 * time.Second
 
-	s.publishLimits(2, 100<<10, 6*time.Second, idle)
+	s.publishLimits(2, 100<<10, header, idle)
 	<-time.After(2 * time.Second)
 
 	t.Run("limits", func(t *testing.T) {
@@ -118,5 +118,17 @@
 				t.Errorf("got %s, want 200 OK", got)
 			}
 		})
+		t.Run("header that takes five sixths of its limit", func(t *testing.T) {
+			t.Parallel()
+
+			c := s.connect(t, 0)
+			c.send(c.header())
+			<-time.After(header * 5 / 6)
+			c.send("\r\n")
+
+			if got, _ := c.status(); got != "200 OK" {
+				t.Errorf("got %s, want 200 OK", got)
+			}
+		})
 	})
 }
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -48,11 +48,10 @@
 )
 
 const (
-	// headerTimeout limits the time for reading a request's header; the operators' configuration asks for 3 s.
-	headerTimeout  = 3 * time.Second
 	maxHeaderBytes = 64 << 10
-	// defaultIdleTimeout applies while no configuration states the limit.
-	defaultIdleTimeout = 15 * time.Second
+	// defaultHeaderTimeout and defaultIdleTimeout apply while no configuration states these limits.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
 	// sweepPeriod is the interval at which unused connections to backend servers are closed.
 	sweepPeriod = 2 * time.Second
 	// leaveNoticeTime is how long a leave notice takes to reach every process.
@@ -224,6 +223,10 @@
 		callers.WithEnded(func(request *http.Request, ending callers.Ending) {
 			counters.answers.WithLabelValues(string(ending.Outcome)).Inc()
 			e.logEnding(request, ending)
+		}),
+		callers.WithRefused(func(caller net.Addr, reason callers.Refusal) {
+			counters.refused.WithLabelValues(string(reason)).Inc()
+			e.logger.Info("refused a request before its header was read", "event", 391, "reason", reason, "caller", caller.String())
 		}))
 
 	operators := operator.New(e.registry, func() error {
@@ -348,7 +351,7 @@
 	ctx context.Context, name string, listener net.Listener, handler http.Handler, options ...callers.Option,
 ) *callers.Server {
 	server := callers.New(ctx, &http.Server{
-		Handler: e.panics.Handler(name, handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: e.panics.Handler(name, handler), MaxHeaderBytes: maxHeaderBytes,
 	}, listener, append(options, callers.WithLimits(e.callerLimits))...)
 
 	e.supervisor.Add(apricotway.ServiceFunc{Name: name, Func: func(context.Context) error {
@@ -372,6 +375,10 @@
 		limits = table.Limits
 	}
 
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
+	}
+
 	if limits.IdleTimeout <= 0 {
 		limits.IdleTimeout = defaultIdleTimeout
 	}
