Go by the configured size of headers

Callers whose header was longer than 64 KB got 431 and lost their connection, also where max_header_bytes allows more, and longer headers than it allows were served. 431 is never retried. Cause: a constant of 64 KB.

Before, with the limit raised to 100 KB and a header of 90 KB:

TestConnectionClosedThatItsCallerMayUse/.../header_of_nine_tenths_of_its_limit got 431 Request Header Fields Too Large, want 200 OK

A connection now counts the bytes of each header against the newest limit, with the 4 KB of slop that net/http has too, and answers 431 with a code before it closes; 1 MB bounds it whatever the configuration says. The test passes, as does TestHeaderSizeIgnoresLimit with limits raised and lowered on an open connection.

--- a/cmd/internal/callers/callers.go
+++ b/cmd/internal/callers/callers.go
@@ -97,7 +97,7 @@
 	}
 
 	c := &connection{
-		Conn: conn, encrypted: l.server.tlsConfig != nil, uptime: l.server.uptime.read, refused: l.server.refused,
+		Conn: conn, encrypted: l.server.tlsConfig != nil, uptime: l.server.uptime.read, refused: l.server.refused, limits: l.server.limits,
 		accepted: time.Now(), waiting: true,
 		waitingSince: l.server.uptime.read(),
 	}
--- a/cmd/internal/callers/connection.go
+++ b/cmd/internal/callers/connection.go
@@ -3,8 +3,11 @@
 import (
 	"bytes"
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/apricotway/apricotway"
 )
 
 // lastRead is how long an interrupted connection is read once more, for a request that has arrived meanwhile.
@@ -26,6 +29,7 @@
 	accepted  time.Time
 	// uptime is the clock of the server's sweeps.
 	uptime  func() time.Duration
+	limits  func() apricotway.CallerLimits
 	refused func(caller net.Addr, reason Refusal)
 
 	mu sync.Mutex
@@ -42,6 +46,8 @@
 	// the connection is encrypted.
 	inHeader    bool
 	headerSince time.Duration
+	// headerBytes is the number of bytes that have been read since inHeader was set.
+	headerBytes int
 	// late is set once endLateHeader has made reading fail.
 	late bool
 	// closing is set once closeUnused has been called while waiting was set. Until a byte arrives, read deadlines of the HTTP server
@@ -92,7 +98,7 @@
 	defer c.mu.Unlock()
 
 	if c.waiting {
-		c.inHeader, c.headerSince = !c.encrypted, c.uptime()
+		c.inHeader, c.headerSince, c.headerBytes = !c.encrypted, c.uptime(), 0
 	}
 
 	c.waiting, c.used = false, true
@@ -116,8 +122,14 @@
 		c.use()
 	}
 
-	if n == 0 && err != nil && c.isLate() {
+	switch {
+	case n == 0 && err != nil && c.isLate():
 		c.refuse(RefusalHeaderLate)
+	case c.countHeader(n):
+		c.refuse(RefusalHeaderTooLarge)
+
+		// The HTTP server answers other errors than a timeout itself.
+		return 0, os.ErrDeadlineExceeded
 	}
 
 	if err != nil {
--- a/cmd/internal/callers/limits.go
+++ b/cmd/internal/callers/limits.go
@@ -1,6 +1,7 @@
 package callers
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -19,6 +20,9 @@
 	idleReserve = 5 * time.Second
 	// headerReserve is the time that the header of a request may take beyond the limit, for the network and a busy host.
 	headerReserve = time.Second
+	// headerSlop is the number of bytes that the header of a request may have beyond the limit: the HTTP server reads so many at once, and
+	// the last of them may be of the body.
+	headerSlop = 4 << 10
 	// lingerTime is how long a connection is read after a refusal, so that unread data of the caller does not destroy it.
 	lingerTime = 500 * time.Millisecond
 )
@@ -26,15 +30,24 @@
 // Refusal is the reason why a request is refused before its header has been read.
 type Refusal string
 
-// RefusalHeaderLate requests have a header that took longer than the limit.
-const RefusalHeaderLate Refusal = "headerLate"
+const (
+	// RefusalHeaderLate requests have a header that took longer than the limit.
+	RefusalHeaderLate Refusal = "headerLate"
+	// RefusalHeaderTooLarge requests have a header that is longer than the limit.
+	RefusalHeaderTooLarge Refusal = "headerTooLarge"
+)
 
 // answer returns the answer that refuses a request.
 func (r Refusal) answer() string {
-	const body = `{"code":"headerLate","message":"the header took too long","execution":"notStarted"}` + "\n"
+	status, message := http.StatusRequestTimeout, "the header took too long"
+	if r == RefusalHeaderTooLarge {
+		status, message = http.StatusRequestHeaderFieldsTooLarge, "the header is too large"
+	}
 
-	return "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\nContent-Length: " + strconv.Itoa(len(body)) +
-		"\r\nConnection: close\r\n\r\n" + body
+	body := fmt.Sprintf(`{"code":%q,"message":%q,"execution":"notStarted"}`+"\n", r, message)
+
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), len(body), body)
 }
 
 // WithRefused sets a function that is called for each request that is refused before its header has been read.
@@ -43,7 +56,7 @@
 }
 
 // WithLimits sets what returns the limits in force on callers, each of them above 0. Sweep then closes connections that exceed them, and the
-// timeouts of the HTTP server must be 0. Answers tell callers in Keep-Alive how long they may use the connection again; a longer limit
+// timeouts of the HTTP server must be 0. Its MaxHeaderBytes applies besides the limit. Answers tell callers in Keep-Alive how long they may use the connection again; a longer limit
 // applies to open connections at once, a shorter one with the next answer.
 func WithLimits(limits func() apricotway.CallerLimits) Option {
 	return func(s *Server) { s.limits = limits }
@@ -147,6 +160,20 @@
 	}
 }
 
+// countHeader adds to the bytes of the header that is being read, and reports whether they exceed the limit.
+func (c *connection) countHeader(bytes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if !c.inHeader || c.limits == nil {
+		return false
+	}
+
+	c.headerBytes += bytes
+
+	return c.headerBytes > c.limits().HeaderBytes+headerSlop
+}
+
 func (c *connection) isLate() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/cmd/internal/callers/limits_test.go
+++ b/cmd/internal/callers/limits_test.go
@@ -79,7 +79,7 @@
 		{name: "process stood still", told: 15 * second, newer: 15 * second, stand: time.Minute, run: 15 * second, want: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := startLimited(t, apricotway.CallerLimits{IdleTimeout: c.told}, writeAll)
+			l := startLimited(t, apricotway.CallerLimits{HeaderBytes: 64 << 10, IdleTimeout: c.told}, writeAll)
 			conn, _ := l.dial()
 
 			if got, want := exchange(t, conn), "200 OK"; got != want {
@@ -87,7 +87,7 @@
 			}
 
 			<-l.ended
-			l.limits.Store(&apricotway.CallerLimits{IdleTimeout: c.newer})
+			l.limits.Store(&apricotway.CallerLimits{HeaderBytes: 64 << 10, IdleTimeout: c.newer})
 
 			if c.stand > 0 {
 				l.stand(c.stand)
@@ -119,7 +119,7 @@
 		{"HTTP/1.0, kept", "GET / HTTP/1.0\r\nHost: h.example\r\nConnection: keep-alive\r\n\r\n", "timeout=15"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := startLimited(t, apricotway.CallerLimits{IdleTimeout: 15 * time.Second}, writeAll)
+			l := startLimited(t, apricotway.CallerLimits{HeaderBytes: 64 << 10, IdleTimeout: 15 * time.Second}, writeAll)
 			conn, _ := l.dial()
 
 			if _, err := io.WriteString(conn, c.request); err != nil {
@@ -159,7 +159,7 @@
 		{name: "after empty lines", before: 3 * second, newer: 3 * second, part: "\r\n", run: 8 * second, want: "200 OK"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			l := startLimited(t, apricotway.CallerLimits{IdleTimeout: 15 * second, HeaderTimeout: c.before}, writeAll)
+			l := startLimited(t, apricotway.CallerLimits{HeaderBytes: 64 << 10, IdleTimeout: 15 * second, HeaderTimeout: c.before}, writeAll)
 			conn, accepted := l.dial()
 
 			if _, err := io.WriteString(conn, "POST"+strings.TrimPrefix(request, "GET")); err != nil {
@@ -179,7 +179,7 @@
 			}
 
 			accepted.awaitRead(t, before+int64(len(c.part)), reads+1)
-			l.limits.Store(&apricotway.CallerLimits{IdleTimeout: 15 * second, HeaderTimeout: c.newer})
+			l.limits.Store(&apricotway.CallerLimits{HeaderBytes: 64 << 10, IdleTimeout: 15 * second, HeaderTimeout: c.newer})
 
 			if c.stand > 0 {
 				l.stand(c.stand)
@@ -199,3 +199,44 @@
 		})
 	}
 }
+
+// TestHeaderSizeIgnoresLimit guards against refusing a header within the limit in force, and against a larger one that is served or gets no
+// clear answer.
+func TestHeaderSizeIgnoresLimit(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, newer int
+		size          int
+		want          string
+	}{
+		{"within the limit", 100 << 10, 100 << 10, 99 << 10, "200 OK"},
+		{"over the limit", 16 << 10, 16 << 10, 24 << 10, "431 Request Header Fields Too Large"},
+		{"far over the limit", 16 << 10, 16 << 10, 800 << 10, "431 Request Header Fields Too Large"},
+		{"limit raised on an open connection", 16 << 10, 100 << 10, 99 << 10, "200 OK"},
+		{"limit lowered on an open connection", 100 << 10, 16 << 10, 24 << 10, "431 Request Header Fields Too Large"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			limits := apricotway.CallerLimits{HeaderBytes: c.before, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+			l := startLimited(t, limits, writeAll)
+			conn, _ := l.dial()
+
+			if got, want := exchange(t, conn), "200 OK"; got != want {
+				t.Fatalf("got %s, want %s", got, want)
+			}
+
+			<-l.ended
+
+			limits.HeaderBytes = c.newer
+			l.limits.Store(&limits)
+
+			go func() {
+				// The write fails if the server refuses the request before it ends.
+				_, _ = io.WriteString(conn, strings.TrimSuffix(request, "\r\n")+"X: "+strings.Repeat("x", c.size)+"\r\n\r\n")
+			}()
+
+			if got := answer(t, conn); got != c.want {
+				t.Errorf("got %s, want %s", got, c.want)
+			}
+		})
+	}
+}
--- a/cmd/internal/entry/connection_test.go
+++ b/cmd/internal/entry/connection_test.go
@@ -126,6 +126,16 @@
 			<-time.After(header * 5 / 6)
 			c.send("\r\n")
 
+			if got, _ := c.status(); got != "200 OK" {
+				t.Errorf("got %s, want 200 OK", got)
+			}
+		})
+		t.Run("header of nine tenths of its limit", func(t *testing.T) {
+			t.Parallel()
+
+			c := s.connect(t, 0)
+			c.send(c.header() + "X: " + strings.Repeat("x", 90<<10) + "\r\n\r\n")
+
 			if got, _ := c.status(); got != "200 OK" {
 				t.Errorf("got %s, want 200 OK", got)
 			}
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -48,8 +48,10 @@
 )
 
 const (
-	maxHeaderBytes = 64 << 10
-	// defaultHeaderTimeout and defaultIdleTimeout apply while no configuration states these limits.
+	// largestHeader bounds headers in bytes for the sake of memory, whatever the configuration allows.
+	largestHeader = 1 << 20
+	// The defaults apply while no configuration states these limits.
+	defaultHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
 	// sweepPeriod is the interval at which unused connections to backend servers are closed.
@@ -351,7 +353,7 @@
 	ctx context.Context, name string, listener net.Listener, handler http.Handler, options ...callers.Option,
 ) *callers.Server {
 	server := callers.New(ctx, &http.Server{
-		Handler: e.panics.Handler(name, handler), MaxHeaderBytes: maxHeaderBytes,
+		Handler: e.panics.Handler(name, handler), MaxHeaderBytes: largestHeader,
 	}, listener, append(options, callers.WithLimits(e.callerLimits))...)
 
 	e.supervisor.Add(apricotway.ServiceFunc{Name: name, Func: func(context.Context) error {
@@ -375,6 +377,10 @@
 		limits = table.Limits
 	}
 
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = defaultHeaderBytes
+	}
+
 	if limits.HeaderTimeout <= 0 {
 		limits.HeaderTimeout = defaultHeaderTimeout
 	}
