Let a lowered limit on callers apply once they can know of it

A configuration reaches callers and processes at different times, so that a caller may keep to the configuration before while this process has the newer one in force. The limits in force are now, one by one, the most that the newest configuration or one that it replaced within 10 s allows (state/callerlimit, with a test). BodyBytes is still taken from the configuration of the call alone.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/platform"
 	"github.com/apricotway/apricotway/protocol/relay"
+	"github.com/apricotway/apricotway/state/callerlimit"
 	"github.com/apricotway/apricotway/state/dispatch"
 	"github.com/apricotway/apricotway/state/member"
 	"github.com/apricotway/apricotway/state/quota"
@@ -105,6 +106,7 @@
 	catalog    *catalog.Catalog
 	pool       *dispatch.Pool
 	limiter    *quota.Limiter
+	limits     *callerlimit.Limits
 	suspects   *suspect.Suspects
 	rollup     *rollup.Rollup
 	relay      *relay.Relay
@@ -129,7 +131,7 @@
 	s.Node += apricotway.NodeID("-" + uuid.NewString()[:8])
 	e := &Entry{
 		settings: s, logger: logger.WithValues("node", s.Node), registry: prometheus.NewRegistry(),
-		limiter: quota.New(),
+		limiter: quota.New(), limits: callerlimit.New(statedLimits(apricotway.CallerLimits{})),
 	}
 
 	if s.MemoryMegabytes > 0 {
@@ -172,6 +174,7 @@
 		catalog.WithKeyValidity(keyValidity(s)), catalog.WithPeerNews(e.peers, e.peerServer, e.membership),
 		catalog.WithListRead(e.pool.Origins().SetListed),
 		catalog.WithChanged(func(t *route.Table) {
+			e.limits.Replace(time.Now(), statedLimits(t.Limits))
 			e.limiter.SetLimits(time.Now(), t.Workspaces())
 			e.pool.Origins().SetLifetime(t.LongestStream())
 		}))
@@ -354,7 +357,9 @@
 ) *callers.Server {
 	server := callers.New(ctx, &http.Server{
 		Handler: e.panics.Handler(name, handler), MaxHeaderBytes: largestHeader,
-	}, listener, append(options, callers.WithLimits(e.callerLimits))...)
+	}, listener, append(options, callers.WithLimits(func() apricotway.CallerLimits {
+		return e.limits.InForce(time.Now())
+	}))...)
 
 	e.supervisor.Add(apricotway.ServiceFunc{Name: name, Func: func(context.Context) error {
 		if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
@@ -370,13 +375,8 @@
 	return server
 }
 
-// callerLimits returns the limits on callers of the newest configuration, with a default for each that it doesn't state.
-func (e *Entry) callerLimits() apricotway.CallerLimits {
-	var limits apricotway.CallerLimits
-	if table := e.catalog.Table(); table != nil {
-		limits = table.Limits
-	}
-
+// statedLimits returns the limits on callers of a configuration, with a default for each that it doesn't state.
+func statedLimits(limits apricotway.CallerLimits) apricotway.CallerLimits {
 	if limits.HeaderBytes <= 0 {
 		limits.HeaderBytes = defaultHeaderBytes
 	}
