--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/platform"
 	"github.com/apricotway/apricotway/protocol/relay"
+	"github.com/apricotway/apricotway/state/callerlimit"
 	"github.com/apricotway/apricotway/state/dispatch"
 	"github.com/apricotway/apricotway/state/member"
 	"github.com/apricotway/apricotway/state/quota"
@@ -48,11 +49,12 @@
 )
 
 const (
-	// headerTimeout limits the time for reading a request's header; the operators' configuration asks for 3 s.
-	headerTimeout  = 3 * time.Second
-	maxHeaderBytes = 64 << 10
-	// defaultIdleTimeout applies while no configuration states the limit.
-	defaultIdleTimeout = 15 * time.Second
+	// largestHeader bounds headers in bytes for the sake of memory, whatever the configuration allows.
+	largestHeader = 1 << 20
+	// The defaults apply while no configuration states these limits.
+	defaultHeaderBytes   = 64 << 10
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
 	// sweepPeriod is the interval at which unused connections to backend servers are closed.
 	sweepPeriod = 2 * time.Second
 	// leaveNoticeTime is how long a leave notice takes to reach every process.
@@ -104,6 +106,7 @@
 	catalog    *catalog.Catalog
 	pool       *dispatch.Pool
 	limiter    *quota.Limiter
+	limits     *callerlimit.Limits
 	suspects   *suspect.Suspects
 	rollup     *rollup.Rollup
 	relay      *relay.Relay
@@ -128,7 +131,7 @@
 	s.Node += apricotway.NodeID("-" + uuid.NewString()[:8])
 	e := &Entry{
 		settings: s, logger: logger.WithValues("node", s.Node), registry: prometheus.NewRegistry(),
-		limiter: quota.New(),
+		limiter: quota.New(), limits: callerlimit.New(statedLimits(apricotway.CallerLimits{})),
 	}
 
 	if s.MemoryMegabytes > 0 {
@@ -171,6 +174,7 @@
 		catalog.WithKeyValidity(keyValidity(s)), catalog.WithPeerNews(e.peers, e.peerServer, e.membership),
 		catalog.WithListRead(e.pool.Origins().SetListed),
 		catalog.WithChanged(func(t *route.Table) {
+			e.limits.Replace(time.Now(), statedLimits(t.Limits))
 			e.limiter.SetLimits(time.Now(), t.Workspaces())
 			e.pool.Origins().SetLifetime(t.LongestStream())
 		}))
@@ -224,6 +228,10 @@
 		callers.WithEnded(func(request *http.Request, ending callers.Ending) {
 			counters.answers.WithLabelValues(string(ending.Outcome)).Inc()
 			e.logEnding(request, ending)
+		}),
+		callers.WithRefused(func(caller net.Addr, reason callers.Refusal) {
+			counters.refused.WithLabelValues(string(reason)).Inc()
+			e.logger.Info("refused a request before its header was read", "event", 391, "reason", reason, "caller", caller.String())
 		}))
 
 	operators := operator.New(e.registry, func() error {
@@ -348,8 +356,10 @@
 	ctx context.Context, name string, listener net.Listener, handler http.Handler, options ...callers.Option,
 ) *callers.Server {
 	server := callers.New(ctx, &http.Server{
-		Handler: e.panics.Handler(name, handler), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}, listener, append(options, callers.WithLimits(e.callerLimits))...)
+		Handler: e.panics.Handler(name, handler), MaxHeaderBytes: largestHeader,
+	}, listener, append(options, callers.WithLimits(func() apricotway.CallerLimits {
+		return e.limits.InForce(time.Now())
+	}))...)
 
 	e.supervisor.Add(apricotway.ServiceFunc{Name: name, Func: func(context.Context) error {
 		if err := server.Serve(); !errors.Is(err, http.ErrServerClosed) {
@@ -365,11 +375,14 @@
 	return server
 }
 
-// callerLimits returns the limits on callers of the newest configuration, with a default for each that it doesn't state.
-func (e *Entry) callerLimits() apricotway.CallerLimits {
-	var limits apricotway.CallerLimits
-	if table := e.catalog.Table(); table != nil {
-		limits = table.Limits
+// statedLimits returns the limits on callers of a configuration, with a default for each that it doesn't state.
+func statedLimits(limits apricotway.CallerLimits) apricotway.CallerLimits {
+	if limits.HeaderBytes <= 0 {
+		limits.HeaderBytes = defaultHeaderBytes
+	}
+
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
 	}
 
 	if limits.IdleTimeout <= 0 {
