Continue a moved stream at its first server if the target turns it away

Callers saw a stream cut when its server left: the stream was stopped for a move, and the target of the move turned it away.

Cause: the run was continued at the target only. A stream that may not be resumed was then ended, though the server that had stopped it still had its memory, as PROTOCOL.md says of kv-move. Found by looking at each call of abortAnswer.

Evidence, on the code before:

If the target says that it did not run the call, is another server or can't be reached, the source gets the call with the same memory. It counts as the same run, so no server works on it twice. A target that may have begun to work on it ends the stream as before (TestFailedMove, unchanged).

Not tried with the operators' engines: whether a handle that the target turned away still counts as unused there.

--- a/protocol/relay/handover.go
+++ b/protocol/relay/handover.go
@@ -51,12 +51,8 @@
 	return r.err == nil && r.answer.Status == http.StatusOK && isEventStream(r.answer.Header)
 }
 
-// mayHaveRun reports whether the server may have begun to work on the stream. A run that continues from its memory counts as the same run.
+// mayHaveRun reports whether the server may have begun to work on the stream.
 func (r *resumption) mayHaveRun() bool {
-	if r.memory != nil {
-		return false
-	}
-
 	return r.err == nil && !r.metadata.NotRun || r.err != nil && !errors.Is(r.err, apricotway.ErrNotSent)
 }
 
@@ -71,16 +67,18 @@
 	}
 }
 
-// sendResume asks an engine to continue after the given event, from the KV cache of a stopped run if memory is set. It returns nil
-// when the engine doesn't.
-func (c *call) sendResume(ctx context.Context, send *dispatch.Send, last string, memory *apricotway.RunKVCache) *engineRun {
+// sendResume asks an engine to continue after the given event, from the KV cache of a stopped run if memory is set. It returns a nil run
+// when the engine doesn't, and whether it may have begun to.
+func (c *call) sendResume(
+	ctx context.Context, send *dispatch.Send, last string, memory *apricotway.RunKVCache,
+) (run *engineRun, mayHaveRun bool) {
 	attempt, r := newResumption(ctx, send, memory)
 	silence := c.startSilenceTimer(ctx, send, r.cancel)
 
 	c.recordTry(send)
 	c.requestResume(attempt, r, last)
 
-	return c.finishResume(ctx, r, silence)
+	return c.finishResume(ctx, r, silence), r.mayHaveRun()
 }
 
 // takeOver continues the stream of a silent server at the one that was asked to. It returns nil when that one doesn't.
@@ -94,7 +92,8 @@
 
 // finishResume returns the run of a server that continues the stream, nil if it doesn't.
 func (c *call) finishResume(ctx context.Context, r *resumption, silence *silenceTimer) *engineRun {
-	if r.mayHaveRun() {
+	// A run that continues from its memory counts as the same run.
+	if r.memory == nil && r.mayHaveRun() {
 		c.sends++
 	}
 
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -71,10 +71,14 @@
 		"server", current.send.Backend.ID, "target", target.Backend.ID, "copied", copied, "last", splitter.last)
 }
 
-// continueMoved continues a stopped run at the engine that has its KV cache: the target, or the source when the copy failed.
+// continueMoved continues a stopped run at the engine that has its KV cache: the target, or the source when the copy failed or the target
+// does not begin to work on it.
 func (c *call) continueMoved(ctx context.Context, stopped *engineRun, last string) *engineRun {
 	if stopped.next != nil {
-		return c.sendResume(ctx, stopped.next, last, stopped.memory)
+		moved, mayHaveRun := c.sendResume(ctx, stopped.next, last, stopped.memory)
+		if moved != nil || mayHaveRun {
+			return moved
+		}
 	}
 
 	source := c.relay.pool.PlaceAt(c.relay.now(), stopped.send.Backend.ID, dispatch.Request{
@@ -84,7 +88,7 @@
 		return nil
 	}
 
-	resumed := c.sendResume(ctx, source, last, stopped.memory)
+	resumed, _ := c.sendResume(ctx, source, last, stopped.memory)
 	if resumed != nil {
 		resumed.noMove = true
 	}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -454,7 +454,7 @@
 	if replacement != nil {
 		c.relay.metrics.CallRetried(c.service, reasonResumed)
 
-		if resumed := c.sendResume(ctx, replacement.send, splitter.last, nil); resumed != nil {
+		if resumed, _ := c.sendResume(ctx, replacement.send, splitter.last, nil); resumed != nil {
 			return resumed
 		}
 	}
@@ -604,7 +604,7 @@
 
 		c.relay.metrics.CallRetried(c.service, reasonResumed)
 
-		if resumed := c.sendResume(ctx, send, last, nil); resumed != nil {
+		if resumed, _ := c.sendResume(ctx, send, last, nil); resumed != nil {
 			return resumed
 		}
 	}
