Wait for the end of a call before its records are checked in TestCrashIsNoAnswer

The test looked at what the relay had recorded as soon as the caller had the whole answer. The relay records a whole answer after that, so on a busy machine the test could find nothing: the fault was in the test.

The test now closes the server of the relay first, which waits for the call to end. It is stricter: a record that comes later counts too.

--- a/transport/upstream/brokenoff_test.go
+++ b/transport/upstream/brokenoff_test.go
@@ -175,6 +175,8 @@
 			}, time.Now())
 
 			_, _, _ = h.call(test.path, nil) //nolint:bodyclose // The call has read and closed it.
+			// The relay records a whole answer after the caller has it; Close waits for that.
+			h.front.Close()
 
 			r.mu.Lock()
 			defer r.mu.Unlock()
