Refuse to exchange members with another deployment

Two deployments on the same hosts became members of each other. A process looks for others at the addresses of join records, also of processes that have ended. Once such an address is given to a process of another deployment, the exchange of full states succeeded, and each side took over the members of the other: callers were sent to them, keys and copies of streams placed there. Probes are authenticated by the probe key, the exchange over net/rpc wasn't.

A state now names the deployment by a hash of its probe key, and a process refuses a state of another one, asked or asking. A state without the name, of an older version, is taken as before.

--- a/cmd/internal/daemon/membership.go
+++ b/cmd/internal/daemon/membership.go
@@ -60,7 +60,7 @@
 	}
 
 	driver := membership.New(d.supervisor, self, socket, d.peers, d.peerServer, log,
-		membership.WithLogger(d.logger), membership.WithSeeds(s.Seeds),
+		membership.WithLogger(d.logger), membership.WithKey(key), membership.WithSeeds(s.Seeds),
 		membership.WithValidity(time.Duration(s.Stop.AddressValidity)),
 		membership.WithReady(func() bool { return d.Ready() == nil }))
 	driver.Register(registry)
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -286,7 +286,8 @@
 		Probes: s.Listen.Probes, Operator: s.Listen.Operator, Capacity: capacity(s),
 	}
 	e.membership = membership.New(e.supervisor, self, socket, e.peers, e.peerServer, e.platform,
-		membership.WithLogger(e.logger), membership.WithEras(e.eras), membership.WithSeeds(s.Seeds), membership.WithConfig(probeConfig()),
+		membership.WithLogger(e.logger), membership.WithKey(key), membership.WithEras(e.eras), membership.WithSeeds(s.Seeds),
+		membership.WithConfig(probeConfig()),
 		membership.WithValidity(time.Duration(s.AddressValidity)), membership.WithReady(e.ready), membership.WithIsolated(e.isolated))
 	e.membership.Register(e.registry)
 	socket.Receive(e.supervisor, e.membership.Receive)
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -29,8 +31,12 @@
 	// minExchangeInterval is the shortest time between two exchanges that messages request. When a network partition heals, every
 	// returning member causes such a request, and the first exchange already carries the state of all.
 	minExchangeInterval = time.Second
+	// deploymentSize is the number of bytes of the hash that names a deployment.
+	deploymentSize = 8
 )
 
+var errOtherDeployment = errors.New("the process belongs to another deployment")
+
 // Sender sends one message to another process. Messages may be lost.
 type Sender interface {
 	Send(to netip.AddrPort, message member.Message) error
@@ -51,6 +57,8 @@
 	validity time.Duration
 	ready    func() bool
 	isolated func() bool
+	// deployment names the processes with the same key; empty for none.
+	deployment string
 
 	// wake makes the timer loop read the machine's next deadline again.
 	wake chan struct{}
@@ -103,6 +111,16 @@
 	return func(d *Driver) { eras.Subscribe(func() { signal(d.joinAgain) }) }
 }
 
+// WithKey sets the key of the deployment, by which processes tell those of another one that got the address of a former member.
+func WithKey(key []byte) Option {
+	return func(d *Driver) {
+		if len(key) > 0 {
+			sum := sha256.Sum256(append([]byte("deployment "), key...))
+			d.deployment = hex.EncodeToString(sum[:deploymentSize])
+		}
+	}
+}
+
 // WithRandom sets the source of random choices.
 func WithRandom(random *rand.Rand) Option { return func(d *Driver) { d.random = random } }
 
@@ -126,7 +144,7 @@
 	d.machine = member.New(member.NewEntry(self), d.config, rand.New(rand.NewPCG(d.random.Uint64(), 0)), time.Now())
 
 	apricotway.HandlePeer(registry, methodExchange,
-		func(_ context.Context, state member.State) (member.State, error) { return d.answerExchange(state), nil })
+		func(_ context.Context, state member.State) (member.State, error) { return d.answerExchange(state) })
 
 	for name, run := range map[string]func(context.Context) error{
 		"membership timers": d.runTimers, "membership exchange": d.runExchanges,
@@ -288,11 +306,17 @@
 	state := d.machine.State(time.Now())
 	d.mu.Unlock()
 
+	state.Deployment = d.deployment
+
 	answer, err := apricotway.CallPeer[member.State](ctx, d.peers, address, methodExchange, state)
 	if err != nil {
 		return errors.Wrap(err, "exchange membership states")
 	}
 
+	if d.isForeign(answer) {
+		return errOtherDeployment
+	}
+
 	d.do(func(now time.Time) member.Output { return d.machine.Merge(now, answer) })
 
 	return nil
@@ -300,18 +324,29 @@
 
 // answerExchange merges another process's state and returns this process's state from before the merge, since the caller has its
 // own entries already. If the digests are equal, it only returns the digest.
-func (d *Driver) answerExchange(state member.State) member.State {
+func (d *Driver) answerExchange(state member.State) (member.State, error) {
+	if d.isForeign(state) {
+		return member.State{}, errOtherDeployment
+	}
+
 	d.mu.Lock()
 	answer := d.machine.State(time.Now())
 	d.mu.Unlock()
 
+	answer.Deployment = d.deployment
+
 	if answer.Digest == state.Digest {
-		return member.State{Digest: answer.Digest}
+		return member.State{Digest: answer.Digest, Deployment: answer.Deployment}, nil
 	}
 
 	d.do(func(now time.Time) member.Output { return d.machine.Merge(now, state) })
 
-	return answer
+	return answer, nil
+}
+
+// isForeign reports whether a state is that of another deployment. The address of a former member may belong to one now.
+func (d *Driver) isForeign(state member.State) bool {
+	return d.deployment != "" && state.Deployment != "" && state.Deployment != d.deployment
 }
 
 // Receive processes a message from another process.
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -34,8 +34,9 @@
 	log *memoryLog
 	// eras is the tracker of all nodes.
 	eras *era.Tracker
-	// seeds are given to every node.
+	// seeds and key are given to every node.
 	seeds []netip.AddrPort
+	key   []byte
 	next  int
 }
 
@@ -80,8 +81,11 @@
 }
 
 func (n *network) start(region apricotway.Region) *node {
+	return n.startAt(region, netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(n.next+1)))
+}
+
+func (n *network) startAt(region apricotway.Region, address netip.AddrPort) *node {
 	n.next++
-	address := netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(n.next))
 	added := &node{
 		network: n, index: n.next, region: region, address: address,
 		handlers: map[apricotway.Method]apricotway.PeerHandler{}, running: make(chan struct{}, 1),
@@ -93,7 +97,7 @@
 	}
 	supervisor := suture.NewSimple("test")
 	added.driver = membership.New(supervisor, self, added, added, added, n.log,
-		membership.WithSeeds(n.seeds), membership.WithEras(n.eras), membership.WithRandom(rand.New(rand.NewPCG(1, uint64(n.next)))),
+		membership.WithSeeds(n.seeds), membership.WithKey(n.key), membership.WithEras(n.eras), membership.WithRandom(rand.New(rand.NewPCG(1, uint64(n.next)))),
 		membership.WithReady(func() bool {
 			added.running <- <-added.running
 			return true
@@ -362,6 +366,32 @@
 	})
 }
 
+// TestJoinAtReusedAddress guards against two deployments whose processes become members of each other, after the address of a process that has
+// ended was given to one of the other deployment.
+func TestJoinAtReusedAddress(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		n.key = []byte("first")
+		first := n.startMany(t, 2, "r")
+
+		<-time.After(10 * time.Second)
+		first[0].kill()
+
+		n.key, n.log = []byte("second"), &memoryLog{}
+		second := n.startAt("r", first[0].address)
+
+		<-time.After(5 * time.Minute)
+
+		for _, test := range []struct{ viewer, other *node }{{first[1], second}, {second, first[1]}} {
+			if got, ok := test.viewer.states()[test.other.name()]; ok {
+				t.Errorf("got %s as a member of %s that is %s, want none of another deployment", test.other.name(), test.viewer.name(), got)
+			}
+		}
+	})
+}
+
 // TestJoinAfterRestore guards against processes that a later one can't find, since the log has come back from a copy without their join
 // records.
 func TestJoinAfterRestore(t *testing.T) {
--- a/state/member/message.go
+++ b/state/member/message.go
@@ -114,6 +114,8 @@
 	Digest     uint64
 	Entries    []Entry
 	Broadcasts []apricotway.BroadcastEntry
+	// Deployment names the deployment of the process; empty if it is of a version that doesn't.
+	Deployment string
 }
 
 const (
