--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -91,6 +91,7 @@
 	t         *testing.T
 	random    *rand.Rand
 	directory string
+	probeKey  string
 	platform  *standin.Platform
 	store     netip.AddrPort
 	// config is the format of the operators' configuration; its argument is the version.
@@ -130,7 +131,9 @@
 func newEntryPlatform(t *testing.T, seed uint64, config string) *entrySystem {
 	t.Helper()
 
-	s := &entrySystem{t: t, random: newRandom(seed), directory: t.TempDir(), platform: standin.New(), config: config, retrySlack: 10}
+	s := &entrySystem{
+		t: t, random: newRandom(seed), directory: t.TempDir(), probeKey: newProbeKey(), platform: standin.New(), config: config, retrySlack: 10,
+	}
 	server := httptest.NewServer(s.platform)
 	t.Cleanup(server.Close)
 
@@ -213,7 +216,7 @@
 		"listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "probes": %q, "operator": %q},
 		"platform": {"store": %q, "cloud": %q}, "probeKey": %q,
 		"retries": {"ratio": 0.1, "window": "10s", "slack": %d}}`, name, peers, e.callers, freeport.Address(s.t), freeport.Address(s.t), own,
-		freeport.Address(s.t), freeport.Address(s.t), link.Address, link.Address, strings.Repeat("ab", 16), s.retrySlack)
+		freeport.Address(s.t), freeport.Address(s.t), link.Address, link.Address, s.probeKey, s.retrySlack)
 
 	if err := os.WriteFile(e.settings, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/apricotway/apricotway/cmd/internal/ctl"
@@ -49,6 +50,7 @@
 		Setup: func(env *testscript.Env) error {
 			env.Values[processesKey{}] = map[string]*process{}
 			env.Values[callsKey{}] = &load{}
+			env.Setenv("probeKey", newProbeKey())
 
 			return nil
 		},
@@ -70,6 +72,29 @@
 	})
 }
 
+// newProbeKey returns the key of the processes of one system. A port of a process that has ended may be given to one of another test, also
+// of another run on the machine, while the members of the first one still probe it.
+func newProbeKey() string { return strings.ReplaceAll(uuid.NewString(), "-", "") }
+
+// TestProbeKeysOfScripts guards against processes of two scripts, or of two runs on one machine, that take each other for members.
+func TestProbeKeysOfScripts(t *testing.T) {
+	scripts, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(scripts) == 0 {
+		t.Fatalf("got no scripts: %v", err)
+	}
+
+	for _, script := range scripts {
+		content, err := os.ReadFile(script)
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		if got, want := strings.Count(string(content), `"probeKey"`), strings.Count(string(content), `"probeKey": "$probeKey"`); got != want {
+			t.Errorf("%s: got %d probe keys, %d of them the script's own, want only these", script, got, want)
+		}
+	}
+}
+
 type processesKey struct{}
 
 // process is a program that runs in the background.
--- a/cmd/scenario/soak_test.go
+++ b/cmd/scenario/soak_test.go
@@ -65,6 +65,7 @@
 type system struct {
 	t             *testing.T
 	directory     string
+	probeKey      string
 	random        *rand.Rand
 	log, hosts    *program
 	ledger        *program
@@ -110,9 +111,9 @@
 
 	listed, _ := json.Marshal(seeds)
 	file := filepath.Join(s.directory, fmt.Sprintf("entry%d.jsonc", s.count))
-	settings := fmt.Sprintf(`{"region": "makedonia", "zone": %q, "seeds": %s, "probeKey": "00112233445566778899aabbccddeeff",
+	settings := fmt.Sprintf(`{"region": "makedonia", "zone": %q, "seeds": %s, "probeKey": %q,
 		"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "probes": "127.0.0.1:0", "operator": "127.0.0.1:0"},
-		"advertise": {"peers": %q, "probes": %q}, "platform": {"log": %q, "hosts": %q}}`, zone, listed,
+		"advertise": {"peers": %q, "probes": %q}, "platform": {"log": %q, "hosts": %q}}`, zone, listed, s.probeKey,
 		proxy.fields["peers"], proxy.fields["probes"], proxy.fields["log"], s.hosts.address())
 
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
@@ -633,7 +634,7 @@
 }
 
 func runSchedule(t *testing.T, seed uint64, enough func(rounds int) bool) {
-	s := &system{t: t, directory: t.TempDir(), random: newRandom(seed), seed: seed}
+	s := &system{t: t, directory: t.TempDir(), probeKey: newProbeKey(), random: newRandom(seed), seed: seed}
 	s.log = s.start("log", "", "apricotctl", "standin", "log")
 	s.hosts = s.start("hosts", "", "apricotctl", "standin", "hosts")
 	s.ledger = s.start("ledger", "", "apricotctl", "standin", "service", "--id", "ledger-1", "--service", "lot-ledger",
