Give up connections to peers that have gone silent

Processes saw: calls to a peer timed out although it was well and new connections to it worked, for as long as TCP sends a request again (some 15 minutes). All calls to an address share one connection; a call that times out leaves it to the others, and the kernel sends no keep-alive probes while data is unacknowledged.

Connections to peers now have TCP_USER_TIMEOUT of 4 s beside keep-alive probes that end after the same time, so that the call in flight fails with an error of the connection, which discards it. Connections to servers don't get it: it also ends a connection whose other side reads nothing for that time, which a server may do with a long body. Their keep-alive options are those of before, from internal/keepalive.

--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/keepalive"
 )
 
 const (
@@ -205,10 +206,10 @@
 
 	var dialer interface {
 		DialContext(ctx context.Context, network, address string) (net.Conn, error)
-	} = &net.Dialer{}
+	} = keepalive.NewStrictDialer()
 
 	if c.tls != nil {
-		dialer = &tls.Dialer{Config: c.tls()}
+		dialer = &tls.Dialer{NetDialer: keepalive.NewStrictDialer(), Config: c.tls()}
 	}
 
 	raw, err := dialer.DialContext(ctx, "tcp", address.String())
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -21,6 +21,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/keepalive"
 )
 
 const (
@@ -98,11 +99,8 @@
 
 // New returns a pool without connections.
 func New(options ...Option) *Pool {
-	dialer := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 3,
-	}}
 	p := &Pool{
-		dialTimeout: defaultDialTimeout, dial: dialer.DialContext, onDial: func() {}, observer: noObserver{},
+		dialTimeout: defaultDialTimeout, dial: keepalive.NewDialer().DialContext, onDial: func() {}, observer: noObserver{},
 		seed: maphash.MakeSeed(), idle: map[netip.AddrPort][]*connection{},
 	}
 
