Offer more slots of brittle servers than calls are to begin where most find no call

Callers saw: with 65 processes before 4 brittle servers at 1.1 times their capacity, 28% of the calls served and the others refused, though the servers ran half of what they were to. A slot that a process without a call owns is unused, and that are most slots once there are more processes than calls in the time around a slot.

Now the rate of the slots is that of the calls over the share of the slots that find one, by the arrivals at this process, as long as the calls of a burst at all processes still fit; after a rejection that any process has told of no more are offered for 6 s. A change of the rate no longer drops slots that have begun, and a process that had no call yet may use the last ones. A process that has measured no call goes by the mean duration that others tell, in place of 100 ms.

In the model every placement of a call counted as a further try of a call placed before, so that no demand was ever counted. The first one now counts as such, as it does in protocol/relay.

Calls at random processes meet a slot as often in a burst as before it, and a process learns of the calls of others only by the reports.

--- a/state/dispatch/brittle_test.go
+++ b/state/dispatch/brittle_test.go
@@ -46,6 +46,13 @@
 	ends    time.Time
 }
 
+// heldCall is a call of the model without a place.
+type heldCall struct {
+	until time.Time
+	// again is set once it has been tried to place the call.
+	again bool
+}
+
 // brittleModel plays processes before servers that are brittle, without a network.
 type brittleModel struct {
 	random *rand.Rand
@@ -57,8 +64,8 @@
 	servers []*brittleServer
 	byID    map[apricotway.BackendServerID]*brittleServer
 	flying  []*brittleCall
-	// held holds for each process the times until which its calls that have no place wait.
-	held [][]time.Time
+	// held holds for each process its calls that have no place.
+	held [][]heldCall
 
 	sent, served, rejected, refused int
 }
@@ -116,7 +123,7 @@
 		for i, pool := range m.pools {
 			for range load(i) {
 				m.sent++
-				m.held[i] = append(m.held[i], m.now.Add(brittleHold))
+				m.held[i] = append(m.held[i], heldCall{until: m.now.Add(brittleHold)})
 			}
 
 			m.place(i, pool)
@@ -140,15 +147,17 @@
 // place places the calls of a process, and refuses those that have waited long enough.
 func (m *brittleModel) place(i int, pool *dispatch.Pool) {
 	for len(m.held[i]) > 0 {
+		call := &m.held[i][0]
 		send, why, _ := pool.Place(m.now, dispatch.Request{
-			Service: "model", PromptTokens: 800, AnswerTokens: 50, Remaining: 10 * time.Second, Again: true,
+			Service: "model", PromptTokens: 800, AnswerTokens: 50, Remaining: 10 * time.Second, Again: call.again,
 		})
+		call.again = true
 
 		switch {
 		case send != nil:
 			m.held[i] = m.held[i][1:]
 			m.flying = append(m.flying, &brittleCall{send: send, server: m.byID[send.Backend.ID], arrives: m.now.Add(brittleDelay)})
-		case why == dispatch.RefusedBrittle && m.now.Before(m.held[i][0]):
+		case why == dispatch.RefusedBrittle && m.now.Before(call.until):
 			return
 		default:
 			m.held[i] = m.held[i][1:]
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -104,7 +104,9 @@
 	// service said last of their brittleness, and durations the mean durations of calls.
 	brittleLimits   *intake.Limits
 	brittleServices map[apricotway.Service]*brittleness
-	durations       map[apricotway.Service]time.Duration
+	durations       map[apricotway.Service]meanDuration
+	// arrivals holds the rates at which calls for the services arrive at this process.
+	arrivals map[apricotway.Service]*arrivals
 	// origins holds the versions of the servers and the origins of streams.
 	origins *origin.Register
 }
@@ -141,7 +143,7 @@
 		origins:     origin.NewRegister(),
 
 		brittleLimits: newBrittleLimits(), brittleServices: map[apricotway.Service]*brittleness{},
-		durations: map[apricotway.Service]time.Duration{},
+		durations: map[apricotway.Service]meanDuration{}, arrivals: map[apricotway.Service]*arrivals{},
 	}
 	for _, option := range options {
 		option(p)
@@ -294,10 +296,16 @@
 
 		kind := callKind{request.Service, SizeOf(request.PromptTokens) >= longPromptClass}
 		if p.callRates[kind] == nil {
-			p.callRates[kind] = &callRate{}
+			p.callRates[kind] = &callRate{window: rateWindow}
 		}
 
 		p.callRates[kind].add(now)
+
+		if p.arrivals[request.Service] == nil {
+			p.arrivals[request.Service] = newArrivals()
+		}
+
+		p.arrivals[request.Service].add(now)
 	}
 
 	best, estimate := p.chooseLocked(now, request)
@@ -358,13 +366,15 @@
 // sendLocked counts a call as running on the server. It returns nil when the server has named a pause, or when its limit leaves no
 // request to this process.
 func (p *Pool) sendLocked(now time.Time, s *server, request Request) *Send {
-	if s.paused(now) || !p.admitsLocked(now, s) || !p.limits.Take(now, s.backend.ID) || !p.brittleLimits.Take(now, s.backend.ID) {
+	if s.paused(now) || !p.admitsLocked(now, s, p.serviceBrittlenessLocked(now, s.backend.Service)) ||
+		!p.limits.Take(now, s.backend.ID) || !p.brittleLimits.Take(now, s.backend.ID) {
 		return nil
 	}
 
 	s.said.extendPause(now)
 
 	s.own.Running++
+	s.sentAt = now
 
 	return &Send{
 		Backend: s.backend, pool: p, server: s, request: request, sent: now, Limited: p.limits.Limited(s.backend.ID),
@@ -427,14 +437,16 @@
 	// perSecond is the rate at time at.
 	perSecond float64
 	at        time.Time
+	// window is the time over which the rate is averaged.
+	window time.Duration
 }
 
 func (r *callRate) current(now time.Time) float64 {
-	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/rateWindow.Seconds())
+	return r.perSecond * math.Exp(-now.Sub(r.at).Seconds()/r.window.Seconds())
 }
 
 func (r *callRate) add(now time.Time) {
-	r.perSecond = r.current(now) + 1/rateWindow.Seconds()
+	r.perSecond = r.current(now) + 1/r.window.Seconds()
 	r.at = now
 }
 
@@ -472,13 +484,14 @@
 	chance := float64(count) / float64(max(size, 1))
 
 	rank := -1
+	brittle := p.serviceBrittlenessLocked(now, request.Service)
 
 	for _, s := range all {
 		if s.leaving() {
 			continue
 		}
 
-		if rank++; s.paused(now) || !request.mayUse(s) || !p.limits.Allows(now, s.backend.ID) || !p.admitsLocked(now, s) {
+		if rank++; s.paused(now) || !request.mayUse(s) || !p.limits.Allows(now, s.backend.ID) || !p.admitsLocked(now, s, brittle) {
 			continue
 		}
 
@@ -572,6 +585,10 @@
 	s.ended = true
 	s.server.own.Running--
 
+	if known := s.pool.brittleServices[s.request.Service]; outcome == OutcomeFull && known != nil {
+		known.rejectedAt = now
+	}
+
 	if outcome == OutcomeDone && !s.detour {
 		s.pool.recordDurationLocked(s.request.Service, now.Sub(s.sent))
 	}
--- a/state/dispatch/server.go
+++ b/state/dispatch/server.go
@@ -75,6 +75,8 @@
 	said *statements
 	// brittle is what this start of the server has said of its brittleness.
 	brittle brittleness
+	// sentAt is the time of the last call that was sent to the server.
+	sentAt time.Time
 	// ratedAt is the time at which the rate for a brittle server was determined.
 	ratedAt time.Time
 
--- a/state/intake/intake.go
+++ b/state/intake/intake.go
@@ -148,6 +148,34 @@
 	return before, changed
 }
 
+// SetRate sets a limit that this process has determined itself, with the time for which a slot can be used, given the time at which it last
+// sent a request to the server. The slots of the rate before that have begun remain; without one, those that have begun since that request
+// can be used.
+func (l *Limits) SetRate(now, lastSent time.Time, id apricotway.BackendServerID, perSecond float64, lifetime time.Duration) {
+	s := l.serverFor(id)
+
+	limited := s.limited()
+	if limited {
+		l.advance(now, s)
+	}
+
+	open := s.open
+	s.lifetime = lifetime
+
+	s.set(now, fact{
+		limit:       apricotway.RequestLimit{Statement: apricotway.LimitStated, PerSecond: perSecond},
+		observation: Observation{l.self, now}, asOf: now,
+	})
+	s.open = open
+
+	if !limited {
+		s.next, s.used = 0, lastSent
+	}
+}
+
+// ClearRate ends a limit that SetRate has set.
+func (l *Limits) ClearRate(id apricotway.BackendServerID) { delete(l.servers, id) }
+
 func (l *Limits) serverFor(id apricotway.BackendServerID) *server {
 	s := l.servers[id]
 	if s == nil {
--- a/state/intake/slots.go
+++ b/state/intake/slots.go
@@ -31,6 +31,8 @@
 	next int64
 	// open holds the slots of this process that can be used, the oldest first.
 	open []slot
+	// lifetime is the time for which a slot can be used, if that is longer than for other servers.
+	lifetime time.Duration
 	// used is the beginning of the last slot that was used.
 	used time.Time
 }
@@ -57,7 +59,7 @@
 
 // advance determines the owners of the slots that have begun, and drops the slots that are too old to be used.
 func (l *Limits) advance(now time.Time, s *server) {
-	lifetime := max(l.lifetime, seconds(1/s.slotRate()))
+	lifetime := max(l.lifetime, s.lifetime, seconds(1/s.slotRate()))
 	oldest := now.Add(-lifetime)
 	last := s.slotAt(now)
 
