Give up kept connections of HTTP clients that have gone silent

As in platform.Client: apricotway serve calls servers, hosts, the log service and the cloud with transports that probed a silent connection for 150 s, so that requests met one on which nothing arrives.

These transports now dial with internal/keepalive.

--- a/transport/httpjson/httpjson.go
+++ b/transport/httpjson/httpjson.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway/internal/keepalive"
 )
 
 // maxBody is the maximum size in bytes of a JSON body that a client reads.
@@ -46,6 +48,7 @@
 // NewTransport returns an HTTP transport that is configured for many short requests to few servers.
 func NewTransport() *http.Transport {
 	return &http.Transport{
+		DialContext:         keepalive.NewDialer().DialContext,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     90 * time.Second,
 		// Compression would delay the tokens of a stream.
