--- a/transport/upstream/configuration_test.go
+++ b/transport/upstream/configuration_test.go
@@ -24,8 +24,8 @@
 // changingCatalog is a configuration that a test changes while calls wait.
 type changingCatalog struct{ table atomic.Pointer[route.Table] }
 
-func (c *changingCatalog) Table() *route.Table { return c.table.Load() }
-func (c *changingCatalog) KeysFresh() bool     { return true }
+func (c *changingCatalog) Table() *route.Table            { return c.table.Load() }
+func (c *changingCatalog) AwaitKeys(context.Context) bool { return true }
 
 // waitingLimiter admits a call once the test has changed the configuration.
 type waitingLimiter struct {
