Answer a refused call though its body does not arrive

Callers whose call was refused before its body was read (unknown route or key, body too large, no configuration) got no answer until the whole body had arrived, so none at all if it never did. Cause: net/http reads the rest of a body before it writes an answer that keeps the connection, and nothing bounded that read.

The relay now gives such a body 200 ms, after which net/http writes the answer and closes the connection. A body that has arrived is skipped as before and the connection is kept.

--- a/cmd/internal/callers/limits.go
+++ b/cmd/internal/callers/limits.go
@@ -56,8 +56,8 @@
 }
 
 // WithLimits sets what returns the limits in force on callers, each of them above 0. Sweep then closes connections that exceed them, and the
-// timeouts of the HTTP server must be 0. Its MaxHeaderBytes applies besides the limit. Answers tell callers in Keep-Alive how long they may use the connection again; a longer limit
-// applies to open connections at once, a shorter one with the next answer.
+// timeouts of the HTTP server must be 0. Its MaxHeaderBytes applies besides the limit. Answers tell callers in Keep-Alive how long they may
+// use the connection again; a longer limit applies to open connections at once, a shorter one with the next answer.
 func WithLimits(limits func() apricotway.CallerLimits) Option {
 	return func(s *Server) { s.limits = limits }
 }
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -56,6 +56,8 @@
 func (c *call) refuse(refused *refusal) {
 	c.closeIfStopping()
 
+	c.boundUnreadBody()
+
 	header := c.writer.Header()
 	header.Set("Content-Type", "application/json")
 
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -31,6 +31,8 @@
 	retryAfterUnavailable = 500 * time.Millisecond
 	// retryAfterStaleKeys is the Retry-After while the configuration is too old to tell whether keys are still valid.
 	retryAfterStaleKeys = time.Second
+	// unreadBodyTime is how long the answer to a call that is refused before its body was read may wait for the body.
+	unreadBodyTime = 200 * time.Millisecond
 	// writeReserve is the time after a call's deadline in which its answer can still be written.
 	writeReserve = time.Second
 	// minRemaining is the least time before the deadline with which a call is still sent.
@@ -222,7 +224,8 @@
 	writer   http.ResponseWriter
 	request  *http.Request
 	metadata apricotway.CallMetadata
-	body     []byte
+	// body is nil until it has been read whole.
+	body []byte
 	// digest is the fingerprint of the whole content; 0 until it is needed.
 	digest quarantine.Fingerprint
 	// events counts the reads of a stream that had a complete event. acquitted is set once the quarantine knows that the call was
@@ -297,6 +300,15 @@
 	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.arrived.Add(timeout + writeReserve))
 }
 
+// boundUnreadBody bounds the time for which the HTTP server waits for a body that has not been read: it reads the rest before it writes an
+// answer, and closes the connection if that fails.
+func (c *call) boundUnreadBody() {
+	if c.body == nil && c.request.ContentLength != 0 {
+		// A writer that doesn't support deadlines, as in tests, has no read timeout.
+		_ = http.NewResponseController(c.writer).SetReadDeadline(c.relay.now().Add(unreadBodyTime))
+	}
+}
+
 // forward sends the call, with retries, until it has a final answer.
 func (c *call) forward(ctx context.Context) {
 	if c.detour(ctx) {
