Tell callers whose body is late that their call has not run

Callers whose body had not arrived within their time limit, or within 10 s, got 400 bodyTorn, which is never retried. The same happened after a standstill of the process in which the body arrived. Cause: an ended read deadline was taken for a broken body.

Before (TestRequestEndsWithoutAnswer):

body_late: got 400 after 300.946338ms, want 408

They get 408 bodyLate now, which promises that the call has not run, so that also calls that run at most once are sent again. The test passes.

--- a/cmd/internal/entry/answer_test.go
+++ b/cmd/internal/entry/answer_test.go
@@ -114,6 +114,10 @@
 			c.send(c.with(noBody, "Content-Length: 20000") + "\r\n01")
 			return c.answers(1)
 		}, "413"},
+		{"body late", func(c *caller) string {
+			c.send(c.with(noBody, fiveBytes, "Deadline-Ms: 5000", "Deadline-Ms: 300") + "\r\n01")
+			return c.answers(1)
+		}, "408"},
 		{"after the write deadline of the call before", func(c *caller) string {
 			c.send(c.with("Deadline-Ms: 5000", "Deadline-Ms: 300") + "\r\n")
 
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -4,8 +4,11 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // admit reads the call and checks route, key, body, quarantine and rate limit, in this order. It returns the refusal of a call
@@ -135,6 +138,10 @@
 		}
 	}
 
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &refusal{status: http.StatusRequestTimeout, reason: "bodyLate", message: "the body took too long", close: true}
+	}
+
 	if err != nil {
 		return &refusal{status: http.StatusBadRequest, reason: "bodyTorn", message: "the body could not be read", close: true}
 	}
