Answer a call that meets a fault before its answer has begun

Callers whose call met a panic in the relay saw their connection closed without an answer, and could not tell whether the call had run. Cause: net/http drops what it has buffered when a handler panics, and nothing was written before.

Before (TestFaultEndsCallWithoutAnswer):

before_the_call_is_sent: got Post "http://127.0.0.1:37881": EOF, want status 503 as_the_call_is_sent: got Post "http://127.0.0.1:33325": EOF, want status 502 aborted_on_purpose: got Post "http://127.0.0.1:41919": EOF, want status 502 in_a_whole_answer: got Post "http://127.0.0.1:37115": EOF, want status 502

A call that neither a server nor another process has got is refused with 503, any other one with 502, both with the code "fault" and flushed before the panic goes on to where it is counted and logged. A begun answer is cut as before. No panic of the relay is known; the way was found by reading. Refusals now state their length, which the flush needs. The test passes.

--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -27,6 +27,7 @@
 	reasonNotContinued = "notContinued"
 	reasonNoTime       = "noTime"
 	reasonStopping     = "stopping"
+	reasonFault        = "fault"
 	// reasonDetour is that of a call that another process passes on, and reasonLost that of one that no known process can.
 	reasonDetour = "detour"
 	reasonLost   = "pathsLost"
@@ -52,6 +53,18 @@
 	return apricotway.ExecutionNotStarted
 }
 
+// body returns the refusal as JSON.
+func (r *refusal) body() []byte {
+	// Strings can always be encoded.
+	body, _ := json.Marshal(struct {
+		Code      string               `json:"code"`
+		Message   string               `json:"message"`
+		Execution apricotway.Execution `json:"execution"`
+	}{r.reason, r.message, r.execution()})
+
+	return append(body, '\n')
+}
+
 // refuse writes the refusal as a JSON answer and records the end of the call.
 func (c *call) refuse(refused *refusal) {
 	c.closeIfStopping()
@@ -69,13 +82,13 @@
 		c.closeConnection()
 	}
 
+	body := refused.body()
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+
+	c.answering = true
 	c.writer.WriteHeader(refused.status)
 	// A write fails only when the caller has left.
-	_ = json.NewEncoder(c.writer).Encode(struct {
-		Code      string               `json:"code"`
-		Message   string               `json:"message"`
-		Execution apricotway.Execution `json:"execution"`
-	}{refused.reason, refused.message, refused.execution()})
+	_, _ = c.writer.Write(body)
 
 	c.recordEnd(refused.reason, refused.status)
 }
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -264,6 +264,8 @@
 	buffer answerBuffer
 	// usageCounted is set once the call was counted in its workspace's usage.
 	usageCounted bool
+	// answering is set once the header of an answer has been written.
+	answering bool
 	// expectedWait is the estimate, made at the last attempt, of the time until the answer begins. beganAt is when it began.
 	expectedWait time.Duration
 	beganAt      time.Time
@@ -278,21 +280,58 @@
 	r.inFlight.add(c)
 	defer r.inFlight.remove(c)
 
+	ended := false
+
+	defer func() {
+		if !ended {
+			c.answerFault()
+		}
+	}()
+
+	c.serve(request.Context())
+
+	ended = true
+}
+
+// serve admits the call and forwards it.
+func (c *call) serve(ctx context.Context) {
 	c.boundWrites(defaultTimeout)
 
-	if refusal := c.admit(request.Context()); refusal != nil {
+	if refusal := c.admit(ctx); refusal != nil {
 		c.refuse(refusal)
 		return
 	}
 
 	c.boundWrites(c.deadline.Sub(c.arrived))
 
-	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 
 	c.forward(ctx)
 }
 
+// answerFault answers a call that panics before its answer has begun: net/http closes the connection of a handler that panics without
+// writing what it has buffered.
+func (c *call) answerFault() {
+	if c.answering {
+		return
+	}
+
+	c.closeConnection()
+
+	if len(c.tried) == 0 && len(c.helpers) == 0 {
+		c.refuse(&refusal{
+			status: http.StatusServiceUnavailable, reason: reasonFault, retryAfter: retryAfterUnavailable,
+			message: "the process failed to handle the call",
+		})
+	} else {
+		c.refuse(&refusal{status: http.StatusBadGateway, reason: reasonFault, message: "the outcome of the call is unknown"})
+	}
+
+	// A flush fails only when the caller has left.
+	_ = http.NewResponseController(c.writer).Flush()
+}
+
 // boundWrites sets the write deadline of the caller's connection, which ends the connection of a caller that doesn't read its
 // answer in time. It replaces the deadline of an earlier call on the connection.
 func (c *call) boundWrites(timeout time.Duration) {
