Write the answer of a call whose time ended in a standstill

Callers of a process that stood still for longer than their call's time and 1 s saw their connection closed without an answer, though the server's whole answer was there or the call could have been refused. Cause: the write deadline of the connection counts from the arrival of the call, so it had passed before the first byte of the answer.

An answer now has at least the 1 s of reserve from its beginning. The bound on callers that don't read stays: the deadline is extended once, by 1 s at most after the answer began.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -365,6 +365,6 @@
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 
-	c.answering = true
+	c.beginAnswer()
 	c.writer.WriteHeader(answer.Status)
 }
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -85,7 +85,7 @@
 	body := refused.body()
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 
-	c.answering = true
+	c.beginAnswer()
 	c.writer.WriteHeader(refused.status)
 	// A write fails only when the caller has left.
 	_, _ = c.writer.Write(body)
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -33,7 +33,7 @@
 	retryAfterStaleKeys = time.Second
 	// unreadBodyTime is how long the answer to a call that is refused before its body was read may wait for the body.
 	unreadBodyTime = 200 * time.Millisecond
-	// writeReserve is the time after a call's deadline in which its answer can still be written.
+	// writeReserve is the time after a call's deadline, or after its answer has begun, in which the answer can still be written.
 	writeReserve = time.Second
 	// minRemaining is the least time before the deadline with which a call is still sent.
 	minRemaining = 5 * time.Millisecond
@@ -266,6 +266,8 @@
 	usageCounted bool
 	// answering is set once the header of an answer has been written.
 	answering bool
+	// writeDeadline is the write deadline of the caller's connection.
+	writeDeadline time.Time
 	// expectedWait is the estimate, made at the last attempt, of the time until the answer begins. beganAt is when it began.
 	expectedWait time.Duration
 	beganAt      time.Time
@@ -335,8 +337,21 @@
 // boundWrites sets the write deadline of the caller's connection, which ends the connection of a caller that doesn't read its
 // answer in time. It replaces the deadline of an earlier call on the connection.
 func (c *call) boundWrites(timeout time.Duration) {
+	c.writeDeadline = c.arrived.Add(timeout + writeReserve)
 	// A writer that doesn't support deadlines, as in tests, has no write timeout.
-	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.arrived.Add(timeout + writeReserve))
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.writeDeadline)
+}
+
+// beginAnswer records that the header of an answer is written. After a standstill of the process the time of the call may be over by then;
+// its answer still gets the reserve.
+func (c *call) beginAnswer() {
+	c.answering = true
+
+	if least := c.relay.now().Add(writeReserve); least.After(c.writeDeadline) {
+		c.writeDeadline = least
+		// As in boundWrites.
+		_ = http.NewResponseController(c.writer).SetWriteDeadline(least)
+	}
 }
 
 // boundUnreadBody bounds the time for which the HTTP server waits for a body that has not been read: it reads the rest before it writes an
