--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -396,5 +396,6 @@
 	c.table.Store(table)
 	c.changed(table)
 	c.logger.Info("put a new configuration in force", "event", 283, "version", deployment.Version, "routes", len(deployment.Routes),
-		"workspaces", len(deployment.Workspaces))
+		"workspaces", len(deployment.Workspaces), "headerBytes", deployment.Limits.HeaderBytes, "bodyBytes", deployment.Limits.BodyBytes,
+		"headerTimeout", deployment.Limits.HeaderTimeout, "idleTimeout", deployment.Limits.IdleTimeout)
 }
