--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -33,7 +33,9 @@
 	retryAfterUnavailable = 500 * time.Millisecond
 	// retryAfterStaleKeys is the Retry-After while the configuration is too old to tell whether keys are still valid.
 	retryAfterStaleKeys = time.Second
-	// writeReserve is the time after a call's deadline in which its answer can still be written.
+	// unreadBodyTime is how long the answer to a call that is refused before its body was read may wait for the body.
+	unreadBodyTime = 200 * time.Millisecond
+	// writeReserve is the time after a call's deadline, or after its answer has begun, in which the answer can still be written.
 	writeReserve = time.Second
 	// minRemaining is the least time before the deadline with which a call is still sent.
 	minRemaining = 5 * time.Millisecond
@@ -236,7 +238,8 @@
 	writer   http.ResponseWriter
 	request  *http.Request
 	metadata apricotway.CallMetadata
-	body     []byte
+	// body is nil until it has been read whole.
+	body []byte
 	// digest is the fingerprint of the whole content. It is computed once it is needed.
 	digest     quarantine.Fingerprint
 	digestOnce sync.Once
@@ -276,6 +279,10 @@
 	buffer answerBuffer
 	// usageCounted is set once the call was counted in its workspace's usage.
 	usageCounted bool
+	// answering is set once the header of an answer has been written.
+	answering bool
+	// writeDeadline is the write deadline of the caller's connection.
+	writeDeadline time.Time
 	// expectedWait is the estimate, made at the last attempt, of the time until the answer begins. beganAt is when it began.
 	expectedWait time.Duration
 	beganAt      time.Time
@@ -290,26 +297,85 @@
 	r.inFlight.add(c)
 	defer r.inFlight.remove(c)
 
+	ended := false
+
+	defer func() {
+		if !ended {
+			c.answerFault()
+		}
+	}()
+
+	c.serve(request.Context())
+
+	ended = true
+}
+
+// serve admits the call and forwards it.
+func (c *call) serve(ctx context.Context) {
 	c.boundWrites(defaultTimeout)
 
-	if refusal := c.admit(request.Context()); refusal != nil {
+	if refusal := c.admit(ctx); refusal != nil {
 		c.refuse(refusal)
 		return
 	}
 
 	c.boundWrites(c.deadline.Sub(c.arrived))
 
-	ctx, cancel := context.WithDeadline(request.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 
 	c.forward(ctx)
 }
 
+// answerFault answers a call that panics before its answer has begun: net/http closes the connection of a handler that panics without
+// writing what it has buffered.
+func (c *call) answerFault() {
+	if c.answering {
+		return
+	}
+
+	c.closeConnection()
+
+	if len(c.tried) == 0 && len(c.helpers) == 0 {
+		c.refuse(&refusal{
+			status: http.StatusServiceUnavailable, reason: reasonFault, retryAfter: retryAfterUnavailable,
+			message: "the process failed to handle the call",
+		})
+	} else {
+		c.refuse(&refusal{status: http.StatusBadGateway, reason: reasonFault, message: "the outcome of the call is unknown"})
+	}
+
+	// A flush fails only when the caller has left.
+	_ = http.NewResponseController(c.writer).Flush()
+}
+
 // boundWrites sets the write deadline of the caller's connection, which ends the connection of a caller that doesn't read its
 // answer in time. It replaces the deadline of an earlier call on the connection.
 func (c *call) boundWrites(timeout time.Duration) {
+	c.writeDeadline = c.arrived.Add(timeout + writeReserve)
 	// A writer that doesn't support deadlines, as in tests, has no write timeout.
-	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.arrived.Add(timeout + writeReserve))
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(c.writeDeadline)
+}
+
+// beginAnswer records that the header of an answer is written. After a standstill of the process the time of the call may be over by then;
+// its answer still gets the reserve.
+func (c *call) beginAnswer() {
+	c.answering = true
+
+	if least := c.relay.now().Add(writeReserve); least.After(c.writeDeadline) {
+		c.writeDeadline = least
+		// As in boundWrites.
+		_ = http.NewResponseController(c.writer).SetWriteDeadline(least)
+	}
+}
+
+// boundUnreadBody bounds the time for which the HTTP server waits for a body that has not been read: it reads the rest before it writes an
+// answer, and closes the connection if that fails.
+func (c *call) boundUnreadBody() {
+	if c.body == nil && c.request.ContentLength != 0 {
+		// A writer that doesn't support deadlines, as in tests, has no read timeout.
+		_ = http.NewResponseController(c.writer).SetReadDeadline(c.relay.now().Add(unreadBodyTime))
+	}
 }
 
 // forward sends the call, with retries, until it has a final answer.
