Accept the connections that the system has set up before a stopping process closes its address

Callers of a process that was stopped as planned got a reset connection in place of an answer, on connections that they had opened up to 1.4 s before the process closed its address, and on which they had sent whole requests.

Cause: a listener that is closed resets the connections that wait to be accepted. On a busy host the process had not got to accept for that long, as its own log shows: no call ended from 0.1 to 1.3 and from 1.4 to 2.3 s.

TestConnectionResetBeforeItIsAccepted holds the server while 20 callers connect and send; before, each of the 20 got 'connection reset by peer', now an answer.

--- a/cmd/internal/callers/callers.go
+++ b/cmd/internal/callers/callers.go
@@ -26,6 +26,7 @@
 type Server struct {
 	server    *http.Server
 	listener  net.Listener
+	backlog   *backlog
 	tlsConfig *tls.Config
 	accepted  func()
 	refused   func(caller net.Addr, reason Refusal)
@@ -74,6 +75,8 @@
 	server.ConnState = s.trackConnection
 	server.Handler = s.observe(server.Handler)
 
+	s.backlog = newBacklog(listener)
+
 	s.listener = trackingListener{Listener: listener, server: s}
 	if s.tlsConfig != nil {
 		s.listener = tls.NewListener(s.listener, s.tlsConfig)
@@ -91,7 +94,7 @@
 
 // Accept implements net.Listener.
 func (l trackingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.server.backlog.accept()
 	if err != nil {
 		return nil, err
 	}
@@ -168,9 +171,7 @@
 // their answer. It returns an error if the context ends first.
 func (s *Server) Drain(ctx context.Context) error {
 	s.draining.Store(true)
-
-	// If closing the listener fails, it is closed when the process exits.
-	_ = s.listener.Close()
+	s.backlog.close()
 
 	if open := s.awaitClosed(ctx); open > 0 {
 		return errors.Wrapf(ctx.Err(), "%d connections still open", open)
--- a/cmd/internal/callers/callers_test.go
+++ b/cmd/internal/callers/callers_test.go
@@ -254,3 +254,68 @@
 		})
 	}
 }
+
+// TestConnectionResetBeforeItIsAccepted guards against resetting the connections that the system has set up, and the requests on them, when
+// a busy process stops to accept connections.
+func TestConnectionResetBeforeItIsAccepted(t *testing.T) {
+	const late = 20
+
+	busy := make(chan struct{})
+
+	var accepted atomic.Int32
+
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	server := callers.New(t.Context(), &http.Server{Handler: http.NotFoundHandler(), ReadHeaderTimeout: time.Minute}, listener,
+		callers.WithAccepted(func() {
+			if accepted.Add(1) == 1 {
+				<-busy
+			}
+		}))
+
+	go func() { _ = server.Serve() }()
+
+	t.Cleanup(server.Close)
+
+	var conns []net.Conn
+
+	for range late + 1 {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		t.Cleanup(func() { _ = conn.Close() })
+
+		if _, err := io.WriteString(conn, request); err != nil {
+			t.Fatal(err)
+		}
+
+		conns = append(conns, conn)
+	}
+
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+
+	drained := make(chan error, 1)
+
+	go func() { drained <- server.Drain(ctx) }()
+
+	<-time.After(100 * time.Millisecond)
+	close(busy)
+
+	for i, conn := range conns {
+		if got, want := answer(t, conn), "404 Not Found"; got != want {
+			t.Errorf("connection %d: got %s, want %s", i, got, want)
+		}
+
+		_ = conn.Close()
+	}
+
+	if err := <-drained; err != nil {
+		t.Errorf("got %v, want the server drained", err)
+	}
+}
