Begin the streams of the version tests at different times

The callers ran in step, streams of 0.8 s and pauses of 0.1 s, so that the kill fell into all pauses at once: no lookup (event 387) was logged in these runs. Each caller now begins within a second at random. What is checked is the same.

--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -93,6 +93,9 @@
 		random := rand.New(rand.NewPCG(s.random.Uint64(), 0))
 
 		group.Go(func() {
+			// Callers that begin together have their pauses together, and a failure in one of them meets no stream.
+			<-time.After(time.Duration(random.IntN(1000)) * time.Millisecond)
+
 			for n := 0; ctx.Err() == nil; n++ {
 				stream := s.stream(context.WithoutCancel(ctx), random, fmt.Sprintf("s%d-%x-%d", i, random.Uint32(), n))
 
