Answer a refused request of apricotway serve though its body does not arrive

Cause: net/http reads the rest of a body before it writes an answer that keeps the connection; unknown paths and stated lengths were checked after the body had been read.

A request that is refused before its body was read now gives the body 200 ms, and path and stated length are checked first.

--- a/transport/api/server.go
+++ b/transport/api/server.go
@@ -36,6 +36,12 @@
 	headerLastEvent = "Last-Event-ID"
 )
 
+// patternUnknown matches the paths that no other pattern does.
+const patternUnknown = "/"
+
+// unreadBodyTime is how long the answer to a request that is refused before its body was read may wait for the body.
+const unreadBodyTime = 200 * time.Millisecond
+
 // retryAfterStopping is the Retry-After of requests that could not be read before the process stopped. Other processes take them.
 const retryAfterStopping = time.Second
 
@@ -139,7 +145,8 @@
 	s.mux.HandleFunc("GET /v1/models", s.handle("models", s.models))
 	s.mux.HandleFunc("GET /v1/addresses", s.addresses)
 	s.mux.HandleFunc("/v1/services/{service}/{path...}", s.handle("services", s.serviceCall))
-	s.mux.HandleFunc("/", s.handle("unknown", s.unknownPath))
+	// Requests with another path are refused before a handler is called.
+	s.mux.HandleFunc(patternUnknown, s.handle("unknown", nil))
 
 	return s
 }
@@ -204,21 +211,44 @@
 	w http.ResponseWriter, r *http.Request, id apricotway.RequestID,
 	handler func(http.ResponseWriter, *http.Request, caller) error,
 ) error {
-	if err := s.ready(); err != nil {
+	admitted, err := s.receive(w, r)
+	if err != nil {
+		boundUnreadBody(w, r)
 		return err
 	}
 
+	admitted.request = id
+
+	return handler(w, r, admitted)
+}
+
+// receive checks the request's token and path, and reads its body.
+func (s *Server) receive(w http.ResponseWriter, r *http.Request) (caller, error) {
+	if err := s.ready(); err != nil {
+		return caller{}, err
+	}
+
 	workspace, err := s.authorise(r)
 	if err != nil {
-		return err
+		return caller{}, err
 	}
 
-	body, err := s.receiveBody(w, r)
-	if err != nil {
-		return err
+	if r.Pattern == patternUnknown {
+		return caller{}, invalid(apricotway.CodePathNotFound, fmt.Sprintf("there is nothing at %s %s", r.Method, r.URL.Path))
 	}
 
-	return handler(w, r, caller{workspace: workspace, request: id, body: body})
+	body, err := s.receiveBody(w, r)
+
+	return caller{workspace: workspace, body: body}, err
+}
+
+// boundUnreadBody bounds the time for which the HTTP server waits for a body that has not been read: it reads the rest before it writes a
+// refusal, and closes the connection if that fails.
+func boundUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		// An error means that the writer supports no deadlines, which happens only in tests.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+	}
 }
 
 // receiveBody reads the body within the size and time limits. The read deadline applies to the body only, because a deadline for
@@ -228,6 +258,10 @@
 		return nil, nil
 	}
 
+	if r.ContentLength > s.limits.BodyBytes {
+		return nil, tooLarge(s.limits.BodyBytes)
+	}
+
 	controller := http.NewResponseController(w)
 	// An error means that the writer supports no deadlines, which happens only in tests.
 	_ = controller.SetReadDeadline(time.Now().Add(s.limits.BodyTimeout))
@@ -249,10 +283,6 @@
 	return body, nil
 }
 
-func (s *Server) unknownPath(_ http.ResponseWriter, r *http.Request, _ caller) error {
-	return invalid(apricotway.CodePathNotFound, fmt.Sprintf("there is nothing at %s %s", r.Method, r.URL.Path))
-}
-
 // authorise returns the workspace that the request's bearer token belongs to.
 func (s *Server) authorise(r *http.Request) (apricotway.Workspace, error) {
 	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -400,10 +430,9 @@
 func readBody(reader io.Reader, length int64) ([]byte, error) {
 	body, err := httpjson.ReadBody(reader, length)
 
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		message := fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit)
-		return nil, invalid(apricotway.CodeRequestTooLarge, message)
+	var exceeded *http.MaxBytesError
+	if errors.As(err, &exceeded) {
+		return nil, tooLarge(exceeded.Limit)
 	}
 
 	if err != nil {
@@ -413,6 +442,11 @@
 	return body, nil
 }
 
+// tooLarge refuses a body that is larger than the limit in bytes.
+func tooLarge(limit int64) *apricotway.Refusal {
+	return invalid(apricotway.CodeRequestTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
+}
+
 // invalid returns a refusal that reports that execution has not started.
 func invalid(code apricotway.Code, message string) *apricotway.Refusal {
 	return &apricotway.Refusal{Code: code, Execution: apricotway.ExecutionNotStarted, Message: message}
