--- a/transport/upstream/shortsilence_test.go
+++ b/transport/upstream/shortsilence_test.go
@@ -120,3 +120,30 @@
 		})
 	}
 }
+
+// TestSilentStreamEndedBeforeItsTime guards against ending a stream whose only server is silent before its time is used up, and long after.
+func TestSilentStreamEndedBeforeItsTime(t *testing.T) {
+	const timeout = 2500 * time.Millisecond
+
+	for _, path := range []string{"/stream/", "/resumable/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+
+			h := newHarness(t, silentAfter(1, time.Minute))
+			h.limitRetries(100, 2)
+
+			began := time.Now()
+
+			_, got, err := h.call(path, map[string]string{"Wait": timeout.String()}) //nolint:bodyclose // The call has read and closed it.
+			if want := event(1); err == nil || got != want {
+				t.Errorf("got %q and %v, want %q and an error", got, err, want)
+			}
+
+			if took := time.Since(began); took < timeout || took > timeout+time.Second {
+				t.Errorf("got the end after %s, want it after %s", took, timeout)
+			}
+
+			h.wantRuns(1)
+		})
+	}
+}
