--- a/transport/upstream/handover_test.go
+++ b/transport/upstream/handover_test.go
@@ -159,3 +159,41 @@
 		t.Errorf("got %q and %v, want %q", got, err, want)
 	}
 }
+
+// TestStreamCutForSilenceBeforeItsEndBesideSlowServer guards against the same where the other server answers late.
+func TestStreamCutForSilenceBeforeItsEndBesideSlowServer(t *testing.T) {
+	later := func(w http.ResponseWriter, r *http.Request) {
+		<-time.After(350 * time.Millisecond)
+		streamOf(2, 0)(w, r)
+	}
+
+	answer := firstThen(silentAfter(2, 2400*time.Millisecond), later)
+	h := newHarness(t, answer, answer)
+	h.limitRetries(100, 2)
+
+	_, got, err := h.call("/resumable/", nil) //nolint:bodyclose // The call has read and closed it.
+	if want := event(1) + event(2); err != nil || got != want {
+		t.Errorf("got %q and %v, want %q", got, err, want)
+	}
+}
+
+// TestSilentStreamRefusedForServerThatDoesNotBeginIt guards against giving up a server that is silent before the first event of a stream, and
+// then goes on, for one that does not begin it.
+func TestSilentStreamRefusedForServerThatDoesNotBeginIt(t *testing.T) {
+	for name, other := range map[string]http.HandlerFunc{"rejects": rejecting, "breaks off": reset} {
+		t.Run(name, func(t *testing.T) {
+			answer := firstThen(silentAfter(0, 2400*time.Millisecond), other)
+			h := newHarness(t, answer, answer)
+			h.limitRetries(2, 2)
+
+			response, got, err := h.call("/resumable/", nil) //nolint:bodyclose // The call has read and closed it.
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			if want := event(1) + event(2); response.StatusCode != http.StatusOK || got != want {
+				t.Errorf("got status %d and %q, want 200 and %q", response.StatusCode, got, want)
+			}
+		})
+	}
+}
