Say how a process ended that a test can't signal, and when the test process was not run

"os: process already finished" in TestScenarios/one-way-cut and TestFleetHolderStopped (KNOWN-RED.txt) could not be traced, since the log of the process was not kept by the latter. An error of a signal now holds the log and how the process ended in both.

--- a/cmd/scenario/scenario_test.go
+++ b/cmd/scenario/scenario_test.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"os"
@@ -30,15 +31,39 @@
 const waitLimit = 60 * time.Second
 
 func TestMain(m *testing.M) {
-	// Each parallel test runs several processes, which need about half of the processors; -parallel overrides this.
+	testscript.Main(watchedTests{m}, map[string]func(){
+		"apricotway": func() { os.Exit(serve.Run(os.Args[1:])) },
+		"apricotctl": func() { os.Exit(ctl.Run(os.Args[1:])) },
+	})
+}
+
+// watchedTests runs the tests, of which each parallel one has several processes, and reports when this process did not get to run: engines
+// and callers of the tests are part of it.
+type watchedTests struct{ *testing.M }
+
+// Run implements testscript.TestingM.
+func (w watchedTests) Run() int {
+	// The processes of a test need about half of a processor; -parallel overrides this.
 	if err := flag.Set("test.parallel", strconv.Itoa(max(runtime.GOMAXPROCS(0)/2, 1))); err != nil {
 		panic(err)
 	}
 
-	testscript.Main(m, map[string]func(){
-		"apricotway": func() { os.Exit(serve.Run(os.Args[1:])) },
-		"apricotctl": func() { os.Exit(ctl.Run(os.Args[1:])) },
-	})
+	go reportStalls(os.Stderr)
+
+	return w.M.Run()
+}
+
+// reportStalls reports each time of more than half a second in which this goroutine did not run although it was due.
+func reportStalls(output io.Writer) {
+	const period, reported = 50 * time.Millisecond, 500 * time.Millisecond
+
+	for last := time.Now(); ; last = time.Now() {
+		<-time.After(period)
+
+		if stall := time.Since(last) - period; stall > reported {
+			_, _ = fmt.Fprintf(output, "the test process was not run for %s until %s\n", stall.Round(time.Millisecond), time.Now().Format(time.StampMilli))
+		}
+	}
 }
 
 // TestScenarios runs each script in testdata. The first comment of a script says which failure it guards against.
@@ -101,6 +126,8 @@
 type process struct {
 	command *exec.Cmd
 	done    chan struct{}
+	// log is the name of the file with its standard error.
+	log string
 }
 
 func processes(ts *testscript.TestScript) map[string]*process {
@@ -154,7 +181,7 @@
 		return nil, nil, err
 	}
 
-	p := &process{command: command, done: make(chan struct{})}
+	p := &process{command: command, done: make(chan struct{}), log: logFile.Name()}
 	reader := bufio.NewReader(output)
 	first, err := reader.ReadString('\n')
 
@@ -213,13 +240,21 @@
 		ts.Fatalf("usage: signal NAME TERM|KILL|STOP|CONT")
 	}
 
-	p := processes(ts)[args[0]]
-	if err := p.command.Process.Signal(signals[args[1]]); err != nil {
-		<-p.done
+	ts.Check(processes(ts)[args[0]].signal(signals[args[1]]))
+}
 
-		content, _ := os.ReadFile(ts.MkAbs(args[0] + ".log"))
-		ts.Fatalf("signal to %s failed: %v; it ended with %s\n%s", args[0], err, p.command.ProcessState, content)
+// signal sends a signal to the process. If the process has ended, the error says how, and holds its log.
+func (p *process) signal(signal os.Signal) error {
+	err := p.command.Process.Signal(signal)
+	if err == nil {
+		return nil
 	}
+
+	<-p.done
+
+	content, _ := os.ReadFile(p.log)
+
+	return errors.Wrapf(err, "signal to a process that ended with %s; its log: %s", p.command.ProcessState, content)
 }
 
 // cmdJoin runs "join NAME": it waits until a program has ended; with "!" before it, the program must have failed.
--- a/cmd/scenario/stopped_test.go
+++ b/cmd/scenario/stopped_test.go
@@ -254,7 +254,7 @@
 			// The other orders must have their responses before the process is stopped.
 			f.await("the other orders", func() bool { return len(f.orders.list()) == 2 })
 
-			if err := f.entries[0].command.Process.Signal(syscall.SIGSTOP); err != nil {
+			if err := f.entries[0].signal(syscall.SIGSTOP); err != nil {
 				t.Fatal(err)
 			}
 
@@ -319,7 +319,7 @@
 func (f *stoppedFleet) wake() {
 	orders, reads := len(f.orders.list()), f.reads[0].Load()
 
-	if err := f.entries[0].command.Process.Signal(syscall.SIGCONT); err != nil {
+	if err := f.entries[0].signal(syscall.SIGCONT); err != nil {
 		f.t.Fatal(err)
 	}
 
