Use more of small brittle servers, by a part of the calls that they can turn away

Callers saw: at 1.1 times the capacity of four brittle servers with 8 places, 38% of the calls were served and none was turned away. The room left free for calls that end at random, 1.6 times the root of the places, is over half of 8, and what a server says it can turn away counted for nothing. A quarter of that now counts as room. After a rejection more slots are offered again after 4 s, two reports, in place of 6: with more room used, single rejections are usual.

--- a/state/dispatch/brittle.go
+++ b/state/dispatch/brittle.go
@@ -12,10 +12,16 @@
 	// brittleMemory is the time for which a statement of brittleness holds without a newer answer: the operators give a statement contact_ms,
 	// 3 s, to take effect, and an end of it as long to be heard.
 	brittleMemory = 6 * time.Second
-	// brittleSpread times the square root of its slots is the room that is left free at a brittle server on average, and brittleMinUse the
-	// least share of its slots that is used. Calls end at random, so that the calls that run vary about that much.
-	brittleSpread = 1.6
-	brittleMinUse = 0.3
+	// rejectionMemory is the time after a rejection in which no more slots are offered than calls are to begin. All processes hear of others in
+	// it.
+	rejectionMemory = 4 * time.Second
+	// brittleSpread times the square root of its slots is the room that is left free at a brittle server on average, as calls end at random, so
+	// that the calls that run vary about that much. brittleUsedRejections is the share of the rejections of a second that is taken for room.
+	// brittleMinUse is the least share of its slots that is used, and brittleMinFree the least share that is left free.
+	brittleSpread         = 1.6
+	brittleUsedRejections = 0.25
+	brittleMinUse         = 0.3
+	brittleMinFree        = 0.2
 	// brittleSlotLifetime and brittleAloneTime: see intake. What begins at once when all processes use their open slots has to fit into the
 	// room that is left free, so that a slot lives longer only where most processes would have no call for it, up to maxBrittleSlotLifetime.
 	brittleSlotLifetime    = 300 * time.Millisecond
@@ -23,10 +29,8 @@
 	brittleAloneTime       = 3 * time.Second
 	// brittleHold is the time for which a call without a slot is assumed to be held.
 	brittleHold = 400 * time.Millisecond
-	// brittleBurst is the number of calls that may arrive at all processes at once, for each call that the servers can run at a time, and
-	// brittleBurstRejections the share of the rejections of a second that such a burst may use.
-	brittleBurst           = 3
-	brittleBurstRejections = 0.25
+	// brittleBurst is the number of calls that may arrive at all processes at once, for each call that the servers can run at a time.
+	brittleBurst = 3
 	// briefArrivals and lastingArrivals are the times over which the arrivals at this process are averaged.
 	briefArrivals, lastingArrivals = 700 * time.Millisecond, 6 * time.Second
 	// rateStep is the ratio of two rates of brittle servers that count as different.
@@ -169,14 +173,16 @@
 	return float64(s.currentWork(now).Running) < s.slots() && p.brittleLimits.Allows(now, s.backend.ID)
 }
 
-// usedSlots returns the number of slots of a brittle server that are used on average.
-func (s *server) usedSlots() float64 {
-	return max(s.slots()-brittleSpread*math.Sqrt(s.slots()), brittleMinUse*s.slots())
+// usedSlotsLocked returns the number of slots of a brittle server that are used on average.
+func (p *Pool) usedSlotsLocked(now time.Time, s *server) float64 {
+	free := brittleSpread*math.Sqrt(s.slots()) - brittleUsedRejections*float64(p.rejectionsLocked(now, s))
+
+	return max(s.slots()-max(free, brittleMinFree*s.slots()), brittleMinUse*s.slots())
 }
 
 // beginRateLocked returns the calls that a brittle server is given per second by all processes together.
-func (p *Pool) beginRateLocked(s *server) float64 {
-	return s.usedSlots() / p.meanDurationLocked(s.backend.Service).Seconds()
+func (p *Pool) beginRateLocked(now time.Time, s *server) float64 {
+	return p.usedSlotsLocked(now, s) / p.meanDurationLocked(s.backend.Service).Seconds()
 }
 
 // sharedSlots are the slots of a brittle server that all processes share.
@@ -189,7 +195,7 @@
 // than calls are to begin, as far as the calls of a burst at all processes still fit into the server.
 func (p *Pool) sharedSlotsLocked(now time.Time, s *server) sharedSlots {
 	service := s.backend.Service
-	begins := p.beginRateLocked(s)
+	begins := p.beginRateLocked(now, s)
 
 	slots := s.slots() * float64(len(p.services[service]))
 	foundInBurst := 1 - math.Exp(-brittleBurst*slots/float64(max(p.processes, 1)))
@@ -197,12 +203,12 @@
 
 	rate := begins
 
-	if now.Sub(p.brittleServices[service].rejectedAt) >= brittleMemory {
+	if now.Sub(p.brittleServices[service].rejectedAt) >= rejectionMemory {
 		reach := (brittleHold + lifetime).Seconds()
 		found := 1 - math.Exp(-p.arrivalRateLocked(now, service)*reach)
 
-		unfinished := s.usedSlots() * max(1-reach/p.meanDurationLocked(service).Seconds(), 0)
-		room := s.slots() + brittleBurstRejections*float64(p.rejectionsLocked(now, s)) - unfinished
+		unfinished := p.usedSlotsLocked(now, s) * max(1-reach/p.meanDurationLocked(service).Seconds(), 0)
+		room := s.slots() + brittleUsedRejections*float64(p.rejectionsLocked(now, s)) - unfinished
 
 		rate = max(min(begins/found, room/foundInBurst/reach), begins)
 	}
@@ -306,7 +312,7 @@
 
 	for _, s := range p.services[request.Service] {
 		if !s.leaving() && !s.paused(now) && request.mayUse(s) && service.covers(now, s) {
-			rate += p.beginRateLocked(s)
+			rate += p.beginRateLocked(now, s)
 		}
 	}
 
