Don't count the limits without a configuration as replaced ones

For 10 s after its first configuration a process went by its defaults where these allow more, though no caller can go by them.

The first configuration now replaces the defaults at once; the test of the package begins with larger ones.

--- a/state/callerlimit/callerlimit.go
+++ b/state/callerlimit/callerlimit.go
@@ -15,6 +15,8 @@
 type Limits struct {
 	mu     sync.Mutex
 	newest apricotway.CallerLimits
+	// configured is set once a configuration has stated newest.
+	configured bool
 	// replaced holds earlier limits, the oldest first.
 	replaced []replaced
 }
@@ -25,18 +27,19 @@
 	at     time.Time
 }
 
-// New returns limits of which only the newest are known.
-func New(newest apricotway.CallerLimits) *Limits { return &Limits{newest: newest} }
+// New returns limits that apply until a configuration is known.
+func New(unconfigured apricotway.CallerLimits) *Limits { return &Limits{newest: unconfigured} }
 
-// Replace puts newer limits in force.
+// Replace puts the limits of a newer configuration in force.
 func (l *Limits) Replace(now time.Time, newest apricotway.CallerLimits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if newest != l.newest {
+	if l.configured && newest != l.newest {
 		l.replaced = append(l.replaced, replaced{l.newest, now})
-		l.newest = newest
 	}
+
+	l.newest, l.configured = newest, true
 }
 
 // InForce returns for each limit the most that any configuration allows by which callers may go.
--- a/state/callerlimit/callerlimit_test.go
+++ b/state/callerlimit/callerlimit_test.go
@@ -15,7 +15,8 @@
 	high := apricotway.CallerLimits{HeaderBytes: 10, BodyBytes: 2, HeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Second}
 	both := apricotway.CallerLimits{HeaderBytes: 10, BodyBytes: 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second}
 
-	l := callerlimit.New(low)
+	l := callerlimit.New(apricotway.CallerLimits{HeaderBytes: 100, BodyBytes: 100})
+	l.Replace(start, low)
 	l.Replace(start, high)
 	l.Replace(start.Add(8*time.Second), low)
 
