Let a lowered body limit apply once callers can know of it

Callers that keep to the configuration before got 413, which is never retried, from processes that had put a lower max_body_bytes in force already. Cause: the limit was taken from the configuration of the call alone.

Before (TestBodyRefusedByLimitLoweredMeanwhile):

got 413 Request Entity Too Large, want 200 OK

--- a/cmd/internal/entry/connection_test.go
+++ b/cmd/internal/entry/connection_test.go
@@ -142,3 +142,32 @@
 		})
 	})
 }
+
+// TestBodyRefusedByLimitLoweredMeanwhile guards against refusing a body that the configuration before allowed, while callers may not know the
+// newer one.
+func TestBodyRefusedByLimitLoweredMeanwhile(t *testing.T) {
+	s := newSite(t)
+	process := s.start()
+
+	defer process.Stop(context.Background())
+
+	s.eventually("the process serves", func() bool { return s.ready(0) })
+
+	lowered := strings.NewReplacer(`"max_body_bytes":10000`, `"max_body_bytes":100,"idle_timeout_ms":14000`)
+	if err := s.platform.PutConfig(json.RawMessage(lowered.Replace(fmt.Sprintf(config, 2, `"secret"`)))); err != nil {
+		t.Fatal(err)
+	}
+
+	c := s.connect(t, 0)
+	body := strings.Repeat("x", 5000)
+
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		c.send(strings.Replace(c.header(), "Content-Length: 0", fmt.Sprint("Content-Length: ", len(body)), 1) + "\r\n" + body)
+
+		if got, _ := c.status(); got != "200 OK" {
+			t.Fatalf("got %s, want 200 OK", got)
+		}
+
+		<-time.After(50 * time.Millisecond)
+	}
+}
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -210,7 +210,8 @@
 
 	e.relay = relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithStop(e.stopping),
-		relay.WithQuarantine(e.suspects), relay.WithOrigins(streams), relay.WithDetours(ways, processes))
+		relay.WithQuarantine(e.suspects), relay.WithOrigins(streams), relay.WithDetours(ways, processes),
+		relay.WithBodyLimit(func() int64 { return e.limits.InForce(time.Now()).BodyBytes }))
 
 	return e.serveAll(ctx, counters)
 }
@@ -381,6 +382,10 @@
 		limits.HeaderBytes = defaultHeaderBytes
 	}
 
+	if limits.BodyBytes <= 0 {
+		limits.BodyBytes = relay.DefaultBodyBytes
+	}
+
 	if limits.HeaderTimeout <= 0 {
 		limits.HeaderTimeout = defaultHeaderTimeout
 	}
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -109,10 +109,7 @@
 }
 
 func (c *call) readBody(ctx context.Context) *refusal {
-	limit := c.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
+	limit := c.relay.bodyLimit(c.table)
 
 	if c.request.ContentLength > limit {
 		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "bodyTooLarge", message: "the body is too large"}
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -23,8 +23,8 @@
 const (
 	// defaultTimeout bounds a call when neither its caller nor its route states a timeout.
 	defaultTimeout = time.Minute
-	// defaultMaxBody is the largest body in bytes when the configuration states no limit.
-	defaultMaxBody = 4 << 20
+	// DefaultBodyBytes is the largest body when the configuration states no limit.
+	DefaultBodyBytes = 4 << 20
 	// bodyTimeout bounds the time for reading a body; an earlier deadline of the call applies first.
 	bodyTimeout = 10 * time.Second
 	// retryAfterUnavailable is the Retry-After while the process knows no configuration, and of calls whose time is used up.
@@ -121,6 +121,7 @@
 	metrics      Metrics
 	logger       logr.Logger
 	stop         func() (limit time.Time, stopping bool)
+	bodyLimit    func(*route.Table) int64
 	now          func() time.Time
 	bufferBudget bufferBudget
 	inFlight     inFlight
@@ -160,6 +161,20 @@
 	return func(r *Relay) { r.stop = stop }
 }
 
+// WithBodyLimit sets what returns the largest body in bytes that callers may send. Without it the configuration of the call decides.
+func WithBodyLimit(limit func() int64) Option {
+	return func(r *Relay) { r.bodyLimit = func(*route.Table) int64 { return limit() } }
+}
+
+// configuredBodyLimit returns the largest body in bytes under a configuration.
+func configuredBodyLimit(table *route.Table) int64 {
+	if table.Limits.BodyBytes > 0 {
+		return table.Limits.BodyBytes
+	}
+
+	return DefaultBodyBytes
+}
+
 // New returns a relay.
 func New(
 	dialect apricotway.Dialect, upstream apricotway.Upstream, catalog Catalog, pool *dispatch.Pool, limiter Limiter,
@@ -168,7 +183,7 @@
 	r := &Relay{
 		dialect: dialect, upstream: upstream, catalog: catalog, pool: pool, limiter: limiter, budget: budget, tally: began,
 		quarantine: noQuarantine{}, metrics: noMetrics{}, logger: logr.Discard(),
-		stop: func() (time.Time, bool) { return time.Time{}, false }, now: time.Now,
+		stop: func() (time.Time, bool) { return time.Time{}, false }, bodyLimit: configuredBodyLimit, now: time.Now,
 		inFlight: inFlight{calls: map[*call]struct{}{}}, durations: duration.New(durationWindow), origins: localOrigins{pool.Origins()},
 		detours: noDetours{},
 	}
