Offer a stream that has not begun before its silent server is given up

Callers got 502 for a stream whose server was silent before the first event and would have gone on.

Cause: such a stream was given up as soon as another server had a place for it. If that one then rejected it or broke off, and no attempt or retry was left, the outcome was unknown and the call refused with 502.

A broken silent server leaves the call to the offered one, and a rejection of the silent one too. The same server on another connection is still tried as before. TestEventTwiceWhileReplaced now covers silences before the first event as well.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -50,6 +50,16 @@
 
 var answered = attemptResult{step: stepAnswered}
 
+// sentCall is a call that was sent to a server.
+type sentCall struct {
+	at       time.Time
+	answer   *apricotway.ForwardedAnswer
+	metadata apricotway.AnswerMetadata
+	err      error
+	// cancel ends the attempt.
+	cancel context.CancelFunc
+}
+
 // attempt sends the call to one server.
 func (c *call) attempt(ctx context.Context, send *dispatch.Send) attemptResult {
 	now := c.relay.now()
@@ -57,15 +67,48 @@
 	attempt, cancel := context.WithCancel(ctx)
 	defer cancel()
 
-	silence := c.startSilenceTimer(ctx, send, cancel)
+	metadata := apricotway.SendMetadata{Urgency: c.urgency()}
+	silence := c.startSilenceTimer(ctx, send, metadata, cancel)
+
 	defer silence.stop()
 
 	c.recordTry(send)
 
-	answer, metadata, err := c.sendTo(attempt, send, apricotway.SendMetadata{Urgency: c.urgency()})
-	if err != nil {
-		return c.sendFailed(ctx, send, now, err, silence)
+	answer, stated, err := c.sendTo(attempt, send, metadata)
+
+	return c.finishAttempt(ctx, send, sentCall{at: now, answer: answer, metadata: stated, err: err, cancel: cancel}, silence)
+}
+
+// attemptNext sends the call to a server, unless it was offered to that one as a replacement.
+func (c *call) attemptNext(ctx context.Context, send *dispatch.Send, next *replacement) attemptResult {
+	if next != nil && next.resumption != nil {
+		return c.attemptOffered(ctx, next.resumption)
 	}
+
+	return c.attempt(ctx, send)
+}
+
+// finishAttempt passes the answer of a server on, or returns what to do with the call instead.
+func (c *call) finishAttempt(ctx context.Context, send *dispatch.Send, sent sentCall, silence *silenceTimer) attemptResult {
+	result := c.passAnswer(ctx, send, sent, silence)
+
+	// A server to which the call is offered may have begun it.
+	if result.step == stepRetry && result.next == nil {
+		result.next = silence.takeReplacement()
+	}
+
+	c.countOffers(silence)
+
+	return result
+}
+
+// passAnswer passes on the answer of a server.
+func (c *call) passAnswer(ctx context.Context, send *dispatch.Send, sent sentCall, silence *silenceTimer) attemptResult {
+	if sent.err != nil {
+		return c.sendFailed(ctx, send, sent.at, sent.err, silence)
+	}
+
+	answer, metadata := sent.answer, sent.metadata
 	defer answer.Body.Close()
 
 	switch {
@@ -80,7 +123,7 @@
 			c.turnedAway = append(c.turnedAway, send.Backend.ID)
 		}
 
-		drain(answer.Body, cancel)
+		drain(answer.Body, sent.cancel)
 
 		return attemptResult{step: stepRetry, reason: reasonRejected, arrived: true}
 	}
@@ -91,7 +134,7 @@
 		return c.passAnswerStream(ctx, send, answer, metadata, silence)
 	}
 
-	return c.passWhole(ctx, send, answer, metadata, now, silence)
+	return c.passWhole(ctx, send, answer, metadata, sent.at, silence)
 }
 
 // drain reads a short body, so that its connection can be used again. A body that does not end ends the attempt.
@@ -311,7 +354,7 @@
 
 	result := c.attempt(ctx, send)
 	for result.next != nil {
-		result = c.attempt(ctx, result.next.send)
+		result = c.attemptNext(ctx, result.next.send, result.next)
 	}
 
 	if result.step == stepAnswered || ctx.Err() != nil {
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -331,7 +331,7 @@
 
 		c.expectedWait = send.Expected
 
-		result := c.attempt(ctx, send)
+		result := c.attemptNext(ctx, send, next)
 		next = result.next
 		c.steps = append(c.steps, result.reason)
 
@@ -339,7 +339,7 @@
 		case stepAnswered:
 			return
 		case stepRetry:
-			if next != nil && c.quarantined() {
+			if next != nil && next.resumption == nil && c.quarantined() {
 				c.relay.release(c.service, next)
 				c.fail(ctx, result)
 
@@ -351,7 +351,7 @@
 			}
 
 			if next != nil || c.mayRetry(ctx, result) {
-				c.relay.metrics.CallRetried(c.service, result.reason)
+				c.countRetry(result.reason, next)
 				continue
 			}
 
@@ -365,6 +365,13 @@
 	}
 }
 
+// countRetry counts a retry. An offer was counted when it was sent.
+func (c *call) countRetry(reason string, next *replacement) {
+	if next == nil || next.resumption == nil {
+		c.relay.metrics.CallRetried(c.service, reason)
+	}
+}
+
 // mayRetry reports whether the call may be sent again after an attempt. It takes the retry from the retry budget.
 func (c *call) mayRetry(ctx context.Context, result attemptResult) bool {
 	if ctx.Err() != nil || c.deadline.Sub(c.relay.now()) < minRemaining {
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -251,6 +251,11 @@
 		return c.streamBroken(ctx, send, silence, err)
 	}
 
+	if !silence.begin() {
+		send.End(now, dispatch.OutcomeFailed)
+		return c.silent(silence)
+	}
+
 	send.RecordFirstEvent(now, metadata.Load)
 
 	c.beginStream(now, send)
--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -25,8 +25,8 @@
 )
 
 // silenceTimer cancels an attempt whose server has not answered or sent an event in time, once another server can take the call. Until
-// then the silent server keeps it, since no other one would answer sooner. A stream that has begun is offered to the other server first,
-// and the silent one keeps it for handoverTimeout if that one does not accept it.
+// then the silent server keeps it, since no other one would answer sooner. A stream is offered to the other server first, and the silent
+// one keeps it unless that one accepts it or does not answer within handoverTimeout.
 type silenceTimer struct {
 	// gap is the timeout between two events of a stream; 0 for other calls, whose timer isn't restarted.
 	gap time.Duration
@@ -39,8 +39,8 @@
 	release func(*replacement)
 	// mayOffer reports whether the stream may be offered to another server.
 	mayOffer func() offering
-	// offer returns the request to a replacement to continue the stream, and a function that sends it and waits for the answer.
-	offer func(next *replacement, last string) (*resumption, func())
+	// offer returns the request to a replacement to begin or continue the stream, and a function that sends it and waits for the answer.
+	offer func(next *replacement, sent apricotway.SendMetadata) (*resumption, func())
 	// discard ends a resumption that is not used. withdrawn is set when the relay gave it up.
 	discard func(r *resumption, withdrawn bool)
 
@@ -53,8 +53,11 @@
 	// begun is set once the server has sent an event, expired once the timer has cancelled the attempt, and stopped once the attempt
 	// needs no timer any more.
 	begun, expired, stopped bool
-	// last is the last event of a stream that has begun.
-	last string
+	// handedOver is set once another server that was asked has the stream.
+	handedOver bool
+	// server is that of the attempt, and sent what another server is told to begin or continue the stream.
+	server apricotway.BackendServerID
+	sent   apricotway.SendMetadata
 	// next is the replacement while nobody has taken it. It is set only together with expired.
 	next *replacement
 	// offered is the replacement that is asked to continue the stream while the silent server keeps it.
@@ -88,10 +91,12 @@
 
 // startSilenceTimer starts the timer of an attempt. Calls that may not be retried have no timeout, since a silent server may still
 // be running the call, and neither has the last attempt of a call.
-func (c *call) startSilenceTimer(ctx context.Context, send *dispatch.Send, cancel context.CancelFunc) *silenceTimer {
+func (c *call) startSilenceTimer(
+	ctx context.Context, send *dispatch.Send, sent apricotway.SendMetadata, cancel context.CancelFunc,
+) *silenceTimer {
 	request := c.placement(append(slices.Clone(c.tried), send.Backend.ID))
 	t := &silenceTimer{
-		cancel: cancel,
+		cancel: cancel, server: send.Backend.ID, sent: sent,
 		replace: func(begun bool) *replacement {
 			if begun {
 				request.Origin = origin.At(send.Backend.Lineage())
@@ -101,14 +106,14 @@
 		},
 		release:  func(unused *replacement) { c.relay.release(request.Service, unused) },
 		mayOffer: c.mayOffer,
-		offer: func(next *replacement, last string) (*resumption, func()) {
+		offer: func(next *replacement, sent apricotway.SendMetadata) (*resumption, func()) {
 			request.Avoid = append(request.Avoid, next.send.Backend.ID)
 			c.relay.metrics.CallRetried(request.Service, reasonResumed)
 
-			attempt, r := newResumption(ctx, next.send, nil)
+			attempt, r := newResumption(ctx, next.send, sent)
 			r.offered = true
 
-			return r, func() { c.requestResume(attempt, r, last) }
+			return r, func() { c.requestResume(attempt, r) }
 		},
 		discard: func(r *resumption, withdrawn bool) {
 			c.logDeclined(send, r, withdrawn)
@@ -252,7 +257,7 @@
 // expire cancels the attempt if another server can take the call, and else tries again after a while.
 func (t *silenceTimer) expire(round int) {
 	t.mu.Lock()
-	current, begun, last, spare := t.round == round, t.begun, t.last, t.spare > t.runs
+	current, begun, sent, spare := t.round == round, t.begun, t.sent, t.spare > t.runs
 	t.mu.Unlock()
 
 	if !current || !spare {
@@ -260,7 +265,7 @@
 	}
 
 	to := offeringServer
-	if begun {
+	if t.gap > 0 {
 		to = t.mayOffer()
 	}
 
@@ -281,8 +286,8 @@
 		}
 	case next == nil:
 		t.startLocked(replacementInterval)
-	case begun && to == offeringServer:
-		next.resumption, request = t.offer(next, last)
+	case t.gap > 0 && to == offeringServer && next.send.Backend.ID != t.server:
+		next.resumption, request = t.offer(next, sent)
 		t.offered = next
 		t.offers = append(t.offers, next.send)
 		t.runs++
@@ -343,7 +348,7 @@
 	t.offered = nil
 	// Whoever takes the replacement counts its run.
 	t.runs--
-	t.next, t.expired = to, true
+	t.next, t.expired, t.handedOver = to, true, true
 	t.cancel()
 }
 
@@ -353,7 +358,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
-	if t.expired && t.begun {
+	if t.expired && (t.begun || t.handedOver) {
 		return false
 	}
 
@@ -364,13 +369,25 @@
 	return true
 }
 
+// begin withdraws the offers of a stream whose server has sent the first event. It returns false if another server has the stream.
+func (t *silenceTimer) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if t.offered != nil {
+		t.startLocked(t.gap)
+	}
+
+	return !t.handedOver
+}
+
 // restart starts the timer of a stream anew after an event with the given identifier.
 func (t *silenceTimer) restart(last string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
 	if t.gap > 0 {
-		t.begun, t.last = true, last
+		t.begun, t.sent = true, apricotway.SendMetadata{Urgency: 0, LastEvent: last}
 		t.startLocked(t.gap)
 	}
 }
--- a/transport/upstream/handover_test.go
+++ b/transport/upstream/handover_test.go
@@ -51,7 +51,8 @@
 			}
 		}
 
-		answer := firstThen(silentAfter(1, silence), later)
+		// One half is silent before the first event, the other one between events.
+		answer := firstThen(silentAfter(i/8%2, silence), later)
 		h := newHarness(t, answer, answer)
 		h.limitRetries(2, 2)
 
