Don't take the durations of other servers' calls for those of brittle ones

Operators saw: brittle servers fell over again and again once a server of their service was replaced by one that was not brittle and answered much sooner. The calls that a brittle server is given per second follow from the mean duration of the calls of its service, and hundreds of calls of 10 ms at the new server outweighed those of 0.5 s, so that the rate rose as if all of them lasted 10 ms.

While servers of a service are brittle, only their calls count in the mean.

--- a/Makefile
+++ b/Makefile
@@ -29,13 +29,16 @@
 SEEDS ?= 10
 DURATION ?= 1m
 FIRST ?= 1000
-.PHONY: soak soak-entry soak-limits soak-crashes soak-restores soak-stops soak-statements soak-paths
+.PHONY: soak soak-entry soak-limits soak-brittle soak-crashes soak-restores soak-stops soak-statements soak-paths
 soak-entry:
 	go test -race -count=1 -timeout 0 -run 'TestEntryFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
 
 soak-limits:
 	go test -race -count=1 -timeout 0 -parallel 3 -run 'TestLimitFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
 
+soak-brittle:
+	go test -race -count=1 -timeout 0 -parallel 3 -run 'TestBrittleFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
+
 soak-crashes:
 	go test -race -count=1 -timeout 0 -parallel 3 -run 'TestCrashFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
 
--- a/cmd/scenario/brittle_test.go
+++ b/cmd/scenario/brittle_test.go
@@ -110,3 +110,85 @@
 		t.Errorf("got %d of %d calls served, want at least %d", served, sent, least)
 	}
 }
+
+const (
+	// brittleRounds is the number of rounds of a short run.
+	brittleRounds = 1
+	// brittleCallerGroups is the number of groups of entryCallers that call at a time, so that they want more than the servers can run.
+	brittleCallerGroups = 8
+)
+
+func runBrittleSchedule(t *testing.T, seed uint64, enough func(rounds int) bool) {
+	s := newEntryPlatform(t, seed, entryConfig)
+	for range brittleServers {
+		s.startEngine("model", standin.WithStream(5, 2*brittleGap))
+	}
+
+	s.startEngine("ledger")
+	s.startEntries(entryCount)
+	s.awaitRecovery("start")
+
+	for round := 0; !enough(round) && !t.Failed(); round++ {
+		ctx, cancel := context.WithCancel(t.Context())
+
+		var calling sync.WaitGroup
+
+		for _, e := range s.engineList() {
+			e.SetBrittle(&standin.Brittle{Rejections: 4, Contact: brittleContact, Down: 2 * time.Second})
+		}
+
+		first := s.startCallers(ctx)
+		<-time.After(brittleContact)
+
+		for range brittleCallerGroups - 1 {
+			group := s.startCallers(ctx)
+			calling.Go(group.Wait)
+		}
+
+		s.injectFailures()
+		<-time.After(brittleContact)
+
+		falls := 0
+
+		for _, e := range s.engineList() {
+			falls += len(e.Falls())
+			e.SetBrittle(nil)
+		}
+
+		s.awaitRecovery(fmt.Sprint("round", round))
+		cancel()
+		first.Wait()
+		calling.Wait()
+		s.check()
+
+		t.Logf("%d falls so far", falls)
+
+		if most := (2 + brittleServers/10) * (round + 1); falls > most {
+			t.Errorf("got %d falls in %d rounds, want at most %d", falls, round+1, most)
+		}
+	}
+}
+
+// TestBrittleFailures guards against hosts that make brittle servers fall over under random failures. "make soak-brittle" runs other seeds.
+func TestBrittleFailures(t *testing.T) {
+	if *soakSeeds == 0 {
+		for _, seed := range []uint64{38, 100} {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				runBrittleSchedule(t, seed, func(rounds int) bool { return rounds == brittleRounds })
+			})
+		}
+
+		return
+	}
+
+	for i := range *soakSeeds {
+		seed := *soakFirst + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+
+			begin := time.Now()
+			runBrittleSchedule(t, seed, func(int) bool { return time.Since(begin) >= *soakDuration })
+		})
+	}
+}
--- a/state/dispatch/brittle_test.go
+++ b/state/dispatch/brittle_test.go
@@ -344,3 +344,64 @@
 		}
 	}
 }
+
+// callsBesideFastServer returns the calls that a brittle server gets in a second of much demand, after a server that is not brittle has run
+// the given number of calls of 20 ms for each of its calls, which last a second.
+func callsBesideFastServer(fastCalls int) (sent int) {
+	pool := dispatch.New()
+	members := intake.Members{Self: "a", Nodes: []apricotway.NodeID{"a"}}
+	request := dispatch.Request{Service: "model", PromptTokens: 800, AnswerTokens: 50, Remaining: time.Minute}
+	now := start
+
+	for _, id := range []apricotway.BackendServerID{"brittle", "fast"} {
+		pool.Update(apricotway.Backend{
+			ID: id, Service: "model", Slots: brittleSlots, Born: now, Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		}, now)
+	}
+
+	pool.SetMembers(1, time.Second)
+	pool.SetSharing(now, members)
+
+	now = now.Add(time.Minute)
+	pool.SetSharing(now, members)
+
+	stated := apricotway.AnswerMetadata{
+		Brittle: apricotway.Brittleness{Statement: apricotway.BrittleStated, Rejections: brittleRejections},
+	}
+
+	for range 100 {
+		if send := pool.PlaceAt(now, "brittle", request); send != nil {
+			send.RecordStatements(now, stated, false)
+			send.End(now.Add(time.Second), dispatch.OutcomeDone)
+		}
+
+		for range fastCalls {
+			fast := pool.PlaceAt(now, "fast", request)
+			fast.RecordStatements(now, apricotway.AnswerMetadata{}, false)
+			fast.End(now.Add(20*time.Millisecond), dispatch.OutcomeDone)
+		}
+
+		now = now.Add(time.Second)
+	}
+
+	request.Avoid = []apricotway.BackendServerID{"fast"}
+
+	for end := now.Add(time.Second); now.Before(end); now = now.Add(time.Millisecond) {
+		if send, _, _ := pool.Place(now, request); send != nil {
+			sent++
+
+			send.RecordStatements(now, stated, false)
+			send.End(now, dispatch.OutcomeFailed)
+		}
+	}
+
+	return sent
+}
+
+// TestFastServerBesideBrittleOnes guards against calls for brittle servers at the rate of a server that is not brittle and answers sooner.
+func TestFastServerBesideBrittleOnes(t *testing.T) {
+	want := callsBesideFastServer(0)
+	if got := callsBesideFastServer(50); want == 0 || got != want {
+		t.Errorf("got %d calls in a second, want %d as without the other server, and some", got, want)
+	}
+}
--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -589,7 +589,9 @@
 		known.rejectedAt = now
 	}
 
-	if outcome == OutcomeDone && !s.detour {
+	// While servers of the service are brittle, only their calls tell how long calls last there.
+	if brittle := s.pool.serviceBrittlenessLocked(now, s.request.Service); outcome == OutcomeDone && !s.detour &&
+		(!brittle.holds || brittle.covers(now, s.server)) {
 		s.pool.recordDurationLocked(s.request.Service, now.Sub(s.sent))
 	}
 
