--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -149,15 +149,17 @@
 }
 
 func (b *localBucket) takeShare(now, answeredAt time.Time, cost, processes float64) (Verdict, time.Duration) {
+	rate, burst := b.limit.Rate/processes, b.limit.Burst/processes
+
 	b.accrueShare(now, answeredAt, processes)
 
-	// The calls of a process differ in cost and come unevenly. A share that gets below zero has to accrue again first.
-	if b.level > 0 {
+	// A call that costs more than the whole share needs a full share, whose level then goes below zero.
+	if b.level >= min(cost, burst) {
 		b.level -= cost
 		return Spent, 0
 	}
 
-	return Denied, max(refillTime(0, b.level, b.limit.Rate/processes), time.Millisecond)
+	return Denied, refillTime(min(cost, burst), b.level, rate)
 }
 
 // refillTime returns the time until the level reaches the cost.
