--- a/state/dispatch/brittle.go
+++ b/state/dispatch/brittle.go
@@ -29,6 +29,9 @@
 	brittleAloneTime       = 3 * time.Second
 	// brittleHold is the time for which a call without a slot is assumed to be held.
 	brittleHold = 400 * time.Millisecond
+	// minFoundInBurst is the share of the slots that find a call in a burst below which no more are offered than calls are to begin: the number
+	// of calls that a burst begins varies too much then.
+	minFoundInBurst = 0.5
 	// brittleBurst is the number of calls that may arrive at all processes at once, for each call that the servers can run at a time.
 	brittleBurst = 3
 	// briefArrivals and lastingArrivals are the times over which the arrivals at this process are averaged.
@@ -203,7 +206,7 @@
 
 	rate := begins
 
-	if now.Sub(p.brittleServices[service].rejectedAt) >= rejectionMemory {
+	if foundInBurst >= minFoundInBurst && now.Sub(p.brittleServices[service].rejectedAt) >= rejectionMemory {
 		reach := (brittleHold + lifetime).Seconds()
 		found := 1 - math.Exp(-p.arrivalRateLocked(now, service)*reach)
 
