--- a/state/dispatch/brittle.go
+++ b/state/dispatch/brittle.go
@@ -29,9 +29,9 @@
 	brittleAloneTime       = 3 * time.Second
 	// brittleHold is the time for which a call without a slot is assumed to be held.
 	brittleHold = 400 * time.Millisecond
-	// minFoundInBurst is the share of the slots that find a call in a burst below which no more are offered than calls are to begin: the number
-	// of calls that a burst begins varies too much then.
-	minFoundInBurst = 0.5
+	// maxOffered is the most slots that are offered for each call that is to begin: the more of them find no call, the more varies the number of
+	// those that do in a burst.
+	maxOffered = 3
 	// brittleBurst is the number of calls that may arrive at all processes at once, for each call that the servers can run at a time.
 	brittleBurst = 3
 	// briefArrivals and lastingArrivals are the times over which the arrivals at this process are averaged.
@@ -206,14 +206,14 @@
 
 	rate := begins
 
-	if foundInBurst >= minFoundInBurst && now.Sub(p.brittleServices[service].rejectedAt) >= rejectionMemory {
+	if now.Sub(p.brittleServices[service].rejectedAt) >= rejectionMemory {
 		reach := (brittleHold + lifetime).Seconds()
 		found := 1 - math.Exp(-p.arrivalRateLocked(now, service)*reach)
 
 		unfinished := p.usedSlotsLocked(now, s) * max(1-reach/p.meanDurationLocked(service).Seconds(), 0)
 		room := s.slots() + brittleUsedRejections*float64(p.rejectionsLocked(now, s)) - unfinished
 
-		rate = max(min(begins/found, room/foundInBurst/reach), begins)
+		rate = max(min(begins/found, room/foundInBurst/reach, maxOffered*begins), begins)
 	}
 
 	return sharedSlots{math.Pow(rateStep, math.Floor(math.Log(rate)/math.Log(rateStep))), lifetime}
