Take the headers of raw calls from the platform's stand-in in the tests of connections

The tests of the limits on callers spelled two headers of the operators' platform, which only platform/ may. They write the header of a standin.Call now.

--- a/cmd/internal/entry/connection_test.go
+++ b/cmd/internal/entry/connection_test.go
@@ -8,9 +8,12 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/apricotway/apricotway/platform/standin"
 )
 
 // callerLimits is the part of a configuration that limits callers.
@@ -55,8 +58,19 @@
 func (c *caller) header() string {
 	c.calls++
 
-	return "POST /book/ HTTP/1.1\r\nHost: h.example\r\nApricotway-Attempt-Id: " + fmt.Sprint(c.t.Name(), "-", c.calls) +
-		"\r\nApricotway-Deadline-Ms: 5000\r\nAuthorization: Bearer secret\r\nContent-Length: 0\r\n"
+	request, err := standin.Call{
+		Address: netip.MustParseAddrPort("127.0.0.1:1"), Path: "/book/", Attempt: fmt.Sprint(c.t.Name(), "-", c.calls), Key: "secret",
+	}.Request(c.t.Context())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+
+	var header strings.Builder
+	if err := request.Header.Write(&header); err != nil {
+		c.t.Fatal(err)
+	}
+
+	return "POST /book/ HTTP/1.1\r\nHost: h.example\r\nContent-Length: 0\r\n" + header.String()
 }
 
 func (c *caller) send(content string) {
