Log the estimate with which a stopping process took a call

Event 370 names a call that the stop limit cuts and what it waits for. It doesn't tell whether the process took the call with an estimate that was too short, or was slow elsewhere.

--- a/protocol/relay/inflight.go
+++ b/protocol/relay/inflight.go
@@ -44,6 +44,8 @@
 	bytes int
 	// begun is the time at which the answer began; zero before.
 	begun time.Time
+	// estimate is how long the call was expected to take when a stopping process took it; 0 if it was taken at any other time.
+	estimate time.Duration
 }
 
 func (p *progress) identify(attempt apricotway.AttemptID) {
@@ -94,6 +96,13 @@
 	}
 }
 
+func (p *progress) estimated(estimate time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.estimate = estimate
+}
+
 func (p *progress) began(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -157,7 +166,8 @@
 		c.progress.mu.Lock()
 		r.logger.Info("call unfinished at the stop limit", "event", 370, "attempt", c.progress.attempt, "host", c.request.Host,
 			"path", c.path(), "caller", c.request.RemoteAddr, "arrived", c.arrived, "read", c.progress.read, "stage", c.progress.stage,
-			"inStage", now.Sub(c.progress.since), "server", c.progress.server, "bytes", c.progress.bytes)
+			"inStage", now.Sub(c.progress.since), "server", c.progress.server, "bytes", c.progress.bytes,
+			"estimate", c.progress.estimate)
 		c.progress.mu.Unlock()
 	}
 
--- a/protocol/relay/stop.go
+++ b/protocol/relay/stop.go
@@ -33,7 +33,10 @@
 		longest = unknownDuration
 	}
 
-	return now.Add(scale(longest, durationMargin)).After(limit)
+	estimate := scale(longest, durationMargin)
+	c.progress.estimated(estimate)
+
+	return now.Add(estimate).After(limit)
 }
 
 // answerSize returns the number of tokens by which the duration of the answer is estimated; 0 for calls that are not streamed.
