Refuse calls in a planned stop that a silent server would make too late

Cause: a stopping process takes a call if 1.25 times the longest recent duration of its route ends before the stop limit. A sound server may be silent for a second or so, and a call whose server stays silent goes to another one only after a timeout, and begins again there. The estimate knew neither.

The estimate now has the longer of 1.5 s and the timeout after which another server gets the call, from the function that starts this timer, so both keep in step. It is made in outlastsStop alone, which calls that are sent and calls that are passed on to another process ask. apricotway serve needs no change: it takes no call after its withdrawal, and then waits for stop.drain.

--- a/protocol/relay/stop.go
+++ b/protocol/relay/stop.go
@@ -15,13 +15,17 @@
 	durationWindow = 10 * time.Second
 	// unknownDuration is the assumed duration of a call of a route of which no call has ended recently.
 	unknownDuration = 4 * time.Second
-	// durationMargin times the longest duration is the time that a call is given to end before the process stops.
+	// durationMargin times the longest duration is the time that a call is given to end before the process stops, besides the time for which
+	// its server may be silent.
 	durationMargin = 1.25
+	// longestSilence is the time for which a sound server may send nothing.
+	longestSilence = 1500 * time.Millisecond
 	// retryAfterStopping is the Retry-After of calls that this process can't finish. Others can take them at once.
 	retryAfterStopping = 10 * time.Millisecond
 )
 
-// outlastsStop reports whether the process stops before the call is likely to end.
+// outlastsStop reports whether the process stops before the call is sure to end, even if its server falls silent once. A call whose server
+// stays silent ends at another one, which begins when the silent one has been given up.
 func (c *call) outlastsStop(now time.Time) bool {
 	limit, stopping := c.relay.stop()
 	if !stopping || !c.deadline.After(limit) {
@@ -33,7 +37,7 @@
 		longest = unknownDuration
 	}
 
-	estimate := scale(longest, durationMargin)
+	estimate := scale(longest, durationMargin) + max(longestSilence, c.silenceTimeout())
 	c.progress.estimated(estimate)
 
 	return now.Add(estimate).After(limit)
--- a/protocol/relay/watch.go
+++ b/protocol/relay/watch.go
@@ -128,14 +128,9 @@
 		spare: c.route.MaxAttempts - c.sends - 1,
 	}
 
-	if !c.route.Repeatable() || t.spare <= 0 {
-		return t
-	}
-
-	first := scale(c.route.Objective, safeTimeoutFactor)
+	first := c.silenceTimeout()
 	if c.route.Kind == apricotway.RouteStream {
-		t.gap = c.relay.streamTimeout(c.route)
-		first = t.gap
+		t.gap = first
 	}
 
 	if first > 0 {
@@ -147,6 +142,18 @@
 	return t
 }
 
+// silenceTimeout returns the time without an answer or an event after which another server gets the call, 0 if none may get it.
+func (c *call) silenceTimeout() time.Duration {
+	switch {
+	case !c.route.Repeatable() || c.sends+1 >= c.route.MaxAttempts:
+		return 0
+	case c.route.Kind == apricotway.RouteStream:
+		return c.relay.streamTimeout(c.route)
+	default:
+		return scale(c.route.Objective, safeTimeoutFactor)
+	}
+}
+
 // mayOffer reports to whom the stream of a silent server may be given. It may run beside the goroutine of the call.
 func (c *call) mayOffer() offering {
 	switch {
