Skip the windows whose reports a process that has just started can't know of

Cause: after a restore the log doesn't tell what was reported, so the holder asks the members, and skips the windows that were due before its claim if one can't be asked. Members count as asked as soon as they have reported, also if none of them ran when the report was sent: the processes that knew of it have ended, and those that start don't hear of processes that ended before.

settleUsage, which alone decides where usage goes on after a restore or a trim, now skips what was due before this process took part in the duties, and counts the holder that the log names before it as a process to be heard, member or not. Event 363 has the time as `since`. Windows that nobody can vouch for are skipped; no message and no record changes.

--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -118,6 +118,8 @@
 	lease time.Duration
 	// renewed is the fencing number of the claim of this process that its newest claim renews; 0 if that follows another process's.
 	renewed apricotway.Offset
+	// predecessor is the process whose claim the newest one of this process follows; empty if that renews its own or is the first known.
+	predecessor apricotway.NodeID
 
 	// boot reads a clock that also advances while the machine is suspended.
 	boot func() time.Duration
@@ -199,6 +201,19 @@
 	return d.renewed
 }
 
+// Predecessor returns the process that held the duties before this one claimed them, which may be no member; empty if this process held
+// them itself or no other one is known.
+func (d *Duty) Predecessor() apricotway.NodeID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.predecessor
+}
+
+// TakesPartSince returns the time from which on this process knows of the others that hold the duties. What was done before can only be
+// known from the log and from other processes.
+func (d *Duty) TakesPartSince() time.Time { return d.started.Add(startupDelay) }
+
 // MarkFenced records that the platform refused a fencing number. The holder with this number stops at once and reads the log again.
 func (d *Duty) MarkFenced(number apricotway.Offset) {
 	d.mu.Lock()
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -243,9 +243,13 @@
 		return
 	}
 
-	d.renewed = 0
-	if claim.Node == d.self && d.holder.Node == d.self {
+	d.renewed, d.predecessor = 0, ""
+
+	switch {
+	case claim.Node == d.self && d.holder.Node == d.self:
 		d.renewed = d.holder.Number
+	case claim.Node == d.self:
+		d.predecessor = d.holder.Node
 	}
 
 	d.holder = claim
--- a/coordination/rollup/settle.go
+++ b/coordination/rollup/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apricotway/apricotway"
@@ -22,9 +23,9 @@
 }
 
 // settleUsage finds out where to continue when the log doesn't tell what was reported, since it was trimmed or the store has come back
-// from an older copy: the platform may have received reports whose records are lost. What the members know counts as well. A member that
-// can't be asked may have been the holder until this process claimed, so the windows that were due before are skipped then: a window that
-// is not reported does less harm than one with two counts. settleUsage records the result, and reports whether it is done.
+// from an older copy: the platform may have received reports whose records are lost. What the members know counts as well. The windows of
+// which a report may be unknown to all of them are skipped: a window that is not reported does less harm than one with two counts.
+// settleUsage records the result, and reports whether it is done.
 func (r *Rollup) settleUsage(ctx context.Context, now time.Time, number apricotway.Offset) bool {
 	r.mu.Lock()
 
@@ -33,7 +34,7 @@
 		return false
 	}
 
-	unheard := r.unheardMembers()
+	unheard := r.unheardProcesses()
 	if len(unheard) > 0 && now.Sub(r.claimedAt) < settleTime {
 		r.mu.Unlock()
 		return false
@@ -42,7 +43,8 @@
 	first, pending := max(r.firstWindow(now), r.nextWindow), r.pendingReport
 	next := first
 
-	for len(unheard) > 0 && !r.Tally.End(next).Add(windowGrace).After(r.claimedAt) {
+	since := r.knownSince(unheard)
+	for !r.Tally.End(next).Add(windowGrace).After(since) {
 		next++
 	}
 
@@ -64,13 +66,25 @@
 	r.mu.Unlock()
 
 	r.logger.Info("settled from which window on usage is reported", "event", 363, "window", next, "skipped", next-first,
-		"unheard", unheard, "number", number)
+		"unheard", unheard, "since", since, "number", number)
 
 	return true
 }
 
-// unheardMembers returns the members that have not reported since this process claimed. The caller holds r.mu.
-func (r *Rollup) unheardMembers() []apricotway.NodeID {
+// knownSince returns the time from which on each report is known to this process or to one that was heard. A process that was not heard may
+// have been the holder until this one claimed. Before this process took part, holders may have ended of which it has never heard; those
+// that it has heard may have started later still. The caller holds r.mu.
+func (r *Rollup) knownSince(unheard []apricotway.NodeID) time.Time {
+	if len(unheard) > 0 {
+		return r.claimedAt
+	}
+
+	return r.duty.TakesPartSince()
+}
+
+// unheardProcesses returns the members, and the holder before this process, that have not reported since this process claimed. The
+// caller holds r.mu.
+func (r *Rollup) unheardProcesses() []apricotway.NodeID {
 	var unheard []apricotway.NodeID
 
 	for _, member := range r.membership.Members() {
@@ -79,5 +93,9 @@
 		}
 	}
 
+	if before := r.duty.Predecessor(); before != "" && !r.heard[before] && !slices.Contains(unheard, before) {
+		unheard = append(unheard, before)
+	}
+
 	return unheard
 }
--- a/coordination/rollup/settle_test.go
+++ b/coordination/rollup/settle_test.go
@@ -54,6 +54,8 @@
 	holders map[apricotway.Offset]apricotway.NodeID
 	highest apricotway.Offset
 	nodes   []*node
+	// changes counts the processes that have started and ended.
+	changes int
 }
 
 // node is one process.
@@ -68,6 +70,9 @@
 	hear     []func(key string, version uint64, payload []byte)
 	// isolated cuts the process off from the others, stopped from the log and the platform as well.
 	isolated, stopped bool
+	// started and ended are the values of changes when the process started and ended; ended is 0 while it runs.
+	started, ended int
+	end            func()
 }
 
 func newSystem(t *testing.T) *system {
@@ -79,18 +84,70 @@
 	}
 
 	for i := range processes {
-		s.nodes = append(s.nodes, &node{
-			system: s, name: apricotway.NodeID(fmt.Sprint("n", i)), eras: era.New(), tally: tally.New(window),
-			address:  netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)),
-			handlers: map[apricotway.Method]apricotway.PeerHandler{},
+		s.add(apricotway.NodeID(fmt.Sprint("n", i)), netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1)))
+	}
+
+	return s
+}
+
+// add starts a process.
+func (s *system) add(name apricotway.NodeID, address netip.AddrPort) {
+	n := &node{
+		system: s, name: name, eras: era.New(), tally: tally.New(window), address: address,
+		handlers: map[apricotway.Method]apricotway.PeerHandler{},
+	}
+
+	s.set(func() {
+		s.changes++
+		n.started = s.changes
+		s.nodes = append(s.nodes, n)
+	})
+	n.start()
+}
+
+// replace kills processes and starts others at their addresses, which don't know of any process that has ended.
+func (s *system) replace(nodes ...*node) {
+	for _, n := range nodes {
+		s.set(func() {
+			s.changes++
+			n.stopped, n.ended = true, s.changes
 		})
+		n.end()
 	}
 
-	for _, n := range s.nodes {
-		n.start()
+	for _, n := range nodes {
+		s.add(n.name+"'", n.address)
 	}
+}
 
-	return s
+// running returns the processes that have not ended.
+func (s *system) running() []*node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.DeleteFunc(slices.Clone(s.nodes), func(n *node) bool { return n.ended > 0 })
+}
+
+// storeCopy is a copy of what processes keep in the store.
+type storeCopy struct {
+	records [][]byte
+	state   map[apricotway.StatePart][]byte
+}
+
+func (s *system) copyStore() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return storeCopy{slices.Clone(s.records), maps.Clone(s.state)}
+}
+
+// restoreFrom makes the store come back from a copy.
+func (s *system) restoreFrom(c storeCopy) {
+	s.set(func() {
+		s.era++
+		s.records, s.state = slices.Clone(c.records), maps.Clone(c.state)
+		s.trimmed = min(s.trimmed, len(s.records))
+	})
 }
 
 func (n *node) start() {
@@ -103,6 +160,7 @@
 
 	ctx, cancel := context.WithCancel(n.t.Context())
 	done := supervisor.ServeBackground(ctx)
+	n.end = cancel
 
 	n.t.Cleanup(func() {
 		cancel()
@@ -278,7 +336,7 @@
 	var members []apricotway.Member
 
 	for _, other := range n.nodes {
-		if other == n {
+		if other == n || other.ended > 0 && other.ended < n.started {
 			continue
 		}
 
@@ -329,7 +387,7 @@
 	var handler apricotway.PeerHandler
 
 	for _, other := range n.nodes {
-		if other.address == address && !n.apart(other) {
+		if other.address == address && !n.apart(other) && other.ended == 0 {
 			handler = other.handlers[method]
 		}
 	}
@@ -380,6 +438,76 @@
 	}
 }
 
+// TestReportLostWithAllItsWitnesses guards against a process that has just started, and reports a window again with what is left of its
+// counts, since neither the log nor any process that it knows tells of the report.
+func TestReportLostWithAllItsWitnesses(t *testing.T) {
+	for name, lose := range map[string]func(s *system, stored storeCopy){
+		"restore": (*system).restoreFrom,
+		"restore of a log without claims": func(s *system, stored storeCopy) {
+			s.restoreFrom(stored)
+			s.set(func() { s.trimmed = len(s.records) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := newSystem(t)
+				s.run(28 * time.Second)
+
+				// A report that the copy lacks.
+				before, stored := s.reported(), s.copyStore()
+				for s.reported() == before {
+					s.run(100 * time.Millisecond)
+				}
+
+				lose(s, stored)
+				s.replace(s.running()...)
+				s.run(40 * time.Second)
+				s.wantReported(20 * time.Second)
+			})
+		})
+	}
+}
+
+// TestRandomRestarts guards against two counts of one window, and reports that end, while the store comes back from copies of different
+// ages and processes are killed and replaced at random.
+func TestRandomRestarts(t *testing.T) {
+	for seed := range uint64(*schedules+1) / 2 {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				s := newSystem(t)
+				s.run(15 * time.Second)
+
+				stored := s.copyStore()
+
+				for range 15 {
+					running := s.running()
+
+					switch random.IntN(6) {
+					case 0, 1:
+						stored = s.copyStore()
+					case 2:
+						s.restoreFrom(stored)
+						stored = s.copyStore()
+					case 3:
+						s.restoreFrom(stored)
+						stored = s.copyStore()
+
+						s.replace(running...)
+					default:
+						s.replace(running[random.IntN(len(running))])
+					}
+
+					s.run(time.Duration(random.IntN(4000)) * time.Millisecond)
+				}
+
+				s.run(60 * time.Second)
+				s.wantReported(40 * time.Second)
+			})
+		})
+	}
+}
+
 // TestRandomRestores guards against two counts of one window, two holders with one number, and reports that end, while the log goes back
 // or is trimmed and processes are stopped and cut off at random.
 func TestRandomRestores(t *testing.T) {
