Bound the memory of all answers that are being read together

A server whose bodies don't end could take the memory of an apricotway serve process, and with it the calls of others: each answer of a plain service was bounded by 8 MiB, each JSON answer (load reports, lists, the log) by 16 MiB, but not what many take at once.

Cause: limits on one answer only. apricotway entry has a budget for all bodies that it buffers; it moves to internal/bodybuffer, and the clients of plain services (64 MiB) and of JSON (64 MiB) read within one as well. An answer that finds no room is refused like one that is too large; the outcome of its call is unknown.

On apricotway entry the bounds held: TestEndlessAnswers has a compressed body now, and TestEndlessStatusChecks sends 100 status checks at once to servers whose head or body doesn't end; both stay within 20 MiB.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -227,7 +227,7 @@
 	ctx context.Context, send *dispatch.Send, answer *apricotway.ForwardedAnswer, metadata apricotway.AnswerMetadata,
 	sent time.Time, silence *silenceTimer,
 ) attemptResult {
-	content, complete, err := c.buffer.read(answer.Body)
+	content, complete, err := c.buffer.Read(answer.Body)
 	now := c.relay.now()
 	c.countUsage(sent)
 	silence.hold()
--- a/protocol/relay/detour.go
+++ b/protocol/relay/detour.go
@@ -164,7 +164,7 @@
 		return result.step == stepAnswered || c.failDetour(ctx)
 	}
 
-	content, complete, err := c.buffer.read(answer.Body)
+	content, complete, err := c.buffer.Read(answer.Body)
 
 	switch {
 	case err != nil:
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/bodybuffer"
 	"github.com/apricotway/apricotway/state/dispatch"
 	"github.com/apricotway/apricotway/state/duration"
 	"github.com/apricotway/apricotway/state/origin"
@@ -37,6 +38,11 @@
 	unreadBodyTime = 200 * time.Millisecond
 	// writeReserve is the time after a call's deadline, or after its answer has begun, in which the answer can still be written.
 	writeReserve = time.Second
+	// maxAnswerBuffer bounds in bytes the part of one answer that is buffered before it is passed on. The rest of a longer answer
+	// is passed on as it arrives.
+	maxAnswerBuffer = 1 << 20
+	// maxTotalBuffer bounds in bytes what all calls together buffer. The smallest supported hosts have 184 MB of memory.
+	maxTotalBuffer = 4 << 20
 	// minRemaining is the least time before the deadline with which a call is still sent.
 	minRemaining = 5 * time.Millisecond
 )
@@ -128,7 +134,7 @@
 	stop         func() (limit time.Time, stopping bool)
 	bodyLimit    func(*route.Table) int64
 	now          func() time.Time
-	bufferBudget bufferBudget
+	bufferBudget *bodybuffer.Budget
 	inFlight     inFlight
 	durations    *duration.Estimator
 	// patience is the shortest gap in a stream after which callers abandon it.
@@ -195,7 +201,7 @@
 		quarantine: noQuarantine{}, metrics: noMetrics{}, logger: logr.Discard(),
 		stop: func() (time.Time, bool) { return time.Time{}, false }, bodyLimit: configuredBodyLimit, now: time.Now,
 		inFlight: inFlight{calls: map[*call]struct{}{}}, durations: duration.New(durationWindow), origins: localOrigins{pool.Origins()},
-		detours: noDetours{}, patience: defaultPatience,
+		detours: noDetours{}, patience: defaultPatience, bufferBudget: bodybuffer.New(bodybuffer.WithEach(maxAnswerBuffer), bodybuffer.WithTotal(maxTotalBuffer)),
 	}
 	for _, option := range options {
 		option(r)
@@ -291,7 +297,7 @@
 	// steps lists for the log how each attempt ended.
 	steps []string
 	// buffer holds an answer until it is complete.
-	buffer answerBuffer
+	buffer bodybuffer.Buffer
 	// usageCounted is set once the call was counted in its workspace's usage.
 	usageCounted bool
 	// answering is set once the header of an answer has been written.
@@ -306,8 +312,8 @@
 
 // ServeHTTP forwards one call and writes its answer or refusal. It implements http.Handler.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
-	c := &call{relay: r, writer: w, request: request, arrived: r.now(), buffer: answerBuffer{budget: &r.bufferBudget}}
-	defer c.buffer.release()
+	c := &call{relay: r, writer: w, request: request, arrived: r.now(), buffer: r.bufferBudget.Buffer()}
+	defer c.buffer.Release()
 
 	r.inFlight.add(c)
 	defer r.inFlight.remove(c)
--- a/transport/httpjson/httpjson.go
+++ b/transport/httpjson/httpjson.go
@@ -15,11 +15,21 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/apricotway/apricotway/internal/bodybuffer"
 	"github.com/apricotway/apricotway/internal/keepalive"
 )
 
-// maxBody is the maximum size in bytes of a JSON body that a client reads.
-const maxBody = 16 << 20
+const (
+	// maxBody is the maximum size in bytes of a JSON body that a client reads.
+	maxBody = 16 << 20
+	// maxReading bounds in bytes the bodies that all clients of the process are reading.
+	maxReading = 64 << 20
+)
+
+// ErrTooLarge reports a body over the limit, or for which the bodies that are being read leave no memory.
+var ErrTooLarge = errors.New("answer too large")
+
+var bodies = bodybuffer.New(bodybuffer.WithEach(maxBody), bodybuffer.WithTotal(maxReading))
 
 // maxHead is the maximum size in bytes of the header of an answer.
 const maxHead = 32 << 10
@@ -98,6 +108,23 @@
 	return body, err
 }
 
+// ReadAnswer reads the body of an answer within a budget. Only a body of a small Content-Length, which it can't exceed, needs no room.
+func ReadAnswer(response *http.Response, budget *bodybuffer.Budget) ([]byte, error) {
+	if response.ContentLength >= 0 && response.ContentLength <= maxPreallocated {
+		return ReadBody(response.Body, response.ContentLength)
+	}
+
+	buffer := budget.Buffer()
+	defer buffer.Release()
+
+	content, complete, err := buffer.Read(response.Body)
+	if err == nil && !complete {
+		err = ErrTooLarge
+	}
+
+	return content, err
+}
+
 // Do sends a request with body encoded as JSON, unless body is nil, and decodes the JSON answer into result, unless result is nil.
 // A *json.RawMessage gets the answer as it is, without a check. A status other than 2xx is returned as a StatusError.
 func Do(ctx context.Context, transport http.RoundTripper, method, url string, body, result any) error {
@@ -131,7 +158,7 @@
 	}
 	defer response.Body.Close()
 
-	content, err := ReadBody(io.LimitReader(response.Body, maxBody), response.ContentLength)
+	content, err := ReadAnswer(response, bodies)
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
--- a/transport/service/client.go
+++ b/transport/service/client.go
@@ -11,13 +11,18 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/bodybuffer"
 	"github.com/apricotway/apricotway/transport/httpjson"
 )
 
-// DefaultMaxAnswer is the maximum size of the body of an answer in bytes.
-const DefaultMaxAnswer = 8 << 20
+const (
+	// DefaultMaxAnswer is the maximum size of the body of an answer in bytes.
+	DefaultMaxAnswer = 8 << 20
+	// maxReading bounds in bytes the bodies of all answers that are being read.
+	maxReading = 64 << 20
+)
 
-// ErrAnswerTooLarge reports an answer body over the limit.
+// ErrAnswerTooLarge reports an answer body over the limit, or for which the answers that are being read leave no memory.
 var ErrAnswerTooLarge = errors.New("answer too large")
 
 // Client implements apricotway.ServiceClient over HTTP.
@@ -26,8 +31,9 @@
 	// answer could be taken for the current one, since answers of plain services carry no ID. And http.Transport retries a
 	// request when a reused connection breaks, if the request has an Idempotency-Key and a body that can be rewound; it never
 	// retries the first request of a connection.
-	transport      http.RoundTripper
-	maxAnswerBytes int64
+	transport http.RoundTripper
+	// bodies bounds each answer, and those that are being read together.
+	bodies *bodybuffer.Budget
 }
 
 var _ apricotway.ServiceClient = (*Client)(nil)
@@ -37,7 +43,9 @@
 	transport := httpjson.NewTransport()
 	transport.DisableKeepAlives = true
 
-	return &Client{transport: transport, maxAnswerBytes: DefaultMaxAnswer}
+	return &Client{
+		transport: transport, bodies: bodybuffer.New(bodybuffer.WithEach(DefaultMaxAnswer+1), bodybuffer.WithTotal(maxReading)),
+	}
 }
 
 // Call implements apricotway.ServiceClient. It does not follow redirects but returns them to the caller.
@@ -92,13 +100,13 @@
 		return nil, nil
 	}
 
-	content, err := httpjson.ReadBody(io.LimitReader(response.Body, c.maxAnswerBytes+1), response.ContentLength)
-	if err != nil {
-		return nil, errors.Wrap(err, "read answer")
+	content, err := httpjson.ReadAnswer(response, c.bodies)
+	if errors.Is(err, httpjson.ErrTooLarge) {
+		return nil, ErrAnswerTooLarge
 	}
 
-	if int64(len(content)) > c.maxAnswerBytes {
-		return nil, ErrAnswerTooLarge
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
 	}
 
 	return content, nil
--- a/transport/upstream/trouble_test.go
+++ b/transport/upstream/trouble_test.go
@@ -1,10 +1,12 @@
 package upstream_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"runtime"
 	"runtime/metrics"
 	"strings"
@@ -51,6 +53,7 @@
 	"body, half event":   {okHead + "\r\ndata: ", "x"},
 	"body, comments":     {okHead + "\r\n", ": comment\n\n"},
 	"body, empty lines":  {okHead + "\r\n", "\n"},
+	"body, compressed":   {okHead + "Content-Encoding: gzip\r\n\r\n", "\x00\x01\xff\xff"},
 }
 
 // heapBytes returns the heap memory in use by objects, including dead ones that have not been collected yet.
@@ -218,6 +221,61 @@
 	}
 }
 
+// TestEndlessStatusChecks guards against unbounded memory use when many servers at once send status checks an answer without an end.
+func TestEndlessStatusChecks(t *testing.T) {
+	const checks, allowance = 100, 20 << 20
+
+	for name, answer := range endlessAnswers {
+		t.Run(name, func(t *testing.T) {
+			listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			t.Cleanup(func() { _ = listener.Close() })
+
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+
+					go func() {
+						defer func() { _ = conn.Close() }()
+
+						if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+							write(conn, answer[0])
+							endless(conn, []byte(strings.Repeat(answer[1], 4096)))
+						}
+					}()
+				}
+			}()
+
+			address := netip.MustParseAddrPort(listener.Addr().String())
+			pool := upstream.New()
+			before := heapBytes()
+
+			peak := peakDuring(func() {
+				var running sync.WaitGroup
+
+				for range checks {
+					running.Go(func() {
+						if got, want := pool.CheckHealth(t.Context(), address, "/") == nil, strings.HasPrefix(name, "body"); got != want {
+							t.Errorf("got healthy: %t, want %t", got, want)
+						}
+					})
+				}
+
+				running.Wait()
+			})
+			if peak > before+allowance {
+				t.Errorf("got a peak of %d bytes, want at most %d above the %d before", peak, allowance, before)
+			}
+		})
+	}
+}
+
 // TestLateSecondAnswer guards against taking a duplicate of an earlier answer on a reused connection for the answer to the current
 // call: with the ID of another call, without an ID and reporting that the call did not run, and of an earlier send of this call.
 func TestLateSecondAnswer(t *testing.T) {
