Check before each detour whether the call still ends before the stop

A stopping process that has lost its paths asked once whether a call would end in time, and then tried up to three other processes. A call that the first of them turned away after a while was passed on too late and would be cut.

TestSecondDetourOutlastsStop failed before: the call, which had 1.2 s left after 0.8 s at the first process, was passed on.

--- a/protocol/relay/detour.go
+++ b/protocol/relay/detour.go
@@ -53,7 +53,8 @@
 	refund := c.charged
 	c.refund()
 
-	for len(c.helpers) < maxDetours {
+	// Each process that turns the call away takes time from it.
+	for len(c.helpers) < maxDetours && !c.outlastsStop(c.relay.now()) {
 		send, answer, err := c.sendDetour(ctx, c.metadata.LastEvent)
 		if errors.Is(err, errNoHelper) {
 			break
--- a/transport/upstream/detour_test.go
+++ b/transport/upstream/detour_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strings"
@@ -142,6 +143,32 @@
 	other.wantRuns(0)
 }
 
+// TestSecondDetourOutlastsStop guards against a call that a stopping process passes on too late, after another process has turned it away.
+func TestSecondDetourOutlastsStop(t *testing.T) {
+	slow := newHarness(t, ok)
+	slow.front = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		<-time.After(800 * time.Millisecond)
+		w.Header().Set("Apricotway-Detour", "paths lost")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(slow.front.Close)
+
+	other := newHarness(t, ok)
+	h, d := newDetouring(t, slow.address(), other.address())
+
+	var limit time.Time
+
+	h.replaceRelay(relay.WithDetours(d, upstream.New()), relay.WithStop(func() (time.Time, bool) { return limit, !limit.IsZero() }))
+	d.lost.Store(false)
+	h.wantStatus("/unsafe/", nil, http.StatusTeapot)
+	d.lost.Store(true)
+
+	// After the first call, which was short, the next one is expected to take the time for which a server may be silent, 1.5 s.
+	limit = time.Now().Add(2 * time.Second)
+	h.wantStatus("/unsafe/", nil, http.StatusServiceUnavailable)
+	other.wantRuns(0)
+}
+
 // TestDetourHeaderOfServer guards against a server whose answer has the header by which processes say that a call has not run: the call would
 // run once more.
 func TestDetourHeaderOfServer(t *testing.T) {
