Send the usage report whose record has no answer from the log

The log takes a record of a report, its answer is lost, and a process that was suspended reports more calls of the window.

Cause: the holder looked for a record in the log only right after its claim. When the answer was lost, it read the log again, but then recorded the window once more with its newer counts and sent these; a successor repeats the first record.

nextUsage now looks for a record of the window each time, so there is one record of a window for each holder, and holder and successor send the same one. Calls that are counted after the record are missing in the report, as before when no answer is lost.

--- a/coordination/rollup/settle_test.go
+++ b/coordination/rollup/settle_test.go
@@ -1,6 +1,7 @@
 package rollup_test
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -56,6 +57,8 @@
 	nodes   []*node
 	// changes counts the processes that have started and ended.
 	changes int
+	// loseAnswer is called once instead of answering the append of the next usage report.
+	loseAnswer func()
 }
 
 // node is one process.
@@ -257,6 +260,13 @@
 
 	n.records = append(n.records, record)
 
+	if n.loseAnswer != nil && bytes.Contains(record, []byte(`"usage"`)) {
+		n.loseAnswer()
+		n.loseAnswer = nil
+
+		return 0, apricotway.ErrLogUnavailable
+	}
+
 	return n.era, nil
 }
 
@@ -468,6 +478,31 @@
 	}
 }
 
+// TestRecordWithLostAnswer guards against a second record of a window, with other counts, after the answer of the log to the first was lost:
+// the holder sends the one and its successor the other.
+func TestRecordWithLostAnswer(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.run(28 * time.Second)
+
+		holder, before := s.holder(), s.reported()
+		other := s.nodes[processes-1]
+
+		// Calls of the window that are counted too late for the first record.
+		s.set(func() {
+			s.loseAnswer = func() { other.tally.Add(time.Now().Add(-window), "w") }
+		})
+
+		for s.reported() == before {
+			s.run(100 * time.Millisecond)
+		}
+
+		s.set(func() { holder.stopped = true })
+		s.run(30 * time.Second)
+		s.wantReported(20 * time.Second)
+	})
+}
+
 // TestRandomRestarts guards against two counts of one window, and reports that end, while the store comes back from copies of different
 // ages and processes are killed and replaced at random.
 func TestRandomRestarts(t *testing.T) {
--- a/coordination/rollup/usage.go
+++ b/coordination/rollup/usage.go
@@ -100,7 +100,7 @@
 }
 
 // nextUsage returns the usage report that is due, if any. A report that is already in the duty log is returned unchanged, since the
-// platform may have received it.
+// platform may have received it. One of this process may be there without an answer of the log to it.
 func (r *Rollup) nextUsage(now time.Time, number apricotway.Offset) (apricotway.UsageReport, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -122,6 +122,11 @@
 		}
 	}
 
+	if last := r.duty.LastUsage(); last != nil && last.Window >= r.nextWindow {
+		r.pendingReport = last
+		return *last, true
+	}
+
 	if now.Before(r.Tally.End(r.nextWindow).Add(windowGrace)) {
 		return apricotway.UsageReport{}, false
 	}
