Show which configuration is in force, which is known, and why it is missing

A host that stayed at an older configuration for 16 s logged nothing at the info level while it refused calls by it. Event 396 tells every 5 s which version is in force, the newest known one, since when, the age of the last proof, and why the last read failed with the bytes that it got; 397 tells its end. Four gauges and /v1/configuration show the same.

--- a/cmd/internal/entry/counters.go
+++ b/cmd/internal/entry/counters.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/state/origin"
 )
 
@@ -106,3 +107,21 @@
 func (c *counters) platformCall(call string, status int) {
 	c.calls.WithLabelValues(call, strconv.Itoa(status)).Inc()
 }
+
+// newConfigurationGauges returns the metrics of how current the configuration is.
+func newConfigurationGauges(versions func() catalog.Versions) []prometheus.Collector {
+	gauge := func(name, help string, value func(v catalog.Versions) float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return value(versions()) })
+	}
+
+	return []prometheus.Collector{
+		gauge("apricotway_configuration_version", "Version of the configuration in force, 0 without one.",
+			func(v catalog.Versions) float64 { return float64(v.InForce) }),
+		gauge("apricotway_configuration_known_version", "Newest version of the configuration that this process knows to exist.",
+			func(v catalog.Versions) float64 { return float64(v.Known) }),
+		gauge("apricotway_configuration_outdated_seconds", "Time since a version newer than the one in force is known, 0 while none is.",
+			func(v catalog.Versions) float64 { return v.OutdatedFor.Seconds() }),
+		gauge("apricotway_configuration_confirmed_seconds", "Age of the newest proof that no newer version existed.",
+			func(v catalog.Versions) float64 { return v.ConfirmedFor.Seconds() }),
+	}
+}
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -179,6 +179,8 @@
 			e.pool.Origins().SetLifetime(t.LongestStream())
 		}))
 
+	e.registry.MustRegister(newConfigurationGauges(e.catalog.Versions)...)
+
 	monitor := reach.New()
 	connections := upstream.New(upstream.WithDialHook(counters.opened.Inc), upstream.WithObserver(monitor))
 	processes := upstream.New()
@@ -244,6 +246,7 @@
 	})
 	operators.HandleJSON("/v1/members", func() any { return append(e.membership.Members(), e.membership.Self()) })
 	operators.HandleJSON("/v1/backends", func() any { return e.pool.Backends() })
+	operators.HandleJSON("/v1/configuration", func() any { return e.catalog.Versions() })
 	operators.HandleJSON("/v1/limits", func() any { return e.serverLimits(time.Now()) })
 	operators.HandleJSON("/v1/quarantine", func() any { return e.quarantine() })
 
--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -86,6 +86,7 @@
 	newest atomic.Pointer[apricotway.Deployment]
 	// announcedVersion is the newest configuration version that another process has reported.
 	announcedVersion atomic.Uint64
+	announced        announcement
 	// configFailing and listFailing are set while the last read of the configuration or of the list failed.
 	configFailing, listFailing atomic.Bool
 	queries                    *peerQueries
@@ -204,6 +205,8 @@
 		c.endRestore(now)
 	}))
 
+	supervisor.Add(apricotway.Periodic("age of the configuration", outdatedCheckPeriod, c.reportOutdated))
+
 	if c.queries != nil {
 		supervisor.Add(apricotway.Periodic("news of other processes", queryCheckPeriod, c.queryIfNeeded))
 	}
@@ -229,6 +232,7 @@
 
 		cancel()
 		c.configFailing.Store(err != nil)
+		c.noteAttempt(err)
 
 		if err == nil {
 			c.apply(deployment)
@@ -402,6 +406,7 @@
 		}
 
 		c.recordRead(&c.configFailing, err == nil)
+		c.noteAttempt(err)
 
 		if err != nil {
 			return err
@@ -435,6 +440,7 @@
 	c.newest.Store(deployment)
 	c.table.Store(table)
 	c.changed(table)
+	c.noteCaughtUp(table.Version)
 	c.logger.Info("put a new configuration in force", "event", 283, "version", deployment.Version, "routes", len(deployment.Routes),
 		"workspaces", len(deployment.Workspaces), "headerBytes", deployment.Limits.HeaderBytes, "bodyBytes", deployment.Limits.BodyBytes,
 		"headerTimeout", deployment.Limits.HeaderTimeout, "idleTimeout", deployment.Limits.IdleTimeout)
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -173,16 +173,6 @@
 	}
 }
 
-// noteVersion records the version of a configuration that this process does not have yet.
-func (c *Catalog) noteVersion(version uint64) {
-	for {
-		known := c.announcedVersion.Load()
-		if version <= known || c.announcedVersion.CompareAndSwap(known, version) {
-			return
-		}
-	}
-}
-
 // hasFreshNews reports whether another process currently passes its news on to this one.
 func (c *Catalog) hasFreshNews() bool {
 	c.mu.Lock()
