Share the bandwidth of a host over the connections of the fault proxy

The rate of a fault applies to one direction of one connection. A host's own link is shared by all its connections, so that reads of the store and answers of other processes slow each other down.

--- a/cmd/internal/faultproxy/faultproxy.go
+++ b/cmd/internal/faultproxy/faultproxy.go
@@ -68,6 +68,24 @@
 	groupOf func(client netip.AddrPort) string
 	groups  map[string]Fault
 	members map[*net.TCPConn]string
+
+	// clientBandwidth returns the bandwidth of the host of a TCP client; nil without a limit. targetBandwidth is that of the host of the
+	// target, nil without a limit.
+	clientBandwidth func(client netip.AddrPort) *Bandwidth
+	targetBandwidth *Bandwidth
+}
+
+// Option configures a Link.
+type Option func(*Link)
+
+// WithClientBandwidth makes each TCP connection use the bandwidth of its client's host, which of returns, nil for no limit.
+func WithClientBandwidth(of func(client netip.AddrPort) *Bandwidth) Option {
+	return func(l *Link) { l.clientBandwidth = of }
+}
+
+// WithTargetBandwidth makes all TCP connections use the bandwidth of the target's host, nil for no limit.
+func WithTargetBandwidth(bandwidth *Bandwidth) Option {
+	return func(l *Link) { l.targetBandwidth = bandwidth }
 }
 
 // Set replaces the fault of the link, also for open connections. These keep their target; UDP packets go to the new one.
@@ -183,10 +201,16 @@
 }
 
 // Listen opens a link on a free loopback port. The network is "tcp" or "udp".
-func Listen(ctx context.Context, network string) (*Link, error) {
+func Listen(ctx context.Context, network string, options ...Option) (*Link, error) {
 	var config net.ListenConfig
 
-	l := &Link{changed: make(chan struct{}), closers: map[io.Closer]struct{}{}, groups: map[string]Fault{}, members: map[*net.TCPConn]string{}}
+	l := &Link{
+		changed: make(chan struct{}), closers: map[io.Closer]struct{}{}, groups: map[string]Fault{}, members: map[*net.TCPConn]string{},
+		clientBandwidth: func(netip.AddrPort) *Bandwidth { return nil },
+	}
+	for _, option := range options {
+		option(l)
+	}
 
 	if network == "udp" {
 		conn, err := config.ListenPacket(ctx, network, "127.0.0.1:0")
@@ -241,18 +265,22 @@
 
 	var forwarding sync.WaitGroup
 
-	forwarding.Go(func() { l.forwardTCP(group, target, client, Forward) })
-	l.forwardTCP(group, client, target, Backward)
+	bandwidths := path{client: l.clientBandwidth(client.RemoteAddr().(*net.TCPAddr).AddrPort()), target: l.targetBandwidth}
+
+	forwarding.Go(func() { l.forwardTCP(group, bandwidths, target, client, Forward) })
+	l.forwardTCP(group, bandwidths, client, target, Backward)
 	forwarding.Wait()
 }
 
 // forwardTCP forwards one direction of a TCP connection until that direction is closed.
-func (l *Link) forwardTCP(group string, to, from *net.TCPConn, direction Direction) {
-	buffer := make([]byte, bufferSize)
+func (l *Link) forwardTCP(group string, bandwidths path, to, from *net.TCPConn, direction Direction) {
+	buffer := make([]byte, bandwidths.bufferSize())
 
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			bandwidths.await(direction, n)
+
 			fault := l.delay(group, direction, n)
 			if fault.LoseAnswer && direction == Backward {
 				_ = to.SetLinger(0)
