--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -311,8 +311,13 @@
 		return errors.Wrap(err, "listen for membership probes")
 	}
 
+	peers := s.Listen.Peers
+	if s.Listen.AdvertisedPeers.IsValid() {
+		peers = s.Listen.AdvertisedPeers
+	}
+
 	self := apricotway.Member{
-		Node: s.Node, Region: s.Region, Zone: s.Zone, Callers: s.Listen.Callers, Peers: s.Listen.Peers,
+		Node: s.Node, Region: s.Region, Zone: s.Zone, Callers: s.Listen.Callers, Peers: peers,
 		Probes: s.Listen.Probes, Operator: s.Listen.Operator, Capacity: capacity(s),
 	}
 	e.membership = membership.New(e.supervisor, self, socket, e.peers, e.peerServer, e.platform,
--- a/cmd/internal/settings/entry.go
+++ b/cmd/internal/settings/entry.go
@@ -51,6 +51,8 @@
 	Directory netip.AddrPort `json:"directory"`
 	// Peers is where other processes connect (net/rpc over TCP).
 	Peers netip.AddrPort `json:"peers"`
+	// AdvertisedPeers is the address that other processes connect to, if it is not Peers, as where a proxy forwards to Peers.
+	AdvertisedPeers netip.AddrPort `json:"advertisedPeers"`
 	// Probes is where other processes send membership probes (UDP).
 	Probes netip.AddrPort `json:"probes"`
 	// Operator is where operators connect (HTTP: metrics, health, profiles, state).
