Reproduce hosts that stay at an older configuration with real processes

16 processes, 14 of them with links of 10 Mbit/s, get 32 versions of 285 KB, one each 0.35 s; callers ask for what each version added or moved.

Fails on the unchanged code, by reads of the configuration that are given up after 0.8 s beside requests to other processes.

--- a/cmd/scenario/cutoff_test.go
+++ b/cmd/scenario/cutoff_test.go
@@ -69,22 +69,23 @@
 
 // link opens a link to an engine.
 func (s *cutSystem) link(own netip.AddrPort) netip.AddrPort {
-	link, err := faultproxy.Listen(s.t.Context(), "tcp")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-
-	s.t.Cleanup(link.Close)
+	link := s.listen()
 	link.Set(faultproxy.Fault{Target: own})
-	link.SetGroups(func(client netip.AddrPort) string { return s.processOf(client, link.Address) })
+	link.SetGroups(func(client netip.AddrPort) string {
+		if e := s.processOf(client, link.Address); e != nil {
+			return e.name
+		}
+
+		return ""
+	})
 
 	s.links, s.targets = append(s.links, link), append(s.targets, own)
 
 	return link.Address
 }
 
-// processOf returns the name of the process that has the loopback connection between two addresses, as Linux tells it.
-func (s *cutSystem) processOf(client, server netip.AddrPort) string {
+// processOf returns the process that has the loopback connection between two addresses, as Linux tells it; nil if there is none.
+func (s *entrySystem) processOf(client, server netip.AddrPort) *entryProgram {
 	inode := socketInode(client.Port(), server.Port())
 
 	s.mu.Lock()
@@ -95,12 +96,12 @@
 		open, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", e.pid.Load()))
 		for _, file := range open {
 			if target, err := os.Readlink(file); err == nil && target == "socket:["+inode+"]" {
-				return e.name
+				return e
 			}
 		}
 	}
 
-	return ""
+	return nil
 }
 
 // socketInode returns the inode of the loopback TCP socket with a local and a remote port, which it asks the kernel for (sock_diag(7)); a
--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -40,9 +40,12 @@
 	name     string
 	settings string
 	link     *faultproxy.Link
-	callers  netip.AddrPort
-	command  *exec.Cmd
-	done     chan struct{}
+	// bandwidth is that of the host; nil without a limit.
+	bandwidth *faultproxy.Bandwidth
+	callers   netip.AddrPort
+	operator  netip.AddrPort
+	command   *exec.Cmd
+	done      chan struct{}
 	// pid is that of the process that was started last.
 	pid atomic.Int64
 	// impaired holds the times in which the process was stopped, ended or cut off from the platform.
@@ -100,8 +103,10 @@
 	retrySlack int
 	// environment is added to that of the processes.
 	environment []string
-	version     int
-	entries     []*entryProgram
+	// bandwidth returns the bandwidth of an entry host, which its connections to the platform and to other hosts share; nil without limits.
+	bandwidth func(name string) *faultproxy.Bandwidth
+	version   int
+	entries   []*entryProgram
 
 	// storeDown holds the outages of the store.
 	storeDown []interval
@@ -128,11 +133,12 @@
 }
 
 // newEntryPlatform returns a system with a configuration, and without engines and entry hosts.
-func newEntryPlatform(t *testing.T, seed uint64, config string) *entrySystem {
+func newEntryPlatform(t *testing.T, seed uint64, config string, options ...standin.Option) *entrySystem {
 	t.Helper()
 
 	s := &entrySystem{
-		t: t, random: newRandom(seed), directory: t.TempDir(), probeKey: newProbeKey(), platform: standin.New(), config: config, retrySlack: 10,
+		t: t, random: newRandom(seed), directory: t.TempDir(), probeKey: newProbeKey(), platform: standin.New(options...), config: config,
+		retrySlack: 10,
 	}
 	server := httptest.NewServer(s.platform)
 	t.Cleanup(server.Close)
@@ -196,27 +202,29 @@
 
 // addEntry writes the settings of an entry host and opens its link. The first host listens at the seed address of all hosts.
 func (s *entrySystem) addEntry(name string, peers netip.AddrPort, first bool) {
-	link, err := faultproxy.Listen(s.t.Context(), "tcp")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-
-	s.t.Cleanup(link.Close)
-	link.Set(faultproxy.Fault{Target: s.store})
-
 	own := peers
 	if !first {
 		own = freeport.Address(s.t)
 	}
 
 	e := &entryProgram{
-		name: name, link: link, callers: freeport.Address(s.t), settings: filepath.Join(s.directory, name+".jsonc"),
+		name: name, callers: freeport.Address(s.t), operator: freeport.Address(s.t), settings: filepath.Join(s.directory, name+".jsonc"),
 	}
+	advertised := own
+
+	if s.bandwidth != nil {
+		e.bandwidth = s.bandwidth(name)
+		advertised = s.linkPeers(e, own)
+	}
+
+	e.link = s.listen(faultproxy.WithClientBandwidth(func(netip.AddrPort) *faultproxy.Bandwidth { return e.bandwidth }))
+	e.link.Set(faultproxy.Fault{Target: s.store})
+
 	content := fmt.Sprintf(`{"node": %q, "region": "r", "zone": "a", "seeds": [%q], "usageWindow": "2s",
-		"listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "probes": %q, "operator": %q},
+		"listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "advertisedPeers": %q, "probes": %q, "operator": %q},
 		"platform": {"store": %q, "cloud": %q}, "probeKey": %q,
 		"retries": {"ratio": 0.1, "window": "10s", "slack": %d}}`, name, peers, e.callers, freeport.Address(s.t), freeport.Address(s.t), own,
-		freeport.Address(s.t), freeport.Address(s.t), link.Address, link.Address, s.probeKey, s.retrySlack)
+		advertised, freeport.Address(s.t), e.operator, e.link.Address, e.link.Address, s.probeKey, s.retrySlack)
 
 	if err := os.WriteFile(e.settings, []byte(content), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -228,6 +236,35 @@
 	s.entries = append(s.entries, e)
 }
 
+// listen opens a link that the test's end closes.
+func (s *entrySystem) listen(options ...faultproxy.Option) *faultproxy.Link {
+	link, err := faultproxy.Listen(s.t.Context(), "tcp", options...)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+
+	s.t.Cleanup(link.Close)
+
+	return link
+}
+
+// linkPeers opens the link through which other hosts connect to the given one, and returns its address. Their connections use the bandwidth
+// of both hosts.
+func (s *entrySystem) linkPeers(e *entryProgram, own netip.AddrPort) netip.AddrPort {
+	var link *faultproxy.Link
+
+	link = s.listen(faultproxy.WithTargetBandwidth(e.bandwidth), faultproxy.WithClientBandwidth(func(client netip.AddrPort) *faultproxy.Bandwidth {
+		if other := s.processOf(client, link.Address); other != nil {
+			return other.bandwidth
+		}
+
+		return nil
+	}))
+	link.Set(faultproxy.Fault{Target: own})
+
+	return link.Address
+}
+
 // start starts the process of an entry host, and appends its log to the same file after a restart. It does nothing while the process
 // runs, as after the second of two failures that ended it.
 func (s *entrySystem) start(e *entryProgram) {
