Tell processes the changes between configurations, and let reads go on while they make progress

Cause: each process read each version whole (376 KB with 1,450 routes) within 0.8 s, and started at the first byte after each failure. A host with a link of 10 Mbit/s needs 0.30 s for it without other traffic. Once one read failed, the host also asked others every 0.4 s, whose answers held the whole configuration again; together they filled its link, so that no try succeeded any more, long after the changes had ended.

Now the holder of the duties tells with its answers what changed between versions; a whole configuration is fetched in parts that are kept when a request fails, and reads of the store are given up only if nothing arrives for 0.8 s. So a try never takes room from the next one, and what is transferred doesn't grow with the number of processes. An answer pairs a version with a proof that was taken before it; it could pair an older version with the proof of a newer read.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -16,6 +16,8 @@
 	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/internal/boottime"
 	"github.com/apricotway/apricotway/internal/pause"
+	"github.com/apricotway/apricotway/internal/stall"
+	"github.com/apricotway/apricotway/state/changeset"
 	"github.com/apricotway/apricotway/state/route"
 )
 
@@ -30,8 +32,10 @@
 	listPause = 600 * time.Millisecond
 	// minListPause is the shortest pause between two reads of the list.
 	minListPause = 100 * time.Millisecond
-	// answerMargin is the time that an answer may take beyond the requested wait.
+	// answerMargin is the time that an answer may take beyond the requested wait, or that the next part of it may take.
 	answerMargin = 800 * time.Millisecond
+	// transferTimeout bounds an answer that makes progress. A link of 10 Mbit/s, the narrowest supported, takes 12 MB in this time.
+	transferTimeout = 10 * time.Second
 	// restoreTime is the time after the store came back from an older copy for which entries that are older than those known before are
 	// ignored. Servers have registered again by then.
 	restoreTime = 5 * time.Second
@@ -82,16 +86,16 @@
 	boot func() time.Duration
 
 	table atomic.Pointer[route.Table]
-	// newest is the configuration that table was made from.
-	newest atomic.Pointer[apricotway.Deployment]
+	// enacted is closed and replaced when table changes.
+	enacted atomic.Pointer[chan struct{}]
 	// announcedVersion is the newest configuration version that another process has reported.
 	announcedVersion atomic.Uint64
-	announced        announcement
+	announced        announcements
 	// configFailing and listFailing are set while the last read of the configuration or of the list failed.
 	configFailing, listFailing atomic.Bool
 	queries                    *peerQueries
-	// refresh requests an immediate read of the configuration. The long-polling read can't serve as a newer proof, since its
-	// answer only proves what was current when it began.
+	// refresh requests an immediate attempt to get a newer configuration or proof. The long-polling read can't serve as a newer proof,
+	// since its answer only proves what was current when it began.
 	refresh chan struct{}
 	// provenAt is the boot time at which the newest successful read of the configuration began; 0 before the first.
 	provenAt atomic.Int64
@@ -99,8 +103,14 @@
 	// proven is closed and replaced when provenAt advances.
 	proven atomic.Pointer[chan struct{}]
 
-	// applying serialises the changes of table.
+	// applying serialises the changes of table. It guards history, whose newest document is the one that table was made from, and read.
 	applying sync.Mutex
+	history  changeset.History
+	read     readState
+
+	// fetching guards partial, and lets one goroutine at a time fetch a configuration from another process.
+	fetching sync.Mutex
+	partial  snapshot
 
 	mu sync.Mutex
 	// listed is set once the list of backend servers has been read.
@@ -136,6 +146,13 @@
 	rereadList bool
 }
 
+// readState is how far the configurations in the store are known, by this process's reads or through other processes.
+type readState struct {
+	position apricotway.StorePosition
+	// known is set when position can be used.
+	known bool
+}
+
 // removal is the last entry of a server that was removed.
 type removal struct {
 	backend apricotway.Backend
@@ -188,12 +205,15 @@
 	proven := make(chan struct{})
 	c.proven.Store(&proven)
 
+	enacted := make(chan struct{})
+	c.enacted.Store(&enacted)
+
 	for _, option := range options {
 		option(c)
 	}
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "configuration", Func: func(ctx context.Context) error {
-		return c.poll(ctx, "configuration", c.readDeployment(), pause.For, func(time.Time) bool { return false })
+		return c.poll(ctx, "configuration", c.readDeployment, pause.For, func(time.Time) bool { return false })
 	}})
 	supervisor.Add(apricotway.ServiceFunc{Name: "list of backend servers", Func: func(ctx context.Context) error {
 		return c.poll(ctx, "list of backend servers", c.readBackends(), c.pauseUnlessWanted, func(now time.Time) bool {
@@ -205,19 +225,19 @@
 		c.endRestore(now)
 	}))
 
-	supervisor.Add(apricotway.Periodic("age of the configuration", outdatedCheckPeriod, c.reportOutdated))
+	supervisor.Add(apricotway.Periodic("age of the configuration", outdatedCheckPeriod, c.checkOutdated))
 
 	if c.queries != nil {
 		supervisor.Add(apricotway.Periodic("news of other processes", queryCheckPeriod, c.queryIfNeeded))
 	}
 
-	supervisor.Add(apricotway.ServiceFunc{Name: "proof of the configuration", Func: c.proveOnRequest})
+	supervisor.Add(apricotway.ServiceFunc{Name: "proof of the configuration", Func: c.refreshOnRequest})
 
 	return c
 }
 
-// proveOnRequest reads the configuration at once when KeysFresh finds that the last proof is too old, as after a suspension.
-func (c *Catalog) proveOnRequest(ctx context.Context) error {
+// refreshOnRequest gets a newer configuration that is known to exist, or a newer proof of the one in force, as after a suspension.
+func (c *Catalog) refreshOnRequest(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -225,23 +245,37 @@
 		case <-c.refresh:
 		}
 
-		began := c.boot()
+		if err := c.refreshOnce(ctx); err != nil {
+			c.logger.V(1).Info("failed to read the configuration for a newer proof", "event", 287, "error", err.Error())
+		}
 
-		limited, cancel := context.WithTimeout(ctx, answerMargin)
-		deployment, _, err := c.store.Deployment(limited)
+		pause.For(ctx, minProofInterval)
+	}
+}
 
-		cancel()
-		c.configFailing.Store(err != nil)
+// refreshOnce asks other processes for a newer configuration before it reads the store: they tell what has changed, and the store only tells
+// all of it.
+func (c *Catalog) refreshOnce(ctx context.Context) error {
+	if c.announced.since.Load() != 0 {
+		err := c.fetchNewer(ctx)
 		c.noteAttempt(err)
 
-		if err == nil {
-			c.apply(deployment)
-			c.recordProof(began)
-		} else {
-			c.logger.V(1).Info("failed to read the configuration for a newer proof", "event", 287, "error", err.Error())
+		if err == nil && c.keysProven() {
+			return nil
 		}
+	}
 
-		pause.For(ctx, minProofInterval)
+	err := c.readConfiguration(ctx, 0)
+	c.configFailing.Store(err != nil)
+
+	return err
+}
+
+// requestRefresh requests another attempt to get a newer configuration or proof.
+func (c *Catalog) requestRefresh() {
+	select {
+	case c.refresh <- struct{}{}:
+	default:
 	}
 }
 
@@ -273,23 +307,20 @@
 // KeysFresh reports whether the configuration was proven to be the newest one within the key validity. The validity also runs out
 // while the machine is suspended. If the proof is too old, KeysFresh requests a new one.
 func (c *Catalog) KeysFresh() bool {
-	validity := time.Duration(c.keyValidity.Load())
-	if validity <= 0 {
+	if c.keysProven() {
 		return true
 	}
 
-	proof := time.Duration(c.provenAt.Load())
+	c.requestRefresh()
 
-	if proof != 0 && c.boot()-proof < validity {
-		return true
-	}
+	return false
+}
 
-	select {
-	case c.refresh <- struct{}{}:
-	default:
-	}
+// keysProven is like KeysFresh, but requests nothing.
+func (c *Catalog) keysProven() bool {
+	validity, proof := time.Duration(c.keyValidity.Load()), time.Duration(c.provenAt.Load())
 
-	return false
+	return validity <= 0 || proof != 0 && c.boot()-proof < validity
 }
 
 // AwaitKeys reports whether the configuration was proven to be the newest one within the key validity. If it was not, as after a
@@ -317,12 +348,12 @@
 	}
 }
 
-// Ready reports whether the configuration and the list of backend servers are known.
+// Ready reports whether the configuration and the list of backend servers are known, and calls can be decided by them.
 func (c *Catalog) Ready() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.listed && c.table.Load() != nil
+	return c.listed && c.table.Load() != nil && !c.Outdated()
 }
 
 // poll repeats a read until the context ends, and pauses while another process passes on what it reads. The first read after such
@@ -367,80 +398,78 @@
 	}
 }
 
-// readDeployment returns a function that reads the configuration once and remembers the position between calls.
-func (c *Catalog) readDeployment() func(ctx context.Context, fromScratch bool) error {
-	var (
-		position apricotway.StorePosition
-		known    bool
-	)
-
-	return func(ctx context.Context, fromScratch bool) error {
-		ctx, cancel := context.WithTimeout(ctx, configWait+answerMargin)
-		defer cancel()
+// readDeployment reads the configuration for poll.
+func (c *Catalog) readDeployment(ctx context.Context, _ bool) error {
+	err := c.readConfiguration(ctx, c.configReadWait())
+	c.recordRead(&c.configFailing, err == nil)
 
-		known = known && !fromScratch
-
-		began := c.boot()
+	if err == nil && c.table.Load() == nil {
+		pause.For(ctx, retryPause)
+	}
 
-		var (
-			deployment *apricotway.Deployment
-			err        error
-		)
+	return err
+}
 
-		era := position.Era
+// readConfiguration reads the configuration after the known position, or the newest one if no position is known, and waits for a newer one
+// up to the given time. The read may take long as long as it makes progress.
+func (c *Catalog) readConfiguration(ctx context.Context, wait time.Duration) error {
+	c.applying.Lock()
+	from := c.read
+	c.applying.Unlock()
 
-		if known {
-			deployment, position, err = c.store.DeploymentAfter(ctx, position, c.configReadWait())
-			if err == nil && position.Era != era {
-				// The changes before the position may be others than those that were read.
-				err = apricotway.ErrTrimmed
-			}
-		} else {
-			deployment, position, err = c.store.Deployment(ctx)
-			known = err == nil
-		}
+	if !from.known {
+		wait = 0
+	}
 
-		if errors.Is(err, apricotway.ErrTrimmed) {
-			known = false
-			return nil
-		}
+	ctx, cancel := context.WithTimeout(ctx, wait+transferTimeout)
+	defer cancel()
 
-		c.recordRead(&c.configFailing, err == nil)
-		c.noteAttempt(err)
+	ctx, end := stall.WithLimit(ctx, wait+answerMargin, answerMargin)
+	defer end()
 
-		if err != nil {
-			return err
-		}
+	began := c.boot()
 
-		c.apply(deployment)
-		c.recordProof(began)
+	var (
+		deployment *apricotway.Deployment
+		position   apricotway.StorePosition
+		err        error
+	)
 
-		if deployment == nil && c.table.Load() == nil {
-			pause.For(ctx, retryPause)
+	if from.known {
+		deployment, position, err = c.store.DeploymentAfter(ctx, from.position, wait)
+		if err == nil && position.Era != from.position.Era {
+			// The changes before the position may be others than those that were read.
+			err = apricotway.ErrTrimmed
 		}
+	}
 
-		return nil
+	if !from.known || errors.Is(err, apricotway.ErrTrimmed) {
+		deployment, position, err = c.store.Deployment(ctx)
 	}
-}
 
-// apply puts a configuration in force unless its version is not newer than the current one.
-func (c *Catalog) apply(deployment *apricotway.Deployment) {
-	if deployment == nil {
-		return
+	if err == nil {
+		err = c.apply(deployment, position)
 	}
 
-	c.applying.Lock()
-	defer c.applying.Unlock()
+	c.noteAttempt(err)
 
-	if current := c.table.Load(); current != nil && deployment.Version <= current.Version {
-		return
+	if err == nil {
+		c.recordProof(began)
 	}
 
+	return err
+}
+
+// enactLocked puts a configuration in force. The caller holds c.applying.
+func (c *Catalog) enactLocked(deployment *apricotway.Deployment) {
 	table := route.New(deployment)
-	c.newest.Store(deployment)
 	c.table.Store(table)
 	c.changed(table)
-	c.noteCaughtUp(table.Version)
+	c.noteInForce(table.Version)
+
+	next := make(chan struct{})
+	close(*c.enacted.Swap(&next))
+
 	c.logger.Info("put a new configuration in force", "event", 283, "version", deployment.Version, "routes", len(deployment.Routes),
 		"workspaces", len(deployment.Workspaces), "headerBytes", deployment.Limits.HeaderBytes, "bodyBytes", deployment.Limits.BodyBytes,
 		"headerTimeout", deployment.Limits.HeaderTimeout, "idleTimeout", deployment.Limits.IdleTimeout)
--- a/coordination/catalog/neighbours.go
+++ b/coordination/catalog/neighbours.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/state/changeset"
 )
 
 const (
@@ -31,12 +33,15 @@
 	Known Position
 	// Version is the version of the newest configuration that the requesting process has, 0 without one.
 	Version uint64
+	// Fetches is set when the requesting process fetches configurations. A release that doesn't set it expects them in the answer.
+	Fetches bool
 }
 
 // NewsReply is the answer to a NewsRequest.
 type NewsReply struct {
 	News News
-	// Deployment is the newest configuration as JSON, if it is newer than the requesting process's; otherwise it is empty.
+	// Deployment is the newest configuration as JSON, if it is newer than the requesting process's and that doesn't fetch it; otherwise it
+	// is empty.
 	Deployment []byte
 }
 
@@ -58,6 +63,10 @@
 		apricotway.HandlePeer(registry, methodNews, func(_ context.Context, request NewsRequest) (NewsReply, error) {
 			return c.reply(request)
 		})
+
+		apricotway.HandlePeer(registry, methodConfiguration, func(_ context.Context, request ConfigurationRequest) (ConfigurationPart, error) {
+			return c.part(request)
+		})
 	}
 }
 
@@ -65,12 +74,15 @@
 func (c *Catalog) reply(request NewsRequest) (NewsReply, error) {
 	reply := NewsReply{News: c.News(c.queries.membership.Self().Node, request.Known)}
 
-	deployment := c.newest.Load()
-	if !reply.News.Fresh || deployment == nil || deployment.Version <= request.Version {
+	if !reply.News.Fresh || request.Fetches || reply.News.Version <= request.Version {
 		return reply, nil
 	}
 
-	content, err := json.Marshal(deployment)
+	c.applying.Lock()
+	document := c.history.Newest()
+	c.applying.Unlock()
+
+	content, err := json.Marshal(document.Deployment)
 	if err != nil {
 		return NewsReply{}, errors.Wrap(err, "encode configuration")
 	}
@@ -87,14 +99,7 @@
 		return true
 	}
 
-	table := c.table.Load()
-
-	// The store may have come back from an older copy that lacks the version.
-	if table != nil && table.Version < c.announcedVersion.Load() {
-		return true
-	}
-
-	return c.configFailing.Load() && (table == nil || c.boot()-time.Duration(c.provenAt.Load()) > maxProofAge)
+	return c.configFailing.Load() && (c.table.Load() == nil || c.boot()-time.Duration(c.provenAt.Load()) > maxProofAge)
 }
 
 // queryIfNeeded asks other processes for news if this process needs them.
@@ -108,10 +113,17 @@
 	}
 }
 
+// alive returns the other live processes in random order.
+func (q *peerQueries) alive() []apricotway.Member {
+	members := slices.DeleteFunc(q.membership.Members(), func(m apricotway.Member) bool { return m.State != apricotway.MemberAlive })
+	rand.Shuffle(len(members), func(i, k int) { members[i], members[k] = members[k], members[i] })
+
+	return members
+}
+
 // queryAny asks random live processes until one has news.
 func (c *Catalog) queryAny(ctx context.Context) error {
-	members := c.queries.membership.Members()
-	rand.Shuffle(len(members), func(i, k int) { members[i], members[k] = members[k], members[i] })
+	members := c.queries.alive()
 
 	// Try the process that answered last first.
 	for i, member := range members {
@@ -120,15 +132,7 @@
 		}
 	}
 
-	asked := 0
-
-	for _, member := range members {
-		if member.State != apricotway.MemberAlive || asked == maxQueries {
-			continue
-		}
-
-		asked++
-
+	for _, member := range members[:min(len(members), maxQueries)] {
 		news, err := c.queryOne(ctx, member)
 		if err != nil {
 			c.logger.V(1).Info("failed to ask a process for news of the store", "event", 280, "member", member.Node, "error", err.Error())
@@ -146,31 +150,48 @@
 
 // queryOne asks one process, applies its news, and reports whether it had any.
 func (c *Catalog) queryOne(ctx context.Context, member apricotway.Member) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	limited, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 
-	request := NewsRequest{Known: c.Position()}
-	if table := c.table.Load(); table != nil {
-		request.Version = table.Version
-	}
-
+	request := NewsRequest{Known: c.Position(), Version: c.inForce(), Fetches: true}
 	sent := c.boot()
 
-	reply, err := apricotway.CallPeer[NewsReply](ctx, c.queries.peers, member.Peers, methodNews, request)
+	reply, err := apricotway.CallPeer[NewsReply](limited, c.queries.peers, member.Peers, methodNews, request)
 	if err != nil || !reply.News.Fresh {
 		return false, err
 	}
 
+	c.noteVersion(reply.News.Version, member.Node)
+
+	if err := c.obtain(ctx, member, reply); err != nil {
+		c.noteAttempt(err)
+		return false, err
+	}
+
+	c.ApplyNews(sent, reply.News)
+
+	return true, nil
+}
+
+// obtain puts the configuration that a reply names in force.
+func (c *Catalog) obtain(ctx context.Context, member apricotway.Member, reply NewsReply) error {
 	if len(reply.Deployment) > 0 {
 		deployment := &apricotway.Deployment{}
 		if err := json.Unmarshal(reply.Deployment, deployment); err != nil {
-			return false, errors.Wrap(err, "decode configuration")
+			return errors.Wrap(err, "decode configuration")
+		}
+
+		document, err := changeset.New(deployment, apricotway.StorePosition{})
+		if err != nil {
+			return err
 		}
 
-		c.apply(deployment)
+		return c.adopt(document)
 	}
 
-	c.ApplyNews(sent, reply.News)
+	if err := c.advance(reply.News.Configuration); err == nil && c.inForce() >= reply.News.Version {
+		return nil
+	}
 
-	return true, nil
+	return c.fetch(ctx, member)
 }
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -22,10 +22,13 @@
 	maxKeptChanges = 512
 )
 
-// Position is the position up to which a process has another one's changes of the list: the changes of Source up to Sequence.
+// Position is the position up to which a process has another one's changes of the list, those of Source up to Sequence, and the version of
+// the configuration that it has.
 type Position struct {
 	Source   apricotway.NodeID
 	Sequence uint64
+	// Configuration is 0 if the process has none, or runs a release that doesn't tell it.
+	Configuration uint64
 }
 
 // News is what one process passes on of what it read from the store, so that not every process has to read it.
@@ -37,8 +40,10 @@
 	// Whole reports whether Changes is the whole list rather than the changes after the requested position.
 	Whole   bool
 	Changes []apricotway.BackendChange
-	// Version is the version of the newest configuration. A process with an older one reads it from the store.
-	Version uint64
+	// Version is the version of the newest configuration, and Configuration holds encoded changes that lead to it. It is empty if these
+	// are not kept, and the process then fetches the configuration.
+	Version       uint64
+	Configuration [][]byte
 	// Age and ListAge are the times from the beginning of the last reads of the configuration and of the list until the news were
 	// made.
 	Age, ListAge time.Duration
@@ -74,7 +79,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.peerPosition
+	position := c.peerPosition
+	position.Configuration = c.inForce()
+
+	return position
 }
 
 // BootTime returns the time on the boot clock, on which the ages of proofs are measured. A caller passes it to ApplyNews.
@@ -82,15 +90,18 @@
 
 // News returns what this process read from the store after another one's position, or nothing if its own reads are too old.
 func (c *Catalog) News(self apricotway.NodeID, after Position) News {
+	// The proof has to be taken before the version: a newer one could be that of a newer version.
+	proven := c.provenAt.Load()
+	version, changes := c.changesAfter(after.Configuration)
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	table := c.table.Load()
-	age := c.boot() - time.Duration(c.provenAt.Load())
+	age := c.boot() - time.Duration(proven)
 
 	listAge := c.boot() - c.listAsOf
 
-	if table == nil || !c.listed || c.provenAt.Load() == 0 || age > maxProofAge || listAge > maxListAge {
+	if version == 0 || !c.listed || proven == 0 || age > maxProofAge || listAge > maxListAge {
 		return News{}
 	}
 
@@ -101,7 +112,7 @@
 	}
 
 	news := News{
-		Position: Position{Source: self, Sequence: c.journal.sequence}, Fresh: true, Version: table.Version, Age: age,
+		Position: Position{Source: self, Sequence: c.journal.sequence}, Fresh: true, Version: version, Configuration: changes, Age: age,
 		ListAge: listAge,
 	}
 
@@ -126,6 +137,10 @@
 		return
 	}
 
+	if err := c.advance(news.Configuration); err != nil {
+		c.noteAttempt(err)
+	}
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -156,7 +171,7 @@
 	c.advanceListLocked(c.newsAsOf)
 }
 
-// applyProof uses the news as a proof of this process's configuration, or requests a read if the news name a newer version.
+// applyProof uses the news as a proof of this process's configuration, or requests a newer one if the news name it.
 func (c *Catalog) applyProof(sent time.Duration, news News) {
 	// The proof is about the version in the news, so it holds only for a process that has that version.
 	table := c.table.Load()
@@ -165,12 +180,8 @@
 		return
 	}
 
-	c.noteVersion(news.Version)
-
-	select {
-	case c.refresh <- struct{}{}:
-	default:
-	}
+	c.noteVersion(news.Version, news.Source)
+	c.requestRefresh()
 }
 
 // hasFreshNews reports whether another process currently passes its news on to this one.
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -298,6 +298,8 @@
 	mu       sync.Mutex
 	handlers map[string]apricotway.PeerHandler
 	cut      bool
+	// deliver, if not nil, returns once an answer has arrived, or why it does not.
+	deliver func(ctx context.Context, answer []byte) error
 }
 
 // process implements the peers, the registry and the membership of one process of the exchange.
@@ -310,23 +312,28 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(node[0]))
 }
 
-func (s *process) Register(_ apricotway.Method, handler apricotway.PeerHandler) {
+func (s *process) Register(method apricotway.Method, handler apricotway.PeerHandler) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.handlers[s.address(s.node).String()] = handler
+	s.handlers[s.address(s.node).String()+string(method)] = handler
 }
 
-func (s *process) Call(ctx context.Context, to netip.AddrPort, _ apricotway.Method, payload []byte) ([]byte, error) {
+func (s *process) Call(ctx context.Context, to netip.AddrPort, method apricotway.Method, payload []byte) ([]byte, error) {
 	s.mu.Lock()
-	handler, cut := s.handlers[to.String()], s.cut
+	handler, cut := s.handlers[to.String()+string(method)], s.cut
 	s.mu.Unlock()
 
 	if cut || handler == nil {
 		return nil, apricotway.ErrNotSent
 	}
 
-	return handler(ctx, payload)
+	answer, err := handler(ctx, payload)
+	if err != nil || s.deliver == nil {
+		return answer, err
+	}
+
+	return answer, s.deliver(ctx, answer)
 }
 
 func (s *process) Self() apricotway.Member { return apricotway.Member{Node: apricotway.NodeID(s.node)} }
