Read a newer configuration from the store if no asked process has it

Callers saw 503 (outdatedConfiguration) at all processes from 1 s after a new version on, for 3 s with a key validity of 4 s and without end where keys are valid without proof. fetchNewer returned nil if the last asked process had nothing newer, as if the newest known version were in force, and refreshOnce then did not read the store while keys were proven. It needs an announcer that can't be asked: of a release without the method, on a link that carries no part within its time, or gone.

TestVersionThatNoAskedProcessHas failed before: version 3 in place of 8 after 2 s (both cases) and after 30 s (validity 0).

--- a/coordination/catalog/configuration.go
+++ b/coordination/catalog/configuration.go
@@ -220,6 +220,10 @@
 		}
 	}
 
+	if result == nil {
+		return errNotHeld
+	}
+
 	return result
 }
 
