Apply the list of backend servers before a newer configuration is fetched

At a process that the store doesn't answer, calls went to servers that had left, as queryOne dropped the list of an answer whose configuration could not be fetched, and kept it back while one was being fetched.

TestListWithoutConfiguration failed before: a leaving server was taken for one that stays, and a new one was not known, 3 s after the change.

--- a/coordination/catalog/neighbours.go
+++ b/coordination/catalog/neighbours.go
@@ -161,14 +161,18 @@
 		return false, err
 	}
 
-	c.noteVersion(reply.News.Version, member.Node)
+	// The list of backend servers doesn't wait for the configuration.
+	c.ApplyNews(sent, reply.News)
 
 	if err := c.obtain(ctx, member, reply); err != nil {
 		c.noteAttempt(err)
 		return false, err
 	}
 
-	c.ApplyNews(sent, reply.News)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.applyProof(sent, reply.News)
 
 	return true, nil
 }
--- a/coordination/catalog/sources_test.go
+++ b/coordination/catalog/sources_test.go
@@ -7,6 +7,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/state/dispatch"
 )
 
 // forget removes the handler of a method, as of a process of a release that lacks it.
@@ -71,3 +72,45 @@
 		})
 	}
 }
+
+// TestListWithoutConfiguration guards a process that the store doesn't answer against missing changes of the list of backend servers while
+// it can't get a newer configuration.
+func TestListWithoutConfiguration(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		network := &exchange{handlers: map[string]apricotway.PeerHandler{}}
+		readerStore, receiverStore := newStore(), newStore()
+
+		for _, s := range []*store{readerStore, receiverStore} {
+			s.publish(3)
+			s.register("a", false)
+		}
+
+		begin := func(node string, s *store) (*catalog.Catalog, *dispatch.Pool) {
+			self := &process{exchange: network, node: node}
+			return start(t, s, catalog.WithPeerNews(self, self, self))
+		}
+
+		begin("a", readerStore)
+		begin("b", readerStore)
+		_, pool := begin("c", receiverStore)
+
+		wait(2 * time.Second)
+
+		for _, node := range []string{"a", "b"} {
+			(&process{exchange: network, node: node}).forget("configuration")
+		}
+
+		receiverStore.set(func(s *store) { s.down = true })
+		readerStore.publishLarge(8)
+		wait(2 * time.Second)
+		readerStore.register("a", true)
+		readerStore.register("b", false)
+		wait(3 * time.Second)
+
+		if !pool.Leaving("a") {
+			t.Error("got a server that stays, want one that leaves")
+		}
+
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"b": true})
+	})
+}
