Read on after a configuration that can't be decoded

A process that met a version which it can't decode stayed at the older one for good, also after the operator had replaced it: the read after the position returned an error with the newer configuration, which was dropped, and the position stayed before both, so that each read met the same error, whole configurations again every 0.15 s. Reads without an error advance the position only since it is kept in Catalog; before, the reader took the position that came with the error.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -441,6 +441,10 @@
 			// The changes before the position may be others than those that were read.
 			err = apricotway.ErrTrimmed
 		}
+
+		if err != nil {
+			c.skipTo(from, position)
+		}
 	}
 
 	if !from.known || errors.Is(err, apricotway.ErrTrimmed) {
@@ -460,6 +464,16 @@
 	return err
 }
 
+// skipTo makes the next read begin after a configuration that can't be decoded, the position past which came with the error of a read.
+func (c *Catalog) skipTo(from readState, position apricotway.StorePosition) {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+
+	if c.read == from && position.Offset > from.position.Offset && position.Era == from.position.Era {
+		c.read.position = position
+	}
+}
+
 // enactLocked puts a configuration in force. The caller holds c.applying.
 func (c *Catalog) enactLocked(deployment *apricotway.Deployment) {
 	table := route.New(deployment)
