Guard news against the proof of a newer version

Before, News loaded the version first: a read that ended between the two could put the next version in force and record its proof, so that a process with the older version recorded that proof for it, and accepted keys that the next version had taken away for up to the key validity.

TestProofOfOlderVersion failed on ("got a proof of version 3 as of 0s after the news were asked for").

--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -92,13 +92,12 @@
 func (c *Catalog) News(self apricotway.NodeID, after Position) News {
 	// The proof has to be taken before the version: a newer one could be that of a newer version.
 	proven := c.provenAt.Load()
+	age := c.boot() - time.Duration(proven)
 	version, changes := c.changesAfter(after.Configuration)
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	age := c.boot() - time.Duration(proven)
-
 	listAge := c.boot() - c.listAsOf
 
 	if version == 0 || !c.listed || proven == 0 || age > maxProofAge || listAge > maxListAge {
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net/netip"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -403,3 +405,49 @@
 		}
 	})
 }
+
+// TestProofOfOlderVersion guards against revoked keys that are accepted since news pair an older version with the proof of a read that found
+// a newer one.
+func TestProofOfOlderVersion(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(3)
+		s.register("a", false)
+
+		begin := time.Now()
+
+		var (
+			reader     *catalog.Catalog
+			duringNews atomic.Bool
+		)
+
+		// A read for a newer proof finds the next version while the news are made.
+		reader, _ = start(t, s, catalog.WithKeyValidity(100*time.Millisecond), catalog.WithBootClock(func() time.Duration {
+			if duringNews.CompareAndSwap(true, false) {
+				s.publish(8)
+
+				for !reader.KeysFresh() {
+					runtime.Gosched()
+				}
+			}
+
+			return time.Hour + time.Since(begin)
+		}))
+
+		wait(time.Second)
+
+		asked := reader.BootTime()
+
+		duringNews.Store(true)
+
+		news := reader.News("reader", catalog.Position{})
+
+		if got, want := version(reader), uint64(8); got != want {
+			t.Fatalf("got version %d after the news, want %d", got, want)
+		}
+
+		if got, want := reader.BootTime()-news.Age, asked; !news.Fresh || news.Version < 8 && got >= want {
+			t.Errorf("got a proof of version %d as of %s after the news were asked for, want an earlier one", news.Version, got-want)
+		}
+	})
+}
