Try the store when another process replaces the configuration that is being fetched

Callers saw 503 (outdatedConfiguration) at a process for as long as versions with changes of over 16 KB came faster than it got a whole configuration from another process, although the store answered at once: fetch began again with each version, met no error and did not return, and the goroutine that reads the store waits for it.

Now the store is read after the first replacement.

--- a/coordination/catalog/configuration.go
+++ b/coordination/catalog/configuration.go
@@ -27,6 +27,10 @@
 	maxPartFailures = 3
 )
 
+// errReplaced reports that a process has replaced the whole configuration of which this one has a part. Versions with large changes may come
+// faster than their parts, so that other sources have to be tried.
+var errReplaced = errors.New("the process tells another version from its beginning")
+
 // errNotHeld reports that a process has no newer configuration.
 var errNotHeld = errors.New("the process has no newer configuration")
 
@@ -267,6 +271,10 @@
 			if err := c.takePart(member.Node, part); err != nil {
 				return err
 			}
+
+			if part.Offset < request.Offset {
+				return errReplaced
+			}
 		default:
 			return errNotHeld
 		}
--- a/coordination/catalog/sources_test.go
+++ b/coordination/catalog/sources_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -114,3 +115,49 @@
 		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"b": true})
 	})
 }
+
+// TestLargeChangesFasterThanTheirParts guards against a process that fetches a configuration from another one again and again, which has a newer
+// one each time before the last part has come, and never reads the store.
+func TestLargeChangesFasterThanTheirParts(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		const bytesPerSecond = 100_000
+
+		network := &exchange{handlers: map[string]apricotway.PeerHandler{}}
+		network.deliver = func(ctx context.Context, answer []byte) error {
+			select {
+			case <-time.After(time.Duration(len(answer)) * time.Second / bytesPerSecond):
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+
+		begin := func(node string, s *store) *catalog.Catalog {
+			self := &process{exchange: network, node: node}
+			c, _ := start(t, s, catalog.WithPeerNews(self, self, self))
+
+			return c
+		}
+
+		s := newStore()
+		s.publish(2)
+
+		reader, receiver := begin("a", s), begin("c", s)
+		begin("b", s)
+		wait(time.Second)
+
+		for v := uint64(3); v < 50; v++ {
+			deployment := largeDeployment(v)
+			for i := range 200 {
+				deployment.Routes[i].Timeout = time.Duration(v)
+			}
+
+			s.set(func(s *store) { s.deployments = append(s.deployments, deployment) })
+			relay(reader, receiver, 600*time.Millisecond)
+
+			if got := receiver.Versions(); got.OutdatedFor > 2*time.Second {
+				t.Fatalf("got %+v with a store that answers at once, want a configuration that is at most 2s behind", got)
+			}
+		}
+	})
+}
