Keep the position that others told of during a read of the configuration

A read that takes long ended with the position after the version that it had returned, also where another process had told of newer ones meanwhile, and the next read got all of these whole, over the link that had made the first one long.

TestReadThatEndsBehindChangesOfOthers failed before: 3 configurations read, want 2 (the store of the test returns only the last of those after a position; the platform's returns each, up to 1 MB).

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -452,7 +452,7 @@
 	}
 
 	if err == nil {
-		err = c.apply(deployment, position)
+		err = c.apply(deployment, from, position)
 	}
 
 	c.noteAttempt(err)
--- a/coordination/catalog/configuration.go
+++ b/coordination/catalog/configuration.go
@@ -71,8 +71,8 @@
 }
 
 // apply puts a configuration from the operators' store in force unless its version is not newer than the current one. The position is the
-// one after its record.
-func (c *Catalog) apply(deployment *apricotway.Deployment, position apricotway.StorePosition) error {
+// one after its record, and from what was known when the read began.
+func (c *Catalog) apply(deployment *apricotway.Deployment, from readState, position apricotway.StorePosition) error {
 	c.applying.Lock()
 	defer c.applying.Unlock()
 
@@ -89,7 +89,10 @@
 		c.enactLocked(deployment)
 	}
 
-	c.read = readState{position: position, known: true}
+	// A configuration from another process may have led further during the read.
+	if c.read == from {
+		c.read = readState{position: position, known: true}
+	}
 
 	return nil
 }
