Put the versions before a change that can't be used in force

An answer with several changes, the last of which can't be applied (another release, another store), left the process at the version before all of them, also when it came again: the history had moved on, and its newest document was not the one in force.

TestChangeThatDoesNotApply failed before: version 1, want 2.

--- a/coordination/catalog/configuration.go
+++ b/coordination/catalog/configuration.go
@@ -126,29 +126,38 @@
 		return nil
 	}
 
+	document, err := c.followLocked(document, changes)
+
+	if document.Deployment.Version > c.inForce() {
+		c.enactLocked(document.Deployment)
+		c.continueAtLocked(document.Position)
+	}
+
+	return err
+}
+
+// followLocked applies encoded changes to the newest document, and returns the one to which those before the first error lead.
+func (c *Catalog) followLocked(document *changeset.Document, changes [][]byte) (*changeset.Document, error) {
 	for _, content := range changes {
 		change, err := changeset.DecodeChange(content)
 		if err != nil {
-			return err
+			return document, err
 		}
 
 		if change.To <= document.Deployment.Version {
 			continue
 		}
 
-		if document, err = document.Apply(change); err != nil {
-			return err
+		next, err := document.Apply(change)
+		if err != nil {
+			return document, err
 		}
 
-		c.history.AdvanceBy(document, content)
-	}
-
-	if document.Deployment.Version > c.inForce() {
-		c.enactLocked(document.Deployment)
-		c.continueAtLocked(document.Position)
+		c.history.AdvanceBy(next, content)
+		document = next
 	}
 
-	return nil
+	return document, nil
 }
 
 // continueAtLocked makes the next read of the store begin after the record of a configuration from another process.
--- a/coordination/catalog/sources_test.go
+++ b/coordination/catalog/sources_test.go
@@ -8,6 +8,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/state/changeset"
 	"github.com/apricotway/apricotway/state/dispatch"
 )
 
@@ -161,3 +162,44 @@
 		}
 	})
 }
+
+// TestChangeThatDoesNotApply guards against a version that is not put in force since the change after it, in the same answer, can't be used.
+func TestChangeThatDoesNotApply(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(1)
+
+		c, _ := start(t, s)
+		wait(time.Second)
+		s.set(func(s *store) { s.down = true })
+
+		document := func(version uint64) *changeset.Document {
+			d, err := changeset.New(&apricotway.Deployment{Version: version}, apricotway.StorePosition{})
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			return d
+		}
+
+		good, bad := changeset.Between(document(1), document(2)), changeset.Between(document(2), document(3))
+		bad.Digest = nil
+
+		news := catalog.News{Fresh: true, Version: 3}
+
+		for _, change := range []*changeset.Change{good, bad} {
+			content, err := change.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			news.Configuration = append(news.Configuration, content)
+		}
+
+		c.ApplyNews(c.BootTime(), news)
+
+		if got, want := version(c), uint64(2); got != want {
+			t.Errorf("got version %d, want %d", got, want)
+		}
+	})
+}
