Keep the first time limit of an operation that has made progress

A long-polling read whose answer begins at once, as through a proxy or from a store that sends its header first, would be ended 0.8 s later, before its wait of 1.5 s is over: Progress replaced the first limit by the shorter one. Not seen with the stand-in, which sends nothing before the wait is over.

--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -18,12 +18,14 @@
 type watch struct {
 	timer *time.Timer
 	limit time.Duration
+	// earliest is the time before which the context does not end.
+	earliest time.Time
 }
 
 // WithLimit returns a context that ends when the operation has made no progress for first at its beginning, or for limit after that.
 func WithLimit(parent context.Context, first, limit time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
-	w := &watch{limit: limit, timer: time.AfterFunc(first, func() { cancel(ErrStalled) })}
+	w := &watch{limit: limit, earliest: time.Now().Add(first), timer: time.AfterFunc(first, func() { cancel(ErrStalled) })}
 
 	return context.WithValue(ctx, contextKey{}, w), func() {
 		w.timer.Stop()
@@ -35,7 +37,7 @@
 func Progress(ctx context.Context) {
 	// A timer that has fired must not be started again.
 	if w, ok := ctx.Value(contextKey{}).(*watch); ok && w.timer.Stop() {
-		w.timer.Reset(w.limit)
+		w.timer.Reset(max(w.limit, time.Until(w.earliest)))
 	}
 }
 
--- a/internal/stall/stall_test.go
+++ b/internal/stall/stall_test.go
@@ -36,3 +36,18 @@
 		}
 	})
 }
+
+// TestProgressKeepsFirstLimit guards operations whose answer begins at once and goes on only after a wait against being ended within it.
+func TestProgressKeepsFirstLimit(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		ctx, cancel := stall.WithLimit(t.Context(), 2*time.Second, time.Second)
+		defer cancel()
+
+		stall.Progress(ctx)
+		<-time.After(1900 * time.Millisecond)
+
+		if err := ctx.Err(); err != nil {
+			t.Errorf("got %v before the first limit, want no end", err)
+		}
+	})
+}
