Let reads of the list of backend servers go on while they make progress

TestReadOfListThatTakesLong failed before: a server was not known, and the process not ready, 5 s after the start with 1.5 s for the list.

--- a/coordination/catalog/position_test.go
+++ b/coordination/catalog/position_test.go
@@ -1,10 +1,13 @@
 package catalog_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/internal/stall"
 )
 
 // TestReadThatEndsBehindChangesOfOthers guards against configurations that are read again since a long read ended after others had told of newer
@@ -46,3 +49,44 @@
 		}
 	})
 }
+
+// narrowListStore is a store whose whole list of backend servers takes some time to arrive, in several parts.
+type narrowListStore struct {
+	*store
+
+	delay time.Duration
+}
+
+func (s *narrowListStore) Backends(ctx context.Context) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	const parts = 10
+
+	changes, position, err := s.store.Backends(ctx)
+
+	for range parts {
+		select {
+		case <-time.After(s.delay / parts):
+			stall.Progress(ctx)
+		case <-ctx.Done():
+			return nil, position, context.Cause(ctx)
+		}
+	}
+
+	return changes, position, err
+}
+
+// TestReadOfListThatTakesLong guards against reads of a long list of backend servers that are given up while they make progress.
+func TestReadOfListThatTakesLong(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := &narrowListStore{newStore(), 1500 * time.Millisecond}
+		s.publish(3)
+		s.register("a", false)
+
+		c, pool := start(t, s)
+		wait(5 * time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": true})
+
+		if got, want := c.Ready(), true; got != want {
+			t.Errorf("got ready: %t, want %t", got, want)
+		}
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -10,6 +10,7 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/internal/pause"
+	"github.com/apricotway/apricotway/internal/stall"
 )
 
 // readBackends returns a function that reads the list of backend servers once and remembers the position between calls.
@@ -25,9 +26,12 @@
 		requested = c.paceRequested(ctx, requested)
 		known = known && !fromScratch && !c.takeReread()
 
-		limited, cancel := context.WithTimeout(ctx, listWait+answerMargin)
+		limited, cancel := context.WithTimeout(ctx, listWait+transferTimeout)
 		defer cancel()
 
+		limited, end := stall.WithLimit(limited, listWait+answerMargin, answerMargin)
+		defer end()
+
 		var (
 			changes []apricotway.BackendChange
 			err     error
