Let processes read a configuration that their reader receives slowly

Callers were refused by an older configuration at all processes (404, 401) while the holder of the duties, which reads the store for all, took long to read a newer one over its busy link: the others heard nothing of it, took the older one for proven, and read the store only when the news had become too old.

News now say when a configuration has been arriving for over 0.4 s, and the others then read the store themselves.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -36,6 +36,8 @@
 	answerMargin = 800 * time.Millisecond
 	// transferTimeout bounds an answer that makes progress. A link of 10 Mbit/s, the narrowest supported, takes 12 MB in this time.
 	transferTimeout = 10 * time.Second
+	// slowRead is the time from which other processes read a configuration themselves that this one receives for them.
+	slowRead = 400 * time.Millisecond
 	// restoreTime is the time after the store came back from an older copy for which entries that are older than those known before are
 	// ignored. Servers have registered again by then.
 	restoreTime = 5 * time.Second
@@ -108,6 +110,9 @@
 	history  changeset.History
 	read     readState
 
+	// arriving is the boot time at which the answer to a read of the configuration has begun to arrive; 0 while none does.
+	arriving atomic.Int64
+
 	// fetching guards partial, and lets one goroutine at a time fetch a configuration from another process.
 	fetching sync.Mutex
 	partial  snapshot
@@ -427,6 +432,9 @@
 	ctx, end := stall.WithLimit(ctx, wait+answerMargin, answerMargin)
 	defer end()
 
+	stall.OnProgress(ctx, func() { c.arriving.CompareAndSwap(0, int64(c.boot())) })
+	defer c.arriving.Store(0)
+
 	began := c.boot()
 
 	var (
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -44,6 +44,8 @@
 	// are not kept, and the process then fetches the configuration.
 	Version       uint64
 	Configuration [][]byte
+	// Arriving is set while the process takes long to read what may be a newer configuration.
+	Arriving bool
 	// Age and ListAge are the times from the beginning of the last reads of the configuration and of the list until the news were
 	// made.
 	Age, ListAge time.Duration
@@ -112,7 +114,7 @@
 
 	news := News{
 		Position: Position{Source: self, Sequence: c.journal.sequence}, Fresh: true, Version: version, Configuration: changes, Age: age,
-		ListAge: listAge,
+		ListAge: listAge, Arriving: c.readsSlowly(),
 	}
 
 	if changes, ok := c.journal.after(after.Sequence); ok && after.Source == self {
@@ -170,8 +172,19 @@
 	c.advanceListLocked(c.newsAsOf)
 }
 
+// readsSlowly reports whether this process has been receiving a configuration for so long that others should read it themselves.
+func (c *Catalog) readsSlowly() bool {
+	began := c.arriving.Load()
+
+	return began != 0 && c.boot()-time.Duration(began) > slowRead
+}
+
 // applyProof uses the news as a proof of this process's configuration, or requests a newer one if the news name it.
 func (c *Catalog) applyProof(sent time.Duration, news News) {
+	if news.Arriving {
+		c.requestRefresh()
+	}
+
 	// The proof is about the version in the news, so it holds only for a process that has that version.
 	table := c.table.Load()
 	if table != nil && table.Version >= news.Version {
--- a/coordination/catalog/position_test.go
+++ b/coordination/catalog/position_test.go
@@ -90,3 +90,45 @@
 		}
 	})
 }
+
+// TestReaderOnBusyLink guards against calls that all processes refuse by an older configuration while the one that reads the store for them
+// takes long to read the newer one.
+func TestReaderOnBusyLink(t *testing.T) {
+	for _, delay := range []time.Duration{time.Second, 1500 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		t.Run(delay.String(), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				const asked = 430 * time.Millisecond
+
+				s := newStore()
+				s.publish(3)
+
+				readerStore, receiverStore := &narrowStore{store: s}, &narrowStore{store: s, delay: 300 * time.Millisecond}
+				reader, _ := start(t, readerStore)
+				receiver, _ := start(t, receiverStore)
+
+				reader.SetReader(true, asked)
+				wait(time.Second)
+
+				ask := func(duration time.Duration) {
+					for range duration / asked {
+						receiver.ApplyNews(receiver.BootTime(), reader.News("reader", receiver.Position()))
+						wait(asked)
+					}
+				}
+
+				ask(10 * asked)
+				readerStore.set(func(*store) { readerStore.delay = delay })
+				s.publish(8)
+
+				began := time.Now()
+				for version(receiver) < 8 && time.Since(began) < 20*time.Second {
+					ask(asked)
+				}
+
+				if got := time.Since(began); got > 2*time.Second {
+					t.Errorf("got version 8 after %s, want it within 2s", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -20,6 +20,8 @@
 	limit time.Duration
 	// earliest is the time before which the context does not end.
 	earliest time.Time
+	// progressed, if not nil, is called with each progress.
+	progressed func()
 }
 
 // WithLimit returns a context that ends when the operation has made no progress for first at its beginning, or for limit after that.
@@ -33,11 +35,25 @@
 	}
 }
 
+// OnProgress sets a function that is called with each progress of the operation of a context. It must be called before the operation begins.
+func OnProgress(ctx context.Context, progressed func()) {
+	if w, ok := ctx.Value(contextKey{}).(*watch); ok {
+		w.progressed = progressed
+	}
+}
+
 // Progress reports that the operation of a context has made progress.
 func Progress(ctx context.Context) {
 	// A timer that has fired must not be started again.
-	if w, ok := ctx.Value(contextKey{}).(*watch); ok && w.timer.Stop() {
-		w.timer.Reset(max(w.limit, time.Until(w.earliest)))
+	w, ok := ctx.Value(contextKey{}).(*watch)
+	if !ok || !w.timer.Stop() {
+		return
+	}
+
+	w.timer.Reset(max(w.limit, time.Until(w.earliest)))
+
+	if w.progressed != nil {
+		w.progressed()
 	}
 }
 
