Bound what a process sends of configurations to others

Callers got 503 (outdatedConfiguration) at most hosts at the same time.

A process now sends 256 KB a second, and answers further requests that it is busy; these processes read the store, and later ones find others that have the version.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -105,10 +105,11 @@
 	// proven is closed and replaced when provenAt advances.
 	proven atomic.Pointer[chan struct{}]
 
-	// applying serialises the changes of table. It guards history, whose newest document is the one that table was made from, and read.
+	// applying serialises the changes of table. It guards history, whose newest document is the one that table was made from, read and supply.
 	applying sync.Mutex
 	history  changeset.History
 	read     readState
+	supply   supply
 
 	// arriving is the boot time at which the answer to a read of the configuration has begun to arrive; 0 while none does.
 	arriving atomic.Int64
--- a/coordination/catalog/configuration.go
+++ b/coordination/catalog/configuration.go
@@ -18,6 +18,10 @@
 	partBytes = 32 << 10
 	// partTimeout bounds the request for one part.
 	partTimeout = time.Second
+	// supplyRate and supplyBurst bound in bytes a second, and in bytes, what a process sends of configurations to others, so that many that
+	// ask at the same time don't fill its link with answers that come too late. The rate is a fifth of a link of 10 Mbit/s.
+	supplyRate  = 256 << 10
+	supplyBurst = 128 << 10
 	// maxSnapshotBytes bounds the size of a whole configuration that is fetched.
 	maxSnapshotBytes = 64 << 20
 	// maxSources bounds the processes that are asked for a newer configuration, one after the other.
@@ -31,6 +35,9 @@
 // faster than their parts, so that other sources have to be tried.
 var errReplaced = errors.New("the process tells another version from its beginning")
 
+// errBusy reports that a process sends as much to others as it may.
+var errBusy = errors.New("the process sends configurations to others")
+
 // errNotHeld reports that a process has no newer configuration.
 var errNotHeld = errors.New("the process has no newer configuration")
 
@@ -50,6 +57,8 @@
 type ConfigurationPart struct {
 	// Version is the version in force at the answering process.
 	Version uint64
+	// Busy is set if there is nothing but Version since the process sends as much to others as it may.
+	Busy bool
 	// Changes are encoded changes that lead on from the requested version.
 	Changes [][]byte
 	// Content is the part from Offset on of the Size bytes of an encoded whole configuration of version Snapshot.
@@ -59,6 +68,26 @@
 	Content  []byte
 }
 
+// supply is the allowance for what a process sends of configurations to others.
+type supply struct {
+	bytes float64
+	at    time.Duration
+}
+
+// take takes bytes from the allowance at a boot time, and reports whether there were any. An answer may overdraw it.
+func (s *supply) take(now time.Duration, bytes int) bool {
+	s.bytes = min(s.bytes+supplyRate*(now-s.at).Seconds(), supplyBurst)
+	s.at = now
+
+	if s.bytes <= 0 {
+		return false
+	}
+
+	s.bytes -= float64(bytes)
+
+	return true
+}
+
 // snapshot is what this process has of a whole configuration that it fetches. It is kept between attempts.
 type snapshot struct {
 	// source is the process from which the content comes. Others may have a whole configuration of another version.
@@ -189,8 +218,7 @@
 
 	if !request.Whole {
 		if changes, ok := c.history.After(request.Version, partBytes); ok {
-			part.Changes = changes
-			return part, nil
+			return c.supplyLocked(part, func(part *ConfigurationPart) { part.Changes = changes }, changes...), nil
 		}
 	}
 
@@ -199,15 +227,30 @@
 		return ConfigurationPart{}, err
 	}
 
-	part.Snapshot, part.Size = version, len(content)
-
+	offset := 0
 	if request.Snapshot == version && request.Offset > 0 && request.Offset < len(content) {
-		part.Offset = request.Offset
+		offset = request.Offset
+	}
+
+	piece := content[offset:min(offset+partBytes, len(content))]
+
+	return c.supplyLocked(part, func(part *ConfigurationPart) {
+		part.Snapshot, part.Size, part.Offset, part.Content = version, len(content), offset, piece
+	}, piece), nil
+}
+
+// supplyLocked fills an answer with contents if this process may send them. The caller holds c.applying.
+func (c *Catalog) supplyLocked(part ConfigurationPart, fill func(part *ConfigurationPart), contents ...[]byte) ConfigurationPart {
+	size := 0
+	for _, content := range contents {
+		size += len(content)
 	}
 
-	part.Content = content[part.Offset:min(part.Offset+partBytes, len(content))]
+	if part.Busy = !c.supply.take(c.boot(), size); !part.Busy {
+		fill(&part)
+	}
 
-	return part, nil
+	return part
 }
 
 // fetchNewer gets a newer configuration from other processes, first from the one that announced it. It returns nil once the newest known
@@ -276,6 +319,8 @@
 			return err
 		case part.Version <= request.Version:
 			return nil
+		case part.Busy:
+			return errBusy
 		case len(part.Changes) > 0 && !request.Whole:
 			// The other process may run another release, or its changes may be of a store before a restore.
 			request.Whole = c.advance(part.Changes) != nil || c.inForce() <= request.Version
