Enforce limits that the center's configuration does not have yet

Callers of a workspace whose limit was new or lowered got several times the limit while the holder of the duties had an older configuration than the processes that they called.

The center keeps its buckets by its own configuration. Asked for credit of a workspace without a bucket it granted any cost, and under a lowered limit it granted by the higher one. The processes that asked knew the newer limit, but neither a report nor a request for credit told it, and a process spends what the center grants.

Reports and requests now state the limit that the process goes by, with the version of its configuration. A center applies it if that version is newer than its own, until its own configuration is as new. Asked without a stated limit, as by a process of the build before, a center without a limit decides nothing, and the process spends from its even share. A configuration that removes a limit still lifts it: the center's version is the newer one then.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -175,7 +175,7 @@
 		catalog.WithListRead(e.pool.Origins().SetListed),
 		catalog.WithChanged(func(t *route.Table) {
 			e.limits.Replace(time.Now(), statedLimits(t.Limits))
-			e.limiter.SetLimits(time.Now(), t.Workspaces())
+			e.limiter.SetLimits(time.Now(), t.Version, t.Workspaces())
 			e.pool.Origins().SetLifetime(t.LongestStream())
 		}))
 
--- a/coordination/rollup/limits.go
+++ b/coordination/rollup/limits.go
@@ -16,11 +16,13 @@
 	Node      apricotway.NodeID
 	Workspace apricotway.Workspace
 	Cost      float64
+	// Stated is the limit that the process goes by.
+	Stated quota.StatedLimit
 }
 
 // CreditDecision is the answer to a CreditRequest.
 type CreditDecision struct {
-	// Holding reports whether the answering process holds the duties; if not, the rest is empty.
+	// Holding reports whether the answering process holds the duties and has decided; if not, the rest is empty.
 	Holding bool
 	// Wait is 0 if the cost was granted; otherwise it is the time after which the bucket may hold that much.
 	Wait time.Duration
@@ -32,7 +34,9 @@
 func (r *Rollup) Take(ctx context.Context, workspace apricotway.Workspace, cost float64) (time.Duration, bool) {
 	verdict, wait := r.Limiter.Take(time.Now(), workspace, cost)
 	if verdict == quota.Ask {
-		answer, ok := r.requestCredit(ctx, CreditRequest{Node: r.membership.Self().Node, Workspace: workspace, Cost: cost})
+		answer, ok := r.requestCredit(ctx, CreditRequest{
+			Node: r.membership.Self().Node, Workspace: workspace, Cost: cost, Stated: r.Limiter.Stated(workspace),
+		})
 		if ok {
 			r.Limiter.RecordAnswer(time.Now(), workspace, answer.Wait)
 			return answer.Wait, answer.Wait == 0
@@ -53,7 +57,8 @@
 // decided.
 func (r *Rollup) requestCredit(ctx context.Context, request CreditRequest) (CreditDecision, bool) {
 	if _, held := r.duty.Held(); held {
-		return r.decideCredit(time.Now(), request), true
+		decision := r.decideCredit(time.Now(), request)
+		return decision, decision.Holding
 	}
 
 	address, ok := r.holderAddress()
@@ -85,5 +90,7 @@
 
 	r.prepare(now, holder.Number)
 
-	return CreditDecision{Holding: true, Wait: r.center.Ask(now, request.Workspace, request.Cost)}
+	wait, decided := r.center.Ask(now, request.Workspace, request.Stated, request.Cost)
+
+	return CreditDecision{Holding: decided, Wait: wait}
 }
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -410,6 +410,6 @@
 
 	if table := r.Catalog.Table(); table != nil && r.limitsTable != table {
 		r.limitsTable = table
-		r.center.SetLimits(now, table.Workspaces())
+		r.center.SetLimits(now, table.Version, table.Workspaces())
 	}
 }
--- a/state/quota/center.go
+++ b/state/quota/center.go
@@ -25,14 +25,18 @@
 type Center struct {
 	// startedAt is the time from which this center grants.
 	startedAt time.Time
+	// version is the version of the configuration that the limits were last set from.
+	version   uint64
 	buckets   map[apricotway.Workspace]*bucket
 	processes map[apricotway.NodeID]*process
 }
 
 type bucket struct {
 	limit apricotway.TokenLimit
-	level float64
-	at    time.Time
+	// version is the version of the newest configuration that is known to have the limit.
+	version uint64
+	level   float64
+	at      time.Time
 }
 
 type process struct {
@@ -48,32 +52,55 @@
 	return &Center{buckets: map[apricotway.Workspace]*bucket{}, processes: map[apricotway.NodeID]*process{}}
 }
 
-// SetLimits applies the limits of a configuration.
-func (c *Center) SetLimits(now time.Time, workspaces map[apricotway.Workspace]*apricotway.WorkspaceRule) {
+// SetLimits applies the limits of a configuration, except those that a process has stated from a newer one.
+func (c *Center) SetLimits(now time.Time, version uint64, workspaces map[apricotway.Workspace]*apricotway.WorkspaceRule) {
 	if c.startedAt.IsZero() {
 		c.startedAt = now
 	}
 
+	c.version = version
+
 	for name, rule := range workspaces {
-		b := c.buckets[name]
-		if b == nil {
-			// The bucket starts empty, because it is unknown how much was spent under the previous center. It gets what the shares of the
-			// processes have left when these first report.
-			b = &bucket{at: now}
-			c.buckets[name] = b
+		if b := c.buckets[name]; b == nil || b.version <= version {
+			c.setLimit(now, name, StatedLimit{Version: version, Limit: rule.Limit})
 		}
-
-		b.limit = rule.Limit
-		b.level = min(b.level, rule.Limit.Burst)
 	}
 
-	for name := range c.buckets {
-		if workspaces[name] == nil {
+	for name, b := range c.buckets {
+		if workspaces[name] == nil && b.version <= version {
 			delete(c.buckets, name)
 		}
 	}
 }
 
+func (c *Center) setLimit(now time.Time, workspace apricotway.Workspace, stated StatedLimit) {
+	b := c.buckets[workspace]
+	if b == nil {
+		// The bucket starts empty, because it is unknown how much was spent under the previous center. It gets what the shares of the
+		// processes have left when these first report.
+		b = &bucket{at: now}
+		c.buckets[workspace] = b
+	}
+
+	c.refill(now, b)
+
+	b.limit, b.version = stated.Limit, stated.Version
+	b.level = min(b.level, stated.Limit.Burst)
+}
+
+// learn applies the limit that a process goes by, if it is from a newer configuration than the center's: under an older limit, the
+// center would grant more than the process may spend.
+func (c *Center) learn(now time.Time, workspace apricotway.Workspace, stated StatedLimit) {
+	known := c.version
+	if b := c.buckets[workspace]; b != nil {
+		known = max(known, b.version)
+	}
+
+	if stated.Version > known {
+		c.setLimit(now, workspace, stated)
+	}
+}
+
 // refill adds the units of the time since the last refill, less the shares of the processes that have stopped reporting.
 func (c *Center) refill(now time.Time, b *bucket) {
 	elapsed := now.Sub(b.at).Seconds()
@@ -126,6 +153,8 @@
 	credit := map[apricotway.Workspace]float64{}
 
 	for name, account := range accounts {
+		c.learn(now, name, account.Stated)
+
 		b := c.buckets[name]
 		if b == nil {
 			continue
@@ -156,21 +185,26 @@
 	return credit
 }
 
-// Ask grants the cost of one call and returns 0, or returns the time after which the units may be available.
-func (c *Center) Ask(now time.Time, workspace apricotway.Workspace, cost float64) time.Duration {
+// Ask grants the cost of one call and returns 0, or returns the time after which the units may be available. It decides nothing if it knows
+// no limit and the process doesn't tell whether the center's configuration is newer than its own, which has one.
+func (c *Center) Ask(
+	now time.Time, workspace apricotway.Workspace, stated StatedLimit, cost float64,
+) (wait time.Duration, decided bool) {
+	c.learn(now, workspace, stated)
+
 	b := c.buckets[workspace]
 	if b == nil || b.limit.Rate <= 0 {
-		return 0
+		return 0, stated.Version > 0
 	}
 
 	c.refill(now, b)
 
 	// A call that costs more than the whole bucket needs a full bucket, whose level then goes below zero.
 	if need := min(cost, b.limit.Burst); b.level < need {
-		return max(refillTime(need, b.level, b.limit.Rate), time.Millisecond)
+		return max(refillTime(need, b.level, b.limit.Rate), time.Millisecond), true
 	}
 
 	b.level -= cost
 
-	return 0
+	return 0, true
 }
--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -37,6 +37,8 @@
 	period time.Duration
 	// answeredAt is the time of the center's last answer.
 	answeredAt time.Time
+	// version is the version of the configuration that the limits are from.
+	version uint64
 }
 
 // minProcesses is the number of processes assumed before others are known, so that processes that all start at once do not
@@ -66,10 +68,12 @@
 }
 
 // SetLimits applies the limits of a configuration.
-func (l *Limiter) SetLimits(now time.Time, workspaces map[apricotway.Workspace]*apricotway.WorkspaceRule) {
+func (l *Limiter) SetLimits(now time.Time, version uint64, workspaces map[apricotway.Workspace]*apricotway.WorkspaceRule) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	l.version = version
+
 	for name, rule := range workspaces {
 		b := l.buckets[name]
 		if b == nil {
@@ -204,8 +208,28 @@
 	}
 }
 
+// StatedLimit is the limit that a process goes by.
+type StatedLimit struct {
+	// Version is the version of the configuration that the limit is from; 0 if it is not told.
+	Version uint64
+	Limit   apricotway.TokenLimit
+}
+
+// Stated returns the limit of a workspace.
+func (l *Limiter) Stated(workspace apricotway.Workspace) StatedLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	if b := l.buckets[workspace]; b != nil {
+		return StatedLimit{l.version, b.limit}
+	}
+
+	return StatedLimit{}
+}
+
 // Account is what a process reports to the center about one limit.
 type Account struct {
+	Stated StatedLimit
 	// Asked is the number of units that callers requested since the last report.
 	Asked float64
 	// Credit is the credit that is left.
@@ -227,7 +251,9 @@
 		if b.limit.Rate > 0 {
 			b.accrueShare(now, l.answeredAt, float64(l.processes))
 
-			accounts[name] = Account{Asked: b.asked, Credit: b.credit, Share: b.level, Unanswered: now.Sub(b.since)}
+			accounts[name] = Account{
+				Stated: StatedLimit{l.version, b.limit}, Asked: b.asked, Credit: b.credit, Share: b.level, Unanswered: now.Sub(b.since),
+			}
 			b.asked = 0
 		}
 	}
--- a/state/quota/quota_test.go
+++ b/state/quota/quota_test.go
@@ -13,6 +13,7 @@
 
 const (
 	workspace = apricotway.Workspace("w")
+	version   = 2
 	step      = 10 * time.Millisecond
 )
 
@@ -35,6 +36,8 @@
 	// calls counts the calls, and asked those for which the center was asked.
 	calls, asked int
 	period       time.Duration
+	// untold makes the processes state no limit when they ask the center, like those of an older build.
+	untold bool
 }
 
 func newFleet(processes int, rate, burst float64) *fleet {
@@ -55,7 +58,7 @@
 	for i := range processes {
 		l := quota.New()
 		l.SetMembers(processes, f.period)
-		l.SetLimits(f.now, limits(rate, burst))
+		l.SetLimits(f.now, version, limits(rate, burst))
 		f.processes = append(f.processes, l)
 		f.disconnected[i] = true
 	}
@@ -64,7 +67,7 @@
 // startCenter replaces the center by a new one, which all processes can reach.
 func (f *fleet) startCenter(rate, burst float64) {
 	f.center, f.disconnected = quota.NewCenter(), map[int]bool{}
-	f.center.SetLimits(f.now, limits(rate, burst))
+	f.center.SetLimits(f.now, version, limits(rate, burst))
 }
 
 // spread returns a load of random calls at random processes, of the given number of units a second.
@@ -96,13 +99,7 @@
 		if f.disconnected[process] {
 			verdict, _ = l.TakeShare(f.now, workspace, cost)
 		} else {
-			wait := f.center.Ask(f.now, workspace, cost)
-			l.RecordAnswer(f.now, workspace, wait)
-
-			verdict = quota.Denied
-			if wait == 0 {
-				verdict = quota.Spent
-			}
+			verdict = f.ask(l, cost)
 		}
 	}
 
@@ -113,6 +110,28 @@
 	}
 }
 
+// ask makes a process ask the center for the cost of a call.
+func (f *fleet) ask(l *quota.Limiter, cost float64) quota.Verdict {
+	stated := l.Stated(workspace)
+	if f.untold {
+		stated = quota.StatedLimit{}
+	}
+
+	wait, decided := f.center.Ask(f.now, workspace, stated, cost)
+	if !decided {
+		verdict, _ := l.TakeShare(f.now, workspace, cost)
+		return verdict
+	}
+
+	l.RecordAnswer(f.now, workspace, wait)
+
+	if wait > 0 {
+		return quota.Denied
+	}
+
+	return quota.Spent
+}
+
 // run simulates the given time and calls load once for each step.
 func (f *fleet) run(duration time.Duration, load func(at time.Duration)) {
 	start := f.now
@@ -371,3 +390,58 @@
 		}
 	}
 }
+
+// TestOlderCenter guards against calls over a limit that is new or lowered, while the configuration of the center is an older one: all processes
+// stay within it, plus a tolerance of a tenth and 140,000 units, and can use it.
+func TestOlderCenter(t *testing.T) {
+	for name, before := range map[string]map[apricotway.Workspace]*apricotway.WorkspaceRule{
+		"new": nil, "without a limit before": limits(0, 0), "lowered": limits(8*rate, 8*burst),
+	} {
+		f := newFleet(8, rate, burst)
+		f.center = quota.NewCenter()
+		f.center.SetLimits(f.now, version-1, before)
+		f.run(2*window, f.spread(rand.New(rand.NewPCG(6, 1)), 6*rate))
+
+		if got, want := f.maxSpent(window), (rate*window.Seconds()+burst)*1.1+140000; got > want {
+			t.Errorf("%s: got %.0f units in a window, want at most %.0f", name, got, want)
+		}
+
+		if got, want := f.maxSpent(window), rate*window.Seconds()*0.95; got < want {
+			t.Errorf("%s: got %.0f units in a window, want at least %.0f", name, got, want)
+		}
+
+		// The limit of the center's next configuration holds again.
+		f.center.SetLimits(f.now, version+1, limits(rate/2, burst))
+		f.spent = nil
+		f.run(2*window, f.spread(rand.New(rand.NewPCG(6, 2)), 6*rate))
+
+		if got, want := f.maxSpent(window), rate/2*window.Seconds()+burst+140000; got > want {
+			t.Errorf("%s: got %.0f units in a window after the next configuration, want at most %.0f", name, got, want)
+		}
+	}
+}
+
+// TestOlderCenterUntold guards against calls over a new limit, while the center has an older configuration and the processes don't state their
+// limits when they ask it.
+func TestOlderCenterUntold(t *testing.T) {
+	f := newFleet(8, rate, burst)
+	f.center, f.untold = quota.NewCenter(), true
+	f.center.SetLimits(f.now, version-1, nil)
+	f.run(2*window, f.spread(rand.New(rand.NewPCG(6, 3)), 6*rate))
+
+	if got, want := f.maxSpent(window), (rate*window.Seconds()+burst)*1.1+140000; got > want {
+		t.Errorf("got %.0f units in a window, want at most %.0f", got, want)
+	}
+}
+
+// TestLimitRemoved guards against refusals under a limit that the center's newer configuration no longer has.
+func TestLimitRemoved(t *testing.T) {
+	f := newFleet(8, rate, burst)
+	f.center.SetLimits(f.now, version+1, nil)
+	f.refused = 0
+	f.run(window, f.spread(rand.New(rand.NewPCG(6, 4)), 6*rate))
+
+	if got, want := f.refused, 0.0; got > want {
+		t.Errorf("got %.0f units refused, want %.0f", got, want)
+	}
+}
