Follow another process's list from a position that an older list offers

A process that reads the store while whole lists are on their way to it gets whole lists without end.

ApplyNews ignores a list that may be older than what the process has read itself, with its position. The next request names no position again and gets the next whole list, which is ignored for the same reason when the transfer takes longer than the time between two own reads.

The position is now kept as an offer. Once the process has read the list after the time as of which the other one can have known its list at the latest, its own list is at least as new, and the changes after the offered position complete it. The offer is not taken while the own list holds servers whose entries lapsed, or lacks entries that were ignored or dropped as older.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -132,6 +132,7 @@
 	journal      journal
 	peerPosition Position
 	newsAsOf     time.Duration
+	offered      offer
 	refreshing   listRefresh
 	// isReader is set while this process reads the store on behalf of the others.
 	isReader atomic.Bool
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -37,6 +37,8 @@
 
 	// Fresh reports whether the process can currently read the store; if not, the rest is empty.
 	Fresh bool
+	// NoList reports that the news tell nothing of the list, which was too large for them.
+	NoList bool
 	// Whole reports whether Changes is the whole list rather than the changes after the requested position.
 	Whole   bool
 	Changes []apricotway.BackendChange
@@ -147,9 +149,17 @@
 
 	c.applyProof(sent, news)
 
+	if news.NoList {
+		return
+	}
+
 	// Ignore a list older than what this process read itself or took from another one, and changes that don't follow its
 	// position.
 	if made := sent - news.ListAge; made < c.listAsOf || !news.Whole && news.Source != c.peerPosition.Source {
+		if news.Whole {
+			c.offered = offer{news.Position, c.boot() - news.ListAge}
+		}
+
 		return
 	}
 
@@ -167,11 +177,29 @@
 		}
 	}
 
-	c.peerPosition, c.listed = news.Position, true
+	c.peerPosition, c.offered, c.listed = news.Position, offer{}, true
 	c.newsAsOf = max(c.newsAsOf, sent-news.ListAge)
 	c.advanceListLocked(c.newsAsOf)
 }
 
+// offer is the position of another process's whole list that was not applied.
+type offer struct {
+	position Position
+	// asOf is the latest boot time as of which the list was known; 0 if there is no offer.
+	asOf time.Duration
+}
+
+// takeOffer takes over the position of a list that was not applied, once the own list is known as of a later time: the changes after that
+// position then complete the own list. Whole lists that arrive after the next own read would otherwise be requested without end. The caller
+// holds c.mu.
+func (c *Catalog) takeOffer() {
+	if c.offered.asOf == 0 || c.listAsOf < c.offered.asOf || len(c.lapsed) > 0 || c.ignored || c.rereadList {
+		return
+	}
+
+	c.peerPosition, c.offered = c.offered.position, offer{}
+}
+
 // readsSlowly reports whether this process has been receiving a configuration for so long that others should read it themselves.
 func (c *Catalog) readsSlowly() bool {
 	began := c.arriving.Load()
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -451,3 +451,43 @@
 		}
 	})
 }
+
+// TestListBehindOwnReads guards against whole lists without end: each one arrives after the process has read the store once more, and is
+// ignored as the older one.
+func TestListBehindOwnReads(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.publish(3)
+		s.register("a", false)
+
+		reader, _ := start(t, s)
+		receiver, pool := start(t, s)
+		wait(time.Second)
+
+		whole := 0
+
+		for range 10 {
+			sent := receiver.BootTime()
+			news := reader.News("reader", receiver.Position())
+
+			if news.Whole {
+				whole++
+
+				// The transfer takes longer than the time between two own reads.
+				wait(1500 * time.Millisecond)
+			}
+
+			receiver.ApplyNews(sent, news)
+			wait(100 * time.Millisecond)
+		}
+
+		if got, want := whole, 2; got > want {
+			t.Errorf("got %d whole lists, want at most %d", got, want)
+		}
+
+		s.register("b", false)
+		s.drop("a")
+		relay(reader, receiver, time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false, "b": true})
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -360,4 +360,5 @@
 	defer c.mu.Unlock()
 
 	c.advanceListLocked(began)
+	c.takeOffer()
 }
