Give a large list of backend servers by parts, apart from the answers to reports

With thousands of backend servers, the reports of a process on a narrow link, and those of all processes after the duties changed hands, were given up one after the other: usage, demand and credit stood still, and the list that the holder passes on never arrived.

The first answer of a new holder held its whole list. At 7,600 servers that is 699 KB (gob), with the calls in flight 912 KB: 0.73 s of an idle link of 10 Mbit/s, 356 MB for 390 processes, 2.8 s of a link of 1 Gbit/s. A report is given up after 1 s, and the answer still takes the link. The position stays, so the answer to the next report holds the whole list again.

An answer now leaves out a list of more than 2,000 servers, and the process requests it by parts of as many, each within a second. A part that fails is requested again; those before it are kept. Position and age are those of the first part, so the changes between the parts follow. Smaller lists travel as before.

--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -65,6 +65,8 @@
 	Elapsed time.Duration
 	// Known is the position up to which the process has the holder's changes of the list of backend servers.
 	Known catalog.Position
+	// ByParts is set if the process requests a list by parts that is too large for an answer.
+	ByParts bool
 	// Crashes holds what the process knows about calls that crash backend servers and the holder may not.
 	Crashes suspect.Report
 	// LastWindow is the newest window whose usage is known to have been reported.
@@ -151,6 +153,11 @@
 	pendingReport *apricotway.UsageReport
 	// savedState holds the counts and savedCrashes the refusals that were last saved for a successor.
 	savedState, savedCrashes []byte
+
+	// list is the copy of the list that the holder gives to the others by parts.
+	list listCopy
+	// listLeftOut has an element when the last answer left out the list.
+	listLeftOut chan struct{}
 }
 
 // load is the averaged demand of one process as of its last report.
@@ -178,7 +185,7 @@
 ) *Rollup {
 	r := &Rollup{
 		Parts: parts, duty: duties, calls: calls, membership: membership, peers: peers, logger: logr.Discard(),
-		terms: scaling.DefaultParameters(), eras: era.New(),
+		terms: scaling.DefaultParameters(), eras: era.New(), listLeftOut: make(chan struct{}, 1),
 	}
 	for _, option := range options {
 		option(r)
@@ -194,6 +201,10 @@
 			return r.decideCredit(time.Now(), request), nil
 		})
 
+	apricotway.HandlePeer(registry, methodList,
+		func(_ context.Context, request PartRequest) (PartAnswer, error) { return r.listPart(request), nil })
+
+	supervisor.Add(apricotway.ServiceFunc{Name: "list of the holder", Func: r.requestLists})
 	supervisor.Add(apricotway.ServiceFunc{Name: "report", Func: r.runReports})
 	supervisor.Add(apricotway.ServiceFunc{Name: "saved refusals", Func: r.learnCrashes})
 	supervisor.Add(apricotway.Periodic("state of the duties", stateSavePeriod, func(ctx context.Context, now time.Time) {
@@ -272,8 +283,8 @@
 		Node:     r.membership.Self().Node,
 		Counts:   r.Tally.Counts(r.Tally.Window(now) - backfillWindows),
 		Accounts: r.Limiter.Accounts(now),
-		Known:    r.Catalog.Position(),
-		Work:     r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
+		Known:    r.Catalog.Position(), ByParts: true,
+		Work: r.Pool.OwnWork(), Demand: r.Pool.TakeDemand(), Elapsed: elapsed,
 		Limits: r.Pool.UncollectedLimits(now), Brittle: r.Pool.BrittleServices(now), LastWindow: r.duty.LastWindow(),
 	}
 
@@ -317,6 +328,13 @@
 	markReported()
 	r.accept(time.Now(), now, answer)
 	r.Catalog.ApplyNews(sent, answer.News)
+
+	if answer.News.NoList {
+		select {
+		case r.listLeftOut <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // holderAddress returns the address of the newest known holder, if that is a known member.
@@ -384,7 +402,7 @@
 	}
 
 	if self := r.membership.Self().Node; report.Node != self {
-		answer.News = r.Catalog.News(self, report.Known)
+		answer.News = r.newsFor(report)
 	}
 
 	return answer
--- a/coordination/rollup/settle_test.go
+++ b/coordination/rollup/settle_test.go
@@ -59,6 +59,8 @@
 	changes int
 	// loseAnswer is called once instead of answering the append of the next usage report.
 	loseAnswer func()
+	// prepare is called with each process before it starts.
+	prepare func(n *node)
 }
 
 // node is one process.
@@ -76,14 +78,21 @@
 	// started and ended are the values of changes when the process started and ended; ended is 0 while it runs.
 	started, ended int
 	end            func()
+	catalog        rollup.Catalog
+	peers          apricotway.Peers
 }
 
-func newSystem(t *testing.T) *system {
+func newSystem(t *testing.T, prepare ...func(n *node)) *system {
 	t.Helper()
 
 	s := &system{
 		t: t, era: 1, state: map[apricotway.StatePart][]byte{}, reports: map[int64]map[apricotway.Workspace]int64{},
 		holders: map[apricotway.Offset]apricotway.NodeID{},
+		prepare: func(n *node) {
+			for _, p := range prepare {
+				p(n)
+			}
+		},
 	}
 
 	for i := range processes {
@@ -97,8 +106,10 @@
 func (s *system) add(name apricotway.NodeID, address netip.AddrPort) {
 	n := &node{
 		system: s, name: name, eras: era.New(), tally: tally.New(window), address: address,
-		handlers: map[apricotway.Method]apricotway.PeerHandler{},
+		handlers: map[apricotway.Method]apricotway.PeerHandler{}, catalog: noCatalog{},
 	}
+	n.peers = n
+	s.prepare(n)
 
 	s.set(func() {
 		s.changes++
@@ -157,9 +168,9 @@
 	supervisor := suture.NewSimple(string(n.name))
 	duties := duty.New(supervisor, n, n, n, duty.WithEras(n.eras))
 	rollup.New(supervisor, rollup.Parts{
-		Catalog: noCatalog{}, Pool: dispatch.New(), Limiter: quota.New(), Tally: n.tally, Suspects: suspect.New(),
+		Catalog: n.catalog, Pool: dispatch.New(), Limiter: quota.New(), Tally: n.tally, Suspects: suspect.New(),
 		Budget: retrybudget.New(retrybudget.Limits{Ratio: 1, Window: time.Second, Slack: 1}),
-	}, duties, n, n, n, n, rollup.WithEras(n.eras))
+	}, duties, n, n, n.peers, n, rollup.WithEras(n.eras))
 
 	ctx, cancel := context.WithCancel(n.t.Context())
 	done := supervisor.ServeBackground(ctx)
