--- a/coordination/membership/join.go
+++ b/coordination/membership/join.go
@@ -134,7 +134,7 @@
 		from = own - joinReadWindow
 	}
 
-	batch, err := d.log.Read(ctx, apricotway.StreamControl, from, joinReadWindow, 0)
+	batch, err := d.readUntil(ctx, from, own)
 	if !errors.Is(err, apricotway.ErrTrimmed) {
 		return batch, err
 	}
@@ -145,7 +145,25 @@
 		return apricotway.Batch{}, err
 	}
 
-	return d.log.Read(ctx, apricotway.StreamControl, batch.Oldest, joinReadWindow, 0)
+	return d.readUntil(ctx, batch.Oldest, own)
+}
+
+// readUntil reads the records from an offset on until it has the one before own. One read may return only some of them.
+func (d *Driver) readUntil(ctx context.Context, from, own apricotway.Offset) (apricotway.Batch, error) {
+	found, err := d.log.Read(ctx, apricotway.StreamControl, from, joinReadWindow, 0)
+
+	for err == nil && found.Next < own {
+		var more apricotway.Batch
+
+		more, err = d.log.Read(ctx, apricotway.StreamControl, found.Next, joinReadWindow, 0)
+		if err != nil || len(more.Records) == 0 {
+			break
+		}
+
+		found.Records, found.Next = append(found.Records, more.Records...), more.Next
+	}
+
+	return found, err
 }
 
 // addressesOf returns the distinct peer addresses of the join records.
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -196,6 +196,8 @@
 	mu      sync.Mutex
 	down    bool
 	records []apricotway.StoredRecord
+	// page bounds the records of one read if it is not 0.
+	page int
 }
 
 func (l *memoryLog) Append(
@@ -221,9 +223,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	if l.page > 0 {
+		limit = min(limit, l.page)
+	}
+
 	rest := l.records[min(int(from)-1, len(l.records)):]
+	rest = rest[:min(limit, len(rest))]
 
-	return apricotway.Batch{Records: slices.Clone(rest[:min(limit, len(rest))])}, nil
+	return apricotway.Batch{Records: slices.Clone(rest), Next: from + apricotway.Offset(len(rest))}, nil
 }
 
 func (k *node) states() map[apricotway.NodeID]apricotway.MemberState {
@@ -366,6 +373,29 @@
 	})
 }
 
+// TestJoinInPages guards against a process that stays alone since one read returns only the oldest of the records before its own.
+func TestJoinInPages(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		n.log.page = 3
+
+		for range 4 {
+			for range 5 {
+				if _, err := n.log.Append(t.Context(), apricotway.StreamControl, []apricotway.Record{{Kind: "other"}}); err != nil {
+					t.Fatal(err)
+				}
+			}
+
+			n.start("r")
+		}
+
+		<-time.After(20 * time.Second)
+		n.wantAlive(t, "after the start")
+	})
+}
+
 // TestJoinAtReusedAddress guards against two deployments whose processes become members of each other, after the address of a process that has
 // ended was given to one of the other deployment.
 func TestJoinAtReusedAddress(t *testing.T) {
