Pull the configuration from one peer while the log is unavailable

A process of `apricotway serve` that started while the log service was away stayed without a configuration if its link could not carry the whole states of all its peers within 2 s, and asked all of them again each half second.

A process that isn't ready asks all peers for the records after its position. Each that no longer has them as records answers with its whole state, 283 KB for 1,400 services, so 110 MB from 389 peers. All answers share one time limit of 2 s, and none is kept when it passes.

It now asks for the positions with the existing call for revisions, and pulls from the peer that is furthest ahead, within 10 s. A majority of ready peers is counted by their positions as before.

--- a/coordination/configfeed/configfeed_test.go
+++ b/coordination/configfeed/configfeed_test.go
@@ -86,6 +86,8 @@
 	mu       *sync.Mutex
 	all      map[uint16]map[apricotway.Method]apricotway.PeerHandler
 	isolated map[uint16]bool
+	// received holds the bytes that each process received from others.
+	received map[uint16]int
 }
 
 func (n *network) Call(ctx context.Context, to netip.AddrPort, method apricotway.Method, payload []byte) ([]byte, error) {
@@ -98,7 +100,14 @@
 		return nil, apricotway.ErrNotSent
 	}
 
-	return handler(ctx, payload)
+	answer, err := handler(ctx, payload)
+
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	n.received[n.self] += len(answer)
+
+	return answer, err
 }
 
 // isolate cuts the given processes off from all others, and reconnects the rest.
@@ -201,6 +210,7 @@
 			t: t, log: &fakeLog{first: 1}, supervisor: suture.NewSimple("test"),
 			network: network{
 				mu: &sync.Mutex{}, all: map[uint16]map[apricotway.Method]apricotway.PeerHandler{}, isolated: map[uint16]bool{},
+				received: map[uint16]int{},
 			},
 		}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -276,6 +286,44 @@
 	})
 }
 
+// TestOneStateWithoutLog guards against a process that never gets the configuration while the log is down, since it asks all peers for their
+// whole states at the same time and its link can't carry them in time.
+func TestOneStateWithoutLog(t *testing.T) {
+	inSystem(t, func(s *system) {
+		// More than a process keeps as records.
+		const records = 1400
+
+		for i := range records {
+			payload := fmt.Appendf(nil, `{"object": "service-%d", "replaces": 0, "spec": {"type": "model"}}`, i)
+			record := apricotway.Record{SchemaVersion: 1, Kind: "service", ID: fmt.Sprint(i), Payload: payload}
+			_, _ = s.log.Append(t.Context(), apricotway.StreamConfig, []apricotway.Record{record})
+		}
+
+		one := s.start(1, s.log)
+		for port := range uint16(5) {
+			s.start(port+2, s.log)
+		}
+
+		s.settle(time.Second, one, records+1, true)
+
+		state, _, err := one.Fold().Checkpoint()
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		s.log.set(func() { s.log.down = true })
+		s.settle(5*time.Second, s.start(7, s.log), records+1, true)
+
+		s.network.mu.Lock()
+		defer s.network.mu.Unlock()
+
+		// The rest are positions and envelopes.
+		if got, want := s.network.received[7], len(state)+len(state)/2; got > want {
+			t.Errorf("got %d bytes for a state of %d, want at most %d", got, len(state), want)
+		}
+	})
+}
+
 // TestCheckpointAfterTrim guards against missing or needless checkpoints, and against a process that starts with an empty state
 // after a trim.
 func TestCheckpointAfterTrim(t *testing.T) {
--- a/coordination/configfeed/peers.go
+++ b/coordination/configfeed/peers.go
@@ -20,11 +20,14 @@
 	MethodRevisions apricotway.Method = "configRevisions"
 
 	// peerPullPeriod is the time between two rounds of pulling records from peers while the log is unavailable. A process asks
-	// two peers in each round, so the number of processes that know a record at least doubles, and 390 of them know it after
-	// about 9 rounds.
+	// two peers in each round and pulls from the one that is further ahead, so the number of processes that know a record at least
+	// doubles, and 390 of them know it after about 9 rounds.
 	peerPullPeriod = 500 * time.Millisecond
 	peerPullFanOut = 2
 	peerTimeout    = 2 * time.Second
+	// recordsTimeout bounds the transfer of records or of the whole state from one peer. A state of 3 MB takes 2.5 s of an idle link of 10
+	// Mbit/s.
+	recordsTimeout = 10 * time.Second
 	// revisionsWait bounds how long a process delays its answer until it has reached a position. It leaves time for the answer
 	// within peerTimeout.
 	revisionsWait      = 1500 * time.Millisecond
@@ -140,39 +143,46 @@
 	return answer, err
 }
 
-// pullFromPeers asks peers for newer records and applies them. A process that is not ready asks all peers, since it has to catch
-// up with a majority.
+// pullFromPeers asks peers for their positions, and applies the records of the one that is furthest ahead. A process that is not ready
+// asks all peers, since it has to catch up with a majority; the whole states of all of them would not arrive in time.
 func (f *Feed) pullFromPeers(ctx context.Context) {
 	members := f.liveMembers()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+
 	if f.isReady() && len(members) > peerPullFanOut {
-		rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 		members = members[:peerPullFanOut]
 	}
 
-	from := f.fold.Next()
-	answers := callAll(ctx, members, func(ctx context.Context, member apricotway.Member) (RecordsAnswer, error) {
-		return apricotway.CallPeer[RecordsAnswer](ctx, f.peers.peers, member.Peers, MethodRecords, RecordsRequest{From: from})
+	answers := callAll(ctx, members, func(ctx context.Context, member apricotway.Member) (Revisions, error) {
+		return apricotway.CallPeer[Revisions](ctx, f.peers.peers, member.Peers, MethodRevisions, RevisionsRequest{})
 	})
 
 	reachable, ready := 0, 0
+	ahead, aheadNext := apricotway.Member{}, f.fold.Next()
 
 	var highest apricotway.Offset
 
-	for _, answer := range answers {
+	for i, answer := range answers {
 		if answer.err != nil {
 			continue
 		}
 
-		f.applyAnswer(answer.value)
-
 		reachable++
 
+		if answer.value.Next > aheadNext {
+			ahead, aheadNext = members[i], answer.value.Next
+		}
+
 		if answer.value.Ready {
 			ready++
 			highest = max(highest, answer.value.Next)
 		}
 	}
 
+	if aheadNext > f.fold.Next() {
+		f.pullFrom(ctx, ahead)
+	}
+
 	f.logger.V(1).Info("pulled configuration records from peers", "event", 209, "reachable", reachable, "ready", ready, "next", f.fold.Next())
 
 	// Only peers that are ready count, since peers that started at the same time know no more than this process.
@@ -181,6 +191,22 @@
 	}
 }
 
+// pullFrom applies the records that a peer has after the own position.
+func (f *Feed) pullFrom(ctx context.Context, member apricotway.Member) {
+	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
+	defer cancel()
+
+	request := RecordsRequest{From: f.fold.Next()}
+
+	answer, err := apricotway.CallPeer[RecordsAnswer](ctx, f.peers.peers, member.Peers, MethodRecords, request)
+	if err != nil {
+		f.logger.V(1).Info("failed to pull configuration records from a peer", "event", 399, "member", member.Node, "error", err.Error())
+		return
+	}
+
+	f.applyAnswer(answer)
+}
+
 // applyAnswer applies the records or the state that a peer sent.
 func (f *Feed) applyAnswer(answer RecordsAnswer) {
 	state := (*followerState)(f)
