Ask for fewer records after a read of a stream that failed

A process of `apricotway serve` could stay behind a stream for good, if an answer with 500 of its records was larger than the client accepts (16 MiB) or took longer than the 5 s of a call. A process that had to look for a checkpoint started over at the oldest record after each read that failed.

The follower always asked for 500 records, of which checkpoints have up to 350 KB each as JSON. It now asks for a quarter after a failure, one record at least, and for twice as many after each success. A search for a checkpoint goes on where the failed read was.

--- a/coordination/journal/follower.go
+++ b/coordination/journal/follower.go
@@ -33,6 +33,17 @@
 	stream apricotway.Stream
 	state  State
 	seen   *recentIDs
+	// limit is the number of records that the next read asks for, at most readLimit.
+	limit int
+	// search is the search for a checkpoint that a failed read has interrupted; nil if there is none.
+	search *checkpointSearch
+}
+
+// checkpointSearch is the progress of a search for the newest complete checkpoint.
+type checkpointSearch struct {
+	// oldest is the offset at which the search began, and from that of the next record to read.
+	oldest, from apricotway.Offset
+	found        checkpointAssembler
 }
 
 // FollowerOption changes a follower under construction.
@@ -46,7 +57,7 @@
 
 // NewFollower returns a follower that continues from the state's position.
 func NewFollower(log apricotway.Log, stream apricotway.Stream, state State, options ...FollowerOption) *Follower {
-	f := &Follower{log: log, stream: stream, state: state, seen: newRecentIDs(DefaultRememberedIDs)}
+	f := &Follower{log: log, stream: stream, state: state, seen: newRecentIDs(DefaultRememberedIDs), limit: readLimit}
 	for _, option := range options {
 		option(f)
 	}
@@ -57,7 +68,7 @@
 // Step reads once, waiting up to the given time for a first record, and reports whether it reached the end of the stream. When the
 // record at the state's position is trimmed, it restores the newest complete checkpoint.
 func (f *Follower) Step(ctx context.Context, wait time.Duration) (end bool, err error) {
-	batch, err := f.log.Read(ctx, f.stream, f.state.Next(), readLimit, wait)
+	batch, err := f.read(ctx, f.state.Next(), wait)
 	if errors.Is(err, apricotway.ErrTrimmed) {
 		return false, f.restoreCheckpoint(ctx, batch.Oldest)
 	}
@@ -86,16 +97,37 @@
 	return false, nil
 }
 
+// read reads once. After a read that failed, the next one asks for fewer records: the answer may be larger than what the client accepts, or
+// take longer than its time limit, and would fail again and again.
+func (f *Follower) read(ctx context.Context, from apricotway.Offset, wait time.Duration) (apricotway.Batch, error) {
+	const reduction, growth = 4, 2
+
+	batch, err := f.log.Read(ctx, f.stream, from, f.limit, wait)
+
+	switch {
+	case err == nil:
+		f.limit = min(f.limit*growth, readLimit)
+	case !errors.Is(err, apricotway.ErrTrimmed):
+		f.limit = max(f.limit/reduction, 1)
+	}
+
+	return batch, err
+}
+
 // restoreCheckpoint reads the stream from the oldest record to its end and restores the newest complete checkpoint. The next Step
-// continues at the checkpoint's Next offset.
+// continues at the checkpoint's Next offset, or with the search if a read fails.
 func (f *Follower) restoreCheckpoint(ctx context.Context, oldest apricotway.Offset) error {
-	var found checkpointAssembler
+	if f.search == nil {
+		f.search = &checkpointSearch{oldest: oldest, from: oldest}
+	}
 
-	for from := oldest; ; {
-		batch, err := f.log.Read(ctx, f.stream, from, readLimit, 0)
-		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest > from {
+	search := f.search
+
+	for {
+		batch, err := f.read(ctx, search.from, 0)
+		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest > search.from {
 			// The stream was trimmed further while it was read.
-			from, found = batch.Oldest, checkpointAssembler{}
+			*search = checkpointSearch{oldest: batch.Oldest, from: batch.Oldest}
 			continue
 		}
 
@@ -108,12 +140,15 @@
 		}
 
 		for _, record := range batch.Records {
-			found.add(record, max(oldest, batch.Oldest))
+			search.found.add(record, max(search.oldest, batch.Oldest))
 		}
 
-		from = batch.Next
+		search.from = batch.Next
 	}
 
+	found := search.found
+	f.search = nil
+
 	if found.next == 0 {
 		return ErrNoCheckpoint
 	}
--- a/coordination/journal/journal_test.go
+++ b/coordination/journal/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strings"
@@ -29,6 +30,8 @@
 	script  []string
 	late    []apricotway.Record
 	down    bool
+	// carried is the number of records that an answer may have, if it is not 0, and failEvery makes each read of that number fail.
+	carried, failEvery, reads int
 }
 
 func (l *fakeLog) put(records []apricotway.Record) apricotway.Offset {
@@ -86,7 +89,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.down {
+	l.reads++
+
+	if l.down || l.failEvery > 0 && l.reads%l.failEvery == 0 {
 		return apricotway.Batch{}, apricotway.ErrLogUnavailable
 	}
 
@@ -98,6 +103,10 @@
 	batch := apricotway.Batch{Records: slices.Clone(rest[:min(limit, len(rest))]), Oldest: l.first}
 	batch.Next = from + apricotway.Offset(len(batch.Records))
 
+	if l.carried > 0 && len(batch.Records) > l.carried {
+		return apricotway.Batch{}, apricotway.ErrLogUnavailable
+	}
+
 	return batch, nil
 }
 
@@ -379,6 +388,51 @@
 	})
 }
 
+// TestFollowerOfLargeStream guards against a follower that never gets on: each read asks for more than an answer may have, or a failed read
+// makes the search for a checkpoint start over.
+func TestFollowerOfLargeStream(t *testing.T) {
+	const (
+		records  = 3000
+		carried  = 40
+		maxSteps = 1000
+	)
+
+	for name, trimmed := range map[string]bool{"from the start": false, "from a checkpoint": true} {
+		log := &fakeLog{first: 1, carried: carried, failEvery: 9}
+
+		for i := range records {
+			log.put([]apricotway.Record{{ID: fmt.Sprint(i)}})
+		}
+
+		want := apricotway.Offset(records + 1)
+
+		if trimmed {
+			payload, err := json.Marshal(map[string]any{"next": want, "part": 0, "parts": 1, "state": []byte(fmt.Sprintf("%d:", want))})
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			log.put([]apricotway.Record{{Kind: apricotway.KindCheckpoint, Payload: payload}})
+			log.trim(2)
+
+			want++
+		}
+
+		state := &idState{next: 1}
+		follower := journal.NewFollower(log, stream, state)
+
+		for range maxSteps {
+			if end, err := follower.Step(t.Context(), 0); end && err == nil {
+				break
+			}
+		}
+
+		if got := state.next; got != want {
+			t.Errorf("%s: got position %d after %d reads, want %d", name, got, log.reads, want)
+		}
+	}
+}
+
 // TestAppendAll guards against records of one call that are split over several appends or mixed with those of other calls, and
 // against a part of them that is appended after the caller has given up.
 func TestAppendAll(t *testing.T) {
