Go on with a list of backend servers where a read of it failed

A process that could not read the whole list within 1.1 s never had it: at some 5,000 servers on an idle link of 10 Mbit/s, at fewer beside calls, and at 390 processes that all read it after an outage of the store.

The list comes in pages of at most 500 servers, and all pages share the time of one read. What had come by then was dropped, and the next read began with the first page. By the form of an entry (277 bytes in a page, computed), 7,600 servers take 2.1 MB: 1.7 s of such a link; 390 processes take 10 s at the 80 MB/s of the store.

Backends now returns the pages that it got with ErrMoreChanges, and BackendsAfter goes on behind the last key. The catalog keeps the pages for up to 30 s and applies them once they are complete. Such a list is known as of the beginning of the first read, and the changes since are read at once, as after a list that was read in one go while it changed. A store that comes back from an older copy in between makes the catalog begin anew.

TestListFromSeveralReads covers the catalog.

--- a/coordination/catalog/refresh_test.go
+++ b/coordination/catalog/refresh_test.go
@@ -1,7 +1,9 @@
 package catalog_test
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -190,3 +192,78 @@
 		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": true, "b": true, "c": true})
 	})
 }
+
+// brokenListStore is a store of whose whole list one read gets a few entries.
+type brokenListStore struct {
+	*store
+
+	carried int
+}
+
+func (s *brokenListStore) page(
+	ctx context.Context, position apricotway.StorePosition,
+) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	all, end, err := s.store.Backends(ctx)
+	if err != nil {
+		return nil, position, err
+	}
+
+	if position.Key == "" {
+		position = end
+	}
+
+	slices.SortFunc(all, func(a, b apricotway.BackendChange) int { return cmp.Compare(a.ID, b.ID) })
+	all = slices.DeleteFunc(all, func(change apricotway.BackendChange) bool { return string(change.ID) <= position.Key })
+
+	if len(all) <= s.carried {
+		position.Key = ""
+		return all, position, nil
+	}
+
+	position.Key = string(all[s.carried-1].ID)
+
+	return all[:s.carried], position, apricotway.ErrMoreChanges
+}
+
+func (s *brokenListStore) Backends(ctx context.Context) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	return s.page(ctx, apricotway.StorePosition{})
+}
+
+func (s *brokenListStore) BackendsAfter(
+	ctx context.Context, position apricotway.StorePosition, wait time.Duration,
+) ([]apricotway.BackendChange, apricotway.StorePosition, error) {
+	if position.Key != "" {
+		return s.page(ctx, position)
+	}
+
+	return s.store.BackendsAfter(ctx, position, wait)
+}
+
+// TestListFromSeveralReads guards against a list that is never known since one read gets a part of it, and against changes between the reads
+// that are missed.
+func TestListFromSeveralReads(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := &brokenListStore{newStore(), 2}
+		s.publish(3)
+
+		for _, id := range []apricotway.BackendServerID{"a", "b", "c", "d", "e", "f", "g"} {
+			s.register(id, false)
+		}
+
+		c, pool := start(t, s)
+
+		// The first part has been read.
+		wait(50 * time.Millisecond)
+		s.drop("a")
+		s.register("aa", false)
+
+		changed := c.BootTime()
+
+		wait(3 * time.Second)
+		wantKnown(t, pool, map[apricotway.BackendServerID]bool{"a": false, "aa": true, "b": true, "f": true, "g": true})
+
+		if err := c.AwaitList(t.Context(), changed); err != nil {
+			t.Errorf("got error %v, want the list as of the change", err)
+		}
+	})
+}
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -20,6 +20,8 @@
 		known    bool
 		// asOf is the boot time as of which the changes up to position are known, and requested that of the last read for calls.
 		asOf, requested time.Duration
+		// pages is the part of a whole list that was read before a read of it failed.
+		pages listPages
 	)
 
 	return func(ctx context.Context, fromScratch bool) error {
@@ -43,7 +45,7 @@
 		whole := !known
 
 		if whole {
-			changes, position, err = c.store.Backends(limited)
+			changes, position, more, began, err = c.readWhole(limited, &pages)
 			known = err == nil
 		} else {
 			era := position.Era
@@ -61,7 +63,7 @@
 		}
 
 		if errors.Is(err, apricotway.ErrTrimmed) {
-			known = false
+			known, pages = false, listPages{}
 			return nil
 		}
 
@@ -83,21 +85,66 @@
 			c.endLeaveStatements(changes, asOf)
 		}
 
+		if whole || !more {
+			asOf = began
+		}
+
 		if more {
 			return nil
 		}
 
-		asOf = began
 		c.recordListApplied(began)
-
-		if !c.listWanted() {
-			c.pauseUnlessWanted(ctx, c.limitWait(gap))
-		}
+		c.pauseAfterList(ctx, gap)
 
 		return nil
 	}
 }
 
+// pauseAfterList pauses after a read of the list unless calls need a newer one.
+func (c *Catalog) pauseAfterList(ctx context.Context, gap time.Duration) {
+	if !c.listWanted() {
+		c.pauseUnlessWanted(ctx, c.limitWait(gap))
+	}
+}
+
+// maxPagesAge is the age from which the part of a whole list is read again. The changes since have to be read too, and are more by then.
+const maxPagesAge = 30 * time.Second
+
+// listPages is the part of a whole list that was read.
+type listPages struct {
+	changes []apricotway.BackendChange
+	// position is where the reading goes on; it has no key while nothing was read.
+	position apricotway.StorePosition
+	// began is the boot time at which the reading began.
+	began time.Duration
+}
+
+// readWhole reads the whole list, or goes on where the last such read failed: a list that takes longer than one read would otherwise never be
+// known. A list from several reads is known as of the beginning of the first one, and there may be more changes.
+func (c *Catalog) readWhole(ctx context.Context, pages *listPages) (
+	changes []apricotway.BackendChange, position apricotway.StorePosition, more bool, began time.Duration, err error,
+) {
+	began = c.boot()
+	more = pages.position.Key != "" && began-pages.began < maxPagesAge
+
+	if more {
+		began = pages.began
+		changes, position, err = c.store.BackendsAfter(ctx, pages.position, 0)
+		changes = append(pages.changes, changes...)
+	} else {
+		changes, position, err = c.store.Backends(ctx)
+	}
+
+	switch {
+	case errors.Is(err, apricotway.ErrMoreChanges):
+		*pages = listPages{changes, position, began}
+	case err == nil || !more:
+		*pages = listPages{}
+	}
+
+	return changes, position, more, began, err
+}
+
 // paceRequested pauses before a read that calls wait for, if the last one began just before: one read serves all calls that arrive meanwhile.
 // It returns when the last one begins.
 func (c *Catalog) paceRequested(ctx context.Context, last time.Duration) time.Duration {
--- a/operatorstore.go
+++ b/operatorstore.go
@@ -14,6 +14,8 @@
 type StorePosition struct {
 	Era    StoreEra
 	Offset Offset
+	// Key is the last key that was read of the state at Offset, if only a part of it was read.
+	Key string
 }
 
 // OperatorStore stores what operators and backend servers publish: the configuration and the list of backend servers. Each read
@@ -24,7 +26,7 @@
 	Deployment(ctx context.Context) (*Deployment, StorePosition, error)
 	// DeploymentAfter waits for a configuration after the position and returns nil when none arrives in time.
 	DeploymentAfter(ctx context.Context, position StorePosition, wait time.Duration) (*Deployment, StorePosition, error)
-	// Backends returns all entries of the list.
+	// Backends returns all entries of the list. If it fails with ErrMoreChanges, it returns a part of them, and BackendsAfter the rest.
 	Backends(ctx context.Context) ([]BackendChange, StorePosition, error)
 	// BackendsAfter waits for changes after the position and returns none when none arrives in time. It fails with ErrMoreChanges if there
 	// may be changes after those that it returns and the position that goes with them.
