Wait for the counts of live processes before usage is reported

Usage reports lacked the calls of processes whose reports to the holder of the duties were lost around the end of a window.

The holder reported a window 1.5 s after its end by what it had, also while it knew that a live process had not reported since. A window is reported once, so the counts that came with the next report were dropped.

The holder now waits until each live process has reported after the end of the window, with 0.5 s for the transit, but not beyond the end of the next window. Dead processes are not waited for.

--- a/coordination/rollup/list_test.go
+++ b/coordination/rollup/list_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/catalog"
 	"github.com/apricotway/apricotway/internal/bubble"
+	"github.com/apricotway/apricotway/state/tally"
 )
 
 // listCatalog is a catalog with a list of backend servers. Those of all processes have the same one.
@@ -153,3 +155,60 @@
 		}
 	})
 }
+
+// lossyLink loses the reports of one process for some time.
+type lossyLink struct {
+	apricotway.Peers
+
+	lost atomic.Bool
+}
+
+func (l *lossyLink) Call(ctx context.Context, to netip.AddrPort, method apricotway.Method, payload []byte) ([]byte, error) {
+	if l.lost.Load() && method == "report" {
+		<-ctx.Done()
+		return nil, errors.Wrap(ctx.Err(), "wait for peer")
+	}
+
+	return l.Peers.Call(ctx, to, method, payload)
+}
+
+// TestUsageOfLateReports guards against usage reports that lack the calls of a live process, of which the holder knows that it has not reported
+// since the end of the window.
+func TestUsageOfLateReports(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		links := map[apricotway.NodeID]*lossyLink{}
+		s := newSystem(t, func(n *node) {
+			links[n.name] = &lossyLink{Peers: n}
+			n.peers = links[n.name]
+		})
+
+		s.run(20 * time.Second)
+
+		holder, counter := s.holder(), tally.New(window)
+		other := s.nodes[0]
+
+		if other == holder {
+			other = s.nodes[1]
+		}
+
+		lossy := counter.Window(time.Now()) + 1
+
+		for time.Now().Before(counter.End(lossy).Add(-2 * time.Second)) {
+			s.run(100 * time.Millisecond)
+		}
+
+		links[other.name].lost.Store(true)
+		s.run(4 * time.Second)
+		links[other.name].lost.Store(false)
+		s.run(4 * time.Second)
+
+		s.mu.Lock()
+		defer s.mu.Unlock()
+
+		// Each process counts a call each 100 ms.
+		want := processes * int64(window/(100*time.Millisecond))
+		if got := s.reports[lossy]["w"]; got < want-processes || got > want+processes {
+			t.Errorf("got %d calls in the report of the window, want %d", got, want)
+		}
+	})
+}
--- a/coordination/rollup/rollup.go
+++ b/coordination/rollup/rollup.go
@@ -35,8 +35,10 @@
 	methodTake   apricotway.Method = "take"
 	// reportTimeout bounds one report to the holder.
 	reportTimeout = time.Second
-	// windowGrace is the time after the end of a window by which the counts of all processes have arrived.
+	// windowGrace is the time after the end of a window by which the counts of all processes have arrived, unless reports are lost.
 	windowGrace = 1500 * time.Millisecond
+	// reportTransit is the longest time that a report is expected to take.
+	reportTransit = 500 * time.Millisecond
 	// dutyCheckPeriod is the time between two checks whether usage reports or capacity orders are due.
 	dutyCheckPeriod = 500 * time.Millisecond
 	// backfillWindows is the number of windows before the current one that processes report, and that a holder without a
@@ -146,9 +148,9 @@
 	// limitsTable is the configuration from which the limits of center were last set.
 	limitsTable *route.Table
 	nextWindow  int64
-	// claimedAt is the time at which collectedUnder was first used, and heard holds the processes that have reported since.
+	// claimedAt is the time at which collectedUnder was first used, and heard holds the times of the last reports since.
 	claimedAt time.Time
-	heard     map[apricotway.NodeID]bool
+	heard     map[apricotway.NodeID]time.Time
 	// pendingReport is the usage report that has been appended to the duty log but not yet accepted by the platform.
 	pendingReport *apricotway.UsageReport
 	// savedState holds the counts and savedCrashes the refusals that were last saved for a successor.
@@ -385,7 +387,7 @@
 	defer r.mu.Unlock()
 
 	r.prepare(now, holder.Number)
-	r.heard[report.Node] = true
+	r.heard[report.Node] = now
 	r.duty.LearnWindow(report.LastWindow)
 
 	r.collector.Report(report.Node, report.Counts)
@@ -412,7 +414,7 @@
 // newest configuration. The caller holds r.mu.
 func (r *Rollup) prepare(now time.Time, number apricotway.Offset) {
 	if r.collectedUnder != number {
-		r.claimedAt, r.heard = now, map[apricotway.NodeID]bool{}
+		r.claimedAt, r.heard = now, map[apricotway.NodeID]time.Time{}
 	}
 
 	switch {
--- a/coordination/rollup/settle.go
+++ b/coordination/rollup/settle.go
@@ -88,12 +88,12 @@
 	var unheard []apricotway.NodeID
 
 	for _, member := range r.membership.Members() {
-		if !r.heard[member.Node] {
+		if r.heard[member.Node].IsZero() {
 			unheard = append(unheard, member.Node)
 		}
 	}
 
-	if before := r.duty.Predecessor(); before != "" && !r.heard[before] && !slices.Contains(unheard, before) {
+	if before := r.duty.Predecessor(); before != "" && r.heard[before].IsZero() && !slices.Contains(unheard, before) {
 		unheard = append(unheard, before)
 	}
 
--- a/coordination/rollup/usage.go
+++ b/coordination/rollup/usage.go
@@ -127,13 +127,30 @@
 		return *last, true
 	}
 
-	if now.Before(r.Tally.End(r.nextWindow).Add(windowGrace)) {
+	if end := r.Tally.End(r.nextWindow); now.Before(end.Add(windowGrace)) || r.awaitsCounts(now, end) {
 		return apricotway.UsageReport{}, false
 	}
 
 	return apricotway.UsageReport{Window: r.nextWindow, Calls: r.collector.Total(r.nextWindow)}, true
 }
 
+// awaitsCounts reports whether a live process has not reported since the end of a window. What it counted in the window can't be reported
+// later, so its next report is worth waiting for until the next window has ended. The caller holds r.mu.
+func (r *Rollup) awaitsCounts(now, end time.Time) bool {
+	if !now.Before(r.Tally.End(r.Tally.Window(end))) {
+		return false
+	}
+
+	for _, member := range r.membership.Members() {
+		alive := member.State == apricotway.MemberAlive || member.State == apricotway.MemberSuspect
+		if alive && r.heard[member.Node].Before(end.Add(reportTransit)) {
+			return true
+		}
+	}
+
+	return false
+}
+
 // sendUsage appends a report to the duty log before it sends it to the platform, so that a successor repeats exactly the same one.
 func (r *Rollup) sendUsage(ctx context.Context, holder apricotway.DutyHolder, report apricotway.UsageReport) error {
 	r.mu.Lock()
