Statements of limits of an unknown kind neither set nor end a limit

A process or a holder of the duties that learned a statement whose kind it doesn't know took it for one without a limit: the rate of the server became infinite until the next answer. A newer build may send such a kind.

TestUnknownStatement failed before: no limit at the process, and the board of the holder passed the unknown statement on in place of the known one. Both now leave it out, so the limit in force holds.

--- a/state/intake/board.go
+++ b/state/intake/board.go
@@ -18,7 +18,7 @@
 func (b *Board) Add(now time.Time, learned []Statement) {
 	for _, statement := range learned {
 		f := factOf(now, statement)
-		if known, ok := b.facts[statement.Server]; !ok || known.replacedBy(f) {
+		if known, ok := b.facts[statement.Server]; f.known() && (!ok || known.replacedBy(f)) {
 			b.facts[statement.Server] = f
 		}
 	}
--- a/state/intake/intake.go
+++ b/state/intake/intake.go
@@ -217,6 +217,9 @@
 
 	for _, statement := range collected {
 		f := factOf(asked, statement)
+		if !f.known() {
+			continue
+		}
 
 		s := l.servers[statement.Server]
 		if s == nil {
--- a/state/intake/intake_test.go
+++ b/state/intake/intake_test.go
@@ -92,6 +92,31 @@
 	}
 }
 
+// TestUnknownStatement guards against a statement of a kind that this build does not know ending the limit that is in force.
+func TestUnknownStatement(t *testing.T) {
+	unknown := []intake.Statement{{
+		Server: engine, Limit: apricotway.RequestLimit{Statement: "statedInTokens", PerSecond: 9}, Observation: intake.Observation{Node: "new"},
+	}}
+
+	l := settled(start)
+	l.Observe(start, start, engine, stated(2))
+	l.Learn(start.Add(time.Minute), start.Add(time.Minute), unknown)
+
+	if !l.Limited(engine) {
+		t.Error("got no limit at a process, want the one before")
+	}
+
+	b := intake.NewBoard()
+	b.Add(start, []intake.Statement{{Server: engine, Limit: stated(2)}})
+	b.Add(start.Add(time.Minute), unknown)
+
+	for _, statement := range b.Statements(start.Add(time.Minute)) {
+		if got, want := statement.Limit, stated(2); got != want {
+			t.Errorf("got limit %+v at the holder, want %+v", got, want)
+		}
+	}
+}
+
 // TestLearnedStatements guards against statements of other processes that are older than what the process knows itself.
 func TestLearnedStatements(t *testing.T) {
 	none := apricotway.RequestLimit{}
--- a/state/intake/statement.go
+++ b/state/intake/statement.go
@@ -52,6 +52,11 @@
 	return f.observation.Node == other.observation.Node && f.observation.At.Equal(other.observation.At)
 }
 
+// known reports whether this build knows the kind of the statement. One of another kind neither sets nor ends a limit.
+func (f fact) known() bool {
+	return f.limit.Statement == apricotway.LimitStated || f.limit.Statement == apricotway.LimitAbsent
+}
+
 func (f fact) limited() bool { return f.limit.Statement == apricotway.LimitStated }
 
 // rate returns the requests per second that the statement allows.
