Refute only entries that are newer or more severe than the own one

An older build drops the fields of an entry that it does not know and passes the rest on. The process itself took such an entry for one about it that differs, and raised its incarnation; the next one came back without the fields as well, so the refutations would not have ended while both builds run.

TestOwnEntryWithFewerFields failed before with incarnation 3 in place of 2; a suspicion is still refuted.

--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -657,10 +657,11 @@
 	return time.Time{}
 }
 
-// refute raises the incarnation of this process above that of an entry about it, if the entry differs from its own and is not
-// older.
+// refute raises the incarnation of this process above that of an entry about it, if the entry is newer than its own or more severe. An
+// entry of the same incarnation and state may lack fields, because a process of an older build passed it on; a refutation would lack them
+// there as well.
 func (m *Machine) refute(now time.Time, entry Entry) {
-	if entry == m.self || entry.Incarnation < m.self.Incarnation {
+	if !entry.supersedes(m.self) {
 		return
 	}
 
--- a/state/member/machine_test.go
+++ b/state/member/machine_test.go
@@ -277,6 +277,30 @@
 	}
 }
 
+// TestOwnEntryWithFewerFields guards against endless refutations of entries that an older build passed on without the fields that it does
+// not know.
+func TestOwnEntryWithFewerFields(t *testing.T) {
+	n := newNetwork(2)
+	n.perform(0, n.machines[0].SetReady(n.now, true, true))
+
+	before := n.machines[0].Self().Incarnation
+
+	passedOn := n.machines[0].Self()
+	passedOn.Isolated, passedOn.Capacity = false, 0
+	n.machines[0].Receive(n.now, address(1001), member.Message{Kind: member.KindProbe, From: "node-001", Entries: []member.Entry{passedOn}})
+
+	if got, want := n.machines[0].Self().Incarnation, before; got != want {
+		t.Errorf("got incarnation %d, want %d", got, want)
+	}
+
+	passedOn.State = apricotway.MemberSuspect
+	n.machines[0].Receive(n.now, address(1001), member.Message{Kind: member.KindProbe, From: "node-001", Entries: []member.Entry{passedOn}})
+
+	if got, want := n.machines[0].Self().Incarnation, before+1; got != want {
+		t.Errorf("suspected: got incarnation %d, want %d", got, want)
+	}
+}
+
 // TestAddressReuse guards against a dead member that is held for alive because another process now has its address.
 func TestAddressReuse(t *testing.T) {
 	n := newNetwork(4)
