Run no new key beside ledger records of a later schema version

A shard skipped records of a schema version that it does not know, so a key whose intent a newer build had recorded looked unused and its call ran a second time; a newer claim looked like none, so a deposed owner sent.

TestIntentOfLaterSchema failed before: two executions of one key. A stream with such a record is now read for known keys only until the record is as old as a key can be: other calls are refused with unknown execution, and an intent after which such a record is read is abandoned. It concerns apricotway serve; no build writes a later schema yet.

--- a/coordination/shard/call.go
+++ b/coordination/shard/call.go
@@ -38,6 +38,11 @@
 			return answerEntry(entry, digest)
 		}
 
+		if s.fold.HoldsLater(time.Now()) {
+			s.mu.Unlock()
+			return apricotway.ServiceAnswer{}, UncertainRefusal(errLaterSchema.Error())
+		}
+
 		current = &activeCall{digest: digest, done: make(chan struct{})}
 		s.activeCalls[request.Key] = current
 		s.mu.Unlock()
@@ -134,6 +139,10 @@
 		return unavailable(err)
 	}
 
+	if errors.Is(err, errLaterSchema) {
+		return UncertainRefusal(err.Error())
+	}
+
 	if s.epoch() != 0 && s.manager.pauses.uninterruptedSince(read, time.Now()) && !s.manager.isolated() {
 		return unavailable(err)
 	}
@@ -203,6 +212,9 @@
 // intent.
 var errClaimReplaced = errors.New("another process has claimed the shard")
 
+// errLaterSchema reports a stream with records that only a newer build can read: it may have claimed the shard, and sent the call.
+var errLaterSchema = errors.New("the stream holds records of a later schema version")
+
 // confirmIntent reads the stream past the intent and returns nil if the call may be sent: the intent was accepted, and the claim
 // under which it was written is still in force at the end of the records read.
 func (s *shard) confirmIntent(
@@ -216,9 +228,13 @@
 		}
 
 		s.mu.Lock()
-		counts, holder := s.fold.IntentPending(key, intent), s.fold.Holder()
+		counts, holder, later := s.fold.IntentPending(key, intent), s.fold.Holder(), s.fold.HoldsLater(time.Now())
 		s.mu.Unlock()
 
+		if later {
+			return errLaterSchema
+		}
+
 		if !counts {
 			return &NotOwnerError{Owner: holder.Owner}
 		}
--- a/state/ledger/fold.go
+++ b/state/ledger/fold.go
@@ -59,6 +59,10 @@
 	// restore is nil unless the state waits for a complete checkpoint.
 	restore *restoration
 	tracker checkpointTracker
+	// hasLater is set once a record of a later schema version was applied, and laterAt is the time of the newest one, zero if the log does
+	// not tell it.
+	hasLater bool
+	laterAt  time.Time
 }
 
 // New returns the state before the first record of a stream. Retention is the age at which keys expire.
@@ -88,6 +92,12 @@
 	return *entry, true
 }
 
+// HoldsLater reports whether the stream holds records of a later schema version that may concern live keys. A key without an entry may then
+// have run, and the claim in force may be another one.
+func (f *Fold) HoldsLater(at time.Time) bool {
+	return f.hasLater && (f.laterAt.IsZero() || !f.expired(f.laterAt, at))
+}
+
 // IntentPending reports whether the intent with the record ID was accepted and has no outcome yet.
 func (f *Fold) IntentPending(key Key, intent string) bool {
 	entry := f.entries[key]
@@ -123,6 +133,10 @@
 }
 
 func (f *Fold) apply(record apricotway.StoredRecord) Verdict {
+	if record.SchemaVersion > schemaVersion {
+		f.hasLater, f.laterAt = true, record.Time
+	}
+
 	if record.SchemaVersion != schemaVersion {
 		return VerdictUnreadable
 	}
