A lease record of a later schema version ends the lease for this build

The fold skipped such a record, so a holder of an older build went on beside the one that a newer build knows, and both gave orders. Now nobody holds the lease in the view of the older build from that record on, until a checkpoint tells which lease is in force.

TestLaterSchema failed before: holder a. It concerns apricotway serve; no build writes a later schema yet.

--- a/state/lease/lease.go
+++ b/state/lease/lease.go
@@ -60,6 +60,8 @@
 type Fold struct {
 	next    apricotway.Offset
 	current Current
+	// later is set after a lease record of a later schema version: which lease is in force can't be told until a checkpoint says so.
+	later bool
 }
 
 // New returns the state before the first record of a stream.
@@ -109,12 +111,13 @@
 		f.current = Current{Number: c.Lease.Number, Record: c.Lease.Record, Holder: c.Lease.Holder, Read: read}
 	}
 
-	f.next = c.Next
+	f.next, f.later = c.Next, false
 
 	return nil
 }
 
-// Apply folds a record that was read at the given time, and returns whether the record is now in force.
+// Apply folds a record that was read at the given time, and returns whether the record is now in force. After a record of a later schema
+// version no other one comes into force, and the holder before it no longer is one.
 func (f *Fold) Apply(record apricotway.StoredRecord, read time.Time) bool {
 	if record.Offset < f.next {
 		return false
@@ -122,8 +125,12 @@
 
 	f.next = record.Offset + 1
 
+	if record.Kind == Kind && record.SchemaVersion > schemaVersion {
+		f.current, f.later = Current{Number: record.Offset, Record: record.ID, Read: read}, true
+	}
+
 	var payload Record
-	if record.Kind != Kind || record.SchemaVersion != schemaVersion ||
+	if f.later || record.Kind != Kind || record.SchemaVersion != schemaVersion ||
 		json.Unmarshal(record.Payload, &payload) != nil || payload.Replaces != f.current.Number {
 		return false
 	}
--- a/state/lease/lease_test.go
+++ b/state/lease/lease_test.go
@@ -91,3 +91,33 @@
 		t.Error("an order was given without a fencing number")
 	}
 }
+
+// TestLaterSchema guards against a holder that goes on, and one that takes the lease, beside a lease record that only a newer build can read.
+func TestLaterSchema(t *testing.T) {
+	fold := lease.New()
+	read := time.Now()
+
+	first, err := lease.NewRecord(0, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	later := first
+	later.ID, later.SchemaVersion = "later", 2
+
+	renewal, err := lease.NewRecord(2, "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	for i, record := range []apricotway.Record{first, later, renewal} {
+		got := fold.Apply(apricotway.StoredRecord{Record: record, Offset: apricotway.Offset(i + 1)}, read)
+		if want := i == 0; got != want {
+			t.Errorf("record %d: got %t, want %t", i+1, got, want)
+		}
+	}
+
+	if got, want := fold.Current().Holder, apricotway.NodeID(""); got != want {
+		t.Errorf("got holder %q, want none", got)
+	}
+}
