Duty log records that can't be read leave the usage unsettled

A record of an unknown kind had no effect, so a holder went on after what may be a newer build's claim, and a successor reported a window whose report it could not read a second time, with its own counts. A report with a retyped field was dropped the same way.

An undecodable record now leaves it open which windows were reported, as a trimmed log does; the holder settles that with the members (363). A record of an unknown kind may also be a claim, so the process that holds the duties claims them again (event 246). TestRecordsOfNewerBuild failed before, in both cases; TestOddRecords still shows that undecodable records name no holder.

--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -350,6 +350,45 @@
 	}
 }
 
+// TestRecordsOfNewerBuild guards against a holder that goes on after a record which may be a later claim, and against a second count for a
+// window, when a newer build writes records that this one does not know.
+func TestRecordsOfNewerBuild(t *testing.T) {
+	for name, test := range map[string]struct {
+		record string
+		// deposes is set if the record may be a claim.
+		deposes bool
+	}{
+		"unknown kind":   {`{"kind":"claimOfZone","node":"z","era":1,"usage":{"window":8,"calls":{"w":1}}}`, true},
+		"retyped report": {`{"kind":"usage","node":"a","claim":1,"era":1,"usage":{"window":"8","calls":{"w":1}}}`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				c, l := newCluster(), &log{era: 1}
+				a := c.start(t, l, "a")
+				wait(3 * time.Second)
+
+				if err := a.RecordUsage(t.Context(), apricotway.UsageReport{Window: 7}); err != nil {
+					t.Fatal(err)
+				}
+
+				first := a.Holder()
+
+				l.set(func(l *log) { l.records = append(l.records, []byte(test.record)) })
+				a.RequestRefresh()
+				wait(10 * time.Second)
+
+				if a.UsageSettled() {
+					t.Error("got usage settled by the log, want it unsettled")
+				}
+
+				if got, want := a.Holder() != first, test.deposes; got != want {
+					t.Errorf("got another claim: %t, want %t", got, want)
+				}
+			})
+		})
+	}
+}
+
 // TestClaimAnswerLost guards against repeating a claim that took effect although its answer was lost.
 func TestClaimAnswerLost(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -225,6 +225,10 @@
 		d.applyClaim(apricotway.DutyHolder{Node: r.Node, Number: fencingNumber(r.Era, at)})
 	case KindUsage, KindSkip:
 		d.applyUsage(r)
+	default:
+		// A newer build wrote it. It may be a claim or a report.
+		d.logger.Info("met a duty log record of an unknown kind", "event", 246, "offset", at, "kind", r.Kind, "node", r.Node)
+		d.noteGap()
 	}
 }
 
@@ -292,8 +296,8 @@
 	d.verifiedAt, d.stale = 0, true
 }
 
-// noteGap drops what the records that were trimmed before this process read them may have changed: there may be a later claim among them.
-// The caller holds d.mu.
+// noteGap drops what records that this process did not read, as they were trimmed before or are of an unknown kind, may have changed: there
+// may be a later claim among them. The caller holds d.mu.
 func (d *Duty) noteGap() {
 	d.claim, d.usage, d.settled = apricotway.DutyHolder{}, nil, false
 
@@ -348,13 +352,14 @@
 			continue
 		}
 
-		// A record that cannot be decoded takes up its offset but has no effect.
 		var r record
 		if err := json.Unmarshal(content, &r); err != nil {
 			d.logger.Info("ignored an undecodable duty log record", "event", 294, "offset", at, "error", err.Error())
 
-			// Of a record with one odd field, the others have been decoded.
-			r = record{}
+			// Of a record with one odd field, the others have been decoded. It names no holder, but may be a report.
+			d.next, d.usage, d.settled = at+1, nil, false
+
+			continue
 		}
 
 		d.apply(at, r)
