Saved software versions that can't be read tell of no single version

A process that could not read the saved versions, as a newer build may write them, took the history for empty: a stream whose origin nobody recorded went on at the only version on the list, and the saved state was overwritten.

Now the process answers only for the streams that it knows, and leaves the state alone, until all streams that began before have ended; then it writes the state anew (378) as before. TestVersionsOfNewerBuild failed before: version v1 for an unknown stream, and the state overwritten.

--- a/coordination/origins/origins_test.go
+++ b/coordination/origins/origins_test.go
@@ -368,6 +368,31 @@
 	})
 }
 
+// TestVersionsOfNewerBuild guards against taking the only version on the list for the one that began every stream, and against overwriting,
+// when a newer build saved the versions in a form that this one can't read.
+func TestVersionsOfNewerBuild(t *testing.T) {
+	for _, content := range []string{`{"services":{"s":{"v1":{"left":0},"v2":{"left":0}}}}`, `{"versions":[]}`} {
+		bubble.Test(t, func(t *testing.T) {
+			s := newStore()
+			s.states[apricotway.StateVersions] = []byte(content)
+
+			p := start(t, s, "v1")
+			<-time.After(3 * time.Second)
+			p.Began(time.Now(), "own", server("v1"))
+			p.wantVersion(t, "x", "")
+			p.wantVersion(t, "own", "v1")
+
+			if got, want := string(s.states[apricotway.StateVersions]), content; got != want {
+				t.Errorf("got saved versions %s, want %s", got, want)
+			}
+
+			<-time.After(p.register.Lifetime() + time.Second)
+			p.wantVersion(t, "x", "v1")
+			p.kill()
+		})
+	}
+}
+
 // TestOneVersionCostsNothing guards against calls of the store while one version serves and no caller takes a stream up.
 func TestOneVersionCostsNothing(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/coordination/origins/versions.go
+++ b/coordination/origins/versions.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -34,8 +35,16 @@
 	register *origin.Register
 	store    versionStore
 	logger   logr.Logger
+
+	mu sync.Mutex
+	// unreadableSince is the time since which the saved versions can't be read; zero if they can.
+	unreadableSince time.Time
 }
 
+// errUnreadable reports saved versions that can't be read, as a newer build may save them. Streams that began before may go on at versions
+// that this process knows nothing of.
+var errUnreadable = errors.New("the saved software versions can't be read")
+
 // savedVersions is the saved state. Times are in Unix milliseconds; 0 means that the version is in service.
 type savedVersions struct {
 	Services map[apricotway.Service]map[apricotway.SoftwareVersion]int64 `json:"services"`
@@ -117,18 +126,50 @@
 		return saved, err
 	}
 
-	if err := json.Unmarshal(content, &saved); err != nil || saved.Services == nil {
-		v.logger.Info("ignored saved software versions that can't be read", "event", 378)
+	var found savedVersions
+	if err := json.Unmarshal(content, &found); err == nil && found.Services != nil {
+		v.unreadableFor(false)
+		return found, nil
+	}
 
-		saved.Services = map[apricotway.Service]map[apricotway.SoftwareVersion]int64{}
+	if v.unreadableFor(true) < v.register.Lifetime() {
+		return saved, errUnreadable
 	}
 
+	// All streams that began before have ended.
+	v.logger.Info("ignored saved software versions that can't be read", "event", 378)
+
+	saved.Services = map[apricotway.Service]map[apricotway.SoftwareVersion]int64{}
+
 	return saved, nil
 }
 
+// unreadableFor notes whether the saved versions can be read, and returns for how long they can't.
+func (v *versions) unreadableFor(unreadable bool) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	switch {
+	case !unreadable:
+		v.unreadableSince = time.Time{}
+		return 0
+	case v.unreadableSince.IsZero():
+		v.unreadableSince = time.Now()
+	}
+
+	return time.Since(v.unreadableSince)
+}
+
 // readHistory adds the versions that other processes saw to the register.
 func (v *versions) readHistory(ctx context.Context) error {
 	saved, err := v.read(ctx)
+	if errors.Is(err, errUnreadable) {
+		// The register answers only for the streams that it knows, as before the first read.
+		v.register.AwaitHistory()
+
+		return nil
+	}
+
 	if err != nil {
 		v.logger.V(1).Info("failed to read the software versions in service", "event", 379, "error", err.Error())
 		return errors.Wrap(err, "read the software versions in service")
