Check messages and records against samples that the production build wrote

The tests read them with this tree, and read what this tree writes for the same values with a frozen decoder of independent types. They need no history.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	@for module in $(MODULES); do (cd $$module && $(LINT) fmt ./...) || exit 1; done
 
 # Runs random schedules of failures against real processes; the name of a failing subtest is its seed.
+PRODUCTION ?= $(shell sed -n 's/^production = "\(.*\)"/\1/p' deploy/system.toml)
 SEEDS ?= 10
 DURATION ?= 1m
 FIRST ?= 1000
@@ -57,6 +58,11 @@
 soak:
 	go test -race -count=1 -timeout 0 -run 'TestRandomFailures$$' -v ./cmd/scenario -soak.seeds $(SEEDS) -soak.duration $(DURATION) -soak.first $(FIRST)
 
+# Writes the samples that the production commit of deploy/system.toml produces; "make test" checks this tree against them.
+.PHONY: schema-samples
+schema-samples:
+	scripts/schema-samples $(PRODUCTION)
+
 # Plays the operators' deployments with their bench; not in CI, which does not have it.
 .PHONY: regress
 regress:
