A running process logs unknown settings keys and goes on

A build that is rolled back gets a template for a newer one, and ended with 'additional properties not allowed'. entry and serve now ignore such a key with event 111, at the start and when the file is read again; apricotway check still fails on it, and says which key was meant.

A key that looks like a misspelt probeKey, tls, operators, keyRevocation or holderLease remains a fault for the process too, unless the file has the key as well: without them a process admits more than with them.

TestUnknownSettingsKey, with a real process, failed before: the process did not serve within 30 s. In TestParse an unknown key is now wanted on the line of the key (7) and not on that of the object (1), with the new reason; the other faults are wanted as before.

--- a/cmd/internal/entry/reload.go
+++ b/cmd/internal/entry/reload.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"github.com/apricotway/apricotway/cmd/internal/process"
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 )
 
@@ -40,7 +41,9 @@
 func (e *Entry) apply(path string, content []byte) {
 	e.content = content
 
-	s, err := settings.ParseEntry(path, content)
+	s, err := settings.ParseEntry(path, content, settings.WithUnknownKeys(func(fault settings.Fault) {
+		process.UnknownSetting(e.logger, fault)
+	}))
 	if err != nil {
 		e.logRejected(err)
 		return
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/apricotway/apricotway/cmd/internal/settings"
 	"github.com/apricotway/apricotway/internal/guard"
 )
 
@@ -55,6 +56,11 @@
 	logger.Info("process started", "event", 102, "callers", callers, "operator", operator)
 }
 
+// UnknownSetting logs a key of the settings file that this build does not know and ignores.
+func UnknownSetting(logger logr.Logger, fault settings.Fault) {
+	logger.Info("ignored an unknown settings key", "event", 111, "file", fault.File, "line", fault.Line, "key", fault.Reason)
+}
+
 // Stopping logs the start of a graceful shutdown.
 func Stopping(logger logr.Logger) { logger.Info("process stopping", "event", 103) }
 
--- a/cmd/internal/serve/serve.go
+++ b/cmd/internal/serve/serve.go
@@ -20,6 +20,7 @@
 	"github.com/apricotway/apricotway/cmd/internal/daemon"
 	"github.com/apricotway/apricotway/cmd/internal/entry"
 	"github.com/apricotway/apricotway/cmd/internal/logsink"
+	"github.com/apricotway/apricotway/cmd/internal/process"
 	"github.com/apricotway/apricotway/cmd/internal/settings"
 )
 
@@ -64,7 +65,7 @@
 		},
 		cli.Command{
 			Name: "check", Short: "Check a settings file",
-			Long: "Names every fault of a settings file with its line.\n\n" +
+			Long: "Names every fault of a settings file with its line, keys that this build does not know included.\n\n" +
 				"Example: apricotway check --settings docs/settings.example.jsonc",
 			Data: &checkCommand{},
 		},
@@ -85,12 +86,12 @@
 
 // Execute implements flags.Commander.
 func (c *serveCommand) Execute([]string) error {
-	s, err := settings.Load(c.Settings)
+	logger, err := newLogger()
 	if err != nil {
 		return err
 	}
 
-	logger, err := newLogger()
+	s, err := settings.Load(c.Settings, logUnknown(logger))
 	if err != nil {
 		return err
 	}
@@ -117,16 +118,16 @@
 
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
-	s, err := settings.LoadEntry(c.Settings)
-	if err != nil {
-		return err
-	}
-
 	sink := logsink.New(os.Stdout)
 	logger := zapr.NewLogger(logsink.Logger(sink))
 
 	defer func() { _ = sink.Sync() }() // It waits for pending writes and never fails.
 
+	s, err := settings.LoadEntry(c.Settings, logUnknown(logger))
+	if err != nil {
+		return err
+	}
+
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 
@@ -201,6 +202,11 @@
 	return dev.Stop(stop)
 }
 
+// logUnknown makes unknown settings keys log lines.
+func logUnknown(logger logr.Logger) settings.Option {
+	return settings.WithUnknownKeys(func(fault settings.Fault) { process.UnknownSetting(logger, fault) })
+}
+
 func newLogger() (logr.Logger, error) {
 	base, err := zap.NewProduction()
 	if err != nil {
--- a/cmd/internal/settings/check.go
+++ b/cmd/internal/settings/check.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"github.com/tailscale/hujson"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
@@ -50,17 +51,19 @@
 }
 
 // Parse decodes and validates the content of a settings file. Its error is a *FaultsError.
-func Parse(file string, content []byte) (Settings, error) {
-	return parse(file, content, schemaDocument, Default(), (*checker).checkConsistency)
+func Parse(file string, content []byte, options ...Option) (Settings, error) {
+	return parse(file, content, schemaDocument, Default(), (*checker).checkConsistency, options)
 }
 
 // ParseEntry decodes and validates the settings of an entry host on the operators' platform. Its error is a *FaultsError.
-func ParseEntry(file string, content []byte) (Entry, error) {
-	return parse(file, content, entrySchemaDocument, DefaultEntry(), (*checker).checkEntryConsistency)
+func ParseEntry(file string, content []byte, options ...Option) (Entry, error) {
+	return parse(file, content, entrySchemaDocument, DefaultEntry(), (*checker).checkEntryConsistency, options)
 }
 
 // parse validates a document against a schema, decodes it into a copy of the defaults, and then runs check on the result.
-func parse[T any](file string, content []byte, schema string, defaults T, check func(*checker, T)) (T, error) {
+func parse[T any](
+	file string, content []byte, schema string, defaults T, check func(*checker, T), options []Option,
+) (T, error) {
 	var none T
 
 	tree, err := hujson.Parse(content)
@@ -73,7 +76,11 @@
 	plain := tree.Clone()
 	plain.Standardize()
 
-	c := &checker{file: file, content: content, tree: tree}
+	c := &checker{file: file, content: content, tree: tree, document: decodeSchema(schema)}
+	for _, option := range options {
+		option(c)
+	}
+
 	c.checkSchema(schema, plain.Pack())
 
 	settings := defaults
@@ -93,6 +100,10 @@
 		return none, &FaultsError{Faults: c.faults}
 	}
 
+	for _, fault := range c.unknown {
+		c.receiveUnknown(fault)
+	}
+
 	return settings, nil
 }
 
@@ -111,31 +122,38 @@
 	content []byte
 	tree    hujson.Value
 	faults  []Fault
+	// document is the decoded schema.
+	document any
+	// receiveUnknown is called for each of the unknown keys that are no faults; nil if all are.
+	receiveUnknown func(Fault)
+	unknown        []Fault
 }
 
 // add records a fault at the line of a JSON pointer's value, or of its nearest existing parent.
 func (c *checker) add(pointer, reason string) {
-	line := 1
+	line := c.line(pointer)
 
+	if pointer != "" {
+		reason = strings.TrimPrefix(pointer, "/") + ": " + reason
+	}
+
+	c.faults = append(c.faults, Fault{File: c.file, Line: line, Reason: reason})
+}
+
+// line returns the line of a JSON pointer's value, or of its nearest existing parent.
+func (c *checker) line(pointer string) int {
 	for place := pointer; ; {
 		if value := c.tree.Find(place); value != nil {
-			line = 1 + bytes.Count(c.content[:min(value.StartOffset, len(c.content))], []byte("\n"))
-			break
+			return 1 + bytes.Count(c.content[:min(value.StartOffset, len(c.content))], []byte("\n"))
 		}
 
 		cut := strings.LastIndexByte(place, '/')
 		if cut < 0 {
-			break
+			return 1
 		}
 
 		place = place[:cut]
 	}
-
-	if pointer != "" {
-		reason = strings.TrimPrefix(pointer, "/") + ": " + reason
-	}
-
-	c.faults = append(c.faults, Fault{File: c.file, Line: line, Reason: reason})
 }
 
 func (c *checker) checkSchema(source string, document []byte) {
@@ -167,12 +185,15 @@
 		return
 	}
 
-	var pointer strings.Builder
-	for _, step := range invalid.InstanceLocation {
-		pointer.WriteString("/" + strings.NewReplacer("~", "~0", "/", "~1").Replace(step))
+	if additional, ok := invalid.ErrorKind.(*kind.AdditionalProperties); ok {
+		for _, name := range additional.Properties {
+			c.addUnknown(invalid.InstanceLocation, name)
+		}
+
+		return
 	}
 
-	c.add(pointer.String(), invalid.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
+	c.add(pointerTo(invalid.InstanceLocation), invalid.ErrorKind.LocalizedString(message.NewPrinter(language.English)))
 }
 
 func compileSchema(source string) (*jsonschema.Schema, error) {
--- a/cmd/internal/settings/entry.go
+++ b/cmd/internal/settings/entry.go
@@ -91,13 +91,13 @@
 }
 
 // LoadEntry reads and validates a settings file. Its error lists all faults of the file.
-func LoadEntry(path string) (Entry, error) {
+func LoadEntry(path string, options ...Option) (Entry, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
 		return Entry{}, errors.Wrap(err, "read settings file")
 	}
 
-	return ParseEntry(path, content)
+	return ParseEntry(path, content, options...)
 }
 
 // checkEntryConsistency finds contradictions between values, which the schema cannot express.
--- a/cmd/internal/settings/settings.go
+++ b/cmd/internal/settings/settings.go
@@ -123,11 +123,11 @@
 }
 
 // Load reads and validates a settings file. Its error lists all faults of the file.
-func Load(path string) (Settings, error) {
+func Load(path string, options ...Option) (Settings, error) {
 	content, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "read settings file")
 	}
 
-	return Parse(path, content)
+	return Parse(path, content, options...)
 }
