A result of an unknown kind in the ledger means that the outcome is unknown

A repeat of a call whose outcome a newer build had recorded with another result was answered as completed, with status 0. TestUnknownResult failed before; the repeat now gets the refusal for an unknown outcome. It concerns apricotway serve; no build writes another result yet.

--- a/coordination/shard/call.go
+++ b/coordination/shard/call.go
@@ -298,7 +298,8 @@
 	switch {
 	case outcome.Result == ledger.ResultAbandoned:
 		return apricotway.ServiceAnswer{}, unavailable(errors.New("the call was not sent"))
-	case outcome.Result == ledger.ResultUnknown:
+	// A newer build may record a result that this one does not know.
+	case outcome.Result != ledger.ResultCompleted:
 		return apricotway.ServiceAnswer{}, &apricotway.Refusal{
 			Code: apricotway.CodeOutcomeUnknown, Execution: apricotway.ExecutionUnknown,
 			Message: "the call was recorded and may have run; it is not sent again",
