Intents of an unknown action in the fleet stream are not carried out

The holder of the lease took each action but create for a release, so an intent of a newer build would have released the host that it names. The intent now stays open for a build that knows the action, its host counts as before, and hosts that carry its token are not released as superfluous.

TestUnknownAction failed with the tracker as before: host h leaving. It concerns apricotway serve; no build writes another action yet.

--- a/coordination/planning/planning.go
+++ b/coordination/planning/planning.go
@@ -312,7 +312,7 @@
 
 	retries := map[uint64]retry{}
 
-	for _, open := range d.fold.OpenIntents() {
+	for _, open := range d.fold.OrderableIntents() {
 		if r, ok := d.retries[open.Sequence]; ok {
 			retries[open.Sequence] = r
 		}
--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -173,6 +173,53 @@
 	})
 }
 
+// TestUnknownAction guards against carrying out an intent whose action only a newer build knows, as if it were a release.
+func TestUnknownAction(t *testing.T) {
+	fold := fleet.New("fleet-r")
+
+	claim, err := lease.NewRecord(0, "n")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	market := fleet.Market{Zone: "a", MachineClass: "m"}
+
+	for i, next := range []any{
+		nil, fleet.Intent{Sequence: 1, Action: fleet.ActionCreate, Market: market},
+		fleet.Outcome{Sequence: 1, Result: fleet.ResultCreated, Host: "h"}, fleet.Intent{Sequence: 2, Action: "replace", Host: "h"},
+	} {
+		record := claim
+
+		switch next.(type) {
+		case fleet.Intent:
+			record, err = fleet.NewRecord(fleet.KindIntent, 1, next)
+		case fleet.Outcome:
+			record, err = fleet.NewRecord(fleet.KindOutcome, 1, next)
+		}
+
+		if err != nil {
+			t.Fatal(err)
+		}
+
+		fold.Apply(apricotway.StoredRecord{Record: record, Offset: apricotway.Offset(i + 1)}, time.Time{})
+	}
+
+	if got := len(fold.OpenIntents()); got != 1 {
+		t.Errorf("got %d open intents, want the one that another build carries out", got)
+	}
+
+	if got := fold.OrderableIntents(); len(got) != 0 {
+		t.Errorf("got %v to carry out, want none", got)
+	}
+
+	now := time.Now()
+
+	hosts, _ := fleet.NewTracker(fleet.Lags{}).Track(now, fold, "s", []apricotway.BackendServer{{ID: "h", Service: "s", State: apricotway.HostLive}})
+	if len(hosts) != 1 || hosts[0].State != fleet.HostLive {
+		t.Errorf("got hosts %v, want h live", hosts)
+	}
+}
+
 // TestFold guards the stream against repeated records, against records of a former holder that arrive after the new claim, and
 // against two records with one sequence number.
 func TestFold(t *testing.T) {
--- a/state/fleet/fold.go
+++ b/state/fleet/fold.go
@@ -117,6 +117,11 @@
 	return open
 }
 
+// OrderableIntents returns the open intents that this build can carry out. A newer build may know further actions.
+func (f *Fold) OrderableIntents() []OpenIntent {
+	return slices.DeleteFunc(f.OpenIntents(), func(o OpenIntent) bool { return o.Action != ActionCreate && o.Action != ActionRelease })
+}
+
 // Blocked returns the markets that get no orders because of recent refusals. A market without a class stands for all markets
 // of its zone.
 func (f *Fold) Blocked(now time.Time) map[Market]bool {
--- a/state/fleet/tracker.go
+++ b/state/fleet/tracker.go
@@ -53,11 +53,13 @@
 	tokens := map[string]bool{}
 
 	for _, o := range open {
-		if o.Action == ActionCreate {
-			tokens[o.Token] = true
+		// A host that an intent of another action created is no superfluous one.
+		tokens[o.Token] = true
 
+		switch o.Action {
+		case ActionCreate:
 			hosts = append(hosts, Host{Market: o.Market, State: HostPending})
-		} else {
+		case ActionRelease:
 			releasing[o.Host] = true
 		}
 	}
