make upgrade replaces hosts of the production build by those of this tree

The scenario starts real processes of two builds, the older one from a worktree of the history, and replaces five hosts one after the other: up, down, and rolled back half way. Callers send safe and unsafe calls, streams that they take up, calls of a limited workspace and calls with keys that each step takes away; engines of a second software version join. TROUBLE=true adds kills, a silent store, restores, a host that is cut off and a frozen one.

--- a/Makefile
+++ b/Makefile
@@ -67,3 +67,9 @@
 .PHONY: regress
 regress:
 	scripts/regress $(SITES)
+
+# Replaces hosts of the production build by those of this tree, one after the other, and back. TROUBLE=true adds kills and failures.
+TROUBLE ?= false
+.PHONY: upgrade
+upgrade:
+	scripts/upgrade $(PRODUCTION) -upgrade.trouble=$(TROUBLE) -soak.seeds $(SEEDS) -soak.first $(FIRST)
--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -39,7 +40,9 @@
 type entryProgram struct {
 	name     string
 	settings string
-	link     *faultproxy.Link
+	// program is the path of the program; empty for the one of this build.
+	program string
+	link    *faultproxy.Link
 	// bandwidth is that of the host; nil without a limit.
 	bandwidth *faultproxy.Bandwidth
 	callers   netip.AddrPort
@@ -167,12 +170,18 @@
 
 // startEntries adds and starts entry hosts.
 func (s *entrySystem) startEntries(count int) {
+	s.startEntriesOf(count, func(*entryProgram) {})
+}
+
+// startEntriesOf adds entry hosts, prepares them and starts them.
+func (s *entrySystem) startEntriesOf(count int, prepare func(*entryProgram)) {
 	peers := freeport.Address(s.t)
 	for i := range count {
 		s.addEntry(fmt.Sprint("n", i), peers, i == 0)
 	}
 
 	for _, e := range s.entries {
+		prepare(e)
 		s.start(e)
 	}
 }
@@ -272,7 +281,7 @@
 		return
 	}
 
-	program, err := exec.LookPath("apricotway")
+	program, err := exec.LookPath(cmp.Or(e.program, "apricotway"))
 	if err != nil {
 		s.t.Fatal(err)
 	}
