--- a/state/fleet/fleet_test.go
+++ b/state/fleet/fleet_test.go
@@ -185,8 +185,10 @@
 	market := fleet.Market{Zone: "a", MachineClass: "m"}
 
 	for i, next := range []any{
-		nil, fleet.Intent{Sequence: 1, Action: fleet.ActionCreate, Market: market},
-		fleet.Outcome{Sequence: 1, Result: fleet.ResultCreated, Host: "h"}, fleet.Intent{Sequence: 2, Action: "replace", Host: "h"},
+		nil,
+		fleet.Intent{Sequence: 1, Action: fleet.ActionCreate, Market: market},
+		fleet.Outcome{Sequence: 1, Result: fleet.ResultCreated, Host: "h"},
+		fleet.Intent{Sequence: 2, Action: "replace", Host: "h"},
 	} {
 		record := claim
 
