Show the builds of processes and what they ignore as unknown

Nothing told an operator how far a roll-out is. Each process now logs its build (102), announces it by a broadcast that older builds pass on unchanged, and logs processes of other builds (247). GET /v1/rollout, apricotctl rollout and three metrics show the builds of all members, and by kind what a process left out of account: methods, kinds of messages and member states, records of the duties and of the origins. The build is the revision if the program holds it, otherwise the beginning of the linker's content identifier, as programs are built without the revision.

The announcement has the class of renewed entries, so that the start of many processes delays no notice or duty.

--- a/broadcasts.go
+++ b/broadcasts.go
@@ -31,6 +31,8 @@
 	// TopicDuty names the process that performs the duties, the calls to the platform that one process makes for all; the
 	// version is its fencing number.
 	TopicDuty Topic = "duty"
+	// TopicBuild tells which build a process runs; the key is the process.
+	TopicBuild Topic = "build"
 )
 
 // Renewed reports whether the entries of a topic are renewed continuously. A lost entry of such a topic is not repaired, since the
--- a/cmd/internal/ctl/ctl.go
+++ b/cmd/internal/ctl/ctl.go
@@ -27,6 +27,7 @@
 func addCommands(root *flags.Command) error {
 	for _, add := range []func(*flags.Command) error{
 		addMembersCommand,
+		addRolloutCommand,
 		addAccountCommands,
 		addCapacityCommand,
 		addFleetCommand,
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -24,7 +24,9 @@
 	"github.com/apricotway/apricotway/coordination/inventory"
 	"github.com/apricotway/apricotway/coordination/journal"
 	"github.com/apricotway/apricotway/coordination/membership"
+	"github.com/apricotway/apricotway/coordination/rollout"
 	"github.com/apricotway/apricotway/coordination/usage"
+	"github.com/apricotway/apricotway/internal/unknown"
 	"github.com/apricotway/apricotway/protocol/call"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/timeline"
@@ -60,6 +62,8 @@
 	peerServer *peer.Server
 	peers      *peer.Client
 	membership *membership.Driver
+	rollout    *rollout.Rollout
+	unknown    *unknown.Counter
 	probes     netip.AddrPort
 	leaving    atomic.Bool
 
@@ -94,7 +98,7 @@
 func Start(ctx context.Context, s settings.Settings, options ...Option) (*Daemon, error) {
 	s.Node = newNodeID(s.Node)
 
-	d := &Daemon{settings: s, logger: logr.Discard()}
+	d := &Daemon{settings: s, logger: logr.Discard(), unknown: unknown.New()}
 	for _, option := range options {
 		option(d)
 	}
@@ -186,6 +190,7 @@
 
 	d.registerTimeline(operatorAPI)
 	d.registerMembers(operatorAPI)
+	operatorAPI.HandleJSON("/v1/rollout", func() any { return process.NewRollout(d.rollout, d.unknown) })
 
 	options, err := d.callersOptions()
 	if err != nil {
--- a/cmd/internal/daemon/membership.go
+++ b/cmd/internal/daemon/membership.go
@@ -15,6 +15,8 @@
 
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/coordination/membership"
+	"github.com/apricotway/apricotway/coordination/rollout"
+	"github.com/apricotway/apricotway/internal/build"
 	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/transport/operator"
 	"github.com/apricotway/apricotway/transport/probe"
@@ -62,10 +64,15 @@
 	driver := membership.New(d.supervisor, self, socket, d.peers, d.peerServer, log,
 		membership.WithLogger(d.logger), membership.WithKey(key), membership.WithSeeds(s.Seeds),
 		membership.WithValidity(time.Duration(s.Stop.AddressValidity)),
-		membership.WithReady(func() bool { return d.Ready() == nil }))
+		membership.WithReady(func() bool { return d.Ready() == nil }),
+		membership.WithUnknown(d.unknown.Of("member")))
 	driver.Register(registry)
 	socket.Receive(d.supervisor, driver.Receive)
 
+	d.rollout = rollout.New(d.supervisor, driver, driver, build.Name(), rollout.WithLogger(d.logger))
+	d.rollout.Register(registry)
+	registry.MustRegister(d.unknown)
+
 	return driver, nil
 }
 
--- a/cmd/internal/daemon/security.go
+++ b/cmd/internal/daemon/security.go
@@ -13,6 +13,7 @@
 func (d *Daemon) connectPeers() error {
 	serverOptions := []peer.ServerOption{
 		peer.WithServerLogger(d.logger), peer.WithServerPanicHook(func() { d.panics.Count("peers") }),
+		peer.WithServerUnknown(d.unknown.Of("method")),
 	}
 
 	var clientOptions []peer.ClientOption
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -28,9 +28,12 @@
 	"github.com/apricotway/apricotway/coordination/era"
 	"github.com/apricotway/apricotway/coordination/membership"
 	"github.com/apricotway/apricotway/coordination/origins"
+	"github.com/apricotway/apricotway/coordination/rollout"
 	"github.com/apricotway/apricotway/coordination/rollup"
 	"github.com/apricotway/apricotway/coordination/suspect"
+	"github.com/apricotway/apricotway/internal/build"
 	"github.com/apricotway/apricotway/internal/pause"
+	"github.com/apricotway/apricotway/internal/unknown"
 	"github.com/apricotway/apricotway/platform"
 	"github.com/apricotway/apricotway/protocol/relay"
 	"github.com/apricotway/apricotway/state/callerlimit"
@@ -95,12 +98,14 @@
 	logger     logr.Logger
 	supervisor *suture.Supervisor
 	registry   *prometheus.Registry
+	unknown    *unknown.Counter
 	panics     *process.Panics
 
 	clock      *timeline.Clock
 	peerServer *peer.Server
 	peers      *peer.Client
 	membership *membership.Driver
+	rollout    *rollout.Rollout
 	eras       *era.Tracker
 	platform   *platform.Client
 	catalog    *catalog.Catalog
@@ -130,7 +135,7 @@
 func Start(ctx context.Context, s settings.Entry, logger logr.Logger) (*Entry, error) {
 	s.Node += apricotway.NodeID("-" + uuid.NewString()[:8])
 	e := &Entry{
-		settings: s, logger: logger.WithValues("node", s.Node), registry: prometheus.NewRegistry(),
+		settings: s, logger: logger.WithValues("node", s.Node), registry: prometheus.NewRegistry(), unknown: unknown.New(),
 		limiter: quota.New(), limits: callerlimit.New(statedLimits(apricotway.CallerLimits{})),
 	}
 
@@ -141,6 +146,7 @@
 	e.clock = timeline.NewClock(time.Now)
 	e.panics = process.NewPanics(e.logger)
 	e.panics.Register(e.registry)
+	e.registry.MustRegister(e.unknown)
 	e.supervisor = suture.New("apricotway", e.panics.Supervisor())
 
 	if err := e.assemble(ctx); err != nil {
@@ -200,7 +206,8 @@
 	})
 
 	duties := duty.New(e.supervisor, e.platform, e.membership, e.membership, duty.WithLogger(e.logger),
-		duty.WithEras(e.eras), duty.WithLease(time.Duration(s.HolderLease)), duty.WithLastContact(e.membership.LastContact))
+		duty.WithEras(e.eras), duty.WithLease(time.Duration(s.HolderLease)), duty.WithLastContact(e.membership.LastContact),
+		duty.WithUnknown(e.unknown.Of("dutyRecord")))
 	e.suspects = suspect.New(suspect.WithLogger(e.logger))
 	e.rollup = rollup.New(e.supervisor, rollup.Parts{
 		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: e.suspects,
@@ -208,7 +215,8 @@
 
 	streams := origins.New(e.supervisor, e.pool.Origins(), e.platform, e.catalog, origins.WithLogger(e.logger), origins.WithEras(e.eras),
 		origins.WithMetrics(counters), origins.WithMembers(func() int { return len(e.membership.Members()) + 1 }),
-		origins.WithWriteRate(s.Platform.WritesPerSecond), origins.WithCopies(e.peers, e.peerServer, e.membership))
+		origins.WithWriteRate(s.Platform.WritesPerSecond), origins.WithCopies(e.peers, e.peerServer, e.membership),
+		origins.WithUnknown(e.unknown.Of("originRecord")))
 
 	e.relay = relay.New(platform.Dialect{}, connections, e.catalog, e.pool, e.rollup, budget, usageTally,
 		relay.WithLogger(e.logger), relay.WithMetrics(counters), relay.WithMover(e.platform), relay.WithStop(e.stopping),
@@ -245,6 +253,7 @@
 		return nil
 	})
 	operators.HandleJSON("/v1/members", func() any { return append(e.membership.Members(), e.membership.Self()) })
+	operators.HandleJSON("/v1/rollout", func() any { return process.NewRollout(e.rollout, e.unknown) })
 	operators.HandleJSON("/v1/backends", func() any { return e.pool.Backends() })
 	operators.HandleJSON("/v1/configuration", func() any { return e.catalog.Versions() })
 	operators.HandleJSON("/v1/limits", func() any { return e.serverLimits(time.Now()) })
@@ -298,7 +307,8 @@
 	}
 
 	e.peerServer = peer.NewServer(e.supervisor, listener, e.clock, peer.WithServerLogger(e.logger),
-		peer.WithServerMemberCheck(e.isPeerAddress), peer.WithServerPanicHook(func() { e.panics.Count("peers") }))
+		peer.WithServerMemberCheck(e.isPeerAddress), peer.WithServerPanicHook(func() { e.panics.Count("peers") }),
+		peer.WithServerUnknown(e.unknown.Of("method")))
 	e.peers = peer.NewClient(e.clock)
 
 	key, err := hex.DecodeString(s.ProbeKey)
@@ -323,10 +333,14 @@
 	e.membership = membership.New(e.supervisor, self, socket, e.peers, e.peerServer, e.platform,
 		membership.WithLogger(e.logger), membership.WithKey(key), membership.WithEras(e.eras), membership.WithSeeds(s.Seeds),
 		membership.WithConfig(probeConfig()),
-		membership.WithValidity(time.Duration(s.AddressValidity)), membership.WithReady(e.ready), membership.WithIsolated(e.isolated))
+		membership.WithValidity(time.Duration(s.AddressValidity)), membership.WithReady(e.ready), membership.WithIsolated(e.isolated),
+		membership.WithUnknown(e.unknown.Of("member")))
 	e.membership.Register(e.registry)
 	socket.Receive(e.supervisor, e.membership.Receive)
 
+	e.rollout = rollout.New(e.supervisor, e.membership, e.membership, build.Name(), rollout.WithLogger(e.logger))
+	e.rollout.Register(e.registry)
+
 	return nil
 }
 
--- a/cmd/internal/process/process.go
+++ b/cmd/internal/process/process.go
@@ -10,7 +10,10 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway/cmd/internal/settings"
+	"github.com/apricotway/apricotway/coordination/rollout"
+	"github.com/apricotway/apricotway/internal/build"
 	"github.com/apricotway/apricotway/internal/guard"
+	"github.com/apricotway/apricotway/internal/unknown"
 )
 
 // Panics counts and logs the recovered panics of a process. None of them ends the process.
@@ -53,7 +56,21 @@
 
 // Started logs the start of the process with the addresses to which it is bound.
 func Started(logger logr.Logger, callers, operator netip.AddrPort) {
-	logger.Info("process started", "event", 102, "callers", callers, "operator", operator)
+	logger.Info("process started", "event", 102, "callers", callers, "operator", operator, "build", build.Name())
+}
+
+// Rollout is how far a roll-out is, as one process sees it.
+type Rollout struct {
+	// Build is the build of the process.
+	Build   string           `json:"build"`
+	Members []rollout.Member `json:"members"`
+	// Unknown counts by kind what the process left out of account because it does not know it.
+	Unknown map[string]uint64 `json:"unknown"`
+}
+
+// NewRollout returns what a process knows of a roll-out now.
+func NewRollout(r *rollout.Rollout, ignored *unknown.Counter) Rollout {
+	return Rollout{Build: r.Build(), Members: r.Members(), Unknown: ignored.Counts()}
 }
 
 // UnknownSetting logs a key of the settings file that this build does not know and ignores.
--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -124,6 +124,8 @@
 	// boot reads a clock that also advances while the machine is suspended.
 	boot func() time.Duration
 	self apricotway.NodeID
+	// unknown is called for each kind of record that this build does not know.
+	unknown func(kind string)
 	// eras tells when the store has come back from an older copy.
 	eras *era.Tracker
 }
@@ -137,6 +139,9 @@
 // WithEras sets the tracker of the store's eras. Without it, the process learns of a new era by its own reads of the log only.
 func WithEras(eras *era.Tracker) Option { return func(d *Duty) { d.eras = eras } }
 
+// WithUnknown sets the function that is called for each kind of record that this build does not know. It must not block.
+func WithUnknown(unknown func(kind string)) Option { return func(d *Duty) { d.unknown = unknown } }
+
 // New returns the Duty of a process that takes part in the election, and adds its goroutines to the supervisor.
 func New(
 	supervisor *suture.Supervisor, log apricotway.DutyLog, membership apricotway.Membership,
@@ -145,6 +150,7 @@
 	d := &Duty{
 		log: log, membership: membership, broadcasts: broadcasts, logger: logr.Discard(), started: time.Now(), next: 1,
 		boot: boottime.Now, self: membership.Self().Node, eras: era.New(),
+		unknown: func(string) {},
 	}
 	for _, option := range options {
 		option(d)
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -228,6 +228,7 @@
 	default:
 		// A newer build wrote it. It may be a claim or a report.
 		d.logger.Info("met a duty log record of an unknown kind", "event", 246, "offset", at, "kind", r.Kind, "node", r.Node)
+		d.unknown(string(r.Kind))
 		d.noteGap()
 	}
 }
--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -57,6 +57,8 @@
 	validity time.Duration
 	ready    func() bool
 	isolated func() bool
+	// unknown is called for each kind of message and state of an entry that this build does not know.
+	unknown func(name string)
 	// deployment names the processes with the same key; empty for none.
 	deployment string
 
@@ -102,6 +104,9 @@
 // WithIsolated sets the function that reports whether this process has lost its paths to the backend servers.
 func WithIsolated(isolated func() bool) Option { return func(d *Driver) { d.isolated = isolated } }
 
+// WithUnknown sets the function that is called for each kind of message and each state of a member that this build does not know.
+func WithUnknown(unknown func(name string)) Option { return func(d *Driver) { d.unknown = unknown } }
+
 // WithConfig sets the timing parameters of the protocol.
 func WithConfig(config member.Config) Option { return func(d *Driver) { d.config = config } }
 
@@ -133,7 +138,8 @@
 		sender: sender, peers: peers, log: log, logger: logr.Discard(),
 		config: member.DefaultConfig(), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		validity: 5 * time.Second, ready: func() bool { return true }, isolated: func() bool { return false },
-		wake: make(chan struct{}, 1), exchanges: make(chan netip.AddrPort, 1), broadcastsReady: make(chan struct{}, 1),
+		unknown: func(string) {},
+		wake:    make(chan struct{}, 1), exchanges: make(chan netip.AddrPort, 1), broadcastsReady: make(chan struct{}, 1),
 		joinAgain: make(chan struct{}, 1),
 		handlers:  map[apricotway.Topic][]broadcastHandler{},
 	}
@@ -169,6 +175,10 @@
 		signal(d.broadcastsReady)
 	}
 
+	for _, name := range out.Unknown {
+		d.unknown(name)
+	}
+
 	for _, entry := range out.Changes {
 		d.logger.V(1).Info("member state changed", "event", 271, "member", entry.Node, "state", entry.State,
 			"incarnation", entry.Incarnation)
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -79,6 +80,8 @@
 	copies  *copies
 	logger  logr.Logger
 	metrics Metrics
+	// unknown is called for each record of a kind or schema version that this build does not know.
+	unknown func(kind string)
 	// members returns the number of processes that share the store.
 	members         func() int
 	writesPerSecond float64
@@ -124,6 +127,9 @@
 // WithMetrics sets the recorder of counts.
 func WithMetrics(metrics Metrics) Option { return func(o *Origins) { o.metrics = metrics } }
 
+// WithUnknown sets the function that is called for each record of a kind or schema version that this build does not know.
+func WithUnknown(unknown func(kind string)) Option { return func(o *Origins) { o.unknown = unknown } }
+
 // WithMembers sets the function that returns the number of processes, which share the store's write calls.
 func WithMembers(members func() int) Option { return func(o *Origins) { o.members = members } }
 
@@ -149,7 +155,7 @@
 // New returns Origins and adds its goroutines to the supervisor.
 func New(supervisor *suture.Supervisor, register *origin.Register, store Store, list List, options ...Option) *Origins {
 	o := &Origins{
-		register: register, store: store, list: list, logger: logr.Discard(), metrics: noMetrics{}, members: func() int { return 1 },
+		register: register, store: store, list: list, logger: logr.Discard(), metrics: noMetrics{}, unknown: func(string) {}, members: func() int { return 1 },
 		writesPerSecond: defaultWritesPerSecond, boot: boottime.Now, wake: make(chan struct{}, 1), ended: make(chan struct{}), log: rand.IntN(logs),
 	}
 	for _, option := range options {
@@ -500,6 +506,8 @@
 		var payload beginnings
 		if record.Kind != kindBeginnings || record.SchemaVersion != schemaVersion || json.Unmarshal(record.Payload, &payload) != nil {
 			o.logger.V(1).Info("ignored a record of the origins of streams", "event", 376, "offset", record.Offset, "kind", record.Kind)
+			o.unknown(fmt.Sprintf("%s %d", record.Kind, record.SchemaVersion))
+
 			continue
 		}
 
--- a/state/member/broadcast.go
+++ b/state/member/broadcast.go
@@ -33,7 +33,8 @@
 	switch k.topic {
 	case "":
 		return 0
-	case apricotway.TopicTokens, apricotway.TopicDemand, apricotway.TopicHostListReader, apricotway.TopicHostChange:
+	case apricotway.TopicTokens, apricotway.TopicDemand, apricotway.TopicHostListReader, apricotway.TopicHostChange,
+		apricotway.TopicBuild:
 		return 2
 	case apricotway.TopicNotice, apricotway.TopicRevision, apricotway.TopicQuarantine, apricotway.TopicReadHostList,
 		apricotway.TopicDuty:
--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -519,6 +519,7 @@
 		m.acknowledge(now, message)
 	default:
 		m.stats.Ignored++
+		m.out.Unknown = append(m.out.Unknown, "kind "+string(message.Kind))
 	}
 
 	return m.takeOutput()
@@ -573,6 +574,11 @@
 func (m *Machine) apply(now time.Time, entry Entry) {
 	if !entry.valid() {
 		m.stats.Ignored++
+
+		if entry.State != "" && rank[entry.State] == 0 {
+			m.out.Unknown = append(m.out.Unknown, "state "+string(entry.State))
+		}
+
 		return
 	}
 
--- a/state/member/message.go
+++ b/state/member/message.go
@@ -106,6 +106,8 @@
 	Broadcasts []apricotway.BroadcastEntry
 	// Changes holds the entries of other members that changed.
 	Changes []Entry
+	// Unknown holds the kinds of messages and the states of entries that this build does not know.
+	Unknown []string
 }
 
 // State is the full state that processes exchange when one of them joins or views may differ.
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -37,6 +37,8 @@
 	isMember func(netip.Addr) bool
 	// onPanic is called for each panic of a handler.
 	onPanic func()
+	// onUnknown is called for each call of a method without a handler.
+	onUnknown func(method string)
 	// handlers is not locked: Register must not be called after the first connection.
 	handlers map[apricotway.Method]apricotway.PeerHandler
 
@@ -79,6 +81,11 @@
 	return func(s *Server) { s.onPanic = onPanic }
 }
 
+// WithServerUnknown sets a function that is called for each call of a method without a handler, as one of a newer build.
+func WithServerUnknown(onUnknown func(method string)) ServerOption {
+	return func(s *Server) { s.onUnknown = onUnknown }
+}
+
 // NewServer returns a server whose accept loop runs under the supervisor.
 func NewServer(
 	supervisor *suture.Supervisor, listener net.Listener, clock apricotway.Clock, options ...ServerOption,
@@ -90,6 +97,7 @@
 		slots:       make(chan struct{}, DefaultConcurrency),
 		isMember:    func(netip.Addr) bool { return true },
 		onPanic:     func() {},
+		onUnknown:   func(string) {},
 		handlers:    map[apricotway.Method]apricotway.PeerHandler{},
 		connections: map[net.Conn]struct{}{},
 	}
@@ -208,6 +216,8 @@
 
 	handler, ok := s.handlers[request.Method]
 	if !ok {
+		s.onUnknown(string(request.Method))
+
 		return Answer{Stamp: s.clock.Now(), Failure: ErrUnknownMethod.Error(), NotStarted: true}
 	}
 
