--- a/cmd/scenario/upgrade_test.go
+++ b/cmd/scenario/upgrade_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"os/exec"
 	"slices"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 
 const (
 	upgradeHosts = 5
+	// presentName is the name of this build.
+	presentName = "present"
 	// upgradeGap is the time between two steps, in which trouble begins and ends.
 	upgradeGap = 3 * time.Second
 	// upgradeRevocation is the revocation time of keys that the hosts have by default.
@@ -537,7 +540,12 @@
 			}
 		}
 
-		s.replace(s.entries[order[host(i, len(steps), len(order))]], next, signal)
+		e := s.entries[order[host(i, len(steps), len(order))]]
+		s.replace(e, next, signal)
+
+		if !*upgradeTrouble && next.name == presentName {
+			s.awaitRollout(e)
+		}
 	}
 
 	<-time.After(upgradeGap)
@@ -556,6 +564,47 @@
 	s.checkUpgrade(fromWindow, toWindow)
 }
 
+// awaitRollout waits until a process of this build shows how many processes run it, as the others announce it through the older ones.
+func (s *upgradeSystem) awaitRollout(e *entryProgram) {
+	s.t.Helper()
+
+	want := 0
+
+	for _, other := range s.entries {
+		if strings.HasSuffix(other.name, "."+presentName) {
+			want++
+		}
+	}
+
+	for end := time.Now().Add(recoverTime); ; <-time.After(100 * time.Millisecond) {
+		var shown struct {
+			Build   string
+			Members []struct{ Build string }
+		}
+
+		output, err := exec.Command("apricotctl", "rollout", "--json", "--operator", e.operatorAddress(s.t).String()).Output()
+		if err == nil {
+			err = json.Unmarshal(output, &shown)
+		}
+
+		got := 0
+
+		for _, m := range shown.Members {
+			if m.Build == shown.Build {
+				got++
+			}
+		}
+
+		if err == nil && got == want && len(shown.Members) == len(s.entries) {
+			return
+		}
+
+		if time.Now().After(end) {
+			s.t.Fatalf("got %v and %+v, want %d of %d processes of this build", err, shown, want, len(s.entries))
+		}
+	}
+}
+
 // host returns the place of the host that a step replaces. A roll-out that is rolled back half way takes the same hosts, the last one first.
 func host(step, steps, hosts int) int {
 	if steps > hosts && step >= steps/2 {
@@ -581,7 +630,7 @@
 		t.Skip("no production build given; see make upgrade")
 	}
 
-	production, present := build{"production", *upgradeProduction}, build{"present", *upgradePresent}
+	production, present := build{"production", *upgradeProduction}, build{presentName, *upgradePresent}
 
 	directions := map[string]struct {
 		from  build
