Name all windows that are in no usage report as skipped

A holder that follows a vacancy of more than four windows, or of more than two and a restore, begins at a recent window, as the processes keep the counts of two. The windows between the last report and that one were named nowhere: event 363 counted from the window where it began, and was not logged at all if the log told the last report.

TestWindowsOfLongVacancy failed before in both cases, with seven windows.

--- a/coordination/rollup/settle.go
+++ b/coordination/rollup/settle.go
@@ -22,6 +22,17 @@
 	return max(first, r.duty.Skipped()+1)
 }
 
+// skippedBefore returns the number of windows before the first one of a holder that are in no report as far as is known: nobody held the
+// duties for longer than the processes keep their counts.
+func (r *Rollup) skippedBefore(first int64) int64 {
+	last := max(r.duty.LastWindow(), r.duty.Skipped())
+	if last == 0 {
+		return 0
+	}
+
+	return max(first-1-last, 0)
+}
+
 // settleUsage finds out where to continue when the log doesn't tell what was reported, since it was trimmed or the store has come back
 // from an older copy: the platform may have received reports whose records are lost. What the members know counts as well. The windows of
 // which a report may be unknown to all of them are skipped: a window that is not reported does less harm than one with two counts.
@@ -41,7 +52,7 @@
 	}
 
 	first, pending := max(r.firstWindow(now), r.nextWindow), r.pendingReport
-	next := first
+	next, before := first, r.skippedBefore(first)
 
 	since := r.knownSince(unheard)
 	for !r.Tally.End(next).Add(windowGrace).After(since) {
@@ -65,12 +76,17 @@
 	r.nextWindow = next
 	r.mu.Unlock()
 
-	r.logger.Info("settled from which window on usage is reported", "event", 363, "window", next, "skipped", next-first,
-		"unheard", unheard, "since", since, "number", number)
+	r.logSettled(next, before+next-first, unheard, since, number)
 
 	return true
 }
 
+// logSettled logs the window from which on a holder reports usage, and how many are in no report.
+func (r *Rollup) logSettled(next, skipped int64, unheard []apricotway.NodeID, since time.Time, number apricotway.Offset) {
+	r.logger.Info("settled from which window on usage is reported", "event", 363, "window", next, "skipped", skipped,
+		"unheard", unheard, "since", since, "number", number)
+}
+
 // knownSince returns the time from which on each report is known to this process or to one that was heard. A process that was not heard may
 // have been the holder until this one claimed. Before this process took part, holders may have ended of which it has never heard; those
 // that it has heard may have started later still. The caller holds r.mu.
--- a/coordination/rollup/settle_test.go
+++ b/coordination/rollup/settle_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"maps"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/go-logr/logr/funcr"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
@@ -55,6 +57,8 @@
 	holders map[apricotway.Offset]apricotway.NodeID
 	highest apricotway.Offset
 	nodes   []*node
+	// skipped holds the windows that holders have logged as skipped.
+	skipped map[int64]bool
 	// changes counts the processes that have started and ended.
 	changes int
 	// loseAnswer is called once instead of answering the append of the next usage report.
@@ -87,7 +91,7 @@
 
 	s := &system{
 		t: t, era: 1, state: map[apricotway.StatePart][]byte{}, reports: map[int64]map[apricotway.Workspace]int64{},
-		holders: map[apricotway.Offset]apricotway.NodeID{},
+		holders: map[apricotway.Offset]apricotway.NodeID{}, skipped: map[int64]bool{},
 		prepare: func(n *node) {
 			for _, p := range prepare {
 				p(n)
@@ -170,7 +174,7 @@
 	rollup.New(supervisor, rollup.Parts{
 		Catalog: n.catalog, Pool: dispatch.New(), Limiter: quota.New(), Tally: n.tally, Suspects: suspect.New(),
 		Budget: retrybudget.New(retrybudget.Limits{Ratio: 1, Window: time.Second, Slack: 1}),
-	}, duties, n, n, n.peers, n, rollup.WithEras(n.eras))
+	}, duties, n, n, n.peers, n, rollup.WithEras(n.eras), rollup.WithLogger(funcr.NewJSON(n.noteSkipped, funcr.Options{})))
 
 	ctx, cancel := context.WithCancel(n.t.Context())
 	done := supervisor.ServeBackground(ctx)
@@ -185,6 +189,24 @@
 	})
 }
 
+// noteSkipped notes the skipped windows of a log line.
+func (s *system) noteSkipped(line string) {
+	var settled struct{ Event, Window, Skipped int64 }
+	if err := json.Unmarshal([]byte(line), &settled); err != nil {
+		s.t.Error(err)
+	}
+
+	if settled.Event != 363 {
+		return
+	}
+
+	s.set(func() {
+		for w := settled.Window - settled.Skipped; w < settled.Window; w++ {
+			s.skipped[w] = true
+		}
+	})
+}
+
 func (s *system) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -489,6 +511,62 @@
 	}
 }
 
+// TestWindowsOfLongVacancy guards against windows that are in no report and that no holder logs as skipped, when nobody holds the duties for
+// longer than the processes keep their counts.
+func TestWindowsOfLongVacancy(t *testing.T) {
+	for name, comeBack := range map[string]func(s *system){
+		"restore":      func(s *system) { s.restore(0) },
+		"store as was": func(*system) {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := newSystem(t)
+				s.run(30 * time.Second)
+
+				all := s.running()
+				holder := s.holder()
+
+				s.set(func() {
+					for _, n := range all {
+						n.stopped = true
+					}
+
+					s.changes++
+					holder.ended = s.changes
+				})
+				holder.end()
+				s.run(8 * window)
+				comeBack(s)
+				s.set(func() {
+					for _, n := range all {
+						n.stopped = n == holder
+					}
+				})
+				s.run(40 * time.Second)
+				s.wantAllWindowsNamed()
+			})
+		})
+	}
+}
+
+// wantAllWindowsNamed checks that each window up to the newest report is reported or skipped.
+func (s *system) wantAllWindowsNamed() {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	windows := slices.Sorted(maps.Keys(s.reports))
+	if len(windows) == 0 {
+		s.t.Fatal("got no reports")
+	}
+
+	for w := windows[0]; w < windows[len(windows)-1]; w++ {
+		if _, reported := s.reports[w]; !reported && !s.skipped[w] {
+			s.t.Errorf("got window %d neither reported nor skipped", w)
+		}
+	}
+}
+
 // TestRecordWithLostAnswer guards against a second record of a window, with other counts, after the answer of the log to the first was lost:
 // the holder sends the one and its successor the other.
 func TestRecordWithLostAnswer(t *testing.T) {
--- a/coordination/rollup/usage.go
+++ b/coordination/rollup/usage.go
@@ -116,6 +116,10 @@
 	if r.nextWindow == 0 {
 		r.nextWindow = r.firstWindow(now)
 
+		if skipped := r.skippedBefore(r.nextWindow); skipped > 0 {
+			r.logSettled(r.nextWindow, skipped, nil, r.duty.TakesPartSince(), number)
+		}
+
 		if last := r.duty.LastUsage(); last != nil && last.Window == r.nextWindow-1 {
 			r.pendingReport = last
 			return *last, true
