Find processes that start again at a former address

Cause: a process that starts finds others by join records, which were written once an hour while the store keeps 20 s, and by the seeds, which were its companions. The processes that lived on probe dead members, but a process that starts again has a new name, and a probe for the old one is ignored. They tried the seeds again after up to a minute only.

Now all processes together append a join record about once a second, one every 5 s at most, so that the store always shows some that live. A process that starts reads them and exchanges states with all that it doesn't know, not with one. Processes that know dead members try their addresses: one once a second at most, all together 8 times a second. Join records have the schema that they had; older builds read them.

--- a/coordination/membership/membership.go
+++ b/coordination/membership/membership.go
@@ -76,8 +76,14 @@
 	// ended is set once this process has told the members that it stops.
 	ended bool
 
-	// joinAgain signals that the join record may be lost.
-	joinAgain chan struct{}
+	// searched is set once this process has looked for others since its start.
+	searched bool
+	// largest is the largest number of processes, this one included, that were known since the last search of the join records; 0 before
+	// the first one.
+	largest int
+
+	// joinAgain signals that the join record may be lost, and died that a member was declared dead.
+	joinAgain, died chan struct{}
 }
 
 var (
@@ -140,8 +146,8 @@
 		validity: 5 * time.Second, ready: func() bool { return true }, isolated: func() bool { return false },
 		unknown: func(string) {},
 		wake:    make(chan struct{}, 1), exchanges: make(chan netip.AddrPort, 1), broadcastsReady: make(chan struct{}, 1),
-		joinAgain: make(chan struct{}, 1),
-		handlers:  map[apricotway.Topic][]broadcastHandler{},
+		joinAgain: make(chan struct{}, 1), died: make(chan struct{}, 1),
+		handlers: map[apricotway.Topic][]broadcastHandler{},
 	}
 	for _, option := range options {
 		option(d)
@@ -209,6 +215,7 @@
 	}
 
 	out = step(time.Now())
+	d.noteChanges(out.Changes)
 
 	for _, entry := range out.Broadcasts {
 		if len(d.handlers[entry.Topic]) > 0 {
--- a/coordination/membership/membership_test.go
+++ b/coordination/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -198,6 +199,21 @@
 	records []apricotway.StoredRecord
 	// page bounds the records of one read if it is not 0.
 	page int
+	// retention is the time for which records are kept; 0 for all time.
+	retention time.Duration
+	// appends and reads count the calls.
+	appends, reads int
+}
+
+// oldest returns the lowest offset that is still kept. The caller holds l.mu.
+func (l *memoryLog) oldest() apricotway.Offset {
+	for _, record := range l.records {
+		if l.retention == 0 || time.Since(record.Time) < l.retention {
+			return record.Offset
+		}
+	}
+
+	return apricotway.Offset(len(l.records) + 1)
 }
 
 func (l *memoryLog) Append(
@@ -206,12 +222,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	l.appends++
+
 	if l.down {
 		return 0, apricotway.ErrLogUnavailable
 	}
 
 	for _, record := range records {
-		l.records = append(l.records, apricotway.StoredRecord{Record: record, Offset: apricotway.Offset(len(l.records) + 1)})
+		l.records = append(l.records, apricotway.StoredRecord{
+			Record: record, Offset: apricotway.Offset(len(l.records) + 1), Time: time.Now(),
+		})
 	}
 
 	return apricotway.Offset(len(l.records)), nil
@@ -223,6 +243,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	l.reads++
+
+	if l.down {
+		return apricotway.Batch{}, apricotway.ErrLogUnavailable
+	}
+
+	oldest := l.oldest()
+	if from < oldest {
+		return apricotway.Batch{Oldest: oldest}, apricotway.ErrTrimmed
+	}
+
 	if l.page > 0 {
 		limit = min(limit, l.page)
 	}
@@ -230,7 +261,7 @@
 	rest := l.records[min(int(from)-1, len(l.records)):]
 	rest = rest[:min(limit, len(rest))]
 
-	return apricotway.Batch{Records: slices.Clone(rest), Next: from + apricotway.Offset(len(rest))}, nil
+	return apricotway.Batch{Records: slices.Clone(rest), Next: from + apricotway.Offset(len(rest)), Oldest: oldest}, nil
 }
 
 func (k *node) states() map[apricotway.NodeID]apricotway.MemberState {
@@ -445,6 +476,62 @@
 	})
 }
 
+// TestRestartedSeedsFindOthers guards against processes that are killed at once, the seeds among them, and come back as a system of their
+// own beside the processes that lived on.
+func TestRestartedSeedsFindOthers(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// forgotten restarts the processes once the others no longer know them as dead.
+		forgotten, down bool
+		within          time.Duration
+	}{
+		{name: "expired join records", within: 3 * time.Second},
+		{name: "without the store", down: true, within: 8 * time.Second},
+		{name: "after the others forgot them", forgotten: true, within: 3 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				defer n.stop()
+
+				n.log.retention = 20 * time.Second
+				n.seeds = []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.1:2"), netip.MustParseAddrPort("10.0.0.1:3")}
+
+				nodes := n.startMany(t, 6, "r")
+				<-time.After(3 * time.Minute)
+
+				n.log.mu.Lock()
+				n.log.down = test.down
+				n.log.mu.Unlock()
+
+				for _, k := range nodes[:3] {
+					k.kill()
+				}
+
+				<-time.After(2 * time.Second)
+
+				if test.forgotten {
+					<-time.After(member.DefaultConfig().DeadRetention + time.Minute)
+				}
+
+				for _, k := range nodes[:3] {
+					n.startAt("r", k.address)
+				}
+
+				<-time.After(test.within)
+
+				for _, viewer := range n.all() {
+					for _, other := range n.all() {
+						if got := viewer.states()[other.name()]; other != viewer && got != apricotway.MemberAlive {
+							t.Errorf("got %s as %q at %s, want alive", other.name(), got, viewer.name())
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestOneWayCut guards against declaring a member dead because messages to or from only one other process are lost, and against a
 // member that stays dead after a cut from all others has healed.
 func TestOneWayCut(t *testing.T) {
@@ -702,3 +789,65 @@
 
 	return string(content)
 }
+
+var processes = flag.Int("processes", 30, "number of processes in TestWorkAtStore; 390 take two minutes")
+
+// TestWorkAtStore guards against join records and searches that take more of the log service than a small share of its calls: with all
+// processes started together, in use, and after half of them were killed at once and started again.
+func TestWorkAtStore(t *testing.T) {
+	const (
+		// steady is the time in use, and maxRate bounds its calls a second.
+		steady, maxRate = 2 * time.Minute, 5
+		// maxCalls bounds the calls of one process that starts or has lost others.
+		maxCalls = 6
+	)
+
+	size := *processes
+
+	bubble.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		defer n.stop()
+
+		n.log.retention = 20 * time.Second
+		n.seeds = []netip.AddrPort{netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.1:2"), netip.MustParseAddrPort("10.0.0.1:3")}
+
+		var appends, reads int
+
+		check := func(phase string, want float64, over time.Duration) {
+			n.log.mu.Lock()
+			defer n.log.mu.Unlock()
+
+			appended, read := n.log.appends-appends, n.log.reads-reads
+			appends, reads = n.log.appends, n.log.reads
+			t.Logf("%s: %d appends and %d reads in %s", phase, appended, read, over)
+
+			if got := float64(appended + read); got > want {
+				t.Errorf("%s: got %g calls of the log service, want at most %g", phase, got, want)
+			}
+		}
+
+		for range size {
+			n.start("r")
+		}
+
+		<-time.After(10 * time.Second)
+		check("start", float64(maxCalls*size), 10*time.Second)
+
+		<-time.After(steady)
+		check("in use", maxRate*steady.Seconds(), steady)
+
+		killed := n.all()[:size/2]
+		for _, k := range killed {
+			k.kill()
+		}
+
+		<-time.After(2 * time.Second)
+
+		for _, k := range killed {
+			n.startAt("r", k.address)
+		}
+
+		<-time.After(20 * time.Second)
+		check("restart of half", float64(maxCalls*size), 20*time.Second)
+	})
+}
--- a/state/member/machine.go
+++ b/state/member/machine.go
@@ -712,6 +712,9 @@
 	return m.Tick(now)
 }
 
+// Live returns the number of processes that are not known as dead, this one included.
+func (m *Machine) Live() int { return m.live + 1 }
+
 // State returns the full state for an exchange. Frequent broadcasts are left out; their next versions follow soon.
 func (m *Machine) State(now time.Time) State {
 	entries := append(m.Entries(), m.self)
