Claim no duties before the other processes have been looked for

A process that started claimed the duties 1.5 s later by the members that it knew then, also if the store showed that others live, and one that lost most of its members claimed by those that were left.

Reports vouch for what came before the holder's start only from that time on as well (TakesPartSince). Both programs wait with their readiness; the duties are those of apricotway entry.

TestClaimBeforeSearch failed before: one holder before the search.

--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -255,19 +255,18 @@
 // Peers returns the address on which the process accepts connections from other processes.
 func (d *Daemon) Peers() netip.AddrPort { return d.peerListener.Addr().(*net.TCPAddr).AddrPort() }
 
-// Ready returns nil once the process can serve requests: it has read the configuration and the host list. Until then it returns a
-// refusal with the reason.
+// Ready returns nil once the process can serve requests: it has read the configuration and the host list, and has looked
+// for other processes. Until then it returns a refusal with the reason.
 func (d *Daemon) Ready() error {
 	for _, part := range []struct {
-		ready  <-chan struct{}
+		ready  func() bool
 		reason string
 	}{
-		{d.feed.Ready(), "the configuration has not been read yet"},
-		{d.inventory.Ready(), "the host list has not been read yet"},
+		{func() bool { return isClosed(d.feed.Ready()) }, "the configuration has not been read yet"},
+		{func() bool { return isClosed(d.inventory.Ready()) }, "the host list has not been read yet"},
+		{d.membership.Searched, "the other processes have not been looked for yet"},
 	} {
-		select {
-		case <-part.ready:
-		default:
+		if !part.ready() {
 			return &apricotway.Refusal{
 				Code:       apricotway.CodeNotReady,
 				Execution:  apricotway.ExecutionNotStarted,
@@ -280,6 +279,16 @@
 	return nil
 }
 
+// isClosed reports whether a channel that is never sent on has been closed.
+func isClosed(channel <-chan struct{}) bool {
+	select {
+	case <-channel:
+		return true
+	default:
+		return false
+	}
+}
+
 // Stop shuts the process down gracefully. It keeps serving until the addresses that callers have resolved expire, then waits
 // for the requests in flight until the context ends.
 func (d *Daemon) Stop(ctx context.Context) error {
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -207,7 +207,7 @@
 
 	duties := duty.New(e.supervisor, e.platform, e.membership, e.membership, duty.WithLogger(e.logger),
 		duty.WithEras(e.eras), duty.WithLease(time.Duration(s.HolderLease)), duty.WithLastContact(e.membership.LastContact),
-		duty.WithUnknown(e.unknown.Of("dutyRecord")))
+		duty.WithUnknown(e.unknown.Of("dutyRecord")), duty.WithSettled(e.membership.Settled))
 	e.suspects = suspect.New(suspect.WithLogger(e.logger))
 	e.rollup = rollup.New(e.supervisor, rollup.Parts{
 		Catalog: e.catalog, Pool: e.pool, Limiter: e.limiter, Budget: budget, Tally: usageTally, Suspects: e.suspects,
@@ -422,7 +422,7 @@
 
 // ready reports whether the process accepts callers.
 func (e *Entry) ready() bool {
-	return !e.leaving.Load() && e.catalog != nil && e.catalog.Ready()
+	return !e.leaving.Load() && e.catalog != nil && e.catalog.Ready() && e.membership.Searched()
 }
 
 // isolated reports whether the process has lost its paths to the backend servers. It is called before the process is assembled.
--- a/coordination/duty/claim.go
+++ b/coordination/duty/claim.go
@@ -10,6 +10,10 @@
 // processes start at once, one on a small host may claim before it has learned of the larger hosts.
 const takeoverCapacityRatio = 2
 
+// WithSettled sets the function that reports whether the membership knows the processes that the store shows. Until it does, this process
+// claims nothing.
+func WithSettled(settled func() bool) Option { return func(d *Duty) { d.settledMembers = settled } }
+
 // holderAlive reports whether the known holder is this process, or a member that is alive or suspected.
 func (d *Duty) holderAlive() bool {
 	holder := d.Holder()
@@ -31,7 +35,7 @@
 // claim, or when this process ranks first and the holder's host is much smaller.
 func (d *Duty) shouldClaim(now time.Time) bool {
 	self := d.membership.Self()
-	if self.State != apricotway.MemberAlive || !self.Ready {
+	if self.State != apricotway.MemberAlive || !self.Ready || !d.settledMembers() {
 		return false
 	}
 
--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -121,6 +121,11 @@
 	// predecessor is the process whose claim the newest one of this process follows; empty if that renews its own or is the first known.
 	predecessor apricotway.NodeID
 
+	// settledMembers reports whether the membership knows the processes that the store shows.
+	settledMembers func() bool
+	// settledAt is the time at which settledMembers was first seen true; zero before.
+	settledAt time.Time
+
 	// boot reads a clock that also advances while the machine is suspended.
 	boot func() time.Duration
 	self apricotway.NodeID
@@ -150,7 +155,7 @@
 	d := &Duty{
 		log: log, membership: membership, broadcasts: broadcasts, logger: logr.Discard(), started: time.Now(), next: 1,
 		boot: boottime.Now, self: membership.Self().Node, eras: era.New(),
-		unknown: func(string) {},
+		unknown: func(string) {}, settledMembers: func() bool { return true },
 	}
 	for _, option := range options {
 		option(d)
@@ -218,7 +223,35 @@
 
 // TakesPartSince returns the time from which on this process knows of the others that hold the duties. What was done before can only be
 // known from the log and from other processes.
-func (d *Duty) TakesPartSince() time.Time { return d.started.Add(startupDelay) }
+func (d *Duty) TakesPartSince() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	since := d.started.Add(startupDelay)
+
+	switch {
+	case d.settledAt.IsZero():
+		return time.Now()
+	case d.settledAt.After(since):
+		return d.settledAt
+	default:
+		return since
+	}
+}
+
+// noteSettled records when the membership first knew the processes that the store shows.
+func (d *Duty) noteSettled(now time.Time) {
+	if !d.settledMembers() {
+		return
+	}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.settledAt.IsZero() {
+		d.settledAt = now
+	}
+}
 
 // MarkFenced records that the platform refused a fencing number. The holder with this number stops at once and reads the log again.
 func (d *Duty) MarkFenced(number apricotway.Offset) {
@@ -252,6 +285,7 @@
 // step reads the log if that is due, and claims the duties if this process should.
 func (d *Duty) step(ctx context.Context, now time.Time) error {
 	found := d.holderAlive()
+	d.noteSettled(now)
 
 	d.mu.Lock()
 	due := !d.read || d.stale || d.eras.Current() > d.era || (d.doubted || !found) && now.Sub(d.refreshedAt) >= refreshInterval
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -870,3 +871,31 @@
 		}
 	})
 }
+
+// TestClaimBeforeSearch guards against a process that claims the duties since it knows no other one, before it has looked for them.
+func TestClaimBeforeSearch(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{}
+		c.set("a", apricotway.MemberAlive)
+
+		var settled atomic.Bool
+
+		supervisor := suture.NewSimple("a")
+		s := process{cluster: c, node: "a"}
+		d := duty.New(supervisor, l, s, s, duty.WithSettled(settled.Load))
+
+		serve(t, supervisor)
+		wait(10 * time.Second)
+
+		if got, want := len(held(d)), 0; got != want {
+			t.Errorf("got %d holders before the search, want %d", got, want)
+		}
+
+		settled.Store(true)
+		wait(time.Second)
+
+		if got, want := len(held(d)), 1; got != want {
+			t.Errorf("got %d holders after the search, want %d", got, want)
+		}
+	})
+}
