Tell the version in force also while it can't be proven

Found with real processes (a store of 5 MB/s before 24 hosts): one host had version 20 while the 23 others stayed at 16 and 17, and answered their requests that it knows nothing. News that aren't fresh were empty, so a host withheld a newer version as long as it could not confirm it. They now name the version and its changes, which prove nothing. An answer without a large list keeps the changes of the configuration as well.

TestVersionOfProcessWithoutProof failed before (version 3, want 8).

--- a/coordination/catalog/neighbours.go
+++ b/coordination/catalog/neighbours.go
@@ -157,7 +157,7 @@
 	sent := c.boot()
 
 	reply, err := apricotway.CallPeer[NewsReply](limited, c.queries.peers, member.Peers, methodNews, request)
-	if err != nil || !reply.News.Fresh {
+	if err != nil {
 		return false, err
 	}
 
@@ -169,6 +169,10 @@
 		return false, err
 	}
 
+	if !reply.News.Fresh {
+		return false, nil
+	}
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
--- a/coordination/catalog/news.go
+++ b/coordination/catalog/news.go
@@ -35,7 +35,7 @@
 type News struct {
 	Position
 
-	// Fresh reports whether the process can currently read the store; if not, the rest is empty.
+	// Fresh reports whether the process can currently read the store; if not, only Source, Version and Configuration are set.
 	Fresh bool
 	// NoList reports that the news tell nothing of the list, which was too large for them.
 	NoList bool
@@ -92,7 +92,7 @@
 // BootTime returns the time on the boot clock, on which the ages of proofs are measured. A caller passes it to ApplyNews.
 func (c *Catalog) BootTime() time.Duration { return c.boot() }
 
-// News returns what this process read from the store after another one's position, or nothing if its own reads are too old.
+// News returns what this process read from the store after another one's position, or only its configuration if its own reads are too old.
 func (c *Catalog) News(self apricotway.NodeID, after Position) News {
 	// The proof has to be taken before the version: a newer one could be that of a newer version.
 	proven := c.provenAt.Load()
@@ -104,20 +104,16 @@
 
 	listAge := c.boot() - c.listAsOf
 
-	if version == 0 || !c.listed || proven == 0 || age > maxProofAge || listAge > maxListAge {
-		return News{}
-	}
+	news := News{Position: Position{Source: self}, Version: version, Configuration: changes}
 
 	// After an outage this process keeps servers whose entries lapsed for a while. Other processes may have read that these are
 	// gone.
-	if c.storeFailing || time.Since(c.outageEnd) < reregistrationTime {
-		return News{}
+	if version == 0 || !c.listed || proven == 0 || age > maxProofAge || listAge > maxListAge ||
+		c.storeFailing || time.Since(c.outageEnd) < reregistrationTime {
+		return news
 	}
 
-	news := News{
-		Position: Position{Source: self, Sequence: c.journal.sequence}, Fresh: true, Version: version, Configuration: changes, Age: age,
-		ListAge: listAge, Arriving: c.readsSlowly(),
-	}
+	news.Fresh, news.Sequence, news.Age, news.ListAge, news.Arriving = true, c.journal.sequence, age, listAge, c.readsSlowly()
 
 	if changes, ok := c.journal.after(after.Sequence); ok && after.Source == self {
 		news.Changes = changes
@@ -136,14 +132,15 @@
 // ApplyNews applies the news of another process. The request for them was sent at the boot time sent, before they were made, so the
 // true age of the news is at most the age that is computed from it.
 func (c *Catalog) ApplyNews(sent time.Duration, news News) {
-	if !news.Fresh {
-		return
-	}
-
 	if err := c.advance(news.Configuration); err != nil {
 		c.noteAttempt(err)
 	}
 
+	if !news.Fresh {
+		c.noteNewer(news)
+		return
+	}
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
@@ -220,8 +217,15 @@
 		return
 	}
 
-	c.noteVersion(news.Version, news.Source)
-	c.requestRefresh()
+	c.noteNewer(news)
+}
+
+// noteNewer records the version in news and requests it if it is newer than the one in force.
+func (c *Catalog) noteNewer(news News) {
+	if news.Version > c.inForce() {
+		c.noteVersion(news.Version, news.Source)
+		c.requestRefresh()
+	}
 }
 
 // hasFreshNews reports whether another process currently passes its news on to this one.
--- a/coordination/catalog/news_test.go
+++ b/coordination/catalog/news_test.go
@@ -304,6 +304,13 @@
 	deliver func(ctx context.Context, answer []byte) error
 }
 
+func (x *exchange) set(change func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+
+	change()
+}
+
 // process implements the peers, the registry and the membership of one process of the exchange.
 type process struct {
 	*exchange
--- a/coordination/catalog/sources_test.go
+++ b/coordination/catalog/sources_test.go
@@ -203,3 +203,42 @@
 		}
 	})
 }
+
+// TestVersionOfProcessWithoutProof guards against a newer version that one process has and withholds, since it can't read the store at present.
+func TestVersionOfProcessWithoutProof(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		network := &exchange{handlers: map[string]apricotway.PeerHandler{}}
+		newerStore, olderStore := newStore(), newStore()
+		newerStore.publish(3)
+		olderStore.publish(3)
+
+		begin := func(node string, s *store) *catalog.Catalog {
+			self := &process{exchange: network, node: node}
+			c, _ := start(t, s, catalog.WithPeerNews(self, self, self))
+
+			return c
+		}
+
+		begin("a", olderStore)
+		begin("b", newerStore)
+		c := begin("c", olderStore)
+
+		wait(time.Second)
+		olderStore.set(func(s *store) { s.down = true })
+		network.set(func() { network.cut = true })
+		newerStore.publish(8)
+		wait(100 * time.Millisecond)
+		newerStore.set(func(s *store) { s.down = true })
+		wait(5 * time.Second)
+		network.set(func() { network.cut = false })
+		wait(2 * time.Second)
+
+		if got, want := version(c), uint64(8); got != want {
+			t.Errorf("got version %d, want %d", got, want)
+		}
+
+		if c.KeysFresh() {
+			t.Error("got fresh keys by a configuration that nobody could confirm, want none")
+		}
+	})
+}
--- a/coordination/rollup/list.go
+++ b/coordination/rollup/list.go
@@ -64,7 +64,9 @@
 		return news
 	}
 
-	return catalog.News{Fresh: true, NoList: true, Version: news.Version, Age: news.Age}
+	news.NoList, news.Whole, news.Changes = true, false, nil
+
+	return news
 }
 
 // listPart answers a request for a part of the list.
