--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -53,6 +53,8 @@
 	proofTimeout = 300 * time.Millisecond
 	// minProofInterval is the shortest time between two reads of the configuration that calls request.
 	minProofInterval = 250 * time.Millisecond
+	// maxRefreshPause is the longest pause between two attempts to get a version that is known to exist.
+	maxRefreshPause = 2 * time.Second
 	// entryLapseAge is the age of the list above which entries may have lapsed in the meantime: servers register about every 1.2
 	// s, and their entries lapse after three times that.
 	entryLapseAge = 2500 * time.Millisecond
@@ -243,8 +245,11 @@
 	return c
 }
 
-// refreshOnRequest gets a newer configuration that is known to exist, or a newer proof of the one in force, as after a suspension.
+// refreshOnRequest gets a newer configuration that is known to exist, or a newer proof of the one in force, as after a suspension. It tries
+// less and less often to get a version that it doesn't find, as one that the store has lost.
 func (c *Catalog) refreshOnRequest(ctx context.Context) error {
+	gap := minProofInterval
+
 	for {
 		select {
 		case <-ctx.Done():
@@ -252,11 +257,19 @@
 		case <-c.refresh:
 		}
 
+		before := c.inForce()
+
 		if err := c.refreshOnce(ctx); err != nil {
 			c.logger.V(1).Info("failed to read the configuration for a newer proof", "event", 287, "error", err.Error())
 		}
 
-		pause.For(ctx, minProofInterval)
+		if c.announced.since.Load() != 0 && c.inForce() == before {
+			gap = min(2*gap, maxRefreshPause)
+		} else {
+			gap = minProofInterval
+		}
+
+		pause.For(ctx, gap)
 	}
 }
 
