Take a process that has just claimed the duties for alive

Two processes that both reach the log but don't know each other claimed the duties in turn: each took the claim of the other one for that of a dead holder, although it had read it right after it was appended.

A claim that comes after the first read of the log counts as of a living process for 3 s, unless the membership has known that process since. The acting holder then changes once in 3 s at most, and the processes find each other meanwhile.

--- a/coordination/duty/claim.go
+++ b/coordination/duty/claim.go
@@ -10,6 +10,11 @@
 // processes start at once, one on a small host may claim before it has learned of the larger hosts.
 const takeoverCapacityRatio = 2
 
+// claimTrust is the time after a claim was appended for which its process counts as alive, although the membership does not know it or holds
+// it for dead. The acting holder would otherwise change within a lease while two processes that both reach the log don't know each
+// other.
+const claimTrust = 3 * time.Second
+
 // WithSettled sets the function that reports whether the membership knows the processes that the store shows. Until it does, this process
 // claims nothing.
 func WithSettled(settled func() bool) Option { return func(d *Duty) { d.settledMembers = settled } }
@@ -57,6 +62,10 @@
 	before, holderFound, holderOutgrown := 0, false, false
 
 	for _, member := range d.membership.Members() {
+		if member.Node == holder.Node && member.State != apricotway.MemberDead {
+			d.noteMember(holder)
+		}
+
 		alive := member.State == apricotway.MemberAlive || member.State == apricotway.MemberSuspect
 		if !alive {
 			continue
@@ -77,7 +86,25 @@
 		return holderOutgrown && before == 0
 	}
 
-	return now.Sub(d.setVacant(now)) >= time.Duration(before)*claimStagger
+	return now.Sub(d.setVacant(now)) >= time.Duration(before)*claimStagger && !d.claimedRecently(holder)
+}
+
+// noteMember records that the membership tells whether the process of a claim lives.
+func (d *Duty) noteMember(holder apricotway.DutyHolder) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if d.fresh == holder {
+		d.fresh = apricotway.DutyHolder{}
+	}
+}
+
+// claimedRecently reports whether the holder claimed within claimTrust and has not been known as a member since.
+func (d *Duty) claimedRecently(holder apricotway.DutyHolder) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.fresh == holder && d.boot()-d.freshAt < claimTrust
 }
 
 // precedes reports whether member ranks before other when the duties are claimed: by descending capacity, then by node name.
--- a/coordination/duty/duty.go
+++ b/coordination/duty/duty.go
@@ -90,6 +90,10 @@
 	state map[apricotway.StatePart][]byte
 	// vacant is the time since which no live holder is known; zero while there is one.
 	vacant time.Time
+	// fresh is the newest claim of another process if it was appended after this process had read the log before, at the boot time
+	// freshAt at the latest; zero once that process has been known as a member since.
+	fresh   apricotway.DutyHolder
+	freshAt time.Duration
 	// stale requests a read of the log at the next check, after the platform refused a fencing number or an append failed.
 	stale bool
 	// doubted requests a read of the log, after the known holder did not answer as the holder; refreshedAt is the time of the
--- a/coordination/duty/duty_test.go
+++ b/coordination/duty/duty_test.go
@@ -872,6 +872,61 @@
 	})
 }
 
+// TestClaimOfUnknownProcess guards against two processes that don't know each other and take each other for dead: a claim that was appended a
+// moment ago is that of a process that lives.
+func TestClaimOfUnknownProcess(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c, l := newCluster(), &log{}
+		dead := map[apricotway.NodeID]apricotway.MemberState{"a": apricotway.MemberDead, "b": apricotway.MemberDead}
+
+		began := time.Now()
+		boot := duty.WithBootClock(func() time.Duration { return time.Since(began) + time.Hour })
+		supervisor := suture.NewSimple("processes")
+
+		var (
+			duties []*duty.Duty
+			seen   apricotway.Offset
+			calls  []apricotway.NodeID
+			times  []time.Time
+		)
+
+		for _, node := range []apricotway.NodeID{"a", "b"} {
+			s := isolated{process: process{cluster: c, node: node}, sees: dead}
+			c.set(node, apricotway.MemberAlive)
+			duties = append(duties, duty.New(supervisor, l, s, s, boot))
+		}
+
+		serve(t, supervisor)
+
+		// The platform refuses lower numbers than it has seen.
+		for range 100 {
+			for _, d := range duties {
+				switch holder, ok := d.Held(); {
+				case !ok:
+				case holder.Number < seen:
+					d.MarkFenced(holder.Number)
+				default:
+					if seen = holder.Number; len(calls) == 0 || calls[len(calls)-1] != holder.Node {
+						calls, times = append(calls, holder.Node), append(times, time.Now())
+					}
+				}
+			}
+
+			wait(200 * time.Millisecond)
+		}
+
+		if len(calls) < 2 {
+			t.Errorf("got calls of %v, want a change of the holder", calls)
+		}
+
+		for i := 2; i < len(calls); i++ {
+			if got, want := times[i].Sub(times[i-1]), 3*time.Second; got < want {
+				t.Errorf("got calls of %s, %s and %s, the last two within %s, want %s or more", calls[i-2], calls[i-1], calls[i], got, want)
+			}
+		}
+	})
+}
+
 // TestClaimBeforeSearch guards against a process that claims the duties since it knows no other one, before it has looked for them.
 func TestClaimBeforeSearch(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
--- a/coordination/duty/log.go
+++ b/coordination/duty/log.go
@@ -248,7 +248,11 @@
 		return
 	}
 
-	d.renewed, d.predecessor = 0, ""
+	d.renewed, d.predecessor, d.fresh = 0, "", apricotway.DutyHolder{}
+
+	if d.read && claim.Node != d.self {
+		d.fresh, d.freshAt = claim, d.boot()
+	}
 
 	switch {
 	case claim.Node == d.self && d.holder.Node == d.self:
