--- a/cmd/internal/schema/schema_test.go
+++ b/cmd/internal/schema/schema_test.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"regexp"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -44,6 +45,23 @@
 	return content
 }
 
+// TestSamplesAreOfProduction guards against samples that a landing which raised the production commit did not write again.
+func TestSamplesAreOfProduction(t *testing.T) {
+	deployed, err := os.ReadFile(filepath.Join("..", "..", "..", "deploy", "system.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	match := regexp.MustCompile(`(?m)^production = "(\w+)"`).FindSubmatch(deployed)
+	if match == nil {
+		t.Fatalf("got no production commit in %s", deployed)
+	}
+
+	if got, want := strings.TrimSpace(string(production(t, "COMMIT"))), string(match[1]); !strings.HasPrefix(got, want) {
+		t.Errorf("got samples of %s, want those of %s; see make schema-samples", got, want)
+	}
+}
+
 // TestWrittenForProduction guards against messages and records that the production build does not read, or reads with another meaning: what
 // this tree writes for the same values has to be the same in the production schema.
 func TestWrittenForProduction(t *testing.T) {
