Send a usage report that was recorded as the store came back

The append of a report may take effect in an era of the store that the holder does not know yet. Only the writer sends a record of an earlier era, so the holder keeps it as pending, records it again when it settles the usage, and sends it.

--- a/coordination/rollup/settle_test.go
+++ b/coordination/rollup/settle_test.go
@@ -549,6 +549,19 @@
 	}
 }
 
+// TestReportRecordedAfterRestore guards against a window that is never reported, since its report was recorded while the store had come back
+// and the holder did not know of it: the record counts as reported from then on.
+func TestReportRecordedAfterRestore(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newSystem(t)
+		s.run(30 * time.Second)
+		s.restore(0)
+		s.run(40 * time.Second)
+		s.wantAllWindowsNamed()
+		s.wantReported(40 * time.Second)
+	})
+}
+
 // wantAllWindowsNamed checks that each window up to the newest report is reported or skipped.
 func (s *system) wantAllWindowsNamed() {
 	s.t.Helper()
--- a/coordination/rollup/usage.go
+++ b/coordination/rollup/usage.go
@@ -162,13 +162,18 @@
 	r.mu.Unlock()
 
 	if !recorded {
-		if err := r.duty.RecordUsage(ctx, report); err != nil {
-			return err
+		err := r.duty.RecordUsage(ctx, report)
+
+		// A record that lies in an era which its writer did not know counts as reported, so only the writer can send it.
+		if err == nil || errors.Is(err, duty.ErrEraChanged) {
+			r.mu.Lock()
+			r.pendingReport = &report
+			r.mu.Unlock()
 		}
 
-		r.mu.Lock()
-		r.pendingReport = &report
-		r.mu.Unlock()
+		if err != nil {
+			return err
+		}
 	}
 
 	if acting, ok := r.duty.AuthorizedHolder(ctx); !ok || acting.Number != holder.Number {
