Play restores beside processes that start during a cut

TestRestoresBesideStartDuringCut plays this: a process starts while it is cut off from all others but not from the log, neither side knows the other, and the store comes back from a copy, of which half lack all records.

--- a/coordination/rollup/settle_test.go
+++ b/coordination/rollup/settle_test.go
@@ -79,6 +79,8 @@
 	hear     []func(key string, version uint64, payload []byte)
 	// isolated cuts the process off from the others, stopped from the log and the platform as well.
 	isolated, stopped bool
+	// unaware is set if the process and those from which it is cut off don't know each other: it started during the cut.
+	unaware bool
 	// started and ended are the values of changes when the process started and ended; ended is 0 while it runs.
 	started, ended int
 	end            func()
@@ -385,6 +387,10 @@
 
 		member := other.member()
 		if n.apart(other) {
+			if n.unaware || other.unaware {
+				continue
+			}
+
 			member.State = apricotway.MemberDead
 		}
 
@@ -645,6 +651,45 @@
 	}
 }
 
+// TestRestoresBesideStartDuringCut guards against two counts of one window by a process that starts while it is cut off from all others but not
+// from the log, so that it knows none of them, beside a restore.
+func TestRestoresBesideStartDuringCut(t *testing.T) {
+	for seed := range uint64(*schedules) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 2))
+				s := newSystem(t)
+				s.run(15 * time.Second)
+
+				for range 6 {
+					running := s.running()
+					s.replace(running[random.IntN(len(running))])
+
+					running = s.running()
+					started := running[len(running)-1]
+					s.set(func() { started.isolated, started.unaware = true, true })
+					s.run(time.Duration(random.IntN(9000)) * time.Millisecond)
+
+					stored := s.copyStore()
+
+					if random.IntN(2) == 0 {
+						stored.records = nil
+					}
+
+					s.run(time.Duration(random.IntN(4000)) * time.Millisecond)
+					s.restoreFrom(stored)
+					s.run(time.Duration(random.IntN(4000)) * time.Millisecond)
+					s.set(func() { started.isolated, started.unaware = false, false })
+					s.run(time.Duration(random.IntN(4000)) * time.Millisecond)
+				}
+
+				s.run(60 * time.Second)
+				s.wantReported(40 * time.Second)
+			})
+		})
+	}
+}
+
 // TestRandomRestores guards against two counts of one window, two holders with one number, and reports that end, while the log goes back
 // or is trimmed and processes are stopped and cut off at random.
 func TestRandomRestores(t *testing.T) {
