--- a/coordination/rollout/rollout_test.go
+++ b/coordination/rollout/rollout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,12 +16,19 @@
 	"github.com/apricotway/apricotway/internal/bubble"
 )
 
+// board holds the broadcasts of all processes.
+type board struct {
+	mu      sync.Mutex
+	entries []apricotway.BroadcastEntry
+}
+
 // host has the broadcasts of all processes, and refuses some first.
 type host struct {
-	self    apricotway.Member
-	others  []apricotway.Member
-	entries *[]apricotway.BroadcastEntry
-	refuse  int
+	*board
+
+	self   apricotway.Member
+	others []apricotway.Member
+	refuse int
 }
 
 func (h *host) Self() apricotway.Member      { return h.self }
@@ -32,23 +40,31 @@
 		return apricotway.ErrBroadcastRefused
 	}
 
-	*h.entries = append(*h.entries, entry)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	h.entries = append(h.entries, entry)
 
 	return nil
 }
 
 func (h *host) Subscribe(apricotway.Topic, func(key string, version uint64, payload []byte)) {}
 
-func (h *host) Latest(apricotway.Topic) []apricotway.BroadcastEntry { return *h.entries }
+func (h *host) Latest(apricotway.Topic) []apricotway.BroadcastEntry {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return slices.Clone(h.entries)
+}
 
 // TestMembers guards against a process of a build that tells none, or an odd one, being shown with another one's, and against a process whose
 // announcement was refused once never telling its build.
 func TestMembers(t *testing.T) {
 	bubble.Test(t, func(t *testing.T) {
-		entries := []apricotway.BroadcastEntry{
+		broadcasts := &board{entries: []apricotway.BroadcastEntry{
 			{Topic: apricotway.TopicBuild, Key: "odd", Payload: []byte(`{"build":7}`)},
 			{Topic: apricotway.TopicBuild, Key: "gone", Payload: []byte(`{"build":"first"}`)},
-		}
+		}}
 		member := func(node apricotway.NodeID, state apricotway.MemberState) apricotway.Member {
 			return apricotway.Member{Node: node, State: state}
 		}
@@ -56,7 +72,7 @@
 		hosts := map[string]*rollout.Rollout{}
 
 		for _, name := range []string{"first", "second"} {
-			h := &host{self: member(apricotway.NodeID(name), apricotway.MemberAlive), entries: &entries, refuse: 1}
+			h := &host{board: broadcasts, self: member(apricotway.NodeID(name), apricotway.MemberAlive), refuse: 1}
 			for _, other := range []apricotway.NodeID{"first", "second", "odd", "older"} {
 				if other != h.self.Node {
 					h.others = append(h.others, member(other, apricotway.MemberSuspect))
