Let a workspace begin with a burst under a limit where there was none

Callers of a workspace got 429 for a moment when a configuration gave it a limit: the bucket of the center had stayed empty while there was no limit.

TestLimitThatBegins failed before, in both cases (a wait of 1 s).

--- a/state/quota/center.go
+++ b/state/quota/center.go
@@ -84,6 +84,11 @@
 
 	c.refill(now, b)
 
+	// What was not limited so far may begin with a burst.
+	if b.version > 0 && b.limit.Rate <= 0 {
+		b.level = stated.Limit.Burst
+	}
+
 	b.limit, b.version = stated.Limit, stated.Version
 	b.level = min(b.level, stated.Limit.Burst)
 }
--- a/state/quota/quota_test.go
+++ b/state/quota/quota_test.go
@@ -445,3 +445,23 @@
 		t.Errorf("got %.0f units refused, want %.0f", got, want)
 	}
 }
+
+// TestLimitThatBegins guards against the refusal of the first calls under a limit where there was none before.
+func TestLimitThatBegins(t *testing.T) {
+	for name, tell := range map[string]func(c *quota.Center, now time.Time){
+		"center first":  func(c *quota.Center, now time.Time) { c.SetLimits(now, version, limits(rate, burst)) },
+		"process first": func(*quota.Center, time.Time) {},
+	} {
+		now := time.Now()
+		c := quota.NewCenter()
+		c.SetLimits(now, version-1, limits(0, 0))
+
+		now = now.Add(time.Minute)
+		tell(c, now)
+
+		stated := quota.StatedLimit{Version: version, Limit: limits(rate, burst)[workspace].Limit}
+		if wait, decided := c.Ask(now, workspace, stated, burst); wait != 0 || !decided {
+			t.Errorf("%s: got a wait of %s for a burst, want none", name, wait)
+		}
+	}
+}
