--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -246,7 +246,7 @@
 }
 
 // refreshOnRequest gets a newer configuration that is known to exist, or a newer proof of the one in force, as after a suspension. It tries
-// less and less often to get a version that it doesn't find, as one that the store has lost.
+// less and less often to get a version that the store doesn't have, as one that it has lost.
 func (c *Catalog) refreshOnRequest(ctx context.Context) error {
 	gap := minProofInterval
 
@@ -259,11 +259,13 @@
 
 		before := c.inForce()
 
-		if err := c.refreshOnce(ctx); err != nil {
+		err := c.refreshOnce(ctx)
+		if err != nil {
 			c.logger.V(1).Info("failed to read the configuration for a newer proof", "event", 287, "error", err.Error())
 		}
 
-		if c.announced.since.Load() != 0 && c.inForce() == before {
+		// A failure may end at any time, and the next try may bring a further part.
+		if err == nil && c.announced.since.Load() != 0 && c.inForce() == before {
 			gap = min(2*gap, maxRefreshPause)
 		} else {
 			gap = minProofInterval
