--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -420,7 +420,7 @@
 	}
 }
 
-// readDeployment reads the configuration for poll.
+// readDeployment reads the configuration for poll. It never has to start from scratch, since the position is kept while others pass on news.
 func (c *Catalog) readDeployment(ctx context.Context, _ bool) error {
 	err := c.readConfiguration(ctx, c.configReadWait())
 	c.recordRead(&c.configFailing, err == nil)
