--- a/forwarding.go
+++ b/forwarding.go
@@ -64,7 +64,8 @@
 type RunMover interface {
 	// Move stops a run and copies its KV cache to the target. The stream of the run breaks off without an end marker. When only
 	// the copy failed, the result has a handle and copied is false: the run can continue at its source. Move fails with
-	// ErrRunUnknown when the source has no such run, for example because the run has ended.
+	// ErrRunUnknown when the source has no such run, for example because the run has ended. An error that wraps ErrNotSent means that
+	// the source does not have the order. After any other error the source may stop the run at any time.
 	Move(
 		ctx context.Context, source netip.AddrPort, attempt AttemptID, target netip.AddrPort,
 	) (memory RunKVCache, copied bool, err error)
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -18,6 +18,30 @@
 	minMoveRemaining = 100 * time.Millisecond
 )
 
+// moveOutcome is what is known of a run whose move has failed.
+type moveOutcome string
+
+const (
+	// moveNotOrdered means that the engine does not have the order.
+	moveNotOrdered moveOutcome = "notOrdered"
+	// moveRunUnknown means that the engine has no such run.
+	moveRunUnknown moveOutcome = "runUnknown"
+	// moveUncertain means that the engine may stop the run at any time.
+	moveUncertain moveOutcome = "uncertain"
+)
+
+// outcomeOfMove returns the outcome of a move that failed with an error.
+func outcomeOfMove(err error) moveOutcome {
+	switch {
+	case errors.Is(err, apricotway.ErrNotSent):
+		return moveNotOrdered
+	case errors.Is(err, apricotway.ErrRunUnknown):
+		return moveRunUnknown
+	default:
+		return moveUncertain
+	}
+}
+
 // moveIfLeaving moves the run to another engine when its engine is leaving: the engine stops within seconds, whatever still runs
 // there.
 func (c *call) moveIfLeaving(ctx context.Context, current *engineRun, splitter *eventSplitter) {
@@ -53,10 +77,9 @@
 		// or breaks off, which passRun handles.
 		current.noMove = true
 
-		if !errors.Is(err, apricotway.ErrRunUnknown) {
-			c.relay.logger.Info("moving a run to another engine failed", "event", 352, "attempt", c.metadata.Attempt,
-				"server", current.send.Backend.ID, "target", target.Backend.ID, "error", err.Error())
-		}
+		c.relay.logger.Info("moving a run to another engine failed", "event", 352, "attempt", c.metadata.Attempt,
+			"server", current.send.Backend.ID, "target", target.Backend.ID, "outcome", outcomeOfMove(err), "last", splitter.last,
+			"closeDelimited", current.closeDelimited, "error", err.Error())
 
 		return
 	}
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -348,6 +348,8 @@
 	expectedWait time.Duration
 	beganAt      time.Time
 	progress     progress
+	// closeDelimited is set while a stream is passed on that ends with the connection of its server.
+	closeDelimited bool
 }
 
 // ServeHTTP forwards one call and writes its answer or refusal. It implements http.Handler.
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -374,6 +374,7 @@
 ) attemptResult {
 	for {
 		run := *current
+		c.closeDelimited = run.closeDelimited
 		reason, outcome := c.passRun(ctx, splitter, run, buffer, first, err)
 
 		var replacement *replacement
