Don't take the end of a stream that a move may have stopped for its end

The relay orders a leaving engine to stop a run and to copy its memory. An engine that carries the order out later closes the stream without its end. With a length or chunks this is a broken stream; without them it looked like the end.

The relay now keeps which engines may still stop a run of the call. A stream without a marked end from such an engine is not taken for whole when it ends: the engine is asked once more, which gives the memory of a run that it has stopped, also on routes that are not resumable; else the stream continues elsewhere after its last event, where an empty rest with a marked end proves that it was whole; else it is broken off. A broken stream is treated the same way and no longer counts as a sign of a crash. An order that surely did not reach the engine changes nothing. 404 after such an order proves nothing, since engines need not know a run that they have stopped.

--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -24,6 +24,8 @@
 	reasonServerError = "serverError"
 	reasonResumed     = "resumed"
 	reasonMoved       = "moved"
+	// reasonStopped is that of a run that may have ended because of a move whose outcome is not known.
+	reasonStopped = "stopped"
 	// reasonNotContinued is that of an engine whose events don't follow those before them.
 	reasonNotContinued = "notContinued"
 	reasonNoTime       = "noTime"
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -350,6 +350,8 @@
 	// closeDelimited is that of the answer, and began is set once the run's first event has arrived. resumed is set when the run
 	// continues that of another engine.
 	closeDelimited, began, resumed bool
+	// mayBeEmpty is set when the run continues one that may have ended with its last event.
+	mayBeEmpty bool
 	// err is the error with which reading the body failed.
 	err error
 	// first and firstErr are what was read of a run that was offered to the engine.
@@ -364,7 +366,7 @@
 // lacksEvents reports whether the run must not end yet. The first engine may send an empty stream of a stated length, but a stream
 // that broke off has at least one more event.
 func (r *engineRun) lacksEvents(plain bool) bool {
-	return !r.began && (r.resumed || r.closeDelimited && !plain)
+	return !r.began && (r.resumed && !r.mayBeEmpty || r.closeDelimited && !plain)
 }
 
 // passStream passes on a stream in complete events. When the engine leaves, or breaks off and the stream may be resumed, the stream
@@ -396,14 +398,19 @@
 			return answered
 		}
 
-		if run.memory != nil && outcome != dispatch.OutcomeLeft {
-			run.send.End(c.relay.now(), dispatch.OutcomeLeft)
-			c.steps = append(c.steps, reasonMoved)
-		} else {
-			run.send.End(c.relay.now(), outcome)
-			c.steps = append(c.steps, reason)
+		ended, step := outcome, reason
+		if outcome != dispatch.OutcomeLeft && run.memory != nil {
+			step = reasonMoved
 		}
 
+		// A run that an order has stopped says nothing about its engine.
+		if step == reasonMoved || step == reasonStopped {
+			ended = dispatch.OutcomeLeft
+		}
+
+		run.send.End(c.relay.now(), ended)
+		c.steps = append(c.steps, step)
+
 		if outcome == dispatch.OutcomeLeft {
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
@@ -416,6 +423,8 @@
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
+		next.mayBeEmpty = run.memory == nil && (reason == reasonStopped || run.mayBeEmpty && !run.began)
+
 		*current, first, err = next, next.first, next.firstErr
 	}
 }
@@ -437,6 +446,10 @@
 		return c.continueOffered(ctx, run, splitter, reason, replacement.resumption)
 	}
 
+	if reason == reasonStopped {
+		c.confirmStop(ctx, run, splitter)
+	}
+
 	resumable := c.route.Resumable && splitter.continuable()
 
 	// The server may have sent its first event while the replacement was chosen.
@@ -518,7 +531,7 @@
 			return reasonCallerLeft, dispatch.OutcomeLeft
 		}
 
-		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.lacksEvents(splitter.plain)) {
+		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.lacksEvents(splitter.plain) || c.endUncertain(current)) {
 			err = io.ErrUnexpectedEOF
 		}
 
@@ -541,6 +554,8 @@
 			return reasonSilent, dispatch.OutcomeFailed
 		case splitter.foreign:
 			return reasonNotContinued, dispatch.OutcomeFailed
+		case err != nil && c.mayBeStopped(current):
+			return reasonStopped, dispatch.OutcomeDone
 		case err != nil:
 			current.err = err
 			return reasonBroken, dispatch.OutcomeFailed
--- /dev/null
+++ b/transport/upstream/stoppedrun_test.go
@@ -0,0 +1,209 @@
+package upstream_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/protocol/relay"
+	"github.com/apricotway/apricotway/transport/upstream"
+)
+
+// errUnanswered is the error of an order of which nobody knows whether the server has it.
+var errUnanswered = errors.New("no answer to the order")
+
+// move is the result of an order to move a run.
+type move struct {
+	copied bool
+	err    error
+}
+
+// stoppedRun is a stream whose leaving server is told to stop the run, and closes the connection after the third event.
+type stoppedRun struct {
+	// chunked is set if the stream comes in chunks, and marked if it has the last one, which marks its end.
+	chunked, marked bool
+	// moves are the results of the orders in turn; further ones get the last.
+	moves []move
+	// rest is the answer to a request to continue the stream.
+	rest string
+
+	orders    atomic.Int64
+	continued atomic.Value
+}
+
+// call sends a call to the path and returns what its caller got.
+func (s *stoppedRun) call(t *testing.T, path string) (string, error) {
+	t.Helper()
+
+	var sends atomic.Int64
+
+	h := newHarness(t)
+	ordered := make(chan struct{})
+	h.move = func() (bool, error) {
+		count := int(s.orders.Add(1))
+		if count == 1 {
+			close(ordered)
+		}
+
+		result := s.moves[min(count, len(s.moves))-1]
+
+		return result.copied, result.err
+	}
+
+	head, frame, mark := streamHead+"\r\n", func(content string) string { return content }, ""
+	if s.chunked {
+		head, frame = streamHead+"Transfer-Encoding: chunked\r\n\r\n", chunk
+	}
+
+	if s.marked {
+		mark = "0\r\n\r\n"
+	}
+
+	answer := func(conn net.Conn, request string) bool {
+		if sends.Add(1) > 1 {
+			s.continued.Store(request)
+			write(conn, s.rest)
+
+			return false
+		}
+
+		write(conn, head+frame(event(1)))
+
+		for _, backend := range h.pool.Backends() {
+			backend.Leaving = backend.Address.String() == conn.LocalAddr().String()
+			h.pool.Update(backend, time.Now())
+		}
+
+		write(conn, frame(event(2)))
+		<-ordered
+		write(conn, frame(event(3))+mark)
+
+		return false
+	}
+
+	for i := range 2 {
+		h.pool.Update(apricotway.Backend{
+			ID: apricotway.BackendServerID(fmt.Sprint(i)), Service: "s", Slots: 8, Address: newBackend(t, answer).address,
+		}, time.Now())
+	}
+
+	_, got, err := h.call(path, map[string]string{"Wait": "3s"}) //nolint:bodyclose // The call has read and closed it.
+
+	return got, err
+}
+
+// TestStoppedStreamPassedOnAsComplete guards against passing on a part of a stream as the whole when its server has stopped the run for a move
+// that it did not confirm, and against breaking off streams that are whole.
+func TestStoppedStreamPassedOnAsComplete(t *testing.T) {
+	const resumable, other = "/resumable/", "/stream/"
+
+	unanswered, unknown := move{err: errUnanswered}, move{err: apricotway.ErrRunUnknown}
+	inProgress, moved := move{err: apricotway.ErrMoveInProgress}, move{copied: true}
+	rest := framed(streamHead, event(4)+event(5))
+	part := event(1) + event(2) + event(3)
+	whole := part + event(4) + event(5)
+
+	for name, test := range map[string]struct {
+		run        *stoppedRun
+		path, want string
+		complete   bool
+		// fromMemory is set if the stream has to continue from the memory of the run.
+		fromMemory bool
+	}{
+		"resumed":                  {&stoppedRun{moves: []move{unanswered}, rest: rest}, resumable, whole, true, false},
+		"resumed in vain":          {&stoppedRun{moves: []move{unanswered}}, resumable, part, false, false},
+		"resumed without an end":   {&stoppedRun{moves: []move{unanswered}, rest: streamHead + "\r\n"}, resumable, part, false, false},
+		"nothing left to resume":   {&stoppedRun{moves: []move{unanswered}, rest: framed(streamHead, "")}, resumable, part, true, false},
+		"confirmed later":          {&stoppedRun{moves: []move{unanswered, moved}, rest: rest}, other, whole, true, true},
+		"copy failed":              {&stoppedRun{moves: []move{unanswered, {}}, rest: rest}, other, whole, true, true},
+		"move in progress":         {&stoppedRun{moves: []move{inProgress, inProgress, inProgress, moved}, rest: rest}, other, whole, true, true},
+		"never confirmed":          {&stoppedRun{moves: []move{unanswered}, rest: rest}, other, part, false, false},
+		"run forgotten":            {&stoppedRun{moves: []move{unanswered, unknown}, rest: rest}, other, part, false, false},
+		"cut in chunks":            {&stoppedRun{moves: []move{unanswered, moved}, rest: rest, chunked: true}, other, whole, true, true},
+		"not ordered":              {&stoppedRun{moves: []move{{err: apricotway.ErrNotSent}}}, other, part, true, false},
+		"no such run":              {&stoppedRun{moves: []move{unknown}}, other, part, true, false},
+		"whole in chunks":          {&stoppedRun{moves: []move{unanswered}, chunked: true, marked: true}, other, part, true, false},
+		"whole in chunks, resumed": {&stoppedRun{moves: []move{unanswered}, chunked: true, marked: true}, resumable, part, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := test.run.call(t, test.path)
+			if got != test.want || (err == nil) != test.complete {
+				t.Errorf("got %q and %v, want %q, complete: %t", got, err, test.want, test.complete)
+			}
+
+			request, _ := test.run.continued.Load().(string)
+			if got := strings.Contains(request, "Memory: "); got != test.fromMemory {
+				t.Errorf("got the run continued from its memory: %t, want %t", got, test.fromMemory)
+			}
+		})
+	}
+}
+
+// TestLaterRunStoppedByEarlierMove guards against passing on a part of a stream as the whole when an order to move an earlier run of the call
+// stops a later one at the same server, which this or another process sends there.
+func TestLaterRunStoppedByEarlierMove(t *testing.T) {
+	for name, lost := range map[string]bool{"same process": false, "other process": true} {
+		t.Run(name, func(t *testing.T) {
+			var sends atomic.Int64
+
+			ordered := make(chan struct{})
+			stopped := func(conn net.Conn, _ string) bool {
+				write(conn, streamHead+"\r\n"+event(3))
+				return false
+			}
+
+			other := newHarness(t)
+			other.addServer("first", "", 8, stopped)
+
+			h, d := newDetouring(t, other.address())
+			d.lost.Store(false)
+			h.replaceRelay(relay.WithDetours(d, upstream.New()), relay.WithMover(h))
+			h.pool.Remove("b0", time.Now())
+			h.addServer("first", "", 8, func(conn net.Conn, request string) bool {
+				if sends.Add(1) > 1 {
+					return stopped(conn, request)
+				}
+
+				write(conn, streamHead+"\r\n"+event(1))
+				h.addVersion("target", "", 8)
+				h.setLeaving("first", true)
+				write(conn, event(2)+"id: 3\nda")
+				<-ordered
+
+				return false
+			})
+
+			h.move = func() (bool, error) {
+				if sends.Load() == 1 {
+					d.lost.Store(lost)
+					h.pool.Remove("target", time.Now())
+					h.setLeaving("first", false)
+					close(ordered)
+				}
+
+				return false, errUnanswered
+			}
+
+			_, got, err := h.call("/resumable/", map[string]string{"Wait": "3s"}) //nolint:bodyclose // The call has read and closed it.
+			if want := event(1) + event(2) + event(3); got != want || err == nil {
+				t.Errorf("got %q and %v, want %q and an error", got, err, want)
+			}
+		})
+	}
+}
+
+// setLeaving sets whether a server is leaving.
+func (h *harness) setLeaving(id apricotway.BackendServerID, leaving bool) {
+	for _, backend := range h.pool.Backends() {
+		if backend.ID == id {
+			backend.Leaving = leaving
+			h.pool.Update(backend, time.Now())
+		}
+	}
+}
