--- a/cmd/scenario/crowd_test.go
+++ b/cmd/scenario/crowd_test.go
@@ -3,7 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
 	"io"
 	"net"
@@ -13,12 +16,15 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/apricotway/apricotway"
 	fleetstandin "github.com/apricotway/apricotway/cmd/internal/standin"
 	"github.com/apricotway/apricotway/platform/standin"
@@ -48,8 +54,13 @@
 	body func(w io.Writer, header string) error
 	// slow makes callers read an answer slowly.
 	slow bool
+	// directory is set if the callers connect to the directory, encrypted if they use TLS.
+	directory, encrypted bool
 }
 
+// errLeft is the error of a caller that leaves without waiting for its answer.
+var errLeft = errors.New("caller left")
+
 var filler = strings.Repeat("x", 1<<20)
 
 // writeFiller writes a number of bytes in pieces, each between a prefix and a suffix.
@@ -114,6 +125,10 @@
 			name: "bodies in pieces", connections: 160, path: path, header: header,
 			body: part(announced(crowdBody), crowdBody-1<<17, 1<<17, "", "", 50*time.Millisecond),
 		},
+		{
+			name: "whole bodies", connections: 160, path: path, header: header + "Connection: close\r\n",
+			body: part(announced(crowdBody), crowdBody, 1<<16, "", "", 0),
+		},
 		{name: "large chunks", connections: 160, path: path, header: header, body: part(chunked, crowdBody, 1<<20, "100000\r\n", "\r\n", 0)},
 		{name: "chunks of one byte", connections: 160, path: path, header: header, body: part(chunked, 1<<17, 1, "1\r\n", "\r\n", 0)},
 		{
@@ -153,6 +168,57 @@
 	}
 }
 
+// named returns the crowd with a name.
+func named(all []crowd, name string) crowd {
+	return all[slices.IndexFunc(all, func(c crowd) bool { return c.name == name })]
+}
+
+// directoryCrowds returns the crowds that the directory of an entry host meets. It has no use for bodies and long headers, and takes twice the
+// connections of a host that it may.
+func directoryCrowds(all []crowd) []crowd {
+	bodies, headers, idle := named(all, "too large, sent"), named(all, "slow headers"), named(all, "idle connections")
+	headers.connections, idle.connections = 1000, 2000
+	selected := []crowd{bodies, headers, idle}
+
+	for i := range selected {
+		c := &selected[i]
+		c.name, c.path, c.directory = "directory, "+c.name, "/-/resolve?name=h.example&region=r&zone=a", true
+	}
+
+	return selected
+}
+
+// promptCrowds returns crowds that send prompts of the largest size to a model service.
+func promptCrowds(header string) []crowd {
+	send := func(content string, after error) func(io.Writer, string) error {
+		return func(w io.Writer, header string) error {
+			if _, err := io.WriteString(w, fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", header, len(content), content)); err != nil {
+				return err
+			}
+
+			if after != nil {
+				<-time.After(crowdPause)
+			}
+
+			return after
+		}
+	}
+
+	request := func(fields, end string) string {
+		return `{"model": "fast", "max_tokens": 4000, "stream": true, ` + fields + end + `}`
+	}
+	prompt := request(`"prompt": "`, `"`)
+	prompt = request(`"prompt": "`, strings.Repeat("x", crowdBody-len(prompt))+`"`)
+	messages := request(`"messages": [{}`, `]`)
+	messages = request(`"messages": [{}`, strings.Repeat(",{}", (crowdBody-len(messages))/len(",{}"))+`]`)
+
+	return []crowd{
+		{name: "whole prompts", connections: 160, path: "/v1/completions", header: header, body: send(prompt, nil)},
+		{name: "prompts of callers that leave", connections: 160, path: "/v1/completions", header: header, body: send(prompt, errLeft)},
+		{name: "many empty messages", connections: 160, path: "/v1/chat/completions", header: header, body: send(messages, nil)},
+	}
+}
+
 // join connects all callers until the context ends, and waits until each of them has sent its request once, or could not.
 func (c crowd) join(ctx context.Context, t *testing.T, address string) *sync.WaitGroup {
 	t.Helper()
@@ -203,6 +269,10 @@
 		return
 	}
 
+	if c.encrypted {
+		conn = tls.Client(conn, &tls.Config{InsecureSkipVerify: true})
+	}
+
 	defer func() { _ = conn.Close() }()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 
@@ -374,7 +444,9 @@
 		}
 	}
 
-	for _, c := range crowds("/book/x", header, "/chat/x", streamHeader, "{}") {
+	all := crowds("/book/x", header, "/chat/x", streamHeader, "{}")
+
+	for _, c := range append(all, directoryCrowds(all)...) {
 		t.Run(c.name, func(t *testing.T) {
 			s := newEntryPlatform(t, 1, config)
 			s.startEngine("model", standin.WithStream(200, time.Millisecond), standin.WithSize(16<<10), standin.WithSlots(200))
@@ -387,6 +459,11 @@
 			e := s.entries[0]
 			client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 			target := crowdTarget{pid: int(e.pid.Load()), address: e.callers.String(), done: e.done}
+
+			if c.directory {
+				target.address = e.directory.String()
+			}
+
 			target.ordinary = func(size int) (int, error) {
 				request, err := standin.Call{
 					Address: e.callers, Host: "h.example", Path: "/book/x", Attempt: fmt.Sprint("o", time.Now().UnixNano()), Key: "secret",
@@ -469,14 +546,25 @@
 	logAddress, hostsAddress := serve(log.Handler()), serve(hosts.Handler())
 	header := "Authorization: Bearer secret\r\n"
 
-	for _, c := range crowds("/v1/services/ledger/x", header, "/v1/completions", header,
-		`{"model": "fast", "prompt": "x", "max_tokens": 4000, "stream": true}`) {
+	all := crowds("/v1/services/ledger/x", header, "/v1/completions", header,
+		`{"model": "fast", "prompt": "x", "max_tokens": 4000, "stream": true}`)
+
+	encrypted := named(all, "slow headers")
+	encrypted.name, encrypted.connections, encrypted.encrypted = encrypted.name+" over TLS", 1000, true
+
+	for _, c := range append(append(all, encrypted), promptCrowds(header)...) {
 		t.Run(c.name, func(t *testing.T) {
 			directory := t.TempDir()
+			scheme, certificate := "http", ""
+
+			if c.encrypted {
+				scheme, certificate = "https", `"tls": {"callers": `+writeCertificate(t, directory)+`},`
+			}
+
 			file := filepath.Join(directory, "entry.jsonc")
-			settings := fmt.Sprintf(`{"region": "r", "zone": "a", "limits": {"bodyBytes": %d, "promptBytes": %[1]d},
+			settings := fmt.Sprintf(`{"region": "r", "zone": "a", %s "limits": {"bodyBytes": %d, "promptBytes": %[2]d},
 				"listen": {"callers": "127.0.0.1:0", "peers": "127.0.0.1:0", "probes": "127.0.0.1:0", "operator": "127.0.0.1:0"},
-				"platform": {"log": %q, "hosts": %q}}`, crowdBody, logAddress, hostsAddress)
+				"platform": {"log": %q, "hosts": %q}}`, certificate, crowdBody, logAddress, hostsAddress)
 
 			if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 				t.Fatal(err)
@@ -493,10 +581,12 @@
 				t.Fatal(err)
 			}
 
-			client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+			client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{
+				DisableKeepAlives: true, TLSClientConfig: &tls.Config{InsecureSkipVerify: true},
+			}}
 			target := crowdTarget{pid: process.command.Process.Pid, address: fields[""], done: process.done}
 			target.ordinary = func(size int) (int, error) {
-				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+fields[""]+"/v1/services/ledger/x",
+				request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, scheme+"://"+fields[""]+"/v1/services/ledger/x",
 					bufio.NewReader(strings.NewReader(strings.Repeat("x", size))))
 				if err != nil {
 					return 0, err
@@ -511,3 +601,27 @@
 		})
 	}
 }
+
+// writeCertificate writes a certificate and its key to the directory and returns the settings that name them.
+func writeCertificate(t *testing.T, directory string) string {
+	t.Helper()
+
+	server := httptest.NewTLSServer(http.NotFoundHandler())
+	defer server.Close()
+
+	key, err := x509.MarshalPKCS8PrivateKey(server.TLS.Certificates[0].PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	files := [2]string{}
+
+	for i, block := range []pem.Block{{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}, {Type: "PRIVATE KEY", Bytes: key}} {
+		files[i] = filepath.Join(directory, fmt.Sprint("tls", i, ".pem"))
+		if err := os.WriteFile(files[i], pem.EncodeToMemory(&block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+
+	return fmt.Sprintf(`{"certificate": %q, "key": %q}`, files[0], files[1])
+}
--- a/cmd/scenario/entrysoak_test.go
+++ b/cmd/scenario/entrysoak_test.go
@@ -46,6 +46,7 @@
 	// bandwidth is that of the host; nil without a limit.
 	bandwidth *faultproxy.Bandwidth
 	callers   netip.AddrPort
+	directory netip.AddrPort
 	operator  netip.AddrPort
 	command   *exec.Cmd
 	done      chan struct{}
@@ -217,7 +218,7 @@
 	}
 
 	e := &entryProgram{
-		name: name, callers: freeport.Address(s.t), operator: freeport.Address(s.t), settings: filepath.Join(s.directory, name+".jsonc"),
+		name: name, callers: freeport.Address(s.t), directory: freeport.Address(s.t), operator: freeport.Address(s.t), settings: filepath.Join(s.directory, name+".jsonc"),
 	}
 	advertised := own
 
@@ -232,7 +233,7 @@
 	content := fmt.Sprintf(`{"node": %q, "region": "r", "zone": "a", "seeds": [%q], "usageWindow": "2s",
 		"listen": {"callers": %q, "readiness": %q, "directory": %q, "peers": %q, "advertisedPeers": %q, "probes": %q, "operator": %q},
 		"platform": {"store": %q, "cloud": %q}, "probeKey": %q,
-		"retries": {"ratio": 0.1, "window": "10s", "slack": %d}}`, name, peers, e.callers, freeport.Address(s.t), freeport.Address(s.t), own,
+		"retries": {"ratio": 0.1, "window": "10s", "slack": %d}}`, name, peers, e.callers, freeport.Address(s.t), e.directory, own,
 		advertised, freeport.Address(s.t), e.operator, e.link.Address, e.link.Address, s.probeKey, s.retrySlack)
 
 	if err := os.WriteFile(e.settings, []byte(content), 0o600); err != nil {
