Bound connections and headers of the directory and the readiness check

Callers reach the directory of an entry host before any other address, and it bounded neither connections nor headers. 1,000 callers with long headers that don't end took 169 MB on a host of 144 MB, 2,000 idle ones 2,019 descriptors of the 3,075 that such a host has. The same held for the readiness check. Both now have a quarter of the bounds of the server for callers, and the share of descriptors is lowered so that all of them fit. Events 391 and 412 name the server.

--- a/cmd/internal/callers/pressure.go
+++ b/cmd/internal/callers/pressure.go
@@ -25,6 +25,8 @@
 	// reservedDescriptors are descriptors for other purposes than callers and the connections over which their requests are passed on.
 	reservedDescriptors = 256
 	leastConnections    = 64
+	// minorFraction is the fraction of the bounds that each minor server has besides.
+	minorFraction = 4
 	// leastHeaderRoom is the room in bytes for a header of the largest size, whatever the memory is.
 	leastHeaderRoom = 1 << 20
 )
@@ -44,8 +46,8 @@
 
 	var limit syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < 1<<30 {
-		// A request may need a connection to a backend server besides that of its caller.
-		bounds.Connections = min(bounds.Connections, max(int(limit.Cur)-reservedDescriptors, 0)/2)
+		// A request may need a connection to a backend server besides that of its caller, and there are up to two minor servers.
+		bounds.Connections = min(bounds.Connections, max(int(limit.Cur)-reservedDescriptors, 0)*minorFraction/(2*minorFraction+2))
 	}
 
 	bounds.Connections = max(bounds.Connections, leastConnections)
@@ -53,6 +55,13 @@
 	return bounds
 }
 
+// Minor returns the bounds for a server beside the one with these bounds that serves short requests without bodies.
+func (b Bounds) Minor() Bounds {
+	return Bounds{
+		Connections: max(b.Connections/minorFraction, leastConnections), HeaderRoom: max(b.HeaderRoom/minorFraction, leastHeaderRoom),
+	}
+}
+
 // WithBounds bounds all connections of callers together. When few connections are left, those without a whole request are closed, and
 // pressed is called with the number of connections that are wanted back.
 func WithBounds(bounds Bounds, pressed func(wanted int)) Option {
--- a/cmd/internal/daemon/security.go
+++ b/cmd/internal/daemon/security.go
@@ -41,7 +41,7 @@
 
 // callersOptions returns the options of the server for callers: bounds, and TLS when the settings name a certificate.
 func (d *Daemon) callersOptions(registry prometheus.Registerer) ([]callers.Option, error) {
-	options := append(process.BoundCallers(d.logger, registry, d.bodies, cmp.Or(d.settings.MemoryMegabytes, defaultMemoryMegabytes)),
+	options := append(process.BoundCallers(d.logger, registry, d.bodies, cmp.Or(d.settings.MemoryMegabytes, defaultMemoryMegabytes)).Callers(),
 		callers.WithRefusalBody(api.RefusalBody))
 
 	files := d.settings.TLS.Callers
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -273,7 +273,7 @@
 	}
 
 	bounds := process.BoundCallers(e.logger, e.registry, e.bodies, cmp.Or(e.settings.MemoryMegabytes, defaultMemoryMegabytes))
-	e.callers = e.serve(ctx, "callers", listener, e.relay, append(bounds, callers.WithAccepted(counters.accepted.Inc),
+	e.callers = e.serve(ctx, "callers", listener, e.relay, append(bounds.Callers(), callers.WithAccepted(counters.accepted.Inc),
 		callers.WithEnded(func(request *http.Request, ending callers.Ending) {
 			counters.answers.WithLabelValues(string(ending.Outcome)).Inc()
 			e.logEnding(request, ending)
@@ -307,17 +307,18 @@
 		name    string
 		address netip.AddrPort
 		handler http.Handler
+		options []callers.Option
 	}{
-		{"directory", addresses.Directory, platform.Directory(e.addresses)},
-		{"readiness", addresses.Readiness, platform.Readiness(e.ready)},
-		{"operator", addresses.Operator, operators},
+		{"directory", addresses.Directory, platform.Directory(e.addresses), bounds.Minor("directory")},
+		{"readiness", addresses.Readiness, platform.Readiness(e.ready), bounds.Minor("readiness")},
+		{"operator", addresses.Operator, operators, nil},
 	} {
 		listener, err := listen(ctx, entry.name, entry.address)
 		if err != nil {
 			return err
 		}
 
-		e.servers = append(e.servers, e.serve(ctx, entry.name, listener, entry.handler))
+		e.servers = append(e.servers, e.serve(ctx, entry.name, listener, entry.handler, entry.options...))
 	}
 
 	return nil
--- a/cmd/internal/process/bodies.go
+++ b/cmd/internal/process/bodies.go
@@ -11,11 +11,18 @@
 	"github.com/apricotway/apricotway/state/bodybudget"
 )
 
-// BoundCallers returns the options of a server for callers that bound connections and headers by the memory of the host, and registers the
-// metrics of what callers take.
+// CallerBounds bounds what callers take of the memory and the descriptors of the host.
+type CallerBounds struct {
+	logger  logr.Logger
+	bodies  *bodybudget.Budget
+	bounds  callers.Bounds
+	refused *prometheus.CounterVec
+}
+
+// BoundCallers returns the bounds for a host with a memory, and registers the metrics of what callers take.
 func BoundCallers(
 	logger logr.Logger, registry prometheus.Registerer, bodies *bodybudget.Budget, memoryMegabytes int64,
-) []callers.Option {
+) *CallerBounds {
 	refused := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "apricotway_refused_headers_total", Help: "Requests that were refused before their header was read, by reason.",
 	}, []string{"reason"})
@@ -29,16 +36,29 @@
 		gauge("apricotway_body_bytes", "Memory that bodies of callers' requests take.", func(taken, _ int64) int64 { return taken }),
 		gauge("apricotway_body_bytes_limit", "Memory that bodies of callers' requests may take.", func(_, total int64) int64 { return total }))
 
-	bounds := callers.BoundsOf(memoryMegabytes)
+	return &CallerBounds{logger: logger, bodies: bodies, bounds: callers.BoundsOf(memoryMegabytes), refused: refused}
+}
+
+// Callers returns the options of the server for callers.
+func (b *CallerBounds) Callers() []callers.Option {
+	return b.options("callers", b.bounds, b.bodies.EndSlow)
+}
+
+// Minor returns the options of another server that callers can reach, and whose requests have no bodies to keep.
+func (b *CallerBounds) Minor(name string) []callers.Option {
+	return b.options(name, b.bounds.Minor(), func(time.Time, int) {})
+}
 
+func (b *CallerBounds) options(name string, bounds callers.Bounds, endSlow func(now time.Time, count int)) []callers.Option {
 	return []callers.Option{
 		callers.WithBounds(bounds, func(wanted int) {
-			bodies.EndSlow(time.Now(), wanted)
-			logger.Info("closed connections without a whole request as few are left", "event", 412, "most", bounds.Connections, "wanted", wanted)
+			endSlow(time.Now(), wanted)
+			b.logger.Info("closed connections without a whole request as few are left", "event", 412, "server", name,
+				"most", bounds.Connections, "wanted", wanted)
 		}),
 		callers.WithRefused(func(caller net.Addr, reason callers.Refusal) {
-			refused.WithLabelValues(string(reason)).Inc()
-			logger.Info("refused a request before its header was read", "event", 391, "reason", reason, "caller", caller.String())
+			b.refused.WithLabelValues(string(reason)).Inc()
+			b.logger.Info("refused a request before its header was read", "event", 391, "server", name, "reason", reason, "caller", caller.String())
 		}),
 	}
 }
--- a/cmd/scenario/crowd_test.go
+++ b/cmd/scenario/crowd_test.go
@@ -465,6 +465,17 @@
 			}
 
 			target.ordinary = func(size int) (int, error) {
+				if c.directory {
+					lookup, err := standin.NewDirectoryRequest(t.Context(), e.directory)
+					if err != nil {
+						return 0, err
+					}
+
+					if status, err := statusOf(client, lookup); err != nil || status != http.StatusOK {
+						return status, err
+					}
+				}
+
 				request, err := standin.Call{
 					Address: e.callers, Host: "h.example", Path: "/book/x", Attempt: fmt.Sprint("o", time.Now().UnixNano()), Key: "secret",
 					Body: strings.NewReader(strings.Repeat("x", size)),
