Build the prompt of a chat request while its messages are decoded

A body of 2 MiB with a list of empty messages took eleven times its size and as much again while the list grew, so 6 such bodies at a time, which the budget of a host of 144 MB allows, brought apricotway serve to 157 and 170 MB. Messages and the parts of their content are now decoded one after the other into the prompt, and decoding ends at the first one that isn't valid.

--- a/transport/api/completions.go
+++ b/transport/api/completions.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -8,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/protocol/completion"
 	"github.com/apricotway/apricotway/state/config"
@@ -41,7 +44,7 @@
 type chatRequest struct {
 	modelRequest
 
-	Messages []chatMessage `json:"messages"`
+	Messages chatPrompt `json:"messages"`
 }
 
 type chatMessage struct {
@@ -49,6 +52,42 @@
 	Content chatContent `json:"content"`
 }
 
+// chatRoles are the roles that text messages have in the OpenAI API. Restricting roles to this set also prevents a caller from
+// injecting line breaks or markers into the prompt through the role.
+var chatRoles = []string{"system", "developer", "user", "assistant"}
+
+// chatPrompt is the prompt of a list of messages. The format is fixed, so that conversations with the same first messages have an
+// identical prompt prefix, byte for byte. It is built while the list is decoded, as a list of many short messages takes many times its
+// text.
+type chatPrompt struct {
+	text  strings.Builder
+	count int
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *chatPrompt) UnmarshalJSON(data []byte) error {
+	*p = chatPrompt{}
+
+	err := decodeEach(data, func(message chatMessage) error {
+		if !slices.Contains(chatRoles, message.Role) {
+			return fmt.Errorf("messages[%d].role must be one of %s", p.count, strings.Join(chatRoles, ", "))
+		}
+
+		p.count++
+		fmt.Fprintf(&p.text, "<|%s|>\n%s\n", message.Role, message.Content)
+
+		return nil
+	})
+	if errors.Is(err, errNoList) {
+		return errors.New("messages must be a list")
+	}
+
+	return err
+}
+
+// String returns the prompt, which ends where the answer begins.
+func (p *chatPrompt) String() string { return p.text.String() + "<|assistant|>\n" }
+
 // chatContent is the text of a chat message. It decodes both forms of the OpenAI API: a string, and a list of parts, of which
 // only text parts are supported.
 type chatContent string
@@ -61,26 +100,52 @@
 		return nil
 	}
 
-	var parts []struct {
+	type part struct {
 		Type string `json:"type"`
 		Text string `json:"text"`
 	}
-	if err := json.Unmarshal(data, &parts); err != nil {
-		return fmt.Errorf("content must be a string or a list of parts")
-	}
 
 	var joined strings.Builder
 
-	for _, part := range parts {
-		if part.Type != "text" {
-			return fmt.Errorf("content part type %q is not supported", part.Type)
+	err := decodeEach(data, func(p part) error {
+		if p.Type != "text" {
+			return fmt.Errorf("content part type %q is not supported", p.Type)
 		}
 
-		joined.WriteString(part.Text)
+		joined.WriteString(p.Text)
+
+		return nil
+	})
+	if errors.Is(err, errNoList) {
+		return errors.New("content must be a string or a list of parts")
 	}
 
 	*c = chatContent(joined.String())
 
+	return err
+}
+
+var errNoList = errors.New("must be a list")
+
+// decodeEach decodes the elements of a JSON list one after the other, and calls a function with each until it fails.
+func decodeEach[T any](data []byte, use func(element T) error) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+
+	if first, err := decoder.Token(); err != nil || first != json.Delim('[') {
+		return errNoList
+	}
+
+	for decoder.More() {
+		var element T
+		if err := decoder.Decode(&element); err != nil {
+			return err
+		}
+
+		if err := use(element); err != nil {
+			return err
+		}
+	}
+
 	return nil
 }
 
@@ -104,35 +169,11 @@
 		return err
 	}
 
-	if len(body.Messages) == 0 {
+	if body.Messages.count == 0 {
 		return invalid(apricotway.CodeInvalidRequest, "messages must not be empty")
 	}
 
-	for i, message := range body.Messages {
-		if !slices.Contains(chatRoles, message.Role) {
-			reason := fmt.Sprintf("messages[%d].role must be one of %s", i, strings.Join(chatRoles, ", "))
-			return invalid(apricotway.CodeInvalidRequest, reason)
-		}
-	}
-
-	return s.complete(w, r, caller, body.modelRequest, chatPrompt(body.Messages), dialectChat)
-}
-
-// chatRoles are the roles that text messages have in the OpenAI API. Restricting roles to this set also prevents a caller from
-// injecting line breaks or markers into the prompt through the role.
-var chatRoles = []string{"system", "developer", "user", "assistant"}
-
-// chatPrompt converts the messages to a prompt. The format is fixed, so that conversations with the same first messages have an
-// identical prompt prefix, byte for byte.
-func chatPrompt(messages []chatMessage) string {
-	var prompt strings.Builder
-	for _, message := range messages {
-		fmt.Fprintf(&prompt, "<|%s|>\n%s\n", message.Role, message.Content)
-	}
-
-	prompt.WriteString("<|assistant|>\n")
-
-	return prompt.String()
+	return s.complete(w, r, caller, body.modelRequest, body.Messages.String(), dialectChat)
 }
 
 func (s *Server) textCompletions(w http.ResponseWriter, r *http.Request, caller caller) error {
