Wait for the answer to a move instead of ordering it again

What was missing is the answer to the first order, which the relay gave up after 1.2 s. The order now stays open as long as the call. The stream still waits 1.2 s for it and goes on then; when the stream ends, the relay waits for the answer once more, 0.25 s if another engine can continue it and 1.2 s if not, and continues the run from its memory.

--- a/forwarding.go
+++ b/forwarding.go
@@ -64,20 +64,15 @@
 type RunMover interface {
 	// Move stops a run and copies its KV cache to the target. The stream of the run breaks off without an end marker. When only
 	// the copy failed, the result has a handle and copied is false: the run can continue at its source. Move fails with
-	// ErrRunUnknown when the source has no such run, for example because the run has ended, and with ErrMoveInProgress while it carries out
-	// an earlier order. An error that wraps ErrNotSent means that
+	// ErrRunUnknown when the source has no such run, for example because the run has ended. An error that wraps ErrNotSent means that
 	// the source does not have the order. After any other error the source may stop the run at any time.
 	Move(
 		ctx context.Context, source netip.AddrPort, attempt AttemptID, target netip.AddrPort,
 	) (memory RunKVCache, copied bool, err error)
 }
 
-var (
-	// ErrRunUnknown reports that an engine does not have a run.
-	ErrRunUnknown = errors.New("run unknown")
-	// ErrMoveInProgress reports that an engine is carrying out another order to move the run.
-	ErrMoveInProgress = errors.New("move in progress")
-)
+// ErrRunUnknown reports that an engine does not have a run.
+var ErrRunUnknown = errors.New("run unknown")
 
 // BackendLoad is the load that a backend server reports with an answer.
 type BackendLoad struct {
--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -8,57 +8,111 @@
 	"github.com/go-faster/errors"
 
 	"github.com/apricotway/apricotway"
-	"github.com/apricotway/apricotway/internal/pause"
 	"github.com/apricotway/apricotway/state/dispatch"
 )
 
 const (
-	// moveTimeout bounds the copy of a run's KV cache. One copy is about 0.2 GB at 70 GB/s, but it may have to wait for the copies
-	// of other runs.
+	// moveTimeout bounds the time for which a stream waits for the copy of its run's KV cache. One copy is about 0.2 GB at 70 GB/s, but it
+	// may have to wait for the copies of other runs.
 	moveTimeout = 1200 * time.Millisecond
 	// minMoveRemaining is the least time before the deadline with which a run is still moved.
 	minMoveRemaining = 100 * time.Millisecond
-	// moveInterval is the interval at which an engine is asked for the result of an earlier order that it is carrying out.
-	moveInterval = 20 * time.Millisecond
 )
 
 // moveOutcome is what is known of a run after an order to move it.
 type moveOutcome string
 
 const (
+	// moveConfirmed means that the engine has stopped the run.
+	moveConfirmed moveOutcome = "confirmed"
 	// moveNotOrdered means that the engine does not have the order.
 	moveNotOrdered moveOutcome = "notOrdered"
 	// moveRunUnknown means that the engine has no such run.
 	moveRunUnknown moveOutcome = "runUnknown"
 	// moveUncertain means that the engine may stop the run at any time.
 	moveUncertain moveOutcome = "uncertain"
-	// moveConfirmed means that the engine has stopped the run.
-	moveConfirmed moveOutcome = "confirmed"
 )
 
-// outcomeOfMove returns the outcome of a move that failed with an error.
-func outcomeOfMove(err error) moveOutcome {
+// moveOrder is an order to an engine to move a run of the call.
+type moveOrder struct {
+	source apricotway.BackendServerID
+	target *dispatch.Send
+	cancel context.CancelFunc
+	// done is closed once the engine has answered or the order has failed. The fields below are set before that.
+	done   chan struct{}
+	memory apricotway.RunKVCache
+	copied bool
+	err    error
+}
+
+// orderMove orders the engine of a run to move it to the target. The order ends with ctx.
+func (c *call) orderMove(ctx context.Context, run *engineRun, target *dispatch.Send) *moveOrder {
+	ctx, cancel := context.WithCancel(ctx)
+	order := &moveOrder{source: run.send.Backend.ID, target: target, cancel: cancel, done: make(chan struct{})}
+	from, to := run.send.Backend.Address, target.Backend.Address
+
+	go func() {
+		defer close(order.done)
+
+		order.memory, order.copied, order.err = c.relay.mover.Move(ctx, from, c.metadata.Attempt, to)
+	}()
+
+	return order
+}
+
+// await waits until the outcome of the order is known, at most for a timeout.
+func (o *moveOrder) await(ctx context.Context, timeout time.Duration) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+
+	select {
+	case <-o.done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// outcome returns what is known of the order.
+func (o *moveOrder) outcome() (moveOutcome, error) {
+	select {
+	case <-o.done:
+	default:
+		return moveUncertain, context.DeadlineExceeded
+	}
+
 	switch {
-	case errors.Is(err, apricotway.ErrNotSent):
-		return moveNotOrdered
-	case errors.Is(err, apricotway.ErrRunUnknown):
-		return moveRunUnknown
+	case o.err == nil:
+		return moveConfirmed, nil
+	case errors.Is(o.err, apricotway.ErrNotSent):
+		return moveNotOrdered, o.err
+	case errors.Is(o.err, apricotway.ErrRunUnknown):
+		return moveRunUnknown, o.err
 	default:
-		return moveUncertain
+		return moveUncertain, o.err
 	}
 }
 
+// drop gives up the order and the place at its target.
+func (o *moveOrder) drop(now time.Time) {
+	o.cancel()
+	o.target.End(now, dispatch.OutcomeLeft)
+}
+
 // moveIfLeaving moves the run to another engine when its engine is leaving: the engine stops within seconds, whatever still runs
 // there.
 func (c *call) moveIfLeaving(ctx context.Context, current *engineRun, splitter *eventSplitter) {
-	if c.relay.mover == nil || current.memory != nil || current.noMove || splitter.last == "" || splitter.passedPart || splitter.unnumbered ||
+	if c.relay.mover == nil || current.order != nil || current.noMove || splitter.last == "" || splitter.passedPart || splitter.unnumbered ||
 		!c.relay.pool.Leaving(current.send.Backend.ID) || c.deadline.Sub(c.relay.now()) < minMoveRemaining {
 		return
 	}
 
 	c.recheckOrigin()
 
-	target := c.placeMoved(current)
+	// The KV cache is copied, so the target doesn't prefill the prompt and the request counts as one with a prompt of 1 token.
+	target, _, _ := c.relay.pool.Place(c.relay.now(), dispatch.Request{
+		Service: c.service, PromptTokens: 1, AnswerTokens: c.metadata.AnswerTokens, Remaining: c.deadline.Sub(c.relay.now()),
+		Avoid: []apricotway.BackendServerID{current.send.Backend.ID}, Origin: c.origin,
+	})
 	if target == nil {
 		current.noMove = true
 		return
@@ -67,72 +121,59 @@
 	// Without the end of the move it is not known which server has the stream.
 	restart := current.silence.suspend()
 
-	switch outcome := c.orderMove(ctx, current, target, splitter.last, moveTimeout); outcome {
-	case moveConfirmed:
+	current.order = c.orderMove(ctx, current, target)
+	c.orders = append(c.orders, current.order)
+	current.order.await(ctx, moveTimeout)
+
+	if c.takeMoved(current, splitter.last) {
 		return
-	case moveUncertain:
-		c.uncertainMoves = append(c.uncertainMoves, current.send.Backend.ID)
-	case moveNotOrdered, moveRunUnknown:
 	}
 
-	// The stream goes on at the source, or ends, which passRun handles.
-	current.noMove = true
-
 	restart()
-}
-
-// placeMoved places a run that is moved, without its present engine. It returns nil if no other one can take it.
-func (c *call) placeMoved(current *engineRun) *dispatch.Send {
-	// The KV cache is copied, so the target doesn't prefill the prompt and the request counts as one with a prompt of 1 token.
-	target, _, _ := c.relay.pool.Place(c.relay.now(), dispatch.Request{
-		Service: c.service, PromptTokens: 1, AnswerTokens: c.metadata.AnswerTokens, Remaining: c.deadline.Sub(c.relay.now()),
-		Avoid: []apricotway.BackendServerID{current.send.Backend.ID}, Origin: c.origin,
-	})
 
-	return target
+	// The stream goes on at the source until the engine carries the order out or the run ends, which passRun handles.
+	outcome, err := current.order.outcome()
+	c.relay.logger.Info("moving a run to another engine failed", "event", 352, "attempt", c.metadata.Attempt,
+		"server", current.send.Backend.ID, "target", target.Backend.ID, "outcome", outcome, "last", splitter.last,
+		"closeDelimited", current.closeDelimited, "error", err.Error())
 }
 
-// orderMove orders the engine of a run to move it to the target. If the engine confirms that, the run has its memory, and the target unless
-// the copy failed.
-func (c *call) orderMove(
-	ctx context.Context, current *engineRun, target *dispatch.Send, last string, timeout time.Duration,
-) moveOutcome {
-	limited, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-
-	memory, copied, err := c.relay.mover.Move(limited, current.send.Backend.Address, c.metadata.Attempt, target.Backend.Address)
-	for errors.Is(err, apricotway.ErrMoveInProgress) && pause.For(limited, moveInterval) {
-		memory, copied, err = c.relay.mover.Move(limited, current.send.Backend.Address, c.metadata.Attempt, target.Backend.Address)
-	}
-
-	if err != nil {
-		target.End(c.relay.now(), dispatch.OutcomeLeft)
-
-		outcome := outcomeOfMove(err)
-		c.relay.logger.Info("moving a run to another engine failed", "event", 352, "attempt", c.metadata.Attempt,
-			"server", current.send.Backend.ID, "target", target.Backend.ID, "outcome", outcome, "last", last,
-			"closeDelimited", current.closeDelimited, "error", err.Error())
-
-		return outcome
+// takeMoved gives the run its memory, and the target unless the copy failed, if its engine has confirmed that it stopped the run.
+func (c *call) takeMoved(run *engineRun, last string) bool {
+	outcome, _ := run.order.outcome()
+	if outcome != moveConfirmed {
+		return false
 	}
 
-	current.memory, current.next = &memory, target
-
-	if !copied {
-		target.End(c.relay.now(), dispatch.OutcomeLeft)
-		current.next = nil
+	run.memory = &run.order.memory
+	if run.order.copied {
+		run.next = run.order.target
+	} else {
+		run.order.drop(c.relay.now())
 	}
 
 	c.relay.metrics.CallRetried(c.service, reasonMoved)
 	c.relay.logger.Info("run moved to another engine", "event", 353, "attempt", c.metadata.Attempt,
-		"server", current.send.Backend.ID, "target", target.Backend.ID, "copied", copied, "last", last)
+		"server", run.send.Backend.ID, "target", run.order.target.Backend.ID, "copied", run.order.copied, "last", last)
 
-	return moveConfirmed
+	return true
+}
+
+// dropMove gives up an order to move the run, unless the run continues at its target.
+func (c *call) dropMove(run *engineRun) {
+	if run.order != nil && run.next == nil {
+		run.order.drop(c.relay.now())
+	}
 }
 
-// mayBeStopped reports whether the run may end because of an order to move it whose outcome is not known.
+// mayBeStopped reports whether the run may have ended because of an order to move a run of the call. An order whose outcome is not known
+// may stop any run of the call at its engine.
 func (c *call) mayBeStopped(run *engineRun) bool {
-	return slices.Contains(c.uncertainMoves, run.send.Backend.ID)
+	return slices.ContainsFunc(c.orders, func(order *moveOrder) bool {
+		outcome, _ := order.outcome()
+
+		return outcome == moveUncertain && order.source == run.send.Backend.ID || outcome == moveConfirmed && order == run.order
+	})
 }
 
 // endUncertain reports whether the end of the run's stream doesn't tell a whole stream from a stopped one. Another process that passes the run
@@ -141,9 +182,9 @@
 	return (run.closeDelimited || run.detour) && c.mayBeStopped(run)
 }
 
-// confirmStop orders the engine of a run that has ended to move it once more: an engine that has stopped the run still has its memory.
-func (c *call) confirmStop(ctx context.Context, stopped *engineRun, splitter *eventSplitter) {
-	if stopped.detour || !splitter.continuable() || c.relay.detours.Lost() || c.deadline.Sub(c.relay.now()) < minMoveRemaining {
+// awaitMove waits for the outcome of an order that may have ended the stream of the run, and gives the run its memory if it has.
+func (c *call) awaitMove(ctx context.Context, stopped *engineRun, splitter *eventSplitter) {
+	if stopped.order == nil || stopped.memory != nil || stopped.silence.fired() || !splitter.continuable() {
 		return
 	}
 
@@ -153,12 +194,8 @@
 		timeout = handoverTimeout
 	}
 
-	target := c.placeMoved(stopped)
-	if target == nil {
-		return
-	}
-
-	c.orderMove(ctx, stopped, target, splitter.last, timeout)
+	stopped.order.await(ctx, timeout)
+	c.takeMoved(stopped, splitter.last)
 }
 
 // continueMoved continues a stopped run at the engine that has its KV cache: the target, or the source when the copy failed or the target
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -348,9 +348,8 @@
 	expectedWait time.Duration
 	beganAt      time.Time
 	progress     progress
-	// uncertainMoves lists the engines that were ordered to move a run of the call and have not told whether they do. They may stop any run of
-	// the call at any time.
-	uncertainMoves []apricotway.BackendServerID
+	// orders are the orders to move runs of the call.
+	orders []*moveOrder
 	// closeDelimited is set while a stream is passed on that ends with the connection of its server.
 	closeDelimited bool
 }
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -344,7 +344,8 @@
 	silence *silenceTimer
 	// end releases the run's resources; the attempt releases the rest of those of the first run. Calling it twice has no effect.
 	end func()
-	// memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
+	// order is the order to move the run; nil without one. memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
+	order  *moveOrder
 	memory *apricotway.RunKVCache
 	next   *dispatch.Send
 	// closeDelimited is that of the answer, and began is set once the run's first event has arrived. resumed is set when the run
@@ -387,6 +388,7 @@
 		c.countOffers(run.silence)
 
 		if reason == "" {
+			c.dropMove(run)
 			run.send.End(c.relay.now(), dispatch.OutcomeDone)
 
 			if !run.closeDelimited {
@@ -412,6 +414,7 @@
 		c.steps = append(c.steps, step)
 
 		if outcome == dispatch.OutcomeLeft {
+			c.dropMove(run)
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
 
@@ -419,6 +422,8 @@
 		run.end()
 
 		next := c.continueRun(ctx, run, splitter, reason, replacement)
+		c.dropMove(run)
+
 		if next == nil {
 			return c.abortAnswer(ctx, run.send, reason, outcome)
 		}
@@ -446,10 +451,6 @@
 		return c.continueOffered(ctx, run, splitter, reason, replacement.resumption)
 	}
 
-	if reason == reasonStopped {
-		c.confirmStop(ctx, run, splitter)
-	}
-
 	resumable := c.route.Resumable && splitter.continuable()
 
 	// The server may have sent its first event while the replacement was chosen.
@@ -531,6 +532,10 @@
 			return reasonCallerLeft, dispatch.OutcomeLeft
 		}
 
+		if err != nil && (!errors.Is(err, io.EOF) || c.endUncertain(current)) {
+			c.awaitMove(ctx, current, splitter)
+		}
+
 		if errors.Is(err, io.EOF) && (splitter.insideEvent() || current.lacksEvents(splitter.plain) || c.endUncertain(current)) {
 			err = io.ErrUnexpectedEOF
 		}
