Count headers over TLS together as well

Only the header of each request was bounded on encrypted connections, since the bytes that the server sees belong to the encryption. 1,000 callers with long headers that don't end took 203 MB on a host of 144 MB. The encrypted bytes are counted now until the header has been read, which is slightly more than the header itself; without room the connection is closed.

--- a/cmd/internal/callers/connection.go
+++ b/cmd/internal/callers/connection.go
@@ -47,7 +47,7 @@
 	// the connection is encrypted.
 	inHeader    bool
 	headerSince time.Duration
-	// headerBytes is the number of bytes that have been read since inHeader was set.
+	// headerBytes is the number of bytes that have been read since inHeader was set, or since waiting was if the connection is encrypted.
 	headerBytes int
 	// unusedAt is when waiting or inHeader was last set.
 	unusedAt time.Time
@@ -94,7 +94,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.waiting, c.waitingSince, c.unusedAt = true, c.uptime(), time.Now()
+	c.waiting, c.waitingSince, c.unusedAt, c.headerBytes = true, c.uptime(), time.Now(), 0
 }
 
 // use records that a request has begun to arrive.
@@ -127,7 +127,14 @@
 		c.use()
 	}
 
-	if n == 0 && err != nil && c.isLate() {
+	if c.encrypted {
+		if c.takeEncryptedHeaderRoom(n) {
+			c.refused(c.RemoteAddr(), RefusalHeaderNoRoom)
+
+			// The answer would have to be encrypted.
+			return 0, os.ErrDeadlineExceeded
+		}
+	} else if n == 0 && err != nil && c.isLate() {
 		c.refuse(RefusalHeaderLate)
 	} else if reason := c.countHeader(n); reason != "" {
 		c.refuse(reason)
--- a/cmd/internal/callers/pressure.go
+++ b/cmd/internal/callers/pressure.go
@@ -188,6 +188,21 @@
 	return false
 }
 
+// takeEncryptedHeaderRoom takes room for a number of bytes that were read of an encrypted connection while its handshake or the header of a
+// request is being read. It reports whether there was none.
+func (c *connection) takeEncryptedHeaderRoom(bytes int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if !c.waiting {
+		return false
+	}
+
+	c.headerBytes += bytes
+
+	return c.takeHeaderRoom(c.headerBytes)
+}
+
 // returnHeaderRoom returns the room that the header has taken. The caller holds c.mu.
 func (c *connection) returnHeaderRoom() {
 	c.server.headerRoom.Add(-c.headerRoom)
