Read the outcome of a move once

An order that was confirmed between two reads of its outcome was logged as a failed one without an error, whose text ended the call with a panic. Found by reading the change as a reviewer; the window is some nanoseconds wide, so no test shows it.

--- a/protocol/relay/move.go
+++ b/protocol/relay/move.go
@@ -125,26 +125,22 @@
 	c.orders = append(c.orders, current.order)
 	current.order.await(ctx, moveTimeout)
 
-	if c.takeMoved(current, splitter.last) {
+	outcome, err := current.order.outcome()
+	if outcome == moveConfirmed {
+		c.takeMoved(current, splitter.last)
 		return
 	}
 
+	// The stream goes on at the source until the engine carries the order out or the run ends, which passRun handles.
 	restart()
 
-	// The stream goes on at the source until the engine carries the order out or the run ends, which passRun handles.
-	outcome, err := current.order.outcome()
 	c.relay.logger.Info("moving a run to another engine failed", "event", 352, "attempt", c.metadata.Attempt,
 		"server", current.send.Backend.ID, "target", target.Backend.ID, "outcome", outcome, "last", splitter.last,
 		"closeDelimited", current.closeDelimited, "error", err.Error())
 }
 
-// takeMoved gives the run its memory, and the target unless the copy failed, if its engine has confirmed that it stopped the run.
-func (c *call) takeMoved(run *engineRun, last string) bool {
-	outcome, _ := run.order.outcome()
-	if outcome != moveConfirmed {
-		return false
-	}
-
+// takeMoved gives the run its memory, and the target unless the copy failed, after its engine has confirmed the order.
+func (c *call) takeMoved(run *engineRun, last string) {
 	run.memory = &run.order.memory
 	if run.order.copied {
 		run.next = run.order.target
@@ -155,8 +151,6 @@
 	c.relay.metrics.CallRetried(c.service, reasonMoved)
 	c.relay.logger.Info("run moved to another engine", "event", 353, "attempt", c.metadata.Attempt,
 		"server", run.send.Backend.ID, "target", run.order.target.Backend.ID, "copied", run.order.copied, "last", last)
-
-	return true
 }
 
 // dropMove gives up an order to move the run, unless the run continues at its target.
@@ -195,7 +189,10 @@
 	}
 
 	stopped.order.await(ctx, timeout)
-	c.takeMoved(stopped, splitter.last)
+
+	if outcome, _ := stopped.order.outcome(); outcome == moveConfirmed {
+		c.takeMoved(stopped, splitter.last)
+	}
 }
 
 // continueMoved continues a stopped run at the engine that has its KV cache: the target, or the source when the copy failed or the target
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -344,7 +344,8 @@
 	silence *silenceTimer
 	// end releases the run's resources; the attempt releases the rest of those of the first run. Calling it twice has no effect.
 	end func()
-	// order is the order to move the run; nil without one. memory is set once the engine has stopped the run to move it. next is then the target, nil when the copy failed.
+	// order is the order to move the run; nil without one. memory is set once the engine has confirmed it, so that it has stopped the run. next
+	// is then the target, nil when the copy failed.
 	order  *moveOrder
 	memory *apricotway.RunKVCache
 	next   *dispatch.Send
