--- a/cmd/scenario/crowd_test.go
+++ b/cmd/scenario/crowd_test.go
@@ -7,6 +7,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"encoding/pem"
+	"flag"
 	"fmt"
 	"io"
 	"net"
@@ -61,6 +62,8 @@
 // errLeft is the error of a caller that leaves without waiting for its answer.
 var errLeft = errors.New("caller left")
 
+var slowReaders = flag.Int("crowd.readers", 100, "callers that read streams slowly")
+
 var filler = strings.Repeat("x", 1<<20)
 
 // writeFiller writes a number of bytes in pieces, each between a prefix and a suffix.
@@ -155,7 +158,7 @@
 			},
 		},
 		{
-			name: "slow readers", connections: 100, path: streamPath, header: streamHeader, slow: true,
+			name: "slow readers", connections: *slowReaders, path: streamPath, header: streamHeader, slow: true,
 			body: func(w io.Writer, header string) error {
 				_, err := io.WriteString(w, header+announced(len(streamBody))+streamBody)
 				return err
