--- a/cmd/scenario/crowd_test.go
+++ b/cmd/scenario/crowd_test.go
@@ -176,8 +176,7 @@
 	return all[slices.IndexFunc(all, func(c crowd) bool { return c.name == name })]
 }
 
-// directoryCrowds returns the crowds that the directory of an entry host meets. It has no use for bodies and long headers, and takes twice the
-// connections of a host that it may.
+// directoryCrowds returns the crowds that the directory of an entry host meets.
 func directoryCrowds(all []crowd) []crowd {
 	bodies, headers, idle := named(all, "too large, sent"), named(all, "slow headers"), named(all, "idle connections")
 	headers.connections, idle.connections = 1000, 2000
