Keep the names of the platform's calls in its stand-in

The tests of crowds and of a stopped stream spelled paths and headers of the platform outside platform/.

--- a/cmd/scenario/crowd_test.go
+++ b/cmd/scenario/crowd_test.go
@@ -184,7 +184,7 @@
 
 	for i := range selected {
 		c := &selected[i]
-		c.name, c.path, c.directory = "directory, "+c.name, "/-/resolve?name=h.example&region=r&zone=a", true
+		c.name, c.path, c.directory = "directory, "+c.name, standin.DirectoryTarget, true
 	}
 
 	return selected
