--- a/cmd/internal/callers/pressure.go
+++ b/cmd/internal/callers/pressure.go
@@ -25,8 +25,8 @@
 	// reservedDescriptors are descriptors for other purposes than callers and the connections over which their requests are passed on.
 	reservedDescriptors = 256
 	leastConnections    = 64
-	// minorFraction is the fraction of the bounds that each minor server has besides.
-	minorFraction = 4
+	// secondaryFraction is the fraction of the bounds that each secondary server has besides.
+	secondaryFraction = 4
 	// leastHeaderRoom is the room in bytes for a header of the largest size, whatever the memory is.
 	leastHeaderRoom = 1 << 20
 )
@@ -46,8 +46,8 @@
 
 	var limit syscall.Rlimit
 	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < 1<<30 {
-		// A request may need a connection to a backend server besides that of its caller, and there are up to two minor servers.
-		bounds.Connections = min(bounds.Connections, max(int(limit.Cur)-reservedDescriptors, 0)*minorFraction/(2*minorFraction+2))
+		// A request may need a connection to a backend server besides that of its caller, and there are up to two secondary servers.
+		bounds.Connections = min(bounds.Connections, max(int(limit.Cur)-reservedDescriptors, 0)*secondaryFraction/(2*secondaryFraction+2))
 	}
 
 	bounds.Connections = max(bounds.Connections, leastConnections)
@@ -55,10 +55,10 @@
 	return bounds
 }
 
-// Minor returns the bounds for a server beside the one with these bounds that serves short requests without bodies.
-func (b Bounds) Minor() Bounds {
+// Secondary returns the bounds for a server beside the one with these bounds that serves short requests without bodies.
+func (b Bounds) Secondary() Bounds {
 	return Bounds{
-		Connections: max(b.Connections/minorFraction, leastConnections), HeaderRoom: max(b.HeaderRoom/minorFraction, leastHeaderRoom),
+		Connections: max(b.Connections/secondaryFraction, leastConnections), HeaderRoom: max(b.HeaderRoom/secondaryFraction, leastHeaderRoom),
 	}
 }
 
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -309,8 +309,8 @@
 		handler http.Handler
 		options []callers.Option
 	}{
-		{"directory", addresses.Directory, platform.Directory(e.addresses), bounds.Minor("directory")},
-		{"readiness", addresses.Readiness, platform.Readiness(e.ready), bounds.Minor("readiness")},
+		{"directory", addresses.Directory, platform.Directory(e.addresses), bounds.Secondary("directory")},
+		{"readiness", addresses.Readiness, platform.Readiness(e.ready), bounds.Secondary("readiness")},
 		{"operator", addresses.Operator, operators, nil},
 	} {
 		listener, err := listen(ctx, entry.name, entry.address)
--- a/cmd/internal/process/bodies.go
+++ b/cmd/internal/process/bodies.go
@@ -44,9 +44,9 @@
 	return b.options("callers", b.bounds, b.bodies.EndSlow)
 }
 
-// Minor returns the options of another server that callers can reach, and whose requests have no bodies to keep.
-func (b *CallerBounds) Minor(name string) []callers.Option {
-	return b.options(name, b.bounds.Minor(), func(time.Time, int) {})
+// Secondary returns the options of another server that callers can reach, and whose requests have no bodies to keep.
+func (b *CallerBounds) Secondary(name string) []callers.Option {
+	return b.options(name, b.bounds.Secondary(), func(time.Time, int) {})
 }
 
 func (b *CallerBounds) options(name string, bounds callers.Bounds, endSlow func(now time.Time, count int)) []callers.Option {
