--- a/review/_second/lab/lost.go
+++ b/review/_second/lab/lost.go
@@ -51,24 +51,32 @@
 		killing time.Time
 	)
 
+	// choose returns the address of a process that was not killed.
+	choose := func() string {
+		mu.Lock()
+		defer mu.Unlock()
+
+		for {
+			if e := l.entries[rand.IntN(len(l.entries))]; !killed[e.callers] {
+				return e.callers
+			}
+		}
+	}
+
 	stop := make(chan struct{})
 	begin := func() {
 		s := &stream{}
+		first := choose()
 
 		mu.Lock()
 		streams = append(streams, s)
-		next := l.entries[rand.IntN(len(l.entries))]
-
-		for killed[next.callers] {
-			next = l.entries[rand.IntN(len(l.entries))]
-		}
 		mu.Unlock()
 
 		group.Go(func() {
-			l.follow(context.Background(), next.callers, "/note/x", s, events)
+			l.follow(context.Background(), first, "/note/x", s, events)
 
 			mu.Lock()
-			again := killed[next.callers] && !s.complete && s.last > 0
+			again := killed[first] && !s.complete && s.last > 0
 			mu.Unlock()
 
 			if !again {
@@ -77,13 +85,7 @@
 
 			s.begun, s.taken = s.last, true
 
-			other := l.entries[rand.IntN(len(l.entries))]
-			for mu.Lock(); killed[other.callers]; {
-				other = l.entries[rand.IntN(len(l.entries))]
-			}
-			mu.Unlock()
-
-			l.follow(context.Background(), other.callers, "/note/x", s, events)
+			l.follow(context.Background(), choose(), "/note/x", s, events)
 		})
 	}
 
