Log how the answer of a server was passed on

Done: 351 has the form of the answer, empty for a refusal of the system, and the status that was sent to the caller of an answer that is cut.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -37,6 +37,17 @@
 	stepFail     step = "fail"
 )
 
+// answerForm is how the answer of a server reaches the caller.
+type answerForm string
+
+const (
+	// formBuffered is that of an answer that is passed on once it is complete.
+	formBuffered answerForm = "buffered"
+	// formPassedThrough is that of an answer that is too long to be buffered.
+	formPassedThrough answerForm = "passedThrough"
+	formStream        answerForm = "stream"
+)
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	step   step
@@ -325,7 +336,7 @@
 func (c *call) passLong(
 	ctx context.Context, send *dispatch.Send, answer *apricotway.ForwardedAnswer, content []byte,
 ) attemptResult {
-	c.writeHeader(answer, answer.Length)
+	c.writeHeader(answer, answer.Length, formPassedThrough)
 	c.progress.enter(stageCaller, c.relay.now())
 
 	_, err := c.writer.Write(content)
@@ -397,7 +408,7 @@
 }
 
 func (c *call) writeWhole(answer *apricotway.ForwardedAnswer, content []byte) {
-	c.writeHeader(answer, int64(len(content)))
+	c.writeHeader(answer, int64(len(content)), formBuffered)
 	c.progress.enter(stageCaller, c.relay.now())
 	// A write fails only when the caller has left.
 	_, _ = c.writer.Write(content)
@@ -406,9 +417,11 @@
 }
 
 // writeHeader passes on the header of an answer. A negative length means that the length is unknown.
-func (c *call) writeHeader(answer *apricotway.ForwardedAnswer, length int64) {
+func (c *call) writeHeader(answer *apricotway.ForwardedAnswer, length int64, form answerForm) {
 	c.closeIfStopping()
 
+	c.form, c.status = form, answer.Status
+
 	header := c.writer.Header()
 	closing := header.Get("Connection")
 
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -122,7 +122,7 @@
 	}
 
 	c.relay.logger.Info("call ended", "event", 351, "attempt", c.metadata.Attempt, "route", name, "result", result,
-		"status", status, "closeDelimited", c.closeDelimited, "took", took, "began", began, "expected", c.expectedWait,
+		"status", status, "form", c.form, "closeDelimited", c.closeDelimited, "took", took, "began", began, "expected", c.expectedWait,
 		"promptTokens", c.metadata.PromptTokens, "sends", c.sends, "servers", c.tried, "versions", c.versions, "steps", c.steps,
 		"resumes", c.metadata.Resumes, "last", c.metadata.LastEvent, "service", c.service,
 		"workspace", c.workspaceName(), "configuration", version)
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -342,6 +342,9 @@
 	usageCounted bool
 	// answering is set once the header of an answer has been written.
 	answering bool
+	// form is how the answer of a server reached the caller, and status is its status; zero without one.
+	form   answerForm
+	status int
 	// writeDeadline is the write deadline of the caller's connection.
 	writeDeadline time.Time
 	// expectedWait is the estimate, made at the last attempt, of the time until the answer begins. beganAt is when it began.
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -259,7 +259,7 @@
 	send.RecordFirstEvent(now, metadata.Load)
 
 	c.beginStream(now, send)
-	c.writeHeader(answer, -1)
+	c.writeHeader(answer, -1, formStream)
 
 	current := &engineRun{
 		send: send, body: answer.Body, silence: silence, closeDelimited: answer.CloseDelimited,
@@ -313,7 +313,7 @@
 	}
 
 	send.End(c.relay.now(), outcome)
-	c.recordEnd(reason, http.StatusOK)
+	c.recordEnd(reason, c.status)
 	c.resetHTTP10()
 	panic(http.ErrAbortHandler)
 }
