Withhold statuses that say that a call did not run, whatever the answer's length

A short body was answered 502 as it should be.

Cause: the check for 408, 429 and 503 came after the branch for answers that are too long to be buffered (1 MiB, or 4 KiB while other answers take the memory for them), and the answer of another process that passes a call on was not checked at all. Class: a decision on the status that depends on the form in which the body arrives.

Fix: formOf decides for every answer of a server, got by this process or another one, before anything of its body is read.

Related paths, by reading: streams and offers to a second server end in the same function; every other writer of a status is a refusal of the relay. `apricotway serve` buffers all answers of plain services, promises to pass them on unchanged, and tells by `execution` what has run (docs/api.md).

Price: the answer is 502 where a long 503 was passed on.

--- a/protocol/relay/attempt.go
+++ b/protocol/relay/attempt.go
@@ -46,6 +46,8 @@
 	// formPassedThrough is that of an answer that is too long to be buffered.
 	formPassedThrough answerForm = "passedThrough"
 	formStream        answerForm = "stream"
+	// formWithheld is that of an answer whose status would tell the caller that the call did not run, although it may have.
+	formWithheld answerForm = "withheld"
 )
 
 // attemptResult is the result of one attempt.
@@ -138,27 +140,75 @@
 			c.turnedAway = append(c.turnedAway, send.Backend.ID)
 		}
 
-		drain(answer.Body, sent.cancel)
+		// A failed read only means that the connection isn't reused.
+		_ = drain(answer.Body, sent.cancel)
 
 		return attemptResult{step: stepRetry, reason: reasonRejected, arrived: true}
 	}
 
 	c.sends++
 
-	if c.route.Kind == apricotway.RouteStream && answer.Status == http.StatusOK {
+	switch c.formOf(answer.Status) {
+	case formWithheld:
+		return c.withhold(ctx, send, sent)
+	case formStream:
 		return c.passAnswerStream(ctx, send, answer, metadata, silence)
+	case formBuffered, formPassedThrough:
 	}
 
 	return c.passWhole(ctx, send, answer, metadata, sent.at, silence)
 }
 
-// drain reads a short body, so that its connection can be used again. A body that does not end ends the attempt.
-func drain(body io.Reader, cancel context.CancelFunc) {
+// formOf returns how the answer of a server, which this process or another one got, reaches the caller. It decides for all of them before
+// anything of the body is read. Whether an answer that is not a stream is buffered depends on its length.
+func (c *call) formOf(status int) answerForm {
+	switch {
+	case !c.route.Repeatable() && promisesNotRun(status):
+		return formWithheld
+	case c.route.Kind == apricotway.RouteStream && status == http.StatusOK:
+		return formStream
+	default:
+		return formBuffered
+	}
+}
+
+// promisesNotRun reports whether callers take the status to mean that their call did not run and may be sent again.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// withhold ends a call whose server has not said that it did not run the call, and gave it a status that says so to callers.
+func (c *call) withhold(ctx context.Context, send *dispatch.Send, sent sentCall) attemptResult {
+	c.form = formWithheld
+	c.countUsage(sent.at)
+
+	if err := drain(sent.answer.Body, sent.cancel); err != nil && ctx.Err() == nil {
+		c.reportCut(send, false, err)
+	}
+
+	now := c.relay.now()
+	send.RecordLoad(now, sent.metadata.Load)
+	send.End(now, dispatch.OutcomeFailed)
+
+	return attemptResult{step: stepFail, reason: reasonServerError, arrived: true, mayHaveRun: true}
+}
+
+// drain reads a short body, so that its connection can be used again, and returns the error of a connection that broke. A body that does not
+// end ends the attempt.
+func drain(body io.Reader, cancel context.CancelFunc) error {
 	timer := time.AfterFunc(drainTimeout, cancel)
-	defer timer.Stop()
 
-	// A failed read only means that the connection isn't reused.
-	_, _ = io.CopyN(io.Discard, body, drainBytes)
+	_, err := io.CopyN(io.Discard, body, drainBytes)
+	if inTime := timer.Stop(); !inTime || errors.Is(err, io.EOF) {
+		return nil
+	}
+
+	return err
 }
 
 // recordTry adds a server to those that were tried.
@@ -295,12 +345,6 @@
 		c.reportCut(send, false, err)
 
 		return attemptResult{step: stepRetry, reason: reasonCut, arrived: true, mayHaveRun: true}
-	case !c.route.Repeatable() && promisesNotRun(answer.Status):
-		// The server has not said that it did not run the call.
-		send.RecordLoad(now, metadata.Load)
-		send.End(now, dispatch.OutcomeFailed)
-
-		return attemptResult{step: stepFail, reason: reasonServerError, arrived: true, mayHaveRun: true}
 	case answer.Status >= http.StatusInternalServerError:
 		send.RecordLoad(now, metadata.Load)
 		send.End(now, dispatch.OutcomeFailed)
@@ -327,11 +371,6 @@
 	return answered
 }
 
-// promisesNotRun reports whether callers take the status to mean that their call did not run and may be sent again.
-func promisesNotRun(status int) bool {
-	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
-}
-
 // passLong passes on an answer that is too long to be buffered. When the server breaks off, the caller's connection is closed.
 func (c *call) passLong(
 	ctx context.Context, send *dispatch.Send, answer *apricotway.ForwardedAnswer, content []byte,
--- a/protocol/relay/detour.go
+++ b/protocol/relay/detour.go
@@ -125,7 +125,6 @@
 // readDetour reads from an answer which server gave it, and what that says of itself.
 func (c *call) readDetour(send *dispatch.Send, answer *apricotway.ForwardedAnswer) {
 	send.SetServer(apricotway.BackendServerID(answer.Header.Get(headerDetour)))
-	answer.Header.Del(headerDetour)
 
 	if send.Backend.Service != "" {
 		c.service = send.Backend.Service
@@ -157,12 +156,26 @@
 	c.usageCounted, c.beganAt = true, c.relay.now()
 	c.progress.began(c.beganAt)
 
-	if c.route.Kind == apricotway.RouteStream && answer.Status == http.StatusOK {
+	form := c.formOf(answer.Status)
+
+	// The other process has not sent the call if it answers itself.
+	if answer.Header.Get(headerDetour) == "" && form == formWithheld {
+		form = formBuffered
+	}
+
+	switch form {
+	case formWithheld:
+		c.form = formWithheld
+		c.fail(ctx, attemptResult{step: stepFail, reason: reasonServerError, arrived: true, mayHaveRun: true})
+
+		return true
+	case formStream:
 		silence := &silenceTimer{cancel: func() {}}
 
 		result := c.passAnswerStream(ctx, send, answer, apricotway.AnswerMetadata{}, silence)
 
 		return result.step == stepAnswered || c.failDetour(ctx)
+	case formBuffered, formPassedThrough:
 	}
 
 	content, complete, err := c.buffer.Read(answer.Body)
