Log where the record of a stream comes from, and why its version is not known

Cause: "looked up where a stream began" (387) says `record` for a stream of review/9 that is refused as originUnknown, which fits four hypotheses: the doubt of this process itself, that of a copy, that of a record in the store, or a server that has started again.

Done: 387 has `source` and `doubt`; the gauge apricotway_doubted_streams counts the streams that would be refused.

--- a/cmd/internal/entry/counters.go
+++ b/cmd/internal/entry/counters.go
@@ -113,6 +113,13 @@
 	c.calls.WithLabelValues(call, strconv.Itoa(status)).Inc()
 }
 
+// newDoubtGauge returns the metric of the streams that would not go on here.
+func newDoubtGauge(streams *origin.Register) prometheus.Collector {
+	return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "apricotway_doubted_streams", Help: "Streams that are remembered, and of which it is not known at which software version they began.",
+	}, func() float64 { return float64(streams.Doubted()) })
+}
+
 // newConfigurationGauges returns the metrics of how current the configuration is.
 func newConfigurationGauges(versions func() catalog.Versions) []prometheus.Collector {
 	gauge := func(name, help string, value func(v catalog.Versions) float64) prometheus.Collector {
--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -215,6 +215,7 @@
 		}))
 
 	e.registry.MustRegister(newConfigurationGauges(e.catalog.Versions)...)
+	e.registry.MustRegister(newDoubtGauge(e.pool.Origins()))
 
 	monitor := reach.New()
 	connections := upstream.New(upstream.WithDialHook(counters.opened.Inc), upstream.WithObserver(monitor))
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -219,8 +219,10 @@
 	began := o.boot()
 	found, evidence := o.find(ctx, service, attempt)
 	o.metrics.OriginFound(evidence)
+
+	source, doubt := o.register.Account(origin.StreamOf(attempt))
 	o.logger.Info("looked up where a stream began", "event", 387, "resumes", attempt, "service", service, "evidence", evidence,
-		"known", found.Known(), "version", found.Version(), "took", o.boot()-began, "listAge", o.boot()-o.register.Listed())
+		"source", source, "doubt", doubt, "known", found.Known(), "version", found.Version(), "took", o.boot()-began, "listAge", o.boot()-o.register.Listed())
 
 	return found
 }
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -63,6 +63,31 @@
 	EvidenceOutdated Evidence = "outdated"
 )
 
+// Source is where the record of a stream's beginning comes from.
+type Source string
+
+// The values of Source.
+const (
+	SourceNone  Source = ""
+	SourceOwn   Source = "own"
+	SourceCopy  Source = "copy"
+	SourceStore Source = "store"
+)
+
+// Doubt is why the version at which a stream began is not known although there is a record of it.
+type Doubt string
+
+// The values of Doubt.
+const (
+	DoubtNone Doubt = ""
+	// DoubtOutage means that the server may have started again while the list of backend servers was not known.
+	DoubtOutage Doubt = "outage"
+	// DoubtRestart means that the server has started again with another version, before or after the beginning.
+	DoubtRestart Doubt = "restart"
+	// DoubtTold means that another process doubted the version and didn't tell why.
+	DoubtTold Doubt = "told"
+)
+
 // Versions holds, for the software versions of one service, the time at which the last server of the version left the list; zero while one is
 // on the list.
 type Versions map[apricotway.SoftwareVersion]time.Time
@@ -696,6 +721,53 @@
 	}
 }
 
+// Account returns where the record of a stream comes from, and why its version is not known.
+func (r *Register) Account(stream Stream) (Source, Doubt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	known, ok := r.streams[stream]
+	if !ok {
+		return SourceNone, DoubtNone
+	}
+
+	source := SourceOwn
+
+	switch {
+	case known.copied:
+		source = SourceCopy
+	case known.stored():
+		source = SourceStore
+	}
+
+	switch {
+	case r.originLocked(known).Known():
+		return source, DoubtNone
+	case source != SourceOwn:
+		return source, DoubtTold
+	case known.Uncertain && !known.outage:
+		return source, DoubtRestart
+	default:
+		return source, DoubtOutage
+	}
+}
+
+// Doubted returns the number of streams that are remembered and whose versions are not known.
+func (r *Register) Doubted() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	count := 0
+
+	for _, known := range r.streams {
+		if known.Uncertain {
+			count++
+		}
+	}
+
+	return count
+}
+
 // Size returns the number of streams that are remembered.
 func (r *Register) Size() int {
 	r.mu.Lock()
