Withdraw the doubt about a stream at every process that knows of it

Cause: a stream that begins while the store is away, or within 3 s after it, is recorded in doubt. The only proof that ended a doubt was an unbroken connection of the process that recorded it, 3 s after its first read, and that process told nobody. Holders of copies and readers of the store kept the doubt for good; it couldn't end before the list proves the same. Class: a state that is spread, and ended only where it arose.

Evidence: 387 says source copy, doubt told, for 28 of 28 refused take-ups.

Fix: every process withdraws a doubt by what it reads itself. The entry of the server still names the start that was recorded with the stream, and that start has written it after the stream began, or after an outage of this process in which it began; or all other starts would have written theirs by now (3 s). The catalog sees each write, also if only its sequence differs. New streams at such a server are certain from then on. Doubts say why (`Outage`), withdrawals are told to holders and store (`Proven`), by a holder if the process that recorded the stream has ended, and outweigh doubts that arrive later. A restart of the server outweighs both, so the promise on joined versions is as before: a proof needs the same start, and a stream of that start is of its version.

Related paths, by reading: what else is spread and withdrawn is the belief that a server leaves (ended by its next entry at each process), refusals of contents that crash servers (ended by a message, and by their age), pauses and limits of servers (each process hears them itself). `apricotway serve` records no versions of streams.

--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,13 +48,20 @@
 	patience time.Duration
 	// attempts bounds the attempts of a stream; 0 for no bound.
 	attempts int
+	// gap is the time between two events of the streams of engines that start.
+	gap time.Duration
 
 	mu      sync.Mutex
 	streams []*versionedStream
 }
 
 func newVersionSystem(t *testing.T, seed uint64, entries int) *versionSystem {
-	s := &versionSystem{entrySystem: newEntryPlatform(t, seed, versionConfig)}
+	return newVersionSystemWith(t, seed, entries, 25*time.Millisecond)
+}
+
+// newVersionSystemWith returns a system whose streams have the given time between two events.
+func newVersionSystemWith(t *testing.T, seed uint64, entries int, gap time.Duration) *versionSystem {
+	s := &versionSystem{entrySystem: newEntryPlatform(t, seed, versionConfig), gap: gap}
 	s.retrySlack = 1000
 	s.startVersion("v1", 3)
 	s.startEntries(entries)
@@ -64,7 +72,7 @@
 func (s *versionSystem) startVersion(version string, count int) (started []*standin.Engine) {
 	for range count {
 		started = append(started, s.startEngine("model", standin.WithVersion(version), standin.WithSlots(64),
-			standin.WithStream(versionEvents, 25*time.Millisecond)))
+			standin.WithStream(versionEvents, s.gap)))
 	}
 
 	return started
@@ -323,6 +331,80 @@
 	s.check(minShareOf)
 }
 
+// register makes the engines write their entries, as they do all the time, until the context ends. They don't reach a store that is down.
+func (s *versionSystem) register(ctx context.Context, down func() bool) {
+	for ctx.Err() == nil {
+		if !down() {
+			for _, e := range s.engines {
+				e.Register("ready")
+			}
+		}
+
+		select {
+		case <-time.After(1200 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// TestTakeUpAfterOutage guards against refusing the streams of a process that ends soon after an outage of the store, although no engine has
+// started again.
+func TestTakeUpAfterOutage(t *testing.T) {
+	t.Parallel()
+
+	for _, test := range []struct {
+		name     string
+		versions []string
+	}{
+		{"one version", nil},
+		{"two versions", []string{"v2"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+
+			s := newVersionSystemWith(t, 4, 3, 140*time.Millisecond)
+			s.attempts = 3
+
+			for _, version := range test.versions {
+				s.startVersion(version, 3)
+			}
+
+			s.awaitServing()
+
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+
+			var (
+				down       atomic.Bool
+				registered sync.WaitGroup
+			)
+
+			registered.Go(func() { s.register(ctx, down.Load) })
+			<-time.After(3 * time.Second)
+
+			groups := []*sync.WaitGroup{s.callers(ctx), s.callers(ctx)}
+
+			<-time.After(2 * time.Second)
+			down.Store(true)
+			s.platform.SetDown(true)
+			<-time.After(4500 * time.Millisecond)
+			s.platform.SetDown(false)
+			down.Store(false)
+			<-time.After(3150 * time.Millisecond)
+			s.entries[0].end(syscall.SIGKILL)
+			<-time.After(time.Second)
+			cancel()
+
+			for _, group := range groups {
+				group.Wait()
+			}
+
+			registered.Wait()
+			s.check(minShareOf)
+		})
+	}
+}
+
 // TestTakeUpAfterVersionLeft guards against streams being continued by an engine of another software version when all processes are
 // killed as the last engines of the version that began them leave.
 func TestTakeUpAfterVersionLeft(t *testing.T) {
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -82,7 +82,7 @@
 		c.applyChanges(changes, began)
 
 		if !whole {
-			c.endLeaveStatements(changes, asOf)
+			c.recordWritten(changes, asOf)
 		}
 
 		if whole || !more {
@@ -326,7 +326,7 @@
 
 	// Every process gets entries with changes, so this one was written after the time as of which the list is known.
 	if known {
-		c.endLeaveStatement(backend, c.listAsOf)
+		c.recordWrittenLocked(backend, c.listAsOf)
 	}
 
 	c.journal.add(apricotway.BackendChange{ID: backend.ID, Backend: &backend})
@@ -337,26 +337,25 @@
 	}
 }
 
-// endLeaveStatements ends the belief of leaving, taken from answers, about servers whose entries are read as changes after those known as
-// of the given boot time.
-func (c *Catalog) endLeaveStatements(changes []apricotway.BackendChange, asOf time.Duration) {
+// recordWritten tells the servers whose entries are read as changes after those known as of the given boot time: each has written its entry
+// since, also if nothing but its sequence differs.
+func (c *Catalog) recordWritten(changes []apricotway.BackendChange, asOf time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	for _, change := range changes {
 		// An entry that was ignored as older is not the newest one.
 		if change.Backend != nil && c.entries[change.ID] == *change.Backend {
-			c.endLeaveStatement(*change.Backend, asOf)
+			c.recordWrittenLocked(*change.Backend, asOf)
 		}
 	}
 }
 
-// endLeaveStatement ends the belief that a server is leaving, taken from its answers before the given boot time, by an entry that was
-// written later. The caller holds c.mu.
-func (c *Catalog) endLeaveStatement(entry apricotway.Backend, writtenAfter time.Duration) {
+// recordWrittenLocked tells that a server has written its entry after the given boot time.
+func (c *Catalog) recordWrittenLocked(entry apricotway.Backend, writtenAfter time.Duration) {
 	now := time.Now()
 
-	if age, ended := c.servers.EndLeaveStatement(now, entry, now.Add(writtenAfter-c.boot())); ended {
+	if age, ended := c.servers.RecordWritten(now, entry, now.Add(writtenAfter-c.boot())); ended {
 		c.logger.Info("backend server is ready again after it said that it was leaving", "event", 368, "server", entry.ID,
 			"service", entry.Service, "source", "entry", "age", age, "sequence", entry.Sequence)
 	}
--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -40,7 +40,9 @@
 	Service   apricotway.Service
 	Version   apricotway.SoftwareVersion
 	Uncertain bool
-	Streams   []copiedStream
+	// Outage and Proven are false in messages of builds up to 275b5bc, whose doubts stay.
+	Outage, Proven bool
+	Streams        []copiedStream
 }
 
 // copiedStream is a stream with the server that began it, and the start of the server in Unix milliseconds.
@@ -52,16 +54,18 @@
 
 func newCopiesMessage(copies []origin.Copy, written bool, stored []origin.Stream) copiesMessage {
 	message := copiesMessage{Written: written, Stored: stored}
-	groups := map[copiesGroupKey]int{}
+	groups := map[groupKey]int{}
 
 	for _, c := range copies {
-		key := copiesGroupKey{c.Service, c.Version, c.Uncertain}
+		key := groupKey{c.Service, c.Version, c.Uncertain, c.Outage, c.Proven}
 
 		at, ok := groups[key]
 		if !ok {
 			at = len(message.Groups)
 			groups[key] = at
-			message.Groups = append(message.Groups, copiesGroup{Service: c.Service, Version: c.Version, Uncertain: c.Uncertain})
+			message.Groups = append(message.Groups, copiesGroup{
+				Service: c.Service, Version: c.Version, Uncertain: c.Uncertain, Outage: c.Outage, Proven: c.Proven,
+			})
 		}
 
 		message.Groups[at].Streams = append(message.Groups[at].Streams, copiedStream{c.Stream, c.Server, c.Born.UnixMilli()})
@@ -70,10 +74,11 @@
 	return message
 }
 
-type copiesGroupKey struct {
-	service   apricotway.Service
-	version   apricotway.SoftwareVersion
-	uncertain bool
+// groupKey is what the streams of one group have in common.
+type groupKey struct {
+	service                   apricotway.Service
+	version                   apricotway.SoftwareVersion
+	uncertain, outage, proven bool
 }
 
 func (m copiesMessage) copies() []origin.Copy {
@@ -82,8 +87,11 @@
 	for _, group := range m.Groups {
 		for _, s := range group.Streams {
 			copies = append(copies, origin.Copy{
-				Beginning: origin.Beginning{Stream: s.Stream, Service: group.Service, Version: group.Version, Uncertain: group.Uncertain},
-				Server:    s.Server, Born: time.UnixMilli(s.Born),
+				Beginning: origin.Beginning{
+					Stream: s.Stream, Service: group.Service, Version: group.Version, Uncertain: group.Uncertain, Outage: group.Outage,
+					Proven: group.Proven,
+				},
+				Server: s.Server, Born: time.UnixMilli(s.Born),
 			})
 		}
 	}
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -234,7 +234,7 @@
 	look := func() (origin.Origin, origin.Evidence) { return o.register.Find(time.Now(), since, service, stream) }
 
 	found, evidence := look()
-	if evidence == origin.EvidenceRecord || evidence == origin.EvidenceNone && attempt == "" {
+	if evidence == origin.EvidenceRecord && !found.IsUnsettled() || evidence == origin.EvidenceNone && attempt == "" {
 		return found, evidence
 	}
 
@@ -268,7 +268,8 @@
 	defer cancel()
 
 	for wait := readPause; o.awaitRead(ctx) == nil; wait *= 2 {
-		if found, evidence := look(); evidence == origin.EvidenceRecord || evidence == origin.EvidenceOnlyVersion {
+		found, evidence := look()
+		if evidence == origin.EvidenceRecord && !found.IsUnsettled() || evidence == origin.EvidenceOnlyVersion {
 			return found, evidence
 		}
 
@@ -292,6 +293,10 @@
 	Version apricotway.SoftwareVersion `json:"version,omitempty"`
 	// Uncertain is set when the version at which the streams began is not known.
 	Uncertain bool `json:"uncertain,omitempty"`
+	// Outage is set with Uncertain when the reason is an outage, and Proven when such a doubt was withdrawn. Builds up to 275b5bc know neither:
+	// their doubts stay.
+	Outage bool `json:"outage,omitempty"`
+	Proven bool `json:"proven,omitempty"`
 	// At is the time of the append. It is only used to drop old records.
 	At time.Time `json:"at"`
 	// Streams holds the streams in hexadecimal.
@@ -355,23 +360,17 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
-	type group struct {
-		service   apricotway.Service
-		version   apricotway.SoftwareVersion
-		uncertain bool
-	}
-
-	groups := map[group][]string{}
+	groups := map[groupKey][]string{}
 
 	for _, beginning := range taken {
-		key := group{beginning.Service, beginning.Version, beginning.Uncertain}
+		key := groupKey{beginning.Service, beginning.Version, beginning.Uncertain, beginning.Outage, beginning.Proven}
 		groups[key] = append(groups[key], strconv.FormatUint(uint64(beginning.Stream), hexadecimal))
 	}
 
 	records := make([]apricotway.Record, 0, len(groups))
 
 	for key, streams := range groups {
-		payload, err := json.Marshal(beginnings{key.service, key.version, key.uncertain, time.Now(), streams})
+		payload, err := json.Marshal(beginnings{key.service, key.version, key.uncertain, key.outage, key.proven, time.Now(), streams})
 		if err != nil {
 			return errors.Wrap(err, "encode the origins of streams")
 		}
@@ -553,6 +552,7 @@
 
 			told = append(told, origin.Beginning{
 				Stream: origin.Stream(stream), Service: payload.Service, Version: payload.Version, Uncertain: payload.Uncertain,
+				Outage: payload.Uncertain && payload.Outage, Proven: !payload.Uncertain && payload.Proven,
 			})
 		}
 
--- a/state/origin/origin.go
+++ b/state/origin/origin.go
@@ -10,7 +10,9 @@
 	begun, known bool
 	// outdated is set if this process could not learn in time whether other versions are in service.
 	outdated bool
-	lineage  apricotway.Lineage
+	// unsettled is set if the lineage is not known because of an outage of the store, so that it may be known soon.
+	unsettled bool
+	lineage   apricotway.Lineage
 	// service is empty unless a record states it.
 	service apricotway.Service
 }
@@ -27,6 +29,9 @@
 // IsOutdated reports whether another process may know the origin because its list of backend servers is newer.
 func (o Origin) IsOutdated() bool { return o.outdated }
 
+// IsUnsettled reports whether the lineage is not known because of an outage of the store only.
+func (o Origin) IsUnsettled() bool { return o.unsettled }
+
 // Service returns the service at which the stream began; empty if that is not known.
 func (o Origin) Service() apricotway.Service { return o.service }
 
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -37,6 +37,15 @@
 	// Version is meaningless if Uncertain is set: the server may have been of another version when the stream began.
 	Version   apricotway.SoftwareVersion
 	Uncertain bool
+	// Outage is set only with Uncertain, if an outage of the store is the only reason for it. Such a doubt may be withdrawn.
+	Outage bool
+	// Proven is set only without Uncertain, once such a doubt has been withdrawn. It outweighs doubts of this kind, which may arrive later.
+	Proven bool
+}
+
+// sameVersion reports whether both beginnings tell the same version.
+func (b Beginning) sameVersion(other Beginning) bool {
+	return !b.Uncertain && !other.Uncertain && b.Service == other.Service && b.Version == other.Version
 }
 
 // Copy is a beginning that one process gives another one. Server and Born, the start that its entry stated, let that one tell whether the
@@ -82,10 +91,9 @@
 	DoubtNone Doubt = ""
 	// DoubtOutage means that the server may have started again while the list of backend servers was not known.
 	DoubtOutage Doubt = "outage"
-	// DoubtRestart means that the server has started again with another version, before or after the beginning.
+	// DoubtRestart means that the server has started again with another version, before or after the beginning. Doubts that processes of builds
+	// up to 275b5bc tell count as such.
 	DoubtRestart Doubt = "restart"
-	// DoubtTold means that another process doubted the version and didn't tell why.
-	DoubtTold Doubt = "told"
 )
 
 // Versions holds, for the software versions of one service, the time at which the last server of the version left the list; zero while one is
@@ -121,8 +129,13 @@
 	copies []Stream
 	// stored are the streams whose beginnings this process wrote to the store, for the process that holds copies of them.
 	stored []Stream
-	// unconfirmed are the copies that came while the process that recorded them was to write them to the store, by the time of their coming.
+	// unconfirmed are the copies that came while the process that recorded them was to write them to the store, by the time of their coming or of
+	// the withdrawal of their doubts.
 	unconfirmed []aged
+	// doubted holds at least the streams whose doubts may be withdrawn.
+	doubted map[Stream]struct{}
+	// entries holds what is known of the newest entries by the addresses of their servers.
+	entries map[netip.AddrPort]entry
 }
 
 // service is the state of one service.
@@ -144,12 +157,14 @@
 	copied, written, confirmed bool
 	// at is the time of the beginning, or a later one if another process recorded it.
 	at time.Time
+	// awaited is the time since which the process that recorded the beginning is to write it to the store; zero if it isn't.
+	awaited time.Time
 	// address is that of the server, and heldSince the time since which this process had a connection to it at the beginning; zero for none.
 	address   netip.AddrPort
 	heldSince time.Time
 	// unproven is set if the server may have started again since its entry was written: the store was away, and the connections to the server
-	// don't show that it has not. outage is set once that has made the beginning uncertain.
-	unproven, outage bool
+	// don't show that it has not.
+	unproven bool
 }
 
 // own reports whether this process recorded the beginning.
@@ -171,6 +186,7 @@
 	return &Register{
 		changed: make(chan struct{}, 1), enqueued: make(chan struct{}, 1), copied: make(chan struct{}, 1),
 		lifetime: MinLifetime + ClockTolerance, services: map[apricotway.Service]*service{}, streams: map[Stream]record{},
+		doubted: map[Stream]struct{}{}, entries: map[netip.AddrPort]entry{},
 	}
 }
 
@@ -257,6 +273,7 @@
 	}
 
 	r.listSeen, r.away = now, false
+	r.settleLocked(now)
 
 	if r.gapEnd.IsZero() || now.Sub(r.gapEnd) >= registrationTime {
 		r.goodSeen = now
@@ -327,6 +344,14 @@
 		r.doubtLocked(backend)
 	}
 
+	if known && before.Address != backend.Address {
+		r.dropEntryLocked(before)
+	}
+
+	if last := r.entries[backend.Address]; !last.states(backend) {
+		delete(r.entries, backend.Address)
+	}
+
 	s.servers[backend.ID] = backend
 
 	if known && before.Version != backend.Version {
@@ -342,7 +367,7 @@
 func (r *Register) doubtLocked(backend apricotway.Backend) {
 	for stream, known := range r.streams {
 		if known.server == backend.ID && known.doubtful(backend) {
-			known.Uncertain, known.outage = true, false
+			known.Uncertain, known.Outage, known.Proven = true, false, false
 			r.streams[stream] = known
 			r.enqueueLocked(known.Beginning)
 		}
@@ -365,6 +390,7 @@
 
 	s := r.serviceLocked(backend.Service)
 	delete(s.servers, backend.ID)
+	r.dropEntryLocked(backend)
 	r.leaveLocked(now, s, backend.Service, backend.Version)
 }
 
@@ -415,7 +441,7 @@
 	defer r.mu.Unlock()
 
 	beginning := Beginning{Stream: stream, Service: server.Service, Version: server.Version}
-	if known, ok := r.streams[stream]; ok && (known.Beginning == beginning || known.own() && known.outage) {
+	if known, ok := r.streams[stream]; ok && (known.sameVersion(beginning) || known.own() && known.Outage) {
 		return
 	}
 
@@ -424,24 +450,32 @@
 	var proven bool
 	if added.heldSince, proven = r.provenLocked(server.Address); !proven && !r.listSeen.IsZero() {
 		added.unproven = true
-		added.outage = r.outageLocked(now)
-		added.Uncertain = added.outage
+		added.Outage = r.outageLocked(now) && !r.confirmedLocked(now, server.Address, server.Born)
+		added.Uncertain = added.Outage
 		beginning = added.Beginning
 	}
 
 	r.addLocked(now, added)
+	r.copyLocked(stream)
 
-	r.copies = append(r.copies, stream)
-	r.copies = r.copies[max(len(r.copies)-maxStreams, 0):]
-	signal(r.copied)
+	if added.Outage {
+		r.doubted[stream] = struct{}{}
+	}
 
 	if r.mixedLocked(now, r.serviceLocked(server.Service)) {
 		r.enqueueLocked(beginning)
 	}
 }
 
-// Learn records beginnings that other processes told. What this process saw itself is kept, and a doubt stays. A copy that says the same is
-// kept too, since it names the server.
+// copyLocked makes other processes hold a copy of what is known of a stream.
+func (r *Register) copyLocked(stream Stream) {
+	r.copies = append(r.copies, stream)
+	r.copies = r.copies[max(len(r.copies)-maxStreams, 0):]
+	signal(r.copied)
+}
+
+// Learn records beginnings that other processes told. What this process saw itself is kept, and a doubt stays unless it is withdrawn. A copy that
+// says the same is kept too, since it names the server.
 func (r *Register) Learn(now time.Time, told []Beginning) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -450,16 +484,34 @@
 		known, ok := r.streams[beginning.Stream]
 
 		switch {
-		case ok && (known.own() || known.Uncertain):
 		case ok && known.copied && known.Beginning == beginning:
 			known.confirmed = true
 			r.streams[beginning.Stream] = known
+		case ok && !known.yieldsTo(beginning):
+		case ok && known.copied && beginning.Outage && known.Version == beginning.Version:
+			known.Beginning, known.confirmed = beginning, true
+			r.doubtOutageLocked(now, known)
 		default:
 			r.addLocked(now, record{Beginning: beginning, at: now})
 		}
 	}
 }
 
+// yieldsTo reports whether what another process told of the beginning replaces the record. What was told first may arrive last, so the order
+// doesn't count: a restart of the server outweighs a withdrawn doubt, that one outweighs an outage, and an outage the version that was recorded.
+func (r record) yieldsTo(told Beginning) bool {
+	switch {
+	case r.own():
+		return false
+	case r.Uncertain:
+		return r.Outage && (told.Proven || told.Uncertain && !told.Outage)
+	case r.Proven:
+		return told.Uncertain && !told.Outage
+	default:
+		return true
+	}
+}
+
 // Hold keeps copies of the beginnings that another process recorded. They become pending once there is a second version, unless that process
 // writes them to the store itself and confirms that.
 func (r *Register) Hold(now time.Time, copies []Copy, written bool) {
@@ -467,32 +519,41 @@
 	defer r.mu.Unlock()
 
 	for _, c := range copies {
-		if known, ok := r.streams[c.Stream]; ok && (known.own() || known.Uncertain) {
+		if known, ok := r.streams[c.Stream]; ok && !known.yieldsTo(c.Beginning) {
 			continue
 		}
 
 		s := r.serviceLocked(c.Service)
-		added := record{Beginning: c.Beginning, server: c.Server, born: c.Born, copied: true, written: written, at: now}
+		added := record{Beginning: c.Beginning, server: c.Server, born: c.Born, copied: true, written: written, at: now, awaited: now}
 
 		doubted := false
 		if server, ok := s.servers[c.Server]; ok && !c.Uncertain {
 			doubted = added.doubtful(server)
 			added.Uncertain = doubted
+			added.Proven = added.Proven && !doubted
 		}
 
 		r.addLocked(now, added)
 
 		if written {
-			r.unconfirmed = append(r.unconfirmed, aged{c.Stream, now})
-			r.unconfirmed = r.unconfirmed[max(len(r.unconfirmed)-maxStreams, 0):]
+			r.awaitWriteLocked(c.Stream, now)
 		}
 
 		if doubted || !written && r.mixedLocked(now, s) {
 			r.enqueueLocked(added.Beginning)
 		}
+
+		if added.Outage {
+			r.doubtOutageLocked(now, added)
+		}
 	}
 }
 
+func (r *Register) awaitWriteLocked(stream Stream, now time.Time) {
+	r.unconfirmed = append(r.unconfirmed, aged{stream, now})
+	r.unconfirmed = r.unconfirmed[max(len(r.unconfirmed)-maxStreams, 0):]
+}
+
 // Confirm records that another process has written beginnings to the store of which this one holds copies.
 func (r *Register) Confirm(streams []Stream) {
 	r.mu.Lock()
@@ -516,7 +577,7 @@
 		r.unconfirmed = r.unconfirmed[1:]
 
 		known := r.streams[oldest.stream]
-		if !known.copied || known.confirmed || !known.at.Equal(oldest.at) {
+		if !known.copied || !known.written || known.confirmed || !known.awaited.Equal(oldest.at) {
 			continue
 		}
 
@@ -574,7 +635,7 @@
 // origin returns the origin that the record states.
 func (r record) origin() Origin {
 	if r.Uncertain {
-		return Unknown()
+		return Origin{begun: true, unsettled: r.Outage}
 	}
 
 	found := At(apricotway.Lineage{Software: r.Version})
@@ -586,7 +647,8 @@
 // originLocked returns the origin that a record states at present. An outage of the store shows late, so that streams which began in its first
 // seconds have not been marked.
 func (r *Register) originLocked(known record) Origin {
-	if known.own() && known.unproven && known.at.After(r.listSeen) && r.outageLocked(time.Now()) {
+	now := time.Now()
+	if known.own() && known.unproven && known.at.After(r.listSeen) && r.outageLocked(now) && !r.confirmedLocked(now, known.address, known.born) {
 		return Unknown()
 	}
 
@@ -635,7 +697,7 @@
 	return Unknown(), EvidenceNone
 }
 
-// TakePending returns the beginnings that other processes have to know, up to a number of them, and forgets them.
+// TakePending returns the beginnings that other processes have to know, as they are known now, up to a number of them, and forgets them.
 func (r *Register) TakePending(limit int) []Beginning {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -643,6 +705,12 @@
 	taken := r.pending[:min(limit, len(r.pending))]
 	r.pending = r.pending[len(taken):]
 
+	for i, beginning := range taken {
+		if known, ok := r.streams[beginning.Stream]; ok {
+			taken[i] = known.Beginning
+		}
+	}
+
 	if len(r.pending) == 0 {
 		r.pending = nil
 	} else {
@@ -743,9 +811,7 @@
 	switch {
 	case r.originLocked(known).Known():
 		return source, DoubtNone
-	case source != SourceOwn:
-		return source, DoubtTold
-	case known.Uncertain && !known.outage:
+	case known.Uncertain && !known.Outage:
 		return source, DoubtRestart
 	default:
 		return source, DoubtOutage
