Count entries as written after an outage from the first list's time on

Cause: an entry that the second read after an outage brings was written after the first read began. That was compared with the time at which the first list was applied, a millisecond later, so it didn't count, and where other processes passed lists on from 1.8 s after the outage, no further write was seen. Streams of known origin then found no server that is certain until 3 s after the outage.

Fix: both times are boot times of the list: an entry counts if the list was known before as of the first list after the outage or later. What is read after a list was written after it, whatever the time at which it was applied.

--- a/coordination/catalog/catalog.go
+++ b/coordination/catalog/catalog.go
@@ -73,9 +73,12 @@
 	Update(backend apricotway.Backend, now time.Time)
 	Remove(id apricotway.BackendServerID, now time.Time)
 	Backends() []apricotway.Backend
-	// RecordWritten records that a server has written an entry after a time. It ends the belief that the server is leaving because its answers
-	// said so, if the entry says that it is ready and was written after the answer. It returns the age of the belief and whether it has ended.
-	RecordWritten(now time.Time, entry apricotway.Backend, writtenAfter time.Time) (age time.Duration, ended bool)
+	// RecordWritten records that a server has written an entry after a time, since the list was known as of a boot time. It ends the belief that
+	// the server is leaving because its answers said so, if the entry says that it is ready and was written after the answer. It returns the age
+	// of the belief and whether it has ended.
+	RecordWritten(
+		now time.Time, entry apricotway.Backend, writtenAfter time.Time, listed time.Duration,
+	) (age time.Duration, ended bool)
 	// Doubted reports whether the list has to be read here because of what servers said in their answers: other processes pass on only
 	// entries with changes.
 	Doubted(now time.Time) bool
--- a/coordination/catalog/servers.go
+++ b/coordination/catalog/servers.go
@@ -355,7 +355,7 @@
 func (c *Catalog) recordWrittenLocked(entry apricotway.Backend, writtenAfter time.Duration) {
 	now := time.Now()
 
-	if age, ended := c.servers.RecordWritten(now, entry, now.Add(writtenAfter-c.boot())); ended {
+	if age, ended := c.servers.RecordWritten(now, entry, now.Add(writtenAfter-c.boot()), writtenAfter); ended {
 		c.logger.Info("backend server is ready again after it said that it was leaving", "event", 368, "server", entry.ID,
 			"service", entry.Service, "source", "entry", "age", age, "sequence", entry.Sequence)
 	}
--- a/state/dispatch/statements.go
+++ b/state/dispatch/statements.go
@@ -245,14 +245,16 @@
 	return other
 }
 
-// RecordWritten records that a server has written an entry later than the given time. It ends the belief that the server is leaving because its
-// answers said so, if the answer was before that time and the entry says that the server is ready. It returns the age of the statement and whether
-// it has ended.
-func (p *Pool) RecordWritten(now time.Time, entry apricotway.Backend, writtenAfter time.Time) (age time.Duration, ended bool) {
+// RecordWritten records that a server has written an entry later than the given time, since the list was known as of a boot time. It ends the belief
+// that the server is leaving because its answers said so, if the answer was before that time and the entry says that the server is ready. It
+// returns the age of the statement and whether it has ended.
+func (p *Pool) RecordWritten(
+	now time.Time, entry apricotway.Backend, writtenAfter time.Time, listed time.Duration,
+) (age time.Duration, ended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	p.origins.Written(entry, writtenAfter)
+	p.origins.Written(entry, writtenAfter, listed)
 
 	s := p.servers[entry.ID]
 	if s == nil || entry.Leaving || s.said == nil || s.said.leavingAt.IsZero() || !writtenAfter.After(s.said.leavingAt) {
--- a/state/dispatch/statements_test.go
+++ b/state/dispatch/statements_test.go
@@ -52,7 +52,7 @@
 	ready := func(sequence uint64, writtenAfter time.Duration) func(*dispatch.Pool) {
 		return func(p *dispatch.Pool) {
 			p.Update(registered("a", sequence), start)
-			p.RecordWritten(start, registered("a", sequence), start.Add(writtenAfter))
+			p.RecordWritten(start, registered("a", sequence), start.Add(writtenAfter), writtenAfter)
 		}
 	}
 
@@ -67,7 +67,7 @@
 			leaving := registered("a", 2)
 			leaving.Leaving = true
 			p.Update(leaving, start)
-			p.RecordWritten(start, leaving, start.Add(time.Second))
+			p.RecordWritten(start, leaving, start.Add(time.Second), time.Second)
 			p.Update(registered("a", 3), start)
 		}, false},
 		"new start under the same ID": {func(p *dispatch.Pool) {
--- a/state/origin/doubt_test.go
+++ b/state/origin/doubt_test.go
@@ -16,7 +16,7 @@
 type outageProcess struct {
 	*origin.Register
 
-	// read is the time of the last read, and known the entries that it brought.
+	// read is the time at which the last read began, and known the entries that it brought.
 	read  time.Time
 	known map[apricotway.BackendServerID]apricotway.Backend
 }
@@ -27,20 +27,21 @@
 
 // list reads entries as the catalog does.
 func (p *outageProcess) list(entries ...apricotway.Backend) {
-	now := time.Now()
+	began := time.Now()
+	<-time.After(time.Millisecond)
 
 	for _, e := range entries {
 		before, ok := p.known[e.ID]
 		p.known[e.ID] = e
-		p.Update(now, e)
+		p.Update(time.Now(), e)
 
 		if ok && before != e {
-			p.Written(e, p.read)
+			p.Written(e, p.read, p.read.Sub(start))
 		}
 	}
 
-	p.read = now
-	p.SetListed(time.Since(start))
+	p.read = began
+	p.SetListed(began.Sub(start))
 }
 
 // calm reads unchanged entries for a while.
@@ -66,15 +67,17 @@
 		name string
 		// arrives is the time from the return of the store to the arrival of the copy, and age that of the beginning before the return.
 		arrives, age time.Duration
-		// writes is set if the server writes entries.
-		writes bool
+		// writes is the time from the return of the store to the first entry that the server writes; the next ones follow every 1.2 s. A negative
+		// value means none.
+		writes time.Duration
 		// within is the time from the return of the store within which the doubt has to be withdrawn.
 		within time.Duration
 	}{
-		{"copy before the return", -time.Second, 2 * time.Second, true, 2600 * time.Millisecond},
-		{"copy after the return", time.Second, 0, true, 2600 * time.Millisecond},
-		{"copy that comes after the doubt was disproved", 4 * time.Second, time.Second, true, 6 * time.Second},
-		{"server that writes no entry", -time.Second, 2 * time.Second, false, 4 * time.Second},
+		{"copy before the return", -time.Second, 2 * time.Second, 0, 2600 * time.Millisecond},
+		{"entry written between the first two lists", -time.Second, 2 * time.Second, 300 * time.Millisecond, 800 * time.Millisecond},
+		{"copy after the return", time.Second, 0, 0, 2600 * time.Millisecond},
+		{"copy that comes after the doubt was disproved", 4 * time.Second, time.Second, 0, 6 * time.Second},
+		{"server that writes no entry", -time.Second, 2 * time.Second, -1, 4 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			bubble.Test(t, func(t *testing.T) {
@@ -107,7 +110,7 @@
 						holder.Hold(time.Now(), copies, true)
 					}
 
-					if test.writes && now.Milliseconds()%1200 == 0 {
+					if test.writes >= 0 && now >= test.writes && (now-test.writes)%(1200*time.Millisecond) == 0 {
 						entry.Sequence++
 					}
 
@@ -119,6 +122,10 @@
 				}
 
 				wantOrigin(t, holder.Register, time.Now(), "x", "v1", origin.EvidenceRecord)
+
+				if !holder.Certain(time.Now(), entry.Address) {
+					t.Error("got no certain version of a server that has not started again, want one")
+				}
 			})
 		})
 	}
--- a/state/origin/outage.go
+++ b/state/origin/outage.go
@@ -33,8 +33,8 @@
 }
 
 // endOutageLocked marks the streams that began during an outage at servers that may have started again meanwhile.
-func (r *Register) endOutageLocked(now time.Time) {
-	r.gapFrom, r.gapEnd = r.listSeen, now
+func (r *Register) endOutageLocked(now time.Time, listed time.Duration) {
+	r.gapFrom, r.gapEnd, r.gapListed = r.listSeen, now, listed
 
 	for stream, known := range r.streams {
 		if known.own() && known.unproven && !known.Uncertain && known.at.After(r.gapFrom) {
@@ -51,8 +51,9 @@
 	server apricotway.BackendServerID
 	// born is the start that the entry states.
 	born time.Time
-	// after is a time after which that start has written an entry.
-	after time.Time
+	// after is a time after which that start has written an entry, and listed the boot time as of which the list was known before.
+	after  time.Time
+	listed time.Duration
 }
 
 // states reports whether the entry names the same start of the same server.
@@ -67,13 +68,13 @@
 	}
 }
 
-// Written records that the server of an entry has written it after a time.
-func (r *Register) Written(written apricotway.Backend, after time.Time) {
+// Written records that the server of an entry has written it after a time, since the list was known as of a boot time.
+func (r *Register) Written(written apricotway.Backend, after time.Time, listed time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	if known := r.entries[written.Address]; !known.states(written) || known.after.Before(after) {
-		r.entries[written.Address] = entry{written.ID, written.Born, after}
+		r.entries[written.Address] = entry{written.ID, written.Born, after, listed}
 	}
 }
 
@@ -87,7 +88,7 @@
 func (r *Register) confirmedLocked(now time.Time, address netip.AddrPort, born time.Time) bool {
 	known, ok := r.entries[address]
 
-	return ok && !born.IsZero() && known.born.Equal(born) && !r.gapEnd.IsZero() && !known.after.Before(r.gapEnd) && r.listCurrentLocked(now)
+	return ok && !born.IsZero() && known.born.Equal(born) && !r.gapEnd.IsZero() && known.listed >= r.gapListed && r.listCurrentLocked(now)
 }
 
 // settleLocked withdraws the doubts about streams whose servers have not started again since. It is called when the list is known.
@@ -130,7 +131,7 @@
 
 	if written := r.entries[server.Address]; written.states(server) {
 		inOutage := !r.gapEnd.IsZero() && known.at.After(r.gapFrom) && known.at.Before(r.gapEnd.Add(registrationTime))
-		if !written.after.Before(known.at) || inOutage && !written.after.Before(r.gapEnd) {
+		if !written.after.Before(known.at) || inOutage && written.listed >= r.gapListed {
 			return true
 		}
 	}
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -113,6 +113,8 @@
 	// listSeen is the time of the last call of SetListed, gapFrom the one before an outage of the store, and gapEnd that of the first call after
 	// it; zero before. goodSeen is the last call after which every server that had started counted as registered.
 	listSeen, gapFrom, gapEnd, goodSeen time.Time
+	// gapListed is the boot time as of which the first list after the outage was known.
+	gapListed time.Duration
 	// away is set once a read of the list has failed since the last call of SetListed.
 	away bool
 	// held returns the time since which this process has had a connection to a server without a break.
@@ -269,7 +271,7 @@
 
 	now := time.Now()
 	if !r.listSeen.IsZero() && now.Sub(r.listSeen) > outageAge {
-		r.endOutageLocked(now)
+		r.endOutageLocked(now, asOf)
 	}
 
 	r.listSeen, r.away = now, false
