Keep the time between two events in tests of upgrades

Cause: made the time between events a field of versionSystem, and newUpgradeSystem, which makes one of its own, left it at zero: streams ended at once, and the stops in these tests met none.

Done: newUpgradeSystem sets it to the 25 ms that it had.

--- a/cmd/scenario/upgrade_test.go
+++ b/cmd/scenario/upgrade_test.go
@@ -82,7 +82,7 @@
 
 func newUpgradeSystem(t *testing.T, seed uint64, from build) *upgradeSystem {
 	s := &upgradeSystem{
-		versionSystem: &versionSystem{entrySystem: newEntryPlatform(t, seed, fmt.Sprintf(upgradeConfig, 0))}, began: time.Now(),
+		versionSystem: &versionSystem{entrySystem: newEntryPlatform(t, seed, fmt.Sprintf(upgradeConfig, 0)), gap: versionGap}, began: time.Now(),
 		sent: map[string]int{}, lost: map[string]int{}, refused: map[string]int{}, broken: map[string]int{}, rotated: []time.Time{time.Now()},
 		ends: map[string]time.Time{},
 	}
--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -20,6 +20,8 @@
 const (
 	versionEvents  = 30
 	versionCallers = 24
+	// versionGap is the time between two events of a stream.
+	versionGap = 25 * time.Millisecond
 	// minShareOf is the number of streams from which the operators' rule looks at the share that goes on.
 	minShareOf = 12
 	// versionTimeout is the timeout of a caller for a stream over all its attempts.
@@ -48,7 +50,7 @@
 	patience time.Duration
 	// attempts bounds the attempts of a stream; 0 for no bound.
 	attempts int
-	// gap is the time between two events of the streams of engines that start.
+	// gap is the time between two events of a stream.
 	gap time.Duration
 
 	mu      sync.Mutex
@@ -56,7 +58,7 @@
 }
 
 func newVersionSystem(t *testing.T, seed uint64, entries int) *versionSystem {
-	return newVersionSystemWith(t, seed, entries, 25*time.Millisecond)
+	return newVersionSystemWith(t, seed, entries, versionGap)
 }
 
 // newVersionSystemWith returns a system whose streams have the given time between two events.
