Log when the beginning of a stream is recorded and written

A lookup that finds no record of a stream (387, evidence none) didn't tell whether the beginning was never written, written late, lost, or written and not read in time: the process that began the stream has often been killed and left no line about it.

Event 413 tells each beginning, 414 each append with the time that the oldest beginning waited, and 387 how many versions count, whether the history is known and whether the logs were read to their ends during the lookup. New metrics: apricotway_stream_origins_write_seconds, apricotway_taken_up_streams_total by result.

--- a/cmd/internal/entry/counters.go
+++ b/cmd/internal/entry/counters.go
@@ -14,18 +14,20 @@
 
 // counters are the metrics of one entry host.
 type counters struct {
-	ended    *prometheus.CounterVec
-	took     *prometheus.HistogramVec
-	repeated *prometheus.CounterVec
-	limited  *prometheus.CounterVec
-	calls    *prometheus.CounterVec
-	opened   prometheus.Counter
-	accepted prometheus.Counter
-	answers  *prometheus.CounterVec
-	found    *prometheus.CounterVec
-	written  prometheus.Counter
-	held     *prometheus.CounterVec
-	cuts     *prometheus.CounterVec
+	ended     *prometheus.CounterVec
+	took      *prometheus.HistogramVec
+	repeated  *prometheus.CounterVec
+	limited   *prometheus.CounterVec
+	calls     *prometheus.CounterVec
+	opened    prometheus.Counter
+	accepted  prometheus.Counter
+	answers   *prometheus.CounterVec
+	found     *prometheus.CounterVec
+	written   prometheus.Counter
+	held      *prometheus.CounterVec
+	cuts      *prometheus.CounterVec
+	takenUp   *prometheus.CounterVec
+	writeWait prometheus.Histogram
 }
 
 // latencyBuckets are the histogram buckets of call latencies in seconds.
@@ -65,13 +67,21 @@
 	c.written = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "apricotway_stream_origins_written_total", Help: "Beginnings of streams written to the store.",
 	})
+	c.writeWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "apricotway_stream_origins_write_seconds", Help: "Time from the beginning of a stream to its record in the store.",
+		Buckets: latencyBuckets,
+	})
+	c.takenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "apricotway_taken_up_streams_total", Help: "Streams that callers took up again, by result.",
+	}, []string{"result"})
 	c.held = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "apricotway_held_calls_total", Help: "Calls that were held because the servers are brittle or have just rejected calls, by whether they were sent then.",
 	}, []string{"service", "sent"})
 	c.cuts = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "apricotway_cut_answers_total", Help: "Answers that backend servers cut, by whether the servers had crashed.",
 	}, []string{"verdict"})
-	registry.MustRegister(c.ended, c.took, c.repeated, c.limited, c.calls, c.opened, c.accepted, c.answers, c.found, c.written, c.held, c.cuts)
+	registry.MustRegister(c.ended, c.took, c.repeated, c.limited, c.calls, c.opened, c.accepted, c.answers, c.found, c.written, c.held, c.cuts,
+		c.writeWait, c.takenUp)
 
 	return c
 }
@@ -98,7 +108,13 @@
 }
 
 // OriginsWritten implements origins.Metrics.
-func (c *counters) OriginsWritten(count int) { c.written.Add(float64(count)) }
+func (c *counters) OriginsWritten(count int, waited time.Duration) {
+	c.written.Add(float64(count))
+	c.writeWait.Observe(waited.Seconds())
+}
+
+// StreamTakenUp implements relay.Metrics.
+func (c *counters) StreamTakenUp(result string) { c.takenUp.WithLabelValues(result).Inc() }
 
 // CallHeld implements relay.Metrics.
 func (c *counters) CallHeld(service apricotway.Service, sent bool) {
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -116,14 +116,14 @@
 type Metrics interface {
 	// OriginFound counts a lookup of the origin of a stream by its evidence.
 	OriginFound(evidence origin.Evidence)
-	// OriginsWritten counts beginnings that were written to the store.
-	OriginsWritten(count int)
+	// OriginsWritten counts beginnings that were written to the store, and records how long the oldest of them waited for that.
+	OriginsWritten(count int, waited time.Duration)
 }
 
 type noMetrics struct{}
 
-func (noMetrics) OriginFound(origin.Evidence) {}
-func (noMetrics) OriginsWritten(int)          {}
+func (noMetrics) OriginFound(origin.Evidence)       {}
+func (noMetrics) OriginsWritten(int, time.Duration) {}
 
 // Option configures Origins in New.
 type Option func(*Origins)
@@ -187,7 +187,9 @@
 
 // Began records that a server sent the first event of the stream that an attempt began.
 func (o *Origins) Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) {
-	o.register.Begin(now, origin.StreamOf(attempt), server)
+	shared := o.register.Begin(now, origin.StreamOf(attempt), server)
+	o.logger.Info("recorded where a stream began", "event", 413, "attempt", attempt, "service", server.Service, "server", server.ID,
+		"version", server.Version, "shared", shared)
 }
 
 // Await makes sure that the list of backend servers is known as of now, before a stream goes on at another server. If it can't be read in
@@ -216,13 +218,15 @@
 
 // Find returns the origin of the stream that an attempt of another call began. An empty attempt means that the caller doesn't name it.
 func (o *Origins) Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
-	began := o.boot()
+	began, readsBefore := o.boot(), o.readsDone()
 	found, evidence := o.find(ctx, service, attempt)
 	o.metrics.OriginFound(evidence)
 
 	source, doubt := o.register.Account(origin.StreamOf(attempt))
+	versions, history := o.register.InService(time.Now(), service)
 	o.logger.Info("looked up where a stream began", "event", 387, "resumes", attempt, "service", service, "evidence", evidence,
-		"source", source, "doubt", doubt, "known", found.Known(), "version", found.Version(), "took", o.boot()-began, "listAge", o.boot()-o.register.Listed())
+		"source", source, "doubt", doubt, "known", found.Known(), "version", found.Version(), "took", o.boot()-began,
+		"listAge", o.boot()-o.register.Listed(), "versions", versions, "history", history, "read", o.readsDone() > readsBefore)
 
 	return found
 }
@@ -316,6 +320,8 @@
 		case <-o.register.Enqueued():
 		}
 
+		enqueued := time.Now()
+
 		// What becomes pending meanwhile goes into the same append.
 		pause.For(ctx, o.appendInterval())
 
@@ -342,7 +348,9 @@
 				o.register.Stored(taken)
 			}
 
-			o.metrics.OriginsWritten(len(taken))
+			waited := time.Since(enqueued)
+			o.metrics.OriginsWritten(len(taken), waited)
+			o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "waited", waited)
 		}
 
 		if failed := err != nil; failed != failing {
@@ -394,6 +402,14 @@
 	return apricotway.Stream(streamPrefix + strconv.Itoa(log))
 }
 
+// readsDone returns the number of the last read of the logs that succeeded.
+func (o *Origins) readsDone() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	return o.done
+}
+
 // awaitRead waits until a read of the logs that begins after this call has ended.
 func (o *Origins) awaitRead(ctx context.Context) error {
 	o.mu.Lock()
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -107,6 +107,10 @@
 	took := now.Sub(c.arrived)
 	c.relay.metrics.CallEnded(name, result, took)
 
+	if c.metadata.Resumes != "" {
+		c.relay.metrics.StreamTakenUp(result)
+	}
+
 	version := uint64(0)
 	if c.table != nil {
 		version = c.table.Version
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -103,6 +103,8 @@
 	CallRetried(service apricotway.Service, reason string)
 	// CallHeld counts a call that was held because the servers are brittle or have just rejected calls, and whether it was sent then.
 	CallHeld(service apricotway.Service, sent bool)
+	// StreamTakenUp counts the end of a call that takes up a stream, by its result.
+	StreamTakenUp(result string)
 	// LimitedSend counts a send to a server that states a limit on its requests.
 	LimitedSend(service apricotway.Service)
 }
@@ -290,6 +292,7 @@
 func (noMetrics) CallRetried(apricotway.Service, string)  {}
 func (noMetrics) LimitedSend(apricotway.Service)          {}
 func (noMetrics) CallHeld(apricotway.Service, bool)       {}
+func (noMetrics) StreamTakenUp(string)                    {}
 
 // call is the state of one call while it is forwarded.
 type call struct {
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -322,7 +322,10 @@
 }
 
 // mixedLocked reports whether streams of a service that are still needed may have begun at different versions.
-func (r *Register) mixedLocked(now time.Time, s *service) bool {
+func (r *Register) mixedLocked(now time.Time, s *service) bool { return r.neededLocked(now, s) > 1 }
+
+// neededLocked returns the number of versions of which streams may still be needed.
+func (r *Register) neededLocked(now time.Time, s *service) int {
 	count := 0
 
 	for _, left := range s.versions {
@@ -331,7 +334,7 @@
 		}
 	}
 
-	return count > 1
+	return count
 }
 
 // Update records the entry of a server.
@@ -437,14 +440,23 @@
 	return all
 }
 
-// Begin records that a server sent the first event of a stream.
-func (r *Register) Begin(now time.Time, stream Stream, server apricotway.Backend) {
+// InService returns the number of versions of a service that are in service or have left within the lifetime of a stream, and whether those
+// that were in service before this process started are known.
+func (r *Register) InService(now time.Time, name apricotway.Service) (versions int, history bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.neededLocked(now, r.serviceLocked(name)), !r.awaitsHistory
+}
+
+// Begin records that a server sent the first event of a stream. It reports whether other processes have to know it at once.
+func (r *Register) Begin(now time.Time, stream Stream, server apricotway.Backend) (shared bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
 	beginning := Beginning{Stream: stream, Service: server.Service, Version: server.Version}
 	if known, ok := r.streams[stream]; ok && (known.sameVersion(beginning) || known.own() && known.Outage) {
-		return
+		return r.mixedLocked(now, r.serviceLocked(server.Service))
 	}
 
 	added := record{Beginning: beginning, server: server.ID, born: server.Born, at: now, address: server.Address}
@@ -464,9 +476,12 @@
 		r.doubted[stream] = struct{}{}
 	}
 
-	if r.mixedLocked(now, r.serviceLocked(server.Service)) {
+	shared = r.mixedLocked(now, r.serviceLocked(server.Service))
+	if shared {
 		r.enqueueLocked(beginning)
 	}
+
+	return shared
 }
 
 // copyLocked makes other processes hold a copy of what is known of a stream.
