Write where a stream begins before its caller has the first event

What callers saw: after a kill of all processes, streams that they took up again were refused as originUnknown until their time was up, although servers of the version that began them served.

Cause: a process recorded the beginning of a stream with its first event, gathered beginnings for the time between two appends (0.1 s at 8 processes, 0.24 s at 71) and wrote them then. The streams that began in that time were known to nobody once the process ended; the copies that two other processes hold end with those.

Fix: the server to which a call is sent is recorded as the expected one while several versions serve, and the first append after a pause is written at once.

--- a/cmd/scenario/versions_test.go
+++ b/cmd/scenario/versions_test.go
@@ -52,6 +52,8 @@
 	attempts int
 	// gap is the time between two events of a stream.
 	gap time.Duration
+	// began is called once a caller has the first event of a stream; nil for nothing.
+	began func()
 
 	mu      sync.Mutex
 	streams []*versionedStream
@@ -180,6 +182,10 @@
 		}
 
 		if data, ok := strings.CutPrefix(lines.Text(), "data: "+id); ok {
+			if s.began != nil && !stream.begun {
+				s.began()
+			}
+
 			stream.wentOn = stream.wentOn || stream.first != ""
 			stream.begun, stream.last, stream.versions[data] = true, id, true
 
@@ -296,6 +302,51 @@
 	}
 }
 
+// TestTakeUpAfterKillAtFirstEvent guards against refusing streams because all processes were killed as soon as the callers had the first events.
+func TestTakeUpAfterKillAtFirstEvent(t *testing.T) {
+	t.Parallel()
+
+	s := newVersionSystemWith(t, 5, 3, 140*time.Millisecond)
+	s.startVersion("v2", 3)
+	s.awaitServing()
+	<-time.After(2 * time.Second)
+
+	var (
+		begun  atomic.Int32
+		group  sync.WaitGroup
+		killed = make(chan struct{})
+	)
+
+	s.began = func() {
+		if begun.Add(1) == versionCallers {
+			close(killed)
+		}
+	}
+
+	for i := range versionCallers {
+		random := rand.New(rand.NewPCG(s.random.Uint64(), 0))
+
+		group.Go(func() {
+			stream := s.stream(t.Context(), random, fmt.Sprintf("s%d", i))
+
+			s.mu.Lock()
+			defer s.mu.Unlock()
+
+			s.streams = append(s.streams, stream)
+		})
+	}
+
+	select {
+	case <-killed:
+	case <-time.After(versionTimeout):
+		t.Fatalf("got %d streams that began, want %d", begun.Load(), versionCallers)
+	}
+
+	s.killAll()
+	group.Wait()
+	s.check(versionCallers)
+}
+
 // TestTakeUpOfStoppedProcess guards against streams being refused because the process that began them stands still as engines of a second
 // software version join.
 func TestTakeUpOfStoppedProcess(t *testing.T) {
--- /dev/null
+++ b/coordination/origins/appender.go
@@ -0,0 +1,170 @@
+package origins
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/internal/pause"
+	"github.com/apricotway/apricotway/state/origin"
+)
+
+// appendInterval returns the time between two appends of this process.
+func (o *Origins) appendInterval() time.Duration {
+	shared := float64(o.members()) / min(o.writesPerSecond*appendShare, logs*maxLogAppends)
+	return max(minAppendInterval, time.Duration(shared*float64(time.Second)))
+}
+
+// beginnings is the payload of a record: streams of one service that began at servers of one version.
+type beginnings struct {
+	Service apricotway.Service         `json:"service"`
+	Version apricotway.SoftwareVersion `json:"version,omitempty"`
+	// Uncertain is set when the version at which the streams began is not known.
+	Uncertain bool `json:"uncertain,omitempty"`
+	// Outage is set with Uncertain when the reason is an outage, and Proven when such a doubt was withdrawn. Builds up to 275b5bc know neither:
+	// their doubts stay.
+	Outage bool `json:"outage,omitempty"`
+	Proven bool `json:"proven,omitempty"`
+	// At is the time of the append. It is only used to drop old records.
+	At time.Time `json:"at"`
+	// Streams holds the streams in hexadecimal.
+	Streams []string `json:"streams"`
+}
+
+// endAppend records whether an append failed, and lets the calls that wait for it go on.
+func (o *Origins) endAppend(failed bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.appendFailed = failed
+
+	close(o.appended)
+	o.appended = make(chan struct{})
+}
+
+// Settle waits until the store has what this process recorded of the stream that an attempt began, and reports whether it does. It waits for a
+// store that takes no appends only if the version is disputed.
+func (o *Origins) Settle(ctx context.Context, attempt apricotway.AttemptID, sharing origin.Sharing) bool {
+	for stream := origin.StreamOf(attempt); ; {
+		o.mu.Lock()
+		appended, failed := o.appended, o.appendFailed
+		o.mu.Unlock()
+
+		switch {
+		case o.register.IsStored(stream):
+			return true
+		case failed && sharing != origin.SharingDisputed:
+			return false
+		}
+
+		select {
+		case <-appended:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// appendPending writes the beginnings that other processes have to know until the context ends.
+func (o *Origins) appendPending(ctx context.Context) error {
+	failing := false
+	// handedOver is the number of pending beginnings that another process tries to write too.
+	handedOver := 0
+	// last is the time of the last append.
+	last := time.Time{}
+
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.register.Enqueued():
+		}
+
+		enqueued := time.Now()
+
+		// What becomes pending meanwhile goes into the same append.
+		pause.For(ctx, o.appendInterval()-enqueued.Sub(last))
+
+		last = time.Now()
+
+		taken := o.register.TakePending(maxBeginnings)
+		if len(taken) == 0 {
+			continue
+		}
+
+		err := o.write(ctx, taken)
+		if err != nil {
+			o.register.ReturnPending(taken)
+			o.endAppend(true)
+
+			if o.copies != nil && len(taken) > handedOver {
+				if o.copies.send(ctx, newCopiesMessage(o.register.Copies(taken[handedOver:]), false, nil)) {
+					handedOver = len(taken)
+				}
+			}
+
+			pause.For(ctx, retryPause)
+		} else {
+			handedOver = 0
+
+			o.register.Stored(taken)
+			o.endAppend(false)
+
+			waited := time.Since(enqueued)
+			o.metrics.OriginsWritten(len(taken), waited)
+			o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "waited", waited)
+		}
+
+		if failed := err != nil; failed != failing {
+			failing = failed
+			if failing {
+				o.logger.Info("writing the origins of streams fails", "event", 373, "error", err.Error(), "streams", len(taken))
+			} else {
+				o.logger.Info("writing the origins of streams works again", "event", 374)
+			}
+		}
+	}
+}
+
+func (o *Origins) write(ctx context.Context, taken []origin.Beginning) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+
+	groups := map[groupKey][]string{}
+
+	for _, beginning := range taken {
+		key := groupKey{beginning.Service, beginning.Version, beginning.Uncertain, beginning.Outage, beginning.Proven}
+		groups[key] = append(groups[key], strconv.FormatUint(uint64(beginning.Stream), hexadecimal))
+	}
+
+	records := make([]apricotway.Record, 0, len(groups))
+
+	for key, streams := range groups {
+		payload, err := json.Marshal(beginnings{key.service, key.version, key.uncertain, key.outage, key.proven, time.Now(), streams})
+		if err != nil {
+			return errors.Wrap(err, "encode the origins of streams")
+		}
+
+		records = append(records, apricotway.Record{
+			SchemaVersion: schemaVersion, Kind: kindBeginnings, ID: uuid.NewString(), Payload: payload,
+		})
+	}
+
+	// An append that has taken effect without an answer is repeated; a second copy says the same.
+	if _, err := o.store.Append(ctx, streamOf(o.log), records); err != nil {
+		return errors.Wrap(err, "append the origins of streams")
+	}
+
+	return nil
+}
+
+const hexadecimal = 16
+
+func streamOf(log int) apricotway.Stream {
+	return apricotway.Stream(streamPrefix + strconv.Itoa(log))
+}
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -14,7 +14,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/go-logr/logr"
-	"github.com/google/uuid"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/apricotway/apricotway"
@@ -108,6 +107,9 @@
 	// and replaced when a read ends.
 	reads, done, wanted int
 	ended               chan struct{}
+	// appended is closed and replaced when an append ends. appendFailed is set while the last append failed.
+	appended     chan struct{}
+	appendFailed bool
 	// next holds the offsets to read from next.
 	next [logs]apricotway.Offset
 }
@@ -164,6 +166,7 @@
 	o := &Origins{
 		register: register, store: store, list: list, logger: logr.Discard(), metrics: noMetrics{}, unknown: func(string) {}, members: func() int { return 1 },
 		writesPerSecond: defaultWritesPerSecond, boot: boottime.Now, wake: make(chan struct{}, 1), ended: make(chan struct{}), log: rand.IntN(logs),
+		appended: make(chan struct{}),
 	}
 	for _, option := range options {
 		option(o)
@@ -185,11 +188,18 @@
 	return o
 }
 
-// Began records that a server sent the first event of the stream that an attempt began.
-func (o *Origins) Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) {
-	shared := o.register.Begin(now, origin.StreamOf(attempt), server)
+// Expect records that a call is sent to a server which may begin the stream of an attempt.
+func (o *Origins) Expect(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) {
+	o.register.Expect(now, origin.StreamOf(attempt), server)
+}
+
+// Began records that a server sent the first event of the stream that an attempt began. It returns whether other processes know it.
+func (o *Origins) Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) origin.Sharing {
+	sharing := o.register.Begin(now, origin.StreamOf(attempt), server)
 	o.logger.Info("recorded where a stream began", "event", 413, "attempt", attempt, "service", server.Service, "server", server.ID,
-		"version", server.Version, "shared", shared)
+		"version", server.Version, "sharing", sharing)
+
+	return sharing
 }
 
 // Await makes sure that the list of backend servers is known as of now, before a stream goes on at another server. If it can't be read in
@@ -285,123 +295,6 @@
 	return look()
 }
 
-// appendInterval returns the time between two appends of this process.
-func (o *Origins) appendInterval() time.Duration {
-	shared := float64(o.members()) / min(o.writesPerSecond*appendShare, logs*maxLogAppends)
-	return max(minAppendInterval, time.Duration(shared*float64(time.Second)))
-}
-
-// beginnings is the payload of a record: streams of one service that began at servers of one version.
-type beginnings struct {
-	Service apricotway.Service         `json:"service"`
-	Version apricotway.SoftwareVersion `json:"version,omitempty"`
-	// Uncertain is set when the version at which the streams began is not known.
-	Uncertain bool `json:"uncertain,omitempty"`
-	// Outage is set with Uncertain when the reason is an outage, and Proven when such a doubt was withdrawn. Builds up to 275b5bc know neither:
-	// their doubts stay.
-	Outage bool `json:"outage,omitempty"`
-	Proven bool `json:"proven,omitempty"`
-	// At is the time of the append. It is only used to drop old records.
-	At time.Time `json:"at"`
-	// Streams holds the streams in hexadecimal.
-	Streams []string `json:"streams"`
-}
-
-// appendPending writes the beginnings that other processes have to know until the context ends.
-func (o *Origins) appendPending(ctx context.Context) error {
-	failing := false
-	// handedOver is the number of pending beginnings that another process tries to write too.
-	handedOver := 0
-
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-o.register.Enqueued():
-		}
-
-		enqueued := time.Now()
-
-		// What becomes pending meanwhile goes into the same append.
-		pause.For(ctx, o.appendInterval())
-
-		taken := o.register.TakePending(maxBeginnings)
-		if len(taken) == 0 {
-			continue
-		}
-
-		err := o.write(ctx, taken)
-		if err != nil {
-			o.register.ReturnPending(taken)
-
-			if o.copies != nil && len(taken) > handedOver {
-				if o.copies.send(ctx, newCopiesMessage(o.register.Copies(taken[handedOver:]), false, nil)) {
-					handedOver = len(taken)
-				}
-			}
-
-			pause.For(ctx, retryPause)
-		} else {
-			handedOver = 0
-
-			if o.copies != nil {
-				o.register.Stored(taken)
-			}
-
-			waited := time.Since(enqueued)
-			o.metrics.OriginsWritten(len(taken), waited)
-			o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "waited", waited)
-		}
-
-		if failed := err != nil; failed != failing {
-			failing = failed
-			if failing {
-				o.logger.Info("writing the origins of streams fails", "event", 373, "error", err.Error(), "streams", len(taken))
-			} else {
-				o.logger.Info("writing the origins of streams works again", "event", 374)
-			}
-		}
-	}
-}
-
-func (o *Origins) write(ctx context.Context, taken []origin.Beginning) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-
-	groups := map[groupKey][]string{}
-
-	for _, beginning := range taken {
-		key := groupKey{beginning.Service, beginning.Version, beginning.Uncertain, beginning.Outage, beginning.Proven}
-		groups[key] = append(groups[key], strconv.FormatUint(uint64(beginning.Stream), hexadecimal))
-	}
-
-	records := make([]apricotway.Record, 0, len(groups))
-
-	for key, streams := range groups {
-		payload, err := json.Marshal(beginnings{key.service, key.version, key.uncertain, key.outage, key.proven, time.Now(), streams})
-		if err != nil {
-			return errors.Wrap(err, "encode the origins of streams")
-		}
-
-		records = append(records, apricotway.Record{
-			SchemaVersion: schemaVersion, Kind: kindBeginnings, ID: uuid.NewString(), Payload: payload,
-		})
-	}
-
-	// An append that has taken effect without an answer is repeated; a second copy says the same.
-	if _, err := o.store.Append(ctx, streamOf(o.log), records); err != nil {
-		return errors.Wrap(err, "append the origins of streams")
-	}
-
-	return nil
-}
-
-const hexadecimal = 16
-
-func streamOf(log int) apricotway.Stream {
-	return apricotway.Stream(streamPrefix + strconv.Itoa(log))
-}
-
 // readsDone returns the number of the last read of the logs that succeeded.
 func (o *Origins) readsDone() int {
 	o.mu.Lock()
--- /dev/null
+++ b/protocol/relay/settle_test.go
@@ -0,0 +1,124 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/protocol/relay"
+	"github.com/apricotway/apricotway/state/dispatch"
+	"github.com/apricotway/apricotway/state/origin"
+	"github.com/apricotway/apricotway/state/retrybudget"
+	"github.com/apricotway/apricotway/state/tally"
+)
+
+// sharingOrigins are origins whose store does what a test says.
+type sharingOrigins struct {
+	sharing origin.Sharing
+	settles bool
+	// expected and settling are set once a call has been sent, and once it waits.
+	expected, settling bool
+}
+
+func (o *sharingOrigins) Expect(time.Time, apricotway.AttemptID, apricotway.Backend) {
+	o.expected = true
+}
+
+func (o *sharingOrigins) Began(time.Time, apricotway.AttemptID, apricotway.Backend) origin.Sharing {
+	return o.sharing
+}
+
+func (o *sharingOrigins) Settle(ctx context.Context, _ apricotway.AttemptID, _ origin.Sharing) bool {
+	o.settling = true
+	if !o.settles {
+		<-ctx.Done()
+	}
+
+	return o.settles
+}
+
+func (*sharingOrigins) Find(context.Context, apricotway.Service, apricotway.AttemptID) origin.Origin {
+	return origin.Unknown()
+}
+
+func (*sharingOrigins) Await(context.Context) {}
+
+func (*sharingOrigins) Recorded(apricotway.AttemptID) (origin.Origin, bool) {
+	return origin.Origin{}, false
+}
+
+// answeringServer answers each call with a stream of one event.
+type answeringServer struct{}
+
+func (answeringServer) Send(context.Context, netip.AddrPort, apricotway.ForwardedCall) (*apricotway.ForwardedAnswer, error) {
+	return &apricotway.ForwardedAnswer{
+		Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Length: -1,
+		Body: io.NopCloser(strings.NewReader("id: 1\ndata: 1\n\n")),
+	}, nil
+}
+
+// TestFirstEventBeforeItsOriginIsShared guards against passing on the first event of a stream before other processes can learn where it began, and
+// against withholding it for long if nobody can take it for one of another version.
+func TestFirstEventBeforeItsOriginIsShared(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		sharing origin.Sharing
+		settles bool
+		// waits is set if the event has to wait, and status the status that the caller gets.
+		waits  bool
+		status int
+	}{
+		{"shared", origin.SharingNone, false, false, http.StatusOK},
+		{"written in time", origin.SharingPending, true, true, http.StatusOK},
+		{"not written in time", origin.SharingPending, false, true, http.StatusOK},
+		{"dispute written", origin.SharingDisputed, true, true, http.StatusOK},
+		{"dispute not written", origin.SharingDisputed, false, true, http.StatusGatewayTimeout},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			pool := dispatch.New()
+			pool.Update(apricotway.Backend{ID: "a", Service: "s", Slots: 8, Address: netip.MustParseAddrPort("127.0.0.1:1")}, time.Now())
+
+			origins := &sharingOrigins{sharing: test.sharing, settles: test.settles}
+			budget := retrybudget.New(retrybudget.Limits{Ratio: 1, Window: time.Second, Slack: 100})
+			front := httptest.NewServer(relay.New(dialect{}, answeringServer{}, catalog{routes(apricotway.RouteStream, true, 1)}, pool, noLimits{},
+				budget, tally.New(time.Second), relay.WithOrigins(origins)))
+			defer front.Close()
+
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL, strings.NewReader("x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			request.Host = "h"
+
+			response, err := front.Client().Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer response.Body.Close()
+
+			body, err := io.ReadAll(response.Body)
+			if err != nil {
+				t.Fatal(err)
+			}
+
+			if got, want := response.StatusCode, test.status; got != want {
+				t.Errorf("got status %d, want %d", got, want)
+			}
+
+			if got, want := strings.Contains(string(body), "data: 1"), test.status == http.StatusOK; got != want {
+				t.Errorf("got body %q, want %v for whether it has the event", body, want)
+			}
+
+			if got, want := origins.settling, test.waits; got != want || !origins.expected {
+				t.Errorf("got waiting %v and expected %v, want %v and true", got, origins.expected, want)
+			}
+		})
+	}
+}
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -258,7 +258,11 @@
 
 	send.RecordFirstEvent(now, metadata.Load)
 
-	c.beginStream(now, send)
+	if !c.beginStream(ctx, now, send) {
+		send.End(c.relay.now(), dispatch.OutcomeLeft)
+		return attemptResult{step: stepFail, reason: reasonUnsettled, arrived: true, mayHaveRun: true}
+	}
+
 	c.writeHeader(answer, -1, formStream)
 
 	current := &engineRun{
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -96,6 +96,19 @@
 	DoubtRestart Doubt = "restart"
 )
 
+// Sharing is whether other processes know where a stream of this process began.
+type Sharing string
+
+// The values of Sharing.
+const (
+	// SharingNone means that they know it or don't have to.
+	SharingNone Sharing = "none"
+	// SharingPending means that it is to be written to the store.
+	SharingPending Sharing = "pending"
+	// SharingDisputed means that they may expect another version until it is written that the version is disputed.
+	SharingDisputed Sharing = "disputed"
+)
+
 // Versions holds, for the software versions of one service, the time at which the last server of the version left the list; zero while one is
 // on the list.
 type Versions map[apricotway.SoftwareVersion]time.Time
@@ -155,7 +168,7 @@
 	// born is the start that the entry of the server stated.
 	born time.Time
 	// copied is set if this process holds the beginning for the process that recorded it, written if that one writes it to the store, and
-	// confirmed once it has.
+	// confirmed once it has; without copied, confirmed is set once this process has written the beginning.
 	copied, written, confirmed bool
 	// at is the time of the beginning, or a later one if another process recorded it.
 	at time.Time
@@ -164,6 +177,10 @@
 	// address is that of the server, and heldSince the time since which this process had a connection to it at the beginning; zero for none.
 	address   netip.AddrPort
 	heldSince time.Time
+	// expected is set until the server has sent the first event. The call may still be sent to another server.
+	expected bool
+	// disputed is set once the stream has begun at another lineage than the one that other processes were told to expect.
+	disputed bool
 	// unproven is set if the server may have started again since its entry was written: the store was away, and the connections to the server
 	// don't show that it has not.
 	unproven bool
@@ -178,6 +195,17 @@
 // stored reports whether the beginning was read from the store.
 func (r record) stored() bool { return r.server == "" && !r.copied }
 
+// telling returns the beginning as other processes have to know it. They may learn a withdrawn expectation late, so the version of a disputed
+// stream stays unknown to them.
+func (r record) telling() Beginning {
+	told := r.Beginning
+	if r.disputed {
+		told.Uncertain, told.Outage, told.Proven = true, false, false
+	}
+
+	return told
+}
+
 type aged struct {
 	stream Stream
 	at     time.Time
@@ -316,7 +344,7 @@
 
 	for _, known := range r.streams {
 		if known.Service == name && known.told() && now.Sub(known.at) < r.lifetime {
-			r.enqueueLocked(known.Beginning)
+			r.enqueueLocked(known.telling())
 		}
 	}
 }
@@ -449,14 +477,36 @@
 	return r.neededLocked(now, r.serviceLocked(name)), !r.awaitsHistory
 }
 
-// Begin records that a server sent the first event of a stream. It reports whether other processes have to know it at once.
-func (r *Register) Begin(now time.Time, stream Stream, server apricotway.Backend) (shared bool) {
+// Expect records that a call which may begin a stream is sent to a server, if other processes have to know then where it began. So they know it
+// once the first event is passed on, also if this process ends at that moment.
+func (r *Register) Expect(now time.Time, stream Stream, server apricotway.Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if _, ok := r.streams[stream]; ok || !r.mixedLocked(now, r.serviceLocked(server.Service)) || r.outageLocked(now) {
+		return
+	}
+
+	added := record{
+		Beginning: Beginning{Stream: stream, Service: server.Service, Version: server.Version}, server: server.ID, born: server.Born, at: now,
+		address: server.Address, expected: true,
+	}
+
+	r.addLocked(now, added)
+	r.enqueueLocked(added.Beginning)
+}
+
+// Begin records that a server sent the first event of a stream. It returns whether other processes know where the stream began.
+func (r *Register) Begin(now time.Time, stream Stream, server apricotway.Backend) Sharing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	mixed := r.mixedLocked(now, r.serviceLocked(server.Service))
 	beginning := Beginning{Stream: stream, Service: server.Service, Version: server.Version}
-	if known, ok := r.streams[stream]; ok && (known.sameVersion(beginning) || known.own() && known.Outage) {
-		return r.mixedLocked(now, r.serviceLocked(server.Service))
+
+	known, ok := r.streams[stream]
+	if ok && !known.expected && (known.sameVersion(beginning) || known.own() && known.Outage) {
+		return SharingNone
 	}
 
 	added := record{Beginning: beginning, server: server.ID, born: server.Born, at: now, address: server.Address}
@@ -466,7 +516,16 @@
 		added.unproven = true
 		added.Outage = r.outageLocked(now) && !r.confirmedLocked(now, server.Address, server.Born)
 		added.Uncertain = added.Outage
-		beginning = added.Beginning
+	}
+
+	if ok && known.expected {
+		// The server may have started again while the call was on its way.
+		if known.Uncertain && known.server == server.ID {
+			added.Uncertain, added.Outage = true, false
+		}
+
+		added.disputed = known.Service != server.Service || known.Version != server.Version
+		added.confirmed = known.confirmed && known.Beginning == added.telling()
 	}
 
 	r.addLocked(now, added)
@@ -476,12 +535,29 @@
 		r.doubted[stream] = struct{}{}
 	}
 
-	shared = r.mixedLocked(now, r.serviceLocked(server.Service))
-	if shared {
-		r.enqueueLocked(beginning)
+	switch {
+	case added.confirmed:
+		r.stored = append(r.stored, stream)
+		return SharingNone
+	case added.disputed:
+		r.enqueueLocked(added.telling())
+		return SharingDisputed
+	case mixed:
+		r.enqueueLocked(added.telling())
+		return SharingPending
+	default:
+		return SharingNone
 	}
+}
 
-	return shared
+// IsStored reports whether the store has what this process recorded of a stream.
+func (r *Register) IsStored(stream Stream) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	known := r.streams[stream]
+
+	return known.own() && known.confirmed
 }
 
 // copyLocked makes other processes hold a copy of what is known of a stream.
@@ -617,7 +693,16 @@
 	defer r.mu.Unlock()
 
 	for _, beginning := range beginnings {
-		r.stored = append(r.stored, beginning.Stream)
+		known := r.streams[beginning.Stream]
+		if known.own() {
+			known.confirmed = known.telling() == beginning
+			r.streams[beginning.Stream] = known
+		}
+
+		// Nobody holds a copy of what is only expected.
+		if !known.expected {
+			r.stored = append(r.stored, beginning.Stream)
+		}
 	}
 
 	r.stored = r.stored[max(len(r.stored)-maxStreams, 0):]
@@ -724,7 +809,7 @@
 
 	for i, beginning := range taken {
 		if known, ok := r.streams[beginning.Stream]; ok {
-			taken[i] = known.Beginning
+			taken[i] = known.telling()
 		}
 	}
 
@@ -749,7 +834,7 @@
 				break
 			}
 
-			taken = append(taken, Copy{known.Beginning, known.server, known.born})
+			taken = append(taken, Copy{known.telling(), known.server, known.born})
 		}
 
 		r.copies = r.copies[1:]
@@ -801,7 +886,7 @@
 
 	for _, known := range r.streams {
 		if !known.stored() && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
-			r.enqueueLocked(known.Beginning)
+			r.enqueueLocked(known.telling())
 		}
 	}
 }
