Write where streams began before a second version joins

What callers saw: all processes were killed as a release began, the servers of the second version joined while they were down, and the streams that callers took up again were refused as originUnknown although the servers that began them still served.

Cause: beginnings were written only while a process saw two versions. A process that starts with two versions on its list can't tell of a stream without a record at which of them it began, and those that could have told it have ended. Class of fault: state that is made durable when it turns out to be needed, by a process that may not live then.

Fix: beginnings are written at all times. So that this costs little, one process of every 16 appends those of all, together: twice a second while one version serves, and at most twenty times a second else. A process whose writer doesn't answer appends itself.

--- a/coordination/origins/appender.go
+++ b/coordination/origins/appender.go
@@ -14,9 +14,15 @@
 	"github.com/apricotway/apricotway/state/origin"
 )
 
-// appendInterval returns the time between two appends of this process.
+// appendInterval returns the time between two appends of this process while it has no writer.
 func (o *Origins) appendInterval() time.Duration {
 	shared := float64(o.members()) / min(o.writesPerSecond*appendShare, logs*maxLogAppends)
+	return max(minDirectInterval, time.Duration(shared*float64(time.Second)))
+}
+
+// writerInterval returns the time between two appends of this process as a writer.
+func (o *Origins) writerInterval() time.Duration {
+	shared := float64(writerCount(o.members())) / min(o.writesPerSecond*appendShare, logs*maxLogAppends)
 	return max(minAppendInterval, time.Duration(shared*float64(time.Second)))
 }
 
@@ -75,8 +81,6 @@
 	failing := false
 	// handedOver is the number of pending beginnings that another process tries to write too.
 	handedOver := 0
-	// last is the time of the last append.
-	last := time.Time{}
 
 	for {
 		select {
@@ -85,12 +89,7 @@
 		case <-o.register.Enqueued():
 		}
 
-		enqueued := time.Now()
-
-		// What becomes pending meanwhile goes into the same append.
-		pause.For(ctx, o.appendInterval()-enqueued.Sub(last))
-
-		last = time.Now()
+		began := time.Now()
 
 		taken := o.register.TakePending(maxBeginnings)
 		if len(taken) == 0 {
@@ -115,7 +114,7 @@
 			o.register.Stored(taken)
 			o.endAppend(false)
 
-			waited := time.Since(enqueued)
+			waited := time.Since(began)
 			o.metrics.OriginsWritten(len(taken), waited)
 			o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "waited", waited)
 		}
@@ -131,21 +130,86 @@
 	}
 }
 
+// appendDeferred writes the beginnings that other processes have to know if another version joins while no process runs.
+func (o *Origins) appendDeferred(ctx context.Context, _ time.Time) {
+	taken := o.register.TakeDeferred(maxBeginnings)
+	if len(taken) == 0 {
+		return
+	}
+
+	if err := o.send(ctx, appendMessage{Groups: group(taken), Background: true}); err != nil {
+		o.logger.V(1).Info("failed to have the origins of streams written", "event", 415, "streams", len(taken), "error", err.Error())
+		o.register.ReturnDeferred(taken)
+
+		return
+	}
+
+	o.register.Stored(taken)
+	o.metrics.OriginsWritten(len(taken), backgroundInterval)
+	o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "deferred", true)
+}
+
+// write makes the writer of this process append beginnings, or appends them itself if that fails.
 func (o *Origins) write(ctx context.Context, taken []origin.Beginning) error {
+	groups := group(taken)
+
+	err := o.send(ctx, appendMessage{Groups: groups})
+	if err == nil || o.writers == nil {
+		return err
+	}
+
+	o.logger.V(1).Info("failed to have the origins of streams written", "event", 415, "streams", len(taken), "error", err.Error())
+
+	if !pause.For(ctx, o.appendInterval()-time.Since(o.direct)) {
+		return ctx.Err()
+	}
+
+	o.direct = time.Now()
+
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
-	groups := map[groupKey][]string{}
+	return o.append(ctx, groups)
+}
+
+// send makes the writer of this process append beginnings; it may be this process.
+func (o *Origins) send(ctx context.Context, message appendMessage) error {
+	if o.writers == nil {
+		return o.submit(ctx, message)
+	}
+
+	writer := o.writers.choose(time.Now())
+	if writer.Node == o.writers.membership.Self().Node {
+		return o.submit(ctx, message)
+	}
 
-	for _, beginning := range taken {
-		key := groupKey{beginning.Service, beginning.Version, beginning.Uncertain, beginning.Outage, beginning.Proven}
-		groups[key] = append(groups[key], strconv.FormatUint(uint64(beginning.Stream), hexadecimal))
+	err := o.writers.ask(ctx, writer, message)
+	if err != nil && !errors.Is(err, errNotWritten) {
+		o.writers.avoid(writer.Node, time.Now().Add(avoidTime))
 	}
 
+	return err
+}
+
+// submit appends beginnings together with those of the processes for which this one is the writer.
+func (o *Origins) submit(ctx context.Context, message appendMessage) error {
+	ctx, cancel := context.WithTimeout(ctx, backgroundInterval+callTimeout)
+	defer cancel()
+
+	return o.collector.submit(ctx, message.Groups, message.Background)
+}
+
+// append writes one record for each group.
+func (o *Origins) append(ctx context.Context, groups []beginningsGroup) error {
 	records := make([]apricotway.Record, 0, len(groups))
 
-	for key, streams := range groups {
-		payload, err := json.Marshal(beginnings{key.service, key.version, key.uncertain, key.outage, key.proven, time.Now(), streams})
+	for _, g := range groups {
+		streams := make([]string, len(g.Streams))
+		for i, stream := range g.Streams {
+			streams[i] = strconv.FormatUint(uint64(stream), hexadecimal)
+		}
+
+		payload, err := json.Marshal(beginnings{g.Service, g.Version, g.Uncertain, g.Outage, g.Proven, time.Now(), streams})
 		if err != nil {
 			return errors.Wrap(err, "encode the origins of streams")
 		}
--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -121,9 +121,9 @@
 
 		pause.For(ctx, max(minCopyInterval, time.Duration(len(c.membership.Members()))*memberCopyInterval))
 
-		taken, written := c.register.TakeCopies(time.Now(), maxBeginnings)
+		taken := c.register.TakeCopies(maxBeginnings)
 		if stored := c.register.TakeStored(); len(taken)+len(stored) > 0 {
-			c.send(ctx, newCopiesMessage(taken, written, stored))
+			c.send(ctx, newCopiesMessage(taken, true, stored))
 		}
 	}
 }
@@ -154,7 +154,7 @@
 
 // takeOver makes this process write the copies whose senders have not confirmed that they did.
 func (o *Origins) takeOver(_ context.Context, now time.Time) {
-	o.register.TakeOver(now, o.appendInterval()+confirmMargin)
+	o.register.TakeOver(now, backgroundInterval+o.appendInterval()+confirmMargin)
 }
 
 // holders returns the processes that hold the copies of this one, those of other availability zones first: a zone may be lost as a whole.
@@ -179,10 +179,16 @@
 	return ranked[:min(len(ranked), copyHolders)]
 }
 
-// WithCopies makes the process give copies of the beginnings of its streams to others, and hold theirs.
+// WithCopies makes the process give copies of the beginnings of its streams to others, and hold theirs. A few of the processes write the
+// beginnings of all.
 func WithCopies(peers apricotway.Peers, registry apricotway.PeerRegistry, membership apricotway.Membership) Option {
 	return func(o *Origins) {
 		o.copies = &copies{register: o.register, peers: peers, membership: membership}
+		o.writers = &writers{peers: peers, membership: membership, avoided: map[apricotway.NodeID]time.Time{}}
+
+		apricotway.HandlePeer(registry, methodAppend, func(ctx context.Context, message appendMessage) (appendAnswer, error) {
+			return appendAnswer{Written: o.submit(ctx, message) == nil}, nil
+		})
 
 		apricotway.HandlePeer(registry, methodCopies, func(_ context.Context, message copiesMessage) (copiesAnswer, error) {
 			o.register.Hold(time.Now(), message.copies(), message.Written)
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -32,8 +32,8 @@
 	kindBeginnings = "beginnings"
 	schemaVersion  = 1
 
-	// minAppendInterval is the shortest time between two appends of one process.
-	minAppendInterval = 100 * time.Millisecond
+	// minDirectInterval is the shortest time between two appends of a process that has no writer.
+	minDirectInterval = 100 * time.Millisecond
 	// appendShare is the share of the store's write calls that the appends of all processes take, and maxLogAppends bounds the appends per
 	// second to one log, each of which takes the operators' stores 2 ms.
 	appendShare   = 0.25
@@ -96,6 +96,11 @@
 	// log is the log that this process appends to.
 	log      int
 	versions *versions
+	// collector appends the beginnings of this process and of those for which it is the writer. writers is nil without other processes.
+	collector *collector
+	writers   *writers
+	// direct is the time of the last append of this process beside its writer. Only appendPending uses it.
+	direct time.Time
 
 	// wake has an element when the reader has to read.
 	wake chan struct{}
@@ -118,7 +123,7 @@
 type Metrics interface {
 	// OriginFound counts a lookup of the origin of a stream by its evidence.
 	OriginFound(evidence origin.Evidence)
-	// OriginsWritten counts beginnings that were written to the store, and records how long the oldest of them waited for that.
+	// OriginsWritten counts beginnings that were written to the store, and records how long the oldest of them waited at most.
 	OriginsWritten(count int, waited time.Duration)
 }
 
@@ -168,6 +173,8 @@
 		writesPerSecond: defaultWritesPerSecond, boot: boottime.Now, wake: make(chan struct{}, 1), ended: make(chan struct{}), log: rand.IntN(logs),
 		appended: make(chan struct{}),
 	}
+	o.collector = &collector{write: o.append, interval: o.writerInterval, wake: make(chan struct{}, 1)}
+
 	for _, option := range options {
 		option(o)
 	}
@@ -175,6 +182,8 @@
 	register.AwaitHistory()
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "origins of streams", Func: o.appendPending})
+	supervisor.Add(apricotway.Periodic("origins of streams of the only version", backgroundInterval, o.appendDeferred))
+	supervisor.Add(apricotway.ServiceFunc{Name: "origins of streams of all processes", Func: o.collector.run})
 	supervisor.Add(apricotway.ServiceFunc{Name: "origins of other processes", Func: o.readOnRequest})
 
 	if o.copies != nil {
--- /dev/null
+++ b/coordination/origins/writers_test.go
@@ -0,0 +1,148 @@
+package origins_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/apricotway/apricotway"
+	"github.com/apricotway/apricotway/coordination/origins"
+	"github.com/apricotway/apricotway/internal/bubble"
+)
+
+// TestStreamsBegunBeforeVersionJoinedWhileNoProcessRan guards against refusing the streams of a time with one version because a second one joined
+// while all processes were down.
+func TestStreamsBegunBeforeVersionJoinedWhileNoProcessRan(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		s := newStore()
+		_, processes := startNetwork(t, s, s, s)
+
+		for _, p := range processes {
+			p.list("v1")
+		}
+
+		<-time.After(time.Second)
+
+		const count = 300
+
+		for i := range count {
+			processes[i%len(processes)].Began(time.Now(), apricotway.AttemptID(fmt.Sprint(i)), server("v1"))
+			<-time.After(10 * time.Millisecond)
+		}
+
+		for _, p := range processes {
+			p.kill()
+		}
+
+		again := start(t, s, "v1", "v2")
+		<-time.After(time.Second)
+
+		known := 0
+
+		for i := range count {
+			if again.Find(t.Context(), service, apricotway.AttemptID(fmt.Sprint(i))).Allows(apricotway.Lineage{Software: "v1"}) {
+				known++
+			}
+		}
+
+		// Streams of 3 s; those of the last 0.6 s may not be written yet.
+		if got, want := known, count*8/10; got < want {
+			t.Errorf("got %d of %d streams whose version is known, want at least %d", got, count, want)
+		}
+
+		again.kill()
+	})
+}
+
+// TestAppendsOfManyProcesses guards against appends whose number grows with the number of processes, and against first events that are held for
+// longer then.
+func TestAppendsOfManyProcesses(t *testing.T) {
+	for _, test := range []struct {
+		processes, writers int
+	}{
+		{8, 1}, {64, 4},
+	} {
+		t.Run(fmt.Sprint(test.processes), func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := newStore()
+				_, processes := startNetwork(t, sameStore(s, test.processes)...)
+
+				for _, p := range processes {
+					p.list("v1", "v2")
+				}
+
+				<-time.After(2 * time.Second)
+
+				before, started, longest := s.appendCount(), time.Now(), time.Duration(0)
+
+				for i := range 200 {
+					attempt, p, began := apricotway.AttemptID(fmt.Sprint(i)), processes[i%len(processes)], time.Now()
+					sharing := p.Began(began, attempt, server("v1"))
+					p.settle(t, attempt, sharing)
+					longest = max(longest, time.Since(began))
+					<-time.After(5*time.Millisecond - time.Since(began)%(5*time.Millisecond))
+				}
+
+				// Each writer appends twenty times a second at most.
+				if got, want := s.appendCount()-before, test.writers*(int(time.Since(started)/(50*time.Millisecond))+1); got > want {
+					t.Errorf("got %d appends, want at most %d", got, want)
+				}
+
+				if got, want := longest, 100*time.Millisecond; got > want {
+					t.Errorf("got %v until a beginning was in the store, want at most %v", got, want)
+				}
+
+				for _, p := range processes {
+					p.kill()
+				}
+			})
+		})
+	}
+}
+
+// TestBeginningsWithoutWriter guards against losing beginnings because the process that writes them for others stands still or can't reach the
+// store.
+func TestBeginningsWithoutWriter(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		fail func(n *network, s *awayStore)
+	}{
+		{"writer stands still", func(n *network, _ *awayStore) { n.stop(0) }},
+		{"writer without store", func(_ *network, s *awayStore) { s.away.Store(true) }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				s := newStore()
+				cut := &awayStore{Store: s}
+				n, processes := startNetwork(t, cut, s, s)
+
+				for _, p := range processes {
+					p.list("v1", "v2")
+				}
+
+				<-time.After(time.Second)
+				test.fail(n, cut)
+				processes[1].Began(time.Now(), "x", server("v2"))
+				<-time.After(700 * time.Millisecond)
+
+				for _, p := range processes {
+					p.kill()
+				}
+
+				again := start(t, s, "v1", "v2")
+				<-time.After(time.Second)
+				again.wantVersion(t, "x", "v2")
+				again.kill()
+			})
+		})
+	}
+}
+
+func sameStore(s *store, count int) []origins.Store {
+	stores := make([]origins.Store, count)
+	for i := range stores {
+		stores[i] = s
+	}
+
+	return stores
+}
--- a/state/origin/outage.go
+++ b/state/origin/outage.go
@@ -39,6 +39,7 @@
 	for stream, known := range r.streams {
 		if known.own() && known.unproven && !known.Uncertain && known.at.After(r.gapFrom) {
 			known.Uncertain, known.Outage, known.Proven = true, true, false
+			known.confirmed = false
 			r.streams[stream] = known
 			r.doubted[stream] = struct{}{}
 			r.enqueueLocked(known.Beginning)
@@ -151,10 +152,12 @@
 
 	mixed := r.mixedLocked(now, r.serviceLocked(known.Service))
 
+	known.confirmed = false
+
 	if known.own() {
 		r.copyLocked(known.Stream)
 	} else {
-		known.confirmed, known.awaited = false, now
+		known.awaited = now
 	}
 
 	r.streams[known.Stream] = known
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -140,6 +140,8 @@
 	order []aged
 	// pending are the beginnings that other processes have to know.
 	pending []Beginning
+	// deferred are the beginnings that other processes have to know if another version joins.
+	deferred []Beginning
 	// copies are the streams whose beginnings another process should hold a copy of.
 	copies []Stream
 	// stored are the streams whose beginnings this process wrote to the store, for the process that holds copies of them.
@@ -190,7 +192,7 @@
 func (r record) own() bool { return r.server != "" && !r.copied }
 
 // told reports whether this process writes the beginning to the store when other processes have to know it.
-func (r record) told() bool { return !r.stored() && !r.written }
+func (r record) told() bool { return !r.stored() && !r.written && !r.confirmed }
 
 // stored reports whether the beginning was read from the store.
 func (r record) stored() bool { return r.server == "" && !r.copied }
@@ -236,7 +238,13 @@
 	}
 }
 
-// enqueueLocked makes beginnings pending.
+// deferLocked keeps beginnings that no other process has to know at once.
+func (r *Register) deferLocked(beginnings ...Beginning) {
+	r.deferred = append(r.deferred, beginnings...)
+	r.deferred = r.deferred[max(len(r.deferred)-maxStreams, 0):]
+}
+
+// enqueueLocked makes beginnings pending that other processes have to know.
 func (r *Register) enqueueLocked(beginnings ...Beginning) {
 	r.pending = append(r.pending, beginnings...)
 	signal(r.enqueued)
@@ -401,6 +409,7 @@
 	for stream, known := range r.streams {
 		if known.server == backend.ID && known.doubtful(backend) {
 			known.Uncertain, known.Outage, known.Proven = true, false, false
+			known.confirmed = false
 			r.streams[stream] = known
 			r.enqueueLocked(known.Beginning)
 		}
@@ -546,6 +555,8 @@
 		r.enqueueLocked(added.telling())
 		return SharingPending
 	default:
+		// A second version may join while no process runs.
+		r.deferLocked(added.telling())
 		return SharingNone
 	}
 }
@@ -799,6 +810,27 @@
 	return Unknown(), EvidenceNone
 }
 
+// TakeDeferred returns the beginnings that no other process has to know at once, up to a number of them, and forgets them.
+func (r *Register) TakeDeferred(limit int) []Beginning {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	taken := slices.Clone(r.deferred[:min(limit, len(r.deferred))])
+	if r.deferred = r.deferred[len(taken):]; len(r.deferred) == 0 {
+		r.deferred = nil
+	}
+
+	return slices.DeleteFunc(taken, func(b Beginning) bool { return r.streams[b.Stream].confirmed })
+}
+
+// ReturnDeferred keeps beginnings that could not be written.
+func (r *Register) ReturnDeferred(taken []Beginning) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.deferLocked(taken...)
+}
+
 // TakePending returns the beginnings that other processes have to know, as they are known now, up to a number of them, and forgets them.
 func (r *Register) TakePending(limit int) []Beginning {
 	r.mu.Lock()
@@ -823,8 +855,8 @@
 }
 
 // TakeCopies returns beginnings of one service of which another process should hold a copy, up to a number of them, and forgets that it
-// should. It reports whether this process writes them to the store.
-func (r *Register) TakeCopies(now time.Time, limit int) (taken []Copy, written bool) {
+// should.
+func (r *Register) TakeCopies(limit int) (taken []Copy) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
@@ -846,7 +878,7 @@
 		signal(r.copied)
 	}
 
-	return taken, len(taken) > 0 && r.mixedLocked(now, r.serviceLocked(taken[0].Service))
+	return taken
 }
 
 // Copies returns beginnings as another process should hold them.
@@ -880,14 +912,24 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	r.pending = nil
+	r.pending, r.deferred = nil, nil
 
 	signal(r.changed)
 
-	for _, known := range r.streams {
-		if !known.stored() && now.Sub(known.at) < r.lifetime && r.mixedLocked(now, r.serviceLocked(known.Service)) {
+	for stream, known := range r.streams {
+		if known.stored() || now.Sub(known.at) >= r.lifetime {
+			continue
+		}
+
+		switch mixed := r.mixedLocked(now, r.serviceLocked(known.Service)); {
+		case mixed:
 			r.enqueueLocked(known.telling())
+		case known.own():
+			r.deferLocked(known.telling())
 		}
+
+		known.confirmed = known.confirmed && !known.own()
+		r.streams[stream] = known
 	}
 }
 
