Read the newest records of where streams began first

Cause: a process read the four logs from their oldest records, began with the first lookup, and a lookup waited 0.3 to 0.47 s for the whole. 20 s of records are 1.3 MB, 1 s of a free link of 10 Mbit/s. The streams that callers take up began seconds before the kill and stand at the ends of the logs.

Now pages are read backwards from the end, which apricotway.Batch tells. A process that starts while several versions count begins before the first lookup, with a random delay and at a bounded rate. Lookups wait up to 1 s while pages arrive. Each page has its own time limit, so that none that arrived is lost. Gaps are kept until they are read, trimmed or too old; an era of the store, a log that has become shorter, or a longer lifetime makes the reader start again.

That the order of learning doesn't count held for all records of a stream but two of the same weight with different versions, where the last one read won; these are a doubt now. A doubt in another log than the record could have been passed over by reading in part, also before this change. A record counts only once all logs have been read back to its time less 6 s, or 2 s after a wait of 1 s.

--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -3,13 +3,10 @@
 package origins
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"fmt"
 	"math/rand/v2"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -43,13 +40,8 @@
 	defaultWritesPerSecond = 400
 	// maxBeginnings bounds the beginnings in one append; 20 bytes each.
 	maxBeginnings = 4000
-	// callTimeout bounds one call of the store.
+	// callTimeout bounds one call of the store, or the time in it without progress.
 	callTimeout = time.Second
-	// readLimit bounds the records of one read.
-	readLimit = 10000
-	// readPause is the pause after a read that failed, and the first one between two reads for a stream that they don't tell; the next ones are
-	// longer.
-	readPause = 50 * time.Millisecond
 	// confirmTimeout bounds the wait for a record of a stream, if two appends don't take longer.
 	confirmTimeout = 300 * time.Millisecond
 	// listTimeout bounds the wait for a list of backend servers that is newer than the stream.
@@ -97,19 +89,7 @@
 	// log is the log that this process appends to.
 	log      int
 	versions *versions
-
-	// wake has an element when the reader has to read.
-	wake chan struct{}
-
-	mu sync.Mutex
-	// waiting counts the calls that wait for reads.
-	waiting int
-	// reads counts the reads that began. done is the last one that succeeded, and wanted the last one that calls wait for. ended is closed
-	// and replaced when a read ends.
-	reads, done, wanted int
-	ended               chan struct{}
-	// next holds the offsets to read from next.
-	next [logs]apricotway.Offset
+	reader   *reader
 }
 
 // Metrics counts what is shared.
@@ -150,10 +130,7 @@
 func WithEras(eras *era.Tracker) Option {
 	return func(o *Origins) {
 		eras.Subscribe(func() {
-			o.mu.Lock()
-			o.next = [logs]apricotway.Offset{}
-			o.mu.Unlock()
-
+			o.reader.reset()
 			o.register.Republish(time.Now())
 		})
 	}
@@ -163,23 +140,28 @@
 func New(supervisor *suture.Supervisor, register *origin.Register, store Store, list List, options ...Option) *Origins {
 	o := &Origins{
 		register: register, store: store, list: list, logger: logr.Discard(), metrics: noMetrics{}, unknown: func(string) {}, members: func() int { return 1 },
-		writesPerSecond: defaultWritesPerSecond, boot: boottime.Now, wake: make(chan struct{}, 1), ended: make(chan struct{}), log: rand.IntN(logs),
+		writesPerSecond: defaultWritesPerSecond, boot: boottime.Now, log: rand.IntN(logs),
 	}
+	o.versions = &versions{register: register, store: store}
+	o.reader = newReader(register, store, o.versions.readHistory, o.endsInterval, o.olderInterval)
+
 	for _, option := range options {
 		option(o)
 	}
 
+	o.versions.logger, o.versions.started = o.logger, o.reader.start
+	o.reader.logger, o.reader.unknown = o.logger, o.unknown
+
 	register.AwaitHistory()
 
 	supervisor.Add(apricotway.ServiceFunc{Name: "origins of streams", Func: o.appendPending})
-	supervisor.Add(apricotway.ServiceFunc{Name: "origins of other processes", Func: o.readOnRequest})
+	supervisor.Add(apricotway.ServiceFunc{Name: "origins of other processes", Func: o.reader.serve})
 
 	if o.copies != nil {
 		supervisor.Add(apricotway.ServiceFunc{Name: "copies of the origins of streams", Func: o.copies.share})
 		supervisor.Add(apricotway.Periodic("copies that were not written", minCopyInterval, o.takeOver))
 	}
 
-	o.versions = &versions{register: register, store: store, logger: o.logger}
 	supervisor.Add(apricotway.ServiceFunc{Name: "software versions in service", Func: o.versions.share})
 
 	return o
@@ -218,15 +200,17 @@
 
 // Find returns the origin of the stream that an attempt of another call began. An empty attempt means that the caller doesn't name it.
 func (o *Origins) Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
-	began, readsBefore := o.boot(), o.readsDone()
+	began := o.boot()
+	readsBefore, _ := o.reader.lastRead()
 	found, evidence := o.find(ctx, service, attempt)
 	o.metrics.OriginFound(evidence)
 
 	source, doubt := o.register.Account(origin.StreamOf(attempt))
 	versions, history := o.register.InService(time.Now(), service)
+	reads, complete := o.reader.lastRead()
 	o.logger.Info("looked up where a stream began", "event", 387, "resumes", attempt, "service", service, "evidence", evidence,
 		"source", source, "doubt", doubt, "known", found.Known(), "version", found.Version(), "took", o.boot()-began,
-		"listAge", o.boot()-o.register.Listed(), "versions", versions, "history", history, "read", o.readsDone() > readsBefore)
+		"listAge", o.boot()-o.register.Listed(), "versions", versions, "history", history, "read", complete && reads > readsBefore)
 
 	return found
 }
@@ -237,7 +221,7 @@
 	stream, since := origin.StreamOf(attempt), o.boot()
 	look := func() (origin.Origin, origin.Evidence) { return o.register.Find(time.Now(), since, service, stream) }
 
-	found, evidence := look()
+	found, evidence := o.reader.lookCovered(stream, orderTolerance, look)
 	if evidence == origin.EvidenceRecord && !found.IsUnsettled() || evidence == origin.EvidenceNone && attempt == "" {
 		return found, evidence
 	}
@@ -247,7 +231,9 @@
 		o.list.RefreshList(since)
 	}
 
-	if found, evidence = o.awaitRecord(ctx, look); evidence != origin.EvidenceOutdated {
+	// A process that has seen a second version has recorded the stream.
+	found, evidence = o.reader.find(ctx, stream, max(2*o.appendInterval(), confirmTimeout), look)
+	if evidence != origin.EvidenceOutdated {
 		return found, evidence
 	}
 
@@ -260,29 +246,7 @@
 		o.logger.V(1).Info("the list of backend servers is too old to tell where a stream began", "event", 388, "error", err.Error())
 	}
 
-	return look()
-}
-
-// awaitRecord reads what other processes recorded until that tells the origin of a stream, as look returns it. A process that has seen a second
-// version has recorded the stream; what it has just begun is in the store soon.
-func (o *Origins) awaitRecord(
-	ctx context.Context, look func() (origin.Origin, origin.Evidence),
-) (origin.Origin, origin.Evidence) {
-	ctx, cancel := context.WithTimeout(ctx, max(2*o.appendInterval(), confirmTimeout))
-	defer cancel()
-
-	for wait := readPause; o.awaitRead(ctx) == nil; wait *= 2 {
-		found, evidence := look()
-		if evidence == origin.EvidenceRecord && !found.IsUnsettled() || evidence == origin.EvidenceOnlyVersion {
-			return found, evidence
-		}
-
-		if !pause.For(ctx, wait) {
-			break
-		}
-	}
-
-	return look()
+	return o.reader.lookCovered(stream, leastTolerance, look)
 }
 
 // appendInterval returns the time between two appends of this process.
@@ -291,6 +255,15 @@
 	return max(minAppendInterval, time.Duration(shared*float64(time.Second)))
 }
 
+// endsInterval returns the shortest time between two reads of the ends of the logs.
+func (o *Origins) endsInterval() time.Duration { return max(o.appendInterval()/endsShare, readPause) }
+
+// olderInterval returns the mean time between two pages of older records while no call waits for them.
+func (o *Origins) olderInterval() time.Duration {
+	shared := logs * pageBytes * float64(o.members()) / backgroundBytes
+	return max(backgroundInterval, time.Duration(shared*float64(time.Second)))
+}
+
 // beginnings is the payload of a record: streams of one service that began at servers of one version.
 type beginnings struct {
 	Service apricotway.Service         `json:"service"`
@@ -401,177 +374,3 @@
 func streamOf(log int) apricotway.Stream {
 	return apricotway.Stream(streamPrefix + strconv.Itoa(log))
 }
-
-// readsDone returns the number of the last read of the logs that succeeded.
-func (o *Origins) readsDone() int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-
-	return o.done
-}
-
-// awaitRead waits until a read of the logs that begins after this call has ended.
-func (o *Origins) awaitRead(ctx context.Context) error {
-	o.mu.Lock()
-	o.waiting++
-	wanted := o.reads + 1
-	o.wanted = max(o.wanted, wanted)
-	o.mu.Unlock()
-
-	defer func() {
-		o.mu.Lock()
-		o.waiting--
-		o.mu.Unlock()
-	}()
-
-	select {
-	case o.wake <- struct{}{}:
-	default:
-	}
-
-	for {
-		o.mu.Lock()
-		done, ended := o.done, o.ended
-		o.mu.Unlock()
-
-		if done >= wanted {
-			return nil
-		}
-
-		select {
-		case <-ended:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
-// readOnRequest reads the logs while calls wait for it, until the context ends.
-func (o *Origins) readOnRequest(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-o.wake:
-		}
-
-		o.mu.Lock()
-		o.reads++
-		read := o.reads
-		o.mu.Unlock()
-
-		err := o.readAll(ctx)
-		if err != nil {
-			o.logger.V(1).Info("failed to read the origins of streams", "event", 375, "error", err.Error())
-			pause.For(ctx, readPause)
-		}
-
-		o.mu.Lock()
-		if err == nil {
-			o.done = read
-		}
-
-		// Calls that began to wait during the read need another one.
-		again := o.waiting > 0 && o.wanted > o.done
-
-		close(o.ended)
-		o.ended = make(chan struct{})
-		o.mu.Unlock()
-
-		if again {
-			select {
-			case o.wake <- struct{}{}:
-			default:
-			}
-		}
-	}
-}
-
-// readAll reads the logs to their ends, and the versions that other processes saw: one may have joined and left while this process was cut
-// off.
-func (o *Origins) readAll(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-
-	var results [logs + 1]error
-
-	var group sync.WaitGroup
-
-	for log := range logs {
-		group.Go(func() { results[log] = o.readLog(ctx, log) })
-	}
-
-	group.Go(func() { results[logs] = o.versions.readHistory(ctx) })
-	group.Wait()
-
-	return cmp.Or(results[:]...)
-}
-
-func (o *Origins) readLog(ctx context.Context, log int) error {
-	for {
-		o.mu.Lock()
-		from := o.next[log]
-		o.mu.Unlock()
-
-		batch, err := o.store.Read(ctx, streamOf(log), max(from, 1), readLimit, 0)
-		if errors.Is(err, apricotway.ErrTrimmed) && batch.Oldest != from {
-			o.advance(log, from, batch.Oldest)
-			continue
-		}
-
-		if err != nil {
-			return errors.Wrap(err, "read the origins of streams")
-		}
-
-		o.learn(batch.Records)
-		o.advance(log, from, batch.Next)
-
-		if len(batch.Records) == 0 {
-			return nil
-		}
-	}
-}
-
-// advance sets the offset to read from next, unless the store has come back from an older copy meanwhile.
-func (o *Origins) advance(log int, from, next apricotway.Offset) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-
-	if o.next[log] == from {
-		o.next[log] = next
-	}
-}
-
-func (o *Origins) learn(records []apricotway.StoredRecord) {
-	now := time.Now()
-
-	for _, record := range records {
-		var payload beginnings
-		if record.Kind != kindBeginnings || record.SchemaVersion != schemaVersion || json.Unmarshal(record.Payload, &payload) != nil {
-			o.logger.V(1).Info("ignored a record of the origins of streams", "event", 376, "offset", record.Offset, "kind", record.Kind)
-			o.unknown(fmt.Sprintf("%s %d", record.Kind, record.SchemaVersion))
-
-			continue
-		}
-
-		if now.Sub(payload.At) > o.register.Lifetime() {
-			continue
-		}
-
-		told := make([]origin.Beginning, 0, len(payload.Streams))
-
-		for _, text := range payload.Streams {
-			stream, err := strconv.ParseUint(text, hexadecimal, 64)
-			if err != nil {
-				continue
-			}
-
-			told = append(told, origin.Beginning{
-				Stream: origin.Stream(stream), Service: payload.Service, Version: payload.Version, Uncertain: payload.Uncertain,
-				Outage: payload.Uncertain && payload.Outage, Proven: !payload.Uncertain && payload.Proven,
-			})
-		}
-
-		o.register.Learn(now, told)
-	}
-}
--- a/coordination/origins/versions.go
+++ b/coordination/origins/versions.go
@@ -35,6 +35,8 @@
 	register *origin.Register
 	store    versionStore
 	logger   logr.Logger
+	// started is called when other processes saw several versions of a service before this one started.
+	started func()
 
 	mu sync.Mutex
 	// unreadableSince is the time since which the saved versions can't be read; zero if they can.
@@ -58,6 +60,13 @@
 		}
 	}
 
+	for _, all := range v.register.Versions(time.Now()) {
+		if len(all) > 1 {
+			v.started()
+			break
+		}
+	}
+
 	for verify := (<-chan time.Time)(nil); ; {
 		select {
 		case <-ctx.Done():
--- a/log.go
+++ b/log.go
@@ -58,6 +58,8 @@
 	Next Offset `json:"next"`
 	// Oldest is the lowest offset that the service still keeps.
 	Oldest Offset `json:"oldest"`
+	// End is the offset after the newest record that the service kept at the time of the read; 0 if it doesn't tell.
+	End Offset `json:"end,omitempty"`
 }
 
 // Log is the platform's append-only log service.
--- a/memorylog/memorylog.go
+++ b/memorylog/memorylog.go
@@ -162,6 +162,7 @@
 	rest := s.records[skip:]
 	batch.Records = append(batch.Records, rest[:min(limit, len(rest))]...)
 	batch.Next = from + apricotway.Offset(len(batch.Records))
+	batch.End = s.first + apricotway.Offset(len(s.records))
 
 	return batch, l.changed, nil
 }
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -491,8 +491,8 @@
 	signal(r.copied)
 }
 
-// Learn records beginnings that other processes told. What this process saw itself is kept, and a doubt stays unless it is withdrawn. A copy that
-// says the same is kept too, since it names the server.
+// Learn records beginnings that other processes told, in any order. What this process saw itself is kept, and a doubt stays unless it is withdrawn. A
+// copy that says the same is kept too, since it names the server.
 func (r *Register) Learn(now time.Time, told []Beginning) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -504,6 +504,9 @@
 		case ok && known.copied && known.Beginning == beginning:
 			known.confirmed = true
 			r.streams[beginning.Stream] = known
+		case ok && known.contradicts(beginning):
+			beginning.Uncertain, beginning.Outage, beginning.Proven = true, !beginning.Proven, false
+			r.addLocked(now, record{Beginning: beginning, at: now})
 		case ok && !known.yieldsTo(beginning):
 		case ok && known.copied && beginning.Outage && known.Version == beginning.Version:
 			known.Beginning, known.confirmed = beginning, true
@@ -529,6 +532,12 @@
 	}
 }
 
+// contradicts reports whether what another process told has the same weight as the record, but names another version. Neither is believed, since
+// records are not read in the order in which they were written.
+func (r record) contradicts(told Beginning) bool {
+	return !r.own() && !r.Uncertain && !told.Uncertain && r.Proven == told.Proven && !r.sameVersion(told)
+}
+
 // Hold keeps copies of the beginnings that another process recorded. They become pending once there is a second version, unless that process
 // writes them to the store itself and confirms that.
 func (r *Register) Hold(now time.Time, copies []Copy, written bool) {
