--- a/coordination/origins/appender.go
+++ b/coordination/origins/appender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -145,7 +146,7 @@
 	}
 
 	o.register.Stored(taken)
-	o.metrics.OriginsWritten(len(taken), backgroundInterval)
+	o.metrics.OriginsWritten(len(taken), deferredInterval)
 	o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "deferred", true)
 }
 
@@ -193,7 +194,7 @@
 
 // submit appends beginnings together with those of the processes for which this one is the writer.
 func (o *Origins) submit(ctx context.Context, message appendMessage) error {
-	ctx, cancel := context.WithTimeout(ctx, backgroundInterval+callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, deferredInterval+callTimeout)
 	defer cancel()
 
 	return o.collector.submit(ctx, message.Groups, message.Background)
@@ -204,19 +205,21 @@
 	records := make([]apricotway.Record, 0, len(groups))
 
 	for _, g := range groups {
-		streams := make([]string, len(g.Streams))
-		for i, stream := range g.Streams {
-			streams[i] = strconv.FormatUint(uint64(stream), hexadecimal)
-		}
+		for part := range slices.Chunk(g.Streams, maxRecordStreams) {
+			streams := make([]string, len(part))
+			for i, stream := range part {
+				streams[i] = strconv.FormatUint(uint64(stream), hexadecimal)
+			}
 
-		payload, err := json.Marshal(beginnings{g.Service, g.Version, g.Uncertain, g.Outage, g.Proven, time.Now(), streams})
-		if err != nil {
-			return errors.Wrap(err, "encode the origins of streams")
-		}
+			payload, err := json.Marshal(beginnings{g.Service, g.Version, g.Uncertain, g.Outage, g.Proven, time.Now(), streams})
+			if err != nil {
+				return errors.Wrap(err, "encode the origins of streams")
+			}
 
-		records = append(records, apricotway.Record{
-			SchemaVersion: schemaVersion, Kind: kindBeginnings, ID: uuid.NewString(), Payload: payload,
-		})
+			records = append(records, apricotway.Record{
+				SchemaVersion: schemaVersion, Kind: kindBeginnings, ID: uuid.NewString(), Payload: payload,
+			})
+		}
 	}
 
 	// An append that has taken effect without an answer is repeated; a second copy says the same.
@@ -227,7 +230,11 @@
 	return nil
 }
 
-const hexadecimal = 16
+const (
+	hexadecimal = 16
+	// maxRecordStreams bounds the streams of one record, 20 bytes each: readers read pages of 64 KB.
+	maxRecordStreams = 1000
+)
 
 func streamOf(log int) apricotway.Stream {
 	return apricotway.Stream(streamPrefix + strconv.Itoa(log))
--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -154,7 +154,7 @@
 
 // takeOver makes this process write the copies whose senders have not confirmed that they did.
 func (o *Origins) takeOver(_ context.Context, now time.Time) {
-	o.register.TakeOver(now, backgroundInterval+o.appendInterval()+confirmMargin)
+	o.register.TakeOver(now, deferredInterval+o.appendInterval()+confirmMargin)
 }
 
 // holders returns the processes that hold the copies of this one, those of other availability zones first: a zone may be lost as a whole.
--- a/coordination/origins/writers.go
+++ b/coordination/origins/writers.go
@@ -19,11 +19,11 @@
 	methodAppend apricotway.Method = "appendOrigins"
 	// processesPerWriter is the number of processes for each of the writers, of which there are as many as logs at most: a few appends of many
 	// processes cost less to write and to read than many appends of one process each.
-	processesPerWriter = 16
-	// minAppendInterval is the shortest time between two appends of a writer, and backgroundInterval that while no other process has to know at
+	processesPerWriter = 32
+	// minAppendInterval is the shortest time between two appends of a writer, and deferredInterval that while no other process has to know at
 	// once what is written, as one software version serves.
-	minAppendInterval  = 50 * time.Millisecond
-	backgroundInterval = 500 * time.Millisecond
+	minAppendInterval = 50 * time.Millisecond
+	deferredInterval  = 500 * time.Millisecond
 	// writerTimeout bounds the wait for a writer beyond the time between two of its appends.
 	writerTimeout = 500 * time.Millisecond
 	// avoidTime is the time for which a writer that failed is not asked again.
@@ -158,7 +158,7 @@
 	}
 
 	for {
-		rest := backgroundInterval - time.Since(last)
+		rest := deferredInterval - time.Since(last)
 		if rest <= 0 || c.urgent() {
 			return true
 		}
@@ -294,7 +294,7 @@
 func (w *writers) ask(ctx context.Context, writer apricotway.Member, message appendMessage) error {
 	timeout := writerTimeout
 	if message.Background {
-		timeout += backgroundInterval
+		timeout += deferredInterval
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, timeout)
