Spread streams that are taken up over all servers of their version

Cause: the number of servers that a call is compared on by chance, and so the chance of each, was taken from all servers of the service, also for a stream that only few may continue. Where speeds are not learned, the first server that may take the call is always compared. For six of 68 that is mostly the only one compared, and as the order is that of the hashes, it is the same one in all processes: i-9744ea31ef has the lowest hash of the six.

Change: for a stream that has begun, the chance is that of the servers which may continue it, and when chance skips all of them, any of them is taken, as with learned speeds. Which servers may continue a stream, and that leaving ones get none, is as before. New calls are compared as before.

--- a/state/dispatch/dispatch.go
+++ b/state/dispatch/dispatch.go
@@ -542,7 +542,7 @@
 	)
 
 	all := p.services[request.Service]
-	size := min(preferred.end, len(all)) - preferred.first
+	size := p.comparableLocked(now, request, preferred)
 	count := p.candidatesLocked(now, callKind{request.Service, SizeOf(request.PromptTokens) >= longPromptClass}, size)
 	// Each server is compared with this probability; the home server of the prompt is always compared.
 	chance := float64(count) / float64(max(size, 1))
@@ -717,6 +717,37 @@
 	})
 }
 
+// comparableLocked returns the number of servers that calls such as the request are compared on, if on all. For a stream that has begun these
+// are the servers that may continue it: those of the preferred range, or the others if there are none.
+func (p *Pool) comparableLocked(now time.Time, request Request, preferred serverRange) int {
+	all := p.services[request.Service]
+	if !request.Origin.Begun() {
+		return min(preferred.end, len(all)) - preferred.first
+	}
+
+	rank, inside, outside := -1, 0, 0
+
+	for _, s := range all {
+		if s.leaving() {
+			continue
+		}
+
+		switch rank++; {
+		case s.paused(now) || !p.mayUseLocked(now, request, s):
+		case preferred.contains(rank):
+			inside++
+		default:
+			outside++
+		}
+	}
+
+	if inside == 0 {
+		return outside
+	}
+
+	return inside
+}
+
 func contains(ids []apricotway.BackendServerID, id apricotway.BackendServerID) bool {
 	for _, other := range ids {
 		if other == id {
--- a/state/dispatch/spread.go
+++ b/state/dispatch/spread.go
@@ -83,7 +83,7 @@
 		step = p.rampStepLocked(now, s, request, chance, preferred.contains(rank))
 	}
 
-	if step == rampNone && !always && p.skipLocked(now, s, rank, chance, first) {
+	if step == rampNone && !always && p.skipLocked(now, s, request, rank, chance, first) {
 		return rampHeld
 	}
 
@@ -91,9 +91,10 @@
 }
 
 // skipLocked reports whether a call is not compared on a server, by chance. Without learned speeds the first server is always compared, so
-// that there is a choice even if chance skips all others.
-func (p *Pool) skipLocked(now time.Time, s *server, rank int, chance float64, first bool) bool {
-	if !p.learnsSpeeds {
+// that there is a choice even if chance skips all others. That doesn't hold for a stream that has begun: the first one of a version with few
+// servers is the same in all processes, and after a start of all of them it got half of the streams that callers took up.
+func (p *Pool) skipLocked(now time.Time, s *server, request *Request, rank int, chance float64, first bool) bool {
+	if !p.learnsSpeeds && !request.Origin.Begun() {
 		return !first && p.random.Float64() >= chance
 	}
 
