Charge streams that are taken up before new calls

Each refusal costs a caller one of few tries to get the rest of an answer.

Cause: for 1.6 to 3.4 s there is no center of the limits. Each process spends from an equal share that begins with half of its share of the burst. New calls, more than the limit allows, have drained the shares when the first streams are taken up, and take what accrues as often as a stream finds it. The limiter did not know which calls take up streams, and refused them at once although what they needed would have accrued within a second. The first center had the same fault: it begins with an empty bucket.

Fix: such a call waits in its process, in the order of arrival, for at most 2 s and 0.3 of its caller's time, and is refused at once with the time until it could be served if that is later. While calls wait, three quarters of what accrues are reserved for them: in the share, in the credit, and in the center's bucket, for which `take` says that its call takes up a stream (Resumed; false, as earlier builds send, is a new call). A bucket still grants only what its level allows without the reserve, so only the order changes. Any caller can mark its calls: it competes in its own workspace only, new calls keep a quarter of what accrues, and nothing is reserved once none waits (TestAllCallsMarked, TestReserveReleased).

An earlier claim of the duties and calls that ask other processes for their shares were left: the first needs a look at what the start-up delay of the election guards, the second asks processes that have just started. apricotway serve has no such limits: state/admission divides slots, and its requests wait for them.

--- a/coordination/rollup/limits.go
+++ b/coordination/rollup/limits.go
@@ -18,6 +18,8 @@
 	Cost      float64
 	// Stated is the limit that the process goes by.
 	Stated quota.StatedLimit
+	// Resumed is set if the call takes up a stream, so that it gets units before new calls.
+	Resumed bool
 }
 
 // CreditDecision is the answer to a CreditRequest.
@@ -34,9 +36,7 @@
 func (r *Rollup) Take(ctx context.Context, workspace apricotway.Workspace, cost float64) (time.Duration, bool) {
 	verdict, wait := r.Limiter.Take(time.Now(), workspace, cost)
 	if verdict == quota.Ask {
-		answer, ok := r.requestCredit(ctx, CreditRequest{
-			Node: r.membership.Self().Node, Workspace: workspace, Cost: cost, Stated: r.Limiter.Stated(workspace),
-		})
+		answer, ok := r.requestCredit(ctx, r.creditRequest(workspace, cost))
 		if ok {
 			r.Limiter.RecordAnswer(time.Now(), workspace, answer.Wait)
 			return answer.Wait, answer.Wait == 0
@@ -48,6 +48,56 @@
 	return wait, verdict == quota.Spent
 }
 
+// TakeResumed is like Take, for a call that takes up a stream and whose caller has the given time left. It gets units before new calls, and
+// may wait for them a part of that time.
+func (r *Rollup) TakeResumed(
+	ctx context.Context, workspace apricotway.Workspace, cost float64, remaining time.Duration,
+) (time.Duration, bool) {
+	resumption := quota.NewResumption(time.Now(), workspace, cost, remaining)
+	defer r.Limiter.Leave(resumption)
+
+	for {
+		verdict, wait := r.Limiter.Resume(time.Now(), resumption)
+		if verdict == quota.Ask {
+			request := r.creditRequest(workspace, cost)
+			request.Resumed = true
+
+			if answer, ok := r.requestCredit(ctx, request); ok {
+				verdict, wait = r.Limiter.RecordResumption(time.Now(), resumption, answer.Wait)
+			} else {
+				verdict, wait = r.Limiter.ResumeFromShare(time.Now(), resumption)
+			}
+		}
+
+		if verdict != quota.Wait {
+			return wait, verdict == quota.Spent
+		}
+
+		if !awaitTurn(ctx, resumption, wait) {
+			return wait, false
+		}
+	}
+}
+
+// awaitTurn waits for the given time, or until the call is the first that waits. It reports whether the context has not ended before.
+func awaitTurn(ctx context.Context, resumption *quota.Resumption, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+		return true
+	case <-resumption.Turn():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *Rollup) creditRequest(workspace apricotway.Workspace, cost float64) CreditRequest {
+	return CreditRequest{Node: r.membership.Self().Node, Workspace: workspace, Cost: cost, Stated: r.Limiter.Stated(workspace)}
+}
+
 // Return refunds the cost of a call that did not run.
 func (r *Rollup) Return(workspace apricotway.Workspace, cost float64) {
 	r.Limiter.Refund(workspace, cost)
@@ -90,7 +140,15 @@
 
 	r.prepare(now, holder.Number)
 
-	wait, decided := r.center.Ask(now, request.Workspace, request.Stated, request.Cost)
+	var wait time.Duration
+
+	var decided bool
+
+	if request.Resumed {
+		wait, decided = r.center.AskResumed(now, request.Node, request.Workspace, request.Stated, request.Cost)
+	} else {
+		wait, decided = r.center.Ask(now, request.Workspace, request.Stated, request.Cost)
+	}
 
 	return CreditDecision{Holding: decided, Wait: wait}
 }
--- a/coordination/rollup/settle_test.go
+++ b/coordination/rollup/settle_test.go
@@ -88,6 +88,8 @@
 	peers          apricotway.Peers
 	pool           *dispatch.Pool
 	options        []rollup.Option
+	limiter        *quota.Limiter
+	rollup         *rollup.Rollup
 }
 
 func newSystem(t *testing.T, prepare ...func(n *node)) *system {
@@ -115,7 +117,7 @@
 	n := &node{
 		system: s, name: name, eras: era.New(), tally: tally.New(window), address: address,
 		handlers: map[apricotway.Method]apricotway.PeerHandler{}, catalog: noCatalog{},
-		pool: dispatch.New(),
+		pool: dispatch.New(), limiter: quota.New(),
 	}
 	n.peers = n
 	s.prepare(n)
@@ -176,8 +178,8 @@
 func (n *node) start() {
 	supervisor := suture.NewSimple(string(n.name))
 	duties := duty.New(supervisor, n, n, n, duty.WithEras(n.eras))
-	rollup.New(supervisor, rollup.Parts{
-		Catalog: n.catalog, Pool: n.pool, Limiter: quota.New(), Tally: n.tally, Suspects: suspect.New(),
+	n.rollup = rollup.New(supervisor, rollup.Parts{
+		Catalog: n.catalog, Pool: n.pool, Limiter: n.limiter, Tally: n.tally, Suspects: suspect.New(),
 		Budget: retrybudget.New(retrybudget.Limits{Ratio: 1, Window: time.Second, Slack: 1}),
 	}, duties, n, n, n.peers, n, append([]rollup.Option{
 		rollup.WithEras(n.eras), rollup.WithLogger(funcr.NewJSON(n.noteSkipped, funcr.Options{})),
--- a/protocol/relay/admit.go
+++ b/protocol/relay/admit.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/apricotway/apricotway"
 	"github.com/apricotway/apricotway/internal/callerbody"
 )
 
@@ -245,7 +246,14 @@
 		}
 	}
 
-	wait, ok := c.relay.limiter.Take(ctx, c.workspace.Name, c.cost)
+	wait, ok := c.take(ctx)
+	if !ok && aborted(ctx) {
+		return &refusal{
+			status: http.StatusServiceUnavailable, reason: reasonStopping, retryAfter: retryAfterStopping, close: true,
+			message: "the process is stopping; use another address",
+		}
+	}
+
 	if !ok {
 		return &refusal{
 			status: http.StatusTooManyRequests, reason: "overLimit", retryAfter: wait,
@@ -257,3 +265,20 @@
 
 	return nil
 }
+
+// ResumptionLimiter is a Limiter that serves streams that are being taken up before new calls.
+type ResumptionLimiter interface {
+	Limiter
+	// TakeResumed is like Take, for a call that takes up a stream and whose caller has the given time left. It may wait for a part of it.
+	TakeResumed(ctx context.Context, workspace apricotway.Workspace, cost float64, remaining time.Duration) (time.Duration, bool)
+}
+
+// take charges the cost of the call.
+func (c *call) take(ctx context.Context) (time.Duration, bool) {
+	limiter, ok := c.relay.limiter.(ResumptionLimiter)
+	if ok && c.route.Resumable && c.metadata.Resumes != "" {
+		return limiter.TakeResumed(ctx, c.workspace.Name, c.cost, c.deadline.Sub(c.relay.now()))
+	}
+
+	return c.relay.limiter.Take(ctx, c.workspace.Name, c.cost)
+}
--- a/state/quota/center.go
+++ b/state/quota/center.go
@@ -35,8 +35,12 @@
 	limit apricotway.TokenLimit
 	// version is the version of the newest configuration that is known to have the limit.
 	version uint64
-	level   float64
-	at      time.Time
+	balance
+	at time.Time
+	// refusedAt is the time at which new calls last got less than they need.
+	refusedAt time.Time
+	// waiting holds the processes at which streams that are being taken up wait for units.
+	waiting map[apricotway.NodeID]waitingNode
 }
 
 type process struct {
@@ -78,7 +82,7 @@
 	if b == nil {
 		// The bucket starts empty, because it is unknown how much was spent under the previous center. It gets what the shares of the
 		// processes have left when these first report.
-		b = &bucket{at: now}
+		b = &bucket{at: now, waiting: map[apricotway.NodeID]waitingNode{}}
 		c.buckets[workspace] = b
 	}
 
@@ -113,7 +117,7 @@
 		return
 	}
 
-	b.level = min(b.level+elapsed*b.limit.Rate*c.reportingShare(now), b.limit.Burst)
+	b.add(elapsed*b.limit.Rate*c.reportingShare(now), b.limit.Burst, b.wanted(now))
 	b.at = now
 }
 
@@ -178,7 +182,9 @@
 		// Credit that a process no longer needs is taken back so that others can have it.
 		units := p.demand[name]*horizon - account.Credit
 		if units > 0 {
-			units = min(units, max(b.level, 0)*maxGrantShare)
+			if free := max(b.free(), 0) * maxGrantShare; units > free {
+				units, b.refusedAt = free, now
+			}
 		}
 
 		if units != 0 {
@@ -195,21 +201,31 @@
 func (c *Center) Ask(
 	now time.Time, workspace apricotway.Workspace, stated StatedLimit, cost float64,
 ) (wait time.Duration, decided bool) {
-	c.learn(now, workspace, stated)
+	b, limited, decided := c.prepareAsk(now, workspace, stated)
+	if !limited {
+		return 0, decided
+	}
 
-	b := c.buckets[workspace]
-	if b == nil || b.limit.Rate <= 0 {
-		return 0, stated.Version > 0
+	// A call that costs more than the whole bucket needs a full bucket, whose level then goes below zero.
+	if need := min(cost, b.limit.Burst); !b.spendFree(cost, need) {
+		b.refusedAt = now
+		return max(refillTime(need, b.free(), newCallsRate(b.limit.Rate, len(b.waiting))), time.Millisecond), true
 	}
 
-	c.refill(now, b)
+	return 0, true
+}
 
-	// A call that costs more than the whole bucket needs a full bucket, whose level then goes below zero.
-	if need := min(cost, b.limit.Burst); b.level < need {
-		return max(refillTime(need, b.level, b.limit.Rate), time.Millisecond), true
+// prepareAsk returns the bucket of a workspace with what has accrued, and reports whether there is a limit. If there is none, it reports
+// whether the center can decide that.
+func (c *Center) prepareAsk(now time.Time, workspace apricotway.Workspace, stated StatedLimit) (b *bucket, limited, decided bool) {
+	c.learn(now, workspace, stated)
+
+	b = c.buckets[workspace]
+	if b == nil || b.limit.Rate <= 0 {
+		return nil, false, stated.Version > 0
 	}
 
-	b.level -= cost
+	c.refill(now, b)
 
-	return 0, true
+	return b, true, true
 }
--- a/state/quota/quota.go
+++ b/state/quota/quota.go
@@ -6,6 +6,7 @@
 package quota
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	Denied Verdict = "denied"
 	// Ask means that the center has to be asked.
 	Ask Verdict = "ask"
+	// Wait means that a call that takes up a stream has to try again.
+	Wait Verdict = "wait"
 )
 
 // Limiter enforces the limits in one process. It is safe for concurrent use.
@@ -52,14 +55,20 @@
 type localBucket struct {
 	limit apricotway.TokenLimit
 	// credit is what the center has granted and this process has not spent.
-	credit float64
+	credit balance
 	// asked counts the units that callers requested since the last report.
 	asked float64
 	// deniedUntil is the time until which the center has nothing to grant.
 	deniedUntil time.Time
-	// level is what was left of the equal share at time at. The share accrues from the time since on.
-	level     float64
+	// resumedDeniedUntil is the time until which the center has nothing to grant to streams that are being taken up.
+	resumedDeniedUntil time.Time
+	// share is what was left of the equal share at time at. The share accrues from the time since on.
+	share     balance
 	at, since time.Time
+	// refusedAt is the time at which a new call was last refused.
+	refusedAt time.Time
+	// waiting holds the streams that are being taken up and wait for units, in the order of their arrival.
+	waiting []*Resumption
 }
 
 // New returns a limiter without limits.
@@ -77,13 +86,13 @@
 	for name, rule := range workspaces {
 		b := l.buckets[name]
 		if b == nil {
-			b = &localBucket{at: now, since: now, level: rule.Limit.Burst * startShare / float64(l.processes)}
+			b = &localBucket{at: now, since: now, share: balance{level: rule.Limit.Burst * startShare / float64(l.processes)}}
 			l.buckets[name] = b
 		}
 
 		if rule.Limit.Rate < b.limit.Rate {
 			// Credit that was granted under a higher rate may exceed the new limit.
-			b.credit = 0
+			b.credit = balance{}
 		}
 
 		b.limit = rule.Limit
@@ -115,12 +124,13 @@
 	}
 
 	b.asked += cost
+	b.credit.reserve(b.credit.reserved, b.wanted(math.Inf(1)))
 
 	switch {
-	case b.credit >= cost:
-		b.credit -= cost
+	case b.credit.spendFree(cost, cost):
 		return Spent, 0
 	case now.Before(b.deniedUntil):
+		b.refusedAt = now
 		return Denied, max(refillTime(cost, 0, b.limit.Rate), maxDenial)
 	case now.Sub(l.answeredAt) < cadence.Lifetime(l.period):
 		return Ask, 0
@@ -145,10 +155,11 @@
 func (b *localBucket) accrueShare(now, answeredAt time.Time, processes float64) {
 	// The center has granted the whole limit up to its last answer, so the share accrues only from then on.
 	if b.since.Before(answeredAt) {
-		b.since, b.at, b.level = answeredAt, answeredAt, 0
+		b.since, b.at, b.share = answeredAt, answeredAt, balance{}
 	}
 
-	b.level = min(b.level+max(now.Sub(b.at).Seconds(), 0)*b.limit.Rate/processes, b.limit.Burst/processes)
+	burst := b.limit.Burst / processes
+	b.share.add(max(now.Sub(b.at).Seconds(), 0)*b.limit.Rate/processes, burst, b.wanted(burst))
 	b.at = now
 }
 
@@ -158,12 +169,13 @@
 	b.accrueShare(now, answeredAt, processes)
 
 	// A call that costs more than the whole share needs a full share, whose level then goes below zero.
-	if b.level >= min(cost, burst) {
-		b.level -= cost
+	if b.share.spendFree(cost, min(cost, burst)) {
 		return Spent, 0
 	}
 
-	return Denied, refillTime(min(cost, burst), b.level, rate)
+	b.refusedAt = now
+
+	return Denied, refillTime(min(cost, burst), b.share.free(), newCallsRate(rate, len(b.waiting)))
 }
 
 // refillTime returns the time until the level reaches the cost.
@@ -171,13 +183,22 @@
 	return time.Duration(max(cost-level, 0) / max(rate, 1) * float64(time.Second))
 }
 
+// newCallsRate returns the rate at which new calls get units while streams that are being taken up wait.
+func newCallsRate(rate float64, waiting int) float64 {
+	if waiting == 0 {
+		return rate
+	}
+
+	return (1 - reservedShare) * rate
+}
+
 // Refund refunds the cost of a call that did not run.
 func (l *Limiter) Refund(workspace apricotway.Workspace, cost float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
 	if b := l.buckets[workspace]; b != nil && b.limit.Rate > 0 {
-		b.credit += cost
+		b.credit.level += cost
 	}
 }
 
@@ -203,7 +224,7 @@
 
 	for name, units := range credit {
 		if b := l.buckets[name]; b != nil {
-			b.credit += units
+			b.credit.add(units, math.Inf(1), b.wanted(math.Inf(1)))
 		}
 	}
 }
@@ -252,7 +273,7 @@
 			b.accrueShare(now, l.answeredAt, float64(l.processes))
 
 			accounts[name] = Account{
-				Stated: StatedLimit{l.version, b.limit}, Asked: b.asked, Credit: b.credit, Share: b.level, Unanswered: now.Sub(b.since),
+				Stated: StatedLimit{l.version, b.limit}, Asked: b.asked, Credit: b.credit.level, Share: b.share.level, Unanswered: now.Sub(b.since),
 			}
 			b.asked = 0
 		}
--- a/state/quota/quota_test.go
+++ b/state/quota/quota_test.go
@@ -89,29 +89,36 @@
 
 // call makes one process spend the cost of a call.
 func (f *fleet) call(process int, cost float64) {
+	if verdict, _ := f.take(process, cost); verdict != quota.Spent {
+		f.refused += cost
+	}
+}
+
+// take is like call, and returns the verdict and the time after which the caller may try again.
+func (f *fleet) take(process int, cost float64) (quota.Verdict, time.Duration) {
 	l := f.processes[process]
 	f.calls++
 
-	verdict, _ := l.Take(f.now, workspace, cost)
+	verdict, wait := l.Take(f.now, workspace, cost)
 	if verdict == quota.Ask {
 		f.asked++
 
 		if f.disconnected[process] {
-			verdict, _ = l.TakeShare(f.now, workspace, cost)
+			verdict, wait = l.TakeShare(f.now, workspace, cost)
 		} else {
-			verdict = f.ask(l, cost)
+			verdict, wait = f.ask(l, cost)
 		}
 	}
 
 	if verdict == quota.Spent {
 		f.spent[len(f.spent)-1] += cost
-	} else {
-		f.refused += cost
 	}
+
+	return verdict, wait
 }
 
 // ask makes a process ask the center for the cost of a call.
-func (f *fleet) ask(l *quota.Limiter, cost float64) quota.Verdict {
+func (f *fleet) ask(l *quota.Limiter, cost float64) (quota.Verdict, time.Duration) {
 	stated := l.Stated(workspace)
 	if f.untold {
 		stated = quota.StatedLimit{}
@@ -119,17 +126,16 @@
 
 	wait, decided := f.center.Ask(f.now, workspace, stated, cost)
 	if !decided {
-		verdict, _ := l.TakeShare(f.now, workspace, cost)
-		return verdict
+		return l.TakeShare(f.now, workspace, cost)
 	}
 
 	l.RecordAnswer(f.now, workspace, wait)
 
 	if wait > 0 {
-		return quota.Denied
+		return quota.Denied, wait
 	}
 
-	return quota.Spent
+	return quota.Spent, 0
 }
 
 // run simulates the given time and calls load once for each step.
