Record beginnings with the first event only, and bound what writers do for others

- The server that a call was sent to was written as its version before the stream began.
Expectations are gone: a beginning is written with the first event, which is held until the append has ended, as long as it still comes in time.
- While one version served, a beginning at a server that had started again with an entry not yet read was written as certain.
It is kept back now until every such start would have been registered (3 s), unless connections to the server prove that there was none.
- A writer went on to append the batches of processes that had given up; after an outage each write took 0.5 s.
They are withdrawn.
- A writer that the store refuses stopped the beginnings of a time with one version of all its processes.
It is avoided for 10 s, and they are appended directly every 2 s at most meanwhile.
- A record could be looked up between the moment at which its doubt was read and the one at which it counted.

Copies go to other processes every 120 ms, not 100, as confirmations come later than before.

--- a/cmd/internal/entry/counters.go
+++ b/cmd/internal/entry/counters.go
@@ -68,7 +68,7 @@
 		Name: "apricotway_stream_origins_written_total", Help: "Beginnings of streams written to the store.",
 	})
 	c.writeWait = prometheus.NewHistogram(prometheus.HistogramOpts{
-		Name: "apricotway_stream_origins_write_seconds", Help: "Time from the beginning of a stream to its record in the store.",
+		Name: "apricotway_stream_origins_write_seconds", Help: "Time that it takes to have beginnings of streams in the store.",
 		Buckets: latencyBuckets,
 	})
 	c.takenUp = prometheus.NewCounterVec(prometheus.CounterOpts{
--- a/coordination/origins/appender.go
+++ b/coordination/origins/appender.go
@@ -54,25 +54,21 @@
 	o.appended = make(chan struct{})
 }
 
-// Settle waits until the store has what this process recorded of the stream that an attempt began, and reports whether it does. It waits for a
-// store that takes no appends only if the version is disputed.
-func (o *Origins) Settle(ctx context.Context, attempt apricotway.AttemptID, sharing origin.Sharing) bool {
+// Settle waits until the store has what this process recorded of the stream that an attempt began, or until it takes no appends.
+func (o *Origins) Settle(ctx context.Context, attempt apricotway.AttemptID) {
 	for stream := origin.StreamOf(attempt); ; {
 		o.mu.Lock()
 		appended, failed := o.appended, o.appendFailed
 		o.mu.Unlock()
 
-		switch {
-		case o.register.IsStored(stream):
-			return true
-		case failed && sharing != origin.SharingDisputed:
-			return false
+		if failed || o.register.IsStored(stream) {
+			return
 		}
 
 		select {
 		case <-appended:
 		case <-ctx.Done():
-			return false
+			return
 		}
 	}
 }
@@ -132,13 +128,21 @@
 }
 
 // appendDeferred writes the beginnings that other processes have to know if another version joins while no process runs.
-func (o *Origins) appendDeferred(ctx context.Context, _ time.Time) {
-	taken := o.register.TakeDeferred(maxBeginnings)
+func (o *Origins) appendDeferred(ctx context.Context, now time.Time) {
+	taken := o.register.TakeDeferred(now, maxBeginnings)
 	if len(taken) == 0 {
 		return
 	}
 
-	if err := o.send(ctx, appendMessage{Groups: group(taken), Background: true}); err != nil {
+	message := appendMessage{Groups: group(taken), Background: true}
+
+	err := o.send(ctx, message)
+	if interval := max(minDeferredInterval, o.appendInterval()); err != nil && now.Sub(o.deferred) >= interval {
+		o.deferred = now
+		err = o.appendDirectly(ctx, message.Groups)
+	}
+
+	if err != nil {
 		o.logger.V(1).Info("failed to have the origins of streams written", "event", 415, "streams", len(taken), "error", err.Error())
 		o.register.ReturnDeferred(taken)
 
@@ -146,7 +150,6 @@
 	}
 
 	o.register.Stored(taken)
-	o.metrics.OriginsWritten(len(taken), deferredInterval)
 	o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "deferred", true)
 }
 
@@ -167,6 +170,10 @@
 
 	o.direct = time.Now()
 
+	return o.appendDirectly(ctx, groups)
+}
+
+func (o *Origins) appendDirectly(ctx context.Context, groups []beginningsGroup) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 
@@ -179,13 +186,17 @@
 		return o.submit(ctx, message)
 	}
 
-	writer := o.writers.choose(time.Now())
+	writer, ok := o.writers.choose(time.Now())
+	if !ok {
+		return errNoWriter
+	}
+
 	if writer.Node == o.writers.membership.Self().Node {
 		return o.submit(ctx, message)
 	}
 
 	err := o.writers.ask(ctx, writer, message)
-	if err != nil && !errors.Is(err, errNotWritten) {
+	if err != nil {
 		o.writers.avoid(writer.Node, time.Now().Add(avoidTime))
 	}
 
--- a/coordination/origins/copies.go
+++ b/coordination/origins/copies.go
@@ -15,7 +15,7 @@
 const (
 	methodCopies apricotway.Method = "copyOrigins"
 	// minCopyInterval is the shortest time between two messages with copies. What a process began since its last message is lost with it.
-	minCopyInterval = 100 * time.Millisecond
+	minCopyInterval = 120 * time.Millisecond
 	// memberCopyInterval times the number of processes is that time, so that the messages of many processes stay within what they may spend.
 	memberCopyInterval = 2 * time.Millisecond
 	// copyTimeout bounds one message with copies.
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -1,5 +1,5 @@
 // Package origins shares the origins of streams between processes through the operators' store, which outlives all of them: the software
-// versions that are in service, and, while that are several, the version at which each stream began.
+// versions that are in service, and the version at which each stream began.
 package origins
 
 import (
@@ -26,8 +26,10 @@
 	kindBeginnings = "beginnings"
 	schemaVersion  = 1
 
-	// minDirectInterval is the shortest time between two appends of a process that has no writer.
-	minDirectInterval = 100 * time.Millisecond
+	// minDirectInterval is the shortest time between two appends of a process that has no writer, and minDeferredInterval that for beginnings which
+	// no other process has to know at once.
+	minDirectInterval   = 100 * time.Millisecond
+	minDeferredInterval = 2 * time.Second
 	// appendShare is the share of the store's write calls that the appends of all processes take, and maxLogAppends bounds the appends per
 	// second to one log, each of which takes the operators' stores 2 ms.
 	appendShare   = 0.25
@@ -89,8 +91,9 @@
 	// collector appends the beginnings of this process and of those for which it is the writer. writers is nil without other processes.
 	collector *collector
 	writers   *writers
-	// direct is the time of the last append of this process beside its writer. Only appendPending uses it.
-	direct time.Time
+	// direct is the time of the last append of this process without a writer, and deferred that of beginnings that no other process had to know.
+	// Only appendPending uses direct, and only appendDeferred uses deferred.
+	direct, deferred time.Time
 
 	mu sync.Mutex
 	// appended is closed and replaced when an append ends. appendFailed is set while the last append failed.
@@ -102,7 +105,7 @@
 type Metrics interface {
 	// OriginFound counts a lookup of the origin of a stream by its evidence.
 	OriginFound(evidence origin.Evidence)
-	// OriginsWritten counts beginnings that were written to the store, and records how long the oldest of them waited at most.
+	// OriginsWritten counts beginnings that were written to the store at once, and records the time that this took.
 	OriginsWritten(count int, waited time.Duration)
 }
 
@@ -177,11 +180,6 @@
 	return o
 }
 
-// Expect records that a call is sent to a server which may begin the stream of an attempt.
-func (o *Origins) Expect(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) {
-	o.register.Expect(now, origin.StreamOf(attempt), server)
-}
-
 // Began records that a server sent the first event of the stream that an attempt began. It returns whether other processes know it.
 func (o *Origins) Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) origin.Sharing {
 	sharing := o.register.Begin(now, origin.StreamOf(attempt), server)
--- a/coordination/origins/reader.go
+++ b/coordination/origins/reader.go
@@ -247,11 +247,11 @@
 func (r *reader) lookCovered(
 	stream origin.Stream, tolerance time.Duration, look func() (origin.Origin, origin.Evidence),
 ) (origin.Origin, origin.Evidence) {
-	found, evidence := look()
-
+	// The lock keeps the record uncovered until what was read beside it has been learned.
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
+	found, evidence := look()
 	if evidence == origin.EvidenceRecord && !r.coveredLocked(stream, tolerance) {
 		return origin.Unknown(), origin.EvidenceNone
 	}
--- a/coordination/origins/writers.go
+++ b/coordination/origins/writers.go
@@ -27,7 +27,7 @@
 	// writerTimeout bounds the wait for a writer beyond the time between two of its appends.
 	writerTimeout = 500 * time.Millisecond
 	// avoidTime is the time for which a writer that failed is not asked again.
-	avoidTime = 2 * time.Second
+	avoidTime = 10 * time.Second
 )
 
 // appendMessage asks a writer to append beginnings.
@@ -117,10 +117,19 @@
 	case err := <-b.done:
 		return err
 	case <-ctx.Done():
+		c.withdraw(b)
 		return ctx.Err()
 	}
 }
 
+// withdraw removes a batch whose process doesn't wait any more.
+func (c *collector) withdraw(b *batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.batches = slices.DeleteFunc(c.batches, func(other *batch) bool { return other == b })
+}
+
 func (c *collector) notify() {
 	select {
 	case c.wake <- struct{}{}:
@@ -242,29 +251,43 @@
 	avoided map[apricotway.NodeID]time.Time
 }
 
-// count returns the number of writers among a number of processes.
+// writerCount returns the number of writers among a number of processes.
 func writerCount(processes int) int {
 	return min(max(processes/processesPerWriter, 1), logs)
 }
 
-// choose returns the writer of this process, which may be the process itself: one of those with the largest hosts.
-func (w *writers) choose(now time.Time) apricotway.Member {
+// choose returns the writer of this process: one of those with the largest hosts among the processes that are ready. It may be the process itself,
+// but not only because it knows of no other that is ready, as after a start of all: then there is none.
+func (w *writers) choose(now time.Time) (writer apricotway.Member, ok bool) {
 	self := w.membership.Self()
-	candidates := []apricotway.Member{self}
+	known, ready := []apricotway.Member{self}, []apricotway.Member{self}
 
 	for _, m := range w.membership.Members() {
+		if m.State != apricotway.MemberAlive && m.State != apricotway.MemberSuspect {
+			continue
+		}
+
+		known = append(known, m)
 		if m.State == apricotway.MemberAlive && m.Ready && !w.avoids(now, m.Node) {
-			candidates = append(candidates, m)
+			ready = append(ready, m)
 		}
 	}
 
-	slices.SortFunc(candidates, func(a, b apricotway.Member) int {
+	name := func(m apricotway.Member) string { return string(m.Node) }
+	writer = placement.Rank(largest(ready), name, string(self.Node))[0]
+
+	isSelf := func(m apricotway.Member) bool { return m.Node == self.Node }
+
+	return writer, writer.Node != self.Node || slices.ContainsFunc(largest(known), isSelf)
+}
+
+// largest returns the writers among processes.
+func largest(processes []apricotway.Member) []apricotway.Member {
+	slices.SortFunc(processes, func(a, b apricotway.Member) int {
 		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Node, b.Node))
 	})
 
-	chosen := candidates[:writerCount(len(candidates))]
-
-	return placement.Rank(chosen, func(m apricotway.Member) string { return string(m.Node) }, string(self.Node))[0]
+	return processes[:writerCount(len(processes))]
 }
 
 func (w *writers) avoids(now time.Time, node apricotway.NodeID) bool {
@@ -287,8 +310,12 @@
 	w.avoided[node] = until
 }
 
-// errNotWritten reports a writer that could not append.
-var errNotWritten = errors.New("the writer could not append")
+var (
+	// errNotWritten reports a writer that could not append.
+	errNotWritten = errors.New("the writer could not append")
+	// errNoWriter reports that no process is known which is ready to append.
+	errNoWriter = errors.New("no writer is ready")
+)
 
 // ask makes another process append beginnings, and returns once the store has them.
 func (w *writers) ask(ctx context.Context, writer apricotway.Member, message appendMessage) error {
--- a/protocol/relay/detour.go
+++ b/protocol/relay/detour.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -249,43 +248,34 @@
 }
 
 const (
-	// disputeTimeout bounds the wait until other processes know that the software version of a stream is disputed.
-	disputeTimeout = time.Second
-	// maxSettleTime bounds the wait until other processes can learn where a stream began, if the route has no objective.
+	// settleShare is the share of a route's objective until which the first event of a stream is held, so that it still comes in time.
+	settleShare = 0.9
+	// maxSettleTime bounds the time for which a first event is held that is late anyway, or whose route has no objective.
 	maxSettleTime = 200 * time.Millisecond
 )
 
-// beginStream records the server that began the stream of the call. It reports whether the stream may be passed on: a caller that has its first
-// event may take it up at another process, which must not take it for one of another software version.
-func (c *call) beginStream(ctx context.Context, now time.Time, send *dispatch.Send) bool {
+// beginStream records the server that began the stream of the call, and holds the first event until other processes can learn it: a caller that has
+// the event may take the stream up elsewhere at once.
+func (c *call) beginStream(ctx context.Context, now time.Time, send *dispatch.Send) {
 	if send.Backend.ID == "" {
 		c.origin = origin.Unknown()
-		return true
+		return
 	}
 
 	c.origin = c.beginningAt(now, send)
-	if !c.route.Resumable {
-		return true
+	if !c.route.Resumable || c.relay.origins.Began(now, c.stream(), send.Backend) != origin.SharingPending {
+		return
 	}
 
-	switch sharing := c.relay.origins.Began(now, c.stream(), send.Backend); sharing {
-	case origin.SharingDisputed:
-		return c.settle(ctx, now.Add(disputeTimeout), sharing)
-	case origin.SharingPending:
-		// An event that is held for longer would be late.
-		c.settle(ctx, c.arrived.Add(cmp.Or(scale(c.route.Objective, holdShare), maxSettleTime)), sharing)
-	case origin.SharingNone:
+	until := c.arrived.Add(scale(c.route.Objective, settleShare))
+	if !now.Before(c.arrived.Add(c.route.Objective)) {
+		until = now.Add(maxSettleTime)
 	}
 
-	return true
-}
-
-// settle waits until other processes can learn where the stream began, at most until a time, and reports whether they can.
-func (c *call) settle(ctx context.Context, until time.Time, sharing origin.Sharing) bool {
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 
-	return c.relay.origins.Settle(ctx, c.stream(), sharing)
+	c.relay.origins.Settle(ctx, c.stream())
 }
 
 // beginningAt returns the origin of a stream that has begun at a server. Its version is not known if the server may have started again since
--- a/protocol/relay/refusal.go
+++ b/protocol/relay/refusal.go
@@ -28,11 +28,9 @@
 	reasonStopped = "stopped"
 	// reasonNotContinued is that of an engine whose events don't follow those before them.
 	reasonNotContinued = "notContinued"
-	// reasonUnsettled is that of a stream which another process would continue at the wrong software version.
-	reasonUnsettled = "unsettled"
-	reasonNoTime    = "noTime"
-	reasonStopping  = "stopping"
-	reasonFault     = "fault"
+	reasonNoTime       = "noTime"
+	reasonStopping     = "stopping"
+	reasonFault        = "fault"
 	// reasonDetour is that of a call that another process passes on, and reasonLost that of one that no known process can.
 	reasonDetour = "detour"
 	reasonLost   = "pathsLost"
--- a/protocol/relay/relay.go
+++ b/protocol/relay/relay.go
@@ -111,12 +111,10 @@
 
 // Origins tells where streams began, so that only servers that fit continue them.
 type Origins interface {
-	// Expect records that a call is sent to a server which may begin the stream of an attempt.
-	Expect(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend)
 	// Began records that a server sent the first event of the stream that an attempt began. It returns whether other processes know it.
 	Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) origin.Sharing
-	// Settle waits until other processes can learn what was recorded of a stream, and reports whether they can.
-	Settle(ctx context.Context, attempt apricotway.AttemptID, sharing origin.Sharing) bool
+	// Settle waits until other processes can learn what was recorded of a stream, or until it is known that they can't.
+	Settle(ctx context.Context, attempt apricotway.AttemptID)
 	// Find returns the origin of a stream that its caller takes up. The attempt is empty if the caller doesn't name it.
 	Find(ctx context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin
 	// Await makes sure, within a short time, that it is known whether the list of backend servers is up to date.
@@ -250,15 +248,13 @@
 // localOrigins are the origins that this process has seen.
 type localOrigins struct{ register *origin.Register }
 
-func (localOrigins) Expect(time.Time, apricotway.AttemptID, apricotway.Backend) {}
-
 func (o localOrigins) Began(now time.Time, attempt apricotway.AttemptID, server apricotway.Backend) origin.Sharing {
 	o.register.Begin(now, origin.StreamOf(attempt), server)
 
 	return origin.SharingNone
 }
 
-func (localOrigins) Settle(context.Context, apricotway.AttemptID, origin.Sharing) bool { return true }
+func (localOrigins) Settle(context.Context, apricotway.AttemptID) {}
 
 func (o localOrigins) Find(_ context.Context, service apricotway.Service, attempt apricotway.AttemptID) origin.Origin {
 	found, _ := o.register.Find(time.Now(), 0, service, origin.StreamOf(attempt))
--- a/protocol/relay/send.go
+++ b/protocol/relay/send.go
@@ -25,10 +25,6 @@
 
 	c.progress.sent(to.Backend.ID, now)
 
-	if c.route.Resumable && to.Backend.ID != "" {
-		c.relay.origins.Expect(now, c.stream(), to.Backend)
-	}
-
 	answer, err := c.relay.upstream.Send(ctx, to.Backend.Address, c.forwardedCall(header))
 	if err != nil {
 		return nil, apricotway.AnswerMetadata{}, err
--- a/protocol/relay/stream.go
+++ b/protocol/relay/stream.go
@@ -258,11 +258,7 @@
 
 	send.RecordFirstEvent(now, metadata.Load)
 
-	if !c.beginStream(ctx, now, send) {
-		send.End(c.relay.now(), dispatch.OutcomeLeft)
-		return attemptResult{step: stepFail, reason: reasonUnsettled, arrived: true, mayHaveRun: true}
-	}
-
+	c.beginStream(ctx, now, send)
 	c.writeHeader(answer, -1, formStream)
 
 	current := &engineRun{
--- a/state/origin/register.go
+++ b/state/origin/register.go
@@ -105,8 +105,6 @@
 	SharingNone Sharing = "none"
 	// SharingPending means that it is to be written to the store.
 	SharingPending Sharing = "pending"
-	// SharingDisputed means that they may expect another version until it is written that the version is disputed.
-	SharingDisputed Sharing = "disputed"
 )
 
 // Versions holds, for the software versions of one service, the time at which the last server of the version left the list; zero while one is
@@ -179,10 +177,6 @@
 	// address is that of the server, and heldSince the time since which this process had a connection to it at the beginning; zero for none.
 	address   netip.AddrPort
 	heldSince time.Time
-	// expected is set until the server has sent the first event. The call may still be sent to another server.
-	expected bool
-	// disputed is set once the stream has begun at another lineage than the one that other processes were told to expect.
-	disputed bool
 	// unproven is set if the server may have started again since its entry was written: the store was away, and the connections to the server
 	// don't show that it has not.
 	unproven bool
@@ -197,17 +191,6 @@
 // stored reports whether the beginning was read from the store.
 func (r record) stored() bool { return r.server == "" && !r.copied }
 
-// telling returns the beginning as other processes have to know it. They may learn a withdrawn expectation late, so the version of a disputed
-// stream stays unknown to them.
-func (r record) telling() Beginning {
-	told := r.Beginning
-	if r.disputed {
-		told.Uncertain, told.Outage, told.Proven = true, false, false
-	}
-
-	return told
-}
-
 type aged struct {
 	stream Stream
 	at     time.Time
@@ -352,7 +335,7 @@
 
 	for _, known := range r.streams {
 		if known.Service == name && known.told() && now.Sub(known.at) < r.lifetime {
-			r.enqueueLocked(known.telling())
+			r.enqueueLocked(known.Beginning)
 		}
 	}
 }
@@ -486,25 +469,6 @@
 	return r.neededLocked(now, r.serviceLocked(name)), !r.awaitsHistory
 }
 
-// Expect records that a call which may begin a stream is sent to a server, if other processes have to know then where it began. So they know it
-// once the first event is passed on, also if this process ends at that moment.
-func (r *Register) Expect(now time.Time, stream Stream, server apricotway.Backend) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	if _, ok := r.streams[stream]; ok || !r.mixedLocked(now, r.serviceLocked(server.Service)) || r.outageLocked(now) {
-		return
-	}
-
-	added := record{
-		Beginning: Beginning{Stream: stream, Service: server.Service, Version: server.Version}, server: server.ID, born: server.Born, at: now,
-		address: server.Address, expected: true,
-	}
-
-	r.addLocked(now, added)
-	r.enqueueLocked(added.Beginning)
-}
-
 // Begin records that a server sent the first event of a stream. It returns whether other processes know where the stream began.
 func (r *Register) Begin(now time.Time, stream Stream, server apricotway.Backend) Sharing {
 	r.mu.Lock()
@@ -514,7 +478,7 @@
 	beginning := Beginning{Stream: stream, Service: server.Service, Version: server.Version}
 
 	known, ok := r.streams[stream]
-	if ok && !known.expected && (known.sameVersion(beginning) || known.own() && known.Outage) {
+	if ok && (known.sameVersion(beginning) || known.own() && known.Outage) {
 		return SharingNone
 	}
 
@@ -527,16 +491,6 @@
 		added.Uncertain = added.Outage
 	}
 
-	if ok && known.expected {
-		// The server may have started again while the call was on its way.
-		if known.Uncertain && known.server == server.ID {
-			added.Uncertain, added.Outage = true, false
-		}
-
-		added.disputed = known.Service != server.Service || known.Version != server.Version
-		added.confirmed = known.confirmed && known.Beginning == added.telling()
-	}
-
 	r.addLocked(now, added)
 	r.copyLocked(stream)
 
@@ -544,21 +498,15 @@
 		r.doubted[stream] = struct{}{}
 	}
 
-	switch {
-	case added.confirmed:
-		r.stored = append(r.stored, stream)
-		return SharingNone
-	case added.disputed:
-		r.enqueueLocked(added.telling())
-		return SharingDisputed
-	case mixed:
-		r.enqueueLocked(added.telling())
+	if mixed {
+		r.enqueueLocked(added.Beginning)
 		return SharingPending
-	default:
-		// A second version may join while no process runs.
-		r.deferLocked(added.telling())
-		return SharingNone
 	}
+
+	// A second version may join while no process runs.
+	r.deferLocked(added.Beginning)
+
+	return SharingNone
 }
 
 // IsStored reports whether the store has what this process recorded of a stream.
@@ -715,14 +663,11 @@
 	for _, beginning := range beginnings {
 		known := r.streams[beginning.Stream]
 		if known.own() {
-			known.confirmed = known.telling() == beginning
+			known.confirmed = known.Beginning == beginning
 			r.streams[beginning.Stream] = known
 		}
 
-		// Nobody holds a copy of what is only expected.
-		if !known.expected {
-			r.stored = append(r.stored, beginning.Stream)
-		}
+		r.stored = append(r.stored, beginning.Stream)
 	}
 
 	r.stored = r.stored[max(len(r.stored)-maxStreams, 0):]
@@ -819,17 +764,34 @@
 	return Unknown(), EvidenceNone
 }
 
-// TakeDeferred returns the beginnings that no other process has to know at once, up to a number of them, and forgets them.
-func (r *Register) TakeDeferred(limit int) []Beginning {
+// TakeDeferred returns the beginnings that no other process has to know at once, up to a number of them, and forgets them. It leaves those whose
+// server may have started again since its entry was written, until every such start would have been registered.
+func (r *Register) TakeDeferred(now time.Time, limit int) []Beginning {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	taken := slices.Clone(r.deferred[:min(limit, len(r.deferred))])
-	if r.deferred = r.deferred[len(taken):]; len(r.deferred) == 0 {
-		r.deferred = nil
+	var taken, left []Beginning
+
+	for i, beginning := range r.deferred {
+		known, ok := r.streams[beginning.Stream]
+
+		switch {
+		case !ok || known.confirmed:
+		case len(taken) == limit:
+			left = append(left, r.deferred[i:]...)
+			r.deferred = left
+
+			return taken
+		case known.unproven && now.Sub(known.at) < registrationTime:
+			left = append(left, beginning)
+		default:
+			taken = append(taken, known.Beginning)
+		}
 	}
 
-	return slices.DeleteFunc(taken, func(b Beginning) bool { return r.streams[b.Stream].confirmed })
+	r.deferred = left
+
+	return taken
 }
 
 // ReturnDeferred keeps beginnings that could not be written.
@@ -850,7 +812,7 @@
 
 	for i, beginning := range taken {
 		if known, ok := r.streams[beginning.Stream]; ok {
-			taken[i] = known.telling()
+			taken[i] = known.Beginning
 		}
 	}
 
@@ -875,7 +837,7 @@
 				break
 			}
 
-			taken = append(taken, Copy{known.telling(), known.server, known.born})
+			taken = append(taken, Copy{known.Beginning, known.server, known.born})
 		}
 
 		r.copies = r.copies[1:]
@@ -932,9 +894,9 @@
 
 		switch mixed := r.mixedLocked(now, r.serviceLocked(known.Service)); {
 		case mixed:
-			r.enqueueLocked(known.telling())
+			r.enqueueLocked(known.Beginning)
 		case known.own():
-			r.deferLocked(known.telling())
+			r.deferLocked(known.Beginning)
 		}
 
 		known.confirmed = known.confirmed && !known.own()
