Count only processes that run for the interval of appends

What callers saw: streams of killed processes were refused as originUnknown more often after each kill of a part of the processes.

Cause: processes that have no writer append at intervals that grow with the number of members, and the membership lists those that have ended for a while.

Fix: ended members don't count. With writers the interval matters only to processes whose writer fails.

--- a/cmd/internal/entry/entry.go
+++ b/cmd/internal/entry/entry.go
@@ -251,7 +251,7 @@
 	e.registry.MustRegister(newShiftMetrics(e.rollup.ShiftDecisions, func() []canary.State { return e.pool.ShiftStates(time.Now()) }))
 
 	streams := origins.New(e.supervisor, e.pool.Origins(), e.platform, e.catalog, origins.WithLogger(e.logger), origins.WithEras(e.eras),
-		origins.WithMetrics(counters), origins.WithMembers(func() int { return len(e.membership.Members()) + 1 }),
+		origins.WithMetrics(counters), origins.WithMembers(func() int { return countLive(e.membership) }),
 		origins.WithWriteRate(s.Platform.WritesPerSecond), origins.WithCopies(e.peers, e.peerServer, e.membership),
 		origins.WithUnknown(e.unknown.Of("originRecord")))
 
