--- a/coordination/origins/writers.go
+++ b/coordination/origins/writers.go
@@ -22,7 +22,7 @@
 	processesPerWriter = 32
 	// minAppendInterval is the shortest time between two appends of a writer, and deferredInterval that while no other process has to know at
 	// once what is written, as one software version serves.
-	minAppendInterval = 100 * time.Millisecond
+	minAppendInterval = 40 * time.Millisecond
 	deferredInterval  = 500 * time.Millisecond
 	// writerTimeout bounds the wait for a writer beyond the time between two of its appends.
 	writerTimeout = 500 * time.Millisecond
--- a/coordination/origins/writers_test.go
+++ b/coordination/origins/writers_test.go
@@ -86,13 +86,13 @@
 					<-time.After(5*time.Millisecond - time.Since(began)%(5*time.Millisecond))
 				}
 
-				// Each writer appends ten times a second at most.
-				if got, want := s.appendCount()-before, test.writers*(int(time.Since(started)/(100*time.Millisecond))+1); got > want {
+				// Each writer appends 25 times a second at most.
+				if got, want := s.appendCount()-before, test.writers*(int(time.Since(started)/(40*time.Millisecond))+1); got > want {
 					t.Errorf("got %d appends, want at most %d", got, want)
 				}
 
-				// Two fifths of an objective of half a second.
-				if got, want := longest, 200*time.Millisecond; got > want {
+				// The time for which a first event is held.
+				if got, want := longest, 80*time.Millisecond; got > want {
 					t.Errorf("got %v until a beginning was in the store, want at most %v", got, want)
 				}
 
--- a/protocol/relay/detour.go
+++ b/protocol/relay/detour.go
@@ -247,12 +247,8 @@
 	return nil
 }
 
-const (
-	// settleShare is the share of a route's objective until which the first event of a stream is held, so that it still comes in time.
-	settleShare = 0.9
-	// maxSettleTime bounds the time for which a first event is held that is late anyway, or whose route has no objective.
-	maxSettleTime = 200 * time.Millisecond
-)
+// maxSettleTime bounds the time for which the first event of a stream is held. Operators count a stream as late from about a tenth of a second on.
+const maxSettleTime = 80 * time.Millisecond
 
 // beginStream records the server that began the stream of the call, and holds the first event until other processes can learn it: a caller that has
 // the event may take the stream up elsewhere at once.
@@ -267,12 +263,7 @@
 		return
 	}
 
-	until := c.arrived.Add(scale(c.route.Objective, settleShare))
-	if !now.Before(c.arrived.Add(c.route.Objective)) {
-		until = now.Add(maxSettleTime)
-	}
-
-	ctx, cancel := context.WithDeadline(ctx, until)
+	ctx, cancel := context.WithTimeout(ctx, maxSettleTime)
 	defer cancel()
 
 	c.relay.origins.Settle(ctx, c.stream())
