--- a/coordination/origins/appender.go
+++ b/coordination/origins/appender.go
@@ -111,9 +111,8 @@
 			o.register.Stored(taken)
 			o.endAppend(false)
 
-			waited := time.Since(began)
-			o.metrics.OriginsWritten(len(taken), waited)
-			o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "waited", waited)
+			o.metrics.OriginsWritten(len(taken), time.Since(began))
+			o.logWritten(taken, time.Since(began), false)
 		}
 
 		if failed := err != nil; failed != failing {
@@ -143,14 +142,22 @@
 	}
 
 	if err != nil {
-		o.logger.V(1).Info("failed to have the origins of streams written", "event", 415, "streams", len(taken), "error", err.Error())
+		o.logFailure(taken, err)
 		o.register.ReturnDeferred(taken)
 
 		return
 	}
 
 	o.register.Stored(taken)
-	o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(taken), "deferred", true)
+	o.logWritten(taken, time.Since(now), true)
+}
+
+func (o *Origins) logWritten(written []origin.Beginning, waited time.Duration, deferred bool) {
+	o.logger.Info("wrote the origins of streams", "event", 414, "streams", len(written), "waited", waited, "deferred", deferred)
+}
+
+func (o *Origins) logFailure(taken []origin.Beginning, err error) {
+	o.logger.V(1).Info("failed to have the origins of streams written", "event", 415, "streams", len(taken), "error", err.Error())
 }
 
 // write makes the writer of this process append beginnings, or appends them itself if that fails.
@@ -162,7 +169,7 @@
 		return err
 	}
 
-	o.logger.V(1).Info("failed to have the origins of streams written", "event", 415, "streams", len(taken), "error", err.Error())
+	o.logFailure(taken, err)
 
 	if !pause.For(ctx, o.appendInterval()-time.Since(o.direct)) {
 		return ctx.Err()
