--- a/coordination/origins/appender.go
+++ b/coordination/origins/appender.go
@@ -15,7 +15,7 @@
 	"github.com/apricotway/apricotway/state/origin"
 )
 
-// appendInterval returns the time between two appends of this process while it has no writer.
+// appendInterval returns the time between two appends of this process beside its writer.
 func (o *Origins) appendInterval() time.Duration {
 	shared := float64(o.members()) / min(o.writesPerSecond*appendShare, logs*maxLogAppends)
 	return max(minDirectInterval, time.Duration(shared*float64(time.Second)))
@@ -136,8 +136,8 @@
 	message := appendMessage{Groups: group(taken), Background: true}
 
 	err := o.send(ctx, message)
-	if interval := max(minDeferredInterval, o.appendInterval()); err != nil && now.Sub(o.deferred) >= interval {
-		o.deferred = now
+	if interval := max(minDeferredInterval, o.appendInterval()); err != nil && now.Sub(o.deferredAt) >= interval {
+		o.deferredAt = now
 		err = o.appendDirectly(ctx, message.Groups)
 	}
 
@@ -171,15 +171,16 @@
 
 	o.logFailure(taken, err)
 
-	if !pause.For(ctx, o.appendInterval()-time.Since(o.direct)) {
+	if !pause.For(ctx, o.appendInterval()-time.Since(o.directAt)) {
 		return ctx.Err()
 	}
 
-	o.direct = time.Now()
+	o.directAt = time.Now()
 
 	return o.appendDirectly(ctx, groups)
 }
 
+// appendDirectly appends beginnings of this process beside its writer.
 func (o *Origins) appendDirectly(ctx context.Context, groups []beginningsGroup) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/coordination/origins/origins.go
+++ b/coordination/origins/origins.go
@@ -91,9 +91,9 @@
 	// collector appends the beginnings of this process and of those for which it is the writer. writers is nil without other processes.
 	collector *collector
 	writers   *writers
-	// direct is the time of the last append of this process without a writer, and deferred that of beginnings that no other process had to know.
-	// Only appendPending uses direct, and only appendDeferred uses deferred.
-	direct, deferred time.Time
+	// directAt is the time of the last append of this process beside its writer, and deferredAt that of deferred beginnings. Only appendPending
+	// uses directAt, and only appendDeferred uses deferredAt.
+	directAt, deferredAt time.Time
 
 	mu sync.Mutex
 	// appended is closed and replaced when an append ends. appendFailed is set while the last append failed.
